--- /dev/null
+++ b/packages/anvil/src/process/anvil.ts
@@ -0,0 +1,97 @@
+import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import type { Disk } from "@cranetrack/chest/process/disk.js";
+import { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
+import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
+import { Claims } from "./claims.js";
+import { Replica } from "./replica.js";
+
+/** The topic logs on one machine's disk. Runs on storage machines, and as a spare on small ones. */
+export class Anvil {
+  readonly #node: ClusterNode;
+  readonly #disk: Disk;
+  readonly #isSpare: boolean;
+  readonly #lease: LeaseKeeper;
+  readonly #replicas: Replica[] = [];
+  #claims: Claims | undefined;
+  /** Invariant: synced before anybody hears it; a blank disk gets a new one. */
+  #id = "";
+  #foundAt = 0;
+
+  constructor(node: ClusterNode, disk: Disk, isSpare: boolean) {
+    this.#node = node;
+    this.#disk = disk;
+    this.#isSpare = isSpare;
+    const { settings, clock, chance } = node.parts;
+    this.#lease = new LeaseKeeper(`${settings.name}-shards`, settings.holderLeaseMs, node.store, clock, chance);
+  }
+
+  get claims(): Claims | undefined {
+    return this.#claims;
+  }
+
+  get replicas(): readonly Replica[] {
+    return this.#replicas;
+  }
+
+  get id(): string {
+    return this.#id;
+  }
+
+  /** Says what is wrong with the data folder, if anything is. */
+  load(): string | undefined {
+    const kept = this.#disk.read("shelf")[0];
+    this.#id = kept === undefined ? this.#node.parts.chance.identity() : Buffer.from(kept.value).toString();
+    for (let shard = 0; shard < this.#node.parts.settings.shards; shard += 1) this.#replicas.push(new Replica(shard, this.#id, this.#disk, this.#node));
+    return this.#replicas.map((replica) => replica.log.fault()).find((fault) => fault !== undefined);
+  }
+
+  async start(): Promise<void> {
+    await this.#disk.write([{ key: "shelf", value: Buffer.from(this.#id) }]);
+    this.#node.membership.self.shelf = this.#id;
+    const { exchange } = this.#node;
+    const find = (group: string): Replica | undefined => this.#replicas.find((replica) => replica.log.group === group);
+    exchange.serve("pledge", (pledge) => (pledge.receiver === this.#id ? find(pledge.group)?.pledge(pledge) : undefined));
+    exchange.serve("shardPull", (pull) => (pull.receiver === this.#id ? find(pull.group)?.pull(pull) : undefined));
+    exchange.serve("publish", async (publish) => (await this.#bench(publish.shard)?.publish(publish)) ?? { case: "publishReceipt", value: { outcome: "away", holder: this.#node.shards.find(publish.shard).holder } });
+    exchange.serve("follow", async (follow, frame) => (await this.#bench(follow.shard)?.follow(follow, frame.from)) ?? { case: "followReceipt", value: { outcome: "away", holder: this.#node.shards.find(follow.shard).holder } });
+    exchange.serve("fetch", (fetch) => this.#bench(fetch.shard)?.fetch(fetch) ?? { case: "fetchReceipt", value: { outcome: "away" } });
+    this.#claims = new Claims(this.#node, this.#lease, this.#replicas, this.#id);
+    this.#lease.start();
+    if (!this.#isSpare) this.#node.parts.clock.every(300, () => this.#foundSets());
+  }
+
+  async stop(): Promise<void> {
+    if (this.#claims !== undefined) this.#claims.isEmptying = true;
+    await this.#claims?.releaseAll();
+    await this.#lease.end();
+  }
+
+  status(): object {
+    const held = (this.#claims?.all() ?? []).map(([shard, { holder }]) => ({
+      shard, epoch: holder.epoch, isServing: holder.isServing, occupancy: holder.occupancy,
+      replicas: holder.set.members.map(({ id, name }) => ({ name, behind: this.#replicas[shard]!.log.lastIndex - (holder.spread?.matchOf(id) ?? 0) })),
+    }));
+    return { hasLease: this.#lease.isHeld, shelf: this.#id, held };
+  }
+
+  #bench(shard: number): import("./bench.js").Bench | undefined {
+    return this.#claims?.find(shard)?.bench;
+  }
+
+  /** Names the first replica sets, each shard's by the storage machine that ranks first for it. */
+  #foundSets(): void {
+    const { membership, feed, shards, store, parts } = this.#node;
+    const storage = membership.alive("anvil").filter((member) => member.shelf !== "");
+    if (!feed.isFresh || storage.length < 3) return void (this.#foundAt = 0);
+    if (this.#foundAt === 0) this.#foundAt = parts.clock.now();
+    if (parts.clock.now() - this.#foundAt < 900) return;
+    for (let shard = 0; shard < parts.settings.shards; shard += 1) {
+      const names = storage.map((member) => member.name);
+      if (shards.find(shard).set !== undefined || Rendezvous.rank(`found ${shard}`, names)[0] !== parts.settings.name) continue;
+      const picked = Rendezvous.spread(`replicas ${shard}`, storage, 3);
+      const members = picked.map((name) => storage.find((member) => member.name === name)!).map(({ shelf, name, zone }) => ({ id: shelf, name, zone }));
+      const key = `shards/${shard}/replicas`;
+      void store.txn({ checks: [{ key, revision: 0 }], puts: [{ key, value: Buffer.from(JSON.stringify({ members })) }] });
+    }
+  }
+}
--- /dev/null
+++ b/packages/anvil/src/process/holder.ts
@@ -0,0 +1,194 @@
+import { EventEmitter } from "node:events";
+import { create, toBinary } from "@bufbuild/protobuf";
+import { EntrySchema, ShardCommandSchema, type ShardCommand } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { Spread } from "@cranetrack/chest/mark/spread.js";
+import type { ShardSet } from "@cranetrack/chest/mark/shardSet.js";
+import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import type { Verdict } from "../mark/shardState.js";
+import type { AppliedEntry, Replica } from "./replica.js";
+
+type CommandInit = { case: "accept" | "trim" | "birth"; value: object };
+
+/**
+ * A shard's holder for one epoch. It serves only after a majority has pledged its epoch and an entry of
+ * that epoch is committed, so everything committed before is in its log.
+ * Invariant: once over, it never serves again; the next claim makes another holder.
+ */
+export class Holder extends EventEmitter<{ serving: []; over: [why: string]; applied: [applied: AppliedEntry] }> {
+  static readonly mostPending = 4000;
+  static readonly silentMs = 700;
+
+  readonly epoch: number;
+  readonly #replica: Replica;
+  readonly #node: ClusterNode;
+  readonly #pending = new Map<number, (verdict: Verdict | undefined) => void>();
+  readonly #startedAt: number;
+  #timeBase = 0;
+  #set: ShardSet;
+  #spread: Spread | undefined;
+  #isServing = false;
+  #isOver = false;
+  readonly #heed = (applied: AppliedEntry): void => this.#applied(applied);
+  readonly #outbid = (): void => this.stop("a higher epoch");
+
+  constructor(replica: Replica, set: ShardSet, epoch: number, node: ClusterNode) {
+    super();
+    this.setMaxListeners(0);
+    this.#replica = replica;
+    this.#set = set;
+    this.epoch = epoch;
+    this.#node = node;
+    this.#startedAt = node.parts.clock.now();
+  }
+
+  get isServing(): boolean {
+    return this.#isServing && !this.#isOver;
+  }
+
+  get isOver(): boolean {
+    return this.#isOver;
+  }
+
+  get occupancy(): number {
+    return this.#pending.size;
+  }
+
+  get set(): ShardSet {
+    return this.#set;
+  }
+
+  get spread(): Spread | undefined {
+    return this.#spread;
+  }
+
+  /** Shard time now; it goes on from the last entry's and never runs faster than the monotonic clock. */
+  get at(): number {
+    return this.#timeBase + this.#node.parts.clock.now() - this.#startedAt;
+  }
+
+  /** False where no majority could be read. */
+  async takeOver(): Promise<boolean> {
+    const replica = this.#replica;
+    const others = this.#set.members.filter((member) => member.id !== replica.id);
+    if (this.epoch < replica.log.term) return false;
+    const own = replica.log.promise(this.epoch, "");
+    const asked = others.map(async (member) => {
+      const body = await this.#node.exchange.call(member.name, { case: "pledge", value: { group: replica.log.group, epoch: this.epoch, receiver: member.id } }, 900);
+      return body?.case === "pledgeReceipt" && body.value.isPledged ? { member, ...body.value } : undefined;
+    });
+    await own;
+    const pledged = await this.#enough(asked, Math.floor(this.#set.members.length / 2));
+    if (pledged === undefined || this.#isOver) return false;
+    const best = pledged.reduce((a, b) => (b.lastTerm > a.lastTerm || (b.lastTerm === a.lastTerm && b.lastIndex > a.lastIndex) ? b : a), { member: undefined as unknown, lastTerm: replica.log.lastTerm, lastIndex: replica.log.lastIndex } as (typeof pledged)[number]);
+    if (best.member !== undefined && !(await this.#pullFrom(best.member, best.lastIndex))) return false;
+    if (this.#isOver || replica.log.term !== this.epoch) return false;
+    this.#begin();
+    return true;
+  }
+
+  /** Appends a command; settles with its verdict once committed, or undefined: it may yet be committed. */
+  propose(command: CommandInit): Promise<Verdict | undefined> {
+    if (this.#isOver) return Promise.resolve(undefined);
+    const { log } = this.#replica;
+    const data = toBinary(ShardCommandSchema, create(ShardCommandSchema, { command: command as unknown as ShardCommand["command"] }));
+    return this.#append(create(EntrySchema, { index: log.lastIndex + 1, term: this.epoch, kind: 0, data }));
+  }
+
+  beat(): void {
+    if (this.#spread === undefined) return;
+    if (this.#spread.majorityAgo() > Holder.silentMs) return this.stop("no majority of the replicas answers");
+    this.#spread.beat();
+  }
+
+  /** Whom entries must be synced on from now on: one set, or the old and the new one. */
+  enlist(sets: ShardSet[], learners: string[]): void {
+    this.#spread?.enlist(sets.map((set) => set.members.map((member) => member.id)), learners);
+  }
+
+  /** A majority has answered something sent after the call. */
+  confirm(): Promise<boolean> {
+    return this.#spread?.confirm() ?? Promise.resolve(false);
+  }
+
+  stop(why: string): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    this.#spread?.stop();
+    if (this.#replica.spread === this.#spread) this.#replica.spread = undefined;
+    this.#replica.off("applied", this.#heed);
+    this.#replica.off("deposed", this.#outbid);
+    for (const settle of [...this.#pending.values()]) settle(undefined);
+    this.#pending.clear();
+    this.emit("over", why);
+  }
+
+  #begin(): void {
+    const replica = this.#replica;
+    this.#timeBase = replica.state.at;
+    const spread = new Spread({
+      log: replica.log, clock: this.#node.parts.clock, self: replica.id, term: this.epoch, commit: replica.applied,
+      send: (id, body) => this.#node.exchange.tell(this.#nameOf(id), body),
+    });
+    this.#spread = replica.spread = spread;
+    replica.on("applied", this.#heed);
+    replica.on("deposed", this.#outbid);
+    spread.on("committed", (index) => replica.advance(index));
+    spread.on("deposed", () => this.stop("a higher epoch"));
+    spread.enlist([this.#set.members.map((member) => member.id)], []);
+    void this.#append(create(EntrySchema, { index: replica.log.lastIndex + 1, term: this.epoch, kind: 1 })).then(() => {
+      if (this.#isOver) return;
+      this.#timeBase = replica.state.at - (this.#node.parts.clock.now() - this.#startedAt);
+      this.#isServing = true;
+      this.emit("serving");
+    });
+    spread.beat();
+  }
+
+  #nameOf(id: string): string {
+    return this.#set.members.find((member) => member.id === id)?.name ?? this.#node.membership.all().find((member) => member.shelf === id)?.name ?? "";
+  }
+
+  #append(entry: ReturnType<typeof create<typeof EntrySchema>>): Promise<Verdict | undefined> {
+    const settled = new Promise<Verdict | undefined>((resolve) => this.#pending.set(entry.index, resolve));
+    void this.#replica.log.append([entry]).then(() => this.#spread?.kick());
+    this.#spread?.kick();
+    return settled;
+  }
+
+  #applied(applied: AppliedEntry): void {
+    const settle = this.#pending.get(applied.entry.index);
+    this.#pending.delete(applied.entry.index);
+    settle?.(applied.verdict);
+    this.emit("applied", applied);
+  }
+
+  async #pullFrom(member: ShardSet["members"][number], lastIndex: number): Promise<boolean> {
+    const replica = this.#replica;
+    let after = replica.applied;
+    do {
+      const body = await this.#node.exchange.call(member.name, { case: "shardPull", value: { group: replica.log.group, epoch: this.epoch, after, receiver: member.id } }, 1500);
+      if (body?.case !== "shardPullReceipt" || this.#isOver) return false;
+      const { isWhole, baseIndex, baseTerm, picture, entries } = body.value;
+      await replica.replace(isWhole, { index: baseIndex, term: baseTerm, picture }, entries);
+      if (entries.length === 0 && replica.log.lastIndex < lastIndex) return false;
+      after = entries.at(-1)?.index ?? replica.log.lastIndex;
+    } while (after < lastIndex);
+    return true;
+  }
+
+  #enough<T>(asked: Array<Promise<T | undefined>>, count: number): Promise<T[] | undefined> {
+    const got: T[] = [];
+    let left = asked.length;
+    if (count === 0) return Promise.resolve(got);
+    return new Promise((resolve) => {
+      for (const one of asked) {
+        void one.then((value) => {
+          left -= 1;
+          if (value !== undefined) got.push(value);
+          if (got.length >= count) resolve(got);
+          else if (got.length + left < count) resolve(undefined);
+        });
+      }
+    });
+  }
+}
--- /dev/null
+++ b/packages/anvil/src/process/replica.ts
@@ -0,0 +1,104 @@
+import { EventEmitter } from "node:events";
+import type { Entry, Pledge, ShardPull } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { Intake } from "@cranetrack/chest/mark/intake.js";
+import { ReplicaLog } from "@cranetrack/chest/mark/replicaLog.js";
+import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import type { Disk } from "@cranetrack/chest/process/disk.js";
+import type { BodyInit } from "@cranetrack/chest/process/wire.js";
+import { ShardState, type Verdict } from "../mark/shardState.js";
+
+export interface AppliedEntry { entry: Entry; verdict: Verdict | undefined }
+
+/**
+ * One shard's log on this disk and the state folded from its committed part.
+ * Invariants: state holds exactly the entries up to `applied`; an epoch lower than the promised one is
+ * refused; the disk's identity is the replica's, so a wiped disk is another replica.
+ */
+export class Replica extends EventEmitter<{ applied: [applied: AppliedEntry]; deposed: [epoch: number]; appended: [] }> {
+  static readonly compactAt = 3000;
+
+  readonly shard: number;
+  readonly id: string;
+  readonly log: ReplicaLog;
+  readonly state = new ShardState();
+  readonly #intake: Intake;
+  readonly #node: ClusterNode;
+  applied = 0;
+  /** Set while this replica spreads its own log. */
+  spread: import("@cranetrack/chest/mark/spread.js").Spread | undefined;
+
+  constructor(shard: number, id: string, disk: Disk, node: ClusterNode) {
+    super();
+    this.setMaxListeners(0);
+    this.shard = shard;
+    this.id = id;
+    this.#node = node;
+    this.log = new ReplicaLog(disk, `shard${String(shard).padStart(3, "0")}`);
+    this.#intake = new Intake(this.log, id, (index) => this.advance(index), (index, state) => this.#install(index, state));
+    if (this.log.baseIndex > 0) this.#install(this.log.baseIndex, this.log.picture);
+    node.groups.enlist(this.log.group, {
+      append: (append, from) => (append.receiver === this.id ? this.#take(append.term, from, () => this.#intake.take(append, this.applied)) : undefined),
+      picture: (picture, from) => (picture.receiver === this.id ? this.#take(picture.term, from, () => this.#intake.takePicture(picture, this.applied)) : undefined),
+      receipt: (receipt) => {
+        if (receipt.receiver === this.id) this.spread?.take(receipt);
+      },
+    });
+  }
+
+  /** Applies the log as far as it is committed. */
+  advance(index: number): void {
+    const end = Math.min(index, this.log.lastIndex);
+    while (this.applied < end) {
+      const entry = this.log.at(this.applied + 1)!;
+      this.applied += 1;
+      const verdict = entry.kind === 0 ? this.state.apply(entry.data) : undefined;
+      this.emit("applied", { entry, verdict });
+    }
+    if (this.log.length > Replica.compactAt && this.applied - this.log.baseIndex > Replica.compactAt / 2) void this.log.compact(this.applied, this.state.picture());
+  }
+
+  /** A claimant asks for the promise to refuse all lower epochs. */
+  async pledge(pledge: Pledge): Promise<BodyInit> {
+    if (pledge.epoch < this.log.term) return { case: "pledgeReceipt", value: { isPledged: false, epoch: this.log.term } };
+    this.#outbid(pledge.epoch);
+    if (pledge.epoch > this.log.term) await this.log.promise(pledge.epoch, "");
+    else await this.log.append([]);
+    return { case: "pledgeReceipt", value: { isPledged: pledge.epoch === this.log.term, epoch: this.log.term, lastIndex: this.log.lastIndex, lastTerm: this.log.lastTerm } };
+  }
+
+  /** A new holder with a shorter log asks for what it lacks. */
+  pull(pull: ShardPull): BodyInit | undefined {
+    if (pull.epoch !== this.log.term) return undefined;
+    const isWhole = pull.after < this.log.baseIndex || this.log.termAt(pull.after) === undefined;
+    const after = isWhole ? this.log.baseIndex : pull.after;
+    const picture = isWhole ? this.log.picture : new Uint8Array();
+    return { case: "shardPullReceipt", value: { isWhole, baseIndex: this.log.baseIndex, baseTerm: this.log.baseTerm, picture, entries: this.log.after(after, 16 * 1024 * 1024) } };
+  }
+
+  /** Takes a better log in place of what this one has after its applied part. */
+  async replace(isWhole: boolean, base: { index: number; term: number; picture: Uint8Array }, entries: readonly Entry[]): Promise<void> {
+    if (isWhole && base.index > this.applied) {
+      const installed = this.log.install(base.index, base.term, base.picture);
+      this.#install(base.index, base.picture);
+      await installed;
+    }
+    await this.log.agree((entries[0]?.index ?? this.applied + 1) - 1, entries);
+  }
+
+  #install(index: number, state: Uint8Array): void {
+    if (state.length > 0) this.state.install(state);
+    this.applied = index;
+  }
+
+  #outbid(term: number): void {
+    if (this.spread !== undefined && term > this.log.term) this.emit("deposed", term);
+  }
+
+  async #take(term: number, from: string, take: () => Promise<BodyInit>): Promise<undefined> {
+    this.#outbid(term);
+    const receipt = await take();
+    this.emit("appended");
+    this.#node.exchange.tell(from, receipt);
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/chest/src/link/httpFront.ts
@@ -0,0 +1,47 @@
+import fastify, { type FastifyInstance, type FastifyReply } from "fastify";
+
+import { ApiReceipts, type ApiReceipt } from "../request/apiReceipt.js";
+import { Router } from "../process/router.js";
+
+type Stream = (path: string, body: Uint8Array, reply: FastifyReply) => Promise<ApiReceipt | undefined>;
+
+/** HTTP/1.1 towards callers and operators. All calls end in the router but long links, which stream. */
+export class HttpFront {
+  readonly #app: FastifyInstance;
+
+  constructor(router: Router, stream?: { pattern: RegExp; open: Stream }) {
+    this.#app = fastify({ bodyLimit: Router.mostBody, forceCloseConnections: true, exposeHeadRoutes: false });
+    this.#app.removeAllContentTypeParsers();
+    this.#app.addContentTypeParser("*", { parseAs: "buffer" }, (_request, body, done) => done(null, body));
+    this.#app.setErrorHandler((fault: { statusCode?: number; message: string }, _request, reply) => {
+      const status = fault.statusCode ?? 500;
+      return HttpFront.#answer(reply, ApiReceipts.fault(status, status === 413 ? "too-large" : "malformed", fault.message));
+    });
+    this.#app.all("/*", async (request, reply) => {
+      const path = request.url.split("?")[0]!;
+      const body = (request.body as Uint8Array | undefined) ?? new Uint8Array();
+      if (stream !== undefined && request.method === "POST" && stream.pattern.test(path)) {
+        const receipt = await stream.open(path, body, reply);
+        return receipt === undefined ? reply : HttpFront.#answer(reply, receipt);
+      }
+      return HttpFront.#answer(reply, await router.run(request.method, path, body));
+    });
+  }
+
+  async listen(address: string): Promise<void> {
+    const cut = address.lastIndexOf(":");
+    await this.#app.listen({ host: address.slice(0, cut), port: Number(address.slice(cut + 1)) });
+  }
+
+  close(): Promise<void> {
+    return this.#app.close() as unknown as Promise<void>;
+  }
+
+
+  static #answer(reply: FastifyReply, receipt: ApiReceipt): FastifyReply {
+    if (receipt.comeBack !== undefined) void reply.header("Retry-After", String(Math.max(1, Math.ceil(receipt.comeBack))));
+    const type = typeof receipt.body === "string" ? "text/plain; charset=utf-8" : "application/json; charset=utf-8";
+    const bytes = typeof receipt.body === "string" ? Buffer.from(receipt.body) : Buffer.from(Router.encode(receipt.body));
+    return reply.code(receipt.status).header("Content-Type", type).send(bytes);
+  }
+}
--- /dev/null
+++ b/packages/chest/src/mark/intake.ts
@@ -0,0 +1,53 @@
+import type { Append, Picture } from "../gen/cranetrack_pb.js";
+import type { BodyInit } from "../process/wire.js";
+import type { ReplicaLog } from "./replicaLog.js";
+
+/**
+ * The taking side of a replicated log. Answers only after the disk has what it answers for.
+ * Invariant: a lower term than the promised one is refused, whoever sends it.
+ */
+export class Intake {
+  readonly #log: ReplicaLog;
+  readonly #self: string;
+  /** Called with how far the log may be applied, after the entries are in it. */
+  readonly #onCommit: (index: number) => void;
+  readonly #onPicture: (index: number, state: Uint8Array) => void;
+
+  constructor(log: ReplicaLog, self: string, onCommit: (index: number) => void, onPicture: (index: number, state: Uint8Array) => void) {
+    this.#log = log;
+    this.#self = self;
+    this.#onCommit = onCommit;
+    this.#onPicture = onPicture;
+  }
+
+  async take(append: Append, commit: number): Promise<BodyInit> {
+    if (append.term < this.#log.term) return this.#receipt(append, false, 0);
+    const promised = append.term > this.#log.term ? this.#log.promise(append.term, "") : undefined;
+    const isBehindBase = append.prevIndex < this.#log.baseIndex;
+    if (!isBehindBase && this.#log.termAt(append.prevIndex) !== append.prevTerm) {
+      await promised;
+      return this.#receipt(append, false, Math.min(append.prevIndex - 1, Math.max(commit, this.#log.baseIndex), this.#log.lastIndex));
+    }
+    const match = append.prevIndex + append.entries.length;
+    const synced = this.#log.agree(append.prevIndex, append.entries);
+    this.#onCommit(Math.min(append.commit, match));
+    await promised;
+    await synced;
+    return this.#receipt(append, append.term === this.#log.term, match);
+  }
+
+  async takePicture(picture: Picture, commit: number): Promise<BodyInit> {
+    if (picture.term < this.#log.term) return this.#receipt(picture, false, 0);
+    if (picture.term > this.#log.term) void this.#log.promise(picture.term, "");
+    if (picture.index > commit) {
+      const installed = this.#log.install(picture.index, picture.indexTerm, picture.state);
+      this.#onPicture(picture.index, picture.state);
+      await installed;
+    }
+    return this.#receipt(picture, true, picture.index);
+  }
+
+  #receipt(to: { group: string; round: number; sender: string }, isTaken: boolean, match: number): BodyInit {
+    return { case: "appendReceipt", value: { group: to.group, term: this.#log.term, sender: this.#self, receiver: to.sender, isTaken, match, round: to.round } };
+  }
+}
--- /dev/null
+++ b/packages/chest/src/mark/spread.ts
@@ -0,0 +1,156 @@
+import { EventEmitter } from "node:events";
+import type { AppendReceipt } from "../gen/cranetrack_pb.js";
+import type { Clock } from "../process/clock.js";
+import type { BodyInit } from "../process/wire.js";
+import type { ReplicaLog } from "./replicaLog.js";
+
+interface Peer { next: number; match: number; sentAt: number; isWaiting: boolean; round: number; heardAt: number }
+
+/**
+ * The spreading side of a replicated log: sends what each replica lacks, and judges what is committed.
+ * Invariant: `commit` only rises, and passes an entry only when it is synced on a majority of every
+ * voter set and an entry of this term is behind or at it.
+ */
+export class Spread extends EventEmitter<{ committed: [index: number]; deposed: [term: number] }> {
+  readonly #log: ReplicaLog;
+  readonly #clock: Clock;
+  readonly #self: string;
+  readonly #term: number;
+  readonly #send: (id: string, body: BodyInit) => void;
+  readonly #peers = new Map<string, Peer>();
+  readonly #rounds: Array<{ round: number; settle: (isConfirmed: boolean) => void }> = [];
+  /** One set, or two while a set is being swapped: both must agree. */
+  #sets: string[][] = [];
+  #round = 0;
+  #isOver = false;
+  commit: number;
+
+  constructor(parts: { log: ReplicaLog; clock: Clock; self: string; term: number; commit: number; send: (id: string, body: BodyInit) => void }) {
+    super();
+    this.#log = parts.log;
+    this.#clock = parts.clock;
+    this.#self = parts.self;
+    this.#term = parts.term;
+    this.#send = parts.send;
+    this.commit = parts.commit;
+  }
+
+  /** Who counts, and who else gets a copy. */
+  enlist(sets: string[][], learners: readonly string[]): void {
+    this.#sets = sets.map((set) => [...set]);
+    const wanted = new Set([...sets.flat(), ...learners]);
+    wanted.delete(this.#self);
+    for (const id of this.#peers.keys()) if (!wanted.has(id)) this.#peers.delete(id);
+    for (const id of wanted) {
+      if (!this.#peers.has(id)) this.#peers.set(id, { next: this.#log.lastIndex + 1, match: 0, sentAt: -Infinity, isWaiting: false, round: 0, heardAt: this.#clock.now() });
+    }
+    this.#advance();
+  }
+
+  matchOf(id: string): number {
+    return id === this.#self ? this.#log.syncedIndex : (this.#peers.get(id)?.match ?? 0);
+  }
+
+  heardAgo(id: string): number {
+    return id === this.#self ? 0 : this.#clock.now() - (this.#peers.get(id)?.heardAt ?? -Infinity);
+  }
+
+  /** Milliseconds since a majority of every set was last heard. */
+  majorityAgo(): number {
+    return Math.max(...this.#sets.map((set) => {
+      const ages = set.map((id) => this.heardAgo(id)).sort((a, b) => a - b);
+      return ages[Math.floor(set.length / 2)] ?? Infinity;
+    }));
+  }
+
+  /** Own entries were synced, or new ones are there to send. */
+  kick(): void {
+    this.#advance();
+    for (const [id, peer] of this.#peers) if (!peer.isWaiting && peer.next <= this.#log.lastIndex) this.#sendTo(id, peer);
+  }
+
+  /** Keeps every replica told, and sends again what stayed unanswered. */
+  beat(): void {
+    for (const [id, peer] of this.#peers) {
+      const needsPicture = peer.next - 1 < this.#log.baseIndex;
+      if (peer.isWaiting && needsPicture && this.#clock.now() - peer.sentAt < 2000) continue;
+      if (peer.isWaiting && this.#clock.now() - peer.sentAt > 400) peer.next = Math.max(peer.match + 1, this.#log.baseIndex);
+      this.#sendTo(id, peer);
+    }
+  }
+
+  /** Resolves true once a majority has answered something sent after this call: nobody has taken over. */
+  confirm(): Promise<boolean> {
+    if (this.#isOver) return Promise.resolve(false);
+    return new Promise((resolve) => {
+      const isFirst = this.#rounds.length === 0 || this.#rounds.at(-1)!.round <= this.#round;
+      this.#rounds.push({ round: this.#round + 1, settle: resolve });
+      if (isFirst && this.#rounds[0]!.round === this.#round + 1) this.#nextRound();
+      this.#settleRounds();
+    });
+  }
+
+  take(receipt: AppendReceipt): void {
+    const peer = this.#peers.get(receipt.sender);
+    if (receipt.term > this.#term) {
+      this.emit("deposed", receipt.term);
+      return;
+    }
+    if (peer === undefined || receipt.term !== this.#term || this.#isOver) return;
+    peer.heardAt = this.#clock.now();
+    peer.isWaiting = false;
+    peer.round = Math.max(peer.round, receipt.round);
+    if (receipt.isTaken) {
+      peer.match = Math.max(peer.match, receipt.match);
+      peer.next = Math.max(peer.next, peer.match + 1);
+    } else peer.next = Math.max(peer.match + 1, Math.min(peer.next - 1, receipt.match + 1));
+    this.#advance();
+    this.#settleRounds();
+    if (peer.next <= this.#log.lastIndex || !receipt.isTaken) this.#sendTo(receipt.sender, peer);
+  }
+
+  stop(): void {
+    this.#isOver = true;
+    for (const { settle } of this.#rounds.splice(0)) settle(false);
+  }
+
+  #nextRound(): void {
+    this.#round += 1;
+    for (const [id, peer] of this.#peers) this.#sendTo(id, peer);
+  }
+
+  #sendTo(id: string, peer: Peer): void {
+    if (this.#isOver) return;
+    peer.sentAt = this.#clock.now();
+    peer.isWaiting = true;
+    const prevTerm = peer.next - 1 < this.#log.baseIndex ? undefined : this.#log.termAt(peer.next - 1);
+    if (prevTerm === undefined) {
+      const picture = { group: this.#log.group, term: this.#term, sender: this.#self, receiver: id, index: this.#log.baseIndex, indexTerm: this.#log.baseTerm, state: this.#log.picture, round: this.#round };
+      return this.#send(id, { case: "picture", value: picture });
+    }
+    const entries = this.#log.after(peer.next - 1);
+    const append = { group: this.#log.group, term: this.#term, sender: this.#self, receiver: id, prevIndex: peer.next - 1, prevTerm, entries, commit: this.commit, round: this.#round };
+    peer.next += entries.length;
+    this.#send(id, { case: "append", value: append });
+  }
+
+  #settleRounds(): void {
+    const confirmed = Math.min(...this.#sets.map((set) => {
+      const rounds = set.map((id) => (id === this.#self ? this.#round : (this.#peers.get(id)?.round ?? 0))).sort((a, b) => b - a);
+      return rounds[Math.floor(set.length / 2)] ?? 0;
+    }));
+    while (this.#rounds.length > 0 && this.#rounds[0]!.round <= confirmed) this.#rounds.shift()!.settle(true);
+    if (this.#rounds.length > 0 && confirmed >= this.#round) this.#nextRound();
+  }
+
+  #advance(): void {
+    if (this.#sets.length === 0 || this.#isOver) return;
+    const agreed = Math.min(...this.#sets.map((set) => {
+      const matches = set.map((id) => this.matchOf(id)).sort((a, b) => b - a);
+      return matches[Math.floor(set.length / 2)] ?? 0;
+    }));
+    if (agreed <= this.commit || this.#log.termAt(agreed) !== this.#term) return;
+    this.commit = agreed;
+    this.emit("committed", agreed);
+  }
+}
--- /dev/null
+++ b/packages/chest/src/process/clock.ts
@@ -0,0 +1,14 @@
+/** Cancels a beat that has not come yet; a second call does nothing. */
+export interface Beat {
+  stop(): void;
+}
+
+/**
+ * The time seam. `now` is monotonic milliseconds (the standard library's
+ * performance.now); it never goes backwards and has no meaning outside the process.
+ */
+export interface Clock {
+  now(): number;
+  once(ms: number, ring: () => void): Beat;
+  every(ms: number, ring: () => void): Beat;
+}
--- /dev/null
+++ b/packages/chest/src/process/clusterNode.ts
@@ -0,0 +1,41 @@
+import { Exchange } from "./exchange.js";
+import { FeedFollower, type Change } from "./feedFollower.js";
+import { Groups } from "./groups.js";
+import { Journal } from "./journal.js";
+import { Membership } from "./membership.js";
+import type { NodeParts } from "./nodeParts.js";
+import { PlanView } from "../mark/planView.js";
+import { ShardsView } from "../mark/shardsView.js";
+import { StoreClient } from "./storeClient.js";
+
+/** What every process of the fleet is made of, whatever its role. */
+export class ClusterNode {
+  readonly parts: NodeParts;
+  readonly exchange: Exchange;
+  readonly groups: Groups;
+  readonly membership: Membership;
+  readonly store: StoreClient;
+  readonly journal = new Journal<Change>();
+  readonly feed: FeedFollower;
+  readonly plan: PlanView;
+  readonly shards: ShardsView;
+
+  constructor(parts: NodeParts, prefixes: string[], disk = "") {
+    const { settings, clock, net, chance } = parts;
+    this.parts = parts;
+    this.exchange = new Exchange(settings.name, net, clock);
+    this.groups = new Groups(this.exchange);
+    const self = { name: settings.name, role: settings.role, zone: settings.zone, address: settings.address, http: settings.http, incarnation: parts.incarnation, disk };
+    this.membership = new Membership(self, settings.seeds, this.exchange, clock, chance);
+    this.store = new StoreClient(this.exchange, this.membership, clock);
+    this.feed = new FeedFollower({ exchange: this.exchange, membership: this.membership, clock, chance, prefixes, journal: this.journal });
+    this.plan = new PlanView(this.journal);
+    this.shards = new ShardsView(this.journal);
+    this.feed.planMark = () => this.plan.mark;
+  }
+
+  start(): void {
+    this.membership.start();
+    this.feed.start();
+  }
+}
--- /dev/null
+++ b/packages/chest/src/process/exchange.ts
@@ -0,0 +1,126 @@
+import { EventEmitter } from "node:events";
+import type { Frame } from "../gen/cranetrack_pb.js";
+import type { Clock, Beat } from "./clock.js";
+import type { Net } from "./net.js";
+import { Wire, type Body, type BodyInit } from "./wire.js";
+
+type Case = NonNullable<Body["case"]>;
+type ValueOf<C extends Case> = Extract<Body, { case: C }>["value"];
+type Serve<C extends Case> = (value: ValueOf<C>, frame: Frame) => BodyInit | undefined | Promise<BodyInit | undefined>;
+interface Waiting { settle: (body: Body | undefined) => void; beat: Beat; to: string }
+
+/**
+ * Calls and tellings between named processes. A call that is not answered by its due settles
+ * with undefined: it may or may not have been carried out.
+ */
+export class Exchange extends EventEmitter<{ heard: [name: string]; mute: [name: string] }> {
+  readonly name: string;
+  readonly #net: Net;
+  readonly #clock: Clock;
+  readonly #served = new Map<string, Serve<Case>>();
+  readonly #waiting = new Map<number, Waiting>();
+  /** Invariant: a name is in here from an unanswered call until its next direct frame. */
+  readonly #mute = new Map<string, number>();
+  #lastId = 0;
+  /** Told by membership. */
+  addressOf: (name: string) => string | undefined = () => undefined;
+  relaysFor: (name: string) => string[] = () => [];
+
+  constructor(name: string, net: Net, clock: Clock) {
+    super();
+    this.setMaxListeners(0);
+    this.name = name;
+    this.#net = net;
+    this.#clock = clock;
+    net.onFrame((bytes) => void this.#take(bytes));
+    net.onLost((address) => {
+      for (const waiting of [...this.#waiting.values()]) if (this.addressOf(waiting.to) === address) waiting.settle(undefined);
+    });
+  }
+
+  serve<C extends Case>(kind: C, handle: Serve<C>): void {
+    this.#served.set(kind, handle as unknown as Serve<Case>);
+  }
+
+  isMute(name: string): boolean {
+    const address = this.addressOf(name);
+    return this.#mute.has(name) || (address !== undefined && !this.#net.isReachable(address));
+  }
+
+  tell(to: string, body: BodyInit): void {
+    this.#send(to, { id: 0, isReceipt: false, body });
+  }
+
+  tellAddress(address: string, body: BodyInit): void {
+    this.#net.send(address, this.#encode("", { id: 0, isReceipt: false, body }));
+  }
+
+  call(to: string, body: BodyInit, due: number): Promise<Body | undefined> {
+    const id = ++this.#lastId;
+    return new Promise((resolve) => {
+      const settle = (receipt: Body | undefined): void => {
+        beat.stop();
+        this.#waiting.delete(id);
+        if (receipt === undefined) this.#unanswered(to);
+        resolve(receipt);
+      };
+      const beat = this.#clock.once(due, () => settle(undefined));
+      this.#waiting.set(id, { settle, beat, to });
+      this.#send(to, { id, isReceipt: false, body });
+    });
+  }
+
+  /** Settles every open call to a node that is known to be gone, at once. */
+  giveUp(name: string): void {
+    for (const waiting of [...this.#waiting.values()]) if (waiting.to === name) waiting.settle(undefined);
+  }
+
+  #unanswered(to: string): void {
+    if (this.#mute.has(to)) return;
+    this.#mute.set(to, this.#clock.now());
+    const address = this.addressOf(to);
+    if (address !== undefined) this.#net.drop(address);
+    this.emit("mute", to);
+  }
+
+  #encode(to: string, part: { id: number; isReceipt: boolean; body: BodyInit }): Uint8Array {
+    return Wire.encode({ ...part, from: this.name, to, fromAddress: this.#net.address });
+  }
+
+  #send(to: string, part: { id: number; isReceipt: boolean; body: BodyInit }): void {
+    const address = this.addressOf(to);
+    if (address === undefined) return;
+    const frame = this.#encode(to, part);
+    const isPing = part.body.case === "ping" || part.body.case === "gossip";
+    if (isPing || !this.isMute(to)) return this.#net.send(address, frame);
+    const relay = this.relaysFor(to).find((name) => name !== this.name && !this.isMute(name));
+    const relayAddress = relay === undefined ? undefined : this.addressOf(relay);
+    if (relay === undefined || relayAddress === undefined) return this.#net.send(address, frame);
+    this.#net.send(relayAddress, this.#encode(relay, { id: 0, isReceipt: false, body: { case: "relay", value: { to, frame } } }));
+  }
+
+  async #take(bytes: Uint8Array): Promise<void> {
+    const frame = Wire.decode(bytes);
+    if (frame === undefined || (frame.to !== "" && frame.to !== this.name)) return;
+    if (frame.hops === 0) {
+      this.#mute.delete(frame.from);
+      this.emit("heard", frame.from);
+    }
+    if (frame.body.case === "relay") return this.#carry(frame.body.value.to, frame.body.value.frame);
+    if (frame.isReceipt) return this.#waiting.get(frame.id)?.settle(frame.body);
+    const handle = this.#served.get(frame.body.case!);
+    if (handle === undefined) return;
+    const receipt = await handle(frame.body.value as never, frame);
+    if (receipt === undefined || frame.id === 0) return;
+    if (this.addressOf(frame.from) !== undefined) return this.#send(frame.from, { id: frame.id, isReceipt: true, body: receipt });
+    this.#net.send(frame.fromAddress, this.#encode(frame.from, { id: frame.id, isReceipt: true, body: receipt }));
+  }
+
+  /** Carries another's frame one hop; what was carried once is not carried again. */
+  #carry(to: string, bytes: Uint8Array): void {
+    const inner = Wire.decode(bytes);
+    const address = this.addressOf(to);
+    if (inner === undefined || inner.hops > 0 || inner.to !== to || address === undefined) return;
+    this.#net.send(address, Wire.again({ ...inner, hops: 1 }));
+  }
+}
--- /dev/null
+++ b/packages/chest/src/process/feedFollower.ts
@@ -0,0 +1,113 @@
+import { EventEmitter } from "node:events";
+import type { FeedPush, Kv } from "../gen/cranetrack_pb.js";
+import type { Chance } from "./chance.js";
+import type { Clock } from "./clock.js";
+import type { Exchange } from "./exchange.js";
+import type { Journal } from "./journal.js";
+import type { Membership } from "./membership.js";
+import { Rendezvous } from "./rendezvous.js";
+
+export interface Change { key: string; value: Uint8Array | undefined; revision: number }
+
+/**
+ * Follows the store's numbered changes from one lathe at a time and appends them to the journal.
+ * Invariants: `revision` only rises; a push is applied only in its number's turn.
+ */
+export class FeedFollower extends EventEmitter<{ first: [] }> {
+  static readonly staleMs = 1200;
+
+  readonly #exchange: Exchange;
+  readonly #membership: Membership;
+  readonly #clock: Clock;
+  readonly #chance: Chance;
+  readonly #prefixes: string[];
+  readonly #journal: Journal<Change>;
+  /** The keys held, to tell from a picture what is gone. */
+  readonly #keys = new Map<string, number>();
+  #feed = "";
+  #lathe = "";
+  #number = 0;
+  #heardAt = -Infinity;
+  #opens = 0;
+  revision = 0;
+  /** Told by the plan's view, to be acknowledged. */
+  planMark: () => number = () => 0;
+  fault: () => string = () => "";
+
+  constructor(parts: { exchange: Exchange; membership: Membership; clock: Clock; chance: Chance; prefixes: string[]; journal: Journal<Change> }) {
+    super();
+    this.setMaxListeners(0);
+    this.#exchange = parts.exchange;
+    this.#membership = parts.membership;
+    this.#clock = parts.clock;
+    this.#chance = parts.chance;
+    this.#prefixes = parts.prefixes;
+    this.#journal = parts.journal;
+    this.#exchange.serve("feedPush", (push, frame) => this.#take(push, frame.from));
+    this.#exchange.serve("feedClose", (close) => {
+      if (close.feed === this.#feed) this.#heardAt = -Infinity;
+      return undefined;
+    });
+  }
+
+  /** Milliseconds since the store was last heard through a lathe in touch with its majority. */
+  get age(): number {
+    return this.#clock.now() - this.#heardAt;
+  }
+
+  get isFresh(): boolean {
+    return this.revision > 0 && this.age < FeedFollower.staleMs;
+  }
+
+  start(): void {
+    this.#open();
+    this.#clock.every(300, () => {
+      if (this.age > FeedFollower.staleMs) this.#open();
+    });
+  }
+
+  #open(): void {
+    const lathes = this.#membership.alive("lathe").map((member) => member.name).filter((name) => !this.#exchange.isMute(name));
+    const ranked = Rendezvous.rank(this.#exchange.name, lathes);
+    const lathe = ranked[this.#opens % Math.max(1, ranked.length)];
+    if (lathe === undefined) return;
+    this.#opens += 1;
+    this.#feed = `${this.#exchange.name}/${this.#chance.identity().slice(0, 8)}`;
+    this.#lathe = lathe;
+    this.#number = 0;
+    this.#exchange.tell(lathe, { case: "feedOpen", value: { feed: this.#feed, name: this.#exchange.name, prefixes: this.#prefixes, revision: this.revision } });
+  }
+
+  #take(push: FeedPush, from: string): undefined {
+    if (push.feed !== this.#feed || from !== this.#lathe) return undefined;
+    if (push.number === this.#number + 1 && (push.isPicture || push.fromRevision <= this.revision)) {
+      if (push.revision < this.revision) return undefined;
+      this.#number = push.number;
+      this.#heardAt = this.#clock.now();
+      this.#apply(push);
+    } else if (push.number === this.#number) this.#heardAt = this.#clock.now();
+    const ack = { feed: this.#feed, number: this.#number, revision: this.revision, planMark: this.planMark(), fault: this.fault() };
+    this.#exchange.tell(from, { case: "feedAck", value: ack });
+    return undefined;
+  }
+
+  #apply(push: FeedPush): void {
+    const isFirst = this.revision === 0;
+    if (push.isPicture) this.#applyPicture(push.kvs);
+    else for (const kv of push.kvs) if (kv.revision > this.revision) this.#change(kv.key, kv.isGone ? undefined : kv.value, kv.revision);
+    this.revision = push.revision;
+    if (isFirst && this.revision > 0) this.emit("first");
+  }
+
+  #applyPicture(kvs: Kv[]): void {
+    const present = new Set(kvs.map((kv) => kv.key));
+    for (const key of [...this.#keys.keys()]) if (!present.has(key)) this.#change(key, undefined, this.revision);
+    for (const kv of kvs) if (this.#keys.get(kv.key) !== kv.revision) this.#change(kv.key, kv.value, kv.revision);
+  }
+
+  #change(key: string, value: Uint8Array | undefined, revision: number): void {
+    if (value === undefined) this.#keys.delete(key);
+    else this.#keys.set(key, revision);
+    this.#journal.append({ key, value, revision });
+  }
+}
--- /dev/null
+++ b/packages/chest/src/process/hostClock.ts
@@ -0,0 +1,17 @@
+import type { Beat, Clock } from "./clock.js";
+
+export class HostClock implements Clock {
+  now(): number {
+    return performance.now();
+  }
+
+  once(ms: number, ring: () => void): Beat {
+    const beat = setTimeout(ring, ms);
+    return { stop: () => clearTimeout(beat) };
+  }
+
+  every(ms: number, ring: () => void): Beat {
+    const beat = setInterval(ring, ms);
+    return { stop: () => clearInterval(beat) };
+  }
+}
--- /dev/null
+++ b/packages/chest/src/process/logRing.ts
@@ -0,0 +1,59 @@
+import { appendFileSync } from "node:fs";
+import { Roarr } from "roarr";
+
+type Context = Record<string, string | number | boolean | null>;
+
+/**
+ * The last few hundred log lines in memory. They are written out when something goes wrong
+ * (`fault`) and otherwise only kept.
+ */
+export class LogRing {
+  readonly #name: string;
+  readonly #most: number;
+  readonly #write: (text: string) => void;
+  readonly #log: typeof Roarr;
+  /** Invariant: never longer than #most; oldest first. */
+  #ring: string[] = [];
+  /** The last fault, as status shows it. */
+  lastFault = "";
+
+  constructor(name: string, write: (text: string) => void = (text) => process.stderr.write(text), most = 400) {
+    this.#name = name;
+    this.#most = most;
+    this.#write = write;
+    this.#log = Roarr.child({ program: name });
+  }
+
+  static toFile(name: string, path: string | undefined): LogRing {
+    if (path === undefined) return new LogRing(name);
+    return new LogRing(name, (text) => appendFileSync(path, text));
+  }
+
+  note(text: string, context: Context = {}): void {
+    this.#keep("note", text, context);
+  }
+
+  warn(text: string, context: Context = {}): void {
+    this.#keep("warn", text, context);
+  }
+
+  /** Something went wrong: the whole ring is written out, once. */
+  fault(text: string, context: Context = {}): void {
+    this.#keep("fault", text, context);
+    this.lastFault = text;
+    const ring = this.#ring;
+    this.#ring = [];
+    this.#write(ring.map((line) => `${line}\n`).join(""));
+  }
+
+  get lines(): readonly string[] {
+    return this.#ring;
+  }
+
+  #keep(level: "note" | "warn" | "fault", text: string, context: Context): void {
+    const line = { at: new Date().toISOString(), level, program: this.#name, text, ...context };
+    this.#ring.push(JSON.stringify(line));
+    if (this.#ring.length > this.#most) this.#ring.shift();
+    if (level === "fault") this.#log.error(context, text);
+  }
+}
--- /dev/null
+++ b/packages/chest/src/process/net.ts
@@ -0,0 +1,15 @@
+/**
+ * The net seam: whole frames between addresses, with the manners of a datagram.
+ * A frame may be lost, late or doubled; nothing above may rest on its arrival.
+ */
+export interface Net {
+  readonly address: string;
+  send(address: string, bytes: Uint8Array): void;
+  /** False while the last tries to reach the address failed. */
+  isReachable(address: string): boolean;
+  /** The held connection to an address broke: what was sent may not have arrived. */
+  onLost(take: (address: string) => void): void;
+  /** Lets go of the connection to an address, so that the next frame opens a fresh one. */
+  drop(address: string): void;
+  onFrame(take: (bytes: Uint8Array) => void): void;
+}
--- /dev/null
+++ b/packages/chest/src/process/rendezvous.ts
@@ -0,0 +1,37 @@
+import { createHash } from "node:crypto";
+
+/** Highest-random-weight hashing: every node that knows the same names picks the same ones. */
+export const Rendezvous = {
+  weigh(key: string, name: string): number {
+    return createHash("sha1").update(`${key}\u0000${name}`).digest().readUIntBE(0, 6);
+  },
+
+  /** All names, the best for the key first. */
+  rank(key: string, names: readonly string[]): string[] {
+    const weighed = names.map((name) => ({ name, weight: Rendezvous.weigh(key, name) }));
+    weighed.sort((a, b) => b.weight - a.weight || (a.name < b.name ? -1 : 1));
+    return weighed.map((one) => one.name);
+  },
+
+  /** As many names as asked, best first, and from different zones as far as there are any. */
+  spread(key: string, nodes: ReadonlyArray<{ name: string; zone: string }>, count: number): string[] {
+    const zones = new Map(nodes.map((node) => [node.name, node.zone]));
+    const ranked = Rendezvous.rank(key, nodes.map((node) => node.name));
+    const taken: string[] = [];
+    const seen = new Set<string>();
+    for (const name of ranked) {
+      const zone = zones.get(name) ?? "";
+      if (taken.length < count && !seen.has(zone)) {
+        seen.add(zone);
+        taken.push(name);
+      }
+    }
+    for (const name of ranked) if (taken.length < count && !taken.includes(name)) taken.push(name);
+    return taken;
+  },
+
+  /** The shard that a topic's log is in. */
+  shardOf(topic: string, shards: number): number {
+    return createHash("sha1").update(topic).digest().readUInt32BE(0) % shards;
+  },
+};
--- /dev/null
+++ b/packages/chest/src/process/router.ts
@@ -0,0 +1,73 @@
+import { ApiReceipts, type ApiReceipt } from "../request/apiReceipt.js";
+import type { ClusterNode } from "./clusterNode.js";
+import { Rendezvous } from "./rendezvous.js";
+import type { BodyInit } from "./wire.js";
+
+export interface ApiCall { method: string; path: string; params: string[]; body: Uint8Array; isPassed: boolean }
+export type Operation = (call: ApiCall) => Promise<ApiReceipt> | ApiReceipt;
+interface Route { method: string; pattern: RegExp; run: Operation }
+
+/**
+ * Every node takes every call: what it cannot do itself it passes on, once, to a node that can.
+ */
+export class Router {
+  static readonly mostBody = 1_200_000;
+  static readonly passDue = 2500;
+
+  readonly #node: ClusterNode;
+  readonly #routes: Route[] = [];
+  /** Which role does what this node does not. */
+  readonly #elsewhere: Array<{ pattern: RegExp; role: string }> = [
+    { pattern: /^\/v1\/(plan|machines|members)\b/, role: "lathe" },
+    { pattern: /^\/v1\/sessions\//, role: "vise" },
+  ];
+
+  constructor(node: ClusterNode) {
+    this.#node = node;
+    node.exchange.serve("pass", async (pass): Promise<BodyInit> => {
+      const receipt = await this.run(pass.method, pass.path, pass.body, true);
+      return { case: "passReceipt", value: { status: receipt.status, body: Router.encode(receipt.body), comeBack: receipt.comeBack ?? 0 } };
+    });
+  }
+
+  static encode(body: unknown): Uint8Array {
+    return body instanceof Uint8Array ? body : Buffer.from(JSON.stringify(body));
+  }
+
+  on(method: string, pattern: RegExp, run: Operation): void {
+    this.#routes.push({ method, pattern, run });
+  }
+
+  async run(method: string, path: string, body: Uint8Array, isPassed = false): Promise<ApiReceipt> {
+    if (body.length > Router.mostBody) return ApiReceipts.fault(413, "too-large", `a body may have ${Router.mostBody} bytes`);
+    const matching = this.#routes.filter((route) => route.pattern.test(path));
+    const route = matching.find((one) => one.method === method);
+    if (route !== undefined) return route.run({ method, path, body, isPassed, params: Router.#params(route.pattern, path) });
+    if (matching.length > 0) return ApiReceipts.fault(405, "method-not-allowed", `${method} is not for ${path}`);
+    const role = this.#elsewhere.find((one) => one.pattern.test(path))?.role;
+    if (role === undefined || role === this.#node.parts.settings.role || isPassed) return ApiReceipts.fault(404, "unknown-path", `there is no ${path}`);
+    const alive = this.#node.membership.alive(role).map((member) => member.name);
+    for (const name of Rendezvous.rank(this.#node.exchange.name, alive).slice(0, 2)) {
+      const receipt = await this.passTo(name, method, path, body);
+      if (receipt !== undefined) return receipt;
+    }
+    return ApiReceipts.away(`no ${role} answers`);
+  }
+
+  async passTo(name: string, method: string, path: string, body: Uint8Array, due = Router.passDue): Promise<ApiReceipt | undefined> {
+    const receipt = await this.#node.exchange.call(name, { case: "pass", value: { method, path, body } }, due);
+    if (receipt?.case !== "passReceipt") return undefined;
+    const { status, comeBack } = receipt.value;
+    return { status, body: receipt.value.body, comeBack: comeBack > 0 ? comeBack : undefined };
+  }
+
+  static #params(pattern: RegExp, path: string): string[] {
+    return (pattern.exec(path) ?? []).slice(1).map((part) => {
+      try {
+        return decodeURIComponent(part ?? "");
+      } catch {
+        return part ?? "";
+      }
+    });
+  }
+}
--- /dev/null
+++ b/packages/chest/src/process/settings.ts
@@ -0,0 +1,51 @@
+import { readFileSync } from "node:fs";
+import { type } from "arktype";
+
+const address = type("/^[0-9a-fA-F.:\\[\\]]+:[0-9]{1,5}$/");
+
+const settingsType = type({
+  "+": "reject",
+  name: "/^[a-z0-9][a-z0-9-]{0,62}$/",
+  role: "'lathe' | 'anvil' | 'vise'",
+  zone: "1 <= string <= 64",
+  address,
+  http: address,
+  seeds: address.array().atLeastLength(1).atMostLength(9),
+  lathes: "1 <= number.integer <= 9",
+  shards: "1 <= number.integer <= 256 = 32",
+  "data?": "string > 0",
+  "log?": "string > 0",
+  edgeLeaseMs: "1000 <= number.integer <= 60000 = 4000",
+  holderLeaseMs: "1000 <= number.integer <= 60000 = 2500",
+  mostLinks: "1 <= number.integer <= 100000 = 2000",
+  bufferBytes: "1024 <= number.integer <= 67108864 = 1048576",
+});
+
+export type Settings = typeof settingsType.infer;
+export type SettingsRead = { settings: Settings } | { problems: string[] };
+
+/** One file or flags; unknown keys are errors; every problem gets a line. */
+export const SettingsReader = {
+  /** Keys that a running process takes up when its file changes. */
+  live: ["mostLinks", "bufferBytes"] as const,
+
+  check(value: unknown): SettingsRead {
+    const checked = settingsType(value);
+    if (checked instanceof type.errors) return { problems: [...checked].map((fault) => `${fault.path.join(".") || "settings"}: ${fault.message}`) };
+    const problems: string[] = [];
+    if (checked.role !== "vise" && checked.data === undefined) problems.push(`data: a ${checked.role} needs a data folder`);
+    for (const key of ["address", "http"] as const) if (Number(checked[key].split(":").at(-1)) > 65535) problems.push(`${key}: the port is above 65535`);
+    if (checked.address === checked.http) problems.push("http: must differ from address");
+    return problems.length > 0 ? { problems } : { settings: checked };
+  },
+
+  fromFile(path: string, flags: Record<string, unknown> = {}): SettingsRead {
+    try {
+      const read = JSON.parse(readFileSync(path, "utf8")) as unknown;
+      if (typeof read !== "object" || read === null || Array.isArray(read)) return { problems: [`${path}: must hold one JSON object`] };
+      return SettingsReader.check({ ...read, ...flags });
+    } catch (cause) {
+      return { problems: [`${path}: ${(cause as Error).message}`] };
+    }
+  },
+};
--- /dev/null
+++ b/packages/chest/src/process/settingsWatch.ts
@@ -0,0 +1,58 @@
+import { EventEmitter } from "node:events";
+import { readFileSync } from "node:fs";
+import type { Clock } from "./clock.js";
+import { SettingsReader, type Settings } from "./settings.js";
+
+/**
+ * Takes up a changed settings file, signal or none. What is bad, or can only be read at a start, changes
+ * nothing and is said.
+ */
+export class SettingsWatch extends EventEmitter<{ changed: [settings: Settings]; fault: [text: string] }> {
+  static readonly periodMs = 1000;
+
+  readonly #path: string;
+  readonly #flags: Record<string, unknown>;
+  #settings: Settings;
+  #content: string;
+  /** Why the file as it stands is not in force; empty when it is. */
+  fault = "";
+
+  constructor(path: string, flags: Record<string, unknown>, settings: Settings, clock: Clock) {
+    super();
+    this.#path = path;
+    this.#flags = flags;
+    this.#settings = settings;
+    this.#content = this.#read();
+    clock.every(SettingsWatch.periodMs, () => this.look());
+  }
+
+  look(): void {
+    const content = this.#read();
+    if (content === this.#content) return;
+    this.#content = content;
+    const read = SettingsReader.fromFile(this.#path, this.#flags);
+    if ("problems" in read) return this.#refuse(`the settings file is bad, the old settings stay: ${read.problems.join("; ")}`);
+    const live: readonly string[] = SettingsReader.live;
+    const keys = Object.keys({ ...this.#settings, ...read.settings }) as Array<keyof Settings>;
+    const fixed = keys.filter((key) => !live.includes(key) && JSON.stringify(read.settings[key]) !== JSON.stringify(this.#settings[key]));
+    const taken: Settings = { ...this.#settings };
+    for (const key of SettingsReader.live) taken[key] = read.settings[key];
+    this.#settings = taken;
+    this.fault = "";
+    this.emit("changed", taken);
+    if (fixed.length > 0) this.#refuse(`changed in the file and taken up only at the next start: ${fixed.join(", ")}`);
+  }
+
+  #refuse(text: string): void {
+    this.fault = text;
+    this.emit("fault", text);
+  }
+
+  #read(): string {
+    try {
+      return readFileSync(this.#path, "utf8");
+    } catch {
+      return "";
+    }
+  }
+}
--- /dev/null
+++ b/packages/chest/src/process/storeClient.ts
@@ -0,0 +1,60 @@
+import type { StoreCall, StoreReceipt } from "../gen/cranetrack_pb.js";
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import type { StoreCallSchema, TxnSchema } from "../gen/cranetrack_pb.js";
+import type { Clock } from "./clock.js";
+import type { Exchange } from "./exchange.js";
+import type { Membership } from "./membership.js";
+import { Rendezvous } from "./rendezvous.js";
+
+type Call = NonNullable<MessageInitShape<typeof StoreCallSchema>["call"]>;
+export type Outcome = { outcome: string } & Partial<Pick<StoreReceipt, "revision" | "kvs" | "comeBack" | "reason" | "feeds" | "proposer">>;
+
+/** Calls on the metadata store. Any lathe takes any call and passes it on. */
+export class StoreClient {
+  readonly #exchange: Exchange;
+  readonly #membership: Membership;
+  readonly #clock: Clock;
+  /** The lathe that answered last; only a hint. */
+  #favourite = "";
+
+  constructor(exchange: Exchange, membership: Membership, clock: Clock) {
+    this.#exchange = exchange;
+    this.#membership = membership;
+    this.#clock = clock;
+  }
+
+  txn(txn: MessageInitShape<typeof TxnSchema>, due = 1200): Promise<Outcome> {
+    return this.call({ case: "txn", value: txn as never }, due);
+  }
+
+  read(keys: string[], prefixes: string[] = [], due = 1200): Promise<Outcome> {
+    return this.call({ case: "read", value: { keys, prefixes } as never }, due);
+  }
+
+  /** Ends by `due` with an outcome: `unsure` where a change may have been carried out, `away` where it was not. */
+  async call(call: Call, due = 1200): Promise<Outcome> {
+    const end = this.#clock.now() + due;
+    let isSent = false;
+    for (const name of this.#order()) {
+      const left = end - this.#clock.now();
+      if (left <= 20) break;
+      const body = await this.#exchange.call(name, { case: "storeCall", value: { call } as unknown as StoreCall }, Math.min(left, isSent ? left : 700));
+      if (body?.case === "storeReceipt" && body.value.outcome !== "away") {
+        this.#favourite = name;
+        return body.value;
+      }
+      if (body === undefined) isSent = true;
+      if (body === undefined && call.case === "txn") return { outcome: "unsure", comeBack: 0.5 };
+    }
+    return { outcome: isSent ? "unsure" : "away", comeBack: 1, reason: "no majority of lathes answers" };
+  }
+
+  #order(): string[] {
+    const lathes = this.#membership.all().filter((member) => member.role === "lathe" && member.state === "up").map((member) => member.name);
+    const isBad = (name: string): boolean => !this.#membership.isAlive(name) || this.#exchange.isMute(name);
+    const ranked = Rendezvous.rank(this.#exchange.name, lathes);
+    const good = ranked.filter((name) => !isBad(name));
+    const first = good.includes(this.#favourite) ? [this.#favourite] : [];
+    return [...new Set([...first, ...good, ...ranked])];
+  }
+}
--- /dev/null
+++ b/packages/chest/src/process/tcpNet.ts
@@ -0,0 +1,105 @@
+import { createServer, connect, type Server, type Socket } from "node:net";
+import type { LogRing } from "./logRing.js";
+import type { Net } from "./net.js";
+import { TcpLink } from "../link/tcpLink.js";
+
+/** Frames over held TCP connections: one outward link an address, as many inward as come. */
+export class TcpNet implements Net {
+  readonly address: string;
+  readonly #server: Server;
+  readonly #log: LogRing;
+  readonly #outward = new Map<string, TcpLink>();
+  readonly #inward = new Set<TcpLink>();
+  /** Invariant: an address is in here only while the latest try to reach it failed. */
+  readonly #unreachable = new Map<string, number>();
+  #take: (bytes: Uint8Array) => void = () => undefined;
+  #lost: (address: string) => void = () => undefined;
+  /** Garbled connections closed since the start. */
+  garbled = 0;
+
+  constructor(address: string, log: LogRing) {
+    this.address = address;
+    this.#log = log;
+    this.#server = createServer((socket) => this.#enrolInward(socket));
+  }
+
+  listen(): Promise<void> {
+    const [host, port] = TcpNet.split(this.address);
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, () => resolve());
+    });
+  }
+
+  onFrame(take: (bytes: Uint8Array) => void): void {
+    this.#take = take;
+  }
+
+  onLost(take: (address: string) => void): void {
+    this.#lost = take;
+  }
+
+  drop(address: string): void {
+    this.#outward.get(address)?.close();
+  }
+
+  isReachable(address: string): boolean {
+    return !this.#unreachable.has(address);
+  }
+
+  send(address: string, bytes: Uint8Array): void {
+    let link = this.#outward.get(address);
+    if (link === undefined) {
+      const failedAt = this.#unreachable.get(address);
+      if (failedAt !== undefined && performance.now() - failedAt < 100) return;
+      link = this.#open(address);
+    }
+    link.send(bytes);
+  }
+
+  close(): void {
+    this.#server.close();
+    for (const link of [...this.#outward.values(), ...this.#inward]) link.close();
+  }
+
+  static split(address: string): [string, number] {
+    const cut = address.lastIndexOf(":");
+    return [address.slice(0, cut), Number(address.slice(cut + 1))];
+  }
+
+  #open(address: string): TcpLink {
+    const [host, port] = TcpNet.split(address);
+    const socket = connect({ host, port, noDelay: true });
+    const link = new TcpLink(socket, (bytes) => this.#take(bytes));
+    this.#outward.set(address, link);
+    const giveUp = setTimeout(() => link.close(), 1000);
+    socket.once("connect", () => {
+      clearTimeout(giveUp);
+      this.#unreachable.delete(address);
+    });
+    link.onClose((isGarbled) => {
+      clearTimeout(giveUp);
+      if (isGarbled) this.#count(address);
+      if (this.#outward.get(address) !== link) return;
+      this.#outward.delete(address);
+      this.#unreachable.set(address, performance.now());
+      this.#lost(address);
+    });
+    return link;
+  }
+
+  #enrolInward(socket: Socket): void {
+    socket.setNoDelay(true);
+    const link = new TcpLink(socket, (bytes) => this.#take(bytes));
+    this.#inward.add(link);
+    link.onClose((isGarbled) => {
+      this.#inward.delete(link);
+      if (isGarbled) this.#count(String(socket.remoteAddress));
+    });
+  }
+
+  #count(peer: string): void {
+    this.garbled += 1;
+    this.#log.warn("closed a connection that sent a garbled frame", { peer });
+  }
+}
--- /dev/null
+++ b/packages/jig/src/jig.ts
@@ -0,0 +1,60 @@
+#!/usr/bin/env node
+import { mkdtempSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { cac } from "cac";
+import { Deployments } from "./mark/deployments.js";
+import { Fleet } from "./process/fleet.js";
+import { Load } from "./process/load.js";
+
+const cli = cac("jig");
+
+const deploymentOf = (name: string): (typeof Deployments)[string] => {
+  if (!["reefline", "adwen", "small"].includes(name)) throw new Error(`there is no deployment ${name}: reefline, adwen or small`);
+  return Deployments[name]!;
+};
+
+cli.command("fleet <deployment>", "Start a whole fleet on this machine and keep it until interrupted")
+  .option("--folder <folder>", "Where settings, data and logs go")
+  .action(async (name: string, options: { folder?: string }) => {
+    const fleet = new Fleet(deploymentOf(name), options.folder ?? mkdtempSync(join(tmpdir(), "cranetrack-")));
+    process.on("SIGINT", () => void fleet.stop().then(() => process.exit(0)));
+    await fleet.start();
+    for (const member of fleet.names) process.stdout.write(`${member}  http://${fleet.httpOf(member)}\n`);
+    process.stdout.write("ready; interrupt to stop\n");
+  });
+
+cli.command("load <deployment>", "Start a fleet, play the callers of that deployment against it, and judge what they saw")
+  .option("--seconds <n>", "How long the callers play", { default: 120 })
+  .option("--share <n>", "Share of today's load", { default: 1 })
+  .option("--folder <folder>", "Where settings, data and logs go")
+  .action(async (name: string, options: { seconds: number; share: number; folder?: string }) => {
+    const fleet = new Fleet(deploymentOf(name), options.folder ?? mkdtempSync(join(tmpdir(), "cranetrack-")));
+    try {
+      await fleet.start();
+      await fleet.held();
+      const load = new Load(fleet);
+      await load.begin(Math.min(1, options.share));
+      load.play(options.share);
+      await new Promise((resolve) => setTimeout(resolve, options.seconds * 1000));
+      const report = await load.end();
+      process.stdout.write(`${JSON.stringify({ ...report, breaches: report.breaches.length, fallen: fleet.fallen }, null, 2)}\n`);
+      for (const breach of report.breaches.slice(0, 20)) process.stdout.write(`${breach.rule}: ${breach.text}\n`);
+      process.exitCode = report.breaches.length > 0 || fleet.fallen.length > 0 ? 1 : 0;
+    } finally {
+      await fleet.stop();
+    }
+  });
+
+cli.help();
+cli.version("0.1.0");
+try {
+  cli.parse(process.argv, { run: false });
+  if (cli.matchedCommand === undefined && cli.options["help"] !== true && cli.options["version"] !== true) {
+    cli.outputHelp();
+    process.exitCode = 2;
+  } else await cli.runMatchedCommand();
+} catch (fault) {
+  process.stderr.write(`${(fault as Error).message}\n`);
+  process.exitCode = process.exitCode === undefined || process.exitCode === 0 ? 2 : process.exitCode;
+}
--- /dev/null
+++ b/packages/jig/src/link/httpPort.ts
@@ -0,0 +1,57 @@
+import { Agent, request } from "undici";
+import type { CallerPort, PortLink, PortReceipt } from "./callerPort.js";
+
+/** Calls over HTTP/1.1, as a caller of the service makes them. */
+export class HttpPort implements CallerPort {
+  readonly #addressOf: (node: string) => string;
+  readonly #agent = new Agent({ connections: null, bodyTimeout: 0, headersTimeout: 8000, connect: { timeout: 1500 } });
+
+  constructor(addressOf: (node: string) => string) {
+    this.#addressOf = addressOf;
+  }
+
+  async link(node: string, session: string, body: object, heed: { line(line: Record<string, unknown>): void; closed(): void }): Promise<PortLink | PortReceipt> {
+    const giveUp = new AbortController();
+    try {
+      const answer = await request(`http://${this.#addressOf(node)}/v1/sessions/${session}/link`, { method: "POST", dispatcher: this.#agent, body: JSON.stringify(body), headers: { "Content-Type": "application/json" }, signal: giveUp.signal });
+      if (answer.statusCode !== 200) return HttpPort.#receipt(answer.statusCode, await answer.body.text());
+      let rest = "";
+      answer.body.setEncoding("utf8");
+      answer.body.on("data", (chunk: string) => {
+        const lines = (rest + chunk).split("\n");
+        rest = lines.pop()!;
+        for (const line of lines) heed.line(JSON.parse(line) as Record<string, unknown>);
+      });
+      answer.body.on("error", () => undefined);
+      answer.body.on("close", () => heed.closed());
+      return { close: () => giveUp.abort() };
+    } catch {
+      return { status: 0, body: {}, comeBack: 0.3 };
+    }
+  }
+
+  async call(node: string, method: string, path: string, body: string | undefined): Promise<PortReceipt> {
+    try {
+      const answer = await request(`http://${this.#addressOf(node)}${path}`, { method: method as "GET", dispatcher: this.#agent, ...(body === undefined ? {} : { body, headers: { "Content-Type": "application/json" } }), headersTimeout: 4000 });
+      return HttpPort.#receipt(answer.statusCode, await answer.body.text());
+    } catch (fault) {
+      const isNeverSent = (fault as { code?: string }).code === "ECONNREFUSED";
+      return { status: isNeverSent ? 503 : 0, body: { error: { code: isNeverSent ? "unreachable" : "broken" } }, comeBack: 0.3 };
+    }
+  }
+
+  close(): Promise<void> {
+    return this.#agent.destroy();
+  }
+
+  static #receipt(status: number, text: string): PortReceipt {
+    let body: Record<string, unknown>;
+    try {
+      body = JSON.parse(text) as Record<string, unknown>;
+    } catch {
+      body = { text };
+    }
+    const comeBack = (body["error"] as { comeBack?: number } | undefined)?.comeBack;
+    return { status, body: { ...body, raw: text }, comeBack };
+  }
+}
--- /dev/null
+++ b/packages/jig/src/process/caller.ts
@@ -0,0 +1,188 @@
+import type { Beat, Clock } from "@cranetrack/chest/process/clock.js";
+import type { CallerPort, PortLink } from "../link/callerPort.js";
+import type { History } from "../mark/history.js";
+
+interface CallerParts { session: string; port: CallerPort; clock: Clock; draw: () => number; history: History; nodes: () => string[] }
+
+/**
+ * One caller: holds one long link, comes back with its last places, publishes under rising numbers and
+ * tries a number again until it has a final receipt.
+ */
+export class Caller {
+  static readonly silentMs = 6500;
+
+  readonly session: string;
+  readonly #parts: CallerParts;
+  /** Topics asked for and the last place known in each. */
+  readonly #places = new Map<string, string | undefined>();
+  readonly #numbers = new Map<string, number>();
+  readonly #busy = new Map<string, Promise<void>>();
+  #link: PortLink | undefined;
+  #node = "";
+  #isOpen = false;
+  #isWanted = false;
+  #attempt = 0;
+  #waiting: Beat | undefined;
+  #silence: Beat | undefined;
+  /** Publishes whose number has no final receipt yet. */
+  open = 0;
+  reconnects = 0;
+
+  constructor(parts: CallerParts) {
+    this.session = parts.session;
+    this.#parts = parts;
+  }
+
+  get isLinked(): boolean {
+    return this.#isOpen;
+  }
+
+  get node(): string {
+    return this.#node;
+  }
+
+  /** All topics asked for are confirmed on the present link. */
+  get isSettled(): boolean {
+    return this.#isOpen && this.#confirmed.size === this.#places.size;
+  }
+
+  readonly #confirmed = new Set<string>();
+
+  start(topics: readonly string[]): void {
+    for (const topic of topics) {
+      this.#places.set(topic, undefined);
+      this.#parts.history.add({ kind: "asked", at: this.#now, subscriber: this.session, topic });
+    }
+    this.#isWanted = true;
+    void this.#connect();
+  }
+
+  /** Drops off without a word, and comes back after a while. */
+  dropOff(ms: number): void {
+    this.#cut();
+    this.#again(ms);
+  }
+
+  stop(): void {
+    this.#isWanted = false;
+    this.#waiting?.stop();
+    this.#cut();
+  }
+
+  /** Publishes under the topic's next number, after the ones before it are settled. */
+  publish(topic: string, payload: string): Promise<void> {
+    const number = (this.#numbers.get(topic) ?? 0) + 1;
+    this.#numbers.set(topic, number);
+    this.open += 1;
+    const before = this.#busy.get(topic) ?? Promise.resolve();
+    const done = before.then(() => this.#settle(topic, number, payload)).then(() => {
+      this.open -= 1;
+      if (this.#busy.get(topic) === done) this.#busy.delete(topic);
+    });
+    this.#busy.set(topic, done);
+    return done;
+  }
+
+  get #now(): number {
+    return this.#parts.clock.now();
+  }
+
+  async #settle(topic: string, number: number, payload: string): Promise<void> {
+    const { history, port, clock } = this.#parts;
+    for (let tries = 0; tries < 200; tries += 1) {
+      const node = this.#isOpen ? this.#node : this.#pick();
+      history.add({ kind: "tried", at: this.#now, sender: this.session, topic, number, payload });
+      const receipt = await port.call(node, "POST", `/v1/sessions/${this.session}/messages`, JSON.stringify({ topic, number, payload }));
+      const about = { at: this.#now, sender: this.session, topic, number };
+      if (receipt.status === 200) return history.add({ kind: "accepted", ...about, place: String(receipt.body["place"]) });
+      const code = String((receipt.body["error"] as { code?: string } | undefined)?.code ?? "");
+      if (receipt.status === 504 || receipt.status === 0) history.add({ kind: "unsure", ...about });
+      else history.add({ kind: "refused", ...about, code });
+      const isFinal = receipt.status !== 504 && receipt.status !== 0 && receipt.status !== 503 && code !== "no-link";
+      if (isFinal) return;
+      await new Promise<void>((resolve) => void clock.once(Math.min(1000, (receipt.comeBack ?? 0.3) * 1000 * (0.5 + this.#parts.draw() * 0.5)), resolve));
+    }
+  }
+
+  #pick(): string {
+    const nodes = this.#parts.nodes();
+    return nodes[(this.#attempt + Math.floor(this.#parts.draw() * nodes.length)) % nodes.length] ?? "";
+  }
+
+  async #connect(): Promise<void> {
+    if (!this.#isWanted || this.#link !== undefined) return;
+    const attempt = ++this.#attempt;
+    const node = this.#pick();
+    const subscriptions = [...this.#places].map(([topic, after]) => (after === undefined ? { topic } : { topic, after }));
+    this.#confirmed.clear();
+    const isCurrent = (): boolean => attempt === this.#attempt && this.#isWanted;
+    const got = await this.#parts.port.link(node, this.session, { subscriptions }, {
+      line: (line) => {
+        if (isCurrent()) this.#heed(line, node);
+      },
+      closed: () => {
+        if (!isCurrent()) return;
+        this.#cut();
+        this.#again(50 + this.#parts.draw() * 250);
+      },
+    });
+    if (!isCurrent()) return void ("close" in got && got.close());
+    if ("close" in got) this.#link = got;
+    else this.#again(Math.min(3000, (got.comeBack ?? 0.5) * 1000 * (0.7 + this.#parts.draw() * 0.6)));
+  }
+
+  #heed(line: Record<string, unknown>, node: string): void {
+    const { history } = this.#parts;
+    const topic = String(line["topic"]);
+    const about = { at: this.#now, subscriber: this.session, topic };
+    this.#hush();
+    switch (line["kind"]) {
+      case "open":
+        this.#isOpen = true;
+        this.#node = node;
+        return history.add({ kind: "linked", at: this.#now, subscriber: this.session, node });
+      case "confirmed":
+        this.#confirmed.add(topic);
+        if (this.#places.get(topic) === undefined) this.#places.set(topic, String(line["place"]));
+        return history.add({ kind: "confirmed", ...about });
+      case "message":
+        this.#places.set(topic, String(line["place"]));
+        return history.add({ kind: "received", ...about, sender: String(line["sender"]), number: Number(line["number"]), payload: String(line["payload"]) });
+      case "expired":
+        this.#places.set(topic, String(line["place"]));
+        return history.add({ kind: "expired", ...about, reason: String(line["reason"]) });
+      case "ended":
+        this.#places.set(topic, undefined);
+        this.#confirmed.delete(topic);
+        return history.add({ kind: "ended", ...about });
+      case "fault":
+        return this.dropOff(300 + this.#parts.draw() * 700);
+      case "goodbye":
+        this.#cut();
+        return this.#again(Number(line["comeBack"] ?? 0) * 1000 + this.#parts.draw() * 100);
+      default:
+    }
+  }
+
+  /** A link that says nothing for three beats is given up. */
+  #hush(): void {
+    this.#silence?.stop();
+    this.#silence = this.#parts.clock.once(Caller.silentMs, () => this.dropOff(0));
+  }
+
+  #cut(): void {
+    this.#silence?.stop();
+    if (this.#isOpen) this.#parts.history.add({ kind: "closed", at: this.#now, subscriber: this.session });
+    this.#isOpen = false;
+    this.#attempt += 1;
+    this.#link?.close();
+    this.#link = undefined;
+  }
+
+  #again(ms: number): void {
+    if (!this.#isWanted) return;
+    this.reconnects += 1;
+    this.#waiting?.stop();
+    this.#waiting = this.#parts.clock.once(ms, () => void this.#connect());
+  }
+}
--- /dev/null
+++ b/packages/jig/src/process/fleet.ts
@@ -0,0 +1,161 @@
+import { spawn, type ChildProcess } from "node:child_process";
+import { once } from "node:events";
+import { mkdirSync, rmSync, writeFileSync, openSync } from "node:fs";
+import { createServer } from "node:net";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { HttpPort } from "../link/httpPort.js";
+import type { PortReceipt } from "../link/callerPort.js";
+import { Deployments, type Deployment, type Machine } from "../mark/deployments.js";
+
+interface Member { machine: Machine; address: string; http: string; settings: string; child: ChildProcess | undefined }
+
+/** A whole fleet of real processes on this machine, on loopback addresses, from settings files. */
+export class Fleet {
+  readonly deployment: Deployment;
+  readonly #folder: string;
+  readonly #members = new Map<string, Member>();
+  readonly port: HttpPort;
+  /** Processes that ended without being told to. */
+  readonly fallen: string[] = [];
+
+  constructor(deployment: Deployment, folder: string) {
+    this.deployment = deployment;
+    this.#folder = folder;
+    this.port = new HttpPort((node) => this.httpOf(node));
+  }
+
+  get names(): string[] {
+    return [...this.#members.keys()];
+  }
+
+  withRole(role: Machine["role"]): string[] {
+    return this.names.filter((name) => this.#members.get(name)!.machine.role === role);
+  }
+
+  zoneOf(name: string): string {
+    return this.#members.get(name)!.machine.zone;
+  }
+
+  httpOf(name: string): string {
+    return this.#members.get(name)?.http ?? name;
+  }
+
+  isRunning(name: string): boolean {
+    return this.#members.get(name)?.child !== undefined;
+  }
+
+  settingsOf(name: string): string {
+    return this.#members.get(name)!.settings;
+  }
+
+  async start(): Promise<void> {
+    const machines = Deployments.machines(this.deployment);
+    const ports = await Fleet.#freePorts(machines.length * 2);
+    const addresses = ports.map((port) => `127.0.0.1:${port}`);
+    const seeds = addresses.slice(0, 3);
+    mkdirSync(this.#folder, { recursive: true });
+    machines.forEach((machine, i) => {
+      const settings = join(this.#folder, `${machine.name}.json`);
+      const [address, http] = [addresses[i]!, addresses[machines.length + i]!];
+      const content = { name: machine.name, role: machine.role, zone: machine.zone, address, http, seeds, lathes: machines.filter((one) => one.role === "lathe").length, log: join(this.#folder, `${machine.name}.log`), ...(machine.role === "vise" ? {} : { data: this.dataOf(machine.name) }) };
+      writeFileSync(settings, `${JSON.stringify(content, null, 2)}\n`);
+      this.#members.set(machine.name, { machine, address, http, settings, child: undefined });
+    });
+    for (const machine of machines) this.launch(machine.name);
+    await this.ready();
+  }
+
+  dataOf(name: string): string {
+    return join(this.#folder, `${name}.data`);
+  }
+
+  launch(name: string): void {
+    const member = this.#members.get(name)!;
+    const { role } = member.machine;
+    const program = fileURLToPath(import.meta.resolve(`@cranetrack/${role}/${role}.js`));
+    const errors = openSync(join(this.#folder, `${name}.err`), "a");
+    const child = spawn(process.execPath, [program, "--settings", member.settings], { stdio: ["ignore", errors, errors] });
+    member.child = child;
+    child.on("exit", (code, signal) => {
+      if (member.child !== child) return;
+      member.child = undefined;
+      this.fallen.push(`${name} (${signal ?? code})`);
+    });
+  }
+
+  signal(name: string, signal: NodeJS.Signals): void {
+    this.#members.get(name)!.child?.kill(signal);
+  }
+
+  /** Ends a process and waits until it is gone. */
+  async end(name: string, signal: NodeJS.Signals): Promise<void> {
+    const member = this.#members.get(name)!;
+    const { child } = member;
+    if (child === undefined) return;
+    member.child = undefined;
+    const gone = once(child, "exit");
+    child.kill(signal);
+    if (signal !== "SIGKILL") child.kill("SIGCONT");
+    await gone;
+  }
+
+  /** The platform's way: politely, and forcibly six seconds later. Resolves true where politeness did. */
+  async cycle(name: string): Promise<boolean> {
+    const { child } = this.#members.get(name)!;
+    const forced = setTimeout(() => child?.kill("SIGKILL"), 6000);
+    const startedAt = performance.now();
+    await this.end(name, "SIGTERM");
+    clearTimeout(forced);
+    return performance.now() - startedAt < 5900;
+  }
+
+  wipe(name: string): void {
+    rmSync(this.dataOf(name), { recursive: true, force: true });
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.names.map((name) => this.end(name, "SIGKILL")));
+    await this.port.close();
+  }
+
+  call(name: string, method: string, path: string, body?: string): Promise<PortReceipt> {
+    return this.port.call(name, method, path, body);
+  }
+
+  /** Resolves with the milliseconds until all named nodes say that they are ready. */
+  async ready(names: readonly string[] = this.names, dueMs = 30_000): Promise<number> {
+    const startedAt = performance.now();
+    for (const name of names) {
+      while ((await this.call(name, "GET", "/readyz")).status !== 200) {
+        if (performance.now() - startedAt > dueMs) throw new Error(`${name} is not ready after ${dueMs} ms`);
+        await new Promise((resolve) => setTimeout(resolve, 100));
+      }
+    }
+    return performance.now() - startedAt;
+  }
+
+  /** Resolves when every shard has a holder, as one edge sees it. */
+  async held(dueMs = 30_000): Promise<void> {
+    const startedAt = performance.now();
+    for (;;) {
+      const status = await this.call(this.withRole("vise")[0]!, "GET", "/v1/status");
+      const shards = (status.body["shards"] ?? []) as Array<{ holder: string }>;
+      if (shards.length > 0 && shards.every((shard) => shard.holder !== "")) return;
+      if (performance.now() - startedAt > dueMs) throw new Error("not every shard is held");
+      await new Promise((resolve) => setTimeout(resolve, 100));
+    }
+  }
+
+  static async #freePorts(count: number): Promise<number[]> {
+    const servers = await Promise.all(Array.from({ length: count }, async () => {
+      const server = createServer();
+      server.listen(0, "127.0.0.1");
+      await once(server, "listening");
+      return server;
+    }));
+    const ports = servers.map((server) => (server.address() as { port: number }).port);
+    await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+    return ports;
+  }
+}
--- /dev/null
+++ b/packages/jig/src/process/load.ts
@@ -0,0 +1,135 @@
+import { HostChance } from "@cranetrack/chest/process/hostChance.js";
+import { HostClock } from "@cranetrack/chest/process/hostClock.js";
+import { Checker, type Breach } from "../mark/checker.js";
+import { History } from "../mark/history.js";
+import { Deployments } from "../mark/deployments.js";
+import { Caller } from "./caller.js";
+import type { Fleet } from "./fleet.js";
+
+export interface LoadReport { sent: number; accepted: number; received: number; reconnects: number; p50: number; p99: number; max: number; above333: number; above2000: number; breaches: Breach[] }
+
+/** The brief's callers against a real fleet: senders at their rates, readers, drop-offs and zone moves. */
+export class Load {
+  readonly #fleet: Fleet;
+  readonly #clock = new HostClock();
+  readonly #chance = new HostChance();
+  readonly history = new History();
+  readonly callers: Caller[] = [];
+  readonly #zoneOf = new Map<string, string>();
+  #mark = 0;
+  #stops: Array<() => void> = [];
+
+  constructor(fleet: Fleet) {
+    this.#fleet = fleet;
+  }
+
+  async putPlan(plan: object): Promise<void> {
+    const text = JSON.stringify(plan);
+    for (;;) {
+      const receipt = await this.#fleet.call(this.#fleet.withRole("vise")[0]!, "PUT", "/v1/plan", text);
+      if (receipt.status === 200) break;
+      if (receipt.status < 500) throw new Error(`the plan was refused: ${JSON.stringify(receipt.body)}`);
+      await this.#wait(300);
+    }
+    this.history.add({ kind: "planAccepted", at: this.#clock.now(), mark: (plan as { mark: number }).mark, text });
+  }
+
+  /** Plan, callers, confirmations. */
+  async begin(share = 1): Promise<void> {
+    const { deployment } = this.#fleet;
+    await this.putPlan(Deployments.plan(deployment, (this.#mark += 1)));
+    await this.#wait(1500);
+    const { shared, broadcast } = deployment;
+    for (let i = 0; i < deployment.links * share; i += 1) {
+      const session = i < broadcast.senders ? `sender-${i + 1}` : `caller-${i + 1}`;
+      this.#zoneOf.set(session, deployment.zones[i % deployment.zones.length]!);
+      const caller = new Caller({ session, port: this.#fleet.port, clock: this.#clock, draw: () => this.#chance.draw(), history: this.history, nodes: () => this.#nodes(session) });
+      this.callers.push(caller);
+      const topics = new Set([...this.#topics(shared), ...this.#topics(broadcast)]);
+      caller.start([...topics]);
+      if (i % 20 === 19) await this.#wait(20);
+    }
+    for (let tries = 0; tries < 300 && !this.callers.every((caller) => caller.isSettled); tries += 1) await this.#wait(100);
+    const unsettled = this.callers.filter((caller) => !caller.isSettled).length;
+    if (unsettled > 0) throw new Error(`${unsettled} callers have no confirmed link after 30 s`);
+  }
+
+  /** Starts the senders and the drop-offs. */
+  play(share = 1): void {
+    const { shared, broadcast } = this.#fleet.deployment;
+    this.#every(1000 / (shared.perSecond * share), () => this.#publish(this.#any(this.callers), shared.space, shared.topics));
+    this.#every(1000 / (broadcast.perSecond * share), () => this.#publish(this.callers[Math.floor(this.#chance.draw() * broadcast.senders)]!, broadcast.space, broadcast.topics));
+    this.#every(700, () => this.#any(this.callers).dropOff(200 + this.#chance.draw() * 3000));
+    this.#every(2500, () => this.#move(this.#any(this.callers)));
+  }
+
+  /** Nearly all at once. */
+  resetAll(): void {
+    for (const caller of this.callers) if (this.#chance.draw() < 0.95) caller.dropOff(this.#chance.draw() * 500);
+  }
+
+  /** Stops sending, waits until everything is settled and delivered, and judges. */
+  async end(): Promise<LoadReport> {
+    for (const stop of this.#stops.splice(0)) stop();
+    for (let tries = 0; tries < 250 && !this.callers.every((caller) => caller.isSettled && caller.open === 0); tries += 1) await this.#wait(100);
+    await this.#wait(3000);
+    const endAt = this.#clock.now();
+    const read = await this.#fleet.call(this.#fleet.withRole("vise")[0]!, "GET", "/v1/plan");
+    if (read.status === 200) this.history.add({ kind: "planRead", at: endAt, text: String(read.body["raw"]) });
+    else this.history.add({ kind: "planLost", at: endAt, why: `reading the plan back gave ${read.status}` });
+    for (const caller of this.callers) caller.stop();
+    return Load.report(this.history, endAt, this.callers);
+  }
+
+  static report(history: History, endAt: number, callers: readonly Caller[]): LoadReport {
+    const { seen } = history;
+    const delays = Checker.delays(seen);
+    const rank = (share: number): number => Math.round(delays[Math.min(delays.length - 1, Math.floor(delays.length * share))] ?? 0);
+    return {
+      sent: new Set(seen.flatMap((one) => (one.kind === "tried" ? [`${one.sender} ${one.topic} ${one.number}`] : []))).size,
+      accepted: seen.filter((one) => one.kind === "accepted").length,
+      received: delays.length,
+      reconnects: callers.reduce((sum, caller) => sum + caller.reconnects, 0),
+      p50: rank(0.5), p99: rank(0.99), max: Math.round(delays.at(-1) ?? 0),
+      above333: delays.filter((delay) => delay > 333).length, above2000: delays.filter((delay) => delay > 2000).length,
+      breaches: Checker.judge(seen, endAt),
+    };
+  }
+
+  #publish(caller: Caller, space: string, topics: number): void {
+    const topic = `${space}/t${Math.floor(this.#chance.draw() * topics)}`;
+    void caller.publish(topic, `${caller.session} ${this.#chance.identity()}`);
+  }
+
+  #topics({ space, topics, reads }: { space: string; topics: number; reads: number }): string[] {
+    return Array.from({ length: reads }, () => `${space}/t${Math.floor(this.#chance.draw() * topics)}`);
+  }
+
+  #nodes(session: string): string[] {
+    const edges = this.#fleet.withRole("vise").filter((name) => this.#fleet.isRunning(name));
+    const near = edges.filter((name) => this.#fleet.zoneOf(name) === this.#zoneOf.get(session));
+    return near.length > 0 ? near : edges;
+  }
+
+  #move(caller: Caller): void {
+    this.#zoneOf.set(caller.session, this.#any(this.#fleet.deployment.zones));
+    caller.dropOff(100);
+  }
+
+  #any<T>(list: readonly T[]): T {
+    return list[Math.floor(this.#chance.draw() * list.length)]!;
+  }
+
+  #every(ms: number, act: () => void): void {
+    const startedAt = this.#clock.now();
+    let count = 0;
+    const beat = this.#clock.every(Math.max(5, ms), () => {
+      for (; count < (this.#clock.now() - startedAt) / ms; count += 1) act();
+    });
+    this.#stops.push(() => beat.stop());
+  }
+
+  #wait(ms: number): Promise<void> {
+    return new Promise((resolve) => void this.#clock.once(ms, resolve));
+  }
+}
--- /dev/null
+++ b/packages/lathe/src/mark/metadata.ts
@@ -0,0 +1,96 @@
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import BTreeModule from "sorted-btree";
+import { KvSchema, StoreCommandSchema, StorePictureSchema, type Kv, type Members, type Txn } from "@cranetrack/chest/gen/cranetrack_pb.js";
+
+const BTree = BTreeModule.default;
+
+export interface Applied { outcome: "done" | "conflict" | "lost"; revision: number; kvs: Kv[]; changes: Kv[] }
+
+/**
+ * What the committed log says: keys and leases. Deterministic: the same entries give the same state.
+ * Invariants: a key's revision is the index of the entry that wrote it; a key under a lease is here
+ * only while the lease is.
+ */
+export class Metadata {
+  readonly #keys = new BTree<string, Kv>();
+  readonly #leases = new Map<string, { length: number; keys: Set<string> }>();
+  revision = 0;
+
+  get leases(): ReadonlyMap<string, { length: number }> {
+    return this.#leases;
+  }
+
+  get(key: string): Kv | undefined {
+    return this.#keys.get(key);
+  }
+
+  range(prefix: string): Kv[] {
+    const found: Kv[] = [];
+    this.#keys.forRange(prefix, `${prefix}\u{10ffff}`, true, (_key, kv) => void found.push(kv));
+    return found;
+  }
+
+  apply(index: number, data: Uint8Array): Applied {
+    const { command } = fromBinary(StoreCommandSchema, data);
+    const changes: Kv[] = [];
+    this.revision = index;
+    if (command.case === "grant") {
+      if (!this.#leases.has(command.value.lease)) this.#leases.set(command.value.lease, { length: command.value.length, keys: new Set() });
+      return { outcome: "done", revision: index, kvs: [], changes };
+    }
+    if (command.case === "revoke") {
+      const lease = this.#leases.get(command.value.lease);
+      this.#leases.delete(command.value.lease);
+      for (const key of [...(lease?.keys ?? [])].sort()) this.#remove(key, index, changes);
+      return { outcome: lease === undefined ? "lost" : "done", revision: index, kvs: [], changes };
+    }
+    if (command.case === "txn") return this.#txn(index, command.value, changes);
+    return { outcome: "done", revision: index, kvs: [], changes };
+  }
+
+  picture(members: Members | undefined): Uint8Array {
+    const leases = [...this.#leases].map(([lease, { length }]) => ({ lease, length }));
+    return toBinary(StorePictureSchema, create(StorePictureSchema, { kvs: [...this.#keys.values()], leases, members, revision: this.revision }));
+  }
+
+  /** Takes a picture in place of everything and returns the members it names. */
+  install(picture: Uint8Array): Members | undefined {
+    const read = fromBinary(StorePictureSchema, picture);
+    this.#keys.clear();
+    this.#leases.clear();
+    this.revision = read.revision;
+    for (const { lease, length } of read.leases) this.#leases.set(lease, { length, keys: new Set() });
+    for (const kv of read.kvs) {
+      this.#keys.set(kv.key, kv);
+      this.#leases.get(kv.lease)?.keys.add(kv.key);
+    }
+    return read.members;
+  }
+
+  #txn(index: number, txn: Txn, changes: Kv[]): Applied {
+    const revisionOf = (key: string): number => this.#keys.get(key)?.revision ?? 0;
+    const failed = txn.checks.filter((check) => revisionOf(check.key) !== check.revision);
+    if (failed.length > 0) {
+      const kvs = failed.map((check) => this.#keys.get(check.key)).filter((kv) => kv !== undefined);
+      return { outcome: "conflict", revision: index, kvs, changes };
+    }
+    if (txn.puts.some((kv) => kv.lease !== "" && !this.#leases.has(kv.lease))) return { outcome: "lost", revision: index, kvs: [], changes };
+    for (const key of txn.deletes) this.#remove(key, index, changes);
+    for (const kv of txn.puts) {
+      this.#leases.get(this.#keys.get(kv.key)?.lease ?? "")?.keys.delete(kv.key);
+      const fresh = create(KvSchema, { key: kv.key, value: kv.value, lease: kv.lease, revision: index });
+      this.#keys.set(kv.key, fresh);
+      this.#leases.get(kv.lease)?.keys.add(kv.key);
+      changes.push(fresh);
+    }
+    return { outcome: "done", revision: index, kvs: [], changes };
+  }
+
+  #remove(key: string, index: number, changes: Kv[]): void {
+    const kv = this.#keys.get(key);
+    if (kv === undefined) return;
+    this.#leases.get(kv.lease)?.keys.delete(key);
+    this.#keys.delete(key);
+    changes.push(create(KvSchema, { key, revision: index, isGone: true }));
+  }
+}
--- /dev/null
+++ b/packages/lathe/src/process/feeds.ts
@@ -0,0 +1,123 @@
+import { create } from "@bufbuild/protobuf";
+import { FeedStateSchema, type FeedAck, type FeedOpen, type FeedState, type Kv } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import type { Ledger } from "./ledger.js";
+
+interface Feed {
+  readonly feed: string; readonly name: string; readonly prefixes: readonly string[];
+  /** Revision the node has acknowledged, and the one told last. */
+  acked: number; told: number; number: number; ackedNumber: number; toldAt: number; heardAt: number; planMark: number; fault: string; isReady: boolean;
+}
+
+/**
+ * Numbered changes down held connections, one push in flight a feed; acknowledgements are counted.
+ * Invariant: a feed is told nothing while this lathe is out of touch with the majority.
+ */
+export class Feeds {
+  static readonly mostChanges = 20_000;
+  static readonly beatMs = 250;
+
+  readonly #node: ClusterNode;
+  readonly #ledger: Ledger;
+  readonly #feeds = new Map<string, Feed>();
+  readonly #isConfirmed: () => Promise<boolean>;
+  /** Invariant: every change after `#since`, in order. */
+  #changes: Kv[] = [];
+  #since: number;
+
+  constructor(node: ClusterNode, ledger: Ledger, isConfirmed: () => Promise<boolean>) {
+    this.#node = node;
+    this.#ledger = ledger;
+    this.#isConfirmed = isConfirmed;
+    this.#since = ledger.metadata.revision;
+    ledger.on("applied", ({ changes }) => this.#keep(changes));
+    ledger.on("pictured", () => {
+      this.#changes = [];
+      this.#since = ledger.metadata.revision;
+    });
+    node.exchange.serve("feedOpen", (open) => this.#open(open));
+    node.exchange.serve("feedAck", (ack) => this.#ack(ack));
+    node.parts.clock.every(50, () => this.#beat());
+  }
+
+  states(): FeedState[] {
+    const now = this.#node.parts.clock.now();
+    return [...this.#feeds.values()].map((feed) => create(FeedStateSchema, { name: feed.name, revision: feed.acked, planMark: feed.planMark, age: Math.round(now - feed.heardAt), fault: feed.fault }));
+  }
+
+  #keep(changes: Kv[]): void {
+    this.#changes.push(...changes);
+    if (this.#changes.length > Feeds.mostChanges) {
+      const cut = this.#changes.splice(0, this.#changes.length - Feeds.mostChanges / 2);
+      this.#since = cut.at(-1)!.revision;
+    }
+    if (changes.length > 0) for (const feed of this.#feeds.values()) if (feed.number === feed.ackedNumber) this.#tell(feed);
+  }
+
+  async #open(open: FeedOpen): Promise<undefined> {
+    for (const [id, feed] of this.#feeds) if (feed.name === open.name) this.#feeds.delete(id);
+    const now = this.#node.parts.clock.now();
+    const feed: Feed = { feed: open.feed, name: open.name, prefixes: open.prefixes, acked: open.revision, told: open.revision, number: 0, ackedNumber: 0, toldAt: -Infinity, heardAt: now, planMark: 0, fault: "", isReady: false };
+    this.#feeds.set(open.feed, feed);
+    if (!(await this.#isConfirmed()) || this.#ledger.metadata.revision < open.revision) {
+      this.#close(feed, "not in touch with a majority");
+      return undefined;
+    }
+    feed.isReady = true;
+    this.#tell(feed);
+    return undefined;
+  }
+
+  #ack(ack: FeedAck): undefined {
+    const feed = this.#feeds.get(ack.feed);
+    if (feed === undefined) return undefined;
+    feed.heardAt = this.#node.parts.clock.now();
+    feed.planMark = ack.planMark;
+    feed.fault = ack.fault;
+    if (ack.number !== feed.number) return undefined;
+    feed.ackedNumber = ack.number;
+    feed.told = feed.acked = ack.revision;
+    if (feed.isReady && this.#changes.length > 0 && this.#changes.at(-1)!.revision > feed.told) this.#tell(feed);
+    return undefined;
+  }
+
+  #beat(): void {
+    const now = this.#node.parts.clock.now();
+    for (const feed of this.#feeds.values()) {
+      if (!this.#ledger.isInTouch) this.#close(feed, "out of touch with the majority");
+      else if (now - feed.heardAt > 5000) this.#feeds.delete(feed.feed);
+      else if (feed.isReady && feed.number === feed.ackedNumber && now - feed.toldAt >= Feeds.beatMs) this.#tell(feed);
+      else if (feed.isReady && feed.number !== feed.ackedNumber && now - feed.toldAt > 300) this.#again(feed);
+    }
+  }
+
+  #close(feed: Feed, reason: string): void {
+    this.#feeds.delete(feed.feed);
+    this.#node.exchange.tell(feed.name, { case: "feedClose", value: { feed: feed.feed, reason } });
+  }
+
+  /** What was told and not acknowledged is told again from where the node was, under the same number. */
+  #again(feed: Feed): void {
+    feed.number -= 1;
+    feed.told = feed.acked;
+    this.#tell(feed);
+  }
+
+  #tell(feed: Feed): void {
+    if (!feed.isReady || !this.#ledger.isInTouch) return;
+    feed.number += 1;
+    feed.toldAt = this.#node.parts.clock.now();
+    const from = feed.told;
+    const isPicture = from === 0 || from < this.#since;
+    const isWanted = (kv: Kv): boolean => feed.prefixes.some((prefix) => kv.key.startsWith(prefix));
+    const kvs = isPicture ? feed.prefixes.flatMap((prefix) => this.#ledger.metadata.range(prefix)) : this.#after(from).filter(isWanted);
+    feed.told = this.#ledger.metadata.revision;
+    this.#node.exchange.tell(feed.name, { case: "feedPush", value: { feed: feed.feed, number: feed.number, isPicture, kvs, fromRevision: from, revision: feed.told } });
+  }
+
+  #after(revision: number): Kv[] {
+    let first = this.#changes.length;
+    while (first > 0 && this.#changes[first - 1]!.revision > revision) first -= 1;
+    return this.#changes.slice(first);
+  }
+}
--- /dev/null
+++ b/packages/lathe/src/process/founding.ts
@@ -0,0 +1,130 @@
+import { EventEmitter } from "node:events";
+import { create, toBinary } from "@bufbuild/protobuf";
+import { EntrySchema, MembersSchema, type Founded, type FoundingAsk, type LatheMember, type Member } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { ReplicaLog } from "@cranetrack/chest/mark/replicaLog.js";
+import type { Disk } from "@cranetrack/chest/process/disk.js";
+import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import type { BodyInit } from "@cranetrack/chest/process/wire.js";
+import { entryKind } from "./ledger.js";
+
+interface Identity { id: string; founding: string; agreed: string; members: Array<{ id: string; name: string }> }
+
+/**
+ * How a store comes to be: the expected number of blank lathes agree, all of them, each synced.
+ * Invariants: an identity is synced before it is used; a lathe accepts only the founding it agreed to
+ * last; a founded lathe never agrees again.
+ */
+export class Founding extends EventEmitter<{ founded: [] }> {
+  readonly #node: ClusterNode;
+  readonly #disk: Disk;
+  readonly #expected: number;
+  #identity: Identity;
+  #isAsking = false;
+  #isReady = false;
+  /** What the founding waits for, for status; empty once founded. */
+  missing = "";
+
+  constructor(node: ClusterNode, disk: Disk, expected: number) {
+    super();
+    this.#node = node;
+    this.#disk = disk;
+    this.#expected = expected;
+    const kept = disk.read("identity")[0];
+    this.#identity = kept === undefined ? { id: node.parts.chance.identity(), founding: "", agreed: "", members: [] } : (JSON.parse(Buffer.from(kept.value).toString()) as Identity);
+    node.exchange.serve("foundingAsk", (ask) => this.#agree(ask));
+    node.exchange.serve("founded", (founded) => this.#accept(founded));
+  }
+
+  get id(): string {
+    return this.#identity.id;
+  }
+
+  get founding(): string {
+    return this.#identity.founding;
+  }
+
+  async start(): Promise<void> {
+    await this.#keep();
+    this.#isReady = true;
+    if (this.founding !== "") return void this.emit("founded");
+    this.#node.parts.clock.every(250, () => void this.#beat());
+  }
+
+  #keep(): Promise<void> {
+    const { self } = this.#node.membership;
+    self.disk = this.#identity.id;
+    return this.#disk.write([{ key: "identity", value: Buffer.from(JSON.stringify(this.#identity)) }]);
+  }
+
+  async #beat(): Promise<void> {
+    if (this.founding !== "" || this.#isAsking || !this.#isReady) return;
+    this.#isAsking = true;
+    const lathes = this.#node.membership.alive("lathe").filter((member) => member.disk !== "");
+    const founded = lathes.find((member) => member.isFounded);
+    if (founded !== undefined) await this.#join(founded);
+    else if (lathes.length !== this.#expected) this.missing = `founding waits: ${lathes.length} of ${this.#expected} blank lathes are here (${lathes.map((one) => one.name).join(", ")})`;
+    else if (this.#isFirst(lathes)) await this.#ask(lathes);
+    else this.missing = "founding waits for the agreement of all lathes";
+    this.#isAsking = false;
+  }
+
+  #isFirst(lathes: Member[]): boolean {
+    return lathes.every((member) => member.disk >= this.id);
+  }
+
+  async #ask(lathes: Member[]): Promise<void> {
+    const members = lathes.map((member) => ({ id: member.disk, name: member.name }));
+    const founding = this.#identity.agreed !== "" && JSON.stringify(this.#identity.members) === JSON.stringify(members) ? this.#identity.agreed : this.#node.parts.chance.identity();
+    const ask: BodyInit = { case: "foundingAsk", value: { founding, members } };
+    const own = await this.#agree({ founding, members: members as LatheMember[] } as FoundingAsk);
+    const others = members.filter((member) => member.id !== this.id);
+    const receipts = await Promise.all(others.map((member) => this.#node.exchange.call(member.name, ask, 1000)));
+    const refused = others.filter((_, i) => !(receipts[i]?.case === "foundingReceipt" && receipts[i].value.isAgreed));
+    this.missing = refused.length > 0 ? `founding waits: no agreement of ${refused.map((one) => one.name).join(", ")}` : "";
+    const isOwn = own.case === "foundingReceipt" && own.value.isAgreed === true;
+    if (refused.length > 0 || !isOwn || this.#identity.agreed !== founding) return;
+    await this.#found(founding, members);
+    for (const member of others) this.#node.exchange.tell(member.name, { case: "founded", value: { founding, members } });
+  }
+
+  async #agree(ask: FoundingAsk): Promise<BodyInit> {
+    if (this.founding !== "") return { case: "foundingReceipt", value: { isAgreed: false, veto: this.founding } };
+    const isMeant = this.#isReady && ask.members.length === this.#expected && ask.members.some((one) => one.id === this.id);
+    if (!isMeant) return { case: "foundingReceipt", value: { isAgreed: false, veto: "" } };
+    const before = this.#identity.agreed;
+    this.#identity = { ...this.#identity, agreed: ask.founding, members: ask.members.map(({ id, name }) => ({ id, name })) };
+    if (before !== ask.founding) await this.#keep();
+    return { case: "foundingReceipt", value: { isAgreed: this.#identity.agreed === ask.founding && this.founding === "", veto: "" } };
+  }
+
+  async #accept(founded: Founded): Promise<undefined> {
+    if (this.founding === "" && this.#identity.agreed === founded.founding) await this.#found(founded.founding, founded.members);
+    return undefined;
+  }
+
+  /** Everyone starts from the same first entry: who the members are. */
+  async #found(founding: string, members: ReadonlyArray<{ id: string; name: string }>): Promise<void> {
+    const log = new ReplicaLog(this.#disk, "store");
+    if (log.lastIndex === 0) {
+      const data = toBinary(MembersSchema, create(MembersSchema, { voters: [...members] as LatheMember[] }));
+      await log.append([create(EntrySchema, { index: 1, term: 1, kind: entryKind.members, data })]);
+    }
+    await this.#settle(founding);
+  }
+
+  async #settle(founding: string): Promise<void> {
+    if (this.founding !== "") return;
+    this.#identity = { ...this.#identity, founding };
+    await this.#keep();
+    this.missing = "";
+    this.emit("founded");
+  }
+
+  /** A blank lathe beside a founded store: the founder's word again, or a new member's start. */
+  async #join(founded: Member): Promise<void> {
+    this.missing = `asks ${founded.name} to join the founded store`;
+    if (this.#identity.agreed === founded.founding) return this.#found(founded.founding, this.#identity.members);
+    const body = await this.#node.exchange.call(founded.name, { case: "storeCall", value: { call: { case: "join", value: { id: this.id, name: this.#node.parts.settings.name } } } }, 1000);
+    if (body?.case === "storeReceipt" && body.value.outcome === "done") await this.#settle(founded.founding);
+  }
+}
--- /dev/null
+++ b/packages/lathe/src/process/lathe.ts
@@ -0,0 +1,69 @@
+import { Anvil } from "@cranetrack/anvil/process/anvil.js";
+import { ReplicaLog } from "@cranetrack/chest/mark/replicaLog.js";
+import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import type { Disk } from "@cranetrack/chest/process/disk.js";
+import type { Router } from "@cranetrack/chest/process/router.js";
+import { ApiReceipts } from "@cranetrack/chest/request/apiReceipt.js";
+import { getRollout } from "../request/getRollout.js";
+import { putPlan } from "../request/putPlan.js";
+import { Founding } from "./founding.js";
+import { Ledger } from "./ledger.js";
+import { StoreDesk } from "./storeDesk.js";
+
+/** A control node: a member of the metadata store, and a spare place for topic logs. */
+export class Lathe {
+  readonly node: ClusterNode;
+  readonly founding: Founding;
+  readonly spare: Anvil;
+  readonly #disk: Disk;
+  #ledger: Ledger | undefined;
+
+  constructor(node: ClusterNode, disk: Disk, router: Router) {
+    this.node = node;
+    this.#disk = disk;
+    this.founding = new Founding(node, disk, node.parts.settings.lathes);
+    this.spare = new Anvil(node, disk, true);
+    this.founding.on("founded", () => this.#begin());
+    router.on("PUT", /^\/v1\/plan$/, (call) => putPlan(node, call.body));
+    router.on("GET", /^\/v1\/plan$/, async () => {
+      const read = await node.store.read(["plan"]);
+      if (read.outcome !== "done") return ApiReceipts.away("no majority of the lathes answers");
+      return read.kvs![0] === undefined ? ApiReceipts.fault(404, "no-plan", "no plan was ever accepted") : ApiReceipts.done(read.kvs![0].value);
+    });
+    router.on("GET", /^\/v1\/plan\/rollout$/, () => getRollout(node));
+  }
+
+  get ledger(): Ledger | undefined {
+    return this.#ledger;
+  }
+
+  /** Says what is wrong with the data folder, if anything is. */
+  load(): string | undefined {
+    return new ReplicaLog(this.#disk, "store").fault() ?? this.spare.load();
+  }
+
+  async start(): Promise<void> {
+    await this.spare.start();
+    await this.founding.start();
+  }
+
+  status(): object {
+    const ledger = this.#ledger;
+    const members = ledger?.members;
+    return {
+      founding: { id: this.founding.id, founded: this.founding.founding, missing: this.founding.missing },
+      ledger: ledger === undefined ? null : { term: ledger.term, commit: ledger.commit, isProposer: ledger.isProposer, proposer: ledger.proposerName, isInTouch: ledger.isInTouch, voters: members!.voters.map((one) => one.name), learners: members!.learners.map((one) => one.name) },
+      spare: this.spare.status(),
+    };
+  }
+
+  #begin(): void {
+    const { exchange, groups, membership, parts } = this.node;
+    const log = new ReplicaLog(this.#disk, "store");
+    this.#ledger = new Ledger({ id: this.founding.id, founding: this.founding.founding, log, exchange, groups, clock: parts.clock, chance: parts.chance, ring: parts.log });
+    new StoreDesk(this.node, this.#ledger);
+    membership.self.isFounded = true;
+    membership.self.founding = this.founding.founding;
+    membership.tellNow();
+  }
+}
--- /dev/null
+++ b/packages/lathe/src/process/leases.ts
@@ -0,0 +1,57 @@
+import type { Clock } from "@cranetrack/chest/process/clock.js";
+import type { Ledger } from "./ledger.js";
+
+/**
+ * When each lease ends, as the present proposer counts it. Expiry itself is a log entry.
+ * Invariant: a lease's due is never earlier than its full length after the last renewal confirmed by a
+ * majority, or after the present proposer was elected.
+ */
+export class Leases {
+  readonly #ledger: Ledger;
+  readonly #clock: Clock;
+  readonly #revoke: (lease: string) => void;
+  readonly #due = new Map<string, number>();
+  /** Leases whose expiry is proposed; a renewal can't save them. */
+  readonly #ending = new Set<string>();
+
+  constructor(ledger: Ledger, clock: Clock, revoke: (lease: string) => void) {
+    this.#ledger = ledger;
+    this.#clock = clock;
+    this.#revoke = revoke;
+    ledger.on("elected", () => this.#begin());
+    ledger.on("deposed", () => this.#due.clear());
+    ledger.on("applied", () => this.#follow());
+    clock.every(100, () => this.#beat());
+  }
+
+  /** True where the lease was there to renew. The caller confirms the proposer before and answers after. */
+  renew(lease: string): boolean {
+    const record = this.#ledger.metadata.leases.get(lease);
+    if (record === undefined || this.#ending.has(lease)) return false;
+    this.#due.set(lease, this.#clock.now() + record.length);
+    return true;
+  }
+
+  #begin(): void {
+    this.#due.clear();
+    this.#ending.clear();
+    for (const [lease, { length }] of this.#ledger.metadata.leases) this.#due.set(lease, this.#clock.now() + length);
+  }
+
+  #follow(): void {
+    const { leases } = this.#ledger.metadata;
+    if (!this.#ledger.isProposer || (leases.size === this.#due.size && this.#ending.size === 0)) return;
+    for (const [lease, { length }] of leases) if (!this.#due.has(lease)) this.#due.set(lease, this.#clock.now() + length);
+    for (const lease of this.#due.keys()) if (!leases.has(lease)) this.#due.delete(lease);
+    for (const lease of this.#ending) if (!leases.has(lease)) this.#ending.delete(lease);
+  }
+
+  #beat(): void {
+    if (!this.#ledger.isProposer) return;
+    for (const [lease, due] of this.#due) {
+      if (this.#clock.now() < due || this.#ending.has(lease)) continue;
+      this.#ending.add(lease);
+      this.#revoke(lease);
+    }
+  }
+}
--- /dev/null
+++ b/packages/lathe/src/process/ledger.ts
@@ -0,0 +1,313 @@
+import { EventEmitter } from "node:events";
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { EntrySchema, MembersSchema, type LatheMember, type Members, type Vote, type VoteReceipt } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { Intake } from "@cranetrack/chest/mark/intake.js";
+import type { ReplicaLog } from "@cranetrack/chest/mark/replicaLog.js";
+import { Spread } from "@cranetrack/chest/mark/spread.js";
+import type { Chance } from "@cranetrack/chest/process/chance.js";
+import type { Clock } from "@cranetrack/chest/process/clock.js";
+import type { Exchange } from "@cranetrack/chest/process/exchange.js";
+import type { Groups } from "@cranetrack/chest/process/groups.js";
+import type { LogRing } from "@cranetrack/chest/process/logRing.js";
+import type { BodyInit } from "@cranetrack/chest/process/wire.js";
+import { Metadata, type Applied } from "../mark/metadata.js";
+
+export const entryKind = { command: 0, noop: 1, members: 2 } as const;
+type Pending = { term: number; settle: (applied: Applied | undefined) => void };
+
+/**
+ * One lathe's part in the replicated log, by Raft's rules. Which lathe proposes changes with every
+ * election and has no lasting meaning.
+ * Invariants: at most one vote a term, synced before it is answered; `applied` never passes the commit.
+ */
+export class Ledger extends EventEmitter<{ applied: [applied: Applied]; pictured: []; elected: []; deposed: [] }> {
+  static readonly beatMs = 100;
+  static readonly electionMs = 700;
+  static readonly inTouchMs = 900;
+  static readonly compactAt = 4000;
+
+  readonly metadata = new Metadata();
+  readonly id: string;
+  readonly founding: string;
+  readonly #log: ReplicaLog;
+  readonly #exchange: Exchange;
+  readonly #clock: Clock;
+  readonly #chance: Chance;
+  readonly #ring: LogRing;
+  readonly #intake: Intake;
+  readonly #pending = new Map<number, Pending>();
+  #pictureMembers: Members | undefined;
+  #members: Members = create(MembersSchema, {});
+  #membersIndex = 0;
+  #membersTerm = 0;
+  #spread: Spread | undefined;
+  #commit: number;
+  #applied: number;
+  #proposer = "";
+  #heardAt: number;
+  #electionAt = 0;
+  #votes = new Set<string>();
+  /** 0 when not asking, else the term asked for. */
+  #asking = 0;
+  #isPre = false;
+  #noopIndex = 0;
+
+  constructor(parts: { id: string; founding: string; log: ReplicaLog; exchange: Exchange; groups: Groups; clock: Clock; chance: Chance; ring: LogRing }) {
+    super();
+    this.setMaxListeners(0);
+    this.id = parts.id;
+    this.founding = parts.founding;
+    this.#log = parts.log;
+    this.#exchange = parts.exchange;
+    this.#clock = parts.clock;
+    this.#chance = parts.chance;
+    this.#ring = parts.ring;
+    this.#heardAt = parts.clock.now();
+    this.#commit = this.#applied = this.#log.baseIndex;
+    if (this.#log.baseIndex > 0) this.#pictureMembers = this.metadata.install(this.#log.picture);
+    this.#intake = new Intake(this.#log, this.id, (index) => this.#advance(index), (index, state) => this.#install(index, state));
+    this.#findMembers();
+    this.#exchange.serve("vote", (vote) => this.#vote(vote));
+    this.#exchange.serve("voteReceipt", (receipt) => this.#count(receipt));
+    parts.groups.enlist(this.#log.group, {
+      append: (append, from) => (append.receiver === this.id ? this.#take(append, from, () => this.#intake.take(append, this.#commit)) : undefined),
+      picture: (picture, from) => (picture.receiver === this.id ? this.#take(picture, from, () => this.#intake.takePicture(picture, this.#commit)) : undefined),
+      receipt: (receipt) => {
+        if (receipt.receiver === this.id) this.#spread?.take(receipt);
+      },
+    });
+    this.#rearm();
+    this.#clock.every(Ledger.beatMs, () => this.#beat());
+  }
+
+  get isProposer(): boolean {
+    return this.#spread !== undefined && this.#commit >= this.#noopIndex;
+  }
+
+  get proposerName(): string {
+    return this.#spread !== undefined ? this.#exchange.name : (this.#members.voters.find((one) => one.id === this.#proposer)?.name ?? "");
+  }
+
+  get members(): Members {
+    return this.#members;
+  }
+
+  get commit(): number {
+    return this.#commit;
+  }
+
+  get term(): number {
+    return this.#log.term;
+  }
+
+  /** Whether a majority stands behind what this lathe tells its feeds. */
+  get isInTouch(): boolean {
+    if (this.#spread !== undefined) return this.isProposer && this.#spread.majorityAgo() < Ledger.inTouchMs;
+    return this.#proposer !== "" && this.#clock.now() - this.#heardAt < Ledger.inTouchMs;
+  }
+
+  /** Undefined: not the proposer any more; the command may or may not be carried out. */
+  propose(data: Uint8Array, kind: number = entryKind.command): Promise<Applied | undefined> {
+    const spread = this.#spread;
+    if (spread === undefined) return Promise.resolve(undefined);
+    const entry = create(EntrySchema, { index: this.#log.lastIndex + 1, term: this.#log.term, kind, data });
+    const settled = new Promise<Applied | undefined>((resolve) => this.#pending.set(entry.index, { term: entry.term, settle: resolve }));
+    void this.#log.append([entry]).then(() => this.#spread?.kick());
+    if (kind === entryKind.members) this.#findMembers();
+    spread.kick();
+    return settled;
+  }
+
+  /** True once this lathe is known to have proposed after the call began, and has applied all before it. */
+  async confirm(): Promise<boolean> {
+    if (!this.isProposer) return false;
+    return (await this.#spread!.confirm()) && this.isProposer;
+  }
+
+  matchOf(id: string): { behind: number; heardAgo: number } {
+    if (this.#spread === undefined) return { behind: Infinity, heardAgo: Infinity };
+    return { behind: this.#log.lastIndex - this.#spread.matchOf(id), heardAgo: this.#spread.heardAgo(id) };
+  }
+
+  /** One step of a change of members, where none is under way. */
+  changeMembers(voters: LatheMember[], learners: LatheMember[]): void {
+    if (!this.isProposer || this.#membersIndex > this.#commit) return;
+    this.#ring.note("members change", { voters: voters.map((one) => one.name).join(), learners: learners.map((one) => one.name).join() });
+    void this.propose(toBinary(MembersSchema, create(MembersSchema, { voters, learners })), entryKind.members);
+  }
+
+  async #take(message: { term: number; sender: string }, from: string, take: () => Promise<BodyInit>): Promise<undefined> {
+    if (message.term >= this.#log.term) {
+      if (message.term > this.#log.term) this.#stepDown("a higher term");
+      this.#proposer = message.sender;
+      this.#heardAt = this.#clock.now();
+      this.#asking = 0;
+      this.#rearm();
+    }
+    const receipt = await take();
+    this.#findMembers();
+    this.#exchange.tell(from, receipt);
+    return undefined;
+  }
+
+  #beat(): void {
+    const now = this.#clock.now();
+    if (this.#spread !== undefined) {
+      if (this.#spread.majorityAgo() > Ledger.inTouchMs) return this.#stepDown("no majority answers");
+      return this.#spread.beat();
+    }
+    const isVoter = this.#members.voters.some((one) => one.id === this.id);
+    if (isVoter && now >= this.#electionAt) this.#ask(true);
+  }
+
+  #rearm(): void {
+    this.#electionAt = this.#clock.now() + Ledger.electionMs * (1 + this.#chance.draw() * 0.8);
+  }
+
+  #ask(isPre: boolean): void {
+    this.#rearm();
+    this.#isPre = isPre;
+    this.#proposer = "";
+    this.#asking = this.#log.term + 1;
+    this.#votes = new Set([this.id]);
+    const asking = this.#asking;
+    const send = (): void => {
+      if (this.#asking !== asking || this.#isPre !== isPre) return;
+      const vote = { term: asking, candidate: this.id, lastIndex: this.#log.lastIndex, lastTerm: this.#log.lastTerm, isPre, founding: this.founding };
+      for (const one of this.#members.voters) if (one.id !== this.id) this.#exchange.tell(one.name, { case: "vote", value: vote });
+      this.#tally();
+    };
+    if (isPre) return send();
+    void this.#log.promise(asking, this.id).then(send);
+  }
+
+  async #vote(vote: Vote): Promise<undefined> {
+    if (vote.founding !== this.founding) return undefined;
+    const name = this.#members.voters.find((one) => one.id === vote.candidate)?.name;
+    const isLed = this.#spread !== undefined || (this.#proposer !== "" && this.#clock.now() - this.#heardAt < Ledger.electionMs);
+    const isCurrent = vote.lastTerm > this.#log.lastTerm || (vote.lastTerm === this.#log.lastTerm && vote.lastIndex >= this.#log.lastIndex);
+    let isGranted = isCurrent && !isLed && vote.term > this.#log.term;
+    if (!vote.isPre && !isLed) {
+      isGranted = isCurrent && (vote.term > this.#log.term || (vote.term === this.#log.term && (this.#log.vote === "" || this.#log.vote === vote.candidate)));
+      if (vote.term > this.#log.term || isGranted) {
+        await this.#log.promise(vote.term, isGranted ? vote.candidate : "");
+        this.#rearm();
+      }
+    }
+    if (name === undefined) return undefined;
+    this.#exchange.tell(name, { case: "voteReceipt", value: { term: isGranted ? vote.term : this.#log.term, isGranted, voter: this.id, isPre: vote.isPre } });
+    return undefined;
+  }
+
+  #count(receipt: VoteReceipt): undefined {
+    if (!receipt.isGranted && receipt.term > this.#log.term && this.#spread === undefined) void this.#log.promise(receipt.term, "");
+    if (receipt.isGranted && this.#asking === receipt.term && receipt.isPre === this.#isPre) {
+      this.#votes.add(receipt.voter);
+      this.#tally();
+    }
+    return undefined;
+  }
+
+  #tally(): void {
+    const granted = this.#members.voters.filter((one) => this.#votes.has(one.id)).length;
+    if (this.#asking === 0 || granted * 2 <= this.#members.voters.length) return;
+    if (this.#isPre) return this.#ask(false);
+    if (this.#log.term !== this.#asking || this.#log.vote !== this.id) return;
+    this.#propose();
+  }
+
+  #propose(): void {
+    this.#asking = 0;
+    this.#proposer = this.id;
+    const names = (): Map<string, string> => new Map([...this.#members.voters, ...this.#members.learners].map((one) => [one.id, one.name]));
+    const spread = new Spread({
+      log: this.#log, clock: this.#clock, self: this.id, term: this.#log.term, commit: this.#commit,
+      send: (id, body) => this.#exchange.tell(names().get(id) ?? "", body),
+    });
+    this.#spread = spread;
+    spread.on("committed", (index) => this.#advance(index));
+    spread.on("deposed", (term) => {
+      this.#stepDown("a higher term");
+      void this.#log.promise(term, "");
+    });
+    this.#ring.note("proposes", { term: this.#log.term });
+    this.#enlist();
+    this.#noopIndex = this.#log.lastIndex + 1;
+    void this.propose(new Uint8Array(), entryKind.noop);
+    spread.beat();
+  }
+
+  #stepDown(why: string): void {
+    if (this.#spread === undefined) return;
+    this.#ring.note("no longer proposes", { why, term: this.#log.term });
+    this.#spread.stop();
+    this.#spread = undefined;
+    this.#proposer = "";
+    this.#rearm();
+    for (const [index, pending] of [...this.#pending]) {
+      this.#pending.delete(index);
+      pending.settle(undefined);
+    }
+    this.emit("deposed");
+  }
+
+  #advance(index: number): void {
+    const wasProposer = this.isProposer;
+    this.#commit = Math.max(this.#commit, Math.min(index, this.#log.lastIndex));
+    while (this.#applied < this.#commit) {
+      const entry = this.#log.at(this.#applied + 1)!;
+      this.#applied += 1;
+      const isCommand = entry.kind === entryKind.command;
+      const applied: Applied = isCommand ? this.metadata.apply(entry.index, entry.data) : { outcome: "done", revision: entry.index, kvs: [], changes: [] };
+      if (!isCommand) this.metadata.revision = entry.index;
+      const pending = this.#pending.get(entry.index);
+      this.#pending.delete(entry.index);
+      pending?.settle(pending.term === entry.term ? applied : undefined);
+      this.emit("applied", applied);
+    }
+    if (!wasProposer && this.isProposer) this.emit("elected");
+    if (this.#log.length > Ledger.compactAt && this.#applied > this.#log.baseIndex + Ledger.compactAt / 2) this.#compact();
+  }
+
+  #compact(): void {
+    this.#pictureMembers = this.#membersAt(this.#applied);
+    void this.#log.compact(this.#applied, this.metadata.picture(this.#pictureMembers));
+  }
+
+  #install(index: number, state: Uint8Array): void {
+    this.#pictureMembers = this.metadata.install(state);
+    this.#commit = this.#applied = index;
+    this.#membersTerm = -1;
+    this.#findMembers();
+    this.emit("pictured");
+  }
+
+  /** The members in force are the newest in the log, committed or not. */
+  #findMembers(): void {
+    const found = this.#membersAt(this.#log.lastIndex);
+    if (found === this.#members) return;
+    this.#members = found;
+    this.#enlist();
+  }
+
+  #membersAt(last: number): Members {
+    if (last === this.#log.lastIndex && this.#membersIndex > this.#log.baseIndex && this.#log.termAt(this.#membersIndex) === this.#membersTerm && !this.#hasNewerMembers()) return this.#members;
+    for (let i = last; i > this.#log.baseIndex; i -= 1) {
+      const entry = this.#log.at(i)!;
+      if (entry.kind !== entryKind.members) continue;
+      if (last === this.#log.lastIndex) [this.#membersIndex, this.#membersTerm] = [i, entry.term];
+      return fromBinary(MembersSchema, entry.data);
+    }
+    if (last === this.#log.lastIndex) [this.#membersIndex, this.#membersTerm] = [this.#log.baseIndex, this.#log.baseTerm];
+    return this.#pictureMembers ?? create(MembersSchema, {});
+  }
+
+  #hasNewerMembers(): boolean {
+    for (let i = this.#log.lastIndex; i > this.#membersIndex; i -= 1) if (this.#log.at(i)?.kind === entryKind.members) return true;
+    return false;
+  }
+
+  #enlist(): void {
+    this.#spread?.enlist([this.#members.voters.map((one) => one.id)], this.#members.learners.map((one) => one.id));
+  }
+}
--- /dev/null
+++ b/packages/lathe/src/request/getRollout.ts
@@ -0,0 +1,29 @@
+import type { FeedState } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import type { Plan } from "@cranetrack/chest/mark/plan.js";
+import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
+
+/** How far the plan in force has got: the acknowledgements of all lathes' feeds, counted by node. */
+export async function getRollout(node: ClusterNode): Promise<ApiReceipt> {
+  const present = await node.store.read(["plan"]);
+  if (present.outcome !== "done") return ApiReceipts.away("no majority of the lathes answers");
+  const inForce = present.kvs![0];
+  if (inForce === undefined) return ApiReceipts.fault(404, "no-plan", "no plan was ever accepted");
+  const { mark } = JSON.parse(Buffer.from(inForce.value).toString()) as Plan;
+  const lathes = node.membership.alive("lathe").map((member) => member.name);
+  const asked = await Promise.all(lathes.map((name) => node.exchange.call(name, { case: "storeCall", value: { call: { case: "feeds", value: {} } } }, 600)));
+  const newest = new Map<string, FeedState>();
+  for (const body of asked) {
+    for (const feed of body?.case === "storeReceipt" ? body.value.feeds : []) {
+      const known = newest.get(feed.name);
+      if (known === undefined || feed.age < known.age) newest.set(feed.name, feed);
+    }
+  }
+  const nodes = node.membership.all().filter((member) => member.state === "up").map((member) => {
+    const feed = newest.get(member.name);
+    const why = feed === undefined ? "has no feed open" : feed.fault !== "" ? feed.fault : feed.planMark >= mark ? "" : "has not acknowledged yet";
+    return { name: member.name, role: member.role, mark: feed?.planMark ?? 0, hasTakenUp: (feed?.planMark ?? 0) >= mark, ...(why === "" ? {} : { why }), isAlive: node.membership.isAlive(member.name) };
+  });
+  const taken = nodes.filter((one) => one.hasTakenUp).length;
+  return ApiReceipts.done({ mark, taken, of: nodes.length, nodes });
+}
--- /dev/null
+++ b/packages/vise/src/link/httpLink.ts
@@ -0,0 +1,47 @@
+import type { ServerResponse } from "node:http";
+import type { ClientLink } from "./clientLink.js";
+
+/** The answer of a link request, kept open: one JSON line after the other. */
+export class HttpLink implements ClientLink {
+  readonly #answer: ServerResponse;
+  #isClosed = false;
+  #whenClosed: () => void = () => undefined;
+
+  constructor(answer: ServerResponse) {
+    this.#answer = answer;
+    answer.writeHead(200, { "Content-Type": "application/x-ndjson; charset=utf-8", "Cache-Control": "no-store", "X-Accel-Buffering": "no" });
+    answer.on("close", () => this.#ended());
+    answer.on("error", () => this.#ended());
+    answer.socket?.setNoDelay(true);
+  }
+
+  get waitingBytes(): number {
+    return this.#answer.writableLength + (this.#answer.socket?.writableLength ?? 0);
+  }
+
+  get isClosed(): boolean {
+    return this.#isClosed;
+  }
+
+  send(line: object): void {
+    if (!this.#isClosed) this.#answer.write(`${JSON.stringify(line)}\n`);
+  }
+
+  close(): void {
+    if (this.#isClosed) return;
+    this.#answer.end();
+    const { socket } = this.#answer;
+    setTimeout(() => socket?.destroy(), 200).unref();
+    this.#ended();
+  }
+
+  onClose(whenClosed: () => void): void {
+    this.#whenClosed = whenClosed;
+  }
+
+  #ended(): void {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
+    this.#whenClosed();
+  }
+}
--- /dev/null
+++ b/packages/vise/src/process/sessions.ts
@@ -0,0 +1,178 @@
+import { EventEmitter } from "node:events";
+import type { Kv, Pull, PullReceipt } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import type { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
+import type { BodyInit } from "@cranetrack/chest/process/wire.js";
+import { OwnersView, type Owner } from "../mark/ownersView.js";
+import { Places } from "../mark/place.js";
+import { Session } from "./session.js";
+
+export type Claimed = { session: Session } | { comeBack: number; reason: string };
+interface Shipped { body: BodyInit; at: number }
+
+/**
+ * The sessions this node owns, and how one changes hands: the new node pulls from the old owner, which
+ * stops, prepares and ships; only then is the key overwritten, by compare-and-set. An owner that does not
+ * answer keeps the key until its lease is lost.
+ * Invariant: a session is in the table only while its owner key was last seen written with this node's
+ * present lease.
+ */
+export class Sessions extends EventEmitter<{ step: [step: string, session: string] }> {
+  static readonly pullDue = 700;
+  static readonly keepShippedMs = 30_000;
+  static readonly keepIdleMs = 60_000;
+
+  readonly #node: ClusterNode;
+  readonly #lease: LeaseKeeper;
+  readonly #table = new Map<string, Session>();
+  readonly #claiming = new Set<string>();
+  /** State already shipped, for an asker whose receipt was lost. */
+  readonly #shipped = new Map<string, Shipped>();
+
+  constructor(node: ClusterNode, lease: LeaseKeeper) {
+    super();
+    this.#node = node;
+    this.#lease = lease;
+    node.exchange.serve("pull", (pull) => this.#ship(pull));
+    lease.on("lost", () => this.#dropAll());
+    node.parts.clock.every(1000, () => this.#tend());
+  }
+
+  get table(): ReadonlyMap<string, Session> {
+    return this.#table;
+  }
+
+  get links(): number {
+    let links = 0;
+    for (const session of this.#table.values()) if (session.link !== undefined) links += 1;
+    return links;
+  }
+
+  find(id: string): Session | undefined {
+    return this.#lease.isHeld ? this.#table.get(id) : undefined;
+  }
+
+  /** Makes this node the session's owner, or says when to come back. */
+  async claim(id: string): Promise<Claimed> {
+    const own = this.find(id);
+    if (own !== undefined) return { session: own };
+    if (this.#claiming.has(id)) return { comeBack: 0.3, reason: "another resume of this session is under way" };
+    this.#claiming.add(id);
+    const claimed = await this.#claim(id);
+    this.#claiming.delete(id);
+    return claimed;
+  }
+
+  async #claim(id: string): Promise<Claimed> {
+    const { lease } = this.#lease;
+    if (!this.#lease.isHeld) return { comeBack: 1, reason: "this node has no lease" };
+    const key = `sessions/${id}/owner`;
+    const read = await this.#node.store.read([key], [`sessions/${id}/subscriptions/`]);
+    if (read.outcome !== "done") return { comeBack: 1, reason: "the store does not answer" };
+    const kept = read.kvs!.find((kv) => kv.key === key);
+    const owner = kept === undefined ? undefined : OwnersView.read(kept.value, kept.revision);
+    const shipped = owner === undefined ? undefined : await this.#pull(id, owner, lease);
+    if (shipped !== undefined && "comeBack" in shipped) return shipped;
+    const value = Buffer.from(JSON.stringify({ node: this.#node.exchange.name, lease }));
+    const written = await this.#node.store.txn({ checks: [{ key, revision: owner?.revision ?? 0 }], puts: [{ key, value, lease }] });
+    const revision = written.outcome === "unsure" ? await this.#settle(key, lease) : written.outcome === "done" ? written.revision! : 0;
+    if (revision === 0) return { comeBack: 0.3, reason: written.outcome === "conflict" ? "another resume of this session won" : "the owner key could not be written" };
+    if (!this.#lease.isHeld || this.#lease.lease !== lease) return { comeBack: 1, reason: "this node lost its lease" };
+    this.emit("step", "owner-written", id);
+    const session = new Session(id, revision);
+    this.#fill(session, read.kvs!.filter((kv) => kv !== kept), shipped?.state);
+    this.#table.set(id, session);
+    return { session };
+  }
+
+  /** Gives sessions back to the store, with their cursors, so that anyone may take them at once. */
+  async release(session: Session): Promise<void> {
+    this.#prepare(session);
+    const key = `sessions/${session.id}/owner`;
+    const prefix = `sessions/${session.id}/subscriptions/`;
+    const lease = `session:${session.id}`;
+    const puts = [...session.cursors()].map(([topic, place]) => ({ key: prefix + topic, value: Buffer.from(Places.write(place.birth, place.seq)), lease }));
+    const released = await this.#node.store.txn({ checks: [{ key, revision: session.epoch }], puts, deletes: [key] });
+    if (released.outcome === "lost") await this.#node.store.txn({ checks: [{ key, revision: session.epoch }], deletes: [key] });
+  }
+
+  /** Closes every link; the sessions stay to be pulled until released. */
+  goodbye(reason: string, comeBack: () => number): void {
+    for (const session of this.#table.values()) session.unlink(reason, comeBack(), this.#node.parts.clock.now());
+  }
+
+  async #pull(id: string, owner: Owner, lease: string): Promise<{ state: PullReceipt } | { comeBack: number; reason: string } | undefined> {
+    if (owner.node === this.#node.exchange.name && owner.lease !== lease) {
+      // This very process, or one before it at the same address, held that lease and is gone from it.
+      await this.#node.store.call({ case: "revoke", value: { lease: owner.lease } as never });
+      return { comeBack: 0.2, reason: "an earlier lease of this node is being given up" };
+    }
+    if (owner.node === this.#node.exchange.name) return undefined;
+    this.emit("step", "pull", id);
+    const receipt = await this.#node.exchange.call(owner.node, { case: "pull", value: { session: id, ownerRevision: owner.revision, asker: this.#node.exchange.name } }, Sessions.pullDue);
+    if (receipt?.case !== "pullReceipt") return { comeBack: 1, reason: `the owner ${owner.node} does not answer; its lease must run out first` };
+    if (receipt.value.outcome !== "shipped") return { comeBack: receipt.value.comeBack || 0.3, reason: `the owner ${owner.node} says ${receipt.value.outcome}` };
+    this.emit("step", "shipped", id);
+    return { state: receipt.value };
+  }
+
+  /** The old owner's part: close the link, stop, prepare, ship. */
+  #ship(pull: Pull): BodyInit {
+    const session = this.#table.get(pull.session);
+    const again = this.#shipped.get(`${pull.session}@${pull.ownerRevision}`);
+    if (session === undefined || session.epoch !== pull.ownerRevision) return again?.body ?? this.#shipNothing(pull);
+    session.unlink("taken over", 0, this.#node.parts.clock.now());
+    this.emit("step", "stopped", pull.session);
+    return this.#prepare(session);
+  }
+
+  #prepare(session: Session): BodyInit {
+    session.isStopped = true;
+    this.#table.delete(session.id);
+    const subscriptions = [...session.cursors()].map(([topic, { birth, seq }]) => ({ topic, birth, cursor: seq }));
+    const numbers = [...session.numbers].map(([topic, { number, isOpen }]) => ({ topic, number, isOpen }));
+    const body: BodyInit = { case: "pullReceipt", value: { outcome: "shipped", subscriptions, numbers } };
+    this.#shipped.set(`${session.id}@${session.epoch}`, { body, at: this.#node.parts.clock.now() });
+    return body;
+  }
+
+  /** The key names this node, which does not have the session: it lost it with a lease, or never got it. */
+  #shipNothing(pull: Pull): BodyInit {
+    const owner = this.#table.get(pull.session);
+    if (owner !== undefined || this.#claiming.has(pull.session)) return { case: "pullReceipt", value: { outcome: "owned under another revision", comeBack: 0.3 } };
+    return { case: "pullReceipt", value: { outcome: "shipped" } };
+  }
+
+  /** A write whose outcome is unknown: what does the key say now? */
+  async #settle(key: string, lease: string): Promise<number> {
+    const read = await this.#node.store.read([key]);
+    const kept = read.kvs?.[0];
+    if (read.outcome !== "done" || kept === undefined) return 0;
+    const owner = OwnersView.read(kept.value, kept.revision);
+    return owner.node === this.#node.exchange.name && owner.lease === lease ? kept.revision : 0;
+  }
+
+  #fill(session: Session, kvs: Kv[], shipped: PullReceipt | undefined): void {
+    for (const kv of kvs) {
+      const place = Places.read(Buffer.from(kv.value).toString());
+      if (place !== undefined) session.places.set(kv.key.slice(`sessions/${session.id}/subscriptions/`.length), place);
+    }
+    for (const { topic, birth, cursor } of shipped?.subscriptions ?? []) session.places.set(topic, { birth, seq: cursor });
+    for (const { topic, number, isOpen } of shipped?.numbers ?? []) session.numbers.set(topic, { number, isOpen });
+  }
+
+  #dropAll(): void {
+    for (const session of [...this.#table.values()]) {
+      session.isStopped = true;
+      session.unlink("this node lost its lease", 0.2, this.#node.parts.clock.now());
+    }
+    this.#table.clear();
+  }
+
+  #tend(): void {
+    const now = this.#node.parts.clock.now();
+    for (const [id, { at }] of this.#shipped) if (now - at > Sessions.keepShippedMs) this.#shipped.delete(id);
+    if (!this.#lease.isHeld) return;
+    for (const session of [...this.#table.values()]) if (session.link === undefined && now - session.leftAt > Sessions.keepIdleMs) void this.release(session);
+  }
+}
--- /dev/null
+++ b/packages/vise/src/process/vise.ts
@@ -0,0 +1,107 @@
+import { type } from "arktype";
+import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
+import { Router, type ApiCall } from "@cranetrack/chest/process/router.js";
+import { Plans } from "@cranetrack/chest/mark/plan.js";
+import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
+import { BodyReader } from "@cranetrack/chest/request/bodyReader.js";
+import type { ClientLink } from "../link/clientLink.js";
+import { OwnersView } from "../mark/ownersView.js";
+import { enrolLink } from "../request/enrolLink.js";
+import { publishMessage } from "../request/publishMessage.js";
+import { subscribeTopics } from "../request/subscribeTopics.js";
+import { unsubscribeTopic } from "../request/unsubscribeTopic.js";
+import type { Session } from "./session.js";
+import { Sessions } from "./sessions.js";
+import { TopicTable } from "./topicTable.js";
+import type { ViseParts } from "./viseParts.js";
+
+const subscriptionsBody = type({ "+": "reject", topic: "string", "after?": "string" });
+
+/** An edge: clients' links, their sessions, and the topics these need. Keeps nothing on disk. */
+export class Vise implements ViseParts {
+  static readonly linkPath = /^\/v1\/sessions\/([^/]+)\/link$/;
+  static readonly outOfTouchMs = 3000;
+
+  readonly node: ClusterNode;
+  readonly lease: LeaseKeeper;
+  readonly sessions: Sessions;
+  readonly topics: TopicTable;
+  readonly owners: OwnersView;
+  readonly router: Router;
+  readonly beatMs = 2000;
+  readonly publishDue = 1000;
+  readonly sessionKeepMs = 900_000;
+  readonly live: { mostLinks: number; bufferBytes: number };
+  isDraining = false;
+
+  constructor(node: ClusterNode, router: Router) {
+    const { settings, clock, chance } = node.parts;
+    this.node = node;
+    this.router = router;
+    this.live = { mostLinks: settings.mostLinks, bufferBytes: settings.bufferBytes };
+    this.owners = new OwnersView(node.journal);
+    this.lease = new LeaseKeeper(settings.name, settings.edgeLeaseMs, node.store, clock, chance);
+    this.sessions = new Sessions(node, this.lease);
+    this.topics = new TopicTable(node);
+    router.on("POST", /^\/v1\/sessions\/([^/]+)\/messages$/, (call) => publishMessage(this, call));
+    router.on("POST", /^\/v1\/sessions\/([^/]+)\/subscriptions$/, (call) => this.#onOwner(call, (session) => this.#subscribe(session, call.body)));
+    router.on("DELETE", /^\/v1\/sessions\/([^/]+)\/subscriptions\/(.+)$/, (call) => this.#onOwner(call, (session) => unsubscribeTopic(this, session, call.params[1]!)));
+    clock.every(this.beatMs, () => this.#beat());
+    clock.every(200_000, () => this.#renewSessions());
+  }
+
+  start(): void {
+    this.lease.start();
+  }
+
+  link(id: string, body: Uint8Array, open: () => ClientLink): Promise<ApiReceipt | undefined> {
+    return enrolLink(this, id, body, open);
+  }
+
+  maySend(session: Session, link: ClientLink): boolean {
+    if (!this.lease.isHeld || session.isStopped || session.link !== link) return false;
+    if (link.waitingBytes <= this.live.bufferBytes) return true;
+    session.unlink("the reader is too slow", 0.5, this.node.parts.clock.now());
+    return false;
+  }
+
+  /** Stop enrolling, say goodbye, leave the sessions to be pulled a while, release the rest. */
+  async drain(): Promise<void> {
+    this.isDraining = true;
+    this.sessions.goodbye("stopping", () => this.node.parts.chance.draw() * 0.5);
+    await new Promise<void>((resolve) => void this.node.parts.clock.once(1500, resolve));
+    await Promise.all([...this.sessions.table.values()].map((session) => this.sessions.release(session)));
+    await this.lease.end();
+  }
+
+  async #subscribe(session: Session, body: Uint8Array): Promise<ApiReceipt> {
+    const read = BodyReader.read(body, subscriptionsBody);
+    if ("receipt" in read) return read.receipt;
+    if (!Plans.isTopic(read.value.topic)) return ApiReceipts.fault(400, "malformed", "a topic is space/name", { problems: [{ path: "topic", problem: "must be space/name" }] });
+    if (session.link === undefined) return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
+    return subscribeTopics(this, session, session.link, [read.value]);
+  }
+
+  async #onOwner(call: ApiCall, act: (session: Session) => Promise<ApiReceipt>): Promise<ApiReceipt> {
+    const session = this.sessions.find(call.params[0]!);
+    if (session !== undefined) return act(session);
+    const owner = this.owners.find(call.params[0]!);
+    if (call.isPassed || owner === undefined || owner.node === this.node.exchange.name) return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
+    return (await this.router.passTo(owner.node, call.method, call.path, call.body)) ?? ApiReceipts.unsure("the session's owner did not answer");
+  }
+
+  #beat(): void {
+    const isLost = this.node.feed.age > Vise.outOfTouchMs;
+    for (const session of this.sessions.table.values()) {
+      const { link } = session;
+      if (link === undefined) continue;
+      if (isLost) session.unlink("this node is out of touch", 0.2, this.node.parts.clock.now());
+      else if (this.maySend(session, link)) link.send({ kind: "beat" });
+    }
+  }
+
+  #renewSessions(): void {
+    for (const session of this.sessions.table.values()) void this.node.store.call({ case: "renew", value: { lease: `session:${session.id}` } as never });
+  }
+}
--- /dev/null
+++ b/packages/vise/src/process/viseParts.ts
@@ -0,0 +1,25 @@
+import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import type { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
+import type { Router } from "@cranetrack/chest/process/router.js";
+import type { ClientLink } from "../link/clientLink.js";
+import type { OwnersView } from "../mark/ownersView.js";
+import type { Session } from "./session.js";
+import type { Sessions } from "./sessions.js";
+import type { TopicTable } from "./topicTable.js";
+
+/** What the requests of an edge work with. */
+export interface ViseParts {
+  readonly node: ClusterNode;
+  readonly lease: LeaseKeeper;
+  readonly sessions: Sessions;
+  readonly topics: TopicTable;
+  readonly owners: OwnersView;
+  readonly router: Router;
+  readonly beatMs: number;
+  readonly publishDue: number;
+  readonly sessionKeepMs: number;
+  readonly isDraining: boolean;
+  readonly live: { mostLinks: number; bufferBytes: number };
+  /** False once the claim is gone or the reader too slow; the link is closed then. */
+  maySend(session: Session, link: ClientLink): boolean;
+}
--- /dev/null
+++ b/packages/vise/src/request/publishMessage.ts
@@ -0,0 +1,59 @@
+import { type } from "arktype";
+import { Plans } from "@cranetrack/chest/mark/plan.js";
+import type { ApiCall } from "@cranetrack/chest/process/router.js";
+import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
+import { BodyReader } from "@cranetrack/chest/request/bodyReader.js";
+import { Places } from "../mark/place.js";
+import type { Session } from "../process/session.js";
+import type { ViseParts } from "../process/viseParts.js";
+
+const messageBody = type({ "+": "reject", topic: "string", number: "1 <= number.integer <= 9007199254740991", payload: "string" });
+const statuses: Record<string, number> = { "unknown-topic": 404, "not-a-publisher": 403, "too-large": 413 };
+
+/** One publish, from its body to its final receipt. The shard's holder alone judges it. */
+export async function publishMessage(vise: ViseParts, call: ApiCall): Promise<ApiReceipt> {
+  const { node, sessions } = vise;
+  const id = call.params[0]!;
+  const read = BodyReader.read(call.body, messageBody);
+  if ("receipt" in read) return read.receipt;
+  const { topic, number, payload } = read.value;
+  if (!Plans.isTopic(topic)) return ApiReceipts.fault(400, "malformed", "a topic is space/name", { problems: [{ path: "topic", problem: "must be space/name" }] });
+  const session = sessions.find(id);
+  if (session === undefined) return passOn(vise, id, call);
+
+  const shard = vise.topics.shardOf(topic);
+  const { holder } = node.shards.find(shard);
+  if (holder === "") return ApiReceipts.away("the topic has no holder just now", 0.5);
+  if (node.exchange.isMute(holder) && !node.membership.isAlive(holder)) return ApiReceipts.away("the topic's holder does not answer", 0.5);
+  note(session, topic, number, true);
+  const publish = { shard, session: id, ownerEpoch: session.epoch, number, topic, payload: Buffer.from(payload) };
+  const answered = await node.exchange.call(holder, { case: "publish", value: publish }, vise.publishDue);
+  if (answered?.case !== "publishReceipt") return ApiReceipts.unsure("the topic's holder did not answer; the same number again settles it");
+  const receipt = answered.value;
+  switch (receipt.outcome) {
+    case "accepted":
+      note(session, topic, number, false);
+      return ApiReceipts.done({ receipt: "accepted", topic, number, place: Places.write(receipt.birth, receipt.seq) });
+    case "refused":
+      note(session, topic, number, false);
+      return ApiReceipts.fault(statuses[receipt.code] ?? 409, receipt.code, receipt.reason, { details: { receipt: "refused" } });
+    case "unsure":
+      return ApiReceipts.unsure(receipt.reason, receipt.comeBack);
+    default:
+      return ApiReceipts.away(receipt.reason || "the topic is changing hands", receipt.comeBack || 0.5, receipt.code || "unavailable");
+  }
+}
+
+function note(session: Session, topic: string, number: number, isOpen: boolean): void {
+  const state = session.numbers.get(topic);
+  if (state === undefined || number >= state.number) session.numbers.set(topic, { number, isOpen });
+}
+
+/** The call came in at a node that does not own the session. */
+async function passOn(vise: ViseParts, id: string, call: ApiCall): Promise<ApiReceipt> {
+  const owner = vise.owners.find(id);
+  const self = vise.node.exchange.name;
+  if (call.isPassed || owner === undefined || owner.node === self) return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
+  const receipt = await vise.router.passTo(owner.node, "POST", call.path, call.body, vise.publishDue + 300);
+  return receipt ?? ApiReceipts.unsure("the session's owner did not answer; the same number again settles it");
+}
--- /dev/null
+++ b/packages/vise/src/vise.ts
@@ -0,0 +1,23 @@
+#!/usr/bin/env node
+import { Program } from "@cranetrack/chest/process/program.js";
+import { HttpLink } from "./link/httpLink.js";
+import { Vise } from "./process/vise.js";
+
+await new Program("vise", ["plan", "shards/", "sessions/"], ({ node, router }) => {
+  const vise = new Vise(node, router);
+  return {
+    load: () => undefined,
+    start: () => vise.start(),
+    stop: () => vise.drain(),
+    isReady: () => !vise.isDraining && vise.lease.isHeld && node.feed.isFresh,
+    status: () => ({ links: vise.sessions.links, sessions: vise.sessions.table.size, topics: vise.topics.count, owners: vise.owners.count, isDraining: vise.isDraining, hasLease: vise.lease.isHeld }),
+    take: ({ mostLinks, bufferBytes }) => Object.assign(vise.live, { mostLinks, bufferBytes }),
+    stream: {
+      pattern: Vise.linkPath,
+      open: (path, body, reply) => vise.link(decodeURIComponent(Vise.linkPath.exec(path)![1]!), body, () => {
+        reply.hijack();
+        return new HttpLink(reply.raw);
+      }),
+    },
+  };
+}).run(process.argv);
