A simulator running the production classes, with seeded faults and a checker

Built: virtual clock, wires, disks and chance under the same classes; callers shared by the simulator and real fleets; a checker that sees only what callers saw; checksums on frames and on disk, so that altered bytes are refused. Conclusion: next, breaking the code on purpose to see that breaches are seen.

--- a/packages/chest/src/process/program.ts
+++ b/packages/chest/src/process/program.ts
@@ -8,6 +8,7 @@
 import { LogRing } from "./logRing.js";
 import { NodeStatus } from "./nodeStatus.js";
 import { Router } from "./router.js";
+import { SealedDisk } from "./sealedDisk.js";
 import { SettingsReader, type Settings } from "./settings.js";
 import { SettingsWatch } from "./settingsWatch.js";
 import { TcpNet } from "./tcpNet.js";
@@ -73,9 +74,10 @@
     let router: Router;
     try {
       disk = settings.data === undefined ? undefined : new LmdbDisk(settings.data);
-      node = new ClusterNode({ settings, clock, net, disk, chance: new HostChance(), log, incarnation: Date.now() }, this.#prefixes);
+      const sealed = disk === undefined ? undefined : new SealedDisk(disk);
+      node = new ClusterNode({ settings, clock, net, disk: sealed, chance: new HostChance(), log, incarnation: Date.now() }, this.#prefixes);
       router = new Router(node);
-      built = this.#build({ node, disk, router });
+      built = this.#build({ node, disk: sealed, router });
       const fault = built.load();
       if (fault !== undefined) return quit(Program.exits.data, fault);
     } catch (cause) {
--- a/packages/jig/src/jig.ts
+++ b/packages/jig/src/jig.ts
@@ -6,6 +6,8 @@
 import { Deployments } from "./mark/deployments.js";
 import { Fleet } from "./process/fleet.js";
 import { Load } from "./process/load.js";
+import type { FaultName } from "./process/sim/faults.js";
+import { Scenario } from "./process/sim/scenario.js";
 
 const cli = cac("jig");
 
@@ -46,6 +48,26 @@
     }
   });
 
+cli.command("sim", "Run seeded failure scenarios in the simulator")
+  .option("--from <seed>", "First seed", { default: 1 })
+  .option("--seeds <n>", "How many seeds", { default: 20 })
+  .option("--faults <list>", "Only these faults, parted by commas")
+  .option("--ms <n>", "How long faults rage, in virtual milliseconds", { default: 25_000 })
+  .action(async (options: { from: number; seeds: number; faults?: string; ms: number }) => {
+    const faults = options.faults?.split(",") as FaultName[] | undefined;
+    let failed = 0;
+    for (let seed = options.from; seed < options.from + options.seeds; seed += 1) {
+      const report = await Scenario.run(seed, { faultMs: options.ms, ...(faults === undefined ? {} : { faults }) });
+      const isGood = report.breaches.length === 0;
+      if (!isGood) failed += 1;
+      process.stdout.write(`seed ${seed}: ${isGood ? "good" : "BREACH"}  accepted ${report.accepted}  received ${report.received}  events ${report.events}  ${report.trace.slice(0, 12)}\n`);
+      for (const breach of report.breaches.slice(0, 5)) process.stdout.write(`  ${Math.round(breach.at)} ${breach.rule}: ${breach.text}\n`);
+      if (!isGood) process.stdout.write(`  faults: ${report.faults.join("; ")}\n`);
+    }
+    process.stdout.write(`${options.seeds - failed} passed, ${failed} failed\n`);
+    process.exitCode = failed > 0 ? 1 : 0;
+  });
+
 cli.help();
 cli.version("0.1.0");
 try {
--- /dev/null
+++ b/packages/jig/src/process/sim/simChance.ts
@@ -0,0 +1,35 @@
+import type { Chance } from "@cranetrack/chest/process/chance.js";
+
+/** A seeded generator (a 32-bit mixing counter): the same seed, the same draws. */
+export class SimChance implements Chance {
+  #state: number;
+
+  constructor(seed: number) {
+    this.#state = (seed * 2654435761 + 97) >>> 0;
+  }
+
+  draw(): number {
+    this.#state = (this.#state + 0x6d2b79f5) >>> 0;
+    let mixed = this.#state;
+    mixed = Math.imul(mixed ^ (mixed >>> 15), mixed | 1);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
+  }
+
+  between(low: number, high: number): number {
+    return low + this.draw() * (high - low);
+  }
+
+  pick<T>(list: readonly T[]): T {
+    return list[Math.floor(this.draw() * list.length)]!;
+  }
+
+  identity(): string {
+    return Array.from({ length: 20 }, () => Math.floor(this.draw() * 16).toString(16)).join("");
+  }
+
+  /** Another generator that goes its own way. */
+  fork(): SimChance {
+    return new SimChance(Math.floor(this.draw() * 2 ** 31));
+  }
+}
--- /dev/null
+++ b/packages/jig/src/process/sim/simClock.ts
@@ -0,0 +1,49 @@
+import type { Beat, Clock } from "@cranetrack/chest/process/clock.js";
+import type { SimWorld } from "./simWorld.js";
+
+/** What a machine's state does to whatever happens on it. */
+export interface SimBody {
+  isDead: boolean;
+  pausedUntil: number;
+}
+
+/** A process's view of virtual time: beats stop with it, and wait while it is paused. */
+export class SimClock implements Clock {
+  readonly #world: SimWorld;
+  readonly #body: SimBody;
+
+  constructor(world: SimWorld, body: SimBody) {
+    this.#world = world;
+    this.#body = body;
+  }
+
+  now(): number {
+    return this.#world.now;
+  }
+
+  once(ms: number, ring: () => void): Beat {
+    const beat = { isOff: false };
+    this.#ring(this.#world.now + Math.max(0.01, ms), beat, ring);
+    return { stop: () => void (beat.isOff = true) };
+  }
+
+  every(ms: number, ring: () => void): Beat {
+    const beat = { isOff: false };
+    const again = (): void => {
+      this.#ring(this.#world.now + ms, beat, () => {
+        again();
+        ring();
+      });
+    };
+    again();
+    return { stop: () => void (beat.isOff = true) };
+  }
+
+  #ring(at: number, beat: { isOff: boolean }, ring: () => void): void {
+    this.#world.at(at, () => {
+      if (beat.isOff || this.#body.isDead) return;
+      if (this.#body.pausedUntil > this.#world.now) return this.#ring(this.#body.pausedUntil, beat, ring);
+      ring();
+    });
+  }
+}
--- /dev/null
+++ b/packages/jig/src/process/sim/simDisk.ts
@@ -0,0 +1,84 @@
+import type { Disk, DiskChange } from "@cranetrack/chest/process/disk.js";
+import type { SimBody } from "./simClock.js";
+import type { SimWorld } from "./simWorld.js";
+
+/**
+ * A disk that forgets what was not synced when its machine goes down.
+ * Invariant: writes become durable in the order asked for; after a fall some prefix of the unsynced ones is there.
+ */
+export class SimDisk {
+  readonly #world: SimWorld;
+  #durable = new Map<string, Uint8Array>();
+  #waiting: DiskChange[][] = [];
+  #readyAt = 0;
+  /** Multiplies how long a sync takes. */
+  slowness = 1;
+
+  constructor(world: SimWorld) {
+    this.#world = world;
+  }
+
+  /** The disk as one process's life sees it. */
+  mount(body: SimBody): Disk {
+    const live = new Map(this.#durable);
+    return {
+      read: (prefix) => [...live].filter(([key]) => key.startsWith(prefix)).sort(([a], [b]) => (a < b ? -1 : 1)).map(([key, value]) => ({ key, value })),
+      write: (changes) => {
+        if (body.isDead) return new Promise(() => undefined);
+        SimDisk.#apply(live, changes);
+        this.#waiting.push(changes);
+        return this.#sync(body);
+      },
+    };
+  }
+
+  /** Power is lost: any prefix of what was under way may have reached the disk. */
+  fall(): void {
+    const reached = Math.floor(this.#world.chance.draw() * (this.#waiting.length + 1));
+    for (const changes of this.#waiting.slice(0, reached)) SimDisk.#apply(this.#durable, changes);
+    this.#waiting = [];
+    this.#readyAt = 0;
+  }
+
+  wipe(): void {
+    this.#durable = new Map();
+    this.#waiting = [];
+  }
+
+  /** Changes one byte of one kept value. */
+  corrupt(prefix: string): boolean {
+    const entry = [...this.#durable].find(([key, value]) => key.startsWith(prefix) && value.length > 0);
+    if (entry === undefined) return false;
+    const damaged = Uint8Array.from(entry[1]);
+    damaged[0] = damaged[0]! ^ 0xff;
+    this.#durable.set(entry[0], damaged);
+    return true;
+  }
+
+  static #apply(to: Map<string, Uint8Array>, changes: DiskChange[]): void {
+    for (const change of changes) {
+      if ("isRemoved" in change) to.delete(change.key);
+      else to.set(change.key, change.value);
+    }
+  }
+
+  #sync(body: SimBody): Promise<void> {
+    const count = this.#waiting.length;
+    const last = this.#waiting[count - 1]!;
+    this.#readyAt = Math.max(this.#readyAt, this.#world.now + this.#world.chance.between(0.3, 3) * this.slowness);
+    return new Promise((resolve) => {
+      this.#world.at(this.#readyAt, () => {
+        if (body.isDead) return;
+        const place = this.#waiting.indexOf(last);
+        for (const changes of this.#waiting.splice(0, place + 1)) SimDisk.#apply(this.#durable, changes);
+        this.#wake(body, resolve);
+      });
+    });
+  }
+
+  #wake(body: SimBody, resolve: () => void): void {
+    if (body.isDead) return;
+    if (body.pausedUntil <= this.#world.now) return resolve();
+    this.#world.at(body.pausedUntil, () => this.#wake(body, resolve));
+  }
+}
--- /dev/null
+++ b/packages/jig/src/process/sim/simFleet.ts
@@ -0,0 +1,119 @@
+import { SettingsReader, type Settings } from "@cranetrack/chest/process/settings.js";
+import type { Machine } from "../../mark/deployments.js";
+import { SimDisk } from "./simDisk.js";
+import { SimNode } from "./simNode.js";
+import { SimPort } from "./simPort.js";
+import { SimWires } from "./simNet.js";
+import { SimWorld } from "./simWorld.js";
+
+interface Slot { machine: Machine; settings: Settings; disk: SimDisk; life: SimNode | undefined; lives: number }
+
+/** A whole fleet in one process and one thread, under virtual time. */
+export class SimFleet {
+  readonly world: SimWorld;
+  readonly wires: SimWires;
+  readonly port: SimPort;
+  readonly #slots = new Map<string, Slot>();
+
+  constructor(seed: number, machines: readonly Machine[], shards = 4) {
+    this.world = new SimWorld(seed);
+    this.wires = new SimWires(this.world);
+    this.port = new SimPort(this);
+    const seeds = machines.slice(0, 3).map((_, i) => `10.0.0.${i + 1}:1`);
+    machines.forEach((machine, i) => {
+      const read = SettingsReader.check({ ...machine, address: `10.0.0.${i + 1}:1`, http: `10.0.0.${i + 1}:2`, seeds, shards, lathes: machines.filter((one) => one.role === "lathe").length, ...(machine.role === "vise" ? {} : { data: "simulated" }) });
+      if ("problems" in read) throw new Error(read.problems.join());
+      this.#slots.set(machine.name, { machine, settings: read.settings, disk: new SimDisk(this.world), life: undefined, lives: 0 });
+    });
+  }
+
+  get names(): string[] {
+    return [...this.#slots.keys()];
+  }
+
+  withRole(role: Machine["role"]): string[] {
+    return this.names.filter((name) => this.#slots.get(name)!.machine.role === role);
+  }
+
+  find(name: string): SimNode | undefined {
+    return this.#slots.get(name)?.life;
+  }
+
+  diskOf(name: string): SimDisk {
+    return this.#slots.get(name)!.disk;
+  }
+
+  zoneOf(name: string): string {
+    return this.#slots.get(name)!.machine.zone;
+  }
+
+  addressOf(name: string): string {
+    return this.#slots.get(name)!.settings.address;
+  }
+
+  startAll(): void {
+    for (const name of this.names) this.start(name);
+  }
+
+  start(name: string): SimNode {
+    const slot = this.#slots.get(name)!;
+    if (slot.life !== undefined) return slot.life;
+    slot.lives += 1;
+    slot.life = new SimNode(this.world, this.wires, slot.disk, slot.settings, slot.lives);
+    return slot.life;
+  }
+
+  /** The process or its power is gone at once. */
+  kill(name: string): void {
+    const slot = this.#slots.get(name)!;
+    if (slot.life === undefined) return;
+    slot.life.fall();
+    slot.life = undefined;
+    slot.disk.fall();
+    this.wires.detach(slot.settings.address);
+  }
+
+  wipe(name: string): void {
+    this.kill(name);
+    this.diskOf(name).wipe();
+  }
+
+  /** Asked politely, killed six seconds later. */
+  cycle(name: string): void {
+    const life = this.find(name);
+    if (life === undefined) return;
+    const end = (): void => {
+      if (this.find(name) === life) this.kill(name);
+    };
+    void life.stop().then(end);
+    this.world.at(this.world.now + 6000, end);
+  }
+
+  pause(name: string, ms: number): void {
+    const life = this.find(name);
+    if (life !== undefined) life.body.pausedUntil = Math.max(life.body.pausedUntil, this.world.now + ms);
+  }
+
+  /** Cuts a node from others, one way or both. */
+  isolate(name: string, others: readonly string[], ways: "in" | "out" | "both"): void {
+    for (const other of others) {
+      if (other === name) continue;
+      if (ways !== "in") this.wires.cut(this.addressOf(name), this.addressOf(other));
+      if (ways !== "out") this.wires.cut(this.addressOf(other), this.addressOf(name));
+    }
+  }
+
+  run(ms: number): Promise<void> {
+    return this.world.run(this.world.now + ms);
+  }
+
+  /** Runs until something holds, or a due passes; true where it held. */
+  async until(holds: () => boolean, dueMs: number): Promise<boolean> {
+    const due = this.world.now + dueMs;
+    while (!holds()) {
+      if (this.world.now >= due) return false;
+      await this.run(50);
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/jig/src/process/sim/simNet.ts
@@ -0,0 +1,104 @@
+import type { Net } from "@cranetrack/chest/process/net.js";
+import type { SimBody } from "./simClock.js";
+import type { SimWorld } from "./simWorld.js";
+
+interface Port { body: SimBody; take: (bytes: Uint8Array) => void; lost: (address: string) => void; unreachable: Set<string> }
+/** What becomes of one frame: nothing special where undefined. */
+export type Mutate = (from: string, to: string, bytes: Uint8Array) => Array<{ bytes: Uint8Array; delay: number }> | undefined;
+
+/** The wires between all machines: latency, loss, one-way cuts, slowness, and mutated frames. */
+export class SimWires {
+  readonly #world: SimWorld;
+  readonly #ports = new Map<string, Port>();
+  readonly #cuts = new Set<string>();
+  readonly #lastAt = new Map<string, number>();
+  readonly slow = new Map<string, number>();
+  loss = 0;
+  mutate: Mutate | undefined;
+  frames = 0;
+
+  constructor(world: SimWorld) {
+    this.#world = world;
+  }
+
+  attach(address: string, body: SimBody): Net {
+    const port: Port = { body, take: () => undefined, lost: () => undefined, unreachable: new Set() };
+    this.#ports.set(address, port);
+    return {
+      address,
+      send: (to, bytes) => {
+        if (!body.isDead) this.#send(port, address, to, bytes);
+      },
+      isReachable: (to) => !port.unreachable.has(to),
+      onFrame: (take) => void (port.take = take),
+      onLost: (lost) => void (port.lost = lost),
+      drop: () => undefined,
+    };
+  }
+
+  /** The process at an address is gone: whoever held a connection to it hears so. */
+  detach(address: string): void {
+    this.#ports.delete(address);
+    for (const [other, port] of this.#ports) if (!this.#cuts.has(`${address}>${other}`)) this.#world.at(this.#world.now + 1, () => this.#tellLost(port, address));
+  }
+
+  cut(from: string, to: string): void {
+    this.#cuts.add(`${from}>${to}`);
+  }
+
+  heal(): void {
+    this.#cuts.clear();
+    this.slow.clear();
+    this.loss = 0;
+    this.mutate = undefined;
+  }
+
+  mend(from: string, to: string): void {
+    this.#cuts.delete(`${from}>${to}`);
+  }
+
+  isCut(from: string, to: string): boolean {
+    return this.#cuts.has(`${from}>${to}`);
+  }
+
+  #tellLost(port: Port, address: string): void {
+    if (port.body.isDead || this.#ports.has(address)) return;
+    if (port.body.pausedUntil > this.#world.now) return void this.#world.at(port.body.pausedUntil, () => this.#tellLost(port, address));
+    port.unreachable.add(address);
+    port.lost(address);
+  }
+
+  #send(port: Port, from: string, to: string, bytes: Uint8Array): void {
+    this.frames += 1;
+    if (!this.#ports.has(to)) {
+      if (!this.#cuts.has(`${to}>${from}`)) this.#world.at(this.#world.now + 1, () => this.#tellLost(port, to));
+      return;
+    }
+    if (!this.#cuts.has(`${from}>${to}`)) port.unreachable.delete(to);
+    const copies = this.mutate?.(from, to, bytes);
+    if (copies !== undefined) {
+      for (const copy of copies) this.#carry(from, to, copy.bytes, copy.delay);
+      return;
+    }
+    if (this.loss > 0 && this.#world.chance.draw() < this.loss) return;
+    this.#carry(from, to, bytes, 0);
+  }
+
+  #carry(from: string, to: string, bytes: Uint8Array, delay: number): void {
+    const slowness = (this.slow.get(from) ?? 0) + (this.slow.get(to) ?? 0);
+    const key = `${from}>${to}`;
+    const wanted = this.#world.now + delay + this.#world.chance.between(0.2, 2) + slowness * this.#world.chance.draw();
+    const at = delay > 0 ? wanted : Math.max(wanted, this.#lastAt.get(key) ?? 0);
+    if (delay === 0) this.#lastAt.set(key, at);
+    this.#world.at(at, () => this.#arrive(key, to, bytes));
+  }
+
+  #arrive(key: string, to: string, bytes: Uint8Array): void {
+    const port = this.#ports.get(to);
+    if (port === undefined || port.body.isDead || this.#cuts.has(key)) return;
+    if (port.body.pausedUntil > this.#world.now) return void this.#world.at(port.body.pausedUntil, () => this.#arrive(key, to, bytes));
+    this.#world.mark(`${this.#world.now} ${key} `);
+    this.#world.mark(bytes);
+    port.take(bytes);
+  }
+}
--- /dev/null
+++ b/packages/jig/src/process/sim/simNode.ts
@@ -0,0 +1,69 @@
+import { Anvil } from "@cranetrack/anvil/process/anvil.js";
+import { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import { LogRing } from "@cranetrack/chest/process/logRing.js";
+import { Router } from "@cranetrack/chest/process/router.js";
+import { SealedDisk } from "@cranetrack/chest/process/sealedDisk.js";
+import type { Settings } from "@cranetrack/chest/process/settings.js";
+import { Lathe } from "@cranetrack/lathe/process/lathe.js";
+import { Vise } from "@cranetrack/vise/process/vise.js";
+import { SimClock, type SimBody } from "./simClock.js";
+import type { SimDisk } from "./simDisk.js";
+import type { SimWires } from "./simNet.js";
+import type { SimWorld } from "./simWorld.js";
+
+/** One process's life in the simulator: the production classes over simulated seams. */
+export class SimNode {
+  readonly body: SimBody = { isDead: false, pausedUntil: 0 };
+  readonly clock: SimClock;
+  readonly node: ClusterNode;
+  readonly router: Router;
+  readonly log: LogRing;
+  readonly lathe: Lathe | undefined;
+  readonly anvil: Anvil | undefined;
+  readonly vise: Vise | undefined;
+  readonly #closings = new Set<() => void>();
+  /** Why it would not start, as a process would exit. */
+  readonly fault: string | undefined;
+
+  constructor(world: SimWorld, wires: SimWires, disk: SimDisk, settings: Settings, incarnation: number) {
+    this.clock = new SimClock(world, this.body);
+    this.log = new LogRing(settings.name, () => undefined);
+    const chance = world.chance.fork();
+    const mounted = settings.role === "vise" ? undefined : new SealedDisk(disk.mount(this.body));
+    const net = wires.attach(settings.address, this.body);
+    const prefixes = settings.role === "vise" ? ["plan", "shards/", "sessions/"] : ["plan", "shards/", "machines/"];
+    this.node = new ClusterNode({ settings, clock: this.clock, net, disk: mounted, chance, log: this.log, incarnation }, prefixes);
+    this.router = new Router(this.node);
+    try {
+      if (settings.role === "lathe") this.lathe = new Lathe(this.node, mounted!, this.router);
+      else if (settings.role === "anvil") this.anvil = new Anvil(this.node, mounted!, false);
+      else this.vise = new Vise(this.node, this.router);
+      this.fault = this.lathe?.load() ?? this.anvil?.load();
+    } catch (cause) {
+      this.fault = (cause as Error).message;
+    }
+    if (this.fault !== undefined) return;
+    this.node.start();
+    void this.lathe?.start();
+    void this.anvil?.start();
+    this.vise?.start();
+  }
+
+  /** Called when the process falls, as its connections are then reset. */
+  onFall(close: () => void): () => void {
+    this.#closings.add(close);
+    return () => this.#closings.delete(close);
+  }
+
+  fall(): void {
+    this.body.isDead = true;
+    for (const close of this.#closings) close();
+  }
+
+  async stop(): Promise<void> {
+    await this.vise?.drain();
+    await this.anvil?.stop();
+    await this.lathe?.spare.stop();
+    this.node.membership.leave();
+  }
+}
--- /dev/null
+++ b/packages/jig/src/process/sim/simPort.ts
@@ -0,0 +1,130 @@
+import type { ClientLink } from "@cranetrack/vise/link/clientLink.js";
+import type { CallerPort, PortLink, PortReceipt } from "../../link/callerPort.js";
+import type { SimFleet } from "./simFleet.js";
+import type { SimNode } from "./simNode.js";
+import { Router } from "@cranetrack/chest/process/router.js";
+import type { ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
+
+const away: PortReceipt = { status: 503, body: { error: { code: "unreachable" } }, comeBack: 0.3 };
+
+/** Callers' wires in the simulator: latency both ways, resets when a node falls, silence while it is paused. */
+export class SimPort implements CallerPort {
+  static readonly giveUpMs = 4000;
+  readonly #fleet: SimFleet;
+
+  constructor(fleet: SimFleet) {
+    this.#fleet = fleet;
+  }
+
+  async link(name: string, session: string, body: object, heed: { line(line: Record<string, unknown>): void; closed(): void }): Promise<PortLink | PortReceipt> {
+    const simNode = this.#fleet.find(name);
+    if (simNode?.vise === undefined) return this.#later(away);
+    const state = { isOpen: false, isClientGone: false, isServerGone: false, whenClosed: (): void => undefined };
+    let forget = (): void => undefined;
+    const closeClient = (): void => {
+      forget();
+      if (state.isClientGone) return;
+      state.isServerGone = true;
+      this.#afterWire(() => {
+        if (!state.isClientGone) heed.closed();
+      });
+    };
+    const link: ClientLink = {
+      waitingBytes: 0,
+      get isClosed() {
+        return state.isServerGone;
+      },
+      send: (line) => {
+        if (state.isServerGone || simNode.body.isDead) return;
+        const text = JSON.stringify(line);
+        this.#afterWire(() => {
+          if (!state.isClientGone) heed.line(JSON.parse(text) as Record<string, unknown>);
+        });
+      },
+      close: () => closeClient(),
+      onClose: (whenClosed) => void (state.whenClosed = whenClosed),
+    };
+    const close = (): void => {
+      state.isClientGone = true;
+      forget();
+      this.#onNode(simNode, () => {
+        if (state.isServerGone) return;
+        state.isServerGone = true;
+        state.whenClosed();
+      });
+    };
+    return this.#ask<PortLink | PortReceipt>(simNode, (settle) => {
+      forget = simNode.onFall(closeClient);
+      void simNode.vise!.link(session, Buffer.from(JSON.stringify(body)), () => {
+        state.isOpen = true;
+        settle({ close });
+        return link;
+      }).then((receipt) => {
+        if (receipt === undefined) return;
+        forget();
+        settle(SimPort.#read(receipt));
+      });
+    }, () => {
+      close();
+      return { status: 0, body: {}, comeBack: 0.3 };
+    });
+  }
+
+  call(name: string, method: string, path: string, body: string | undefined): Promise<PortReceipt> {
+    const simNode = this.#fleet.find(name);
+    if (simNode === undefined) return this.#later(away);
+    return this.#ask<PortReceipt>(simNode, (settle) => {
+      void simNode.router.run(method, path, Buffer.from(body ?? "")).then((receipt) => settle(SimPort.#read(receipt)));
+    }, () => ({ status: 0, body: { error: { code: "broken" } }, comeBack: 0.3 }));
+  }
+
+  static #read(receipt: ApiReceipt): PortReceipt {
+    const raw = typeof receipt.body === "string" ? receipt.body : Buffer.from(Router.encode(receipt.body)).toString();
+    let body: Record<string, unknown> = {};
+    try {
+      body = JSON.parse(raw) as Record<string, unknown>;
+    } catch {
+      body = {};
+    }
+    return { status: receipt.status, body: { ...body, raw }, comeBack: receipt.comeBack };
+  }
+
+  /** Carries a question over and its answer back; a fall or a long silence ends it without one. */
+  #ask<T>(simNode: SimNode, act: (settle: (value: T) => void) => void, giveUp: () => T): Promise<T> {
+    const { world } = this.#fleet;
+    return new Promise((resolve) => {
+      let isDone = false;
+      const finish = (make: () => T): void => {
+        if (isDone) return;
+        isDone = true;
+        forget();
+        resolve(make());
+      };
+      const forget = simNode.onFall(() => this.#afterWire(() => finish(giveUp)));
+      world.at(world.now + SimPort.giveUpMs, () => finish(giveUp));
+      this.#onNode(simNode, () => act((value) => {
+        if (!simNode.body.isDead) this.#afterWire(() => finish(() => value));
+      }));
+    });
+  }
+
+  #later<T>(value: T): Promise<T> {
+    return new Promise((resolve) => this.#afterWire(() => resolve(value)));
+  }
+
+  #afterWire(act: () => void): void {
+    const { world } = this.#fleet;
+    world.at(world.now + 1, act);
+  }
+
+  /** Runs on the node after the wire, once it is not paused, unless it falls first. */
+  #onNode(simNode: SimNode, act: () => void): void {
+    const { world } = this.#fleet;
+    const arrive = (): void => {
+      if (simNode.body.isDead) return;
+      if (simNode.body.pausedUntil > world.now) return void world.at(simNode.body.pausedUntil, arrive);
+      act();
+    };
+    world.at(world.now + 1, arrive);
+  }
+}
