Replace lost replicas, move off emptied machines, go back from spares

Cause: a lost disk left its shards at two replicas for good, and nothing emptied a machine. Built: the holder copies to a newcomer, counts both sets until the swap is decided by compare-and-set, and goes on under a new epoch; operators ask for a machine to be emptied, see progress, and are refused where contracts would break.

--- a/packages/anvil/src/process/anvil.ts
+++ b/packages/anvil/src/process/anvil.ts
@@ -67,8 +67,9 @@
   }
 
   status(): object {
-    const held = (this.#claims?.all() ?? []).map(([shard, { holder }]) => ({
+    const held = (this.#claims?.all() ?? []).map(([shard, { holder, mender }]) => ({
       shard, epoch: holder.epoch, isServing: holder.isServing, occupancy: holder.occupancy,
+      move: mender.progress ?? null,
       replicas: holder.set.members.map(({ id, name }) => ({ name, behind: this.#replicas[shard]!.log.lastIndex - (holder.spread?.matchOf(id) ?? 0) })),
     }));
     return { hasLease: this.#lease.isHeld, shelf: this.#id, held };
--- a/packages/anvil/src/process/claims.ts
+++ b/packages/anvil/src/process/claims.ts
@@ -1,11 +1,13 @@
 import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import type { ShardSet } from "@cranetrack/chest/mark/shardSet.js";
 import type { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
 import { Bench } from "./bench.js";
 import { Holder } from "./holder.js";
+import { Mender } from "./mender.js";
 import type { Replica } from "./replica.js";
 
-interface Claim { holder: Holder; bench: Bench }
+interface Claim { replica: Replica; lease: string; holder: Holder; bench: Bench; mender: Mender }
 
 /**
  * Claims free shards for this disk, in rendezvous order, by compare-and-set; nobody assigns them.
@@ -13,6 +15,7 @@
  */
 export class Claims {
   static readonly turnMs = 250;
+  static readonly mostMoves = 4;
 
   readonly #node: ClusterNode;
   readonly #lease: LeaseKeeper;
@@ -36,6 +39,7 @@
     });
     node.shards.on("changed", (shard) => this.#heed(shard));
     node.parts.clock.every(100, () => this.#beat());
+    node.parts.clock.every(300, () => void this.#mend());
   }
 
   find(shard: number): Claim | undefined {
@@ -65,6 +69,21 @@
     for (const replica of this.#replicas) this.#consider(replica);
   }
 
+  /** Few sets at a time, so that copying does not starve what is served. */
+  async #mend(): Promise<void> {
+    let moving = this.all().filter(([, { mender }]) => mender.progress !== undefined).length;
+    for (const [shard, claim] of this.all()) {
+      if (claim.mender.progress === undefined && moving >= Claims.mostMoves) continue;
+      const wasMoving = claim.mender.progress !== undefined;
+      const swap = await claim.mender.beat(!wasMoving && moving < Claims.mostMoves);
+      if (!wasMoving && claim.mender.progress !== undefined) moving += 1;
+      if (swap === undefined) continue;
+      this.#claims.delete(shard);
+      claim.holder.stop("the replica set was swapped");
+      if (swap.epoch > 0) void this.#guard(shard, () => this.#hold(claim.replica, swap.set, swap.epoch, claim.lease));
+    }
+  }
+
   #consider(replica: Replica): void {
     const { shard } = replica;
     const route = this.#node.shards.find(shard);
@@ -72,7 +91,7 @@
     if (this.#busy.has(shard)) return;
     if (isOwnKey) return void this.#guard(shard, () => this.#giveBack(shard, route.epoch));
     const rank = this.#rank(shard);
-    if (route.holder !== "" || rank === -1 || this.isEmptying) return void this.#freeSince.delete(shard);
+    if (route.holder !== "" || rank === -1 || this.isEmptying || this.#node.machines.isEmptying(this.#node.exchange.name)) return void this.#freeSince.delete(shard);
     const now = this.#node.parts.clock.now();
     const since = this.#freeSince.get(shard) ?? now;
     this.#freeSince.set(shard, since);
@@ -101,8 +120,15 @@
     const value = Buffer.from(JSON.stringify({ name: this.#node.exchange.name, id: this.#id, lease }));
     const receipt = await this.#node.store.txn({ checks: [{ key, revision: 0 }, { key: `shards/${shard}/replicas`, revision: setRevision }], puts: [{ key, value, lease }] });
     if (receipt.outcome !== "done" || this.#lease.lease !== lease) return;
-    const holder = new Holder(replica, set, receipt.revision!, this.#node);
-    const claim: Claim = { holder, bench: new Bench(this.#node, replica, holder, () => this.#lease.isHeld && this.#lease.lease === lease) };
+    await this.#hold(replica, set, receipt.revision!, lease);
+  }
+
+  /** The store names this disk the holder under an epoch: serves once a majority has pledged it. */
+  async #hold(replica: Replica, set: ShardSet, epoch: number, lease: string): Promise<void> {
+    const { shard } = replica;
+    const holder = new Holder(replica, set, epoch, this.#node);
+    const bench = new Bench(this.#node, replica, holder, () => this.#lease.isHeld && this.#lease.lease === lease);
+    const claim: Claim = { replica, lease, holder, bench, mender: new Mender(this.#node, replica, holder, lease) };
     this.#claims.set(shard, claim);
     holder.on("over", (why) => void this.#over(shard, claim, why));
     holder.on("serving", () => claim.bench.planChanged());
@@ -112,6 +138,7 @@
   async #over(shard: number, claim: Claim, why: string): Promise<void> {
     if (this.#claims.get(shard) === claim) this.#claims.delete(shard);
     this.#node.parts.log.note("gave up a shard", { shard, epoch: claim.holder.epoch, why });
+    if (why === "the replica set was swapped") return;
     this.#freeSince.set(shard, this.#node.parts.clock.now() + 500);
     await this.#giveBack(shard, claim.holder.epoch);
   }
--- a/packages/chest/src/process/clusterNode.ts
+++ b/packages/chest/src/process/clusterNode.ts
@@ -4,6 +4,7 @@
 import { Journal } from "./journal.js";
 import { Membership } from "./membership.js";
 import type { NodeParts } from "./nodeParts.js";
+import { MachinesView } from "../mark/machinesView.js";
 import { PlanView } from "../mark/planView.js";
 import { ShardsView } from "../mark/shardsView.js";
 import { StoreClient } from "./storeClient.js";
@@ -17,6 +18,7 @@
   readonly store: StoreClient;
   readonly journal = new Journal<Change>();
   readonly feed: FeedFollower;
+  readonly machines: MachinesView;
   readonly plan: PlanView;
   readonly shards: ShardsView;
 
@@ -29,6 +31,7 @@
     this.membership = new Membership(self, settings.seeds, this.exchange, clock, chance);
     this.store = new StoreClient(this.exchange, this.membership, clock);
     this.feed = new FeedFollower({ exchange: this.exchange, membership: this.membership, clock, chance, prefixes, journal: this.journal });
+    this.machines = new MachinesView(this.journal);
     this.plan = new PlanView(this.journal);
     this.shards = new ShardsView(this.journal);
     this.feed.planMark = () => this.plan.mark;
--- a/packages/lathe/src/process/lathe.ts
+++ b/packages/lathe/src/process/lathe.ts
@@ -4,6 +4,7 @@
 import type { Disk } from "@cranetrack/chest/process/disk.js";
 import type { Router } from "@cranetrack/chest/process/router.js";
 import { ApiReceipts } from "@cranetrack/chest/request/apiReceipt.js";
+import { EmptyMachine } from "../request/emptyMachine.js";
 import { getRollout } from "../request/getRollout.js";
 import { putPlan } from "../request/putPlan.js";
 import { Founding } from "./founding.js";
@@ -30,6 +31,10 @@
       if (read.outcome !== "done") return ApiReceipts.away("no majority of the lathes answers");
       return read.kvs![0] === undefined ? ApiReceipts.fault(404, "no-plan", "no plan was ever accepted") : ApiReceipts.done(read.kvs![0].value);
     });
+    const emptying = /^\/v1\/machines\/([^/]+)\/emptying$/;
+    router.on("PUT", emptying, (call) => EmptyMachine.ask(node, call.params[0]!));
+    router.on("DELETE", emptying, (call) => EmptyMachine.undo(node, call.params[0]!));
+    router.on("GET", emptying, (call) => EmptyMachine.progress(node, call.params[0]!));
     router.on("GET", /^\/v1\/plan\/rollout$/, () => getRollout(node));
   }
 
