--- /dev/null
+++ b/packages/chest/src/mark/replication.test.ts
@@ -0,0 +1,105 @@
+import { test } from "node:test";
+import { create } from "@bufbuild/protobuf";
+import { expect } from "earl";
+import { AppendReceiptSchema, AppendSchema, EntrySchema, type Entry } from "../gen/cranetrack_pb.js";
+import type { Disk, DiskChange } from "../process/disk.js";
+import { Intake } from "./intake.js";
+import { ReplicaLog } from "./replicaLog.js";
+import { Spread } from "./spread.js";
+
+/** A disk whose syncs happen only when told to. */
+class HeldDisk implements Disk {
+  readonly #waiting: Array<() => void> = [];
+  readonly kept = new Map<string, Uint8Array>();
+
+  read(prefix: string): Array<{ key: string; value: Uint8Array }> {
+    return [...this.kept].filter(([key]) => key.startsWith(prefix)).sort(([a], [b]) => (a < b ? -1 : 1)).map(([key, value]) => ({ key, value }));
+  }
+
+  write(changes: DiskChange[]): Promise<void> {
+    return new Promise((resolve) => this.#waiting.push(() => {
+      for (const change of changes) if ("isRemoved" in change) this.kept.delete(change.key); else this.kept.set(change.key, change.value);
+      resolve();
+    }));
+  }
+
+  async sync(): Promise<void> {
+    for (const done of this.#waiting.splice(0)) done();
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+const clock = { now: () => 0, once: () => ({ stop: () => undefined }), every: () => ({ stop: () => undefined }) };
+const entry = (index: number, term: number): Entry => create(EntrySchema, { index, term, data: new Uint8Array([index]) });
+const receipt = (sender: string, match: number, term = 2): ReturnType<typeof create<typeof AppendReceiptSchema>> => create(AppendReceiptSchema, { group: "g", sender, receiver: "a", term, isTaken: true, match, round: 0 });
+
+function spreadOver(log: ReplicaLog, term: number): Spread {
+  return new Spread({ log, clock, self: "a", term, commit: 0, send: () => undefined });
+}
+
+test("an entry counts for its own replica only once it is synced, and commits only on a majority", async () => {
+  const disk = new HeldDisk();
+  const log = new ReplicaLog(disk, "g");
+  const spread = spreadOver(log, 2);
+  spread.enlist([["a", "b", "c"]], []);
+  void log.append([entry(1, 2)]).then(() => spread.kick());
+  spread.take(receipt("b", 1));
+  expect(spread.commit).toEqual(0);
+  await disk.sync();
+  expect(spread.commit).toEqual(1);
+});
+
+test("entries of an earlier term commit only behind one of this term", async () => {
+  const disk = new HeldDisk();
+  const log = new ReplicaLog(disk, "g");
+  void log.append([entry(1, 1)]);
+  await disk.sync();
+  const spread = spreadOver(log, 2);
+  spread.enlist([["a", "b", "c"]], []);
+  spread.take(receipt("b", 1));
+  spread.take(receipt("c", 1));
+  expect(spread.commit).toEqual(0);
+  void log.append([entry(2, 2)]);
+  await disk.sync();
+  spread.take(receipt("b", 2));
+  expect(spread.commit).toEqual(2);
+});
+
+test("while a set is swapped an entry needs a majority of the old set and of the new one", async () => {
+  const disk = new HeldDisk();
+  const log = new ReplicaLog(disk, "g");
+  const spread = spreadOver(log, 2);
+  spread.enlist([["a", "b", "c"], ["a", "b", "d"]], []);
+  void log.append([entry(1, 2)]);
+  await disk.sync();
+  spread.take(receipt("c", 1));
+  expect(spread.commit).toEqual(0);
+  spread.take(receipt("d", 1));
+  expect(spread.commit).toEqual(1);
+});
+
+test("a replica answers after its disk, refuses lower terms, and cuts off what conflicts", async () => {
+  const disk = new HeldDisk();
+  const log = new ReplicaLog(disk, "g");
+  const intake = new Intake(log, "b", () => undefined, () => undefined);
+  const append = (term: number, prevIndex: number, prevTerm: number, entries: Entry[]): Promise<unknown> =>
+    intake.take(create(AppendSchema, { group: "g", term, sender: "a", receiver: "b", prevIndex, prevTerm, entries }), 0).then((body) => (body.case === "appendReceipt" ? [body.value.isTaken, body.value.match, body.value.term] : []));
+  let answered: unknown;
+  void append(2, 0, 0, [entry(1, 1), entry(2, 1)]).then((got) => (answered = got));
+  await new Promise((resolve) => setImmediate(resolve));
+  expect(answered).toEqual(undefined);
+  await disk.sync();
+  expect(answered).toEqual([true, 2, 2]);
+
+  expect(await append(1, 2, 1, [entry(3, 1)])).toEqual([false, 0, 2]);
+  expect(log.lastIndex).toEqual(2);
+
+  const cut = append(3, 1, 1, [entry(2, 3)]);
+  await disk.sync();
+  expect(await cut).toEqual([true, 2, 3]);
+  expect(log.termAt(2)).toEqual(3);
+  expect(await append(3, 5, 3, [entry(6, 3)])).toEqual([false, 0, 3]);
+
+  const again = new ReplicaLog(disk, "g");
+  expect([again.lastIndex, again.lastTerm, again.term]).toEqual([2, 3, 3]);
+});
--- /dev/null
+++ b/packages/chest/src/process/leaseKeeper.test.ts
@@ -0,0 +1,79 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import { LeaseKeeper } from "./leaseKeeper.js";
+import type { StoreClient } from "./storeClient.js";
+
+interface Due { at: number; ring: () => void; every: number | undefined }
+
+/** Time that a test moves by hand. */
+class HandClock {
+  time = 0;
+  #dues: Due[] = [];
+
+  now(): number {
+    return this.time;
+  }
+
+  once(ms: number, ring: () => void): { stop(): void } {
+    return this.#add({ at: this.time + ms, ring, every: undefined });
+  }
+
+  every(ms: number, ring: () => void): { stop(): void } {
+    return this.#add({ at: this.time + ms, ring, every: ms });
+  }
+
+  async go(ms: number): Promise<void> {
+    const end = this.time + ms;
+    for (;;) {
+      const next = this.#dues.filter((due) => due.at <= end).sort((a, b) => a.at - b.at)[0];
+      if (next === undefined) break;
+      this.time = next.at;
+      if (next.every === undefined) this.#dues = this.#dues.filter((due) => due !== next);
+      else next.at += next.every;
+      next.ring();
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    this.time = end;
+  }
+
+  #add(due: Due): { stop(): void } {
+    this.#dues.push(due);
+    return { stop: () => void (this.#dues = this.#dues.filter((one) => one !== due)) };
+  }
+}
+
+test("a holder counts from when it sent the renewal and stops before the store could expire it", async () => {
+  const clock = new HandClock();
+  let answer: (outcome: string) => void = () => undefined;
+  const store = { call: () => new Promise((resolve) => (answer = (outcome) => resolve({ outcome }))) } as unknown as StoreClient;
+  const keeper = new LeaseKeeper("a", 4000, store, clock, { draw: () => 0, identity: () => "0123456789abcdef" });
+  let lostAt = -1;
+  keeper.on("lost", () => (lostAt = clock.now()));
+  keeper.start();
+  await clock.go(900);
+  answer("done");
+  await clock.go(0);
+  expect(keeper.isHeld).toEqual(true);
+  await clock.go(5000);
+  expect(lostAt).toEqual(3601);
+  expect(keeper.isHeld).toEqual(false);
+});
+
+test("a holder that was frozen past its lease finds it lost on the first look, and a late answer changes nothing", async () => {
+  const clock = new HandClock();
+  const answers: Array<(outcome: string) => void> = [];
+  const store = { call: () => new Promise((resolve) => answers.push((outcome) => resolve({ outcome }))) } as unknown as StoreClient;
+  const keeper = new LeaseKeeper("a", 4000, store, clock, { draw: () => 0, identity: () => "0123456789abcdef" });
+  keeper.start();
+  await new Promise((resolve) => setImmediate(resolve));
+  answers[0]!("done");
+  await new Promise((resolve) => setImmediate(resolve));
+  const { lease } = keeper;
+  expect(keeper.isHeld).toEqual(true);
+  await clock.go(1000);
+  clock.time += 9000;
+  expect(keeper.isHeld).toEqual(false);
+  answers[1]!("done");
+  await new Promise((resolve) => setImmediate(resolve));
+  expect(keeper.lease === lease).toEqual(false);
+});
--- a/packages/chest/src/process/lmdbDisk.ts
+++ b/packages/chest/src/process/lmdbDisk.ts
@@ -12,17 +12,17 @@
 
   constructor(folder: string) {
     try {
-      mkdirSync(folder, { recursive: true });
-      this.#db = open<Uint8Array, string>({ path: folder, encoding: "binary", overlappingSync: true, noSubdir: false });
-      const format = this.#db.get("format");
-      const isEmpty = this.#db.getKeysCount({ limit: 1 }) === 0;
-      if (!isEmpty && (format === undefined || Buffer.from(format).toString() !== "cranetrack 1")) throw new Error("it holds another program's data");
-      if (isEmpty) this.#db.putSync("format", Buffer.from("cranetrack 1"));
+      this.#db = LmdbDisk.#open(folder);
     } catch (cause) {
       throw new VError({ name: "DataFolderFault", cause: cause as Error }, "the data folder %s cannot be used", folder);
     }
   }
 
+  /** The adapter over a database that is open already. */
+  static over(db: RootDatabase<Uint8Array, string>): Pick<LmdbDisk, "write"> {
+    return { write: (changes) => LmdbDisk.#write(db, changes) };
+  }
+
   read(prefix: string): Array<{ key: string; value: Uint8Array }> {
     const found: Array<{ key: string; value: Uint8Array }> = [];
     for (const { key, value } of this.#db.getRange({ start: prefix, end: `${prefix}\u{10ffff}` })) {
@@ -31,18 +31,32 @@
     return found;
   }
 
-  async write(changes: DiskChange[]): Promise<void> {
-    const committed = this.#db.batch(() => {
-      for (const change of changes) {
-        if ("isRemoved" in change) void this.#db.remove(change.key);
-        else void this.#db.put(change.key, change.value);
-      }
-    });
-    await committed;
-    await this.#db.flushed;
+  write(changes: DiskChange[]): Promise<void> {
+    return LmdbDisk.#write(this.#db, changes);
   }
 
   async close(): Promise<void> {
     await this.#db.close();
   }
+
+  static #open(folder: string): RootDatabase<Uint8Array, string> {
+    mkdirSync(folder, { recursive: true });
+    const db = open<Uint8Array, string>({ path: folder, encoding: "binary", overlappingSync: true, noSubdir: false });
+    const format = db.get("format");
+    const isBlank = db.getKeysCount({ limit: 1 }) === 0;
+    if (!isBlank && (format === undefined || Buffer.from(format).toString() !== "cranetrack 1")) throw new Error("it holds another program's data");
+    if (isBlank) db.putSync("format", Buffer.from("cranetrack 1"));
+    return db;
+  }
+
+  static async #write(db: RootDatabase<Uint8Array, string>, changes: DiskChange[]): Promise<void> {
+    const committed = db.batch(() => {
+      for (const change of changes) {
+        if ("isRemoved" in change) void db.remove(change.key);
+        else void db.put(change.key, change.value);
+      }
+    });
+    await committed;
+    await db.flushed;
+  }
 }
