--- /dev/null
+++ b/packages/jig/src/process/sim/sim.test.ts
@@ -0,0 +1,40 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import { Scenario } from "./scenario.js";
+
+const tell = (report: Awaited<ReturnType<typeof Scenario.run>>): string[] => report.breaches.map((breach) => `${breach.rule}: ${breach.text}`);
+
+test("a seed replays to the same trace, and another seed to another", async () => {
+  const [one, again, other] = [await Scenario.run(5, { faultMs: 6000 }), await Scenario.run(5, { faultMs: 6000 }), await Scenario.run(6, { faultMs: 6000 })];
+  expect(again.trace).toEqual(one.trace);
+  expect(again.accepted).toEqual(one.accepted);
+  expect(other.trace === one.trace).toEqual(false);
+});
+
+for (const seed of [101, 102, 103, 104, 105, 106]) {
+  test(`seed ${seed}: all kinds of faults, no breach, service back`, async () => {
+    const report = await Scenario.run(seed, { faultMs: 18_000 });
+    expect(tell(report)).toEqual([]);
+    expect(report.accepted > 100 && report.received > report.accepted).toEqual(true);
+  });
+}
+
+for (const seed of [201, 202]) {
+  test(`seed ${seed}: disks wiped, machines killed, callers dropped: no breach, service back`, async () => {
+    const report = await Scenario.run(seed, { faultMs: 30_000, faults: ["wipe", "kill", "crowd"] });
+    expect(report.faults.some((fault) => fault.includes("wiped"))).toEqual(true);
+    expect(tell(report)).toEqual([]);
+  });
+}
+
+for (const seed of [301, 302]) {
+  test(`seed ${seed}: everything loses power while disks are slow: no breach, service back`, async () => {
+    expect(tell(await Scenario.run(seed, { faultMs: 18_000, faults: ["slowDisk", "all", "kill"] }))).toEqual([]);
+  });
+}
+
+for (const seed of [401, 402]) {
+  test(`seed ${seed}: one mutated message after the other: no breach, service back`, async () => {
+    expect(tell(await Scenario.run(seed, { faultMs: 18_000, faults: ["mutate"] }))).toEqual([]);
+  });
+}
--- a/packages/jig/src/process/sim/simNode.ts
+++ b/packages/jig/src/process/sim/simNode.ts
@@ -1,6 +1,7 @@
 import { Anvil } from "@cranetrack/anvil/process/anvil.js";
 import { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import { LogRing } from "@cranetrack/chest/process/logRing.js";
+import { NodeStatus } from "@cranetrack/chest/process/nodeStatus.js";
 import { Router } from "@cranetrack/chest/process/router.js";
 import { SealedDisk } from "@cranetrack/chest/process/sealedDisk.js";
 import type { Settings } from "@cranetrack/chest/process/settings.js";
@@ -43,6 +44,11 @@
       this.fault = (cause as Error).message;
     }
     if (this.fault !== undefined) return;
+    new NodeStatus(this.node, this.router, {
+      garbled: () => 0, settingsFault: () => "",
+      more: () => (this.lathe ?? this.anvil ?? this.vise)!.status(),
+      isReady: () => this.lathe?.isReady ?? this.vise?.isReady ?? this.node.feed.isFresh,
+    });
     this.node.start();
     void this.lathe?.start();
     void this.anvil?.start();
--- a/packages/lathe/src/lathe.ts
+++ b/packages/lathe/src/lathe.ts
@@ -8,7 +8,7 @@
     load: () => lathe.load(),
     start: () => lathe.start(),
     stop: () => lathe.spare.stop(),
-    isReady: () => lathe.ledger?.isInTouch === true && node.feed.isFresh,
+    isReady: () => lathe.isReady,
     status: () => lathe.status(),
   };
 }).run(process.argv);
--- a/packages/lathe/src/process/lathe.ts
+++ b/packages/lathe/src/process/lathe.ts
@@ -52,6 +52,10 @@
     await this.founding.start();
   }
 
+  get isReady(): boolean {
+    return this.#ledger?.isInTouch === true && this.node.feed.isFresh;
+  }
+
   status(): object {
     const ledger = this.#ledger;
     const members = ledger?.members;
--- a/packages/vise/src/process/vise.ts
+++ b/packages/vise/src/process/vise.ts
@@ -51,6 +51,14 @@
     clock.every(200_000, () => this.#renewSessions());
   }
 
+  get isReady(): boolean {
+    return !this.isDraining && this.lease.isHeld && this.node.feed.isFresh;
+  }
+
+  status(): object {
+    return { links: this.sessions.links, sessions: this.sessions.table.size, topics: this.topics.count, owners: this.owners.count, isDraining: this.isDraining, hasLease: this.lease.isHeld };
+  }
+
   start(): void {
     this.lease.start();
   }
--- a/packages/vise/src/vise.ts
+++ b/packages/vise/src/vise.ts
@@ -9,8 +9,8 @@
     load: () => undefined,
     start: () => vise.start(),
     stop: () => vise.drain(),
-    isReady: () => !vise.isDraining && vise.lease.isHeld && node.feed.isFresh,
-    status: () => ({ links: vise.sessions.links, sessions: vise.sessions.table.size, topics: vise.topics.count, owners: vise.owners.count, isDraining: vise.isDraining, hasLease: vise.lease.isHeld }),
+    isReady: () => vise.isReady,
+    status: () => vise.status(),
     take: ({ mostLinks, bufferBytes }) => Object.assign(vise.live, { mostLinks, bufferBytes }),
     stream: {
       pattern: Vise.linkPath,
