Drills on real processes: kills, freezes, cut cables, lost disks, a blackout

Cause: real fleets were only seen in fair weather. Tried and mended: timing a recovery while callers kept dropping off on purpose never ended; drop-offs now rest while a recovery is timed.

--- a/packages/chest/src/process/program.ts
+++ b/packages/chest/src/process/program.ts
@@ -43,7 +43,7 @@
   async run(argv: string[]): Promise<void> {
     const cli = cac(this.#role);
     cli.option("--settings <file>", "Settings file (JSON); flags win over it");
-    for (const key of ["name", "zone", "address", "http", "data", "log"]) cli.option(`--${key} <value>`, `Setting ${key}`);
+    for (const key of ["name", "zone", "address", "listen", "http", "data", "log"]) cli.option(`--${key} <value>`, `Setting ${key}`);
     for (const key of ["lathes", "shards", "edgeLeaseMs", "holderLeaseMs", "mostLinks", "bufferBytes"]) cli.option(`--${key} <number>`, `Setting ${key}`);
     cli.option("--seeds <list>", "Setting seeds: addresses parted by commas");
     cli.option("--check", "Only check the settings");
@@ -62,7 +62,7 @@
   async #start(settings: Settings, file: string | undefined, flags: Record<string, unknown>): Promise<void> {
     const log = LogRing.toFile(settings.name, settings.log);
     const clock = new HostClock();
-    const net = new TcpNet(settings.address, log);
+    const net = new TcpNet(settings.address, log, settings.listen);
     const quit = (code: number, text: string): never => {
       log.fault(text);
       process.stderr.write(`${text}\n`);
--- a/packages/chest/src/process/settings.ts
+++ b/packages/chest/src/process/settings.ts
@@ -9,6 +9,8 @@
   role: "'lathe' | 'anvil' | 'vise'",
   zone: "1 <= string <= 64",
   address,
+  /** Where to listen, if not at the address that others know. */
+  "listen?": address,
   http: address,
   seeds: address.array().atLeastLength(1).atMostLength(9),
   lathes: "1 <= number.integer <= 9",
--- a/packages/chest/src/process/tcpNet.ts
+++ b/packages/chest/src/process/tcpNet.ts
@@ -6,6 +6,7 @@
 /** Frames over held TCP connections: one outward link an address, as many inward as come. */
 export class TcpNet implements Net {
   readonly address: string;
+  readonly #listen: string;
   readonly #server: Server;
   readonly #log: LogRing;
   readonly #outward = new Map<string, TcpLink>();
@@ -17,14 +18,15 @@
   /** Garbled connections closed since the start. */
   garbled = 0;
 
-  constructor(address: string, log: LogRing) {
+  constructor(address: string, log: LogRing, listen = address) {
     this.address = address;
+    this.#listen = listen;
     this.#log = log;
     this.#server = createServer((socket) => this.#enrolInward(socket));
   }
 
   listen(): Promise<void> {
-    const [host, port] = TcpNet.split(this.address);
+    const [host, port] = TcpNet.split(this.#listen);
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
       this.#server.listen(port, host, () => resolve());
--- /dev/null
+++ b/packages/jig/src/process/drill.ts
@@ -0,0 +1,88 @@
+import type { Fleet } from "./fleet.js";
+import type { Load } from "./load.js";
+
+export interface DrillStep { what: string; backMs: number }
+
+/** Causes failures on a real fleet under load, one after the other, and measures how long service takes to be back. */
+export class Drill {
+  static readonly backMs = 12_000;
+
+  readonly #fleet: Fleet;
+  readonly #load: Load;
+  readonly #say: (step: DrillStep) => void;
+  readonly steps: DrillStep[] = [];
+
+  constructor(fleet: Fleet, load: Load, say: (step: DrillStep) => void = () => undefined) {
+    this.#say = say;
+    this.#fleet = fleet;
+    this.#load = load;
+  }
+
+  /** kill -9, then started again. */
+  async kill(names: readonly string[]): Promise<void> {
+    await Promise.all(names.map((name) => this.#fleet.end(name, "SIGKILL")));
+    await this.#wait(500);
+    for (const name of names) this.#fleet.launch(name);
+    await this.#back(`SIGKILL ${names.join(" ")}`);
+  }
+
+  /** Politely, and forcibly six seconds later. */
+  async cycle(name: string): Promise<void> {
+    const isPolite = await this.#fleet.cycle(name);
+    this.#fleet.launch(name);
+    await this.#back(`SIGTERM ${name}${isPolite ? "" : " (had to be killed)"}`);
+  }
+
+  /** Frozen past every lease, then let go on. */
+  async freeze(name: string, ms: number): Promise<void> {
+    this.#fleet.signal(name, "SIGSTOP");
+    await this.#wait(ms);
+    this.#fleet.signal(name, "SIGCONT");
+    await this.#back(`SIGSTOP ${name} for ${ms} ms`);
+  }
+
+  /** The cable of a relayed machine is pulled out, then put back. */
+  async unplug(name: string, ms: number): Promise<void> {
+    this.#fleet.wire(name).set("silent");
+    await this.#wait(ms);
+    this.#fleet.wire(name).set("reset");
+    this.#fleet.wire(name).set("open");
+    await this.#back(`cut ${name} for ${ms} ms`);
+  }
+
+  async wipe(name: string): Promise<void> {
+    await this.#fleet.end(name, "SIGKILL");
+    this.#fleet.wipe(name);
+    this.#fleet.launch(name);
+    await this.#back(`disk of ${name} lost`);
+  }
+
+  async resetLinks(): Promise<void> {
+    this.#load.resetAll();
+    await this.#back("nearly all links reset");
+  }
+
+  /** Everything is killed and started again. */
+  async blackout(): Promise<void> {
+    await this.kill(this.#fleet.names);
+  }
+
+  /** Until every node is ready, every shard held and every caller confirmed again. */
+  async #back(what: string): Promise<void> {
+    const startedAt = performance.now();
+    this.#load.isCalm = true;
+    const isBack = (): boolean => this.#load.callers.every((caller) => caller.isSettled);
+    await this.#fleet.ready();
+    await this.#fleet.held();
+    while (!isBack() && performance.now() - startedAt < 30_000) await this.#wait(50);
+    const step = { what, backMs: Math.round(performance.now() - startedAt) };
+    this.steps.push(step);
+    this.#say(step);
+    this.#load.isCalm = false;
+    await this.#wait(1000);
+  }
+
+  #wait(ms: number): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, ms));
+  }
+}
--- a/packages/jig/src/process/fleet.ts
+++ b/packages/jig/src/process/fleet.ts
@@ -6,21 +6,25 @@
 import { fileURLToPath } from "node:url";
 import { HttpPort } from "../link/httpPort.js";
 import type { PortReceipt } from "../link/callerPort.js";
+import { TcpRelay } from "./tcpRelay.js";
 import { Deployments, type Deployment, type Machine } from "../mark/deployments.js";
 
-interface Member { machine: Machine; address: string; http: string; settings: string; child: ChildProcess | undefined }
+interface Member { machine: Machine; address: string; http: string; settings: string; child: ChildProcess | undefined; relay: TcpRelay | undefined }
 
 /** A whole fleet of real processes on this machine, on loopback addresses, from settings files. */
 export class Fleet {
   readonly deployment: Deployment;
   readonly #folder: string;
+  readonly #relayed: readonly string[];
   readonly #members = new Map<string, Member>();
   readonly port: HttpPort;
   /** Processes that ended without being told to. */
   readonly fallen: string[] = [];
 
-  constructor(deployment: Deployment, folder: string) {
+  /** `relayed` machines are reached through wires that can be cut. */
+  constructor(deployment: Deployment, folder: string, relayed: readonly string[] = []) {
     this.deployment = deployment;
+    this.#relayed = relayed;
     this.#folder = folder;
     this.port = new HttpPort((node) => this.httpOf(node));
   }
@@ -51,16 +55,18 @@
 
   async start(): Promise<void> {
     const machines = Deployments.machines(this.deployment);
-    const ports = await Fleet.#freePorts(machines.length * 2);
+    const ports = await Fleet.#freePorts(machines.length * 3);
     const addresses = ports.map((port) => `127.0.0.1:${port}`);
-    const seeds = addresses.slice(0, 3);
+    const relayed = (name: string): boolean => this.#relayed.includes(name);
+    // A relayed machine listens on a port of its own and is known to others by its relay's.
+    const seeds = machines.filter((machine) => !relayed(machine.name)).map((machine) => addresses[machines.indexOf(machine)]!).slice(0, 3);
     mkdirSync(this.#folder, { recursive: true });
     machines.forEach((machine, i) => {
       const settings = join(this.#folder, `${machine.name}.json`);
       const [address, http] = [addresses[i]!, addresses[machines.length + i]!];
-      const content = { name: machine.name, role: machine.role, zone: machine.zone, address, http, seeds, lathes: machines.filter((one) => one.role === "lathe").length, log: join(this.#folder, `${machine.name}.log`), ...(machine.role === "vise" ? {} : { data: this.dataOf(machine.name) }) };
+      const content = { name: machine.name, role: machine.role, zone: machine.zone, address, http, seeds, lathes: machines.filter((one) => one.role === "lathe").length, log: join(this.#folder, `${machine.name}.log`), ...(relayed(machine.name) ? { listen: addresses[2 * machines.length + i]! } : {}), ...(machine.role === "vise" ? {} : { data: this.dataOf(machine.name) }) };
       writeFileSync(settings, `${JSON.stringify(content, null, 2)}\n`);
-      this.#members.set(machine.name, { machine, address, http, settings, child: undefined });
+      this.#members.set(machine.name, { machine, address, http, settings, child: undefined, relay: relayed(machine.name) ? new TcpRelay(Fleet.#place(address), Fleet.#place(addresses[2 * machines.length + i]!)) : undefined });
     });
     for (const machine of machines) this.launch(machine.name);
     await this.ready();
@@ -110,12 +116,17 @@
     return performance.now() - startedAt < 5900;
   }
 
+  wire(name: string): TcpRelay {
+    return this.#members.get(name)!.relay!;
+  }
+
   wipe(name: string): void {
     rmSync(this.dataOf(name), { recursive: true, force: true });
   }
 
   async stop(): Promise<void> {
     await Promise.all(this.names.map((name) => this.end(name, "SIGKILL")));
+    for (const { relay } of this.#members.values()) await relay?.close();
     await this.port.close();
   }
 
@@ -147,6 +158,11 @@
     }
   }
 
+  static #place(address: string): { host: string; port: number } {
+    const [host, port] = address.split(":") as [string, string];
+    return { host, port: Number(port) };
+  }
+
   static async #freePorts(count: number): Promise<number[]> {
     const servers = await Promise.all(Array.from({ length: count }, async () => {
       const server = createServer();
--- a/packages/jig/src/process/load.ts
+++ b/packages/jig/src/process/load.ts
@@ -16,6 +16,8 @@
   readonly history = new History();
   readonly callers: Caller[] = [];
   readonly #zoneOf = new Map<string, string>();
+  /** No caller drops off of its own accord, so that a recovery can be timed. */
+  isCalm = false;
   #mark = 0;
   #stops: Array<() => void> = [];
 
@@ -59,8 +61,8 @@
     const { shared, broadcast } = this.#fleet.deployment;
     this.#every(1000 / (shared.perSecond * share), () => this.#publish(this.#any(this.callers), shared.space, shared.topics));
     this.#every(1000 / (broadcast.perSecond * share), () => this.#publish(this.callers[Math.floor(this.#chance.draw() * broadcast.senders)]!, broadcast.space, broadcast.topics));
-    this.#every(700, () => this.#any(this.callers).dropOff(200 + this.#chance.draw() * 3000));
-    this.#every(2500, () => this.#move(this.#any(this.callers)));
+    this.#every(700, () => this.isCalm || this.#any(this.callers).dropOff(200 + this.#chance.draw() * 3000));
+    this.#every(2500, () => this.isCalm || this.#move(this.#any(this.callers)));
   }
 
   /** Nearly all at once. */
@@ -120,7 +122,7 @@
     return list[Math.floor(this.#chance.draw() * list.length)]!;
   }
 
-  #every(ms: number, act: () => void): void {
+  #every(ms: number, act: () => unknown): void {
     const startedAt = this.#clock.now();
     let count = 0;
     const beat = this.#clock.every(Math.max(5, ms), () => {
