Fix: a subscription that ended could not be asked for again on the same link

Cause: an ended subscription stayed in the session's table, so asking again was answered 'confirmed' with nothing behind it. Ruled out: the holder's follows and the births, both were right in the trace. Conclusion: an ended subscription now leaves the table; callers ask again.

--- a/packages/jig/src/process/caller.ts
+++ b/packages/jig/src/process/caller.ts
@@ -154,9 +154,10 @@
       case "ended":
         this.#places.set(topic, undefined);
         this.#confirmed.delete(topic);
-        return history.add({ kind: "ended", ...about });
+        history.add({ kind: "ended", ...about });
+        return this.#subscribeAgain(topic);
       case "fault":
-        return this.dropOff(300 + this.#parts.draw() * 700);
+        return this.#subscribeAgain(topic);
       case "goodbye":
         this.#cut();
         return this.#again(Number(line["comeBack"] ?? 0) * 1000 + this.#parts.draw() * 100);
@@ -164,6 +165,18 @@
     }
   }
 
+  /** Asks for one topic again on the link that is there. */
+  #subscribeAgain(topic: string): void {
+    const attempt = this.#attempt;
+    this.#parts.clock.once(300 + this.#parts.draw() * 700, () => {
+      if (attempt !== this.#attempt || !this.#isOpen || this.#confirmed.has(topic)) return;
+      const after = this.#places.get(topic);
+      void this.#parts.port.call(this.#node, "POST", `/v1/sessions/${this.session}/subscriptions`, JSON.stringify(after === undefined ? { topic } : { topic, after })).then(({ status }) => {
+        if (status !== 200) this.#subscribeAgain(topic);
+      });
+    });
+  }
+
   /** A link that says nothing for three beats is given up. */
   #hush(): void {
     this.#silence?.stop();
--- /dev/null
+++ b/packages/jig/src/process/sim/shards.test.ts
@@ -0,0 +1,140 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import { Checker } from "../../mark/checker.js";
+import type { Machine } from "../../mark/deployments.js";
+import { Scenario } from "./scenario.js";
+import { SimFleet } from "./simFleet.js";
+import { SimLoad } from "./simLoad.js";
+
+const zones = ["north", "south", "west"];
+const withSpares = (anvils: number): Machine[] => [
+  ...Array.from({ length: 3 }, (_, i): Machine => ({ name: `lathe-${i + 1}`, role: "lathe", zone: zones[i]! })),
+  ...Array.from({ length: anvils }, (_, i): Machine => ({ name: `anvil-${i + 1}`, role: "anvil", zone: zones[i % 3]! })),
+  ...Array.from({ length: 2 }, (_, i): Machine => ({ name: `vise-${i + 1}`, role: "vise", zone: zones[i]! })),
+];
+
+async function loaded(seed: number, machines: Machine[]): Promise<{ fleet: SimFleet; load: SimLoad }> {
+  const fleet = new SimFleet(seed, machines);
+  const load = new SimLoad(fleet);
+  expect(await load.begin(8)).toEqual(true);
+  load.play(20);
+  await fleet.run(2000);
+  return { fleet, load };
+}
+
+const setsOf = (fleet: SimFleet): string[][] => fleet.find("vise-1")!.node.shards.all().map(([, route]) => route.set?.members.map((member) => member.name).sort() ?? []);
+const isHeld = (fleet: SimFleet): boolean => fleet.find("vise-1")!.node.shards.all().every(([, route]) => route.holder !== "");
+
+async function judged(fleet: SimFleet, load: SimLoad): Promise<string[]> {
+  expect(await load.settle(12_000)).toEqual(true);
+  await load.readPlan();
+  return Checker.judge(load.history.seen, fleet.world.now).map((breach) => `${breach.rule}: ${breach.text}`);
+}
+
+async function call(fleet: SimFleet, method: string, path: string): Promise<{ status: number; body: Record<string, unknown> }> {
+  let got: { status: number; body: Record<string, unknown> } | undefined;
+  void fleet.port.call("vise-1", method, path, undefined).then((receipt) => (got = receipt));
+  expect(await fleet.until(() => got !== undefined, 6000)).toEqual(true);
+  return got!;
+}
+
+test("a machine is emptied under load, repeatably, with progress; a restart midway resumes; it is undone by asking", async () => {
+  const { fleet, load } = await loaded(31, withSpares(3));
+  const path = "/v1/machines/anvil-2/emptying";
+  expect((await call(fleet, "PUT", path)).body["shardsLeft"]).toEqual(4);
+  expect((await call(fleet, "PUT", path)).status).toEqual(200);
+  await fleet.run(600);
+  fleet.kill("anvil-1");
+  await fleet.run(500);
+  fleet.start("anvil-1");
+  expect(await fleet.until(() => setsOf(fleet).every((set) => !set.includes("anvil-2")), 40_000)).toEqual(true);
+  expect((await call(fleet, "GET", path)).body["isEmpty"]).toEqual(true);
+  expect(await fleet.until(() => isHeld(fleet), 8000)).toEqual(true);
+  fleet.wipe("anvil-2");
+  await fleet.run(2000);
+  fleet.start("anvil-2");
+  expect((await call(fleet, "DELETE", path)).body["isAsked"]).toEqual(false);
+  expect(await fleet.until(() => setsOf(fleet).every((set) => set.includes("anvil-2")), 40_000)).toEqual(true);
+  expect(await judged(fleet, load)).toEqual([]);
+});
+
+test("emptying is refused, with the reason, where the contracts could not be kept", async () => {
+  const { fleet } = await loaded(32, withSpares(3));
+  fleet.kill("lathe-2");
+  await fleet.run(3000);
+  const refused = await call(fleet, "PUT", "/v1/machines/anvil-2/emptying");
+  expect([refused.status, (refused.body["error"] as { code: string; message: string }).code]).toEqual([409, "contract-at-risk"]);
+  expect((refused.body["error"] as { message: string }).message).toEqual(expect.includes("space notices must survive the loss of a zone"));
+  expect((await call(fleet, "PUT", "/v1/machines/anvil-9/emptying")).status).toEqual(404);
+  expect((await call(fleet, "PUT", "/v1/machines/vise-1/emptying")).status).toEqual(404);
+});
+
+test("a lost storage machine is replaced by a spare in its zone, and a blank one in its place takes over from the spare", async () => {
+  const { fleet, load } = await loaded(33, withSpares(3));
+  fleet.wipe("anvil-3");
+  expect(await fleet.until(() => setsOf(fleet).every((set) => !set.includes("anvil-3") && set.length === 3), 40_000)).toEqual(true);
+  expect(setsOf(fleet).every((set) => set.includes("lathe-3"))).toEqual(true);
+  fleet.start("anvil-3");
+  expect(await fleet.until(() => setsOf(fleet).every((set) => set.join() === "anvil-1,anvil-2,anvil-3"), 40_000)).toEqual(true);
+  expect(await judged(fleet, load)).toEqual([]);
+});
+
+test("one machine's disk after the other is lost, each once the last is mended: no message is", async () => {
+  const { fleet, load } = await loaded(34, withSpares(3));
+  for (const name of ["anvil-1", "anvil-2", "anvil-3"]) {
+    const lost = fleet.find(name)!.anvil!.id;
+    fleet.wipe(name);
+    await fleet.run(1000);
+    fleet.start(name);
+    const isMended = (): boolean => isHeld(fleet) && fleet.find("vise-1")!.node.shards.all().every(([, route]) => route.set!.members.every((member) => member.id !== lost));
+    expect(await fleet.until(isMended, 40_000)).toEqual(true);
+  }
+  expect(await judged(fleet, load)).toEqual([]);
+});
+
+test("a whole zone is lost and its disks with it: what was promised to survive it does", async () => {
+  const { fleet, load } = await loaded(35, withSpares(3));
+  for (const name of fleet.names.filter((one) => fleet.zoneOf(one) === "west")) fleet.wipe(name);
+  expect(await fleet.until(() => isHeld(fleet), 8000)).toEqual(true);
+  await fleet.run(3000);
+  fleet.startAll();
+  expect(await fleet.until(() => setsOf(fleet).every((set) => set.join() === "anvil-1,anvil-2,anvil-3"), 60_000)).toEqual(true);
+  expect(await judged(fleet, load)).toEqual([]);
+});
+
+test("a holder frozen past its lease wakes into a fleet that went on: it neither acks nor delivers for its old epoch", async () => {
+  const { fleet, load } = await loaded(36, Scenario.machines());
+  for (let round = 0; round < 3; round += 1) {
+    const holders = new Set(fleet.find("vise-1")!.node.shards.all().map(([, route]) => route.holder));
+    const frozen = [...holders][0]!;
+    fleet.pause(frozen, 7000);
+    expect(await fleet.until(() => isHeld(fleet) && fleet.find("vise-1")!.node.shards.all().every(([, route]) => route.holder !== frozen), 6000)).toEqual(true);
+    await fleet.run(6000);
+  }
+  expect(await judged(fleet, load)).toEqual([]);
+});
+
+test("a removed space ends everywhere within 3 s, also at a holder that cannot hear of it; made again it is a new birth", async () => {
+  const { fleet, load } = await loaded(37, Scenario.machines());
+  const { shards } = fleet.find("vise-1")!.node;
+  const holder = shards.find(fleet.find("vise-1")!.vise!.topics.shardOf("notes/t1")).holder;
+  fleet.isolate(holder, fleet.withRole("lathe"), "both");
+  const mark = load.nextMark;
+  let status = 0;
+  void load.putPlan({ ...SimLoad.plan(mark, ["notices"]), mark }).then((got) => (status = got));
+  expect(await fleet.until(() => status === 200, 5000)).toEqual(true);
+  await fleet.run(3000);
+  const before = load.history.seen.length;
+  await fleet.run(3000);
+  expect(load.history.seen.slice(before).filter((one) => one.kind === "accepted" && one.topic.startsWith("notes/"))).toEqual([]);
+  fleet.wires.heal();
+  await fleet.run(3000);
+  const again = load.nextMark;
+  status = 0;
+  void load.putPlan({ ...SimLoad.plan(again), mark: again }).then((got) => (status = got));
+  expect(await fleet.until(() => status === 200, 5000)).toEqual(true);
+  await fleet.run(3000);
+  const births = new Set(load.history.seen.flatMap((one) => (one.kind === "accepted" && one.topic === "notes/t1" ? [one.place.split(".")[0]] : [])));
+  expect(births.size).toEqual(2);
+  expect(await judged(fleet, load)).toEqual([]);
+});
--- a/packages/vise/src/link/subscription.ts
+++ b/packages/vise/src/link/subscription.ts
@@ -17,6 +17,7 @@
   readonly #link: ClientLink;
   /** False closes the link: nothing may be sent any more. */
   readonly #maySend: () => boolean;
+  readonly #onEnd: () => void;
   readonly #grown = (): void => void this.#pump();
   readonly #ended = (fault: string): void => this.#end(fault);
   birth: string;
@@ -24,12 +25,13 @@
   #isPumping = false;
   #isStopped = false;
 
-  constructor(parts: { table: TopicTable; tail: TopicTail; link: ClientLink; start: Place; maySend: () => boolean }) {
+  constructor(parts: { table: TopicTable; tail: TopicTail; link: ClientLink; start: Place; maySend: () => boolean; onEnd: () => void }) {
     this.topic = parts.tail.topic;
     this.#table = parts.table;
     this.#tail = parts.tail;
     this.#link = parts.link;
     this.#maySend = parts.maySend;
+    this.#onEnd = parts.onEnd;
     this.birth = parts.start.birth;
     this.cursor = parts.start.seq;
   }
@@ -102,6 +104,7 @@
   #end(fault: string): void {
     if (this.#isStopped) return;
     this.stop();
+    this.#onEnd();
     this.#link.send({ kind: "ended", topic: this.topic, reason: fault });
   }
 }
--- a/packages/vise/src/request/subscribeTopics.ts
+++ b/packages/vise/src/request/subscribeTopics.ts
@@ -41,7 +41,7 @@
       vise.topics.leave(tail);
       continue;
     }
-    const subscription = new Subscription({ table: vise.topics, tail, link, start, maySend: () => vise.maySend(session, link) });
+    const subscription = new Subscription({ table: vise.topics, tail, link, start, maySend: () => vise.maySend(session, link), onEnd: () => session.subscriptions.delete(wish.topic) });
     session.subscriptions.set(wish.topic, subscription);
     session.places.delete(wish.topic);
     if (!vise.maySend(session, link)) break;
