--- a/packages/chest/src/process/feedFollower.ts
+++ b/packages/chest/src/process/feedFollower.ts
@@ -15,6 +15,8 @@
  */
 export class FeedFollower extends EventEmitter<{ first: [] }> {
   static readonly staleMs = 1200;
+  /** A first picture may take this long; asking elsewhere sooner only makes it later. */
+  static readonly openMs = 2500;
 
   readonly #exchange: Exchange;
   readonly #membership: Membership;
@@ -28,6 +30,7 @@
   #lathe = "";
   #number = 0;
   #heardAt = -Infinity;
+  #openedAt = -Infinity;
   #opens = 0;
   revision = 0;
   /** Told by the plan's view, to be acknowledged. */
@@ -45,7 +48,7 @@
     this.#journal = parts.journal;
     this.#exchange.serve("feedPush", (push, frame) => this.#take(push, frame.from));
     this.#exchange.serve("feedClose", (close) => {
-      if (close.feed === this.#feed) this.#heardAt = -Infinity;
+      if (close.feed === this.#feed) this.#openedAt = this.#heardAt = -Infinity;
       return undefined;
     });
   }
@@ -62,7 +65,7 @@
   start(): void {
     this.#open();
     this.#clock.every(300, () => {
-      if (this.age > FeedFollower.staleMs) this.#open();
+      if (this.age > FeedFollower.staleMs && this.#clock.now() - this.#openedAt > FeedFollower.openMs) this.#open();
     });
   }
 
@@ -72,6 +75,7 @@
     const lathe = ranked[this.#opens % Math.max(1, ranked.length)];
     if (lathe === undefined) return;
     this.#opens += 1;
+    this.#openedAt = this.#clock.now();
     this.#feed = `${this.#exchange.name}/${this.#chance.identity().slice(0, 8)}`;
     this.#lathe = lathe;
     this.#number = 0;
--- a/packages/chest/src/process/program.ts
+++ b/packages/chest/src/process/program.ts
@@ -107,8 +107,11 @@
       setTimeout(() => process.exit(0), Program.stopMs).unref();
       await built.stop();
       node.membership.leave();
-      await disk?.close();
-      setTimeout(() => process.exit(0), 50);
+      // The goodbye is given a moment to leave; then nothing may come in any more, and only then the disk closes.
+      setTimeout(() => {
+        net.close();
+        void front.close().then(() => disk?.close()).then(() => process.exit(0));
+      }, 50);
     };
     process.on("SIGTERM", () => void stop());
     process.on("SIGINT", () => void stop());
--- a/packages/jig/src/jig.ts
+++ b/packages/jig/src/jig.ts
@@ -52,7 +52,8 @@
 cli.command("drill <deployment>", "Start a fleet under load and cause failures on real processes, one after the other")
   .option("--share <n>", "Share of today's load", { default: 1 })
   .option("--folder <folder>", "Where settings, data and logs go")
-  .action(async (name: string, options: { share: number; folder?: string }) => {
+  .option("--only <list>", "Only these drills, parted by commas")
+  .action(async (name: string, options: { share: number; folder?: string; only?: string }) => {
     const fleet = new Fleet(deploymentOf(name), options.folder ?? mkdtempSync(join(tmpdir(), "cranetrack-")), ["vise-2", "anvil-2"]);
     try {
       await fleet.start();
@@ -60,15 +61,8 @@
       const load = new Load(fleet);
       await load.begin(Math.min(1, options.share));
       load.play(options.share);
-      const drill = new Drill(fleet, load, (step) => process.stderr.write(`${step.what}: back after ${step.backMs} ms\n`));
-      for (const one of ["vise-1", "anvil-1", "lathe-1"]) await drill.kill([one]);
-      for (const one of ["vise-2", "anvil-2", "lathe-2"]) await drill.cycle(one);
-      for (const one of ["vise-1", "anvil-3", "lathe-3"]) await drill.freeze(one, 7000);
-      for (const one of ["vise-2", "anvil-2"]) await drill.unplug(one, 6000);
-      await drill.resetLinks();
-      await drill.wipe("lathe-1");
-      await drill.wipe("anvil-1");
-      await drill.blackout();
+      const drill = new Drill(fleet, load, (step) => process.stderr.write(`${step.what}: ready after ${step.readyMs}, held after ${step.heldMs}, callers back after ${step.backMs} ms\n`));
+      await drill.run(options.only?.split(",") ?? Drill.names);
       const report = await load.end();
       process.stdout.write(`${JSON.stringify({ ...report, breaches: report.breaches.length, fallen: fleet.fallen, steps: drill.steps }, null, 2)}\n`);
       for (const breach of report.breaches.slice(0, 20)) process.stdout.write(`${breach.rule}: ${breach.text}\n`);
--- a/packages/jig/src/process/caller.ts
+++ b/packages/jig/src/process/caller.ts
@@ -22,6 +22,8 @@
   #isOpen = false;
   #isWanted = false;
   #attempt = 0;
+  /** Publishes that wait for a link. */
+  #whenOpen: Array<() => void> = [];
   #waiting: Beat | undefined;
   #silence: Beat | undefined;
   /** Publishes whose number has no final receipt yet. */
@@ -90,7 +92,8 @@
   async #settle(topic: string, number: number, payload: string): Promise<void> {
     const { history, port, clock } = this.#parts;
     for (let tries = 0; tries < 200; tries += 1) {
-      const node = this.#isOpen ? this.#node : this.#pick();
+      if (!this.#isOpen) await new Promise<void>((resolve) => void this.#whenOpen.push(resolve));
+      const node = this.#node;
       history.add({ kind: "tried", at: this.#now, sender: this.session, topic, number, payload });
       const receipt = await port.call(node, "POST", `/v1/sessions/${this.session}/messages`, JSON.stringify({ topic, number, payload }));
       const about = { at: this.#now, sender: this.session, topic, number };
@@ -139,6 +142,7 @@
     switch (line["kind"]) {
       case "open":
         this.#isOpen = true;
+        for (const go of this.#whenOpen.splice(0)) go();
         this.#node = node;
         return history.add({ kind: "linked", at: this.#now, subscriber: this.session, node });
       case "confirmed":
--- a/packages/jig/src/process/drill.ts
+++ b/packages/jig/src/process/drill.ts
@@ -1,11 +1,12 @@
 import type { Fleet } from "./fleet.js";
 import type { Load } from "./load.js";
 
-export interface DrillStep { what: string; backMs: number }
+export interface DrillStep { what: string; readyMs: number; heldMs: number; backMs: number }
 
 /** Causes failures on a real fleet under load, one after the other, and measures how long service takes to be back. */
 export class Drill {
   static readonly backMs = 12_000;
+  static readonly names = ["kill", "cycle", "freeze", "unplug", "reset", "wipe", "blackout"];
 
   readonly #fleet: Fleet;
   readonly #load: Load;
@@ -18,6 +19,28 @@
     this.#load = load;
   }
 
+  /** The named drills, each on every role that it is about. */
+  async run(names: readonly string[]): Promise<void> {
+    const drills: Record<string, () => Promise<void>> = {
+      kill: () => this.#each(["vise-1", "anvil-1", "lathe-1"], (name) => this.kill([name])),
+      cycle: () => this.#each(["vise-2", "anvil-2", "lathe-2"], (name) => this.cycle(name)),
+      freeze: () => this.#each(["vise-1", "anvil-3", "lathe-3"], (name) => this.freeze(name, 7000)),
+      unplug: () => this.#each(["vise-2", "anvil-2"], (name) => this.unplug(name, 6000)),
+      reset: () => this.resetLinks(),
+      wipe: () => this.#each(["lathe-1", "anvil-1"], (name) => this.wipe(name)),
+      blackout: () => this.blackout(),
+    };
+    for (const name of names) {
+      const drill = drills[name];
+      if (drill === undefined) throw new Error(`there is no drill ${name}: ${Drill.names.join(", ")}`);
+      await drill();
+    }
+  }
+
+  async #each(names: readonly string[], act: (name: string) => Promise<void>): Promise<void> {
+    for (const name of names) await act(name);
+  }
+
   /** kill -9, then started again. */
   async kill(names: readonly string[]): Promise<void> {
     await Promise.all(names.map((name) => this.#fleet.end(name, "SIGKILL")));
@@ -73,9 +96,11 @@
     this.#load.isCalm = true;
     const isBack = (): boolean => this.#load.callers.every((caller) => caller.isSettled);
     await this.#fleet.ready();
+    const readyMs = Math.round(performance.now() - startedAt);
     await this.#fleet.held();
+    const heldMs = Math.round(performance.now() - startedAt);
     while (!isBack() && performance.now() - startedAt < 30_000) await this.#wait(50);
-    const step = { what, backMs: Math.round(performance.now() - startedAt) };
+    const step = { what, readyMs, heldMs, backMs: Math.round(performance.now() - startedAt) };
     this.steps.push(step);
     this.#say(step);
     this.#load.isCalm = false;
--- a/packages/jig/src/process/fleet.ts
+++ b/packages/jig/src/process/fleet.ts
@@ -100,10 +100,11 @@
     const { child } = member;
     if (child === undefined) return;
     member.child = undefined;
-    const gone = once(child, "exit");
+    const gone = once(child, "exit") as Promise<[number | null, string | null]>;
     child.kill(signal);
     if (signal !== "SIGKILL") child.kill("SIGCONT");
-    await gone;
+    const [code, by] = await gone;
+    if (by !== "SIGKILL" && code !== 0) this.fallen.push(`${name} (${by ?? code} on ${signal})`);
   }
 
   /** The platform's way: politely, and forcibly six seconds later. Resolves true where politeness did. */
--- a/packages/jig/src/process/sim/store.test.ts
+++ b/packages/jig/src/process/sim/store.test.ts
@@ -127,6 +127,7 @@
 
 test("a damaged data folder stops a process with its reason, and the fleet goes on without it", async () => {
   const { fleet } = await founded(28);
+  await fleet.run(4000);
   for (const [name, prefix] of [["lathe-1", "store/e"], ["anvil-1", "shard"]] as const) {
     fleet.kill(name);
     expect(fleet.diskOf(name).corrupt(prefix)).toEqual(true);
@@ -136,3 +137,12 @@
   await fleet.run(4000);
   expect(proposer(fleet) !== undefined).toEqual(true);
 });
+
+test("a first picture that takes longer than the looks at the feed still arrives", async () => {
+  const { fleet } = await founded(29, Scenario.machines());
+  fleet.kill("vise-1");
+  fleet.wires.slow.set(fleet.addressOf("vise-1"), 1500);
+  await fleet.run(1000);
+  const { feed } = fleet.start("vise-1").node;
+  expect(await fleet.until(() => feed.revision > 0, 6000)).toEqual(true);
+});
