--- a/packages/chest/src/process/lmdbDisk.ts
+++ b/packages/chest/src/process/lmdbDisk.ts
@@ -1,4 +1,5 @@
-import { mkdirSync } from "node:fs";
+import { closeSync, existsSync, mkdirSync, openSync, readSync, statSync } from "node:fs";
+import { join } from "node:path";
 import { open, type RootDatabase } from "lmdb";
 import VError from "verror";
 import type { Disk, DiskChange } from "./disk.js";
@@ -8,6 +9,8 @@
  * waits for the flush that covers it.
  */
 export class LmdbDisk implements Disk {
+  /** What lmdb writes into both of its first pages. */
+  static readonly #magic = 0xbeefc0de;
   readonly #db: RootDatabase<Uint8Array, string>;
 
   constructor(folder: string) {
@@ -41,6 +44,7 @@
 
   static #open(folder: string): RootDatabase<Uint8Array, string> {
     mkdirSync(folder, { recursive: true });
+    LmdbDisk.#look(join(folder, "data.mdb"));
     const db = open<Uint8Array, string>({ path: folder, encoding: "binary", overlappingSync: true, noSubdir: false });
     const format = db.get("format");
     const isBlank = db.getKeysCount({ limit: 1 }) === 0;
@@ -49,6 +53,17 @@
     return db;
   }
 
+  /** Opening a file that is no lmdb database would take the whole process down without a word. */
+  static #look(path: string): void {
+    if (!existsSync(path) || statSync(path).size === 0) return;
+    const head = Buffer.alloc(8192);
+    const file = openSync(path, "r");
+    const length = readSync(file, head, 0, head.length, 0);
+    closeSync(file);
+    const isMarked = length === head.length && [0, 4096].every((page) => head.readUInt32LE(page + 24) === LmdbDisk.#magic);
+    if (!isMarked) throw new Error("its data.mdb is damaged or no database of ours");
+  }
+
   static async #write(db: RootDatabase<Uint8Array, string>, changes: DiskChange[]): Promise<void> {
     const committed = db.batch(() => {
       for (const change of changes) {
--- a/packages/jig/src/process/load.ts
+++ b/packages/jig/src/process/load.ts
@@ -18,7 +18,6 @@
   readonly #zoneOf = new Map<string, string>();
   /** No caller drops off of its own accord, so that a recovery can be timed. */
   isCalm = false;
-  #mark = 0;
   #stops: Array<() => void> = [];
 
   constructor(fleet: Fleet) {
@@ -39,7 +38,7 @@
   /** Plan, callers, confirmations. */
   async begin(share = 1): Promise<void> {
     const { deployment } = this.#fleet;
-    await this.putPlan(Deployments.plan(deployment, (this.#mark += 1)));
+    await this.putPlan(Deployments.plan(deployment, (await this.#markInForce()) + 1));
     await this.#wait(1500);
     const { shared, broadcast } = deployment;
     for (let i = 0; i < deployment.links * share; i += 1) {
@@ -56,6 +55,11 @@
     if (unsettled > 0) throw new Error(`${unsettled} callers have no confirmed link after 30 s`);
   }
 
+  async #markInForce(): Promise<number> {
+    const read = await this.#fleet.call(this.#fleet.withRole("vise")[0]!, "GET", "/v1/plan");
+    return read.status === 200 ? Number(read.body["mark"]) : 0;
+  }
+
   /** Starts the senders and the drop-offs. */
   play(share = 1): void {
     const { shared, broadcast } = this.#fleet.deployment;
--- a/packages/vise/src/process/vise.ts
+++ b/packages/vise/src/process/vise.ts
@@ -34,6 +34,7 @@
   readonly sessionKeepMs = 900_000;
   readonly live: { mostLinks: number; bufferBytes: number };
   isDraining = false;
+  enrolling = 0;
 
   constructor(node: ClusterNode, router: Router) {
     const { settings, clock, chance } = node.parts;
--- a/packages/vise/src/process/viseParts.ts
+++ b/packages/vise/src/process/viseParts.ts
@@ -19,6 +19,8 @@
   readonly publishDue: number;
   readonly sessionKeepMs: number;
   readonly isDraining: boolean;
+  /** Link requests under way that will count as links if they succeed. */
+  enrolling: number;
   readonly live: { mostLinks: number; bufferBytes: number };
   /** False once the claim is gone or the reader too slow; the link is closed then. */
   maySend(session: Session, link: ClientLink): boolean;
--- a/packages/vise/src/request/enrolLink.ts
+++ b/packages/vise/src/request/enrolLink.ts
@@ -20,9 +20,11 @@
   if (faulty !== -1) return ApiReceipts.fault(400, "malformed", "a topic is space/name", { problems: [{ path: `subscriptions.${faulty}.topic`, problem: "must be space/name" }] });
   if (vise.isDraining) return ApiReceipts.away("this node is stopping", 0.2, "stopping");
   if (!lease.isHeld || !node.feed.isFresh) return ApiReceipts.away("this node is out of touch with the store");
-  if (sessions.links >= vise.live.mostLinks) return ApiReceipts.away("this node has as many links as it takes", 1 + node.parts.chance.draw() * 2, "full");
+  if (sessions.links + vise.enrolling >= vise.live.mostLinks) return ApiReceipts.away("this node has as many links as it takes", 1 + node.parts.chance.draw() * 2, "full");
 
+  vise.enrolling += 1;
   const claimed = await sessions.claim(id);
+  vise.enrolling -= 1;
   if ("comeBack" in claimed) return ApiReceipts.away(claimed.reason, claimed.comeBack, "session-elsewhere");
   const { session } = claimed;
   if (vise.isDraining || session.isStopped) return ApiReceipts.away("the session moved on meanwhile", 0.3, "session-elsewhere");
