--- a/packages/anvil/src/process/anvil.ts
+++ b/packages/anvil/src/process/anvil.ts
@@ -72,7 +72,7 @@
       move: mender.progress ?? null,
       replicas: holder.set.members.map(({ id, name }) => ({ name, behind: this.#replicas[shard]!.log.lastIndex - (holder.spread?.matchOf(id) ?? 0) })),
     }));
-    return { hasLease: this.#lease.isHeld, shelf: this.#id, held };
+    return { hasLease: this.#lease.isHeld, leasesLost: this.#lease.losses, shelf: this.#id, held };
   }
 
   #bench(shard: number): import("./bench.js").Bench | undefined {
--- a/packages/chest/src/process/leaseKeeper.ts
+++ b/packages/chest/src/process/leaseKeeper.ts
@@ -19,6 +19,8 @@
   #isAsking = false;
   #edge: Beat | undefined;
   lease = "";
+  /** Leases lost since the start, however it came. */
+  losses = 0;
 
   constructor(name: string, length: number, store: StoreClient, clock: Clock, chance: Chance) {
     super();
@@ -75,6 +77,7 @@
     const lease = this.lease;
     if (lease === "") return;
     this.lease = "";
+    this.losses += 1;
     this.#until = -Infinity;
     this.#edge?.stop();
     this.emit("lost", lease);
--- a/packages/chest/src/process/program.ts
+++ b/packages/chest/src/process/program.ts
@@ -44,7 +44,7 @@
     const cli = cac(this.#role);
     cli.option("--settings <file>", "Settings file (JSON); flags win over it");
     for (const key of ["name", "zone", "address", "listen", "http", "data", "log"]) cli.option(`--${key} <value>`, `Setting ${key}`);
-    for (const key of ["lathes", "shards", "edgeLeaseMs", "holderLeaseMs", "mostLinks", "bufferBytes"]) cli.option(`--${key} <number>`, `Setting ${key}`);
+    for (const key of ["lathes", "shards", "edgeLeaseMs", "holderLeaseMs", "electionMs", "mostLinks", "bufferBytes"]) cli.option(`--${key} <number>`, `Setting ${key}`);
     cli.option("--seeds <list>", "Setting seeds: addresses parted by commas");
     cli.option("--check", "Only check the settings");
     cli.help();
--- a/packages/chest/src/process/settings.ts
+++ b/packages/chest/src/process/settings.ts
@@ -19,6 +19,7 @@
   "log?": "string > 0",
   edgeLeaseMs: "1000 <= number.integer <= 60000 = 4000",
   holderLeaseMs: "1000 <= number.integer <= 60000 = 2500",
+  electionMs: "200 <= number.integer <= 10000 = 700",
   mostLinks: "1 <= number.integer <= 100000 = 2000",
   bufferBytes: "1024 <= number.integer <= 67108864 = 1048576",
 });
--- a/packages/jig/src/jig.ts
+++ b/packages/jig/src/jig.ts
@@ -11,6 +11,10 @@
 import { Scenario } from "./process/sim/scenario.js";
 
 const cli = cac("jig");
+cli.option("--set <list>", "Settings for all members, as key=number parted by commas");
+
+const settingsOf = (list: string | undefined): Record<string, number> => Object.fromEntries((list ?? "").split(",").filter((part) => part !== "").map((part) => [part.split("=")[0]!, Number(part.split("=")[1])]));
+const folderOf = (named: string | undefined): string => named ?? mkdtempSync(join(tmpdir(), "cranetrack-"));
 
 const deploymentOf = (name: string): (typeof Deployments)[string] => {
   if (!["reefline", "adwen", "small"].includes(name)) throw new Error(`there is no deployment ${name}: reefline, adwen or small`);
@@ -19,8 +23,8 @@
 
 cli.command("fleet <deployment>", "Start a whole fleet on this machine and keep it until interrupted")
   .option("--folder <folder>", "Where settings, data and logs go")
-  .action(async (name: string, options: { folder?: string }) => {
-    const fleet = new Fleet(deploymentOf(name), options.folder ?? mkdtempSync(join(tmpdir(), "cranetrack-")));
+  .action(async (name: string, options: { folder?: string; set?: string }) => {
+    const fleet = new Fleet(deploymentOf(name), folderOf(options.folder), [], settingsOf(options.set));
     process.on("SIGINT", () => void fleet.stop().then(() => process.exit(0)));
     await fleet.start();
     for (const member of fleet.names) process.stdout.write(`${member}  http://${fleet.httpOf(member)}\n`);
@@ -31,17 +35,22 @@
   .option("--seconds <n>", "How long the callers play", { default: 120 })
   .option("--share <n>", "Share of today's load", { default: 1 })
   .option("--folder <folder>", "Where settings, data and logs go")
-  .action(async (name: string, options: { seconds: number; share: number; folder?: string }) => {
-    const fleet = new Fleet(deploymentOf(name), options.folder ?? mkdtempSync(join(tmpdir(), "cranetrack-")));
+  .action(async (name: string, options: { seconds: number; share: number; folder?: string; set?: string }) => {
+    const fleet = new Fleet(deploymentOf(name), folderOf(options.folder), [], settingsOf(options.set));
     try {
       await fleet.start();
       await fleet.held();
       const load = new Load(fleet);
       await load.begin(Math.min(1, options.share));
       load.play(options.share);
-      await new Promise((resolve) => setTimeout(resolve, options.seconds * 1000));
+      const memory: Array<Record<string, number>> = [];
+      for (let part = 0; part < 4; part += 1) {
+        await new Promise((resolve) => setTimeout(resolve, options.seconds * 250));
+        memory.push(await fleet.memory());
+      }
+      const leasesLost = await fleet.leasesLost();
       const report = await load.end();
-      process.stdout.write(`${JSON.stringify({ ...report, breaches: report.breaches.length, fallen: fleet.fallen }, null, 2)}\n`);
+      process.stdout.write(`${JSON.stringify({ ...report, breaches: report.breaches.length, fallen: fleet.fallen, leasesLost, memory }, null, 2)}\n`);
       for (const breach of report.breaches.slice(0, 20)) process.stdout.write(`${breach.rule}: ${breach.text}\n`);
       process.exitCode = report.breaches.length > 0 || fleet.fallen.length > 0 ? 1 : 0;
     } finally {
@@ -53,8 +62,8 @@
   .option("--share <n>", "Share of today's load", { default: 1 })
   .option("--folder <folder>", "Where settings, data and logs go")
   .option("--only <list>", "Only these drills, parted by commas")
-  .action(async (name: string, options: { share: number; folder?: string; only?: string }) => {
-    const fleet = new Fleet(deploymentOf(name), options.folder ?? mkdtempSync(join(tmpdir(), "cranetrack-")), ["vise-2", "anvil-2"]);
+  .action(async (name: string, options: { share: number; folder?: string; only?: string; set?: string }) => {
+    const fleet = new Fleet(deploymentOf(name), folderOf(options.folder), ["vise-2", "anvil-2"], settingsOf(options.set));
     try {
       await fleet.start();
       await fleet.held();
--- a/packages/jig/src/process/fleet.ts
+++ b/packages/jig/src/process/fleet.ts
@@ -16,13 +16,16 @@
   readonly deployment: Deployment;
   readonly #folder: string;
   readonly #relayed: readonly string[];
+  /** Settings that all members get besides. */
+  readonly #more: Record<string, number>;
   readonly #members = new Map<string, Member>();
   readonly port: HttpPort;
   /** Processes that ended without being told to. */
   readonly fallen: string[] = [];
 
   /** `relayed` machines are reached through wires that can be cut. */
-  constructor(deployment: Deployment, folder: string, relayed: readonly string[] = []) {
+  constructor(deployment: Deployment, folder: string, relayed: readonly string[] = [], more: Record<string, number> = {}) {
+    this.#more = more;
     this.deployment = deployment;
     this.#relayed = relayed;
     this.#folder = folder;
@@ -64,7 +67,7 @@
     machines.forEach((machine, i) => {
       const settings = join(this.#folder, `${machine.name}.json`);
       const [address, http] = [addresses[i]!, addresses[machines.length + i]!];
-      const content = { name: machine.name, role: machine.role, zone: machine.zone, address, http, seeds, lathes: machines.filter((one) => one.role === "lathe").length, log: join(this.#folder, `${machine.name}.log`), ...(relayed(machine.name) ? { listen: addresses[2 * machines.length + i]! } : {}), ...(machine.role === "vise" ? {} : { data: this.dataOf(machine.name) }) };
+      const content = { ...this.#more, name: machine.name, role: machine.role, zone: machine.zone, address, http, seeds, lathes: machines.filter((one) => one.role === "lathe").length, log: join(this.#folder, `${machine.name}.log`), ...(relayed(machine.name) ? { listen: addresses[2 * machines.length + i]! } : {}), ...(machine.role === "vise" ? {} : { data: this.dataOf(machine.name) }) };
       writeFileSync(settings, `${JSON.stringify(content, null, 2)}\n`);
       this.#members.set(machine.name, { machine, address, http, settings, child: undefined, relay: relayed(machine.name) ? new TcpRelay(Fleet.#place(address), Fleet.#place(addresses[2 * machines.length + i]!)) : undefined });
     });
@@ -159,6 +162,23 @@
     }
   }
 
+  /** Leases lost by all running edges and storage machines since their starts. */
+  async leasesLost(): Promise<number> {
+    const asked = await Promise.all([...this.withRole("anvil"), ...this.withRole("vise")].map((name) => this.call(name, "GET", "/v1/status")));
+    return asked.reduce((sum, receipt) => sum + Number(receipt.body["leasesLost"] ?? 0), 0);
+  }
+
+  /** Resident megabytes of the largest process of each role. */
+  async memory(): Promise<Record<string, number>> {
+    const largest: Record<string, number> = {};
+    for (const { machine } of this.#members.values()) {
+      const { body } = await this.call(machine.name, "GET", "/metrics");
+      const bytes = Number(/memory_rss_bytes (\d+)/.exec(String(body["raw"]))?.[1] ?? 0);
+      largest[machine.role] = Math.max(largest[machine.role] ?? 0, Math.round(bytes / 1048576));
+    }
+    return largest;
+  }
+
   static #place(address: string): { host: string; port: number } {
     const [host, port] = address.split(":") as [string, string];
     return { host, port: Number(port) };
--- a/packages/jig/src/process/sim/sessions.test.ts
+++ b/packages/jig/src/process/sim/sessions.test.ts
@@ -167,3 +167,23 @@
   await fleet.run(1000);
   expect(hand.of("message").map((line) => line["number"])).toEqual([3]);
 });
+
+test("a reader that does not read has a bounded buffer: its link is closed, and it resumes by its place without a gap", async () => {
+  const { fleet, publish } = await served(18);
+  const reader = new Hand(fleet, "vise-1", "slow", wish);
+  const writer = new Hand(fleet, "vise-2", "pen", {});
+  await fleet.until(() => reader.of("confirmed").length === 1 && writer.of("open").length === 1, 5000);
+  await publish("pen", 1, "vise-2");
+  await fleet.until(() => reader.of("message").length === 1, 3000);
+  const after = String(reader.of("message")[0]!["place"]);
+  const { live } = fleet.find("vise-1")!.vise!;
+  live.bufferBytes = 2000;
+  fleet.port.stalled.add("slow");
+  for (let number = 2; number <= 40; number += 1) expect((await publish("pen", number, "vise-2"))["receipt"]).toEqual("accepted");
+  expect(await fleet.until(() => reader.isClosed, 5000)).toEqual(true);
+  expect(fleet.find("vise-1")!.vise!.sessions.find("slow")!.link).toEqual(undefined);
+  fleet.port.stalled.clear();
+  const again = new Hand(fleet, "vise-3", "slow", { subscriptions: [{ topic: "notes/t1", after }] });
+  expect(await fleet.until(() => again.of("message").length === 39, 5000)).toEqual(true);
+  expect(again.of("message").map((line) => line["number"])).toEqual(Array.from({ length: 39 }, (_, i) => i + 2));
+});
--- a/packages/jig/src/process/sim/simPort.ts
+++ b/packages/jig/src/process/sim/simPort.ts
@@ -11,6 +11,8 @@
 export class SimPort implements CallerPort {
   static readonly giveUpMs = 4000;
   readonly #fleet: SimFleet;
+  /** Sessions whose clients do not read: what is sent to them waits, in bytes. */
+  readonly stalled = new Set<string>();
 
   constructor(fleet: SimFleet) {
     this.#fleet = fleet;
@@ -29,14 +31,19 @@
         if (!state.isClientGone) heed.closed();
       });
     };
+    let waitingBytes = 0;
+    const { stalled } = this;
     const link: ClientLink = {
-      waitingBytes: 0,
+      get waitingBytes() {
+        return waitingBytes;
+      },
       get isClosed() {
         return state.isServerGone;
       },
       send: (line) => {
         if (state.isServerGone || simNode.body.isDead) return;
         const text = JSON.stringify(line);
+        if (stalled.has(session)) return void (waitingBytes += text.length);
         this.#afterWire(() => {
           if (!state.isClientGone) heed.line(JSON.parse(text) as Record<string, unknown>);
         });
--- a/packages/lathe/src/lathe.ts
+++ b/packages/lathe/src/lathe.ts
@@ -1,14 +1,17 @@
 #!/usr/bin/env node
+import { join } from "node:path";
 import { Program } from "@cranetrack/chest/process/program.js";
+import { PlanArchive } from "./process/planArchive.js";
 import { Lathe } from "./process/lathe.js";
 
 await new Program("lathe", ["plan", "shards/", "machines/"], ({ node, disk, router }) => {
   const lathe = new Lathe(node, disk!, router);
+  const archive = new PlanArchive(join(node.parts.settings.data!, "plans"), node.plan, node.parts.log);
   return {
     load: () => lathe.load(),
     start: () => lathe.start(),
     stop: () => lathe.spare.stop(),
     isReady: () => lathe.isReady,
-    status: () => lathe.status(),
+    status: () => ({ ...lathe.status(), archivedMark: archive.mark }),
   };
 }).run(process.argv);
--- a/packages/lathe/src/process/lathe.ts
+++ b/packages/lathe/src/process/lathe.ts
@@ -69,7 +69,7 @@
   #begin(): void {
     const { exchange, groups, membership, parts } = this.node;
     const log = new ReplicaLog(this.#disk, "store");
-    this.#ledger = new Ledger({ id: this.founding.id, founding: this.founding.founding, log, exchange, groups, clock: parts.clock, chance: parts.chance, ring: parts.log });
+    this.#ledger = new Ledger({ id: this.founding.id, founding: this.founding.founding, log, exchange, groups, electionMs: parts.settings.electionMs, clock: parts.clock, chance: parts.chance, ring: parts.log });
     new StoreDesk(this.node, this.#ledger);
     membership.self.isFounded = true;
     membership.self.founding = this.founding.founding;
--- a/packages/lathe/src/process/ledger.ts
+++ b/packages/lathe/src/process/ledger.ts
@@ -22,8 +22,6 @@
  */
 export class Ledger extends EventEmitter<{ applied: [applied: Applied]; pictured: []; elected: []; deposed: [] }> {
   static readonly beatMs = 100;
-  static readonly electionMs = 700;
-  static readonly inTouchMs = 900;
   static readonly compactAt = 4000;
 
   readonly metadata = new Metadata();
@@ -32,6 +30,9 @@
   readonly #log: ReplicaLog;
   readonly #exchange: Exchange;
   readonly #clock: Clock;
+  readonly #electionMs: number;
+  /** Without a majority, or a proposer, for longer than this, a lathe stops speaking for the store. */
+  readonly #inTouchMs: number;
   readonly #chance: Chance;
   readonly #ring: LogRing;
   readonly #intake: Intake;
@@ -52,7 +53,7 @@
   #isPre = false;
   #noopIndex = 0;
 
-  constructor(parts: { id: string; founding: string; log: ReplicaLog; exchange: Exchange; groups: Groups; clock: Clock; chance: Chance; ring: LogRing }) {
+  constructor(parts: { id: string; founding: string; log: ReplicaLog; exchange: Exchange; groups: Groups; electionMs: number; clock: Clock; chance: Chance; ring: LogRing }) {
     super();
     this.setMaxListeners(0);
     this.id = parts.id;
@@ -60,6 +61,8 @@
     this.#log = parts.log;
     this.#exchange = parts.exchange;
     this.#clock = parts.clock;
+    this.#electionMs = parts.electionMs;
+    this.#inTouchMs = parts.electionMs * 1.3;
     this.#chance = parts.chance;
     this.#ring = parts.ring;
     this.#heardAt = parts.clock.now();
@@ -102,8 +105,8 @@
 
   /** Whether a majority stands behind what this lathe tells its feeds. */
   get isInTouch(): boolean {
-    if (this.#spread !== undefined) return this.isProposer && this.#spread.majorityAgo() < Ledger.inTouchMs;
-    return this.#proposer !== "" && this.#clock.now() - this.#heardAt < Ledger.inTouchMs;
+    if (this.#spread !== undefined) return this.isProposer && this.#spread.majorityAgo() < this.#inTouchMs;
+    return this.#proposer !== "" && this.#clock.now() - this.#heardAt < this.#inTouchMs;
   }
 
   /** Undefined: not the proposer any more; the command may or may not be carried out. */
@@ -153,7 +156,7 @@
   #beat(): void {
     const now = this.#clock.now();
     if (this.#spread !== undefined) {
-      if (this.#spread.majorityAgo() > Ledger.inTouchMs) return this.#stepDown("no majority answers");
+      if (this.#spread.majorityAgo() > this.#inTouchMs) return this.#stepDown("no majority answers");
       return this.#spread.beat();
     }
     const isVoter = this.#members.voters.some((one) => one.id === this.id);
@@ -161,7 +164,7 @@
   }
 
   #rearm(): void {
-    this.#electionAt = this.#clock.now() + Ledger.electionMs * (1 + this.#chance.draw() * 0.8);
+    this.#electionAt = this.#clock.now() + this.#electionMs * (1 + this.#chance.draw() * 0.8);
   }
 
   #ask(isPre: boolean): void {
@@ -184,7 +187,7 @@
   async #vote(vote: Vote): Promise<undefined> {
     if (vote.founding !== this.founding) return undefined;
     const name = this.#members.voters.find((one) => one.id === vote.candidate)?.name;
-    const isLed = this.#spread !== undefined || (this.#proposer !== "" && this.#clock.now() - this.#heardAt < Ledger.electionMs);
+    const isLed = this.#spread !== undefined || (this.#proposer !== "" && this.#clock.now() - this.#heardAt < this.#electionMs);
     const isCurrent = vote.lastTerm > this.#log.lastTerm || (vote.lastTerm === this.#log.lastTerm && vote.lastIndex >= this.#log.lastIndex);
     let isGranted = isCurrent && !isLed && vote.term > this.#log.term;
     if (!vote.isPre && !isLed) {
--- a/packages/vise/src/process/vise.ts
+++ b/packages/vise/src/process/vise.ts
@@ -57,7 +57,7 @@
   }
 
   status(): object {
-    return { links: this.sessions.links, sessions: this.sessions.table.size, topics: this.topics.count, owners: this.owners.count, isDraining: this.isDraining, hasLease: this.lease.isHeld };
+    return { links: this.sessions.links, sessions: this.sessions.table.size, topics: this.topics.count, owners: this.owners.count, isDraining: this.isDraining, hasLease: this.lease.isHeld, leasesLost: this.lease.losses };
   }
 
   start(): void {
