--- a/packages/anvil/src/process/bench.ts
+++ b/packages/anvil/src/process/bench.ts
@@ -1,6 +1,7 @@
 import type { Fetch, Follow, Publish, TopicHead } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import { Plans } from "@cranetrack/chest/mark/plan.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
 import type { BodyInit } from "@cranetrack/chest/process/wire.js";
 import { Follows } from "./follows.js";
 import type { Holder } from "./holder.js";
@@ -47,6 +48,7 @@
   async publish(publish: Publish): Promise<PublishOutcome> {
     if (!this.isOpen) return this.#away();
     const { topic, session, number } = publish;
+    if (!this.#isOurs(topic) || !Number.isSafeInteger(number) || number < 1) return { case: "publishReceipt", value: { outcome: "refused", code: "malformed", reason: "the topic is another shard's, or the number is none" } };
     const known = this.#replica.state.known(topic, session, number);
     if (known?.outcome === "accepted") return { case: "publishReceipt", value: { outcome: "accepted", birth: known.birth, seq: known.seq } };
     if (known?.outcome === "refused") return { case: "publishReceipt", value: { outcome: "refused", code: known.code, reason: known.reason } };
@@ -69,7 +71,7 @@
       const outcome = this.#follows.beat(follow) ? "done" : "resync";
       return { case: "followReceipt", value: { outcome, epoch: this.#holder.epoch } };
     }
-    const owed = follow.topics.filter(({ topic }) => Plans.owed(this.#node.plan.plan, topic) !== undefined);
+    const owed = follow.topics.filter(({ topic }) => this.#isOurs(topic) && Plans.owed(this.#node.plan.plan, topic) !== undefined);
     await Promise.all(owed.map(({ topic }) => this.#birthOf(topic)));
     // A head may become somebody's start only if nobody has taken over meanwhile.
     if (!this.isOpen || !(await this.#holder.confirm()) || !this.isOpen) return { case: "followReceipt", value: { outcome: "away" } };
@@ -142,6 +144,10 @@
     return topics.get(topic)?.birth;
   }
 
+  #isOurs(topic: string): boolean {
+    return Rendezvous.shardOf(topic, this.#node.parts.settings.shards) === this.#replica.shard;
+  }
+
   #note(topic: string): void {
     if (this.#fresh.size === 0) {
       this.#node.parts.clock.once(0, () => {
--- a/packages/chest/src/process/feedFollower.ts
+++ b/packages/chest/src/process/feedFollower.ts
@@ -15,8 +15,10 @@
  */
 export class FeedFollower extends EventEmitter<{ first: [] }> {
   static readonly staleMs = 1200;
-  /** A first picture may take this long; asking elsewhere sooner only makes it later. */
+  /** A first picture may take this long; asking elsewhere sooner only makes it later. What follows is short. */
   static readonly openMs = 2500;
+  static readonly reopenMs = 1000;
+  static readonly livelyMs = 900;
 
   readonly #exchange: Exchange;
   readonly #membership: Membership;
@@ -64,14 +66,15 @@
 
   start(): void {
     this.#open();
-    this.#clock.every(300, () => {
-      if (this.age > FeedFollower.staleMs && this.#clock.now() - this.#openedAt > FeedFollower.openMs) this.#open();
+    this.#clock.every(200, () => {
+      if (this.age > FeedFollower.staleMs && this.#clock.now() - this.#openedAt > (this.revision === 0 ? FeedFollower.openMs : FeedFollower.reopenMs)) this.#open();
     });
   }
 
   #open(): void {
     const lathes = this.#membership.alive("lathe").map((member) => member.name).filter((name) => !this.#exchange.isMute(name));
-    const ranked = Rendezvous.rank(this.#exchange.name, lathes);
+    const lively = lathes.filter((name) => name !== this.#lathe && this.#membership.ageOf(name) < FeedFollower.livelyMs);
+    const ranked = Rendezvous.rank(this.#exchange.name, lively.length > 0 ? lively : lathes);
     const lathe = ranked[this.#opens % Math.max(1, ranked.length)];
     if (lathe === undefined) return;
     this.#opens += 1;
--- a/packages/chest/src/process/storeClient.ts
+++ b/packages/chest/src/process/storeClient.ts
@@ -11,6 +11,9 @@
 
 /** Calls on the metadata store. Any lathe takes any call and passes it on. */
 export class StoreClient {
+  /** How long one lathe gets for a call that may as well be made twice. */
+  static readonly tryMs = 300;
+
   readonly #exchange: Exchange;
   readonly #membership: Membership;
   readonly #clock: Clock;
@@ -38,7 +41,7 @@
     for (const name of this.#order()) {
       const left = end - this.#clock.now();
       if (left <= 20) break;
-      const body = await this.#exchange.call(name, { case: "storeCall", value: { call } as unknown as StoreCall }, Math.min(left, isSent ? left : 700));
+      const body = await this.#exchange.call(name, { case: "storeCall", value: { call } as unknown as StoreCall }, Math.min(left, call.case === "txn" ? 700 : StoreClient.tryMs));
       if (body?.case === "storeReceipt" && body.value.outcome !== "away") {
         this.#favourite = name;
         return body.value;
--- a/packages/jig/src/jig.ts
+++ b/packages/jig/src/jig.ts
@@ -3,6 +3,9 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { cac } from "cac";
+import { fileURLToPath } from "node:url";
+import { sabotages } from "./mark/sabotages.js";
+import { Saboteur } from "./process/saboteur.js";
 import { Deployments } from "./mark/deployments.js";
 import { Drill } from "./process/drill.js";
 import { Fleet } from "./process/fleet.js";
@@ -102,6 +105,16 @@
     process.exitCode = failed > 0 ? 1 : 0;
   });
 
+cli.command("sabotage", "Take one guard at a time out of a copy and see whether its test notices")
+  .option("--at-once <n>", "How many at a time", { default: 4 })
+  .action(async (options: { atOnce: number }) => {
+    const root = fileURLToPath(new URL("../../..", import.meta.url));
+    const reports = await new Saboteur(root).run(sabotages, options.atOnce, (report) => process.stdout.write(`${report.outcome}: ${report.name} (${report.failed} tests failed)\n`));
+    const caught = reports.filter((report) => report.outcome === "caught").length;
+    process.stdout.write(`${caught} passed, ${reports.length - caught} failed\n`);
+    process.exitCode = caught === reports.length ? 0 : 1;
+  });
+
 cli.help();
 cli.version("0.1.0");
 try {
--- a/packages/jig/src/process/caller.ts
+++ b/packages/jig/src/process/caller.ts
@@ -9,7 +9,8 @@
  * tries a number again until it has a final receipt.
  */
 export class Caller {
-  static readonly silentMs = 6500;
+  /** A link that stays silent for so many of its beats is given up. */
+  static readonly silentBeats = 3;
 
   readonly session: string;
   readonly #parts: CallerParts;
@@ -24,6 +25,7 @@
   #attempt = 0;
   /** Publishes that wait for a link. */
   #whenOpen: Array<() => void> = [];
+  #beatMs = 2000;
   #waiting: Beat | undefined;
   #silence: Beat | undefined;
   /** Publishes whose number has no final receipt yet. */
@@ -138,6 +140,7 @@
     const { history } = this.#parts;
     const topic = String(line["topic"]);
     const about = { at: this.#now, subscriber: this.session, topic };
+    if (line["kind"] === "open") this.#beatMs = Number(line["beatMs"]);
     this.#hush();
     switch (line["kind"]) {
       case "open":
@@ -181,10 +184,10 @@
     });
   }
 
-  /** A link that says nothing for three beats is given up. */
+  /** Silence is counted from the last line, whatever it said. */
   #hush(): void {
     this.#silence?.stop();
-    this.#silence = this.#parts.clock.once(Caller.silentMs, () => this.dropOff(0));
+    this.#silence = this.#parts.clock.once(this.#beatMs * Caller.silentBeats, () => this.dropOff(0));
   }
 
   #cut(): void {
--- a/packages/jig/src/process/fleet.test.ts
+++ b/packages/jig/src/process/fleet.test.ts
@@ -1,4 +1,4 @@
-import { spawnSync } from "node:child_process";
+import { spawn, spawnSync } from "node:child_process";
 import { mkdirSync, mkdtempSync, readFileSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -111,6 +111,39 @@
   fleet.signal("vise-1", "SIGHUP");
 });
 
+test("spanner: status, plans, rollouts and runbooks against a fleet, with exit codes that say what happened", async () => {
+  const spanner = (...args: string[]): Promise<{ status: number | null; out: string; err: string }> => new Promise((resolve) => {
+    const child = spawn(process.execPath, [programOf("spanner"), ...args, "--node", `127.0.0.1:9,${fleet.httpOf("anvil-1")}`]);
+    let [out, err] = ["", ""];
+    child.stdout.on("data", (chunk) => (out += String(chunk)));
+    child.stderr.on("data", (chunk) => (err += String(chunk)));
+    child.on("close", (status) => resolve({ status, out, err }));
+  });
+  const status = await spanner("status");
+  expect([status.status, status.out.includes("lathe-3"), status.out.includes("holds")]).toEqual([0, true, true]);
+  const plan = join(folder, "plan.json");
+  const text = JSON.stringify(Deployments.plan(fleet.deployment, 50));
+  writeFileSync(plan, text);
+  expect((await spanner("plan", "put", plan)).out).toEqual("mark 50 accepted\n");
+  expect((await spanner("plan", "get")).out).toEqual(`${text}\n`);
+  writeFileSync(plan, JSON.stringify({ mark: 51, spaces: [{ name: "x" }] }));
+  const refused = await spanner("plan", "put", plan);
+  expect([refused.status, refused.err.includes("spaces.0.program")]).toEqual([1, true]);
+  expect((await spanner("plan", "mend")).status).toEqual(2);
+  expect((await spanner("runbook", "list")).out.split("\n").length > 5).toEqual(true);
+  expect((await spanner("runbook", "run", "empty-machine")).status).toEqual(2);
+  const dry = await spanner("runbook", "run", "empty-machine", "--machine", "anvil-3", "--dry-run");
+  expect([dry.status, dry.err.match(/would be done/g)?.length]).toEqual([0, 3]);
+  const wrong = await spanner("runbook", "run", "empty-machine", "--machine", "anvil-9");
+  expect([wrong.status, wrong.err.includes("not reached")]).toEqual([1, true]);
+  const emptied = await spanner("runbook", "run", "empty-machine", "--machine", "anvil-3", "--json");
+  expect([emptied.status, (JSON.parse(emptied.out) as { isDone: boolean }).isDone]).toEqual([0, true]);
+  expect((await spanner("machine", "progress", "anvil-3")).out).toEqual("anvil-3: to be emptied, 0 of 32 shards have a replica there\n");
+  expect((await spanner("runbook", "run", "refill-machine", "--machine", "anvil-3")).status).toEqual(0);
+  const rollout = await spanner("plan", "rollout", "--json");
+  expect((JSON.parse(rollout.out) as { taken: number; of: number }).taken).toEqual(8);
+});
+
 test("processes killed, cycled, frozen and cut off under load: no breach, service back within 12 s each time", async () => {
   const load = new Load(fleet);
   await load.begin();
--- /dev/null
+++ b/packages/jig/src/process/saboteur.ts
@@ -0,0 +1,68 @@
+import { spawn } from "node:child_process";
+import { cpSync, mkdirSync, mkdtempSync, readdirSync, readFileSync, rmSync, symlinkSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import PQueue from "p-queue";
+import type { Sabotage } from "../mark/sabotages.js";
+
+export interface SabotageReport { name: string; outcome: "caught" | "not caught" | "cannot be done"; failed: number }
+
+/** Takes one guard at a time out of a copy of the built project and sees whether its test notices. */
+export class Saboteur {
+  readonly #root: string;
+
+  constructor(root: string) {
+    this.#root = root;
+  }
+
+  async run(sabotages: readonly Sabotage[], atOnce: number, say: (report: SabotageReport) => void): Promise<SabotageReport[]> {
+    const queue = new PQueue({ concurrency: atOnce });
+    return queue.addAll(sabotages.map((sabotage) => async () => {
+      const report = await this.#try(sabotage);
+      say(report);
+      return report;
+    }));
+  }
+
+  async #try(sabotage: Sabotage): Promise<SabotageReport> {
+    const copy = this.#copy();
+    try {
+      const file = join(copy, "packages", sabotage.file);
+      const before = readFileSync(file, "utf8");
+      if (!before.includes(sabotage.find)) return { name: sabotage.name, outcome: "cannot be done", failed: 0 };
+      writeFileSync(file, before.replace(sabotage.find, () => sabotage.put));
+      const failed = await Saboteur.#failures(join(copy, "packages", sabotage.test));
+      return { name: sabotage.name, outcome: failed > 0 ? "caught" : "not caught", failed };
+    } finally {
+      rmSync(copy, { recursive: true, force: true });
+    }
+  }
+
+  /** Built files are copied, libraries are linked. */
+  #copy(): string {
+    const copy = mkdtempSync(join(tmpdir(), "cranetrack-sabotage-"));
+    const libraries = join(this.#root, "node_modules");
+    mkdirSync(join(copy, "node_modules", "@cranetrack"), { recursive: true });
+    for (const name of readdirSync(libraries)) if (name !== "@cranetrack" && !name.startsWith(".")) symlinkSync(join(libraries, name), join(copy, "node_modules", name));
+    for (const name of readdirSync(join(this.#root, "packages"))) {
+      const [from, to] = [join(this.#root, "packages", name), join(copy, "packages", name)];
+      cpSync(join(from, "dist"), join(to, "dist"), { recursive: true });
+      cpSync(join(from, "package.json"), join(to, "package.json"));
+      symlinkSync(to, join(copy, "node_modules", "@cranetrack", name));
+    }
+    return copy;
+  }
+
+  static #failures(test: string): Promise<number> {
+    return new Promise((resolve) => {
+      const child = spawn(process.execPath, ["--test", "--test-reporter=tap", test], { stdio: ["ignore", "pipe", "ignore"] });
+      let out = "";
+      child.stdout.on("data", (chunk) => (out += String(chunk)));
+      const giveUp = setTimeout(() => child.kill("SIGKILL"), 240_000);
+      child.on("close", (code) => {
+        clearTimeout(giveUp);
+        resolve(Math.max(Number(/^# fail (\d+)/m.exec(out)?.[1] ?? 0), code === 0 ? 0 : 1));
+      });
+    });
+  }
+}
--- a/packages/jig/src/process/sim/faults.ts
+++ b/packages/jig/src/process/sim/faults.ts
@@ -38,6 +38,15 @@
     for (const name of this.#fleet.names) this.#fleet.start(name);
   }
 
+  /** A last fault, just before operators ask for their plan back. */
+  finish(): void {
+    if (this.#chance.draw() < 0.5) this.#fleet.kill(this.#chance.pick(this.#fleet.names));
+    else {
+      for (const name of this.#fleet.names) this.#fleet.kill(name);
+      this.#fleet.world.at(this.#fleet.world.now + 500, () => this.#fleet.startAll());
+    }
+  }
+
   #cause(fault: FaultName): void {
     const { world } = this.#fleet;
     const name = this.#chance.pick(this.#fleet.names);
@@ -133,7 +142,7 @@
   /** One of the next frames is dropped, doubled, delayed or altered. */
   #mutate(): void {
     let left = 10 + Math.floor(this.#chance.draw() * 400);
-    const way = this.#chance.pick(["drop", "double", "delay", "alter"]);
+    const way = this.#chance.pick(["drop", "double", "delay", "swap", "truncate", "alter"]);
     this.#fleet.wires.mutate = (_from, _to, bytes) => {
       left -= 1;
       if (left !== 0) return undefined;
@@ -141,6 +150,8 @@
       if (way === "drop") return [];
       if (way === "double") return [{ bytes, delay: 0 }, { bytes, delay: this.#chance.between(1, 3000) }];
       if (way === "delay") return [{ bytes, delay: this.#chance.between(100, 5000) }];
+      if (way === "swap") return [{ bytes, delay: this.#chance.between(2, 20) }];
+      if (way === "truncate") return [{ bytes: bytes.subarray(0, Math.floor(this.#chance.draw() * bytes.length)), delay: 0 }];
       const altered = Uint8Array.from(bytes);
       altered[Math.floor(this.#chance.draw() * altered.length)]! ^= 1 << Math.floor(this.#chance.draw() * 8);
       return [{ bytes: altered, delay: 0 }];
--- a/packages/jig/src/process/sim/scenario.ts
+++ b/packages/jig/src/process/sim/scenario.ts
@@ -33,8 +33,12 @@
     await faults.rage(options.faultMs ?? 25_000);
     await faults.heal();
     const isBack = await load.settle(Scenario.backMs);
-    await load.readPlan();
     const breaches = Checker.judge(load.history.seen, fleet.world.now);
+    const judged = load.history.seen.length;
+    faults.finish();
+    await load.readPlan();
+    const plans = load.history.seen.filter((one, i) => one.kind === "planAccepted" || (one.kind.startsWith("plan") && i >= judged));
+    breaches.push(...Checker.judge(plans, fleet.world.now));
     if (!isBack) breaches.push({ rule: "service-back", at: fleet.world.now, text: `callers not served again within ${Scenario.backMs} ms: ${load.callers.filter((caller) => !caller.isSettled || caller.open > 0).map((caller) => `${caller.session}(${caller.isLinked ? "linked" : "away"}, ${caller.open} open)`).join(", ")}` });
     return report(breaches, isBack);
   },
--- a/packages/jig/src/process/sim/shards.test.ts
+++ b/packages/jig/src/process/sim/shards.test.ts
@@ -138,3 +138,19 @@
   expect(births.size).toEqual(2);
   expect(await judged(fleet, load)).toEqual([]);
 });
+
+test("an edge and a storage machine are added to a running fleet: the one takes clients, the other what is emptied", async () => {
+  const fleet = new SimFleet(38, withSpares(4));
+  const load = new SimLoad(fleet);
+  expect(await load.begin(8, 6, ["anvil-4", "vise-2"])).toEqual(true);
+  load.play(20);
+  await fleet.run(2000);
+  expect(setsOf(fleet).every((set) => !set.includes("anvil-4"))).toEqual(true);
+  fleet.startAll();
+  expect(await fleet.until(() => fleet.find("vise-2")!.vise!.isReady, 8000)).toEqual(true);
+  expect((await call(fleet, "PUT", "/v1/machines/anvil-1/emptying")).status).toEqual(200);
+  expect(await fleet.until(() => setsOf(fleet).every((set) => set.includes("anvil-4")), 40_000)).toEqual(true);
+  load.dropAll();
+  expect(await fleet.until(() => fleet.find("vise-2")!.vise!.sessions.links > 0, 8000)).toEqual(true);
+  expect(await judged(fleet, load)).toEqual([]);
+});
--- a/packages/jig/src/process/sim/simLoad.ts
+++ b/packages/jig/src/process/sim/simLoad.ts
@@ -48,8 +48,8 @@
     return 0;
   }
 
-  async begin(callers: number, topics = 6): Promise<boolean> {
-    this.#fleet.startAll();
+  async begin(callers: number, topics = 6, later: readonly string[] = []): Promise<boolean> {
+    for (const name of this.#fleet.names) if (!later.includes(name)) this.#fleet.start(name);
     let isAccepted = false;
     await this.#fleet.run(3000);
     void this.putPlan({ ...SimLoad.plan(this.nextMark) }).then((status) => void (isAccepted = status === 200));
--- a/packages/lathe/src/process/storeDesk.ts
+++ b/packages/lathe/src/process/storeDesk.ts
@@ -64,7 +64,7 @@
   async #pass(call: StoreCall): Promise<Outcome> {
     const proposer = this.#ledger.proposerName;
     if (call.isPassed || proposer === "" || proposer === this.#node.exchange.name) return { outcome: "away", comeBack: 1, reason: "no proposer is known" };
-    const body = await this.#node.exchange.call(proposer, { case: "storeCall", value: { call: call.call, isPassed: true } as unknown as StoreCall }, 650);
+    const body = await this.#node.exchange.call(proposer, { case: "storeCall", value: { call: call.call, isPassed: true } as unknown as StoreCall }, 450);
     if (body?.case === "storeReceipt") return body.value;
     const isChange = call.call.case === "txn" || call.call.case === "grant" || call.call.case === "revoke";
     return isChange ? { outcome: "unsure", comeBack: 0.5 } : { outcome: "away", comeBack: 0.5 };
--- a/packages/vise/src/process/sessions.ts
+++ b/packages/vise/src/process/sessions.ts
@@ -110,7 +110,7 @@
     if (owner.node === this.#node.exchange.name) return undefined;
     this.emit("step", "pull", id);
     const receipt = await this.#node.exchange.call(owner.node, { case: "pull", value: { session: id, ownerRevision: owner.revision, asker: this.#node.exchange.name } }, Sessions.pullDue);
-    if (receipt?.case !== "pullReceipt") return { comeBack: 1, reason: `the owner ${owner.node} does not answer; its lease must run out first` };
+    if (receipt?.case !== "pullReceipt") return { comeBack: 0.4, reason: `the owner ${owner.node} does not answer; its lease must run out first` };
     if (receipt.value.outcome !== "shipped") return { comeBack: receipt.value.comeBack || 0.3, reason: `the owner ${owner.node} says ${receipt.value.outcome}` };
     this.emit("step", "shipped", id);
     return { state: receipt.value };
--- a/packages/vise/src/process/shardFollow.ts
+++ b/packages/vise/src/process/shardFollow.ts
@@ -19,6 +19,8 @@
   #seen = 0;
   #isAsking = false;
   #isStale = true;
+  /** Rises when the holder changes; a receipt of an earlier turn is not heeded. */
+  #turn = 0;
 
   constructor(node: ClusterNode, shard: number) {
     this.#node = node;
@@ -49,6 +51,9 @@
     const route = this.#node.shards.find(this.#shard);
     if (route.holder === "" || route.epoch === this.#epoch) return;
     this.#isStale = true;
+    // Whatever the old holder was asked has no use any more.
+    this.#isAsking = false;
+    this.#turn += 1;
     void this.tend();
   }
 
@@ -62,7 +67,9 @@
     if (isFull) this.#follow = `${this.#node.exchange.name}/${this.#node.parts.chance.identity().slice(0, 8)}`;
     const topics = wanted.map((tail) => ({ topic: tail.topic, birth: tail.birth, after: tail.head }));
     const follow = this.#follow;
+    const turn = this.#turn;
     const receipt = await this.#node.exchange.call(this.holder, { case: "follow", value: { shard: this.#shard, follow, seen: this.#seen, isFull, topics } }, 800);
+    if (turn !== this.#turn) return;
     this.#isAsking = false;
     if (receipt?.case !== "followReceipt" || receipt.value.outcome !== "done") {
       this.#isStale = true;
--- a/packages/vise/src/process/vise.ts
+++ b/packages/vise/src/process/vise.ts
@@ -29,8 +29,8 @@
   readonly topics: TopicTable;
   readonly owners: OwnersView;
   readonly router: Router;
-  readonly beatMs = 2000;
-  readonly publishDue = 1000;
+  readonly beatMs = 500;
+  readonly publishDue = 700;
   readonly sessionKeepMs = 900_000;
   readonly live: { mostLinks: number; bufferBytes: number };
   isDraining = false;
--- a/packages/vise/src/request/publishMessage.ts
+++ b/packages/vise/src/request/publishMessage.ts
@@ -8,7 +8,7 @@
 import type { ViseParts } from "../process/viseParts.js";
 
 const messageBody = type({ "+": "reject", topic: "string", number: "1 <= number.integer <= 9007199254740991", payload: "string" });
-const statuses: Record<string, number> = { "unknown-topic": 404, "not-a-publisher": 403, "too-large": 413 };
+const statuses: Record<string, number> = { malformed: 400, "unknown-topic": 404, "not-a-publisher": 403, "too-large": 413 };
 
 /** One publish, from its body to its final receipt. The shard's holder alone judges it. */
 export async function publishMessage(vise: ViseParts, call: ApiCall): Promise<ApiReceipt> {
@@ -23,11 +23,11 @@
 
   const shard = vise.topics.shardOf(topic);
   const { holder } = node.shards.find(shard);
-  if (holder === "") return ApiReceipts.away("the topic has no holder just now", 0.5);
+  if (holder === "") return ApiReceipts.away("the topic has no holder just now", 0.2);
   if (node.exchange.isMute(holder) && !node.membership.isAlive(holder)) return ApiReceipts.away("the topic's holder does not answer", 0.5);
   note(session, topic, number, true);
   const publish = { shard, session: id, ownerEpoch: session.epoch, number, topic, payload: Buffer.from(payload) };
-  const answered = await node.exchange.call(holder, { case: "publish", value: publish }, vise.publishDue);
+  const answered = await Promise.race([node.exchange.call(holder, { case: "publish", value: publish }, vise.publishDue), movedFrom(vise, shard, holder)]);
   if (answered?.case !== "publishReceipt") return ApiReceipts.unsure("the topic's holder did not answer; the same number again settles it");
   const receipt = answered.value;
   switch (receipt.outcome) {
@@ -44,6 +44,23 @@
   }
 }
 
+/** Resolves when the shard is no longer that holder's: waiting for its answer has no use then. */
+function movedFrom(vise: ViseParts, shard: number, holder: string): Promise<undefined> {
+  const { shards } = vise.node;
+  return new Promise((resolve) => {
+    const look = (changed: number): void => {
+      if (changed === shard && shards.find(shard).holder !== holder) end();
+    };
+    const beat = vise.node.parts.clock.once(vise.publishDue, () => end());
+    const end = (): void => {
+      beat.stop();
+      shards.off("changed", look);
+      resolve(undefined);
+    };
+    shards.on("changed", look);
+  });
+}
+
 function note(session: Session, topic: string, number: number, isOpen: boolean): void {
   const state = session.numbers.get(topic);
   if (state === undefined || number >= state.number) session.numbers.set(topic, { number, isOpen });
