Refuse entries that do not follow one another, instead of stopping the process

Cause: a replica given entries with a gap, or counts that are no numbers, met its own invariant and would have stopped; wild frames were not let near it by the first hostile test. Seen in the new replication test, then refused. Conclusion: what comes over the wire is checked before an invariant can break.

--- a/packages/chest/src/mark/intake.ts
+++ b/packages/chest/src/mark/intake.ts
@@ -21,7 +21,7 @@
   }
 
   async take(append: Append, commit: number): Promise<BodyInit> {
-    if (append.term < this.#log.term) return this.#receipt(append, false, 0);
+    if (append.term < this.#log.term || !Intake.#isSane(append)) return this.#receipt(append, false, 0);
     const promised = append.term > this.#log.term ? this.#log.promise(append.term, "") : undefined;
     const isBehindBase = append.prevIndex < this.#log.baseIndex;
     if (!isBehindBase && this.#log.termAt(append.prevIndex) !== append.prevTerm) {
@@ -37,7 +37,7 @@
   }
 
   async takePicture(picture: Picture, commit: number): Promise<BodyInit> {
-    if (picture.term < this.#log.term) return this.#receipt(picture, false, 0);
+    if (picture.term < this.#log.term || ![picture.term, picture.index, picture.indexTerm].every(Intake.#isCount)) return this.#receipt(picture, false, 0);
     if (picture.term > this.#log.term) void this.#log.promise(picture.term, "");
     if (picture.index > commit) {
       const installed = this.#log.install(picture.index, picture.indexTerm, picture.state);
@@ -47,6 +47,15 @@
     return this.#receipt(picture, true, picture.index);
   }
 
+  static #isCount(value: number): boolean {
+    return Number.isSafeInteger(value) && value >= 0;
+  }
+
+  /** Counts are counts, and entries follow one another from prevIndex on. */
+  static #isSane({ term, prevIndex, prevTerm, commit, entries }: Append): boolean {
+    return [term, prevIndex, prevTerm, commit].every(Intake.#isCount) && entries.every((entry, i) => entry.index === prevIndex + 1 + i && Intake.#isCount(entry.term) && entry.term <= term);
+  }
+
   #receipt(to: { group: string; round: number; sender: string }, isTaken: boolean, match: number): BodyInit {
     return { case: "appendReceipt", value: { group: to.group, term: this.#log.term, sender: this.#self, receiver: to.sender, isTaken, match, round: to.round } };
   }
--- a/packages/chest/src/mark/replication.test.ts
+++ b/packages/chest/src/mark/replication.test.ts
@@ -103,3 +103,14 @@
   const again = new ReplicaLog(disk, "g");
   expect([again.lastIndex, again.lastTerm, again.term]).toEqual([2, 3, 3]);
 });
+
+test("entries that do not follow one another, or count in no numbers, are refused and leave the log as it was", async () => {
+  const log = new ReplicaLog(new HeldDisk(), "g");
+  const intake = new Intake(log, "b", () => undefined, () => undefined);
+  const wrongs = [{ entries: [entry(2, 1)] }, { entries: [entry(1, 1), entry(3, 1)] }, { entries: [entry(1, 9)] }, { term: NaN }, { term: 2.5 }, { prevIndex: -1 }, { commit: Infinity }];
+  for (const wrong of wrongs) {
+    const body = await intake.take(create(AppendSchema, { group: "g", term: 2, sender: "a", receiver: "b", ...wrong }), 0);
+    expect(body.case === "appendReceipt" && body.value.isTaken).toEqual(false);
+  }
+  expect([log.lastIndex, log.term]).toEqual([0, 0]);
+});
--- a/packages/jig/src/process/sim/hostile.test.ts
+++ b/packages/jig/src/process/sim/hostile.test.ts
@@ -33,6 +33,26 @@
   return create(schema, init as never);
 }
 
+/** By these a member of the fleet changes what it shares; processes trust one another so far. */
+const memberKinds = new Set(["gossip", "append", "picture", "vote", "storeCall", "pledge", "founded", "pass", "publish"]);
+
+test("not even what only members may say crashes a process when its contents are wild", async () => {
+  const fleet = new SimFleet(42, Scenario.machines());
+  expect(await new SimLoad(fleet).begin(4)).toEqual(true);
+  const chance = fleet.world.chance.fork();
+  const stranger = fleet.wires.attach("10.9.9.9:1", { isDead: false, pausedUntil: 0 });
+  const ids = fleet.names.flatMap((name) => [fleet.find(name)!.node.membership.self.disk, fleet.find(name)!.node.membership.self.shelf]).filter((id) => id !== "");
+  const kinds = FrameSchema.oneofs[0]!.fields.filter((field) => memberKinds.has(field.localName));
+  for (let i = 0; i < 2000; i += 1) {
+    const kind = chance.pick(kinds);
+    const value = Object.assign(wild(kind.message!, chance), chance.draw() < 0.7 ? { receiver: chance.pick(ids) } : {});
+    stranger.send(fleet.addressOf(chance.pick(fleet.names)), Wire.encode({ id: i, from: "nobody", to: "", fromAddress: "10.9.9.9:1", body: { case: kind.localName, value } as unknown as BodyInit }));
+    if (i % 20 === 0) await fleet.run(30);
+  }
+  await fleet.run(2000);
+  for (const name of fleet.names) expect(fleet.find(name)!.node.membership.self.name).toEqual(name);
+});
+
 test("well-formed frames with wild contents, from nobody the fleet knows, crash nothing and change nothing that callers see", async () => {
   const fleet = new SimFleet(41, Scenario.machines());
   const load = new SimLoad(fleet);
@@ -40,8 +60,7 @@
   load.play(20);
   const stranger = fleet.wires.attach("10.9.9.9:1", { isDead: false, pausedUntil: 0 });
   const chance = fleet.world.chance.fork();
-  const harmless = new Set(["gossip", "append", "picture", "vote", "storeCall", "pledge", "founded", "pass", "publish"]);
-  const kinds = FrameSchema.oneofs[0]!.fields.filter((field) => !harmless.has(field.localName));
+  const kinds = FrameSchema.oneofs[0]!.fields.filter((field) => !memberKinds.has(field.localName));
   for (let i = 0; i < 1500; i += 1) {
     const kind = chance.pick(kinds);
     const body = { case: kind.localName, value: wild(kind.message!, chance) } as unknown as BodyInit;
