One way to play a fleet for load and drill; plan take-up measured; a test that can fail

Cause: the sabotage run showed that no test noticed a replica answering before its disk within one term; load and drill repeated each other. Before: that guard out, 0 tests failed; after: the new test fails without it.

--- a/packages/chest/src/mark/replication.test.ts
+++ b/packages/chest/src/mark/replication.test.ts
@@ -114,3 +114,17 @@
   }
   expect([log.lastIndex, log.term]).toEqual([0, 0]);
 });
+
+test("within a term, too, a replica answers only after its disk", async () => {
+  const disk = new HeldDisk();
+  const log = new ReplicaLog(disk, "g");
+  const intake = new Intake(log, "b", () => undefined, () => undefined);
+  void log.promise(2, "");
+  await disk.sync();
+  let isAnswered = false;
+  void intake.take(create(AppendSchema, { group: "g", term: 2, sender: "a", receiver: "b", entries: [entry(1, 2)] }), 0).then(() => (isAnswered = true));
+  await new Promise((resolve) => setImmediate(resolve));
+  expect(isAnswered).toEqual(false);
+  await disk.sync();
+  expect(isAnswered).toEqual(true);
+});
--- a/packages/jig/src/jig.ts
+++ b/packages/jig/src/jig.ts
@@ -34,56 +34,51 @@
     process.stdout.write("ready; interrupt to stop\n");
   });
 
+interface PlayOptions { share: number; folder?: string; set?: string }
+
+/** A fleet under load, what happens to it meanwhile, and the callers' verdict. */
+const play = async (name: string, options: PlayOptions, relayed: readonly string[], meanwhile: (fleet: Fleet, load: Load) => Promise<{ isGood: boolean } & object>): Promise<void> => {
+  const fleet = new Fleet(deploymentOf(name), folderOf(options.folder), relayed, settingsOf(options.set));
+  try {
+    await fleet.start();
+    await fleet.held();
+    const load = new Load(fleet);
+    await load.begin(Math.min(1, options.share));
+    load.play(options.share);
+    const { isGood, ...more } = await meanwhile(fleet, load);
+    const leasesLost = await fleet.leasesLost();
+    const report = await load.end();
+    process.stdout.write(`${JSON.stringify({ ...report, breaches: report.breaches.length, fallen: fleet.fallen, leasesLost, ...more }, null, 2)}\n`);
+    for (const breach of report.breaches.slice(0, 20)) process.stdout.write(`${breach.rule}: ${breach.text}\n`);
+    process.exitCode = isGood && report.breaches.length === 0 && fleet.fallen.length === 0 ? 0 : 1;
+  } finally {
+    await fleet.stop();
+  }
+};
+
 cli.command("load <deployment>", "Start a fleet, play the callers of that deployment against it, and judge what they saw")
   .option("--seconds <n>", "How long the callers play", { default: 120 })
   .option("--share <n>", "Share of today's load", { default: 1 })
   .option("--folder <folder>", "Where settings, data and logs go")
-  .action(async (name: string, options: { seconds: number; share: number; folder?: string; set?: string }) => {
-    const fleet = new Fleet(deploymentOf(name), folderOf(options.folder), [], settingsOf(options.set));
-    try {
-      await fleet.start();
-      await fleet.held();
-      const load = new Load(fleet);
-      await load.begin(Math.min(1, options.share));
-      load.play(options.share);
-      const memory: Array<Record<string, number>> = [];
-      for (let part = 0; part < 4; part += 1) {
-        await new Promise((resolve) => setTimeout(resolve, options.seconds * 250));
-        memory.push(await fleet.memory());
-      }
-      const leasesLost = await fleet.leasesLost();
-      const report = await load.end();
-      process.stdout.write(`${JSON.stringify({ ...report, breaches: report.breaches.length, fallen: fleet.fallen, leasesLost, memory }, null, 2)}\n`);
-      for (const breach of report.breaches.slice(0, 20)) process.stdout.write(`${breach.rule}: ${breach.text}\n`);
-      process.exitCode = report.breaches.length > 0 || fleet.fallen.length > 0 ? 1 : 0;
-    } finally {
-      await fleet.stop();
+  .action((name: string, options: PlayOptions & { seconds: number }) => play(name, options, [], async (fleet, load) => {
+    const planTakeUpMs = await load.takeUps(5);
+    const memory: Array<Record<string, number>> = [];
+    for (let part = 0; part < 4; part += 1) {
+      await new Promise((resolve) => setTimeout(resolve, options.seconds * 250));
+      memory.push(await fleet.memory());
     }
-  });
+    return { isGood: true, planTakeUpMs, memory };
+  }));
 
 cli.command("drill <deployment>", "Start a fleet under load and cause failures on real processes, one after the other")
   .option("--share <n>", "Share of today's load", { default: 1 })
   .option("--folder <folder>", "Where settings, data and logs go")
   .option("--only <list>", "Only these drills, parted by commas")
-  .action(async (name: string, options: { share: number; folder?: string; only?: string; set?: string }) => {
-    const fleet = new Fleet(deploymentOf(name), folderOf(options.folder), ["vise-2", "anvil-2"], settingsOf(options.set));
-    try {
-      await fleet.start();
-      await fleet.held();
-      const load = new Load(fleet);
-      await load.begin(Math.min(1, options.share));
-      load.play(options.share);
-      const drill = new Drill(fleet, load, (step) => process.stderr.write(`${step.what}: ready after ${step.readyMs}, held after ${step.heldMs}, callers back after ${step.backMs} ms\n`));
-      await drill.run(options.only?.split(",") ?? Drill.names);
-      const report = await load.end();
-      process.stdout.write(`${JSON.stringify({ ...report, breaches: report.breaches.length, fallen: fleet.fallen, steps: drill.steps }, null, 2)}\n`);
-      for (const breach of report.breaches.slice(0, 20)) process.stdout.write(`${breach.rule}: ${breach.text}\n`);
-      const isLate = drill.steps.some((step) => step.backMs > Drill.backMs);
-      process.exitCode = report.breaches.length > 0 || fleet.fallen.length > 0 || isLate ? 1 : 0;
-    } finally {
-      await fleet.stop();
-    }
-  });
+  .action((name: string, options: PlayOptions & { only?: string }) => play(name, options, ["vise-2", "anvil-2"], async (fleet, load) => {
+    const drill = new Drill(fleet, load, (step) => process.stderr.write(`${step.what}: ready after ${step.readyMs}, held after ${step.heldMs}, callers back after ${step.backMs} ms\n`));
+    await drill.run(options.only?.split(",") ?? Drill.names);
+    return { isGood: drill.steps.every((step) => step.backMs <= Drill.backMs), steps: drill.steps };
+  }));
 
 cli.command("sim", "Run seeded failure scenarios in the simulator")
   .option("--from <seed>", "First seed", { default: 1 })
--- a/packages/jig/src/process/load.ts
+++ b/packages/jig/src/process/load.ts
@@ -55,6 +55,22 @@
     if (unsettled > 0) throw new Error(`${unsettled} callers have no confirmed link after 30 s`);
   }
 
+  /** Milliseconds from a plan's acceptance until every node has acknowledged it, for several plans in turn. */
+  async takeUps(count: number): Promise<number[]> {
+    const taken: number[] = [];
+    for (let i = 0; i < count; i += 1) {
+      await this.putPlan(Deployments.plan(this.#fleet.deployment, (await this.#markInForce()) + 1));
+      const acceptedAt = this.#clock.now();
+      for (;;) {
+        const { body } = await this.#fleet.call(this.#fleet.withRole("lathe")[0]!, "GET", "/v1/plan/rollout");
+        if (body["taken"] === body["of"] || this.#clock.now() - acceptedAt > 10_000) break;
+        await this.#wait(20);
+      }
+      taken.push(Math.round(this.#clock.now() - acceptedAt));
+    }
+    return taken;
+  }
+
   async #markInForce(): Promise<number> {
     const read = await this.#fleet.call(this.#fleet.withRole("vise")[0]!, "GET", "/v1/plan");
     return read.status === 200 ? Number(read.body["mark"]) : 0;
