Two guards that no test stood behind: unconfirmed reads, holders deaf to plans

Tests added: a proposer cut off a moment ago confirms nothing; a holder that keeps its lease but gets no feed stops taking messages. Both pass, and fail without. Ruled out: reading through the cut-off node, which never reached the guard.

--- a/packages/jig/src/process/sim/shards.test.ts
+++ b/packages/jig/src/process/sim/shards.test.ts
@@ -1,4 +1,5 @@
 import { test } from "node:test";
+import { Wire } from "@cranetrack/chest/process/wire.js";
 import { expect } from "earl";
 import { Checker } from "../../mark/checker.js";
 import type { Machine } from "../../mark/deployments.js";
@@ -154,3 +155,20 @@
   expect(await fleet.until(() => fleet.find("vise-2")!.vise!.sessions.links > 0, 8000)).toEqual(true);
   expect(await judged(fleet, load)).toEqual([]);
 });
+
+test("a holder that keeps its lease but hears nothing of plans stops taking messages", async () => {
+  const { fleet, load } = await loaded(39, Scenario.machines());
+  const { shards } = fleet.find("vise-1")!.node;
+  const holder = shards.find(fleet.find("vise-1")!.vise!.topics.shardOf("notes/t1")).holder;
+  fleet.wires.mutate = (_from, to, bytes) => (to === fleet.addressOf(holder) && Wire.decode(bytes)?.body.case === "feedPush" ? [] : undefined);
+  const mark = load.nextMark;
+  let status = 0;
+  void load.putPlan({ ...SimLoad.plan(mark, ["notices"]), mark }).then((got) => (status = got));
+  expect(await fleet.until(() => status === 200, 5000)).toEqual(true);
+  await fleet.run(3000);
+  const before = load.history.seen.length;
+  await fleet.run(3000);
+  expect(load.history.seen.slice(before).filter((one) => one.kind === "accepted" && one.topic.startsWith("notes/"))).toEqual([]);
+  fleet.wires.heal();
+  expect(await fleet.until(() => fleet.find(holder)!.node.plan.mark === mark, 6000)).toEqual(true);
+});
--- a/packages/jig/src/process/sim/store.test.ts
+++ b/packages/jig/src/process/sim/store.test.ts
@@ -146,3 +146,14 @@
   const { feed } = fleet.start("vise-1").node;
   expect(await fleet.until(() => feed.revision > 0, 6000)).toEqual(true);
 });
+
+test("a proposer that was cut off a moment ago answers no read it cannot confirm", async () => {
+  const { fleet } = await founded(30);
+  const old = proposer(fleet)!;
+  fleet.isolate(old, fleet.names, "both");
+  await fleet.run(50);
+  const { ledger } = fleet.find(old)!.lathe!;
+  expect(ledger!.isProposer).toEqual(true);
+  expect(await settled(fleet, ledger!.confirm())).toEqual(false);
+  expect((await settled(fleet, fleet.port.call(old, "GET", "/v1/plan", undefined))).status).toEqual(503);
+});
