Fix: receipts and pushes took the way that was cut, though requests went round it

Cause: a holder that got a request through another node answered directly; and one direct frame heard made a peer count as reachable again under a one-way cut. Also: why a node has not taken a mark up is told in its acknowledgements; dead code out; a note on failure detection; drills with slow wires.

--- a/packages/anvil/src/process/anvil.ts
+++ b/packages/anvil/src/process/anvil.ts
@@ -2,6 +2,7 @@
 import type { Disk } from "@cranetrack/chest/process/disk.js";
 import { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
 import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
+import type { Bench } from "./bench.js";
 import { Claims } from "./claims.js";
 import { Replica } from "./replica.js";
 
@@ -75,7 +76,7 @@
     return { hasLease: this.#lease.isHeld, leasesLost: this.#lease.losses, shelf: this.#id, held };
   }
 
-  #bench(shard: number): import("./bench.js").Bench | undefined {
+  #bench(shard: number): Bench | undefined {
     return this.#claims?.find(shard)?.bench;
   }
 
--- a/packages/anvil/src/process/holder.ts
+++ b/packages/anvil/src/process/holder.ts
@@ -15,7 +15,6 @@
  * Invariant: once over, it never serves again; the next claim makes another holder.
  */
 export class Holder extends EventEmitter<{ serving: []; over: [why: string]; applied: [applied: AppliedEntry] }> {
-  static readonly mostPending = 4000;
   static readonly silentMs = 700;
 
   readonly epoch: number;
--- a/packages/anvil/src/process/replica.ts
+++ b/packages/anvil/src/process/replica.ts
@@ -2,6 +2,7 @@
 import type { Entry, Pledge, ShardPull } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import { Intake } from "@cranetrack/chest/mark/intake.js";
 import { ReplicaLog } from "@cranetrack/chest/mark/replicaLog.js";
+import type { Spread } from "@cranetrack/chest/mark/spread.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { Disk } from "@cranetrack/chest/process/disk.js";
 import type { BodyInit } from "@cranetrack/chest/process/wire.js";
@@ -25,7 +26,7 @@
   readonly #node: ClusterNode;
   applied = 0;
   /** Set while this replica spreads its own log. */
-  spread: import("@cranetrack/chest/mark/spread.js").Spread | undefined;
+  spread: Spread | undefined;
 
   constructor(shard: number, id: string, disk: Disk, node: ClusterNode) {
     super();
--- a/packages/chest/src/mark/plan.test.ts
+++ b/packages/chest/src/mark/plan.test.ts
@@ -1,6 +1,9 @@
 import { test } from "node:test";
 import { expect } from "earl";
+import type { Change } from "../process/feedFollower.js";
+import { Journal } from "../process/journal.js";
 import { Plans, type Plan } from "./plan.js";
+import { PlanView } from "./planView.js";
 
 const owe = { keep: 60, order: "sender" as const, fault_budget: { machines: 1 } };
 const plan: Plan = { mark: 3, spaces: [{ name: "clips", program: [{ when: { topicPrefix: "live/" }, owe: { ...owe, publishers: ["desk-*", "boss"] } }, { when: { topic: "archive" }, owe: { ...owe, keep: 900 } }] }] };
@@ -25,3 +28,16 @@
   expect(faultsOf({ mark: 1, spaces: [{ name: "a", program: [{ when: { colour: 1 }, owe: { ...owe, order: "any", keep: -1 } }] }] }).sort()).toEqual(["spaces.0.program.0.owe.keep", "spaces.0.program.0.owe.order", "spaces.0.program.0.when.colour"]);
   for (const value of [null, 7, "plan", [], {}]) expect(faultsOf(value).length > 0).toEqual(true);
 });
+
+test("a plan that this node cannot read leaves the old one in force and is said; an older one changes nothing", () => {
+  const journal = new Journal<Change>();
+  const view = new PlanView(journal);
+  const put = (value: unknown, revision: number): void => journal.append({ key: "plan", value: Buffer.from(JSON.stringify(value)), revision });
+  put(plan, 1);
+  put({ mark: 9, spaces: [], newer: true }, 2);
+  expect([view.mark, view.fault.startsWith("cannot read the plan: newer")]).toEqual([3, true]);
+  put({ mark: 2, spaces: [] }, 3);
+  expect(view.mark).toEqual(3);
+  put({ mark: 10, spaces: [] }, 4);
+  expect([view.mark, view.fault]).toEqual([10, ""]);
+});
--- a/packages/chest/src/mark/planView.ts
+++ b/packages/chest/src/mark/planView.ts
@@ -7,6 +7,8 @@
 export class PlanView extends EventEmitter<{ changed: [] }> {
   plan: Plan | undefined;
   text = "";
+  /** Why the newest plan is not in force here; empty when it is. */
+  fault = "";
 
   constructor(journal: Journal<Change>) {
     super();
@@ -21,7 +23,9 @@
     if (change.key !== "plan" || change.value === undefined) return;
     const text = Buffer.from(change.value).toString();
     const read = Plans.read(JSON.parse(text));
-    if ("faults" in read || read.plan.mark <= this.mark) return;
+    if ("faults" in read) return void (this.fault = `cannot read the plan: ${read.faults[0]!.path} ${read.faults[0]!.problem}`);
+    if (read.plan.mark <= this.mark) return;
+    this.fault = "";
     this.plan = read.plan;
     this.text = text;
     this.emit("changed");
--- a/packages/chest/src/process/clusterNode.ts
+++ b/packages/chest/src/process/clusterNode.ts
@@ -35,6 +35,7 @@
     this.plan = new PlanView(this.journal);
     this.shards = new ShardsView(this.journal);
     this.feed.planMark = () => this.plan.mark;
+    this.feed.fault = () => this.plan.fault;
   }
 
   start(): void {
--- a/packages/chest/src/process/exchange.ts
+++ b/packages/chest/src/process/exchange.ts
@@ -14,12 +14,15 @@
  * with undefined: it may or may not have been carried out.
  */
 export class Exchange extends EventEmitter<{ heard: [name: string]; mute: [name: string] }> {
+  /** For so long at least a peer is reached through others after it did not answer, or came through one. */
+  static readonly muteMs = 1500;
+
   readonly name: string;
   readonly #net: Net;
   readonly #clock: Clock;
   readonly #served = new Map<string, Serve<Case>>();
   readonly #waiting = new Map<number, Waiting>();
-  /** Invariant: a name is in here from an unanswered call until its next direct frame. */
+  /** Invariant: a name is in here from an unanswered call, or a frame that came through another node, until a direct frame at least muteMs later. */
   readonly #mute = new Map<string, number>();
   #lastId = 0;
   /** Told by membership. */
@@ -103,9 +106,10 @@
     const frame = Wire.decode(bytes);
     if (frame === undefined || (frame.to !== "" && frame.to !== this.name)) return;
     if (frame.hops === 0) {
-      this.#mute.delete(frame.from);
+      // Hearing a peer does not mean that it hears us: a one-way cut would have us fall silent again at once.
+      if (this.#clock.now() - (this.#mute.get(frame.from) ?? 0) > Exchange.muteMs) this.#mute.delete(frame.from);
       this.emit("heard", frame.from);
-    }
+    } else this.#mute.set(frame.from, this.#clock.now());
     if (frame.body.case === "relay") return this.#carry(frame.body.value.to, frame.body.value.frame);
     if (frame.isReceipt) return this.#waiting.get(frame.id)?.settle(frame.body);
     const handle = this.#served.get(frame.body.case!);
--- a/packages/chest/src/process/journal.ts
+++ b/packages/chest/src/process/journal.ts
@@ -8,7 +8,6 @@
   readonly #most: number;
   readonly #folds: Array<(event: Event) => void> = [];
   #events: Event[] = [];
-  #count = 0;
 
   constructor(most = 2000) {
     super();
@@ -16,10 +15,6 @@
     this.#most = most;
   }
 
-  get count(): number {
-    return this.#count;
-  }
-
   get recent(): readonly Event[] {
     return this.#events;
   }
@@ -30,7 +25,6 @@
 
   append(event: Event): void {
     this.#events.push(event);
-    this.#count += 1;
     if (this.#events.length > this.#most * 2) this.#events = this.#events.slice(-this.#most);
     for (const fold of this.#folds) fold(event);
     this.emit("appended");
--- a/packages/jig/src/process/drill.ts
+++ b/packages/jig/src/process/drill.ts
@@ -6,7 +6,7 @@
 /** Causes failures on a real fleet under load, one after the other, and measures how long service takes to be back. */
 export class Drill {
   static readonly backMs = 12_000;
-  static readonly names = ["kill", "cycle", "freeze", "unplug", "reset", "wipe", "blackout"];
+  static readonly names = ["kill", "cycle", "freeze", "unplug", "slow", "reset", "wipe", "blackout"];
 
   readonly #fleet: Fleet;
   readonly #load: Load;
@@ -26,6 +26,7 @@
       cycle: () => this.#each(["vise-2", "anvil-2", "lathe-2"], (name) => this.cycle(name)),
       freeze: () => this.#each(["vise-1", "anvil-3", "lathe-3"], (name) => this.freeze(name, 7000)),
       unplug: () => this.#each(["vise-2", "anvil-2"], (name) => this.unplug(name, 6000)),
+      slow: () => this.#each(["vise-2", "anvil-2"], (name) => this.slow(name, 5000)),
       reset: () => this.resetLinks(),
       wipe: () => this.#each(["lathe-1", "anvil-1"], (name) => this.wipe(name)),
       blackout: () => this.blackout(),
@@ -73,6 +74,14 @@
     await this.#back(`cut ${name} for ${ms} ms`);
   }
 
+  /** Whatever reaches a relayed machine comes 250 ms late. */
+  async slow(name: string, ms: number): Promise<void> {
+    this.#fleet.wire(name).set("open", 250);
+    await this.#wait(ms);
+    this.#fleet.wire(name).set("open");
+    await this.#back(`${name} slow for ${ms} ms`);
+  }
+
   async wipe(name: string): Promise<void> {
     await this.#fleet.end(name, "SIGKILL");
     this.#fleet.wipe(name);
--- a/packages/jig/src/process/sim/sessions.test.ts
+++ b/packages/jig/src/process/sim/sessions.test.ts
@@ -187,3 +187,23 @@
   expect(await fleet.until(() => again.of("message").length === 39, 5000)).toEqual(true);
   expect(again.of("message").map((line) => line["number"])).toEqual(Array.from({ length: 39 }, (_, i) => i + 2));
 });
+
+for (const ways of ["both", "out", "in"] as const) {
+  test(`an edge whose way to a holder is cut (${ways}) publishes and reads through another node`, async () => {
+    const { fleet, publish } = await served(19);
+    const hand = new Hand(fleet, "vise-1", "desk", wish);
+    expect(await fleet.until(() => hand.of("confirmed").length === 1, 5000)).toEqual(true);
+    const { holder, epoch } = fleet.find("vise-1")!.node.shards.find(fleet.find("vise-1")!.vise!.topics.shardOf("notes/t1"));
+    fleet.isolate("vise-1", [holder], ways);
+    for (let number = 1; number <= 5; number += 1) {
+      let receipt = await publish("desk", number);
+      for (let tries = 0; receipt["receipt"] !== "accepted" && tries < 4; tries += 1) receipt = await publish("desk", number);
+      expect(receipt["receipt"]).toEqual("accepted");
+    }
+    expect(await fleet.until(() => hand.of("message").length === 5, 3000)).toEqual(true);
+    expect(hand.of("message").map((line) => line["number"])).toEqual([1, 2, 3, 4, 5]);
+    // Nobody lost a claim over it.
+    const after = fleet.find("vise-2")!.node.shards.find(fleet.find("vise-1")!.vise!.topics.shardOf("notes/t1"));
+    expect([after.holder, after.epoch]).toEqual([holder, epoch]);
+  });
+}
