Fix: nodes that stayed mute to each other, and a wild vote receipt that froze terms

Cause 1: a peer whose frame came through another node was taken for unreachable and answered the same way; both stayed so for ever, and a lathe ended without a feed (fleet test, after freezes). A peer is now mute until it answers a direct ping. Receipts now count only from members and in whole numbers, and a refusal that teaches nothing waits for the beat. Also: a failed drill no longer keeps its test running for ever.

--- a/packages/anvil/src/process/replica.ts
+++ b/packages/anvil/src/process/replica.ts
@@ -60,7 +60,7 @@
 
   /** A claimant asks for the promise to refuse all lower epochs. */
   async pledge(pledge: Pledge): Promise<BodyInit> {
-    if (pledge.epoch < this.log.term) return { case: "pledgeReceipt", value: { isPledged: false, epoch: this.log.term } };
+    if (pledge.epoch < this.log.term || !Number.isSafeInteger(pledge.epoch)) return { case: "pledgeReceipt", value: { isPledged: false, epoch: this.log.term } };
     this.#outbid(pledge.epoch);
     if (pledge.epoch > this.log.term) await this.log.promise(pledge.epoch, "");
     else await this.log.append([]);
--- a/packages/chest/src/mark/spread.ts
+++ b/packages/chest/src/mark/spread.ts
@@ -92,21 +92,25 @@
 
   take(receipt: AppendReceipt): void {
     const peer = this.#peers.get(receipt.sender);
+    if (peer === undefined || ![receipt.term, receipt.round, receipt.match].every(Number.isSafeInteger)) return;
     if (receipt.term > this.#term) {
       this.emit("deposed", receipt.term);
       return;
     }
-    if (peer === undefined || receipt.term !== this.#term || this.#isOver) return;
+    if (receipt.term !== this.#term || this.#isOver) return;
     peer.heardAt = this.#clock.now();
     peer.isWaiting = false;
     peer.round = Math.max(peer.round, receipt.round);
+    const before = peer.next;
     if (receipt.isTaken) {
       peer.match = Math.max(peer.match, receipt.match);
       peer.next = Math.max(peer.next, peer.match + 1);
     } else peer.next = Math.max(peer.match + 1, Math.min(peer.next - 1, receipt.match + 1));
     this.#advance();
     this.#settleRounds();
-    if (peer.next <= this.#log.lastIndex || !receipt.isTaken) this.#sendTo(receipt.sender, peer);
+    // A refusal that taught nothing new is not answered at once, or two nodes could keep each other busy for ever.
+    const hasMore = receipt.isTaken ? peer.next <= this.#log.lastIndex : peer.next !== before;
+    if (hasMore) this.#sendTo(receipt.sender, peer);
   }
 
   stop(): void {
--- a/packages/chest/src/process/exchange.ts
+++ b/packages/chest/src/process/exchange.ts
@@ -14,16 +14,21 @@
  * with undefined: it may or may not have been carried out.
  */
 export class Exchange extends EventEmitter<{ heard: [name: string]; mute: [name: string] }> {
-  /** For so long at least a peer is reached through others after it did not answer, or came through one. */
-  static readonly muteMs = 1500;
+  /** How often a mute peer is asked directly, and for how long its answer stands against frames that came round. */
+  static readonly probeMs = 400;
+  static readonly provenMs = 1500;
 
   readonly name: string;
   readonly #net: Net;
   readonly #clock: Clock;
   readonly #served = new Map<string, Serve<Case>>();
   readonly #waiting = new Map<number, Waiting>();
-  /** Invariant: a name is in here from an unanswered call, or a frame that came through another node, until a direct frame at least muteMs later. */
-  readonly #mute = new Map<string, number>();
+  /**
+   * Invariant: a name is in here from an unanswered call, or a frame that came through another node, until it
+   * answers a direct ping directly: only that shows that both ways are open. Never the node itself.
+   */
+  readonly #mute = new Set<string>();
+  readonly #proven = new Map<string, number>();
   #lastId = 0;
   /** Told by membership. */
   addressOf: (name: string) => string | undefined = () => undefined;
@@ -79,11 +84,21 @@
   }
 
   #unanswered(to: string): void {
-    if (this.#mute.has(to)) return;
-    this.#mute.set(to, this.#clock.now());
+    if (this.#mute.has(to) || to === this.name) return;
+    this.#mute.add(to);
     const address = this.addressOf(to);
     if (address !== undefined) this.#net.drop(address);
     this.emit("mute", to);
+    void this.#probe(to);
+  }
+
+  async #probe(name: string): Promise<void> {
+    const answer = await this.call(name, { case: "ping", value: {} }, Exchange.probeMs);
+    if (answer !== undefined) {
+      this.#mute.delete(name);
+      this.#proven.set(name, this.#clock.now());
+    } else if (this.addressOf(name) === undefined) this.#mute.delete(name);
+    else this.#clock.once(Exchange.probeMs, () => void this.#probe(name));
   }
 
   #encode(to: string, part: { id: number; isReceipt: boolean; body: BodyInit }): Uint8Array {
@@ -94,7 +109,7 @@
     const address = this.addressOf(to);
     if (address === undefined) return;
     const frame = this.#encode(to, part);
-    const isPing = part.body.case === "ping" || part.body.case === "gossip";
+    const isPing = part.body.case === "ping" || part.body.case === "done" || part.body.case === "gossip";
     if (isPing || !this.isMute(to)) return this.#net.send(address, frame);
     const relay = this.relaysFor(to).find((name) => name !== this.name && !this.isMute(name));
     const relayAddress = relay === undefined ? undefined : this.addressOf(relay);
@@ -105,11 +120,8 @@
   async #take(bytes: Uint8Array): Promise<void> {
     const frame = Wire.decode(bytes);
     if (frame === undefined || (frame.to !== "" && frame.to !== this.name)) return;
-    if (frame.hops === 0) {
-      // Hearing a peer does not mean that it hears us: a one-way cut would have us fall silent again at once.
-      if (this.#clock.now() - (this.#mute.get(frame.from) ?? 0) > Exchange.muteMs) this.#mute.delete(frame.from);
-      this.emit("heard", frame.from);
-    } else this.#mute.set(frame.from, this.#clock.now());
+    if (frame.hops === 0) this.emit("heard", frame.from);
+    else if (this.#clock.now() - (this.#proven.get(frame.from) ?? -Infinity) > Exchange.provenMs) this.#unanswered(frame.from);
     if (frame.body.case === "relay") return this.#carry(frame.body.value.to, frame.body.value.frame);
     if (frame.isReceipt) return this.#waiting.get(frame.id)?.settle(frame.body);
     const handle = this.#served.get(frame.body.case!);
--- a/packages/chest/src/process/feedFollower.ts
+++ b/packages/chest/src/process/feedFollower.ts
@@ -72,8 +72,8 @@
   }
 
   #open(): void {
-    const lathes = this.#membership.alive("lathe").map((member) => member.name).filter((name) => !this.#exchange.isMute(name));
-    const lively = lathes.filter((name) => name !== this.#lathe && this.#membership.ageOf(name) < FeedFollower.livelyMs);
+    const lathes = this.#membership.alive("lathe").map((member) => member.name);
+    const lively = lathes.filter((name) => name !== this.#lathe && !this.#exchange.isMute(name) && this.#membership.ageOf(name) < FeedFollower.livelyMs);
     const ranked = Rendezvous.rank(this.#exchange.name, lively.length > 0 ? lively : lathes);
     const lathe = ranked[this.#opens % Math.max(1, ranked.length)];
     if (lathe === undefined) return;
--- a/packages/jig/src/jig.ts
+++ b/packages/jig/src/jig.ts
@@ -39,10 +39,10 @@
 /** A fleet under load, what happens to it meanwhile, and the callers' verdict. */
 const play = async (name: string, options: PlayOptions, relayed: readonly string[], meanwhile: (fleet: Fleet, load: Load) => Promise<{ isGood: boolean } & object>): Promise<void> => {
   const fleet = new Fleet(deploymentOf(name), folderOf(options.folder), relayed, settingsOf(options.set));
+  const load = new Load(fleet);
   try {
     await fleet.start();
     await fleet.held();
-    const load = new Load(fleet);
     await load.begin(Math.min(1, options.share));
     load.play(options.share);
     const { isGood, ...more } = await meanwhile(fleet, load);
@@ -52,6 +52,7 @@
     for (const breach of report.breaches.slice(0, 20)) process.stdout.write(`${breach.rule}: ${breach.text}\n`);
     process.exitCode = isGood && report.breaches.length === 0 && fleet.fallen.length === 0 ? 0 : 1;
   } finally {
+    load.halt();
     await fleet.stop();
   }
 };
--- a/packages/jig/src/mark/sabotages.ts
+++ b/packages/jig/src/mark/sabotages.ts
@@ -34,6 +34,6 @@
   { name: "emptying asks nothing about contracts", file: "lathe/dist/request/emptyMachine.js", find: "if (refusal !== undefined)", put: "if (false)", test: `${sim}/shards.test.js` },
   { name: "lost replicas are never replaced", file: "anvil/dist/process/mender.js", find: "if (out === undefined)", put: "if (true)", test: `${sim}/shards.test.js` },
   { name: "a peer that is cut off is not reached through others", file: "chest/dist/process/exchange.js", find: "if (isPing || !this.isMute(to))", put: "if (true)", test: `${sim}/sessions.test.js` },
-  { name: "receipts do not go back the way a frame came", file: "chest/dist/process/exchange.js", find: "this.#mute.set(frame.from, this.#clock.now());", put: ";", test: `${sim}/sessions.test.js` },
+  { name: "receipts do not go back the way a frame came", file: "chest/dist/process/exchange.js", find: "this.#unanswered(frame.from);", put: ";", test: `${sim}/sessions.test.js` },
   { name: "a feed is asked for again before its picture can come", file: "chest/dist/process/feedFollower.js", find: "static openMs = 2500", put: "static openMs = 0", test: `${sim}/store.test.js` },
 ];
--- a/packages/jig/src/process/fleet.test.ts
+++ b/packages/jig/src/process/fleet.test.ts
@@ -146,15 +146,19 @@
 
 test("processes killed, cycled, frozen and cut off under load: no breach, service back within 12 s each time", async () => {
   const load = new Load(fleet);
-  await load.begin();
-  load.play();
-  const drill = new Drill(fleet, load);
-  await drill.run(["kill", "cycle", "freeze", "reset", "wipe", "blackout"]);
-  await drill.unplug("anvil-2", 4000);
-  const report = await load.end();
-  expect(report.breaches).toEqual([]);
-  expect(fleet.fallen).toEqual([]);
-  expect(drill.steps.filter((step) => step.backMs > Drill.backMs)).toEqual([]);
-  expect(report.accepted).toEqual(report.sent);
-  expect(report.received > report.accepted).toEqual(true);
+  try {
+    await load.begin();
+    load.play();
+    const drill = new Drill(fleet, load);
+    await drill.run(["kill", "cycle", "freeze", "reset", "wipe", "blackout"]);
+    await drill.unplug("anvil-2", 4000);
+    const report = await load.end();
+    expect(report.breaches).toEqual([]);
+    expect(fleet.fallen).toEqual([]);
+    expect(drill.steps.filter((step) => step.backMs > Drill.backMs)).toEqual([]);
+    expect(report.accepted).toEqual(report.sent);
+    expect(report.received > report.accepted).toEqual(true);
+  } finally {
+    load.halt();
+  }
 });
--- a/packages/jig/src/process/load.ts
+++ b/packages/jig/src/process/load.ts
@@ -90,6 +90,12 @@
     for (const caller of this.callers) if (this.#chance.draw() < 0.95) caller.dropOff(this.#chance.draw() * 500);
   }
 
+  /** Ends everything at once, whatever state it is in. */
+  halt(): void {
+    for (const stop of this.#stops.splice(0)) stop();
+    for (const caller of this.callers) caller.stop();
+  }
+
   /** Stops sending, waits until everything is settled and delivered, and judges. */
   async end(): Promise<LoadReport> {
     for (const stop of this.#stops.splice(0)) stop();
@@ -99,7 +105,7 @@
     const read = await this.#fleet.call(this.#fleet.withRole("vise")[0]!, "GET", "/v1/plan");
     if (read.status === 200) this.history.add({ kind: "planRead", at: endAt, text: String(read.body["raw"]) });
     else this.history.add({ kind: "planLost", at: endAt, why: `reading the plan back gave ${read.status}` });
-    for (const caller of this.callers) caller.stop();
+    this.halt();
     return Load.report(this.history, endAt, this.callers);
   }
 
--- a/packages/jig/src/process/sim/store.test.ts
+++ b/packages/jig/src/process/sim/store.test.ts
@@ -157,3 +157,15 @@
   expect(await settled(fleet, ledger!.confirm())).toEqual(false);
   expect((await settled(fleet, fleet.port.call(old, "GET", "/v1/plan", undefined))).status).toEqual(503);
 });
+
+test("after freezes, everybody reaches everybody directly again and every node has its feed", async () => {
+  const { fleet } = await founded(40, Scenario.machines());
+  for (const name of ["lathe-1", "anvil-3", "lathe-3", "vise-1", "lathe-2"]) {
+    fleet.pause(name, 4000);
+    await fleet.run(5500);
+  }
+  await fleet.run(3000);
+  const mutes = fleet.names.flatMap((name) => fleet.names.filter((other) => fleet.find(name)!.node.exchange.isMute(other)).map((other) => `${name} to ${other}`));
+  expect(mutes).toEqual([]);
+  expect(fleet.names.filter((name) => !fleet.find(name)!.node.feed.isFresh)).toEqual([]);
+});
--- a/packages/lathe/src/process/ledger.ts
+++ b/packages/lathe/src/process/ledger.ts
@@ -185,7 +185,7 @@
   }
 
   async #vote(vote: Vote): Promise<undefined> {
-    if (vote.founding !== this.founding) return undefined;
+    if (vote.founding !== this.founding || !Number.isSafeInteger(vote.term)) return undefined;
     const name = this.#members.voters.find((one) => one.id === vote.candidate)?.name;
     const isLed = this.#spread !== undefined || (this.#proposer !== "" && this.#clock.now() - this.#heardAt < this.#electionMs);
     const isCurrent = vote.lastTerm > this.#log.lastTerm || (vote.lastTerm === this.#log.lastTerm && vote.lastIndex >= this.#log.lastIndex);
@@ -203,6 +203,7 @@
   }
 
   #count(receipt: VoteReceipt): undefined {
+    if (!Number.isSafeInteger(receipt.term) || !this.#members.voters.some((one) => one.id === receipt.voter)) return undefined;
     if (!receipt.isGranted && receipt.term > this.#log.term && this.#spread === undefined) void this.#log.promise(receipt.term, "");
     if (receipt.isGranted && this.#asking === receipt.term && receipt.isPre === this.#isPre) {
       this.#votes.add(receipt.voter);
