--- a/packages/anvil/src/mark/shardState.ts
+++ b/packages/anvil/src/mark/shardState.ts
@@ -1,9 +1,29 @@
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
-import { ShardCommandSchema, ShardPictureSchema, TopicMessageSchema, type Accept, type ShardCommand, type TopicMessage, type Trim } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import {
+  ShardCommandSchema,
+  ShardPictureSchema,
+  TopicMessageSchema,
+  type Accept,
+  type ShardCommand,
+  type TopicMessage,
+  type Trim,
+} from "@cranetrack/chest/gen/cranetrack_pb.js";
 
-export interface TopicLog { birth: string; head: number; low: number; messages: TopicMessage[] }
-interface Known { at: number; ownerEpoch: number; numbers: number[]; seqs: number[] }
-export type Verdict = { outcome: "accepted"; birth: string; seq: number; topic: string; isFresh: boolean } | { outcome: "refused"; code: string; reason: string };
+export interface TopicLog {
+  birth: string;
+  head: number;
+  low: number;
+  messages: TopicMessage[];
+}
+interface Known {
+  at: number;
+  ownerEpoch: number;
+  numbers: number[];
+  seqs: number[];
+}
+export type Verdict =
+  | { outcome: "accepted"; birth: string; seq: number; topic: string; isFresh: boolean }
+  | { outcome: "refused"; code: string; reason: string };
 
 /**
  * What a shard's committed log says. Deterministic, and the only judge of what was sent twice.
@@ -24,8 +44,14 @@
     const log = this.topics.get(topic);
     if (record === undefined || log === undefined || number > record.numbers.at(-1)!) return undefined;
     const seq = record.seqs[record.numbers.indexOf(number)];
-    if (seq === undefined) return { outcome: "refused", code: "number-went-backwards", reason: `number ${number} is below ${record.numbers.at(-1)} and was never taken` };
-    if (seq === 0) return { outcome: "refused", code: "refused-before", reason: `number ${number} was refused for good` };
+    if (seq === undefined)
+      return {
+        outcome: "refused",
+        code: "number-went-backwards",
+        reason: `number ${number} is below ${record.numbers.at(-1)} and was never taken`,
+      };
+    if (seq === 0)
+      return { outcome: "refused", code: "refused-before", reason: `number ${number} was refused for good` };
     return { outcome: "accepted", birth: log.birth, seq, topic, isFresh: false };
   }
 
@@ -36,7 +62,9 @@
 
   picture(): Uint8Array {
     const topics = [...this.topics].map(([topic, log]) => ({ topic, ...log }));
-    const dedups = [...this.#known].flatMap(([topic, sessions]) => [...sessions].map(([session, record]) => ({ topic, session, ...record })));
+    const dedups = [...this.#known].flatMap(([topic, sessions]) =>
+      [...sessions].map(([session, record]) => ({ topic, session, ...record })),
+    );
     return toBinary(ShardPictureSchema, create(ShardPictureSchema, { topics, dedups, at: this.at }));
   }
 
@@ -45,13 +73,16 @@
     this.topics.clear();
     this.#known.clear();
     this.at = read.at;
-    for (const { topic, birth, head, low, messages } of read.topics) this.topics.set(topic, { birth, head, low, messages });
-    for (const { topic, session, at, ownerEpoch, numbers, seqs } of read.dedups) this.#sessions(topic).set(session, { at, ownerEpoch, numbers, seqs });
+    for (const { topic, birth, head, low, messages } of read.topics)
+      this.topics.set(topic, { birth, head, low, messages });
+    for (const { topic, session, at, ownerEpoch, numbers, seqs } of read.dedups)
+      this.#sessions(topic).set(session, { at, ownerEpoch, numbers, seqs });
   }
 
   /** Known sessions last heard of before a shard time; for the trimming beat. */
   hasOlder(at: number): boolean {
-    for (const sessions of this.#known.values()) for (const record of sessions.values()) if (record.at < at) return true;
+    for (const sessions of this.#known.values())
+      for (const record of sessions.values()) if (record.at < at) return true;
     return false;
   }
 
@@ -60,7 +91,8 @@
     if (command.case === "trim") return this.#trim(command.value);
     if (command.case === "birth") {
       this.at = Math.max(this.at, command.value.at);
-      if (!this.topics.has(command.value.topic)) this.topics.set(command.value.topic, { birth: command.value.birth, head: 0, low: 0, messages: [] });
+      if (!this.topics.has(command.value.topic))
+        this.topics.set(command.value.topic, { birth: command.value.birth, head: 0, low: 0, messages: [] });
     }
     return undefined;
   }
@@ -70,13 +102,23 @@
     const known = this.known(accept.topic, accept.session, accept.number);
     if (known !== undefined) return known;
     const log = this.topics.get(accept.topic);
-    if (log === undefined || log.birth !== accept.birth) return { outcome: "refused", code: "topic-gone", reason: "the topic was removed meanwhile" };
+    if (log === undefined || log.birth !== accept.birth)
+      return { outcome: "refused", code: "topic-gone", reason: "the topic was removed meanwhile" };
     const record = this.#sessions(accept.topic).get(accept.session) ?? { at: 0, ownerEpoch: 0, numbers: [], seqs: [] };
-    if (accept.ownerEpoch < record.ownerEpoch) return { outcome: "refused", code: "stale-owner", reason: "the session has moved to another node" };
+    if (accept.ownerEpoch < record.ownerEpoch)
+      return { outcome: "refused", code: "stale-owner", reason: "the session has moved to another node" };
     const seq = accept.isVoid ? 0 : log.head + 1;
     if (!accept.isVoid) {
       log.head = seq;
-      log.messages.push(create(TopicMessageSchema, { seq, session: accept.session, number: accept.number, payload: accept.payload, at: accept.at }));
+      log.messages.push(
+        create(TopicMessageSchema, {
+          seq,
+          session: accept.session,
+          number: accept.number,
+          payload: accept.payload,
+          at: accept.at,
+        }),
+      );
     }
     record.at = accept.at;
     record.ownerEpoch = accept.ownerEpoch;
--- a/packages/anvil/src/process/anvil.ts
+++ b/packages/anvil/src/process/anvil.ts
@@ -42,7 +42,8 @@
   load(): string | undefined {
     const kept = this.#disk.read("shelf")[0];
     this.#id = kept === undefined ? this.#node.parts.chance.identity() : Buffer.from(kept.value).toString();
-    for (let shard = 0; shard < this.#node.parts.settings.shards; shard += 1) this.#replicas.push(new Replica(shard, this.#id, this.#disk, this.#node));
+    for (let shard = 0; shard < this.#node.parts.settings.shards; shard += 1)
+      this.#replicas.push(new Replica(shard, this.#id, this.#disk, this.#node));
     return this.#replicas.map((replica) => replica.log.fault()).find((fault) => fault !== undefined);
   }
 
@@ -51,11 +52,30 @@
     this.#node.membership.self.shelf = this.#id;
     const { exchange } = this.#node;
     const find = (group: string): Replica | undefined => this.#replicas.find((replica) => replica.log.group === group);
-    exchange.serve("pledge", (pledge) => (pledge.receiver === this.#id ? find(pledge.group)?.pledge(pledge) : undefined));
+    exchange.serve("pledge", (pledge) =>
+      pledge.receiver === this.#id ? find(pledge.group)?.pledge(pledge) : undefined,
+    );
     exchange.serve("shardPull", (pull) => (pull.receiver === this.#id ? find(pull.group)?.pull(pull) : undefined));
-    exchange.serve("publish", async (publish) => (await this.#bench(publish.shard)?.publish(publish)) ?? { case: "publishReceipt", value: { outcome: "away", holder: this.#node.shards.find(publish.shard).holder } });
-    exchange.serve("follow", async (follow, frame) => (await this.#bench(follow.shard)?.follow(follow, frame.from)) ?? { case: "followReceipt", value: { outcome: "away", holder: this.#node.shards.find(follow.shard).holder } });
-    exchange.serve("fetch", (fetch) => this.#bench(fetch.shard)?.fetch(fetch) ?? { case: "fetchReceipt", value: { outcome: "away" } });
+    exchange.serve(
+      "publish",
+      async (publish) =>
+        (await this.#bench(publish.shard)?.publish(publish)) ?? {
+          case: "publishReceipt",
+          value: { outcome: "away", holder: this.#node.shards.find(publish.shard).holder },
+        },
+    );
+    exchange.serve(
+      "follow",
+      async (follow, frame) =>
+        (await this.#bench(follow.shard)?.follow(follow, frame.from)) ?? {
+          case: "followReceipt",
+          value: { outcome: "away", holder: this.#node.shards.find(follow.shard).holder },
+        },
+    );
+    exchange.serve(
+      "fetch",
+      (fetch) => this.#bench(fetch.shard)?.fetch(fetch) ?? { case: "fetchReceipt", value: { outcome: "away" } },
+    );
     this.#claims = new Claims(this.#node, this.#lease, this.#replicas, this.#id);
     this.#lease.start();
     if (!this.#isSpare) this.#node.parts.clock.every(300, () => this.#foundSets());
@@ -69,9 +89,15 @@
 
   status(): object {
     const held = (this.#claims?.all() ?? []).map(([shard, { holder, mender }]) => ({
-      shard, epoch: holder.epoch, isServing: holder.isServing, occupancy: holder.occupancy,
+      shard,
+      epoch: holder.epoch,
+      isServing: holder.isServing,
+      occupancy: holder.occupancy,
       move: mender.progress ?? null,
-      replicas: holder.set.members.map(({ id, name }) => ({ name, behind: this.#replicas[shard]!.log.lastIndex - (holder.spread?.matchOf(id) ?? 0) })),
+      replicas: holder.set.members.map(({ id, name }) => ({
+        name,
+        behind: this.#replicas[shard]!.log.lastIndex - (holder.spread?.matchOf(id) ?? 0),
+      })),
     }));
     return { hasLease: this.#lease.isHeld, leasesLost: this.#lease.losses, shelf: this.#id, held };
   }
@@ -89,11 +115,17 @@
     if (parts.clock.now() - this.#foundAt < 900) return;
     for (let shard = 0; shard < parts.settings.shards; shard += 1) {
       const names = storage.map((member) => member.name);
-      if (shards.find(shard).set !== undefined || Rendezvous.rank(`found ${shard}`, names)[0] !== parts.settings.name) continue;
+      if (shards.find(shard).set !== undefined || Rendezvous.rank(`found ${shard}`, names)[0] !== parts.settings.name)
+        continue;
       const picked = Rendezvous.spread(`replicas ${shard}`, storage, 3);
-      const members = picked.map((name) => storage.find((member) => member.name === name)!).map(({ shelf, name, zone }) => ({ id: shelf, name, zone }));
+      const members = picked
+        .map((name) => storage.find((member) => member.name === name)!)
+        .map(({ shelf, name, zone }) => ({ id: shelf, name, zone }));
       const key = `shards/${shard}/replicas`;
-      void store.txn({ checks: [{ key, revision: 0 }], puts: [{ key, value: Buffer.from(JSON.stringify({ members })) }] });
+      void store.txn({
+        checks: [{ key, revision: 0 }],
+        puts: [{ key, value: Buffer.from(JSON.stringify({ members })) }],
+      });
     }
   }
 }
--- a/packages/anvil/src/process/claims.ts
+++ b/packages/anvil/src/process/claims.ts
@@ -7,7 +7,13 @@
 import { Mender } from "./mender.js";
 import type { Replica } from "./replica.js";
 
-interface Claim { replica: Replica; lease: string; holder: Holder; bench: Bench; mender: Mender }
+interface Claim {
+  replica: Replica;
+  lease: string;
+  holder: Holder;
+  bench: Bench;
+  mender: Mender;
+}
 
 /**
  * Claims free shards for this disk, in rendezvous order, by compare-and-set; nobody assigns them.
@@ -90,7 +96,13 @@
     if (this.#busy.has(shard)) return;
     if (isOwnKey) return void this.#guard(shard, () => this.#giveBack(shard, route.epoch));
     const rank = this.#rank(shard);
-    if (route.holder !== "" || rank === -1 || this.isEmptying || this.#node.machines.isEmptying(this.#node.exchange.name)) return void this.#freeSince.delete(shard);
+    if (
+      route.holder !== "" ||
+      rank === -1 ||
+      this.isEmptying ||
+      this.#node.machines.isEmptying(this.#node.exchange.name)
+    )
+      return void this.#freeSince.delete(shard);
     const now = this.#node.parts.clock.now();
     const since = this.#freeSince.get(shard) ?? now;
     this.#freeSince.set(shard, since);
@@ -100,7 +112,9 @@
   /** This disk's turn among the set's live members; -1 where it is no member. */
   #rank(shard: number): number {
     const members = this.#node.shards.find(shard).set?.members ?? [];
-    const alive = members.filter((member) => member.id === this.#id || this.#node.membership.isAlive(member.name)).map((member) => member.id);
+    const alive = members
+      .filter((member) => member.id === this.#id || this.#node.membership.isAlive(member.name))
+      .map((member) => member.id);
     return Rendezvous.rank(`holder ${shard}`, alive).indexOf(this.#id);
   }
 
@@ -117,7 +131,13 @@
     if (set === undefined) return;
     const key = `shards/${shard}/holder`;
     const value = Buffer.from(JSON.stringify({ name: this.#node.exchange.name, id: this.#id, lease }));
-    const receipt = await this.#node.store.txn({ checks: [{ key, revision: 0 }, { key: `shards/${shard}/replicas`, revision: setRevision }], puts: [{ key, value, lease }] });
+    const receipt = await this.#node.store.txn({
+      checks: [
+        { key, revision: 0 },
+        { key: `shards/${shard}/replicas`, revision: setRevision },
+      ],
+      puts: [{ key, value, lease }],
+    });
     if (receipt.outcome !== "done" || this.#lease.lease !== lease) return;
     await this.#hold(replica, set, receipt.revision!, lease);
   }
--- a/packages/anvil/src/process/follows.ts
+++ b/packages/anvil/src/process/follows.ts
@@ -1,9 +1,21 @@
 import { create } from "@bufbuild/protobuf";
-import { TopicBatchSchema, type Follow, type TopicBatch, type TopicHead, type TopicMessage } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import {
+  TopicBatchSchema,
+  type Follow,
+  type TopicBatch,
+  type TopicHead,
+  type TopicMessage,
+} from "@cranetrack/chest/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { ShardState } from "../mark/shardState.js";
 
-interface Following { readonly follow: string; readonly edge: string; readonly topics: Map<string, { birth: string; sent: number }>; number: number; heardAt: number }
+interface Following {
+  readonly follow: string;
+  readonly edge: string;
+  readonly topics: Map<string, { birth: string; sent: number }>;
+  number: number;
+  heardAt: number;
+}
 
 /**
  * Which edges follow which topics of one held shard. Pushes are numbered a follow; what an edge misses
@@ -91,7 +103,8 @@
 
   forgetSilent(): void {
     const now = this.#node.parts.clock.now();
-    for (const following of [...this.#follows.values()]) if (now - following.heardAt > Follows.silentMs) this.#drop(following);
+    for (const following of [...this.#follows.values()])
+      if (now - following.heardAt > Follows.silentMs) this.#drop(following);
   }
 
   /** Messages after a place, as many as fit one receipt. */
@@ -117,7 +130,10 @@
 
   #send(following: Following, batches: TopicBatch[]): void {
     following.number += 1;
-    this.#node.exchange.tell(following.edge, { case: "push", value: { shard: this.#shard, epoch: this.#epoch, follow: following.follow, number: following.number, batches } });
+    this.#node.exchange.tell(following.edge, {
+      case: "push",
+      value: { shard: this.#shard, epoch: this.#epoch, follow: following.follow, number: following.number, batches },
+    });
   }
 
   #drop(following: Following): void {
--- a/packages/anvil/src/process/holder.ts
+++ b/packages/anvil/src/process/holder.ts
@@ -1,6 +1,6 @@
 import { EventEmitter } from "node:events";
 import { create, toBinary } from "@bufbuild/protobuf";
-import { EntrySchema, ShardCommandSchema, type ShardCommand } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { EntrySchema, ShardCommandSchema } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import { Spread } from "@cranetrack/chest/mark/spread.js";
 import type { ShardSet } from "@cranetrack/chest/mark/shardSet.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
@@ -72,13 +72,24 @@
     if (this.epoch < replica.log.term) return false;
     const own = replica.log.promise(this.epoch, "");
     const asked = others.map(async (member) => {
-      const body = await this.#node.exchange.call(member.name, { case: "pledge", value: { group: replica.log.group, epoch: this.epoch, receiver: member.id } }, 900);
+      const body = await this.#node.exchange.call(
+        member.name,
+        { case: "pledge", value: { group: replica.log.group, epoch: this.epoch, receiver: member.id } },
+        900,
+      );
       return body?.case === "pledgeReceipt" && body.value.isPledged ? { member, ...body.value } : undefined;
     });
     await own;
     const pledged = await this.#enough(asked, Math.floor(this.#set.members.length / 2));
     if (pledged === undefined || this.#isOver) return false;
-    const best = pledged.reduce((a, b) => (b.lastTerm > a.lastTerm || (b.lastTerm === a.lastTerm && b.lastIndex > a.lastIndex) ? b : a), { member: undefined as unknown, lastTerm: replica.log.lastTerm, lastIndex: replica.log.lastIndex } as (typeof pledged)[number]);
+    const best = pledged.reduce(
+      (a, b) => (b.lastTerm > a.lastTerm || (b.lastTerm === a.lastTerm && b.lastIndex > a.lastIndex) ? b : a),
+      {
+        member: undefined as unknown,
+        lastTerm: replica.log.lastTerm,
+        lastIndex: replica.log.lastIndex,
+      } as (typeof pledged)[number],
+    );
     if (best.member !== undefined && !(await this.#pullFrom(best.member, best.lastIndex))) return false;
     if (this.#isOver || replica.log.term !== this.epoch) return false;
     this.#begin();
@@ -89,7 +100,7 @@
   propose(command: CommandInit): Promise<Verdict | undefined> {
     if (this.#isOver) return Promise.resolve(undefined);
     const { log } = this.#replica;
-    const data = toBinary(ShardCommandSchema, create(ShardCommandSchema, { command: command as unknown as ShardCommand["command"] }));
+    const data = toBinary(ShardCommandSchema, create(ShardCommandSchema, { command }));
     return this.#append(create(EntrySchema, { index: log.lastIndex + 1, term: this.epoch, kind: 0, data }));
   }
 
@@ -101,7 +112,10 @@
 
   /** Whom entries must be synced on from now on: one set, or the old and the new one. */
   enlist(sets: ShardSet[], learners: string[]): void {
-    this.#spread?.enlist(sets.map((set) => set.members.map((member) => member.id)), learners);
+    this.#spread?.enlist(
+      sets.map((set) => set.members.map((member) => member.id)),
+      learners,
+    );
   }
 
   /** A majority has answered something sent after the call. */
@@ -125,7 +139,11 @@
     const replica = this.#replica;
     this.#timeBase = replica.state.at;
     const spread = new Spread({
-      log: replica.log, clock: this.#node.parts.clock, self: replica.id, term: this.epoch, commit: replica.applied,
+      log: replica.log,
+      clock: this.#node.parts.clock,
+      self: replica.id,
+      term: this.epoch,
+      commit: replica.applied,
       send: (id, body) => this.#node.exchange.tell(this.#nameOf(id), body),
     });
     this.#spread = replica.spread = spread;
@@ -144,7 +162,11 @@
   }
 
   #nameOf(id: string): string {
-    return this.#set.members.find((member) => member.id === id)?.name ?? this.#node.membership.all().find((member) => member.shelf === id)?.name ?? "";
+    return (
+      this.#set.members.find((member) => member.id === id)?.name ??
+      this.#node.membership.all().find((member) => member.shelf === id)?.name ??
+      ""
+    );
   }
 
   #append(entry: ReturnType<typeof create<typeof EntrySchema>>): Promise<Verdict | undefined> {
@@ -165,7 +187,11 @@
     const replica = this.#replica;
     let after = replica.applied;
     do {
-      const body = await this.#node.exchange.call(member.name, { case: "shardPull", value: { group: replica.log.group, epoch: this.epoch, after, receiver: member.id } }, 1500);
+      const body = await this.#node.exchange.call(
+        member.name,
+        { case: "shardPull", value: { group: replica.log.group, epoch: this.epoch, after, receiver: member.id } },
+        1500,
+      );
       if (body?.case !== "shardPullReceipt" || this.#isOver) return false;
       const { isWhole, baseIndex, baseTerm, picture, entries } = body.value;
       await replica.replace(isWhole, { index: baseIndex, term: baseTerm, picture }, entries);
--- a/packages/anvil/src/process/mender.ts
+++ b/packages/anvil/src/process/mender.ts
@@ -6,9 +6,20 @@
 import type { Replica } from "./replica.js";
 
 type Place = ShardSet["members"][number];
-interface Move { out: Place; in: Place; set: ShardSet; step: "copying" | "joining"; joinedAt: number; startedAt: number; why: string }
+interface Move {
+  out: Place;
+  in: Place;
+  set: ShardSet;
+  step: "copying" | "joining";
+  joinedAt: number;
+  startedAt: number;
+  why: string;
+}
 /** The set that the store has taken, and the epoch under which this disk holds it; 0 where it is out. */
-export interface Swap { set: ShardSet; epoch: number }
+export interface Swap {
+  set: ShardSet;
+  epoch: number;
+}
 
 /**
  * Keeps one held shard's replica set whole: replaces what is lost, moves off what is to be emptied, and
@@ -36,7 +47,9 @@
   }
 
   get progress(): { out: string; in: string; step: string; why: string } | undefined {
-    return this.#move === undefined ? undefined : { out: this.#move.out.name, in: this.#move.in.name, step: this.#move.step, why: this.#move.why };
+    return this.#move === undefined
+      ? undefined
+      : { out: this.#move.out.name, in: this.#move.in.name, step: this.#move.step, why: this.#move.why };
   }
 
   /** One step further; a set that the store has taken is handed back to be held under its new epoch. */
@@ -59,7 +72,8 @@
       this.#holder.enlist([this.#holder.set, move.set], []);
       return undefined;
     }
-    if (spread.matchOf(move.in.id) < move.joinedAt || spread.commit < move.joinedAt) return isLost ? this.#drop() : undefined;
+    if (spread.matchOf(move.in.id) < move.joinedAt || spread.commit < move.joinedAt)
+      return isLost ? this.#drop() : undefined;
     return this.#swap(move);
   }
 
@@ -75,9 +89,22 @@
     const chosen = this.#newcomer(out.place, rest, out.mustBeStorage);
     if (chosen === undefined) return;
     const place: Place = { id: chosen.shelf, name: chosen.name, zone: chosen.zone };
-    this.#move = { out: out.place, in: place, set: { members: [...rest, place] }, step: "copying", joinedAt: 0, startedAt: this.#node.parts.clock.now(), why: out.why };
+    this.#move = {
+      out: out.place,
+      in: place,
+      set: { members: [...rest, place] },
+      step: "copying",
+      joinedAt: 0,
+      startedAt: this.#node.parts.clock.now(),
+      why: out.why,
+    };
     this.#holder.enlist([this.#holder.set], [place.id]);
-    this.#node.parts.log.note("replaces a replica", { shard: this.#replica.shard, out: out.place.name, in: place.name, why: out.why });
+    this.#node.parts.log.note("replaces a replica", {
+      shard: this.#replica.shard,
+      out: out.place.name,
+      in: place.name,
+      why: out.why,
+    });
   }
 
   #leaving(): { place: Place; why: string; mustBeStorage: boolean } | undefined {
@@ -87,13 +114,18 @@
     if (emptied !== undefined) return { place: emptied, why: "the machine is being emptied", mustBeStorage: false };
     const blank = members.find((member) => {
       const present = membership.find(member.name);
-      return present !== undefined && present.shelf !== "" && present.shelf !== member.id && membership.isAlive(member.name);
+      return (
+        present !== undefined && present.shelf !== "" && present.shelf !== member.id && membership.isAlive(member.name)
+      );
     });
-    if (blank !== undefined) return { place: blank, why: "the machine came back with a blank disk", mustBeStorage: false };
+    if (blank !== undefined)
+      return { place: blank, why: "the machine came back with a blank disk", mustBeStorage: false };
     const gone = members.find((member) => (this.#holder.spread?.heardAgo(member.id) ?? 0) > Mender.goneMs);
     if (gone !== undefined) return { place: gone, why: "the replica is gone", mustBeStorage: false };
     const spare = members.find((member) => membership.find(member.name)?.role === "lathe");
-    return spare === undefined ? undefined : { place: spare, why: "a storage machine is there for a spare", mustBeStorage: true };
+    return spare === undefined
+      ? undefined
+      : { place: spare, why: "a storage machine is there for a spare", mustBeStorage: true };
   }
 
   /** Never into a zone the others are in, where the fleet has zones enough. */
@@ -102,11 +134,20 @@
     const disks = membership.all().filter((member) => member.shelf !== "");
     const hasZones = new Set(disks.map((member) => member.zone)).size >= 3;
     const taken = new Set(rest.map((member) => member.zone));
-    const free = disks.filter((member) => membership.isAlive(member.name) && !machines.isEmptying(member.name) &&
-      member.shelf !== out.id && !rest.some((one) => one.id === member.shelf || one.name === member.name) && !(hasZones && taken.has(member.zone)));
+    const free = disks.filter(
+      (member) =>
+        membership.isAlive(member.name) &&
+        !machines.isEmptying(member.name) &&
+        member.shelf !== out.id &&
+        !rest.some((one) => one.id === member.shelf || one.name === member.name) &&
+        !(hasZones && taken.has(member.zone)),
+    );
     const storage = free.filter((member) => member.role === "anvil");
     const pool = storage.length > 0 || mustBeStorage ? storage : free;
-    const first = Rendezvous.rank(`replicas ${this.#replica.shard}`, pool.map((member) => member.name))[0];
+    const first = Rendezvous.rank(
+      `replicas ${this.#replica.shard}`,
+      pool.map((member) => member.name),
+    )[0];
     return pool.find((member) => member.name === first);
   }
 
@@ -117,10 +158,19 @@
     const holderKey = `shards/${shard}/holder`;
     const setKey = `shards/${shard}/replicas`;
     const { setRevision } = this.#node.shards.find(shard);
-    const checks = [{ key: holderKey, revision: this.#holder.epoch }, { key: setKey, revision: setRevision }];
+    const checks = [
+      { key: holderKey, revision: this.#holder.epoch },
+      { key: setKey, revision: setRevision },
+    ];
     const setPut = { key: setKey, value: Buffer.from(JSON.stringify(move.set)) };
-    const holderPut = { key: holderKey, value: Buffer.from(JSON.stringify({ name: this.#node.exchange.name, id, lease: this.#lease })), lease: this.#lease };
-    const written = await this.#node.store.txn(isOut ? { checks, puts: [setPut], deletes: [holderKey] } : { checks, puts: [setPut, holderPut] });
+    const holderPut = {
+      key: holderKey,
+      value: Buffer.from(JSON.stringify({ name: this.#node.exchange.name, id, lease: this.#lease })),
+      lease: this.#lease,
+    };
+    const written = await this.#node.store.txn(
+      isOut ? { checks, puts: [setPut], deletes: [holderKey] } : { checks, puts: [setPut, holderPut] },
+    );
     this.#isWriting = false;
     if (written.outcome === "done") return { set: move.set, epoch: isOut ? 0 : written.revision! };
     if (written.outcome === "conflict") this.#holder.stop("the store names another holder or set");
--- a/packages/anvil/src/process/replica.ts
+++ b/packages/anvil/src/process/replica.ts
@@ -8,14 +8,21 @@
 import type { BodyInit } from "@cranetrack/chest/process/wire.js";
 import { ShardState, type Verdict } from "../mark/shardState.js";
 
-export interface AppliedEntry { entry: Entry; verdict: Verdict | undefined }
+export interface AppliedEntry {
+  entry: Entry;
+  verdict: Verdict | undefined;
+}
 
 /**
  * One shard's log on this disk and the state folded from its committed part.
  * Invariants: state holds exactly the entries up to `applied`; an epoch lower than the promised one is
  * refused; the disk's identity is the replica's, so a wiped disk is another replica.
  */
-export class Replica extends EventEmitter<{ applied: [applied: AppliedEntry]; deposed: [epoch: number]; appended: [] }> {
+export class Replica extends EventEmitter<{
+  applied: [applied: AppliedEntry];
+  deposed: [epoch: number];
+  appended: [];
+}> {
   static readonly compactAt = 3000;
 
   readonly shard: number;
@@ -35,11 +42,22 @@
     this.id = id;
     this.#node = node;
     this.log = new ReplicaLog(disk, `shard${String(shard).padStart(3, "0")}`);
-    this.#intake = new Intake(this.log, id, (index) => this.advance(index), (index, state) => this.#install(index, state));
+    this.#intake = new Intake(
+      this.log,
+      id,
+      (index) => this.advance(index),
+      (index, state) => this.#install(index, state),
+    );
     if (this.log.baseIndex > 0) this.#install(this.log.baseIndex, this.log.picture);
     node.groups.enlist(this.log.group, {
-      append: (append, from) => (append.receiver === this.id ? this.#take(append.term, from, () => this.#intake.take(append, this.applied)) : undefined),
-      picture: (picture, from) => (picture.receiver === this.id ? this.#take(picture.term, from, () => this.#intake.takePicture(picture, this.applied)) : undefined),
+      append: (append, from) =>
+        append.receiver === this.id
+          ? this.#take(append.term, from, () => this.#intake.take(append, this.applied))
+          : undefined,
+      picture: (picture, from) =>
+        picture.receiver === this.id
+          ? this.#take(picture.term, from, () => this.#intake.takePicture(picture, this.applied))
+          : undefined,
       receipt: (receipt) => {
         if (receipt.receiver === this.id) this.spread?.take(receipt);
       },
@@ -55,16 +73,26 @@
       const verdict = entry.kind === 0 ? this.state.apply(entry.data) : undefined;
       this.emit("applied", { entry, verdict });
     }
-    if (this.log.length > Replica.compactAt && this.applied - this.log.baseIndex > Replica.compactAt / 2) void this.log.compact(this.applied, this.state.picture());
+    if (this.log.length > Replica.compactAt && this.applied - this.log.baseIndex > Replica.compactAt / 2)
+      void this.log.compact(this.applied, this.state.picture());
   }
 
   /** A claimant asks for the promise to refuse all lower epochs. */
   async pledge(pledge: Pledge): Promise<BodyInit> {
-    if (pledge.epoch < this.log.term || !Number.isSafeInteger(pledge.epoch)) return { case: "pledgeReceipt", value: { isPledged: false, epoch: this.log.term } };
+    if (pledge.epoch < this.log.term || !Number.isSafeInteger(pledge.epoch))
+      return { case: "pledgeReceipt", value: { isPledged: false, epoch: this.log.term } };
     this.#outbid(pledge.epoch);
     if (pledge.epoch > this.log.term) await this.log.promise(pledge.epoch, "");
     else await this.log.append([]);
-    return { case: "pledgeReceipt", value: { isPledged: pledge.epoch === this.log.term, epoch: this.log.term, lastIndex: this.log.lastIndex, lastTerm: this.log.lastTerm } };
+    return {
+      case: "pledgeReceipt",
+      value: {
+        isPledged: pledge.epoch === this.log.term,
+        epoch: this.log.term,
+        lastIndex: this.log.lastIndex,
+        lastTerm: this.log.lastTerm,
+      },
+    };
   }
 
   /** A new holder with a shorter log asks for what it lacks. */
@@ -73,11 +101,24 @@
     const isWhole = pull.after < this.log.baseIndex || this.log.termAt(pull.after) === undefined;
     const after = isWhole ? this.log.baseIndex : pull.after;
     const picture = isWhole ? this.log.picture : new Uint8Array();
-    return { case: "shardPullReceipt", value: { isWhole, baseIndex: this.log.baseIndex, baseTerm: this.log.baseTerm, picture, entries: this.log.after(after, 16 * 1024 * 1024) } };
+    return {
+      case: "shardPullReceipt",
+      value: {
+        isWhole,
+        baseIndex: this.log.baseIndex,
+        baseTerm: this.log.baseTerm,
+        picture,
+        entries: this.log.after(after, 16 * 1024 * 1024),
+      },
+    };
   }
 
   /** Takes a better log in place of what this one has after its applied part. */
-  async replace(isWhole: boolean, base: { index: number; term: number; picture: Uint8Array }, entries: readonly Entry[]): Promise<void> {
+  async replace(
+    isWhole: boolean,
+    base: { index: number; term: number; picture: Uint8Array },
+    entries: readonly Entry[],
+  ): Promise<void> {
     if (isWhole && base.index > this.applied) {
       const installed = this.log.install(base.index, base.term, base.picture);
       this.#install(base.index, base.picture);
--- a/packages/chest/src/link/httpFront.ts
+++ b/packages/chest/src/link/httpFront.ts
@@ -15,7 +15,10 @@
     this.#app.addContentTypeParser("*", { parseAs: "buffer" }, (_request, body, done) => done(null, body));
     this.#app.setErrorHandler((fault: { statusCode?: number; message: string }, _request, reply) => {
       const status = fault.statusCode ?? 500;
-      return HttpFront.#answer(reply, ApiReceipts.fault(status, status === 413 ? "too-large" : "malformed", fault.message));
+      return HttpFront.#answer(
+        reply,
+        ApiReceipts.fault(status, status === 413 ? "too-large" : "malformed", fault.message),
+      );
     });
     this.#app.all("/*", async (request, reply) => {
       const path = request.url.split("?")[0]!;
@@ -33,15 +36,15 @@
     await this.#app.listen({ host: address.slice(0, cut), port: Number(address.slice(cut + 1)) });
   }
 
-  close(): Promise<void> {
-    return this.#app.close() as unknown as Promise<void>;
+  async close(): Promise<void> {
+    await this.#app.close();
   }
-
-
   static #answer(reply: FastifyReply, receipt: ApiReceipt): FastifyReply {
-    if (receipt.comeBack !== undefined) void reply.header("Retry-After", String(Math.max(1, Math.ceil(receipt.comeBack))));
+    if (receipt.comeBack !== undefined)
+      void reply.header("Retry-After", String(Math.max(1, Math.ceil(receipt.comeBack))));
     const type = typeof receipt.body === "string" ? "text/plain; charset=utf-8" : "application/json; charset=utf-8";
-    const bytes = typeof receipt.body === "string" ? Buffer.from(receipt.body) : Buffer.from(Router.encode(receipt.body));
+    const bytes =
+      typeof receipt.body === "string" ? Buffer.from(receipt.body) : Buffer.from(Router.encode(receipt.body));
     return reply.code(receipt.status).header("Content-Type", type).send(bytes);
   }
 }
--- a/packages/chest/src/mark/intake.ts
+++ b/packages/chest/src/mark/intake.ts
@@ -13,7 +13,12 @@
   readonly #onCommit: (index: number) => void;
   readonly #onPicture: (index: number, state: Uint8Array) => void;
 
-  constructor(log: ReplicaLog, self: string, onCommit: (index: number) => void, onPicture: (index: number, state: Uint8Array) => void) {
+  constructor(
+    log: ReplicaLog,
+    self: string,
+    onCommit: (index: number) => void,
+    onPicture: (index: number, state: Uint8Array) => void,
+  ) {
     this.#log = log;
     this.#self = self;
     this.#onCommit = onCommit;
@@ -26,7 +31,11 @@
     const isBehindBase = append.prevIndex < this.#log.baseIndex;
     if (!isBehindBase && this.#log.termAt(append.prevIndex) !== append.prevTerm) {
       await promised;
-      return this.#receipt(append, false, Math.min(append.prevIndex - 1, Math.max(commit, this.#log.baseIndex), this.#log.lastIndex));
+      return this.#receipt(
+        append,
+        false,
+        Math.min(append.prevIndex - 1, Math.max(commit, this.#log.baseIndex), this.#log.lastIndex),
+      );
     }
     const match = append.prevIndex + append.entries.length;
     const synced = this.#log.agree(append.prevIndex, append.entries);
@@ -37,7 +46,8 @@
   }
 
   async takePicture(picture: Picture, commit: number): Promise<BodyInit> {
-    if (picture.term < this.#log.term || ![picture.term, picture.index, picture.indexTerm].every(Intake.#isCount)) return this.#receipt(picture, false, 0);
+    if (picture.term < this.#log.term || ![picture.term, picture.index, picture.indexTerm].every(Intake.#isCount))
+      return this.#receipt(picture, false, 0);
     if (picture.term > this.#log.term) void this.#log.promise(picture.term, "");
     if (picture.index > commit) {
       const installed = this.#log.install(picture.index, picture.indexTerm, picture.state);
@@ -53,10 +63,26 @@
 
   /** Counts are counts, and entries follow one another from prevIndex on. */
   static #isSane({ term, prevIndex, prevTerm, commit, entries }: Append): boolean {
-    return [term, prevIndex, prevTerm, commit].every(Intake.#isCount) && entries.every((entry, i) => entry.index === prevIndex + 1 + i && Intake.#isCount(entry.term) && entry.term <= term);
+    return (
+      [term, prevIndex, prevTerm, commit].every(Intake.#isCount) &&
+      entries.every(
+        (entry, i) => entry.index === prevIndex + 1 + i && Intake.#isCount(entry.term) && entry.term <= term,
+      )
+    );
   }
 
   #receipt(to: { group: string; round: number; sender: string }, isTaken: boolean, match: number): BodyInit {
-    return { case: "appendReceipt", value: { group: to.group, term: this.#log.term, sender: this.#self, receiver: to.sender, isTaken, match, round: to.round } };
+    return {
+      case: "appendReceipt",
+      value: {
+        group: to.group,
+        term: this.#log.term,
+        sender: this.#self,
+        receiver: to.sender,
+        isTaken,
+        match,
+        round: to.round,
+      },
+    };
   }
 }
--- a/packages/chest/src/mark/plan.ts
+++ b/packages/chest/src/mark/plan.ts
@@ -18,12 +18,21 @@
 const planType = type({
   "+": "reject",
   mark: "1 <= number.integer <= 9007199254740991",
-  spaces: type({ "+": "reject", name: "/^[a-z0-9][a-z0-9-]{0,62}$/", program: type({ "+": "reject", when, owe }).array().moreThanLength(0).atMostLength(64) }).array().atMostLength(256),
+  spaces: type({
+    "+": "reject",
+    name: "/^[a-z0-9][a-z0-9-]{0,62}$/",
+    program: type({ "+": "reject", when, owe }).array().moreThanLength(0).atMostLength(64),
+  })
+    .array()
+    .atMostLength(256),
 });
 
 export type Plan = typeof planType.infer;
 export type Owe = typeof owe.infer;
-export interface PlanFault { path: string; problem: string }
+export interface PlanFault {
+  path: string;
+  problem: string;
+}
 
 /** The operators' configuration: data, checked whole, judged by pure functions on every node. */
 export const Plans = {
@@ -37,7 +46,8 @@
     const faults: PlanFault[] = [];
     const names = new Set<string>();
     checked.spaces.forEach((space, i) => {
-      if (names.has(space.name)) faults.push({ path: `spaces.${i}.name`, problem: `a second space is called ${space.name}` });
+      if (names.has(space.name))
+        faults.push({ path: `spaces.${i}.name`, problem: `a second space is called ${space.name}` });
       names.add(space.name);
     });
     return faults.length > 0 ? { faults } : { plan: checked };
@@ -56,12 +66,18 @@
   owed(plan: Plan | undefined, topic: string): Owe | undefined {
     const space = plan?.spaces.find((one) => one.name === Plans.spaceOf(topic));
     const rest = topic.slice(topic.indexOf("/") + 1);
-    const rule = space?.program.find(({ when: cond }) =>
-      (cond.topic === undefined || cond.topic === rest) && (cond.topicPrefix === undefined || rest.startsWith(cond.topicPrefix)));
+    const rule = space?.program.find(
+      ({ when: cond }) =>
+        (cond.topic === undefined || cond.topic === rest) &&
+        (cond.topicPrefix === undefined || rest.startsWith(cond.topicPrefix)),
+    );
     return rule?.owe;
   },
 
   mayPublish(owed: Owe, session: string): boolean {
-    return owed.publishers === undefined || owed.publishers.some((one) => one === session || (one.endsWith("*") && session.startsWith(one.slice(0, -1))));
+    return (
+      owed.publishers === undefined ||
+      owed.publishers.some((one) => one === session || (one.endsWith("*") && session.startsWith(one.slice(0, -1))))
+    );
   },
 };
--- a/packages/chest/src/mark/planView.ts
+++ b/packages/chest/src/mark/planView.ts
@@ -23,7 +23,8 @@
     if (change.key !== "plan" || change.value === undefined) return;
     const text = Buffer.from(change.value).toString();
     const read = Plans.read(JSON.parse(text));
-    if ("faults" in read) return void (this.fault = `cannot read the plan: ${read.faults[0]!.path} ${read.faults[0]!.problem}`);
+    if ("faults" in read)
+      return void (this.fault = `cannot read the plan: ${read.faults[0]!.path} ${read.faults[0]!.problem}`);
     if (read.plan.mark <= this.mark) return;
     this.fault = "";
     this.plan = read.plan;
--- a/packages/chest/src/mark/replicaLog.ts
+++ b/packages/chest/src/mark/replicaLog.ts
@@ -76,8 +76,16 @@
   agree(prevIndex: number, entries: readonly Entry[]): Promise<void> {
     const fresh = entries.filter((entry) => entry.index > this.baseIndex && this.termAt(entry.index) !== entry.term);
     const first = fresh[0];
-    if (first === undefined) return this.syncedIndex >= prevIndex + entries.length ? Promise.resolve() : this.#disk.write([]).then(() => this.#synced(prevIndex + entries.length, this.termAt(prevIndex + entries.length)));
-    return this.#write(entries.filter((entry) => entry.index >= first.index), this.#cutAfter(first.index - 1));
+    if (first === undefined)
+      return this.syncedIndex >= prevIndex + entries.length
+        ? Promise.resolve()
+        : this.#disk
+            .write([])
+            .then(() => this.#synced(prevIndex + entries.length, this.termAt(prevIndex + entries.length)));
+    return this.#write(
+      entries.filter((entry) => entry.index >= first.index),
+      this.#cutAfter(first.index - 1),
+    );
   }
 
   /** Puts another's picture in place of everything. */
@@ -106,7 +114,9 @@
 
   /** Takes the whole log off the disk. */
   wipe(): Promise<void> {
-    const changes: DiskChange[] = this.#disk.read(`${this.group}/`).map(({ key }) => ({ key, isRemoved: true as const }));
+    const changes: DiskChange[] = this.#disk
+      .read(`${this.group}/`)
+      .map(({ key }) => ({ key, isRemoved: true as const }));
     this.#entries = [];
     this.baseIndex = this.baseTerm = this.syncedIndex = 0;
     this.picture = new Uint8Array();
@@ -115,7 +125,8 @@
 
   #write(entries: readonly Entry[], changes: DiskChange[]): Promise<void> {
     for (const entry of entries) {
-      if (entry.index !== this.lastIndex + 1) throw new VError("broken invariant: %s got entry %d behind %d", this.group, entry.index, this.lastIndex);
+      if (entry.index !== this.lastIndex + 1)
+        throw new VError("broken invariant: %s got entry %d behind %d", this.group, entry.index, this.lastIndex);
       this.#entries.push(entry);
       changes.push({ key: this.#key(entry.index), value: toBinary(EntrySchema, entry) });
     }
@@ -145,14 +156,21 @@
   }
 
   #pictureChange(): DiskChange {
-    const value = toBinary(PictureSchema, create(PictureSchema, { index: this.baseIndex, indexTerm: this.baseTerm, state: this.picture }));
+    const value = toBinary(
+      PictureSchema,
+      create(PictureSchema, { index: this.baseIndex, indexTerm: this.baseTerm, state: this.picture }),
+    );
     return { key: `${this.group}/p`, value };
   }
 
   #load(key: string, value: Uint8Array): void {
     const part = key.slice(this.group.length + 1);
     try {
-      if (part === "m") ({ term: this.term, vote: this.vote } = JSON.parse(Buffer.from(value).toString()) as { term: number; vote: string });
+      if (part === "m")
+        ({ term: this.term, vote: this.vote } = JSON.parse(Buffer.from(value).toString()) as {
+          term: number;
+          vote: string;
+        });
       else if (part === "p") this.#loadPicture(value);
       else if (part.startsWith("e/")) this.#entries.push(fromBinary(EntrySchema, value));
     } catch (cause) {
@@ -170,6 +188,8 @@
   /** Says what is wrong with what was loaded, if anything is. */
   fault(): string | undefined {
     const broken = this.#entries.findIndex((entry, i) => entry.index !== this.baseIndex + 1 + i);
-    return broken === -1 ? undefined : `the data folder is damaged: ${this.group} misses entry ${this.baseIndex + 1 + broken}`;
+    return broken === -1
+      ? undefined
+      : `the data folder is damaged: ${this.group} misses entry ${this.baseIndex + 1 + broken}`;
   }
 }
--- a/packages/chest/src/mark/replication.test.ts
+++ b/packages/chest/src/mark/replication.test.ts
@@ -13,14 +13,21 @@
   readonly kept = new Map<string, Uint8Array>();
 
   read(prefix: string): Array<{ key: string; value: Uint8Array }> {
-    return [...this.kept].filter(([key]) => key.startsWith(prefix)).sort(([a], [b]) => (a < b ? -1 : 1)).map(([key, value]) => ({ key, value }));
+    return [...this.kept]
+      .filter(([key]) => key.startsWith(prefix))
+      .sort(([a], [b]) => (a < b ? -1 : 1))
+      .map(([key, value]) => ({ key, value }));
   }
 
   write(changes: DiskChange[]): Promise<void> {
-    return new Promise((resolve) => this.#waiting.push(() => {
-      for (const change of changes) if ("isRemoved" in change) this.kept.delete(change.key); else this.kept.set(change.key, change.value);
-      resolve();
-    }));
+    return new Promise((resolve) =>
+      this.#waiting.push(() => {
+        for (const change of changes)
+          if ("isRemoved" in change) this.kept.delete(change.key);
+          else this.kept.set(change.key, change.value);
+        resolve();
+      }),
+    );
   }
 
   async sync(): Promise<void> {
@@ -30,8 +37,10 @@
 }
 
 const clock = { now: () => 0, once: () => ({ stop: () => undefined }), every: () => ({ stop: () => undefined }) };
-const entry = (index: number, term: number): Entry => create(EntrySchema, { index, term, data: new Uint8Array([index]) });
-const receipt = (sender: string, match: number, term = 2): ReturnType<typeof create<typeof AppendReceiptSchema>> => create(AppendReceiptSchema, { group: "g", sender, receiver: "a", term, isTaken: true, match, round: 0 });
+const entry = (index: number, term: number): Entry =>
+  create(EntrySchema, { index, term, data: new Uint8Array([index]) });
+const receipt = (sender: string, match: number, term = 2): ReturnType<typeof create<typeof AppendReceiptSchema>> =>
+  create(AppendReceiptSchema, { group: "g", sender, receiver: "a", term, isTaken: true, match, round: 0 });
 
 function spreadOver(log: ReplicaLog, term: number): Spread {
   return new Spread({ log, clock, self: "a", term, commit: 0, send: () => undefined });
@@ -69,7 +78,13 @@
   const disk = new HeldDisk();
   const log = new ReplicaLog(disk, "g");
   const spread = spreadOver(log, 2);
-  spread.enlist([["a", "b", "c"], ["a", "b", "d"]], []);
+  spread.enlist(
+    [
+      ["a", "b", "c"],
+      ["a", "b", "d"],
+    ],
+    [],
+  );
   void log.append([entry(1, 2)]);
   await disk.sync();
   spread.take(receipt("c", 1));
@@ -81,9 +96,16 @@
 test("a replica answers after its disk, refuses lower terms, and cuts off what conflicts", async () => {
   const disk = new HeldDisk();
   const log = new ReplicaLog(disk, "g");
-  const intake = new Intake(log, "b", () => undefined, () => undefined);
+  const intake = new Intake(
+    log,
+    "b",
+    () => undefined,
+    () => undefined,
+  );
   const append = (term: number, prevIndex: number, prevTerm: number, entries: Entry[]): Promise<unknown> =>
-    intake.take(create(AppendSchema, { group: "g", term, sender: "a", receiver: "b", prevIndex, prevTerm, entries }), 0).then((body) => (body.case === "appendReceipt" ? [body.value.isTaken, body.value.match, body.value.term] : []));
+    intake
+      .take(create(AppendSchema, { group: "g", term, sender: "a", receiver: "b", prevIndex, prevTerm, entries }), 0)
+      .then((body) => (body.case === "appendReceipt" ? [body.value.isTaken, body.value.match, body.value.term] : []));
   let answered: unknown;
   void append(2, 0, 0, [entry(1, 1), entry(2, 1)]).then((got) => (answered = got));
   await new Promise((resolve) => setImmediate(resolve));
@@ -104,25 +126,51 @@
   expect([again.lastIndex, again.lastTerm, again.term]).toEqual([2, 3, 3]);
 });
 
-test("entries that do not follow one another, or count in no numbers, are refused and leave the log as it was", async () => {
-  const log = new ReplicaLog(new HeldDisk(), "g");
-  const intake = new Intake(log, "b", () => undefined, () => undefined);
-  const wrongs = [{ entries: [entry(2, 1)] }, { entries: [entry(1, 1), entry(3, 1)] }, { entries: [entry(1, 9)] }, { term: NaN }, { term: 2.5 }, { prevIndex: -1 }, { commit: Infinity }];
-  for (const wrong of wrongs) {
-    const body = await intake.take(create(AppendSchema, { group: "g", term: 2, sender: "a", receiver: "b", ...wrong }), 0);
-    expect(body.case === "appendReceipt" && body.value.isTaken).toEqual(false);
-  }
-  expect([log.lastIndex, log.term]).toEqual([0, 0]);
-});
+test(
+  "entries that do not follow one another, or count in no numbers, are refused and leave the " + "log as it was",
+  async () => {
+    const log = new ReplicaLog(new HeldDisk(), "g");
+    const intake = new Intake(
+      log,
+      "b",
+      () => undefined,
+      () => undefined,
+    );
+    const wrongs = [
+      { entries: [entry(2, 1)] },
+      { entries: [entry(1, 1), entry(3, 1)] },
+      { entries: [entry(1, 9)] },
+      { term: NaN },
+      { term: 2.5 },
+      { prevIndex: -1 },
+      { commit: Infinity },
+    ];
+    for (const wrong of wrongs) {
+      const body = await intake.take(
+        create(AppendSchema, { group: "g", term: 2, sender: "a", receiver: "b", ...wrong }),
+        0,
+      );
+      expect(body.case === "appendReceipt" && body.value.isTaken).toEqual(false);
+    }
+    expect([log.lastIndex, log.term]).toEqual([0, 0]);
+  },
+);
 
 test("within a term, too, a replica answers only after its disk", async () => {
   const disk = new HeldDisk();
   const log = new ReplicaLog(disk, "g");
-  const intake = new Intake(log, "b", () => undefined, () => undefined);
+  const intake = new Intake(
+    log,
+    "b",
+    () => undefined,
+    () => undefined,
+  );
   void log.promise(2, "");
   await disk.sync();
   let isAnswered = false;
-  void intake.take(create(AppendSchema, { group: "g", term: 2, sender: "a", receiver: "b", entries: [entry(1, 2)] }), 0).then(() => (isAnswered = true));
+  void intake
+    .take(create(AppendSchema, { group: "g", term: 2, sender: "a", receiver: "b", entries: [entry(1, 2)] }), 0)
+    .then(() => (isAnswered = true));
   await new Promise((resolve) => setImmediate(resolve));
   expect(isAnswered).toEqual(false);
   await disk.sync();
--- a/packages/chest/src/mark/shardsView.ts
+++ b/packages/chest/src/mark/shardsView.ts
@@ -3,7 +3,13 @@
 import type { Journal } from "../process/journal.js";
 import type { ShardSet } from "./shardSet.js";
 
-export interface ShardRoute { set: ShardSet | undefined; setRevision: number; holder: string; holderId: string; epoch: number }
+export interface ShardRoute {
+  set: ShardSet | undefined;
+  setRevision: number;
+  holder: string;
+  holderId: string;
+  epoch: number;
+}
 
 /** Which replicas each shard has and who holds it, as far as this node has heard. Only a cache. */
 export class ShardsView extends EventEmitter<{ changed: [shard: number] }> {
@@ -17,7 +23,8 @@
 
   find(shard: number): ShardRoute {
     let route = this.#routes.get(shard);
-    if (route === undefined) this.#routes.set(shard, (route = { set: undefined, setRevision: 0, holder: "", holderId: "", epoch: 0 }));
+    if (route === undefined)
+      this.#routes.set(shard, (route = { set: undefined, setRevision: 0, holder: "", holderId: "", epoch: 0 }));
     return route;
   }
 
@@ -30,7 +37,8 @@
     if (found === null) return;
     const shard = Number(found[1]);
     const route = this.find(shard);
-    const value = change.value === undefined ? undefined : (JSON.parse(Buffer.from(change.value).toString()) as unknown);
+    const value =
+      change.value === undefined ? undefined : (JSON.parse(Buffer.from(change.value).toString()) as unknown);
     if (found[2] === "replicas") {
       route.set = value as ShardSet | undefined;
       route.setRevision = change.value === undefined ? 0 : change.revision;
--- a/packages/chest/src/mark/spread.ts
+++ b/packages/chest/src/mark/spread.ts
@@ -4,7 +4,14 @@
 import type { BodyInit } from "../process/wire.js";
 import type { ReplicaLog } from "./replicaLog.js";
 
-interface Peer { next: number; match: number; sentAt: number; isWaiting: boolean; round: number; heardAt: number }
+interface Peer {
+  next: number;
+  match: number;
+  sentAt: number;
+  isWaiting: boolean;
+  round: number;
+  heardAt: number;
+}
 
 /**
  * The spreading side of a replicated log: sends what each replica lacks, and judges what is committed.
@@ -25,7 +32,14 @@
   #isOver = false;
   commit: number;
 
-  constructor(parts: { log: ReplicaLog; clock: Clock; self: string; term: number; commit: number; send: (id: string, body: BodyInit) => void }) {
+  constructor(parts: {
+    log: ReplicaLog;
+    clock: Clock;
+    self: string;
+    term: number;
+    commit: number;
+    send: (id: string, body: BodyInit) => void;
+  }) {
     super();
     this.#log = parts.log;
     this.#clock = parts.clock;
@@ -42,7 +56,15 @@
     wanted.delete(this.#self);
     for (const id of this.#peers.keys()) if (!wanted.has(id)) this.#peers.delete(id);
     for (const id of wanted) {
-      if (!this.#peers.has(id)) this.#peers.set(id, { next: this.#log.lastIndex + 1, match: 0, sentAt: -Infinity, isWaiting: false, round: 0, heardAt: this.#clock.now() });
+      if (!this.#peers.has(id))
+        this.#peers.set(id, {
+          next: this.#log.lastIndex + 1,
+          match: 0,
+          sentAt: -Infinity,
+          isWaiting: false,
+          round: 0,
+          heardAt: this.#clock.now(),
+        });
     }
     this.#advance();
   }
@@ -57,16 +79,19 @@
 
   /** Milliseconds since a majority of every set was last heard. */
   majorityAgo(): number {
-    return Math.max(...this.#sets.map((set) => {
-      const ages = set.map((id) => this.heardAgo(id)).sort((a, b) => a - b);
-      return ages[Math.floor(set.length / 2)] ?? Infinity;
-    }));
+    return Math.max(
+      ...this.#sets.map((set) => {
+        const ages = set.map((id) => this.heardAgo(id)).sort((a, b) => a - b);
+        return ages[Math.floor(set.length / 2)] ?? Infinity;
+      }),
+    );
   }
 
   /** Own entries were synced, or new ones are there to send. */
   kick(): void {
     this.#advance();
-    for (const [id, peer] of this.#peers) if (!peer.isWaiting && peer.next <= this.#log.lastIndex) this.#sendTo(id, peer);
+    for (const [id, peer] of this.#peers)
+      if (!peer.isWaiting && peer.next <= this.#log.lastIndex) this.#sendTo(id, peer);
   }
 
   /** Keeps every replica told, and sends again what stayed unanswered. */
@@ -74,7 +99,8 @@
     for (const [id, peer] of this.#peers) {
       const needsPicture = peer.next - 1 < this.#log.baseIndex;
       if (peer.isWaiting && needsPicture && this.#clock.now() - peer.sentAt < 2000) continue;
-      if (peer.isWaiting && this.#clock.now() - peer.sentAt > 400) peer.next = Math.max(peer.match + 1, this.#log.baseIndex);
+      if (peer.isWaiting && this.#clock.now() - peer.sentAt > 400)
+        peer.next = Math.max(peer.match + 1, this.#log.baseIndex);
       this.#sendTo(id, peer);
     }
   }
@@ -129,30 +155,55 @@
     peer.isWaiting = true;
     const prevTerm = peer.next - 1 < this.#log.baseIndex ? undefined : this.#log.termAt(peer.next - 1);
     if (prevTerm === undefined) {
-      const picture = { group: this.#log.group, term: this.#term, sender: this.#self, receiver: id, index: this.#log.baseIndex, indexTerm: this.#log.baseTerm, state: this.#log.picture, round: this.#round };
+      const picture = {
+        group: this.#log.group,
+        term: this.#term,
+        sender: this.#self,
+        receiver: id,
+        index: this.#log.baseIndex,
+        indexTerm: this.#log.baseTerm,
+        state: this.#log.picture,
+        round: this.#round,
+      };
       return this.#send(id, { case: "picture", value: picture });
     }
     const entries = this.#log.after(peer.next - 1);
-    const append = { group: this.#log.group, term: this.#term, sender: this.#self, receiver: id, prevIndex: peer.next - 1, prevTerm, entries, commit: this.commit, round: this.#round };
+    const append = {
+      group: this.#log.group,
+      term: this.#term,
+      sender: this.#self,
+      receiver: id,
+      prevIndex: peer.next - 1,
+      prevTerm,
+      entries,
+      commit: this.commit,
+      round: this.#round,
+    };
     peer.next += entries.length;
     this.#send(id, { case: "append", value: append });
   }
 
   #settleRounds(): void {
-    const confirmed = Math.min(...this.#sets.map((set) => {
-      const rounds = set.map((id) => (id === this.#self ? this.#round : (this.#peers.get(id)?.round ?? 0))).sort((a, b) => b - a);
-      return rounds[Math.floor(set.length / 2)] ?? 0;
-    }));
+    const confirmed = Math.min(
+      ...this.#sets.map((set) => {
+        const rounds = set
+          .map((id) => (id === this.#self ? this.#round : (this.#peers.get(id)?.round ?? 0)))
+          .sort((a, b) => b - a);
+        return rounds[Math.floor(set.length / 2)] ?? 0;
+      }),
+    );
     while (this.#rounds.length > 0 && this.#rounds[0]!.round <= confirmed) this.#rounds.shift()!.settle(true);
     if (this.#rounds.length > 0 && confirmed >= this.#round) this.#nextRound();
   }
 
   #advance(): void {
     if (this.#sets.length === 0 || this.#isOver) return;
-    const agreed = Math.min(...this.#sets.map((set) => {
-      const matches = set.map((id) => this.matchOf(id)).sort((a, b) => b - a);
-      return matches[Math.floor(set.length / 2)] ?? 0;
-    }));
+    const agreed = Math.min(
+      ...this.#sets.map((set) => {
+        const matches = set.map((id) => this.matchOf(id)).sort((a, b) => b - a);
+        return matches[Math.floor(set.length / 2)] ?? 0;
+      }),
+    );
     if (agreed <= this.commit || this.#log.termAt(agreed) !== this.#term) return;
     this.commit = agreed;
     this.emit("committed", agreed);
--- a/packages/chest/src/process/clusterNode.ts
+++ b/packages/chest/src/process/clusterNode.ts
@@ -27,10 +27,25 @@
     this.parts = parts;
     this.exchange = new Exchange(settings.name, net, clock);
     this.groups = new Groups(this.exchange);
-    const self = { name: settings.name, role: settings.role, zone: settings.zone, address: settings.address, http: settings.http, incarnation: parts.incarnation, disk };
+    const self = {
+      name: settings.name,
+      role: settings.role,
+      zone: settings.zone,
+      address: settings.address,
+      http: settings.http,
+      incarnation: parts.incarnation,
+      disk,
+    };
     this.membership = new Membership(self, settings.seeds, this.exchange, clock, chance);
     this.store = new StoreClient(this.exchange, this.membership, clock);
-    this.feed = new FeedFollower({ exchange: this.exchange, membership: this.membership, clock, chance, prefixes, journal: this.journal });
+    this.feed = new FeedFollower({
+      exchange: this.exchange,
+      membership: this.membership,
+      clock,
+      chance,
+      prefixes,
+      journal: this.journal,
+    });
     this.machines = new MachinesView(this.journal);
     this.plan = new PlanView(this.journal);
     this.shards = new ShardsView(this.journal);
--- a/packages/chest/src/process/exchange.ts
+++ b/packages/chest/src/process/exchange.ts
@@ -4,10 +4,16 @@
 import type { Net } from "./net.js";
 import { Wire, type Body, type BodyInit } from "./wire.js";
 
-type Case = NonNullable<Body["case"]>;
-type ValueOf<C extends Case> = Extract<Body, { case: C }>["value"];
-type Serve<C extends Case> = (value: ValueOf<C>, frame: Frame) => BodyInit | undefined | Promise<BodyInit | undefined>;
-interface Waiting { settle: (body: Body | undefined) => void; beat: Beat; to: string }
+type Known = Exclude<Body, { case: undefined }>;
+type Case = Known["case"];
+type Values = { [K in Known as K["case"]]: K["value"] };
+type Served = BodyInit | undefined | Promise<BodyInit | undefined>;
+type Serve<C extends Case> = (value: Values[C], frame: Frame) => Served;
+interface Waiting {
+  settle: (body: Body | undefined) => void;
+  beat: Beat;
+  to: string;
+}
 
 /**
  * Calls and tellings between named processes. A call that is not answered by its due settles
@@ -21,7 +27,7 @@
   readonly name: string;
   readonly #net: Net;
   readonly #clock: Clock;
-  readonly #served = new Map<string, Serve<Case>>();
+  readonly #served = new Map<string, (body: Body, frame: Frame) => Served>();
   readonly #waiting = new Map<number, Waiting>();
   /**
    * Invariant: a name is in here from an unanswered call, or a frame that came through another node, until it
@@ -42,12 +48,14 @@
     this.#clock = clock;
     net.onFrame((bytes) => void this.#take(bytes));
     net.onLost((address) => {
-      for (const waiting of [...this.#waiting.values()]) if (this.addressOf(waiting.to) === address) waiting.settle(undefined);
+      for (const waiting of [...this.#waiting.values()])
+        if (this.addressOf(waiting.to) === address) waiting.settle(undefined);
     });
   }
 
   serve<C extends Case>(kind: C, handle: Serve<C>): void {
-    this.#served.set(kind, handle as unknown as Serve<Case>);
+    const isMeant = (body: Body): body is Body & { case: C; value: Values[C] } => body.case === kind;
+    this.#served.set(kind, (body, frame) => (isMeant(body) ? handle(body.value, frame) : undefined));
   }
 
   isMute(name: string): boolean {
@@ -114,21 +122,26 @@
     const relay = this.relaysFor(to).find((name) => name !== this.name && !this.isMute(name));
     const relayAddress = relay === undefined ? undefined : this.addressOf(relay);
     if (relay === undefined || relayAddress === undefined) return this.#net.send(address, frame);
-    this.#net.send(relayAddress, this.#encode(relay, { id: 0, isReceipt: false, body: { case: "relay", value: { to, frame } } }));
+    this.#net.send(
+      relayAddress,
+      this.#encode(relay, { id: 0, isReceipt: false, body: { case: "relay", value: { to, frame } } }),
+    );
   }
 
   async #take(bytes: Uint8Array): Promise<void> {
     const frame = Wire.decode(bytes);
     if (frame === undefined || (frame.to !== "" && frame.to !== this.name)) return;
     if (frame.hops === 0) this.emit("heard", frame.from);
-    else if (this.#clock.now() - (this.#proven.get(frame.from) ?? -Infinity) > Exchange.provenMs) this.#unanswered(frame.from);
+    else if (this.#clock.now() - (this.#proven.get(frame.from) ?? -Infinity) > Exchange.provenMs)
+      this.#unanswered(frame.from);
     if (frame.body.case === "relay") return this.#carry(frame.body.value.to, frame.body.value.frame);
     if (frame.isReceipt) return this.#waiting.get(frame.id)?.settle(frame.body);
     const handle = this.#served.get(frame.body.case!);
     if (handle === undefined) return;
-    const receipt = await handle(frame.body.value as never, frame);
+    const receipt = await handle(frame.body, frame);
     if (receipt === undefined || frame.id === 0) return;
-    if (this.addressOf(frame.from) !== undefined) return this.#send(frame.from, { id: frame.id, isReceipt: true, body: receipt });
+    if (this.addressOf(frame.from) !== undefined)
+      return this.#send(frame.from, { id: frame.id, isReceipt: true, body: receipt });
     this.#net.send(frame.fromAddress, this.#encode(frame.from, { id: frame.id, isReceipt: true, body: receipt }));
   }
 
--- a/packages/chest/src/process/feedFollower.ts
+++ b/packages/chest/src/process/feedFollower.ts
@@ -7,7 +7,11 @@
 import type { Membership } from "./membership.js";
 import { Rendezvous } from "./rendezvous.js";
 
-export interface Change { key: string; value: Uint8Array | undefined; revision: number }
+export interface Change {
+  key: string;
+  value: Uint8Array | undefined;
+  revision: number;
+}
 
 /**
  * Follows the store's numbered changes from one lathe at a time and appends them to the journal.
@@ -39,7 +43,14 @@
   planMark: () => number = () => 0;
   fault: () => string = () => "";
 
-  constructor(parts: { exchange: Exchange; membership: Membership; clock: Clock; chance: Chance; prefixes: string[]; journal: Journal<Change> }) {
+  constructor(parts: {
+    exchange: Exchange;
+    membership: Membership;
+    clock: Clock;
+    chance: Chance;
+    prefixes: string[];
+    journal: Journal<Change>;
+  }) {
     super();
     this.setMaxListeners(0);
     this.#exchange = parts.exchange;
@@ -67,13 +78,20 @@
   start(): void {
     this.#open();
     this.#clock.every(200, () => {
-      if (this.age > FeedFollower.staleMs && this.#clock.now() - this.#openedAt > (this.revision === 0 ? FeedFollower.openMs : FeedFollower.reopenMs)) this.#open();
+      if (
+        this.age > FeedFollower.staleMs &&
+        this.#clock.now() - this.#openedAt > (this.revision === 0 ? FeedFollower.openMs : FeedFollower.reopenMs)
+      )
+        this.#open();
     });
   }
 
   #open(): void {
     const lathes = this.#membership.alive("lathe").map((member) => member.name);
-    const lively = lathes.filter((name) => name !== this.#lathe && !this.#exchange.isMute(name) && this.#membership.ageOf(name) < FeedFollower.livelyMs);
+    const lively = lathes.filter(
+      (name) =>
+        name !== this.#lathe && !this.#exchange.isMute(name) && this.#membership.ageOf(name) < FeedFollower.livelyMs,
+    );
     const ranked = Rendezvous.rank(this.#exchange.name, lively.length > 0 ? lively : lathes);
     const lathe = ranked[this.#opens % Math.max(1, ranked.length)];
     if (lathe === undefined) return;
@@ -82,7 +100,10 @@
     this.#feed = `${this.#exchange.name}/${this.#chance.identity().slice(0, 8)}`;
     this.#lathe = lathe;
     this.#number = 0;
-    this.#exchange.tell(lathe, { case: "feedOpen", value: { feed: this.#feed, name: this.#exchange.name, prefixes: this.#prefixes, revision: this.revision } });
+    this.#exchange.tell(lathe, {
+      case: "feedOpen",
+      value: { feed: this.#feed, name: this.#exchange.name, prefixes: this.#prefixes, revision: this.revision },
+    });
   }
 
   #take(push: FeedPush, from: string): undefined {
@@ -93,7 +114,13 @@
       this.#heardAt = this.#clock.now();
       this.#apply(push);
     } else if (push.number === this.#number) this.#heardAt = this.#clock.now();
-    const ack = { feed: this.#feed, number: this.#number, revision: this.revision, planMark: this.planMark(), fault: this.fault() };
+    const ack = {
+      feed: this.#feed,
+      number: this.#number,
+      revision: this.revision,
+      planMark: this.planMark(),
+      fault: this.fault(),
+    };
     this.#exchange.tell(from, { case: "feedAck", value: ack });
     return undefined;
   }
@@ -101,7 +128,9 @@
   #apply(push: FeedPush): void {
     const isFirst = this.revision === 0;
     if (push.isPicture) this.#applyPicture(push.kvs);
-    else for (const kv of push.kvs) if (kv.revision > this.revision) this.#change(kv.key, kv.isGone ? undefined : kv.value, kv.revision);
+    else
+      for (const kv of push.kvs)
+        if (kv.revision > this.revision) this.#change(kv.key, kv.isGone ? undefined : kv.value, kv.revision);
     this.revision = push.revision;
     if (isFirst && this.revision > 0) this.emit("first");
   }
--- a/packages/chest/src/process/leaseKeeper.test.ts
+++ b/packages/chest/src/process/leaseKeeper.test.ts
@@ -1,9 +1,13 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import { LeaseKeeper } from "./leaseKeeper.js";
-import type { StoreClient } from "./storeClient.js";
+import type { Outcome } from "./storeClient.js";
 
-interface Due { at: number; ring: () => void; every: number | undefined }
+interface Due {
+  at: number;
+  ring: () => void;
+  every: number | undefined;
+}
 
 /** Time that a test moves by hand. */
 class HandClock {
@@ -45,7 +49,9 @@
 test("a holder counts from when it sent the renewal and stops before the store could expire it", async () => {
   const clock = new HandClock();
   let answer: (outcome: string) => void = () => undefined;
-  const store = { call: () => new Promise((resolve) => (answer = (outcome) => resolve({ outcome }))) } as unknown as StoreClient;
+  const store = {
+    call: () => new Promise<Outcome>((resolve) => (answer = (outcome) => resolve({ outcome }))),
+  };
   const keeper = new LeaseKeeper("a", 4000, store, clock, { draw: () => 0, identity: () => "0123456789abcdef" });
   let lostAt = -1;
   keeper.on("lost", () => (lostAt = clock.now()));
@@ -59,21 +65,26 @@
   expect(keeper.isHeld).toEqual(false);
 });
 
-test("a holder that was frozen past its lease finds it lost on the first look, and a late answer changes nothing", async () => {
-  const clock = new HandClock();
-  const answers: Array<(outcome: string) => void> = [];
-  const store = { call: () => new Promise((resolve) => answers.push((outcome) => resolve({ outcome }))) } as unknown as StoreClient;
-  const keeper = new LeaseKeeper("a", 4000, store, clock, { draw: () => 0, identity: () => "0123456789abcdef" });
-  keeper.start();
-  await new Promise((resolve) => setImmediate(resolve));
-  answers[0]!("done");
-  await new Promise((resolve) => setImmediate(resolve));
-  const { lease } = keeper;
-  expect(keeper.isHeld).toEqual(true);
-  await clock.go(1000);
-  clock.time += 9000;
-  expect(keeper.isHeld).toEqual(false);
-  answers[1]!("done");
-  await new Promise((resolve) => setImmediate(resolve));
-  expect(keeper.lease === lease).toEqual(false);
-});
+test(
+  "a holder that was frozen past its lease finds it lost on the first look, and a late " + "answer changes nothing",
+  async () => {
+    const clock = new HandClock();
+    const answers: Array<(outcome: string) => void> = [];
+    const store = {
+      call: () => new Promise<Outcome>((resolve) => answers.push((outcome) => resolve({ outcome }))),
+    };
+    const keeper = new LeaseKeeper("a", 4000, store, clock, { draw: () => 0, identity: () => "0123456789abcdef" });
+    keeper.start();
+    await new Promise((resolve) => setImmediate(resolve));
+    answers[0]!("done");
+    await new Promise((resolve) => setImmediate(resolve));
+    const { lease } = keeper;
+    expect(keeper.isHeld).toEqual(true);
+    await clock.go(1000);
+    clock.time += 9000;
+    expect(keeper.isHeld).toEqual(false);
+    answers[1]!("done");
+    await new Promise((resolve) => setImmediate(resolve));
+    expect(keeper.lease === lease).toEqual(false);
+  },
+);
--- a/packages/chest/src/process/leaseKeeper.ts
+++ b/packages/chest/src/process/leaseKeeper.ts
@@ -8,7 +8,7 @@
  * tenth early, so that it stops before the store can expire it.
  */
 export class LeaseKeeper extends EventEmitter<{ held: [lease: string]; lost: [lease: string] }> {
-  readonly #store: StoreClient;
+  readonly #store: Pick<StoreClient, "call">;
   readonly #clock: Clock;
   readonly #chance: Chance;
   readonly #name: string;
@@ -22,7 +22,7 @@
   /** Leases lost since the start, however it came. */
   losses = 0;
 
-  constructor(name: string, length: number, store: StoreClient, clock: Clock, chance: Chance) {
+  constructor(name: string, length: number, store: Pick<StoreClient, "call">, clock: Clock, chance: Chance) {
     super();
     this.setMaxListeners(0);
     this.#name = name;
@@ -47,7 +47,7 @@
     const lease = this.lease;
     if (lease === "") return;
     this.#lose();
-    await this.#store.call({ case: "revoke", value: { lease } as never }, 700);
+    await this.#store.call({ case: "revoke", value: { lease } }, 700);
   }
 
   async #renew(): Promise<void> {
@@ -57,7 +57,10 @@
     const isNew = !this.isHeld;
     const lease = isNew ? `${this.#name}/${this.#chance.identity().slice(0, 12)}` : this.lease;
     const due = Math.max(300, Math.min(1000, this.#length / 3));
-    const receipt = await this.#store.call(isNew ? { case: "grant", value: { lease, length: this.#length } as never } : { case: "renew", value: { lease } as never }, due);
+    const receipt = await this.#store.call(
+      isNew ? { case: "grant", value: { lease, length: this.#length } } : { case: "renew", value: { lease } },
+      due,
+    );
     this.#isAsking = false;
     if (this.#isEnded) return;
     if (receipt.outcome === "lost") return this.#lose();
--- a/packages/chest/src/process/lmdbDisk.test.ts
+++ b/packages/chest/src/process/lmdbDisk.test.ts
@@ -15,22 +15,29 @@
   const program = `
     import { LmdbDisk } from ${JSON.stringify(new URL("./lmdbDisk.js", import.meta.url).href)};
     const disk = new LmdbDisk(${JSON.stringify(folder)});
-    for (let i = 0; i < 50; i += 1) await disk.write([{ key: "k/" + String(i).padStart(3, "0"), value: Buffer.from(String(i)) }]);
+    for (let i = 0; i < 50; i += 1) {
+      await disk.write([{ key: "k/" + String(i).padStart(3, "0"), value: Buffer.from(String(i)) }]);
+    }
     await disk.write([{ key: "k/000", isRemoved: true }]);
     process.kill(process.pid, "SIGKILL");`;
   const run = spawnSync(process.execPath, ["--input-type=module", "-e", program]);
   expect(run.signal).toEqual("SIGKILL");
   const read = new LmdbDisk(folder).read("k/");
-  expect(read.map(({ value }) => Buffer.from(value).toString())).toEqual(Array.from({ length: 49 }, (_, i) => String(i + 1)));
+  expect(read.map(({ value }) => Buffer.from(value).toString())).toEqual(
+    Array.from({ length: 49 }, (_, i) => String(i + 1)),
+  );
 });
 
 test("a write resolves only after the flush that covers it", async () => {
   const order: string[] = [];
-  const root = open({ path: folderOf("order"), overlappingSync: true, noSubdir: false });
+  const root = open<Uint8Array, string>({ path: folderOf("order"), overlappingSync: true, noSubdir: false });
   let release = (): void => undefined;
   const flushed = new Promise<void>((resolve) => (release = resolve));
-  const slow = new Proxy(root, { get: (target, key) => (key === "flushed" ? flushed.then(() => void order.push("flushed")) : (Reflect.get(target, key) as unknown)) });
-  const disk = LmdbDisk.over(slow as never);
+  const slow = new Proxy(root, {
+    get: (target, key) =>
+      key === "flushed" ? flushed.then(() => void order.push("flushed")) : (Reflect.get(target, key) as unknown),
+  });
+  const disk = LmdbDisk.over(slow);
   const written = disk.write([{ key: "a", value: Buffer.from("1") }]).then(() => void order.push("written"));
   await root.committed;
   order.push("committed");
@@ -40,22 +47,25 @@
   await root.close();
 });
 
-test("another program's data, a file in the folder's place and a damaged value are refused, each with its reason", async () => {
-  const foreign = folderOf("foreign");
-  const other = open({ path: foreign, noSubdir: false });
-  await other.put("x", "y");
-  await other.close();
-  expect(() => new LmdbDisk(foreign)).toThrow(/another program's data/);
+test(
+  "another program's data, a file in the folder's place and a damaged value are refused, " + "each with its reason",
+  async () => {
+    const foreign = folderOf("foreign");
+    const other = open({ path: foreign, noSubdir: false });
+    await other.put("x", "y");
+    await other.close();
+    expect(() => new LmdbDisk(foreign)).toThrow(/another program's data/);
 
-  const garbage = folderOf("garbage");
-  writeFileSync(garbage, "not a folder");
-  expect(() => new LmdbDisk(garbage)).toThrow(/cannot be used/);
+    const garbage = folderOf("garbage");
+    writeFileSync(garbage, "not a folder");
+    expect(() => new LmdbDisk(garbage)).toThrow(/cannot be used/);
 
-  const folder = folderOf("damaged");
-  const disk = new LmdbDisk(folder);
-  await new SealedDisk(disk).write([{ key: "log/1", value: Buffer.from("hello") }]);
-  const { value } = disk.read("log/")[0]!;
-  value[5]! ^= 1;
-  await disk.write([{ key: "log/1", value }]);
-  expect(() => new SealedDisk(disk).read("log/")).toThrow(/damaged at log\/1/);
-});
+    const folder = folderOf("damaged");
+    const disk = new LmdbDisk(folder);
+    await new SealedDisk(disk).write([{ key: "log/1", value: Buffer.from("hello") }]);
+    const { value } = disk.read("log/")[0]!;
+    value[5]! ^= 1;
+    await disk.write([{ key: "log/1", value }]);
+    expect(() => new SealedDisk(disk).read("log/")).toThrow(/damaged at log\/1/);
+  },
+);
--- a/packages/chest/src/process/lmdbDisk.ts
+++ b/packages/chest/src/process/lmdbDisk.ts
@@ -48,7 +48,8 @@
     const db = open<Uint8Array, string>({ path: folder, encoding: "binary", overlappingSync: true, noSubdir: false });
     const format = db.get("format");
     const isBlank = db.getKeysCount({ limit: 1 }) === 0;
-    if (!isBlank && (format === undefined || Buffer.from(format).toString() !== "cranetrack 1")) throw new Error("it holds another program's data");
+    if (!isBlank && (format === undefined || Buffer.from(format).toString() !== "cranetrack 1"))
+      throw new Error("it holds another program's data");
     if (isBlank) db.putSync("format", Buffer.from("cranetrack 1"));
     return db;
   }
@@ -60,7 +61,8 @@
     const file = openSync(path, "r");
     const length = readSync(file, head, 0, head.length, 0);
     closeSync(file);
-    const isMarked = length === head.length && [0, 4096].every((page) => head.readUInt32LE(page + 24) === LmdbDisk.#magic);
+    const isMarked =
+      length === head.length && [0, 4096].every((page) => head.readUInt32LE(page + 24) === LmdbDisk.#magic);
     if (!isMarked) throw new Error("its data.mdb is damaged or no database of ours");
   }
 
--- a/packages/chest/src/process/membership.ts
+++ b/packages/chest/src/process/membership.ts
@@ -6,13 +6,17 @@
 import type { Exchange } from "./exchange.js";
 import { Rendezvous } from "./rendezvous.js";
 
-interface Known { member: Member; risenAt: number; suspectedAt: number }
+interface Known {
+  member: Member;
+  risenAt: number;
+  suspectedAt: number;
+}
 
 /**
  * Who is there. Seeds first, then gossip; rendezvous hashing names the three nodes that watch
  * each node. A suspicion speeds up routing and moves and takes no claim from anybody.
  */
-export class Membership extends EventEmitter<{ changed: [] ; suspected: [name: string] }> {
+export class Membership extends EventEmitter<{ changed: []; suspected: [name: string] }> {
   static readonly beatMs = 300;
   static readonly suspectMs = 1400;
   static readonly forgetMs = 60_000;
@@ -26,7 +30,13 @@
   readonly #known = new Map<string, Known>();
   readonly self: Member;
 
-  constructor(self: Partial<Member> & { name: string }, seeds: readonly string[], exchange: Exchange, clock: Clock, chance: Chance) {
+  constructor(
+    self: Partial<Member> & { name: string },
+    seeds: readonly string[],
+    exchange: Exchange,
+    clock: Clock,
+    chance: Chance,
+  ) {
     super();
     this.setMaxListeners(0);
     this.self = create(MemberSchema, { state: "up", ...(self as object) });
@@ -54,7 +64,9 @@
   isAlive(name: string): boolean {
     if (name === this.self.name) return true;
     const known = this.#known.get(name);
-    return known !== undefined && known.member.state === "up" && this.#clock.now() - known.risenAt < Membership.suspectMs;
+    return (
+      known !== undefined && known.member.state === "up" && this.#clock.now() - known.risenAt < Membership.suspectMs
+    );
   }
 
   all(): Member[] {
@@ -72,7 +84,12 @@
   }
 
   watchersOf(name: string): string[] {
-    return Rendezvous.rank(name, this.all().map((member) => member.name).filter((other) => other !== name)).slice(0, Membership.watchers);
+    return Rendezvous.rank(
+      name,
+      this.all()
+        .map((member) => member.name)
+        .filter((other) => other !== name),
+    ).slice(0, Membership.watchers);
   }
 
   /** Says to everybody that this node is going. */
@@ -97,7 +114,8 @@
     const drawn = others[Math.floor(this.#chance.draw() * others.length)];
     if (drawn !== undefined) chosen.add(drawn.address);
     const seed = this.#seeds[Math.floor(this.#chance.draw() * this.#seeds.length)];
-    if (seed !== undefined && seed !== this.self.address && (others.length < 3 || this.#chance.draw() < 0.2)) chosen.add(seed);
+    if (seed !== undefined && seed !== this.self.address && (others.length < 3 || this.#chance.draw() < 0.2))
+      chosen.add(seed);
     for (const address of chosen) this.#tell(address, true);
   }
 
@@ -120,11 +138,19 @@
       return false;
     }
     const known = this.#known.get(member.name);
-    const isNewer = known === undefined || member.incarnation > known.member.incarnation ||
+    const isNewer =
+      known === undefined ||
+      member.incarnation > known.member.incarnation ||
       (member.incarnation === known.member.incarnation && member.count > known.member.count);
     if (!isNewer) return false;
-    const isFresh = known === undefined || known.member.state !== member.state || known.member.address !== member.address ||
-      known.member.incarnation !== member.incarnation || known.member.isFounded !== member.isFounded || known.member.disk !== member.disk || known.member.shelf !== member.shelf;
+    const isFresh =
+      known === undefined ||
+      known.member.state !== member.state ||
+      known.member.address !== member.address ||
+      known.member.incarnation !== member.incarnation ||
+      known.member.isFounded !== member.isFounded ||
+      known.member.disk !== member.disk ||
+      known.member.shelf !== member.shelf;
     this.#known.set(member.name, { member, risenAt: this.#clock.now(), suspectedAt: 0 });
     if (known !== undefined && known.member.incarnation !== member.incarnation) this.#exchange.giveUp(member.name);
     return isFresh;
--- a/packages/chest/src/process/nodeStatus.ts
+++ b/packages/chest/src/process/nodeStatus.ts
@@ -2,7 +2,12 @@
 import type { ClusterNode } from "./clusterNode.js";
 import type { Router } from "./router.js";
 
-interface StatusParts { garbled: () => number; settingsFault: () => string; more: () => object; isReady: () => boolean }
+interface StatusParts {
+  garbled: () => number;
+  settingsFault: () => string;
+  more: () => object;
+  isReady: () => boolean;
+}
 
 /** What a node says of itself: status, health, readiness, metrics. */
 export class NodeStatus {
@@ -14,20 +19,45 @@
     this.#parts = parts;
     router.on("GET", /^\/v1\/status$/, () => ApiReceipts.done(this.status()));
     router.on("GET", /^\/healthz$/, () => ApiReceipts.done({ health: "alive" }));
-    router.on("GET", /^\/readyz$/, () => (parts.isReady() ? ApiReceipts.done({ ready: true }) : ApiReceipts.away("this node does not serve yet", 1)));
+    router.on("GET", /^\/readyz$/, () =>
+      parts.isReady() ? ApiReceipts.done({ ready: true }) : ApiReceipts.away("this node does not serve yet", 1),
+    );
     router.on("GET", /^\/metrics$/, () => ({ status: 200, body: this.#metrics() }));
   }
 
   status(): object {
     const { membership, feed, plan, shards, parts } = this.#node;
     return {
-      name: parts.settings.name, role: parts.settings.role, zone: parts.settings.zone, incarnation: membership.self.incarnation,
+      name: parts.settings.name,
+      role: parts.settings.role,
+      zone: parts.settings.zone,
+      incarnation: membership.self.incarnation,
       isReady: this.#parts.isReady(),
-      feed: { revision: feed.revision, ageMs: Number.isFinite(feed.age) ? Math.round(feed.age) : null, isFresh: feed.isFresh },
+      feed: {
+        revision: feed.revision,
+        ageMs: Number.isFinite(feed.age) ? Math.round(feed.age) : null,
+        isFresh: feed.isFresh,
+      },
       plan: { mark: plan.mark, spaces: plan.plan?.spaces.map((space) => space.name) ?? [] },
-      members: membership.all().map((member) => ({ name: member.name, role: member.role, zone: member.zone, http: member.http, state: membership.isAlive(member.name) ? "alive" : member.state === "left" ? "left" : "suspected", watchers: membership.watchersOf(member.name) })),
-      shards: shards.all().map(([shard, route]) => ({ shard, holder: route.holder, epoch: route.epoch, replicas: route.set?.members.map((member) => member.name) ?? [] })),
-      faults: { settings: this.#parts.settingsFault(), last: parts.log.lastFault, garbledFrames: this.#parts.garbled() },
+      members: membership.all().map((member) => ({
+        name: member.name,
+        role: member.role,
+        zone: member.zone,
+        http: member.http,
+        state: membership.isAlive(member.name) ? "alive" : member.state === "left" ? "left" : "suspected",
+        watchers: membership.watchersOf(member.name),
+      })),
+      shards: shards.all().map(([shard, route]) => ({
+        shard,
+        holder: route.holder,
+        epoch: route.epoch,
+        replicas: route.set?.members.map((member) => member.name) ?? [],
+      })),
+      faults: {
+        settings: this.#parts.settingsFault(),
+        last: parts.log.lastFault,
+        garbledFrames: this.#parts.garbled(),
+      },
       ...this.#parts.more(),
     };
   }
@@ -37,11 +67,20 @@
     const memory = process.memoryUsage();
     const held = shards.all().filter(([, route]) => route.holder === this.#node.parts.settings.name).length;
     const figures: Record<string, number> = {
-      plan_mark: plan.mark, feed_revision: feed.revision, feed_age_seconds: Number.isFinite(feed.age) ? feed.age / 1000 : -1,
-      members_alive: membership.alive().length, shards_held: held, shards_free: shards.all().filter(([, route]) => route.holder === "").length,
-      garbled_frames_total: this.#parts.garbled(), memory_rss_bytes: memory.rss, memory_heap_bytes: memory.heapUsed,
+      plan_mark: plan.mark,
+      feed_revision: feed.revision,
+      feed_age_seconds: Number.isFinite(feed.age) ? feed.age / 1000 : -1,
+      members_alive: membership.alive().length,
+      shards_held: held,
+      shards_free: shards.all().filter(([, route]) => route.holder === "").length,
+      garbled_frames_total: this.#parts.garbled(),
+      memory_rss_bytes: memory.rss,
+      memory_heap_bytes: memory.heapUsed,
     };
-    for (const [key, value] of Object.entries(this.#parts.more())) if (typeof value === "number") figures[key.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`)] = value;
-    return Object.entries(figures).map(([key, value]) => `cranetrack_${key} ${value}\n`).join("");
+    for (const [key, value] of Object.entries(this.#parts.more()))
+      if (typeof value === "number") figures[key.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`)] = value;
+    return Object.entries(figures)
+      .map(([key, value]) => `cranetrack_${key} ${value}\n`)
+      .join("");
   }
 }
--- a/packages/chest/src/process/program.ts
+++ b/packages/chest/src/process/program.ts
@@ -23,7 +23,11 @@
   take?(settings: Settings): void;
   stream?: ConstructorParameters<typeof HttpFront>[1];
 }
-export interface ProgramParts { node: ClusterNode; disk: Disk | undefined; router: Router }
+export interface ProgramParts {
+  node: ClusterNode;
+  disk: Disk | undefined;
+  router: Router;
+}
 
 /** The thin part that all three daemons share: flags, settings, seams, signals. */
 export class Program {
@@ -43,8 +47,10 @@
   async run(argv: string[]): Promise<void> {
     const cli = cac(this.#role);
     cli.option("--settings <file>", "Settings file (JSON); flags win over it");
-    for (const key of ["name", "zone", "address", "listen", "http", "data", "log"]) cli.option(`--${key} <value>`, `Setting ${key}`);
-    for (const key of ["lathes", "shards", "edgeLeaseMs", "holderLeaseMs", "electionMs", "mostLinks", "bufferBytes"]) cli.option(`--${key} <number>`, `Setting ${key}`);
+    for (const key of ["name", "zone", "address", "listen", "http", "data", "log"])
+      cli.option(`--${key} <value>`, `Setting ${key}`);
+    for (const key of ["lathes", "shards", "edgeLeaseMs", "holderLeaseMs", "electionMs", "mostLinks", "bufferBytes"])
+      cli.option(`--${key} <number>`, `Setting ${key}`);
     cli.option("--seeds <list>", "Setting seeds: addresses parted by commas");
     cli.option("--check", "Only check the settings");
     cli.help();
@@ -52,8 +58,14 @@
     const { options, args } = cli.parse(argv);
     if (options["help"] === true || options["version"] === true) return;
     const { file, flags, problems } = Program.#flags(options, args);
-    const read = problems.length > 0 ? { problems } : file === undefined ? SettingsReader.check({ role: this.#role, ...flags }) : SettingsReader.fromFile(file, flags);
-    if ("settings" in read && read.settings.role !== this.#role) return Program.#refuse([`role: this program is a ${this.#role}, the settings are for a ${read.settings.role}`]);
+    const read =
+      problems.length > 0
+        ? { problems }
+        : file === undefined
+          ? SettingsReader.check({ role: this.#role, ...flags })
+          : SettingsReader.fromFile(file, flags);
+    if ("settings" in read && read.settings.role !== this.#role)
+      return Program.#refuse([`role: this program is a ${this.#role}, the settings are for a ${read.settings.role}`]);
     if ("problems" in read) return Program.#refuse(read.problems);
     if (options["check"] === true) return void process.stdout.write("settings are good\n");
     await this.#start(read.settings, file, flags);
@@ -75,7 +87,10 @@
     try {
       disk = settings.data === undefined ? undefined : new LmdbDisk(settings.data);
       const sealed = disk === undefined ? undefined : new SealedDisk(disk);
-      node = new ClusterNode({ settings, clock, net, disk: sealed, chance: new HostChance(), log, incarnation: Date.now() }, this.#prefixes);
+      node = new ClusterNode(
+        { settings, clock, net, disk: sealed, chance: new HostChance(), log, incarnation: Date.now() },
+        this.#prefixes,
+      );
       router = new Router(node);
       built = this.#build({ node, disk: sealed, router });
       const fault = built.load();
@@ -83,13 +98,22 @@
     } catch (cause) {
       return quit(Program.exits.data, (cause as Error).message);
     }
-    process.on("uncaughtException", (fault) => quit(Program.exits.fault, `a broken invariant: ${fault.stack ?? fault.message}`));
-    process.on("unhandledRejection", (fault) => quit(Program.exits.fault, `a broken invariant: ${String((fault as Error)?.stack ?? fault)}`));
+    process.on("uncaughtException", (fault) =>
+      quit(Program.exits.fault, `a broken invariant: ${fault.stack ?? fault.message}`),
+    );
+    process.on("unhandledRejection", (fault) =>
+      quit(Program.exits.fault, `a broken invariant: ${String((fault as Error)?.stack ?? fault)}`),
+    );
     const watch = file === undefined ? undefined : new SettingsWatch(file, flags, settings, clock);
     watch?.on("changed", (taken) => built.take?.(taken));
     watch?.on("fault", (text) => log.fault(text));
     process.on("SIGHUP", () => watch?.look());
-    new NodeStatus(node, router, { garbled: () => net.garbled, settingsFault: () => watch?.fault ?? "", more: () => built.status(), isReady: () => built.isReady() });
+    new NodeStatus(node, router, {
+      garbled: () => net.garbled,
+      settingsFault: () => watch?.fault ?? "",
+      more: () => built.status(),
+      isReady: () => built.isReady(),
+    });
     const front = new HttpFront(router, built.stream);
     try {
       await net.listen();
@@ -110,19 +134,26 @@
       // The goodbye is given a moment to leave; then nothing may come in any more, and only then the disk closes.
       setTimeout(() => {
         net.close();
-        void front.close().then(() => disk?.close()).then(() => process.exit(0));
+        void front
+          .close()
+          .then(() => disk?.close())
+          .then(() => process.exit(0));
       }, 50);
     };
     process.on("SIGTERM", () => void stop());
     process.on("SIGINT", () => void stop());
   }
 
-  static #flags(options: Record<string, unknown>, args: readonly string[]): { file: string | undefined; flags: Record<string, unknown>; problems: string[] } {
+  static #flags(
+    options: Record<string, unknown>,
+    args: readonly string[],
+  ): { file: string | undefined; flags: Record<string, unknown>; problems: string[] } {
     const { settings, seeds, ...rest } = options;
     const flags: Record<string, unknown> = {};
     const problems = args.map((arg) => `${arg}: no such argument`);
     for (const [key, value] of Object.entries(rest)) {
-      if (key === "--" || key === "check" || key === "help" || key === "h" || key === "v" || key === "version") continue;
+      if (key === "--" || key === "check" || key === "help" || key === "h" || key === "v" || key === "version")
+        continue;
       flags[key] = value;
     }
     if (seeds !== undefined) flags["seeds"] = String(seeds).split(",");
--- a/packages/chest/src/process/router.ts
+++ b/packages/chest/src/process/router.ts
@@ -3,9 +3,19 @@
 import { Rendezvous } from "./rendezvous.js";
 import type { BodyInit } from "./wire.js";
 
-export interface ApiCall { method: string; path: string; params: string[]; body: Uint8Array; isPassed: boolean }
+export interface ApiCall {
+  method: string;
+  path: string;
+  params: string[];
+  body: Uint8Array;
+  isPassed: boolean;
+}
 export type Operation = (call: ApiCall) => Promise<ApiReceipt> | ApiReceipt;
-interface Route { method: string; pattern: RegExp; run: Operation }
+interface Route {
+  method: string;
+  pattern: RegExp;
+  run: Operation;
+}
 
 /**
  * Every node takes every call: what it cannot do itself it passes on, once, to a node that can.
@@ -26,7 +36,10 @@
     this.#node = node;
     node.exchange.serve("pass", async (pass): Promise<BodyInit> => {
       const receipt = await this.run(pass.method, pass.path, pass.body, true);
-      return { case: "passReceipt", value: { status: receipt.status, body: Router.encode(receipt.body), comeBack: receipt.comeBack ?? 0 } };
+      return {
+        case: "passReceipt",
+        value: { status: receipt.status, body: Router.encode(receipt.body), comeBack: receipt.comeBack ?? 0 },
+      };
     });
   }
 
@@ -39,13 +52,16 @@
   }
 
   async run(method: string, path: string, body: Uint8Array, isPassed = false): Promise<ApiReceipt> {
-    if (body.length > Router.mostBody) return ApiReceipts.fault(413, "too-large", `a body may have ${Router.mostBody} bytes`);
+    if (body.length > Router.mostBody)
+      return ApiReceipts.fault(413, "too-large", `a body may have ${Router.mostBody} bytes`);
     const matching = this.#routes.filter((route) => route.pattern.test(path));
     const route = matching.find((one) => one.method === method);
-    if (route !== undefined) return route.run({ method, path, body, isPassed, params: Router.#params(route.pattern, path) });
+    if (route !== undefined)
+      return route.run({ method, path, body, isPassed, params: Router.#params(route.pattern, path) });
     if (matching.length > 0) return ApiReceipts.fault(405, "method-not-allowed", `${method} is not for ${path}`);
     const role = this.#elsewhere.find((one) => one.pattern.test(path))?.role;
-    if (role === undefined || role === this.#node.parts.settings.role || isPassed) return ApiReceipts.fault(404, "unknown-path", `there is no ${path}`);
+    if (role === undefined || role === this.#node.parts.settings.role || isPassed)
+      return ApiReceipts.fault(404, "unknown-path", `there is no ${path}`);
     const alive = this.#node.membership.alive(role).map((member) => member.name);
     for (const name of Rendezvous.rank(this.#node.exchange.name, alive).slice(0, 2)) {
       const receipt = await this.passTo(name, method, path, body);
@@ -54,7 +70,13 @@
     return ApiReceipts.away(`no ${role} answers`);
   }
 
-  async passTo(name: string, method: string, path: string, body: Uint8Array, due = Router.passDue): Promise<ApiReceipt | undefined> {
+  async passTo(
+    name: string,
+    method: string,
+    path: string,
+    body: Uint8Array,
+    due = Router.passDue,
+  ): Promise<ApiReceipt | undefined> {
     const receipt = await this.#node.exchange.call(name, { case: "pass", value: { method, path, body } }, due);
     if (receipt?.case !== "passReceipt") return undefined;
     const { status, comeBack } = receipt.value;
--- a/packages/chest/src/process/sealedDisk.ts
+++ b/packages/chest/src/process/sealedDisk.ts
@@ -19,6 +19,8 @@
   }
 
   write(changes: DiskChange[]): Promise<void> {
-    return this.#disk.write(changes.map((change) => ("isRemoved" in change ? change : { key: change.key, value: Seal.close(change.value) })));
+    return this.#disk.write(
+      changes.map((change) => ("isRemoved" in change ? change : { key: change.key, value: Seal.close(change.value) })),
+    );
   }
 }
--- a/packages/chest/src/process/settings.test.ts
+++ b/packages/chest/src/process/settings.test.ts
@@ -6,7 +6,15 @@
 import { SettingsReader, type Settings } from "./settings.js";
 import { SettingsWatch } from "./settingsWatch.js";
 
-const good = { name: "vise-1", role: "vise", zone: "north", address: "127.0.0.1:7001", http: "127.0.0.1:8001", seeds: ["127.0.0.1:7001"], lathes: 3 };
+const good = {
+  name: "vise-1",
+  role: "vise",
+  zone: "north",
+  address: "127.0.0.1:7001",
+  http: "127.0.0.1:8001",
+  seeds: ["127.0.0.1:7001"],
+  lathes: 3,
+};
 const problemsOf = (value: unknown): string[] => {
   const read = SettingsReader.check(value);
   return "problems" in read ? read.problems : [];
@@ -25,11 +33,16 @@
 
 test("a changed file is taken up, a bad one changes nothing and is said, and what needs a start is said", () => {
   const path = join(mkdtempSync(join(tmpdir(), "cranetrack-settings-")), "s.json");
-  const write = (value: unknown): void => writeFileSync(path, typeof value === "string" ? value : JSON.stringify(value));
+  const write = (value: unknown): void =>
+    writeFileSync(path, typeof value === "string" ? value : JSON.stringify(value));
   write(good);
   const read = SettingsReader.fromFile(path) as { settings: Settings };
   const beats: Array<() => void> = [];
-  const clock = { now: () => 0, once: () => ({ stop: () => undefined }), every: (_ms: number, ring: () => void) => (beats.push(ring), { stop: () => undefined }) };
+  const clock = {
+    now: () => 0,
+    once: () => ({ stop: () => undefined }),
+    every: (_ms: number, ring: () => void) => (beats.push(ring), { stop: () => undefined }),
+  };
   const watch = new SettingsWatch(path, {}, read.settings, clock);
   const taken: number[] = [];
   watch.on("changed", (settings) => taken.push(settings.mostLinks));
--- a/packages/chest/src/process/settings.ts
+++ b/packages/chest/src/process/settings.ts
@@ -34,10 +34,13 @@
 
   check(value: unknown): SettingsRead {
     const checked = settingsType(value);
-    if (checked instanceof type.errors) return { problems: [...checked].map((fault) => `${fault.path.join(".") || "settings"}: ${fault.message}`) };
+    if (checked instanceof type.errors)
+      return { problems: [...checked].map((fault) => `${fault.path.join(".") || "settings"}: ${fault.message}`) };
     const problems: string[] = [];
-    if (checked.role !== "vise" && checked.data === undefined) problems.push(`data: a ${checked.role} needs a data folder`);
-    for (const key of ["address", "http"] as const) if (Number(checked[key].split(":").at(-1)) > 65535) problems.push(`${key}: the port is above 65535`);
+    if (checked.role !== "vise" && checked.data === undefined)
+      problems.push(`data: a ${checked.role} needs a data folder`);
+    for (const key of ["address", "http"] as const)
+      if (Number(checked[key].split(":").at(-1)) > 65535) problems.push(`${key}: the port is above 65535`);
     if (checked.address === checked.http) problems.push("http: must differ from address");
     return problems.length > 0 ? { problems } : { settings: checked };
   },
@@ -45,7 +48,8 @@
   fromFile(path: string, flags: Record<string, unknown> = {}): SettingsRead {
     try {
       const read = JSON.parse(readFileSync(path, "utf8")) as unknown;
-      if (typeof read !== "object" || read === null || Array.isArray(read)) return { problems: [`${path}: must hold one JSON object`] };
+      if (typeof read !== "object" || read === null || Array.isArray(read))
+        return { problems: [`${path}: must hold one JSON object`] };
       return SettingsReader.check({ ...read, ...flags });
     } catch (cause) {
       return { problems: [`${path}: ${(cause as Error).message}`] };
--- a/packages/chest/src/process/settingsWatch.ts
+++ b/packages/chest/src/process/settingsWatch.ts
@@ -31,10 +31,13 @@
     if (content === this.#content) return;
     this.#content = content;
     const read = SettingsReader.fromFile(this.#path, this.#flags);
-    if ("problems" in read) return this.#refuse(`the settings file is bad, the old settings stay: ${read.problems.join("; ")}`);
+    if ("problems" in read)
+      return this.#refuse(`the settings file is bad, the old settings stay: ${read.problems.join("; ")}`);
     const live: readonly string[] = SettingsReader.live;
     const keys = Object.keys({ ...this.#settings, ...read.settings }) as Array<keyof Settings>;
-    const fixed = keys.filter((key) => !live.includes(key) && JSON.stringify(read.settings[key]) !== JSON.stringify(this.#settings[key]));
+    const fixed = keys.filter(
+      (key) => !live.includes(key) && JSON.stringify(read.settings[key]) !== JSON.stringify(this.#settings[key]),
+    );
     const taken: Settings = { ...this.#settings };
     for (const key of SettingsReader.live) taken[key] = read.settings[key];
     this.#settings = taken;
--- a/packages/chest/src/process/storeClient.ts
+++ b/packages/chest/src/process/storeClient.ts
@@ -1,4 +1,4 @@
-import type { StoreCall, StoreReceipt } from "../gen/cranetrack_pb.js";
+import type { StoreReceipt } from "../gen/cranetrack_pb.js";
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import type { StoreCallSchema, TxnSchema } from "../gen/cranetrack_pb.js";
 import type { Clock } from "./clock.js";
@@ -7,7 +7,9 @@
 import { Rendezvous } from "./rendezvous.js";
 
 type Call = NonNullable<MessageInitShape<typeof StoreCallSchema>["call"]>;
-export type Outcome = { outcome: string } & Partial<Pick<StoreReceipt, "revision" | "kvs" | "comeBack" | "reason" | "feeds" | "proposer">>;
+export type Outcome = { outcome: string } & Partial<
+  Pick<StoreReceipt, "revision" | "kvs" | "comeBack" | "reason" | "feeds" | "proposer">
+>;
 
 /** Calls on the metadata store. Any lathe takes any call and passes it on. */
 export class StoreClient {
@@ -27,11 +29,11 @@
   }
 
   txn(txn: MessageInitShape<typeof TxnSchema>, due = 1200): Promise<Outcome> {
-    return this.call({ case: "txn", value: txn as never }, due);
+    return this.call({ case: "txn", value: txn }, due);
   }
 
   read(keys: string[], prefixes: string[] = [], due = 1200): Promise<Outcome> {
-    return this.call({ case: "read", value: { keys, prefixes } as never }, due);
+    return this.call({ case: "read", value: { keys, prefixes } }, due);
   }
 
   /** Ends by `due` with an outcome: `unsure` where a change may have been carried out, `away` where it was not. */
@@ -41,7 +43,11 @@
     for (const name of this.#order()) {
       const left = end - this.#clock.now();
       if (left <= 20) break;
-      const body = await this.#exchange.call(name, { case: "storeCall", value: { call } as unknown as StoreCall }, Math.min(left, call.case === "txn" ? 700 : StoreClient.tryMs));
+      const body = await this.#exchange.call(
+        name,
+        { case: "storeCall", value: { call } },
+        Math.min(left, call.case === "txn" ? 700 : StoreClient.tryMs),
+      );
       if (body?.case === "storeReceipt" && body.value.outcome !== "away") {
         this.#favourite = name;
         return body.value;
@@ -53,7 +59,10 @@
   }
 
   #order(): string[] {
-    const lathes = this.#membership.all().filter((member) => member.role === "lathe" && member.state === "up").map((member) => member.name);
+    const lathes = this.#membership
+      .all()
+      .filter((member) => member.role === "lathe" && member.state === "up")
+      .map((member) => member.name);
     const isBad = (name: string): boolean => !this.#membership.isAlive(name) || this.#exchange.isMute(name);
     const ranked = Rendezvous.rank(this.#exchange.name, lathes);
     const good = ranked.filter((name) => !isBad(name));
--- a/packages/chest/src/process/tcpNet.ts
+++ b/packages/chest/src/process/tcpNet.ts
@@ -53,7 +53,8 @@
     let link = this.#outward.get(address);
     if (link === undefined) {
       const failedAt = this.#unreachable.get(address);
-      if (failedAt !== undefined && performance.now() - failedAt < 100) return void setImmediate(() => this.#lost(address));
+      if (failedAt !== undefined && performance.now() - failedAt < 100)
+        return void setImmediate(() => this.#lost(address));
       link = this.#open(address);
     }
     link.send(bytes);
--- a/packages/chest/src/process/wire.test.ts
+++ b/packages/chest/src/process/wire.test.ts
@@ -16,6 +16,7 @@
     altered[bit >> 3]! ^= 1 << (bit & 7);
     expect(Wire.decode(altered)).toEqual(undefined);
   }
-  for (let length = 0; length < frame.length; length += 1) expect(Wire.decode(frame.subarray(0, length))).toEqual(undefined);
+  for (let length = 0; length < frame.length; length += 1)
+    expect(Wire.decode(frame.subarray(0, length))).toEqual(undefined);
   expect(Wire.decode(Buffer.concat([frame, frame]))).toEqual(undefined);
 });
--- a/packages/chest/src/request/apiReceipt.ts
+++ b/packages/chest/src/request/apiReceipt.ts
@@ -1,7 +1,14 @@
-export interface ApiProblem { path: string; problem: string }
+export interface ApiProblem {
+  path: string;
+  problem: string;
+}
 
 /** What a call over HTTP is answered with, wherever in the fleet it was carried out. */
-export interface ApiReceipt { status: number; body: unknown; comeBack?: number | undefined }
+export interface ApiReceipt {
+  status: number;
+  body: unknown;
+  comeBack?: number | undefined;
+}
 
 /** The one error shape. */
 export const ApiReceipts = {
@@ -9,9 +16,26 @@
     return { status, body };
   },
 
-  fault(status: number, code: string, message: string, more: { problems?: ApiProblem[]; comeBack?: number | undefined; details?: object } = {}): ApiReceipt {
+  fault(
+    status: number,
+    code: string,
+    message: string,
+    more: { problems?: ApiProblem[]; comeBack?: number | undefined; details?: object } = {},
+  ): ApiReceipt {
     const { problems, comeBack, details } = more;
-    return { status, comeBack, body: { error: { code, message, ...(problems === undefined ? {} : { problems }), ...(comeBack === undefined ? {} : { comeBack }), ...details } } };
+    return {
+      status,
+      comeBack,
+      body: {
+        error: {
+          code,
+          message,
+          ...(problems === undefined ? {} : { problems }),
+          ...(comeBack === undefined ? {} : { comeBack }),
+          ...details,
+        },
+      },
+    };
   },
 
   /** Given up on at once; nothing was changed. */
--- a/packages/jig/src/jig.ts
+++ b/packages/jig/src/jig.ts
@@ -16,29 +16,40 @@
 const cli = cac("jig");
 cli.option("--set <list>", "Settings for all members, as key=number parted by commas");
 
-const settingsOf = (list: string | undefined): Record<string, number> => Object.fromEntries((list ?? "").split(",").filter((part) => part !== "").map((part) => [part.split("=")[0]!, Number(part.split("=")[1])]));
+const settingsOf = (list: string | undefined): Record<string, number> =>
+  Object.fromEntries(
+    (list ?? "")
+      .split(",")
+      .filter((part) => part !== "")
+      .map((part) => [part.split("=")[0]!, Number(part.split("=")[1])]),
+  );
 const folderOf = (named: string | undefined): string => named ?? mkdtempSync(join(tmpdir(), "cranetrack-"));
 
-const deploymentOf = (name: string): (typeof Deployments)[string] => {
-  if (!["reefline", "adwen", "small"].includes(name)) throw new Error(`there is no deployment ${name}: reefline, adwen or small`);
-  return Deployments[name]!;
-};
-
-cli.command("fleet <deployment>", "Start a whole fleet on this machine and keep it until interrupted")
+cli
+  .command("fleet <deployment>", "Start a whole fleet on this machine and keep it until interrupted")
   .option("--folder <folder>", "Where settings, data and logs go")
   .action(async (name: string, options: { folder?: string; set?: string }) => {
-    const fleet = new Fleet(deploymentOf(name), folderOf(options.folder), [], settingsOf(options.set));
+    const fleet = new Fleet(Deployments.find(name), folderOf(options.folder), [], settingsOf(options.set));
     process.on("SIGINT", () => void fleet.stop().then(() => process.exit(0)));
     await fleet.start();
     for (const member of fleet.names) process.stdout.write(`${member}  http://${fleet.httpOf(member)}\n`);
     process.stdout.write("ready; interrupt to stop\n");
   });
 
-interface PlayOptions { share: number; folder?: string; set?: string }
+interface PlayOptions {
+  share: number;
+  folder?: string;
+  set?: string;
+}
 
 /** A fleet under load, what happens to it meanwhile, and the callers' verdict. */
-const play = async (name: string, options: PlayOptions, relayed: readonly string[], meanwhile: (fleet: Fleet, load: Load) => Promise<{ isGood: boolean } & object>): Promise<void> => {
-  const fleet = new Fleet(deploymentOf(name), folderOf(options.folder), relayed, settingsOf(options.set));
+const play = async (
+  name: string,
+  options: PlayOptions,
+  relayed: readonly string[],
+  meanwhile: (fleet: Fleet, load: Load) => Promise<{ isGood: boolean } & object>,
+): Promise<void> => {
+  const fleet = new Fleet(Deployments.find(name), folderOf(options.folder), relayed, settingsOf(options.set));
   const load = new Load(fleet);
   try {
     await fleet.start();
@@ -48,7 +59,8 @@
     const { isGood, ...more } = await meanwhile(fleet, load);
     const leasesLost = await fleet.leasesLost();
     const report = await load.end();
-    process.stdout.write(`${JSON.stringify({ ...report, breaches: report.breaches.length, fallen: fleet.fallen, leasesLost, ...more }, null, 2)}\n`);
+    const whole = { ...report, breaches: report.breaches.length, fallen: fleet.fallen, leasesLost, ...more };
+    process.stdout.write(`${JSON.stringify(whole, null, 2)}\n`);
     for (const breach of report.breaches.slice(0, 20)) process.stdout.write(`${breach.rule}: ${breach.text}\n`);
     process.exitCode = isGood && report.breaches.length === 0 && fleet.fallen.length === 0 ? 0 : 1;
   } finally {
@@ -57,31 +69,46 @@
   }
 };
 
-cli.command("load <deployment>", "Start a fleet, play the callers of that deployment against it, and judge what they saw")
+cli
+  .command(
+    "load <deployment>",
+    "Start a fleet, play the callers of that deployment against it, and judge what they saw",
+  )
   .option("--seconds <n>", "How long the callers play", { default: 120 })
   .option("--share <n>", "Share of today's load", { default: 1 })
   .option("--folder <folder>", "Where settings, data and logs go")
-  .action((name: string, options: PlayOptions & { seconds: number }) => play(name, options, [], async (fleet, load) => {
-    const planTakeUpMs = await load.takeUps(5);
-    const memory: Array<Record<string, number>> = [];
-    for (let part = 0; part < 4; part += 1) {
-      await new Promise((resolve) => setTimeout(resolve, options.seconds * 250));
-      memory.push(await fleet.memory());
-    }
-    return { isGood: true, planTakeUpMs, memory };
-  }));
+  .action((name: string, options: PlayOptions & { seconds: number }) =>
+    play(name, options, [], async (fleet, load) => {
+      const planTakeUpMs = await load.takeUps(5);
+      const memory: Array<Record<string, number>> = [];
+      for (let part = 0; part < 4; part += 1) {
+        await new Promise((resolve) => setTimeout(resolve, options.seconds * 250));
+        memory.push(await fleet.memory());
+      }
+      return { isGood: true, planTakeUpMs, memory };
+    }),
+  );
 
-cli.command("drill <deployment>", "Start a fleet under load and cause failures on real processes, one after the other")
+cli
+  .command("drill <deployment>", "Start a fleet under load and cause failures on real processes, one after the other")
   .option("--share <n>", "Share of today's load", { default: 1 })
   .option("--folder <folder>", "Where settings, data and logs go")
   .option("--only <list>", "Only these drills, parted by commas")
-  .action((name: string, options: PlayOptions & { only?: string }) => play(name, options, ["vise-2", "anvil-2"], async (fleet, load) => {
-    const drill = new Drill(fleet, load, (step) => process.stderr.write(`${step.what}: ready after ${step.readyMs}, held after ${step.heldMs}, callers back after ${step.backMs} ms\n`));
-    await drill.run(options.only?.split(",") ?? Drill.names);
-    return { isGood: drill.steps.every((step) => step.backMs <= Drill.backMs), steps: drill.steps };
-  }));
+  .action((name: string, options: PlayOptions & { only?: string }) =>
+    play(name, options, ["vise-2", "anvil-2"], async (fleet, load) => {
+      const drill = new Drill(fleet, load, (step) =>
+        process.stderr.write(
+          `${step.what}: ready after ${step.readyMs}, held after ${step.heldMs}, ` +
+            `callers back after ${step.backMs} ms\n`,
+        ),
+      );
+      await drill.run(options.only?.split(",") ?? Drill.names);
+      return { isGood: drill.steps.every((step) => step.backMs <= Drill.backMs), steps: drill.steps };
+    }),
+  );
 
-cli.command("sim", "Run seeded failure scenarios in the simulator")
+cli
+  .command("sim", "Run seeded failure scenarios in the simulator")
   .option("--from <seed>", "First seed", { default: 1 })
   .option("--seeds <n>", "How many seeds", { default: 20 })
   .option("--faults <list>", "Only these faults, parted by commas")
@@ -93,19 +120,26 @@
       const report = await Scenario.run(seed, { faultMs: options.ms, ...(faults === undefined ? {} : { faults }) });
       const isGood = report.breaches.length === 0;
       if (!isGood) failed += 1;
-      process.stdout.write(`seed ${seed}: ${isGood ? "good" : "BREACH"}  accepted ${report.accepted}  received ${report.received}  events ${report.events}  ${report.trace.slice(0, 12)}\n`);
-      for (const breach of report.breaches.slice(0, 5)) process.stdout.write(`  ${Math.round(breach.at)} ${breach.rule}: ${breach.text}\n`);
+      process.stdout.write(
+        `seed ${seed}: ${isGood ? "good" : "BREACH"}  accepted ${report.accepted}  received ${report.received}  ` +
+          `events ${report.events}  ${report.trace.slice(0, 12)}\n`,
+      );
+      for (const breach of report.breaches.slice(0, 5))
+        process.stdout.write(`  ${Math.round(breach.at)} ${breach.rule}: ${breach.text}\n`);
       if (!isGood) process.stdout.write(`  faults: ${report.faults.join("; ")}\n`);
     }
     process.stdout.write(`${options.seeds - failed} passed, ${failed} failed\n`);
     process.exitCode = failed > 0 ? 1 : 0;
   });
 
-cli.command("sabotage", "Take one guard at a time out of a copy and see whether its test notices")
+cli
+  .command("sabotage", "Take one guard at a time out of a copy and see whether its test notices")
   .option("--at-once <n>", "How many at a time", { default: 4 })
   .action(async (options: { atOnce: number }) => {
     const root = fileURLToPath(new URL("../../..", import.meta.url));
-    const reports = await new Saboteur(root).run(sabotages, options.atOnce, (report) => process.stdout.write(`${report.outcome}: ${report.name} (${report.failed} tests failed)\n`));
+    const reports = await new Saboteur(root).run(sabotages, options.atOnce, (report) =>
+      process.stdout.write(`${report.outcome}: ${report.name} (${report.failed} tests failed)\n`),
+    );
     const caught = reports.filter((report) => report.outcome === "caught").length;
     process.stdout.write(`${caught} passed, ${reports.length - caught} failed\n`);
     process.exitCode = caught === reports.length ? 0 : 1;
--- a/packages/jig/src/link/httpPort.ts
+++ b/packages/jig/src/link/httpPort.ts
@@ -10,10 +10,22 @@
     this.#addressOf = addressOf;
   }
 
-  async link(node: string, session: string, body: object, heed: { line(line: Record<string, unknown>): void; closed(): void }): Promise<PortLink | PortReceipt> {
+  async link(
+    node: string,
+    session: string,
+    body: object,
+    heed: { line(line: Record<string, unknown>): void; closed(): void },
+  ): Promise<PortLink | PortReceipt> {
     const giveUp = new AbortController();
     try {
-      const answer = await request(`http://${this.#addressOf(node)}/v1/sessions/${session}/link`, { method: "POST", dispatcher: this.#agent, body: JSON.stringify(body), headers: { "Content-Type": "application/json" }, signal: giveUp.signal, headersTimeout: 1500 });
+      const answer = await request(`http://${this.#addressOf(node)}/v1/sessions/${session}/link`, {
+        method: "POST",
+        dispatcher: this.#agent,
+        body: JSON.stringify(body),
+        headers: { "Content-Type": "application/json" },
+        signal: giveUp.signal,
+        headersTimeout: 1500,
+      });
       if (answer.statusCode !== 200) return HttpPort.#receipt(answer.statusCode, await answer.body.text());
       let rest = "";
       answer.body.setEncoding("utf8");
@@ -32,11 +44,20 @@
 
   async call(node: string, method: string, path: string, body: string | undefined): Promise<PortReceipt> {
     try {
-      const answer = await request(`http://${this.#addressOf(node)}${path}`, { method: method as "GET", dispatcher: this.#agent, ...(body === undefined ? {} : { body, headers: { "Content-Type": "application/json" } }), headersTimeout: 2500 });
+      const answer = await request(`http://${this.#addressOf(node)}${path}`, {
+        method: method as "GET",
+        dispatcher: this.#agent,
+        ...(body === undefined ? {} : { body, headers: { "Content-Type": "application/json" } }),
+        headersTimeout: 2500,
+      });
       return HttpPort.#receipt(answer.statusCode, await answer.body.text());
     } catch (fault) {
       const isNeverSent = (fault as { code?: string }).code === "ECONNREFUSED";
-      return { status: isNeverSent ? 503 : 0, body: { error: { code: isNeverSent ? "unreachable" : "broken" } }, comeBack: 0.3 };
+      return {
+        status: isNeverSent ? 503 : 0,
+        body: { error: { code: isNeverSent ? "unreachable" : "broken" } },
+        comeBack: 0.3,
+      };
     }
   }
 
--- a/packages/jig/src/mark/checker.test.ts
+++ b/packages/jig/src/mark/checker.test.ts
@@ -4,18 +4,86 @@
 import type { Seen } from "./history.js";
 
 const topic = "notices/t0";
-const planText = (mark: number, spaces: string[]): string => JSON.stringify({ mark, spaces: spaces.map((name) => ({ name, program: [{ when: {}, owe: { keep: 60, order: "one", fault_budget: {} } }] })) });
-const plan = (at: number, mark: number, spaces = ["notices"]): Seen => ({ kind: "planAccepted", at, mark, text: planText(mark, spaces) });
-const joins = (subscriber: string, at = 1): Seen[] => [{ kind: "asked", at, subscriber, topic }, { kind: "linked", at, subscriber, node: "n" }, { kind: "confirmed", at, subscriber, topic }];
-const tried = (at: number, number: number, sender = "s"): Seen => ({ kind: "tried", at, sender, topic, number, payload: `p${number}` });
-const accepted = (at: number, number: number, sender = "s"): Seen => ({ kind: "accepted", at, sender, topic, number, place: "x" });
-const refused = (at: number, number: number, code = "not-a-publisher"): Seen => ({ kind: "refused", at, sender: "s", topic, number, code });
-const got = (at: number, number: number, subscriber = "a", sender = "s", payload = `p${number}`): Seen => ({ kind: "received", at, subscriber, topic, sender, number, payload });
-const expired = (at: number): Seen => ({ kind: "expired", at, subscriber: "a", topic, reason: "older messages were trimmed" });
-const rulesOf = (...seen: Array<Seen | Seen[]>): string[] => [...new Set(Checker.judge(seen.flat(), 200_000).map((breach) => breach.rule))];
+const planText = (mark: number, spaces: string[]): string =>
+  JSON.stringify({
+    mark,
+    spaces: spaces.map((name) => ({
+      name,
+      program: [{ when: {}, owe: { keep: 60, order: "one", fault_budget: {} } }],
+    })),
+  });
+const plan = (at: number, mark: number, spaces = ["notices"]): Seen => ({
+  kind: "planAccepted",
+  at,
+  mark,
+  text: planText(mark, spaces),
+});
+const joins = (subscriber: string, at = 1): Seen[] => [
+  { kind: "asked", at, subscriber, topic },
+  { kind: "linked", at, subscriber, node: "n" },
+  { kind: "confirmed", at, subscriber, topic },
+];
+const tried = (at: number, number: number, sender = "s"): Seen => ({
+  kind: "tried",
+  at,
+  sender,
+  topic,
+  number,
+  payload: `p${number}`,
+});
+const accepted = (at: number, number: number, sender = "s"): Seen => ({
+  kind: "accepted",
+  at,
+  sender,
+  topic,
+  number,
+  place: "x",
+});
+const refused = (at: number, number: number, code = "not-a-publisher"): Seen => ({
+  kind: "refused",
+  at,
+  sender: "s",
+  topic,
+  number,
+  code,
+});
+const got = (at: number, number: number, subscriber = "a", sender = "s", payload = `p${number}`): Seen => ({
+  kind: "received",
+  at,
+  subscriber,
+  topic,
+  sender,
+  number,
+  payload,
+});
+const expired = (at: number): Seen => ({
+  kind: "expired",
+  at,
+  subscriber: "a",
+  topic,
+  reason: "older messages were trimmed",
+});
+const rulesOf = (...seen: Array<Seen | Seen[]>): string[] => [
+  ...new Set(Checker.judge(seen.flat(), 200_000).map((breach) => breach.rule)),
+];
 
 test("a history in which all went well has no breach", () => {
-  expect(rulesOf(plan(0, 1), joins("a"), joins("b"), tried(10, 1), accepted(12, 1), got(13, 1), got(14, 1, "b"), tried(20, 2), got(21, 2), got(21, 2, "b"), accepted(22, 2), { kind: "planRead", at: 100, text: planText(1, ["notices"]) })).toEqual([]);
+  expect(
+    rulesOf(
+      plan(0, 1),
+      joins("a"),
+      joins("b"),
+      tried(10, 1),
+      accepted(12, 1),
+      got(13, 1),
+      got(14, 1, "b"),
+      tried(20, 2),
+      got(21, 2),
+      got(21, 2, "b"),
+      accepted(22, 2),
+      { kind: "planRead", at: 100, text: planText(1, ["notices"]) },
+    ),
+  ).toEqual([]);
 });
 
 const broken: Array<[rule: string, ...seen: Array<Seen | Seen[]>]> = [
@@ -23,7 +91,20 @@
   ["skipped", joins("a"), tried(10, 1), accepted(12, 1), tried(20, 2), accepted(22, 2), got(23, 2)],
   ["twice", joins("a"), tried(10, 1), accepted(12, 1), got(13, 1), got(14, 1)],
   ["sender-order", joins("a"), tried(10, 1), accepted(12, 1), tried(20, 2), accepted(22, 2), got(23, 2), got(24, 1)],
-  ["one-order", plan(0, 1), joins("a"), joins("b"), tried(10, 1), tried(10, 1, "z"), accepted(12, 1), accepted(12, 1, "z"), got(13, 1), got(14, 1, "a", "z"), got(13, 1, "b", "z"), got(14, 1, "b")],
+  [
+    "one-order",
+    plan(0, 1),
+    joins("a"),
+    joins("b"),
+    tried(10, 1),
+    tried(10, 1, "z"),
+    accepted(12, 1),
+    accepted(12, 1, "z"),
+    got(13, 1),
+    got(14, 1, "a", "z"),
+    got(13, 1, "b", "z"),
+    got(14, 1, "b"),
+  ],
   ["nobody-sent", joins("a"), got(13, 1)],
   ["changed-bytes", joins("a"), tried(10, 1), accepted(12, 1), got(13, 1, "a", "s", "other")],
   ["not-asked", tried(10, 1), accepted(12, 1), got(13, 1)],
@@ -41,8 +122,16 @@
   });
 }
 
-test("what the rules allow is no breach: an old place expired, a refused try before an accepted one, a topic made again", () => {
-  expect(rulesOf(joins("a"), tried(10, 1), accepted(12, 1), expired(100_000))).toEqual([]);
-  expect(rulesOf(joins("a"), tried(10, 1), refused(12, 1, "unavailable"), tried(20, 1), accepted(22, 1), got(23, 1))).toEqual([]);
-  expect(rulesOf(plan(0, 1), joins("a"), plan(100, 2, ["other"]), tried(1500, 1), accepted(1510, 1), got(1520, 1))).toEqual([]);
-});
+test(
+  "what the rules allow is no breach: an old place expired, a refused try before an accepted " +
+    "one, a topic made again",
+  () => {
+    expect(rulesOf(joins("a"), tried(10, 1), accepted(12, 1), expired(100_000))).toEqual([]);
+    expect(
+      rulesOf(joins("a"), tried(10, 1), refused(12, 1, "unavailable"), tried(20, 1), accepted(22, 1), got(23, 1)),
+    ).toEqual([]);
+    expect(
+      rulesOf(plan(0, 1), joins("a"), plan(100, 2, ["other"]), tried(1500, 1), accepted(1510, 1), got(1520, 1)),
+    ).toEqual([]);
+  },
+);
--- a/packages/jig/src/mark/checker.ts
+++ b/packages/jig/src/mark/checker.ts
@@ -2,9 +2,31 @@
 import type { Seen } from "./history.js";
 import { OrderGraph } from "./orderGraph.js";
 
-export interface Breach { rule: string; text: string; at: number }
-interface Message { sender: string; topic: string; number: number; payload: string; firstAt: number; lastAt: number; acceptedAt: number | undefined; isUnsure: boolean; isRefused: boolean }
-interface Reader { confirmedAt: number; asked: boolean; got: Map<string, number>; last: Map<string, number>; lastAt: number; order: string[]; resetAt: number }
+export interface Breach {
+  rule: string;
+  text: string;
+  at: number;
+}
+interface Message {
+  sender: string;
+  topic: string;
+  number: number;
+  payload: string;
+  firstAt: number;
+  lastAt: number;
+  acceptedAt: number | undefined;
+  isUnsure: boolean;
+  isRefused: boolean;
+}
+interface Reader {
+  confirmedAt: number;
+  asked: boolean;
+  got: Map<string, number>;
+  last: Map<string, number>;
+  lastAt: number;
+  order: string[];
+  resetAt: number;
+}
 
 const keyOf = (sender: string, number: number): string => `${sender}#${number}`;
 
@@ -56,7 +78,9 @@
   }
 
   #judge(): Breach[] {
-    for (const one of this.#seen) if (one.kind === "tried" || one.kind === "accepted" || one.kind === "refused" || one.kind === "unsure") this.#note(one);
+    for (const one of this.#seen)
+      if (one.kind === "tried" || one.kind === "accepted" || one.kind === "refused" || one.kind === "unsure")
+        this.#note(one);
     for (const one of this.#seen) this.#step(one);
     this.#missing();
     this.#orders();
@@ -73,7 +97,18 @@
     const key = keyOf(one.sender, one.number);
     const message = topic.get(key);
     if (one.kind === "tried") {
-      if (message === undefined) topic.set(key, { sender: one.sender, topic: one.topic, number: one.number, payload: one.payload, firstAt: one.at, lastAt: one.at, acceptedAt: undefined, isUnsure: false, isRefused: false });
+      if (message === undefined)
+        topic.set(key, {
+          sender: one.sender,
+          topic: one.topic,
+          number: one.number,
+          payload: one.payload,
+          firstAt: one.at,
+          lastAt: one.at,
+          acceptedAt: undefined,
+          isUnsure: false,
+          isRefused: false,
+        });
       else message.lastAt = one.at;
     } else if (message !== undefined) {
       if (one.kind === "accepted") message.acceptedAt ??= one.at;
@@ -85,7 +120,19 @@
   #reader(subscriber: string, topic: string): Reader {
     const key = `${subscriber} ${topic}`;
     let reader = this.#readers.get(key);
-    if (reader === undefined) this.#readers.set(key, (reader = { confirmedAt: Infinity, asked: false, got: new Map(), last: new Map(), lastAt: -Infinity, order: [], resetAt: -Infinity }));
+    if (reader === undefined)
+      this.#readers.set(
+        key,
+        (reader = {
+          confirmedAt: Infinity,
+          asked: false,
+          got: new Map(),
+          last: new Map(),
+          lastAt: -Infinity,
+          order: [],
+          resetAt: -Infinity,
+        }),
+      );
     return reader;
   }
 
@@ -96,7 +143,10 @@
         return;
       case "left":
       case "ended":
-        Object.assign(this.#reader(one.subscriber, one.topic), { confirmedAt: Infinity, ...(one.kind === "left" ? { asked: false } : {}) });
+        Object.assign(this.#reader(one.subscriber, one.topic), {
+          confirmedAt: Infinity,
+          ...(one.kind === "left" ? { asked: false } : {}),
+        });
         return;
       case "confirmed": {
         const reader = this.#reader(one.subscriber, one.topic);
@@ -126,9 +176,11 @@
     const what = `${one.subscriber} on ${one.topic}: ${key}`;
     const message = this.#messages.get(one.topic)?.get(key);
     if (!reader.asked) this.#breach("not-asked", one.at, `${what} on a topic that was not asked for`);
-    if (message === undefined || message.firstAt > one.at) this.#breach("nobody-sent", one.at, `${what} was never sent`);
+    if (message === undefined || message.firstAt > one.at)
+      this.#breach("nobody-sent", one.at, `${what} was never sent`);
     else if (message.payload !== one.payload) this.#breach("changed-bytes", one.at, `${what} came with other bytes`);
-    else if (message.isRefused && message.acceptedAt === undefined && !message.isUnsure && message.lastAt < one.at) this.#breach("refused-delivered", one.at, `${what} was delivered though every try was refused`);
+    else if (message.isRefused && message.acceptedAt === undefined && !message.isUnsure && message.lastAt < one.at)
+      this.#breach("refused-delivered", one.at, `${what} was delivered though every try was refused`);
     if (reader.got.has(key)) this.#breach("twice", one.at, `${what} came twice`);
     else {
       const last = reader.last.get(one.sender) ?? 0;
@@ -146,7 +198,12 @@
     const inForce = this.#plans.filter((plan) => plan.at <= message.firstAt - Checker.takeUpMs).at(-1);
     if (inForce === undefined) return;
     const since = this.#plans.slice(this.#plans.indexOf(inForce));
-    if (since.every(({ plan }) => Plans.owed(plan, one.topic) === undefined)) this.#breach("removed-space", one.at, `${one.topic}: ${keyOf(one.sender, one.number)} was sent and delivered more than 3 s after its space was removed`);
+    if (since.every(({ plan }) => Plans.owed(plan, one.topic) === undefined))
+      this.#breach(
+        "removed-space",
+        one.at,
+        `${one.topic}: ${keyOf(one.sender, one.number)} was sent and delivered over 3 s after its space was removed`,
+      );
   }
 
   /** A space in force for more than 3 s must be known to whoever is asked. */
@@ -155,20 +212,40 @@
     const inForce = this.#plans.filter((plan) => plan.at <= one.at - Checker.takeUpMs).at(-1);
     if (inForce === undefined) return;
     const since = this.#plans.slice(this.#plans.indexOf(inForce)).filter((plan) => plan.at <= one.at + 1000);
-    if (since.every(({ plan }) => Plans.owed(plan, one.topic) !== undefined)) this.#breach("plan-late", one.at, `${one.topic} was unknown more than 3 s after the plan was accepted`);
+    if (since.every(({ plan }) => Plans.owed(plan, one.topic) !== undefined))
+      this.#breach("plan-late", one.at, `${one.topic} was unknown more than 3 s after the plan was accepted`);
   }
 
   #expired(one: Extract<Seen, { kind: "expired" }>): void {
     const reader = this.#reader(one.subscriber, one.topic);
     reader.resetAt = one.at;
     if (one.reason === "the topic was made again") return;
-    const missed = [...(this.#messages.get(one.topic)?.values() ?? [])].filter((message) => message.acceptedAt !== undefined && message.firstAt >= reader.confirmedAt && message.acceptedAt < one.at && !reader.got.has(keyOf(message.sender, message.number)));
-    if (missed.every((message) => one.at - message.acceptedAt! < Checker.leastKeepMs)) this.#breach("expired-early", one.at, `${one.subscriber} on ${one.topic} was told its place expired; all it missed was younger than 35 s`);
+    const missed = [...(this.#messages.get(one.topic)?.values() ?? [])].filter(
+      (message) =>
+        message.acceptedAt !== undefined &&
+        message.firstAt >= reader.confirmedAt &&
+        message.acceptedAt < one.at &&
+        !reader.got.has(keyOf(message.sender, message.number)),
+    );
+    if (missed.every((message) => one.at - message.acceptedAt! < Checker.leastKeepMs))
+      this.#breach(
+        "expired-early",
+        one.at,
+        `${one.subscriber} on ${one.topic} was told its place expired; all it missed was younger than 35 s`,
+      );
   }
 
   #planRead(one: Extract<Seen, { kind: "planRead" }>): void {
-    const newest = this.#plans.reduce<{ plan: Plan; text: string } | undefined>((best, plan) => (best === undefined || plan.plan.mark > best.plan.mark ? plan : best), undefined);
-    if (newest !== undefined && newest.text !== one.text) this.#breach("plan-read-back", one.at, `the plan read back is not the one accepted last (mark ${newest.plan.mark})`);
+    const newest = this.#plans.reduce<{ plan: Plan; text: string } | undefined>(
+      (best, plan) => (best === undefined || plan.plan.mark > best.plan.mark ? plan : best),
+      undefined,
+    );
+    if (newest !== undefined && newest.text !== one.text)
+      this.#breach(
+        "plan-read-back",
+        one.at,
+        `the plan read back is not the one accepted last (mark ${newest.plan.mark})`,
+      );
   }
 
   /** Everything accepted after a confirmation must have come, unless the topic or the place was lost to a rule. */
@@ -178,9 +255,19 @@
       const [subscriber, topic] = key.split(" ") as [string, string];
       for (const message of this.#messages.get(topic)?.values() ?? []) {
         const id = keyOf(message.sender, message.number);
-        if (message.acceptedAt === undefined || message.acceptedAt > this.#endAt || message.firstAt < Math.max(reader.confirmedAt, reader.resetAt) || reader.got.has(id)) continue;
+        if (
+          message.acceptedAt === undefined ||
+          message.acceptedAt > this.#endAt ||
+          message.firstAt < Math.max(reader.confirmedAt, reader.resetAt) ||
+          reader.got.has(id)
+        )
+          continue;
         const isSkipped = (reader.last.get(message.sender) ?? 0) > message.number;
-        this.#breach(isSkipped ? "skipped" : "missing", message.acceptedAt, `${subscriber} on ${topic}: ${id} was accepted and never came`);
+        this.#breach(
+          isSkipped ? "skipped" : "missing",
+          message.acceptedAt,
+          `${subscriber} on ${topic}: ${id} was accepted and never came`,
+        );
       }
     }
   }
@@ -195,6 +282,7 @@
       if (graph === undefined) graphs.set(topic, (graph = new OrderGraph()));
       graph.add(reader.order);
     }
-    for (const [topic, graph] of graphs) if (graph.hasCycle()) this.#breach("one-order", this.#endAt, `${topic}: two subscribers saw different orders`);
+    for (const [topic, graph] of graphs)
+      if (graph.hasCycle()) this.#breach("one-order", this.#endAt, `${topic}: two subscribers saw different orders`);
   }
 }
--- a/packages/jig/src/mark/deployments.ts
+++ b/packages/jig/src/mark/deployments.ts
@@ -1,6 +1,10 @@
 import type { Plan } from "@cranetrack/chest/mark/plan.js";
 
-export interface Machine { name: string; role: "lathe" | "anvil" | "vise"; zone: string }
+export interface Machine {
+  name: string;
+  role: "lathe" | "anvil" | "vise";
+  zone: string;
+}
 export interface Deployment {
   name: string;
   zones: string[];
@@ -13,26 +17,46 @@
 }
 
 /** The two deployments of today, as the users describe them. */
-export const Deployments: Record<string, Deployment> & { machines(deployment: Deployment): Machine[]; plan(deployment: Deployment, mark: number): Plan } = {
+const deployments: Record<string, Deployment> = {
   reefline: {
-    name: "reefline", zones: ["brisbane", "townsville", "toowoomba"], edges: 9, links: 400,
+    name: "reefline",
+    zones: ["brisbane", "townsville", "toowoomba"],
+    edges: 9,
+    links: 400,
     shared: { space: "clips", topics: 435, perSecond: 140, reads: 8 },
     broadcast: { space: "rundown", topics: 15, perSecond: 15, reads: 3, senders: 3 },
   },
   adwen: {
-    name: "adwen", zones: ["accra", "kumasi", "takoradi"], edges: 6, links: 410,
+    name: "adwen",
+    zones: ["accra", "kumasi", "takoradi"],
+    edges: 6,
+    links: 410,
     shared: { space: "quotes", topics: 715, perSecond: 200, reads: 8 },
     broadcast: { space: "cuts", topics: 15, perSecond: 15, reads: 3, senders: 3 },
   },
   small: {
-    name: "small", zones: ["north", "south", "west"], edges: 2, links: 24,
+    name: "small",
+    zones: ["north", "south", "west"],
+    edges: 2,
+    links: 24,
     shared: { space: "notes", topics: 20, perSecond: 30, reads: 4 },
     broadcast: { space: "notices", topics: 2, perSecond: 5, reads: 2, senders: 1 },
   },
+};
+
+export const Deployments = {
+  names: Object.keys(deployments),
+
+  find(name: string): Deployment {
+    const found = deployments[name];
+    if (found === undefined) throw new Error(`there is no deployment ${name}: ${Deployments.names.join(", ")}`);
+    return found;
+  },
 
   machines({ zones, edges, name }: Deployment): Machine[] {
     const zoneOf = (i: number): string => zones[i % zones.length]!;
-    const make = (role: Machine["role"], count: number): Machine[] => Array.from({ length: count }, (_, i) => ({ name: `${role}-${i + 1}`, role, zone: zoneOf(i) }));
+    const make = (role: Machine["role"], count: number): Machine[] =>
+      Array.from({ length: count }, (_, i) => ({ name: `${role}-${i + 1}`, role, zone: zoneOf(i) }));
     return [...make("lathe", name === "small" ? 3 : 5), ...make("anvil", 3), ...make("vise", edges)];
   },
 
@@ -41,9 +65,26 @@
     return {
       mark,
       spaces: [
-        { name: shared.space, program: [{ when: {}, owe: { keep: 120, order: "sender", fault_budget: { machines: 1 }, maxBytes: 8192 } }] },
-        { name: broadcast.space, program: [{ when: {}, owe: { keep: 300, order: "one", fault_budget: { machines: 1, zones: 1 }, publishers: senders, maxBytes: 8192 } }] },
+        {
+          name: shared.space,
+          program: [{ when: {}, owe: { keep: 120, order: "sender", fault_budget: { machines: 1 }, maxBytes: 8192 } }],
+        },
+        {
+          name: broadcast.space,
+          program: [
+            {
+              when: {},
+              owe: {
+                keep: 300,
+                order: "one",
+                fault_budget: { machines: 1, zones: 1 },
+                publishers: senders,
+                maxBytes: 8192,
+              },
+            },
+          ],
+        },
       ],
     };
   },
-} as never;
+};
--- a/packages/jig/src/process/caller.ts
+++ b/packages/jig/src/process/caller.ts
@@ -2,7 +2,14 @@
 import type { CallerPort, PortLink } from "../link/callerPort.js";
 import type { History } from "../mark/history.js";
 
-interface CallerParts { session: string; port: CallerPort; clock: Clock; draw: () => number; history: History; nodes: () => string[] }
+interface CallerParts {
+  session: string;
+  port: CallerPort;
+  clock: Clock;
+  draw: () => number;
+  history: History;
+  nodes: () => string[];
+}
 
 /**
  * One caller: holds one long link, comes back with its last places, publishes under rising numbers and
@@ -79,10 +86,12 @@
     this.#numbers.set(topic, number);
     this.open += 1;
     const before = this.#busy.get(topic) ?? Promise.resolve();
-    const done = before.then(() => this.#settle(topic, number, payload)).then(() => {
-      this.open -= 1;
-      if (this.#busy.get(topic) === done) this.#busy.delete(topic);
-    });
+    const done = before
+      .then(() => this.#settle(topic, number, payload))
+      .then(() => {
+        this.open -= 1;
+        if (this.#busy.get(topic) === done) this.#busy.delete(topic);
+      });
     this.#busy.set(topic, done);
     return done;
   }
@@ -97,15 +106,24 @@
       if (!this.#isOpen) await new Promise<void>((resolve) => void this.#whenOpen.push(resolve));
       const node = this.#node;
       history.add({ kind: "tried", at: this.#now, sender: this.session, topic, number, payload });
-      const receipt = await port.call(node, "POST", `/v1/sessions/${this.session}/messages`, JSON.stringify({ topic, number, payload }));
+      const receipt = await port.call(
+        node,
+        "POST",
+        `/v1/sessions/${this.session}/messages`,
+        JSON.stringify({ topic, number, payload }),
+      );
       const about = { at: this.#now, sender: this.session, topic, number };
-      if (receipt.status === 200) return history.add({ kind: "accepted", ...about, place: String(receipt.body["place"]) });
+      if (receipt.status === 200)
+        return history.add({ kind: "accepted", ...about, place: String(receipt.body["place"]) });
       const code = String((receipt.body["error"] as { code?: string } | undefined)?.code ?? "");
       if (receipt.status === 504 || receipt.status === 0) history.add({ kind: "unsure", ...about });
       else history.add({ kind: "refused", ...about, code });
       const isFinal = receipt.status !== 504 && receipt.status !== 0 && receipt.status !== 503 && code !== "no-link";
       if (isFinal) return;
-      await new Promise<void>((resolve) => void clock.once(Math.min(1000, (receipt.comeBack ?? 0.3) * 1000 * (0.5 + this.#parts.draw() * 0.5)), resolve));
+      await new Promise<void>(
+        (resolve) =>
+          void clock.once(Math.min(1000, (receipt.comeBack ?? 0.3) * 1000 * (0.5 + this.#parts.draw() * 0.5)), resolve),
+      );
     }
   }
 
@@ -118,19 +136,26 @@
     if (!this.#isWanted || this.#link !== undefined) return;
     const attempt = ++this.#attempt;
     const node = this.#pick();
-    const subscriptions = [...this.#places].map(([topic, after]) => (after === undefined ? { topic } : { topic, after }));
+    const subscriptions = [...this.#places].map(([topic, after]) =>
+      after === undefined ? { topic } : { topic, after },
+    );
     this.#confirmed.clear();
     const isCurrent = (): boolean => attempt === this.#attempt && this.#isWanted;
-    const got = await this.#parts.port.link(node, this.session, { subscriptions }, {
-      line: (line) => {
-        if (isCurrent()) this.#heed(line, node);
+    const got = await this.#parts.port.link(
+      node,
+      this.session,
+      { subscriptions },
+      {
+        line: (line) => {
+          if (isCurrent()) this.#heed(line, node);
+        },
+        closed: () => {
+          if (!isCurrent()) return;
+          this.#cut();
+          this.#again(50 + this.#parts.draw() * 250);
+        },
       },
-      closed: () => {
-        if (!isCurrent()) return;
-        this.#cut();
-        this.#again(50 + this.#parts.draw() * 250);
-      },
-    });
+    );
     if (!isCurrent()) return void ("close" in got && got.close());
     if ("close" in got) this.#link = got;
     else this.#again(Math.min(3000, (got.comeBack ?? 0.5) * 1000 * (0.7 + this.#parts.draw() * 0.6)));
@@ -154,7 +179,13 @@
         return history.add({ kind: "confirmed", ...about });
       case "message":
         this.#places.set(topic, String(line["place"]));
-        return history.add({ kind: "received", ...about, sender: String(line["sender"]), number: Number(line["number"]), payload: String(line["payload"]) });
+        return history.add({
+          kind: "received",
+          ...about,
+          sender: String(line["sender"]),
+          number: Number(line["number"]),
+          payload: String(line["payload"]),
+        });
       case "expired":
         this.#places.set(topic, String(line["place"]));
         return history.add({ kind: "expired", ...about, reason: String(line["reason"]) });
@@ -178,9 +209,16 @@
     this.#parts.clock.once(300 + this.#parts.draw() * 700, () => {
       if (attempt !== this.#attempt || !this.#isOpen || this.#confirmed.has(topic)) return;
       const after = this.#places.get(topic);
-      void this.#parts.port.call(this.#node, "POST", `/v1/sessions/${this.session}/subscriptions`, JSON.stringify(after === undefined ? { topic } : { topic, after })).then(({ status }) => {
-        if (status !== 200) this.#subscribeAgain(topic);
-      });
+      void this.#parts.port
+        .call(
+          this.#node,
+          "POST",
+          `/v1/sessions/${this.session}/subscriptions`,
+          JSON.stringify(after === undefined ? { topic } : { topic, after }),
+        )
+        .then(({ status }) => {
+          if (status !== 200) this.#subscribeAgain(topic);
+        });
     });
   }
 
--- a/packages/jig/src/process/drill.ts
+++ b/packages/jig/src/process/drill.ts
@@ -1,7 +1,12 @@
 import type { Fleet } from "./fleet.js";
 import type { Load } from "./load.js";
 
-export interface DrillStep { what: string; readyMs: number; heldMs: number; backMs: number }
+export interface DrillStep {
+  what: string;
+  readyMs: number;
+  heldMs: number;
+  backMs: number;
+}
 
 /** Causes failures on a real fleet under load, one after the other, and measures how long service takes to be back. */
 export class Drill {
--- a/packages/jig/src/process/fleet.test.ts
+++ b/packages/jig/src/process/fleet.test.ts
@@ -12,7 +12,7 @@
 import { Load } from "./load.js";
 
 const folder = mkdtempSync(join(tmpdir(), "cranetrack-fleet-"));
-const fleet = new Fleet(Deployments["small"]!, folder, ["anvil-2"]);
+const fleet = new Fleet(Deployments.find("small"), folder, ["anvil-2"]);
 const programOf = (role: string): string => fileURLToPath(import.meta.resolve(`@cranetrack/${role}/${role}.js`));
 const codeOf = (receipt: PortReceipt): unknown => (receipt.body["error"] as { code?: unknown } | undefined)?.code;
 const run = (program: string, ...args: string[]): { status: number | null; out: string; err: string } => {
@@ -29,18 +29,42 @@
 
 test("bad settings and flags end a program with exit 2 and one line a problem; a foreign folder with exit 3", () => {
   const bad = join(folder, "bad.json");
-  writeFileSync(bad, JSON.stringify({ name: "x", role: "vise", zone: "z", address: "127.0.0.1:1", http: "127.0.0.1:1", seeds: ["nowhere"], lathes: 0, colour: 1 }));
+  writeFileSync(
+    bad,
+    JSON.stringify({
+      name: "x",
+      role: "vise",
+      zone: "z",
+      address: "127.0.0.1:1",
+      http: "127.0.0.1:1",
+      seeds: ["nowhere"],
+      lathes: 0,
+      colour: 1,
+    }),
+  );
   const refused = run("vise", "--settings", bad);
   expect(refused.status).toEqual(2);
-  expect(refused.err.trim().split("\n").map((line) => line.split(":")[0]).sort()).toEqual(["colour", "lathes", "seeds.0"]);
+  expect(
+    refused.err
+      .trim()
+      .split("\n")
+      .map((line) => line.split(":")[0])
+      .sort(),
+  ).toEqual(["colour", "lathes", "seeds.0"]);
   expect(run("vise", "--settings", join(folder, "none.json")).status).toEqual(2);
-  expect(run("lathe", "--settings", fleet.settingsOf("vise-1")).err).toEqual(expect.includes("this program is a lathe"));
+  expect(run("lathe", "--settings", fleet.settingsOf("vise-1")).err).toEqual(
+    expect.includes("this program is a lathe"),
+  );
   expect(run("vise", "--settings", fleet.settingsOf("vise-1"), "--zone").status).toEqual(2);
   expect(run("vise", "--settings", fleet.settingsOf("vise-1"), "--check").out).toEqual("settings are good\n");
   const foreign = join(folder, "foreign");
   mkdirSync(foreign);
   writeFileSync(join(foreign, "data.mdb"), "this is no database of ours, whatever its name says".repeat(400));
-  const settings = { ...(JSON.parse(readFileSync(fleet.settingsOf("anvil-1"), "utf8")) as object), data: foreign, log: join(folder, "foreign.log") };
+  const settings = {
+    ...(JSON.parse(readFileSync(fleet.settingsOf("anvil-1"), "utf8")) as object),
+    data: foreign,
+    log: join(folder, "foreign.log"),
+  };
   const path = join(folder, "foreign.json");
   writeFileSync(path, JSON.stringify(settings));
   const ran = run("anvil", "--settings", path);
@@ -48,117 +72,164 @@
   expect(ran.err).toEqual(expect.includes("cannot be used"));
 });
 
-test("callers' and operators' bad input gets a 4xx in the one shape that names the field, on any node, and nothing falls", async () => {
-  const load = new Load(fleet);
-  await load.putPlan(Deployments.plan(fleet.deployment, 1));
-  const [edge, other] = fleet.withRole("vise") as [string, string];
-  const lines: Array<Record<string, unknown>> = [];
-  let isOpen = false;
-  const link = await fleet.port.link(edge, "guest", { subscriptions: [{ topic: "notes/t1" }] }, { line: (line) => {
-    lines.push(line);
-    isOpen ||= line["kind"] === "confirmed";
-  }, closed: () => undefined });
-  expect("close" in link).toEqual(true);
-  while (!isOpen) await fleet.call(edge, "GET", "/healthz");
-  const publish = (body: string, node = edge, session = "guest"): Promise<PortReceipt> => fleet.call(node, "POST", `/v1/sessions/${session}/messages`, body);
-  const message = { topic: "notes/t1", number: 1, payload: "x" };
-  const whole = JSON.stringify(message);
-  const cases: Array<[Promise<PortReceipt>, number, string]> = [
-    [publish("{"), 400, "malformed"],
-    [publish(whole.slice(0, -3)), 400, "malformed"],
-    [publish(JSON.stringify({ ...message, number: "1" })), 400, "malformed"],
-    [publish(JSON.stringify({ ...message, more: 1 })), 400, "malformed"],
-    [publish(JSON.stringify({ ...message, topic: "notopic" })), 400, "malformed"],
-    [publish(JSON.stringify({ ...message, topic: "nowhere/t" })), 404, "unknown-topic"],
-    [publish(JSON.stringify({ ...message, topic: "notices/t1" })), 403, "not-a-publisher"],
-    [publish(JSON.stringify({ ...message, number: 2, payload: "x".repeat(9000) })), 413, "too-large"],
-    [publish("x".repeat(1_300_000)), 413, "too-large"],
-    [publish(whole, other, "stranger"), 409, "no-link"],
-    [fleet.call(edge, "POST", "/v1/sessions/bad%20name/link", "{}"), 400, "malformed"],
-    [fleet.call(edge, "POST", "/v1/sessions/a/link", JSON.stringify({ subscriptions: [{ topic: "x" }] })), 400, "malformed"],
-    [fleet.call(edge, "POST", "/v1/sessions/guest/subscriptions", JSON.stringify({ topic: 7 })), 400, "malformed"],
-    [fleet.call(edge, "GET", "/v1/nothing"), 404, "unknown-path"],
-    [fleet.call("anvil-1", "DELETE", "/v1/plan"), 405, "method-not-allowed"],
-    [fleet.call("anvil-1", "PUT", "/v1/plan", JSON.stringify({ mark: 2, spaces: [{ name: "A b" }] })), 422, "invalid-plan"],
-    [fleet.call(other, "PUT", "/v1/plan", JSON.stringify(Deployments.plan(fleet.deployment, 0))), 422, "invalid-plan"],
-    [fleet.call("lathe-2", "PUT", "/v1/machines/nobody/emptying"), 404, "unknown-machine"],
-  ];
-  for (const [asked, status, code] of cases) {
-    const receipt = await asked;
-    expect([receipt.status, codeOf(receipt)]).toEqual([status, code]);
-  }
-  expect((await publish(JSON.stringify({ ...message, number: 3 }), other)).status).toEqual(200);
-  while (!lines.some((line) => line["kind"] === "message")) await fleet.call(edge, "GET", "/healthz");
-  expect(lines.filter((line) => line["kind"] === "message").map((line) => line["number"])).toEqual([3]);
-  if ("close" in link) link.close();
-  expect(fleet.fallen).toEqual([]);
-});
+test(
+  "callers' and operators' bad input gets a 4xx in the one shape that names the field, on " +
+    "any node, and nothing falls",
+  async () => {
+    const load = new Load(fleet);
+    await load.putPlan(Deployments.plan(fleet.deployment, 1));
+    const [edge, other] = fleet.withRole("vise") as [string, string];
+    const lines: Array<Record<string, unknown>> = [];
+    let isOpen = false;
+    const link = await fleet.port.link(
+      edge,
+      "guest",
+      { subscriptions: [{ topic: "notes/t1" }] },
+      {
+        line: (line) => {
+          lines.push(line);
+          isOpen ||= line["kind"] === "confirmed";
+        },
+        closed: () => undefined,
+      },
+    );
+    expect("close" in link).toEqual(true);
+    while (!isOpen) await fleet.call(edge, "GET", "/healthz");
+    const publish = (body: string, node = edge, session = "guest"): Promise<PortReceipt> =>
+      fleet.call(node, "POST", `/v1/sessions/${session}/messages`, body);
+    const message = { topic: "notes/t1", number: 1, payload: "x" };
+    const whole = JSON.stringify(message);
+    const cases: Array<[Promise<PortReceipt>, number, string]> = [
+      [publish("{"), 400, "malformed"],
+      [publish(whole.slice(0, -3)), 400, "malformed"],
+      [publish(JSON.stringify({ ...message, number: "1" })), 400, "malformed"],
+      [publish(JSON.stringify({ ...message, more: 1 })), 400, "malformed"],
+      [publish(JSON.stringify({ ...message, topic: "notopic" })), 400, "malformed"],
+      [publish(JSON.stringify({ ...message, topic: "nowhere/t" })), 404, "unknown-topic"],
+      [publish(JSON.stringify({ ...message, topic: "notices/t1" })), 403, "not-a-publisher"],
+      [publish(JSON.stringify({ ...message, number: 2, payload: "x".repeat(9000) })), 413, "too-large"],
+      [publish("x".repeat(1_300_000)), 413, "too-large"],
+      [publish(whole, other, "stranger"), 409, "no-link"],
+      [fleet.call(edge, "POST", "/v1/sessions/bad%20name/link", "{}"), 400, "malformed"],
+      [
+        fleet.call(edge, "POST", "/v1/sessions/a/link", JSON.stringify({ subscriptions: [{ topic: "x" }] })),
+        400,
+        "malformed",
+      ],
+      [fleet.call(edge, "POST", "/v1/sessions/guest/subscriptions", JSON.stringify({ topic: 7 })), 400, "malformed"],
+      [fleet.call(edge, "GET", "/v1/nothing"), 404, "unknown-path"],
+      [fleet.call("anvil-1", "DELETE", "/v1/plan"), 405, "method-not-allowed"],
+      [
+        fleet.call("anvil-1", "PUT", "/v1/plan", JSON.stringify({ mark: 2, spaces: [{ name: "A b" }] })),
+        422,
+        "invalid-plan",
+      ],
+      [
+        fleet.call(other, "PUT", "/v1/plan", JSON.stringify(Deployments.plan(fleet.deployment, 0))),
+        422,
+        "invalid-plan",
+      ],
+      [fleet.call("lathe-2", "PUT", "/v1/machines/nobody/emptying"), 404, "unknown-machine"],
+    ];
+    for (const [asked, status, code] of cases) {
+      const receipt = await asked;
+      expect([receipt.status, codeOf(receipt)]).toEqual([status, code]);
+    }
+    expect((await publish(JSON.stringify({ ...message, number: 3 }), other)).status).toEqual(200);
+    while (!lines.some((line) => line["kind"] === "message")) await fleet.call(edge, "GET", "/healthz");
+    expect(lines.filter((line) => line["kind"] === "message").map((line) => line["number"])).toEqual([3]);
+    if ("close" in link) link.close();
+    expect(fleet.fallen).toEqual([]);
+  },
+);
 
-test("a settings file that changes without a signal is taken up; one that turns bad changes nothing and is said", async () => {
-  const path = fleet.settingsOf("vise-1");
-  const good = readFileSync(path, "utf8");
-  const faultOf = async (): Promise<string> => ((await fleet.call("vise-1", "GET", "/v1/status")).body["faults"] as { settings: string }).settings;
-  writeFileSync(path, "{ broken");
-  while (!(await faultOf()).includes("the old settings stay")) await fleet.call("vise-1", "GET", "/healthz");
-  expect((await fleet.call("vise-1", "GET", "/readyz")).status).toEqual(200);
-  writeFileSync(path, JSON.stringify({ ...(JSON.parse(good) as object), mostLinks: 0 + 1 }));
-  while ((await faultOf()) !== "") await fleet.call("vise-1", "GET", "/healthz");
-  const links = await Promise.all([1, 2].map((i) => fleet.port.link("vise-1", `crowd-${i}`, {}, { line: () => undefined, closed: () => undefined })));
-  const full = links.find((link) => !("close" in link)) as PortReceipt;
-  expect([full.status, codeOf(full)]).toEqual([503, "full"]);
-  for (const link of links) if ("close" in link) link.close();
-  writeFileSync(path, good);
-  fleet.signal("vise-1", "SIGHUP");
-});
+test(
+  "a settings file that changes without a signal is taken up; one that turns bad changes " + "nothing and is said",
+  async () => {
+    const path = fleet.settingsOf("vise-1");
+    const good = readFileSync(path, "utf8");
+    const faultOf = async (): Promise<string> =>
+      ((await fleet.call("vise-1", "GET", "/v1/status")).body["faults"] as { settings: string }).settings;
+    writeFileSync(path, "{ broken");
+    while (!(await faultOf()).includes("the old settings stay")) await fleet.call("vise-1", "GET", "/healthz");
+    expect((await fleet.call("vise-1", "GET", "/readyz")).status).toEqual(200);
+    writeFileSync(path, JSON.stringify({ ...(JSON.parse(good) as object), mostLinks: 0 + 1 }));
+    while ((await faultOf()) !== "") await fleet.call("vise-1", "GET", "/healthz");
+    const links = await Promise.all(
+      [1, 2].map((i) =>
+        fleet.port.link("vise-1", `crowd-${i}`, {}, { line: () => undefined, closed: () => undefined }),
+      ),
+    );
+    const full = links.find((link) => !("close" in link)) as PortReceipt;
+    expect([full.status, codeOf(full)]).toEqual([503, "full"]);
+    for (const link of links) if ("close" in link) link.close();
+    writeFileSync(path, good);
+    fleet.signal("vise-1", "SIGHUP");
+  },
+);
 
-test("spanner: status, plans, rollouts and runbooks against a fleet, with exit codes that say what happened", async () => {
-  const spanner = (...args: string[]): Promise<{ status: number | null; out: string; err: string }> => new Promise((resolve) => {
-    const child = spawn(process.execPath, [programOf("spanner"), ...args, "--node", `127.0.0.1:9,${fleet.httpOf("anvil-1")}`]);
-    let [out, err] = ["", ""];
-    child.stdout.on("data", (chunk) => (out += String(chunk)));
-    child.stderr.on("data", (chunk) => (err += String(chunk)));
-    child.on("close", (status) => resolve({ status, out, err }));
-  });
-  const status = await spanner("status");
-  expect([status.status, status.out.includes("lathe-3"), status.out.includes("holds")]).toEqual([0, true, true]);
-  const plan = join(folder, "plan.json");
-  const text = JSON.stringify(Deployments.plan(fleet.deployment, 50));
-  writeFileSync(plan, text);
-  expect((await spanner("plan", "put", plan)).out).toEqual("mark 50 accepted\n");
-  expect((await spanner("plan", "get")).out).toEqual(`${text}\n`);
-  writeFileSync(plan, JSON.stringify({ mark: 51, spaces: [{ name: "x" }] }));
-  const refused = await spanner("plan", "put", plan);
-  expect([refused.status, refused.err.includes("spaces.0.program")]).toEqual([1, true]);
-  expect((await spanner("plan", "mend")).status).toEqual(2);
-  expect((await spanner("runbook", "list")).out.split("\n").length > 5).toEqual(true);
-  expect((await spanner("runbook", "run", "empty-machine")).status).toEqual(2);
-  const dry = await spanner("runbook", "run", "empty-machine", "--machine", "anvil-3", "--dry-run");
-  expect([dry.status, dry.err.match(/would be done/g)?.length]).toEqual([0, 3]);
-  const wrong = await spanner("runbook", "run", "empty-machine", "--machine", "anvil-9");
-  expect([wrong.status, wrong.err.includes("not reached")]).toEqual([1, true]);
-  const emptied = await spanner("runbook", "run", "empty-machine", "--machine", "anvil-3", "--json");
-  expect([emptied.status, (JSON.parse(emptied.out) as { isDone: boolean }).isDone]).toEqual([0, true]);
-  expect((await spanner("machine", "progress", "anvil-3")).out).toEqual("anvil-3: to be emptied, 0 of 32 shards have a replica there\n");
-  expect((await spanner("runbook", "run", "refill-machine", "--machine", "anvil-3")).status).toEqual(0);
-  const rollout = await spanner("plan", "rollout", "--json");
-  expect((JSON.parse(rollout.out) as { taken: number; of: number }).taken).toEqual(8);
-});
+test(
+  "spanner: status, plans, rollouts and runbooks against a fleet, with exit codes that say " + "what happened",
+  async () => {
+    const spanner = (...args: string[]): Promise<{ status: number | null; out: string; err: string }> =>
+      new Promise((resolve) => {
+        const child = spawn(process.execPath, [
+          programOf("spanner"),
+          ...args,
+          "--node",
+          `127.0.0.1:9,${fleet.httpOf("anvil-1")}`,
+        ]);
+        let [out, err] = ["", ""];
+        child.stdout.on("data", (chunk) => (out += String(chunk)));
+        child.stderr.on("data", (chunk) => (err += String(chunk)));
+        child.on("close", (status) => resolve({ status, out, err }));
+      });
+    const status = await spanner("status");
+    expect([status.status, status.out.includes("lathe-3"), status.out.includes("holds")]).toEqual([0, true, true]);
+    const plan = join(folder, "plan.json");
+    const text = JSON.stringify(Deployments.plan(fleet.deployment, 50));
+    writeFileSync(plan, text);
+    expect((await spanner("plan", "put", plan)).out).toEqual("mark 50 accepted\n");
+    expect((await spanner("plan", "get")).out).toEqual(`${text}\n`);
+    writeFileSync(plan, JSON.stringify({ mark: 51, spaces: [{ name: "x" }] }));
+    const refused = await spanner("plan", "put", plan);
+    expect([refused.status, refused.err.includes("spaces.0.program")]).toEqual([1, true]);
+    expect((await spanner("plan", "mend")).status).toEqual(2);
+    expect((await spanner("runbook", "list")).out.split("\n").length > 5).toEqual(true);
+    expect((await spanner("runbook", "run", "empty-machine")).status).toEqual(2);
+    const dry = await spanner("runbook", "run", "empty-machine", "--machine", "anvil-3", "--dry-run");
+    expect([dry.status, dry.err.match(/would be done/g)?.length]).toEqual([0, 3]);
+    const wrong = await spanner("runbook", "run", "empty-machine", "--machine", "anvil-9");
+    expect([wrong.status, wrong.err.includes("not reached")]).toEqual([1, true]);
+    const emptied = await spanner("runbook", "run", "empty-machine", "--machine", "anvil-3", "--json");
+    expect([emptied.status, (JSON.parse(emptied.out) as { isDone: boolean }).isDone]).toEqual([0, true]);
+    expect((await spanner("machine", "progress", "anvil-3")).out).toEqual(
+      "anvil-3: to be emptied, 0 of 32 shards have a replica there\n",
+    );
+    expect((await spanner("runbook", "run", "refill-machine", "--machine", "anvil-3")).status).toEqual(0);
+    const rollout = await spanner("plan", "rollout", "--json");
+    expect((JSON.parse(rollout.out) as { taken: number; of: number }).taken).toEqual(8);
+  },
+);
 
-test("processes killed, cycled, frozen and cut off under load: no breach, service back within 12 s each time", async () => {
-  const load = new Load(fleet);
-  try {
-    await load.begin();
-    load.play();
-    const drill = new Drill(fleet, load);
-    await drill.run(["kill", "cycle", "freeze", "reset", "wipe", "blackout"]);
-    await drill.unplug("anvil-2", 4000);
-    const report = await load.end();
-    expect(report.breaches).toEqual([]);
-    expect(fleet.fallen).toEqual([]);
-    expect(drill.steps.filter((step) => step.backMs > Drill.backMs)).toEqual([]);
-    expect(report.accepted).toEqual(report.sent);
-    expect(report.received > report.accepted).toEqual(true);
-  } finally {
-    load.halt();
-  }
-});
+test(
+  "processes killed, cycled, frozen and cut off under load: no breach, service back within " + "12 s each time",
+  async () => {
+    const load = new Load(fleet);
+    try {
+      await load.begin();
+      load.play();
+      const drill = new Drill(fleet, load);
+      await drill.run(["kill", "cycle", "freeze", "reset", "wipe", "blackout"]);
+      await drill.unplug("anvil-2", 4000);
+      const report = await load.end();
+      expect(report.breaches).toEqual([]);
+      expect(fleet.fallen).toEqual([]);
+      expect(drill.steps.filter((step) => step.backMs > Drill.backMs)).toEqual([]);
+      expect(report.accepted).toEqual(report.sent);
+      expect(report.received > report.accepted).toEqual(true);
+    } finally {
+      load.halt();
+    }
+  },
+);
--- a/packages/jig/src/process/fleet.ts
+++ b/packages/jig/src/process/fleet.ts
@@ -9,7 +9,14 @@
 import { TcpRelay } from "./tcpRelay.js";
 import { Deployments, type Deployment, type Machine } from "../mark/deployments.js";
 
-interface Member { machine: Machine; address: string; http: string; settings: string; child: ChildProcess | undefined; relay: TcpRelay | undefined }
+interface Member {
+  machine: Machine;
+  address: string;
+  http: string;
+  settings: string;
+  child: ChildProcess | undefined;
+  relay: TcpRelay | undefined;
+}
 
 /** A whole fleet of real processes on this machine, on loopback addresses, from settings files. */
 export class Fleet {
@@ -24,7 +31,12 @@
   readonly fallen: string[] = [];
 
   /** `relayed` machines are reached through wires that can be cut. */
-  constructor(deployment: Deployment, folder: string, relayed: readonly string[] = [], more: Record<string, number> = {}) {
+  constructor(
+    deployment: Deployment,
+    folder: string,
+    relayed: readonly string[] = [],
+    more: Record<string, number> = {},
+  ) {
     this.#more = more;
     this.deployment = deployment;
     this.#relayed = relayed;
@@ -62,14 +74,38 @@
     const addresses = ports.map((port) => `127.0.0.1:${port}`);
     const relayed = (name: string): boolean => this.#relayed.includes(name);
     // A relayed machine listens on a port of its own and is known to others by its relay's.
-    const seeds = machines.filter((machine) => !relayed(machine.name)).map((machine) => addresses[machines.indexOf(machine)]!).slice(0, 3);
+    const seeds = machines
+      .filter((machine) => !relayed(machine.name))
+      .map((machine) => addresses[machines.indexOf(machine)]!)
+      .slice(0, 3);
     mkdirSync(this.#folder, { recursive: true });
     machines.forEach((machine, i) => {
       const settings = join(this.#folder, `${machine.name}.json`);
       const [address, http] = [addresses[i]!, addresses[machines.length + i]!];
-      const content = { ...this.#more, name: machine.name, role: machine.role, zone: machine.zone, address, http, seeds, lathes: machines.filter((one) => one.role === "lathe").length, log: join(this.#folder, `${machine.name}.log`), ...(relayed(machine.name) ? { listen: addresses[2 * machines.length + i]! } : {}), ...(machine.role === "vise" ? {} : { data: this.dataOf(machine.name) }) };
+      const content = {
+        ...this.#more,
+        name: machine.name,
+        role: machine.role,
+        zone: machine.zone,
+        address,
+        http,
+        seeds,
+        lathes: machines.filter((one) => one.role === "lathe").length,
+        log: join(this.#folder, `${machine.name}.log`),
+        ...(relayed(machine.name) ? { listen: addresses[2 * machines.length + i]! } : {}),
+        ...(machine.role === "vise" ? {} : { data: this.dataOf(machine.name) }),
+      };
       writeFileSync(settings, `${JSON.stringify(content, null, 2)}\n`);
-      this.#members.set(machine.name, { machine, address, http, settings, child: undefined, relay: relayed(machine.name) ? new TcpRelay(Fleet.#place(address), Fleet.#place(addresses[2 * machines.length + i]!)) : undefined });
+      this.#members.set(machine.name, {
+        machine,
+        address,
+        http,
+        settings,
+        child: undefined,
+        relay: relayed(machine.name)
+          ? new TcpRelay(Fleet.#place(address), Fleet.#place(addresses[2 * machines.length + i]!))
+          : undefined,
+      });
     });
     for (const machine of machines) this.launch(machine.name);
     await this.ready();
@@ -84,7 +120,9 @@
     const { role } = member.machine;
     const program = fileURLToPath(import.meta.resolve(`@cranetrack/${role}/${role}.js`));
     const errors = openSync(join(this.#folder, `${name}.err`), "a");
-    const child = spawn(process.execPath, [program, "--settings", member.settings], { stdio: ["ignore", errors, errors] });
+    const child = spawn(process.execPath, [program, "--settings", member.settings], {
+      stdio: ["ignore", errors, errors],
+    });
     member.child = child;
     child.on("exit", (code, signal) => {
       if (member.child !== child) return;
@@ -164,7 +202,9 @@
 
   /** Leases lost by all running edges and storage machines since their starts. */
   async leasesLost(): Promise<number> {
-    const asked = await Promise.all([...this.withRole("anvil"), ...this.withRole("vise")].map((name) => this.call(name, "GET", "/v1/status")));
+    const asked = await Promise.all(
+      [...this.withRole("anvil"), ...this.withRole("vise")].map((name) => this.call(name, "GET", "/v1/status")),
+    );
     return asked.reduce((sum, receipt) => sum + Number(receipt.body["leasesLost"] ?? 0), 0);
   }
 
@@ -185,12 +225,14 @@
   }
 
   static async #freePorts(count: number): Promise<number[]> {
-    const servers = await Promise.all(Array.from({ length: count }, async () => {
-      const server = createServer();
-      server.listen(0, "127.0.0.1");
-      await once(server, "listening");
-      return server;
-    }));
+    const servers = await Promise.all(
+      Array.from({ length: count }, async () => {
+        const server = createServer();
+        server.listen(0, "127.0.0.1");
+        await once(server, "listening");
+        return server;
+      }),
+    );
     const ports = servers.map((server) => (server.address() as { port: number }).port);
     await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
     return ports;
--- a/packages/jig/src/process/load.ts
+++ b/packages/jig/src/process/load.ts
@@ -6,7 +6,18 @@
 import { Caller } from "./caller.js";
 import type { Fleet } from "./fleet.js";
 
-export interface LoadReport { sent: number; accepted: number; received: number; reconnects: number; p50: number; p99: number; max: number; above333: number; above2000: number; breaches: Breach[] }
+export interface LoadReport {
+  sent: number;
+  accepted: number;
+  received: number;
+  reconnects: number;
+  p50: number;
+  p99: number;
+  max: number;
+  above333: number;
+  above2000: number;
+  breaches: Breach[];
+}
 
 /** The brief's callers against a real fleet: senders at their rates, readers, drop-offs and zone moves. */
 export class Load {
@@ -44,13 +55,21 @@
     for (let i = 0; i < deployment.links * share; i += 1) {
       const session = i < broadcast.senders ? `sender-${i + 1}` : `caller-${i + 1}`;
       this.#zoneOf.set(session, deployment.zones[i % deployment.zones.length]!);
-      const caller = new Caller({ session, port: this.#fleet.port, clock: this.#clock, draw: () => this.#chance.draw(), history: this.history, nodes: () => this.#nodes(session) });
+      const caller = new Caller({
+        session,
+        port: this.#fleet.port,
+        clock: this.#clock,
+        draw: () => this.#chance.draw(),
+        history: this.history,
+        nodes: () => this.#nodes(session),
+      });
       this.callers.push(caller);
       const topics = new Set([...this.#topics(shared), ...this.#topics(broadcast)]);
       caller.start([...topics]);
       if (i % 20 === 19) await this.#wait(20);
     }
-    for (let tries = 0; tries < 300 && !this.callers.every((caller) => caller.isSettled); tries += 1) await this.#wait(100);
+    for (let tries = 0; tries < 300 && !this.callers.every((caller) => caller.isSettled); tries += 1)
+      await this.#wait(100);
     const unsettled = this.callers.filter((caller) => !caller.isSettled).length;
     if (unsettled > 0) throw new Error(`${unsettled} callers have no confirmed link after 30 s`);
   }
@@ -79,8 +98,16 @@
   /** Starts the senders and the drop-offs. */
   play(share = 1): void {
     const { shared, broadcast } = this.#fleet.deployment;
-    this.#every(1000 / (shared.perSecond * share), () => this.#publish(this.#any(this.callers), shared.space, shared.topics));
-    this.#every(1000 / (broadcast.perSecond * share), () => this.#publish(this.callers[Math.floor(this.#chance.draw() * broadcast.senders)]!, broadcast.space, broadcast.topics));
+    this.#every(1000 / (shared.perSecond * share), () =>
+      this.#publish(this.#any(this.callers), shared.space, shared.topics),
+    );
+    this.#every(1000 / (broadcast.perSecond * share), () =>
+      this.#publish(
+        this.callers[Math.floor(this.#chance.draw() * broadcast.senders)]!,
+        broadcast.space,
+        broadcast.topics,
+      ),
+    );
     this.#every(700, () => this.isCalm || this.#any(this.callers).dropOff(200 + this.#chance.draw() * 3000));
     this.#every(2500, () => this.isCalm || this.#move(this.#any(this.callers)));
   }
@@ -99,7 +126,12 @@
   /** Stops sending, waits until everything is settled and delivered, and judges. */
   async end(): Promise<LoadReport> {
     for (const stop of this.#stops.splice(0)) stop();
-    for (let tries = 0; tries < 250 && !this.callers.every((caller) => caller.isSettled && caller.open === 0); tries += 1) await this.#wait(100);
+    for (
+      let tries = 0;
+      tries < 250 && !this.callers.every((caller) => caller.isSettled && caller.open === 0);
+      tries += 1
+    )
+      await this.#wait(100);
     await this.#wait(3000);
     const endAt = this.#clock.now();
     const read = await this.#fleet.call(this.#fleet.withRole("vise")[0]!, "GET", "/v1/plan");
@@ -112,14 +144,19 @@
   static report(history: History, endAt: number, callers: readonly Caller[]): LoadReport {
     const { seen } = history;
     const delays = Checker.delays(seen);
-    const rank = (share: number): number => Math.round(delays[Math.min(delays.length - 1, Math.floor(delays.length * share))] ?? 0);
+    const rank = (share: number): number =>
+      Math.round(delays[Math.min(delays.length - 1, Math.floor(delays.length * share))] ?? 0);
     return {
-      sent: new Set(seen.flatMap((one) => (one.kind === "tried" ? [`${one.sender} ${one.topic} ${one.number}`] : []))).size,
+      sent: new Set(seen.flatMap((one) => (one.kind === "tried" ? [`${one.sender} ${one.topic} ${one.number}`] : [])))
+        .size,
       accepted: seen.filter((one) => one.kind === "accepted").length,
       received: delays.length,
       reconnects: callers.reduce((sum, caller) => sum + caller.reconnects, 0),
-      p50: rank(0.5), p99: rank(0.99), max: Math.round(delays.at(-1) ?? 0),
-      above333: delays.filter((delay) => delay > 333).length, above2000: delays.filter((delay) => delay > 2000).length,
+      p50: rank(0.5),
+      p99: rank(0.99),
+      max: Math.round(delays.at(-1) ?? 0),
+      above333: delays.filter((delay) => delay > 333).length,
+      above2000: delays.filter((delay) => delay > 2000).length,
       breaches: Checker.judge(seen, endAt),
     };
   }
--- a/packages/jig/src/process/saboteur.ts
+++ b/packages/jig/src/process/saboteur.ts
@@ -5,7 +5,11 @@
 import PQueue from "p-queue";
 import type { Sabotage } from "../mark/sabotages.js";
 
-export interface SabotageReport { name: string; outcome: "caught" | "not caught" | "cannot be done"; failed: number }
+export interface SabotageReport {
+  name: string;
+  outcome: "caught" | "not caught" | "cannot be done";
+  failed: number;
+}
 
 /** Takes one guard at a time out of a copy of the built project and sees whether its test notices. */
 export class Saboteur {
@@ -15,13 +19,19 @@
     this.#root = root;
   }
 
-  async run(sabotages: readonly Sabotage[], atOnce: number, say: (report: SabotageReport) => void): Promise<SabotageReport[]> {
+  async run(
+    sabotages: readonly Sabotage[],
+    atOnce: number,
+    say: (report: SabotageReport) => void,
+  ): Promise<SabotageReport[]> {
     const queue = new PQueue({ concurrency: atOnce });
-    return queue.addAll(sabotages.map((sabotage) => async () => {
-      const report = await this.#try(sabotage);
-      say(report);
-      return report;
-    }));
+    return queue.addAll(
+      sabotages.map((sabotage) => async () => {
+        const report = await this.#try(sabotage);
+        say(report);
+        return report;
+      }),
+    );
   }
 
   async #try(sabotage: Sabotage): Promise<SabotageReport> {
@@ -30,7 +40,10 @@
       const file = join(copy, "packages", sabotage.file);
       const before = readFileSync(file, "utf8");
       if (!before.includes(sabotage.find)) return { name: sabotage.name, outcome: "cannot be done", failed: 0 };
-      writeFileSync(file, before.replace(sabotage.find, () => sabotage.put));
+      writeFileSync(
+        file,
+        before.replace(sabotage.find, () => sabotage.put),
+      );
       const failed = await Saboteur.#failures(join(copy, "packages", sabotage.test));
       return { name: sabotage.name, outcome: failed > 0 ? "caught" : "not caught", failed };
     } finally {
@@ -43,7 +56,9 @@
     const copy = mkdtempSync(join(tmpdir(), "cranetrack-sabotage-"));
     const libraries = join(this.#root, "node_modules");
     mkdirSync(join(copy, "node_modules", "@cranetrack"), { recursive: true });
-    for (const name of readdirSync(libraries)) if (name !== "@cranetrack" && !name.startsWith(".")) symlinkSync(join(libraries, name), join(copy, "node_modules", name));
+    for (const name of readdirSync(libraries))
+      if (name !== "@cranetrack" && !name.startsWith("."))
+        symlinkSync(join(libraries, name), join(copy, "node_modules", name));
     for (const name of readdirSync(join(this.#root, "packages"))) {
       const [from, to] = [join(this.#root, "packages", name), join(copy, "packages", name)];
       cpSync(join(from, "dist"), join(to, "dist"), { recursive: true });
@@ -55,7 +70,9 @@
 
   static #failures(test: string): Promise<number> {
     return new Promise((resolve) => {
-      const child = spawn(process.execPath, ["--test", "--test-reporter=tap", test], { stdio: ["ignore", "pipe", "ignore"] });
+      const child = spawn(process.execPath, ["--test", "--test-reporter=tap", test], {
+        stdio: ["ignore", "pipe", "ignore"],
+      });
       let out = "";
       child.stdout.on("data", (chunk) => (out += String(chunk)));
       const giveUp = setTimeout(() => child.kill("SIGKILL"), 240_000);
--- a/packages/jig/src/process/sim/faults.ts
+++ b/packages/jig/src/process/sim/faults.ts
@@ -2,11 +2,45 @@
 import type { SimFleet } from "./simFleet.js";
 import { SimLoad } from "./simLoad.js";
 
-export type FaultName = "kill" | "wipe" | "pause" | "isolate" | "cut" | "loss" | "slowNode" | "slowDisk" | "cycle" | "rolling" | "crowd" | "move" | "race" | "replan" | "zone" | "all" | "mutate";
+export type FaultName =
+  | "kill"
+  | "wipe"
+  | "pause"
+  | "isolate"
+  | "cut"
+  | "loss"
+  | "slowNode"
+  | "slowDisk"
+  | "cycle"
+  | "rolling"
+  | "crowd"
+  | "move"
+  | "race"
+  | "replan"
+  | "zone"
+  | "all"
+  | "mutate";
 
 /** Causes the brief's failures by a seed, and ends them. */
 export class Faults {
-  static readonly all: readonly FaultName[] = ["kill", "pause", "isolate", "cut", "loss", "slowNode", "slowDisk", "cycle", "rolling", "crowd", "move", "race", "replan", "zone", "all", "mutate"];
+  static readonly all: readonly FaultName[] = [
+    "kill",
+    "pause",
+    "isolate",
+    "cut",
+    "loss",
+    "slowNode",
+    "slowDisk",
+    "cycle",
+    "rolling",
+    "crowd",
+    "move",
+    "race",
+    "replan",
+    "zone",
+    "all",
+    "mutate",
+  ];
 
   readonly #fleet: SimFleet;
   readonly #load: SimLoad;
@@ -34,7 +68,10 @@
   async heal(): Promise<void> {
     this.#fleet.wires.heal();
     for (const name of this.#fleet.names) this.#fleet.diskOf(name).slowness = 1;
-    await this.#fleet.until(() => this.#fleet.names.every((name) => (this.#fleet.find(name)?.body.pausedUntil ?? 0) <= this.#fleet.world.now), 15_000);
+    await this.#fleet.until(
+      () => this.#fleet.names.every((name) => (this.#fleet.find(name)?.body.pausedUntil ?? 0) <= this.#fleet.world.now),
+      15_000,
+    );
     for (const name of this.#fleet.names) this.#fleet.start(name);
   }
 
@@ -65,7 +102,12 @@
         this.#fleet.isolate(name, this.#fleet.names, this.#chance.pick(["in", "out", "both"]));
         return later(ms, () => this.#fleet.wires.heal());
       case "cut":
-        for (let i = 0; i < 4; i += 1) this.#fleet.isolate(this.#chance.pick(this.#fleet.names), [this.#chance.pick(this.#fleet.names)], this.#chance.pick(["in", "out", "both"]));
+        for (let i = 0; i < 4; i += 1)
+          this.#fleet.isolate(
+            this.#chance.pick(this.#fleet.names),
+            [this.#chance.pick(this.#fleet.names)],
+            this.#chance.pick(["in", "out", "both"]),
+          );
         return later(ms, () => this.#fleet.wires.heal());
       case "loss":
         this.#fleet.wires.loss = this.#chance.between(0.01, 0.15);
@@ -131,12 +173,15 @@
     void this.#load.putPlan({ ...SimLoad.plan(mark), mark });
     void this.#load.putPlan({ ...SimLoad.plan(mark, ["notes", "notices", "extra"]), mark });
     void this.#load.putPlan({ ...SimLoad.plan(Math.max(1, mark - 1)), mark: Math.max(1, mark - 1) });
-    void this.#load.putPlan({ mark: mark + 1000, spaces: "broken" } as never);
+    void this.#load.putPlan({ mark: mark + 1000, spaces: "broken" });
   }
 
   #replan(): void {
     const mark = this.#load.nextMark;
-    void this.#load.putPlan({ ...SimLoad.plan(mark, this.#chance.draw() < 0.5 ? ["notes", "notices"] : ["notices", "notes", "extra"]), mark });
+    void this.#load.putPlan({
+      ...SimLoad.plan(mark, this.#chance.draw() < 0.5 ? ["notes", "notices"] : ["notices", "notes", "extra"]),
+      mark,
+    });
   }
 
   /** One of the next frames is dropped, doubled, delayed or altered. */
@@ -148,10 +193,15 @@
       if (left !== 0) return undefined;
       this.#fleet.wires.mutate = undefined;
       if (way === "drop") return [];
-      if (way === "double") return [{ bytes, delay: 0 }, { bytes, delay: this.#chance.between(1, 3000) }];
+      if (way === "double")
+        return [
+          { bytes, delay: 0 },
+          { bytes, delay: this.#chance.between(1, 3000) },
+        ];
       if (way === "delay") return [{ bytes, delay: this.#chance.between(100, 5000) }];
       if (way === "swap") return [{ bytes, delay: this.#chance.between(2, 20) }];
-      if (way === "truncate") return [{ bytes: bytes.subarray(0, Math.floor(this.#chance.draw() * bytes.length)), delay: 0 }];
+      if (way === "truncate")
+        return [{ bytes: bytes.subarray(0, Math.floor(this.#chance.draw() * bytes.length)), delay: 0 }];
       const altered = Uint8Array.from(bytes);
       altered[Math.floor(this.#chance.draw() * altered.length)]! ^= 1 << Math.floor(this.#chance.draw() * 8);
       return [{ bytes: altered, delay: 0 }];
