--- a/packages/jig/src/process/sim/sessions.test.ts
+++ b/packages/jig/src/process/sim/sessions.test.ts
@@ -14,10 +14,15 @@
   close: () => void = () => undefined;
 
   constructor(fleet: SimFleet, node: string, session: string, body: object) {
-    void fleet.port.link(node, session, body, { line: (line) => void this.lines.push(line), closed: () => void (this.isClosed = true) }).then((got) => {
-      if ("close" in got) this.close = () => got.close();
-      else this.receipt = { status: got.status, ...got.body, comeBack: got.comeBack };
-    });
+    void fleet.port
+      .link(node, session, body, {
+        line: (line) => void this.lines.push(line),
+        closed: () => void (this.isClosed = true),
+      })
+      .then((got) => {
+        if ("close" in got) this.close = () => got.close();
+        else this.receipt = { status: got.status, ...got.body, comeBack: got.comeBack };
+      });
   }
 
   of(kind: string): Line[] {
@@ -25,78 +30,110 @@
   }
 }
 
-async function served(seed: number): Promise<{ fleet: SimFleet; publish: (session: string, number: number, node?: string) => Promise<Line>; ask: (node: string, method: string, path: string, body?: string) => Promise<Line> }> {
+async function served(seed: number): Promise<{
+  fleet: SimFleet;
+  publish: (session: string, number: number, node?: string) => Promise<Line>;
+  ask: (node: string, method: string, path: string, body?: string) => Promise<Line>;
+}> {
   const fleet = new SimFleet(seed, Scenario.machines());
   const load = new SimLoad(fleet);
   expect(await load.begin(0)).toEqual(true);
-  await fleet.until(() => fleet.find("vise-1")!.node.shards.all().length === 4 && fleet.find("vise-1")!.node.shards.all().every(([, route]) => route.holder !== ""), 10_000);
+  await fleet.until(
+    () =>
+      fleet.find("vise-1")!.node.shards.all().length === 4 &&
+      fleet
+        .find("vise-1")!
+        .node.shards.all()
+        .every(([, route]) => route.holder !== ""),
+    10_000,
+  );
   await fleet.run(1000);
   const ask = async (node: string, method: string, path: string, body?: string): Promise<Line> => {
     let receipt: Line | undefined;
-    void fleet.port.call(node, method, path, body).then((got) => (receipt = { status: got.status, ...got.body, comeBack: got.comeBack }));
+    void fleet.port
+      .call(node, method, path, body)
+      .then((got) => (receipt = { status: got.status, ...got.body, comeBack: got.comeBack }));
     expect(await fleet.until(() => receipt !== undefined, 6000)).toEqual(true);
     return receipt!;
   };
-  const publish = (session: string, number: number, node = "vise-1"): Promise<Line> => ask(node, "POST", `/v1/sessions/${session}/messages`, JSON.stringify({ topic: "notes/t1", number, payload: `p${number}` }));
+  const publish = (session: string, number: number, node = "vise-1"): Promise<Line> =>
+    ask(
+      node,
+      "POST",
+      `/v1/sessions/${session}/messages`,
+      JSON.stringify({ topic: "notes/t1", number, payload: `p${number}` }),
+    );
   return { fleet, publish, ask };
 }
 
 const wish = { subscriptions: [{ topic: "notes/t1" }] };
 
-test("the ordinary path: the owner's key, the pull, the old owner stops and ships, and only then the rewrite", async () => {
-  const { fleet, publish, ask } = await served(11);
-  const first = new Hand(fleet, "vise-1", "desk", wish);
-  expect(await fleet.until(() => first.of("confirmed").length === 1, 5000)).toEqual(true);
-  expect((await publish("desk", 1))["receipt"]).toEqual("accepted");
-  expect(await fleet.until(() => first.of("message").length === 1, 2000)).toEqual(true);
-  const before = fleet.find("vise-3")!.vise!.owners.find("desk")!;
-  expect(before.node).toEqual("vise-1");
-
-  const steps: string[] = [];
-  fleet.find("vise-1")!.vise!.sessions.on("step", (step) => steps.push(`old ${step}`));
-  fleet.find("vise-2")!.vise!.sessions.on("step", (step) => {
-    steps.push(`new ${step}`);
-    if (step === "shipped") steps.push(`key names ${fleet.find("vise-3")!.vise!.owners.find("desk")!.node}, old link ${first.isClosed || first.of("goodbye").length > 0 || fleet.find("vise-1")!.vise!.sessions.table.has("desk") ? "closed" : "gone"}`);
-  });
-  const second = new Hand(fleet, "vise-2", "desk", wish);
-  expect(await fleet.until(() => second.of("confirmed").length === 1, 5000)).toEqual(true);
-  expect(steps.filter((step) => !step.startsWith("key"))).toEqual(["new pull", "old stopped", "new shipped", "new owner-written"]);
-  expect(steps.find((step) => step.startsWith("key"))).toEqual(expect.includes("key names vise-1"));
-  expect(first.of("goodbye")[0]?.["reason"]).toEqual("taken over");
-  await fleet.run(1000);
-  const after = fleet.find("vise-3")!.vise!.owners.find("desk")!;
-  expect([after.node, after.revision > before.revision]).toEqual(["vise-2", true]);
+test(
+  "the ordinary path: the owner's key, the pull, the old owner stops and ships, and only " + "then the rewrite",
+  async () => {
+    const { fleet, publish, ask } = await served(11);
+    const first = new Hand(fleet, "vise-1", "desk", wish);
+    expect(await fleet.until(() => first.of("confirmed").length === 1, 5000)).toEqual(true);
+    expect((await publish("desk", 1))["receipt"]).toEqual("accepted");
+    expect(await fleet.until(() => first.of("message").length === 1, 2000)).toEqual(true);
+    const before = fleet.find("vise-3")!.vise!.owners.find("desk")!;
+    expect(before.node).toEqual("vise-1");
 
-  // Shipped: the numbers accepted and the cursor, so nothing comes twice and a known number keeps its receipt.
-  expect(second.of("open")[0]?.["numbers"]).toEqual({ "notes/t1": 1 });
-  expect((await publish("desk", 1, "vise-2"))["receipt"]).toEqual("accepted");
-  expect((await publish("desk", 2, "vise-3"))["receipt"]).toEqual("accepted");
-  await fleet.run(1000);
-  expect(second.of("message").map((line) => line["number"])).toEqual([2]);
-  expect((await ask("vise-2", "GET", "/v1/status"))["links"]).toEqual(1);
-});
+    const steps: string[] = [];
+    fleet.find("vise-1")!.vise!.sessions.on("step", (step) => steps.push(`old ${step}`));
+    fleet.find("vise-2")!.vise!.sessions.on("step", (step) => {
+      steps.push(`new ${step}`);
+      if (step === "shipped") steps.push(`key names ${fleet.find("vise-3")!.vise!.owners.find("desk")!.node}`);
+    });
+    const second = new Hand(fleet, "vise-2", "desk", wish);
+    expect(await fleet.until(() => second.of("confirmed").length === 1, 5000)).toEqual(true);
+    expect(steps.filter((step) => !step.startsWith("key"))).toEqual([
+      "new pull",
+      "old stopped",
+      "new shipped",
+      "new owner-written",
+    ]);
+    expect(steps.find((step) => step.startsWith("key"))).toEqual(expect.includes("key names vise-1"));
+    expect(first.of("goodbye")[0]?.["reason"]).toEqual("taken over");
+    await fleet.run(1000);
+    const after = fleet.find("vise-3")!.vise!.owners.find("desk")!;
+    expect([after.node, after.revision > before.revision]).toEqual(["vise-2", true]);
 
-test("an old owner that does not answer keeps the key until its lease is lost; the caller hears at once when to come back", async () => {
-  const { fleet } = await served(12);
-  const first = new Hand(fleet, "vise-1", "desk", wish);
-  await fleet.until(() => first.of("confirmed").length === 1, 5000);
-  fleet.isolate("vise-1", fleet.names, "both");
-  const askedAt = fleet.world.now;
-  const second = new Hand(fleet, "vise-2", "desk", wish);
-  expect(await fleet.until(() => second.receipt !== undefined, 3000)).toEqual(true);
-  expect(second.receipt!["status"]).toEqual(503);
-  expect(Number(second.receipt!["comeBack"]) > 0).toEqual(true);
-  expect(fleet.world.now - askedAt < 1500).toEqual(true);
-  let last = second;
-  const took = await fleet.until(() => {
-    if (last.receipt !== undefined) last = new Hand(fleet, "vise-2", "desk", wish);
-    return last.of("confirmed").length === 1;
-  }, 12_000);
-  expect(took).toEqual(true);
-  // The cut-off owner gave its links up before the key could be taken from it.
-  expect(first.isClosed).toEqual(true);
-  expect(fleet.find("vise-1")!.vise!.sessions.find("desk")).toEqual(undefined);
-});
+    // Shipped: the numbers accepted and the cursor, so nothing comes twice and a known number keeps its receipt.
+    expect(second.of("open")[0]?.["numbers"]).toEqual({ "notes/t1": 1 });
+    expect((await publish("desk", 1, "vise-2"))["receipt"]).toEqual("accepted");
+    expect((await publish("desk", 2, "vise-3"))["receipt"]).toEqual("accepted");
+    await fleet.run(1000);
+    expect(second.of("message").map((line) => line["number"])).toEqual([2]);
+    expect((await ask("vise-2", "GET", "/v1/status"))["links"]).toEqual(1);
+  },
+);
+
+test(
+  "an old owner that does not answer keeps the key until its lease is lost; the caller hears " +
+    "at once when to come back",
+  async () => {
+    const { fleet } = await served(12);
+    const first = new Hand(fleet, "vise-1", "desk", wish);
+    await fleet.until(() => first.of("confirmed").length === 1, 5000);
+    fleet.isolate("vise-1", fleet.names, "both");
+    const askedAt = fleet.world.now;
+    const second = new Hand(fleet, "vise-2", "desk", wish);
+    expect(await fleet.until(() => second.receipt !== undefined, 3000)).toEqual(true);
+    expect(second.receipt!["status"]).toEqual(503);
+    expect(Number(second.receipt!["comeBack"]) > 0).toEqual(true);
+    expect(fleet.world.now - askedAt < 1500).toEqual(true);
+    let last = second;
+    const took = await fleet.until(() => {
+      if (last.receipt !== undefined) last = new Hand(fleet, "vise-2", "desk", wish);
+      return last.of("confirmed").length === 1;
+    }, 12_000);
+    expect(took).toEqual(true);
+    // The cut-off owner gave its links up before the key could be taken from it.
+    expect(first.isClosed).toEqual(true);
+    expect(fleet.find("vise-1")!.vise!.sessions.find("desk")).toEqual(undefined);
+  },
+);
 
 test("an edge frozen past its lease closes its links before it delivers or takes anything", async () => {
   const { fleet, publish } = await served(13);
@@ -119,33 +156,53 @@
   await fleet.run(4000);
   const open = hands.filter((hand) => hand.of("confirmed").length > 0 && !hand.isClosed);
   expect(open.length).toEqual(1);
-  for (const hand of hands.filter((one) => one !== open[0])) expect(hand.receipt?.["status"] === 503 || hand.of("goodbye").length === 1).toEqual(true);
+  for (const hand of hands.filter((one) => one !== open[0]))
+    expect(hand.receipt?.["status"] === 503 || hand.of("goodbye").length === 1).toEqual(true);
 });
 
-test("a node that is asked to stop says goodbye, lets its sessions go with their cursors, and is done well inside 6 s", async () => {
-  const { fleet, publish } = await served(15);
-  const first = new Hand(fleet, "vise-1", "desk", wish);
-  const writer = new Hand(fleet, "vise-2", "pen", {});
-  await fleet.until(() => first.of("confirmed").length === 1 && writer.of("open").length === 1, 5000);
-  await publish("pen", 1, "vise-2");
-  await fleet.until(() => first.of("message").length === 1, 3000);
-  let stoppedAt = 0;
-  const askedAt = fleet.world.now;
-  void fleet.find("vise-1")!.stop().then(() => (stoppedAt = fleet.world.now));
-  expect(await fleet.until(() => stoppedAt > 0, 6000)).toEqual(true);
-  expect(stoppedAt - askedAt < 4000).toEqual(true);
-  expect(first.of("goodbye")[0]?.["reason"]).toEqual("stopping");
-  await publish("pen", 2, "vise-2");
-  const second = new Hand(fleet, "vise-2", "desk", wish);
-  expect(await fleet.until(() => second.of("message").length === 1, 4000)).toEqual(true);
-  expect(second.of("message")[0]?.["number"]).toEqual(2);
-});
+test(
+  "a node that is asked to stop says goodbye, lets its sessions go with their cursors, and " +
+    "is done well inside 6 s",
+  async () => {
+    const { fleet, publish } = await served(15);
+    const first = new Hand(fleet, "vise-1", "desk", wish);
+    const writer = new Hand(fleet, "vise-2", "pen", {});
+    await fleet.until(() => first.of("confirmed").length === 1 && writer.of("open").length === 1, 5000);
+    await publish("pen", 1, "vise-2");
+    await fleet.until(() => first.of("message").length === 1, 3000);
+    let stoppedAt = 0;
+    const askedAt = fleet.world.now;
+    void fleet
+      .find("vise-1")!
+      .stop()
+      .then(() => (stoppedAt = fleet.world.now));
+    expect(await fleet.until(() => stoppedAt > 0, 6000)).toEqual(true);
+    expect(stoppedAt - askedAt < 4000).toEqual(true);
+    expect(first.of("goodbye")[0]?.["reason"]).toEqual("stopping");
+    await publish("pen", 2, "vise-2");
+    const second = new Hand(fleet, "vise-2", "desk", wish);
+    expect(await fleet.until(() => second.of("message").length === 1, 4000)).toEqual(true);
+    expect(second.of("message")[0]?.["number"]).toEqual(2);
+  },
+);
 
 test("places: malformed, unknown and of another birth each get a definite answer for that topic alone", async () => {
   const { fleet, publish } = await served(16);
-  const hand = new Hand(fleet, "vise-1", "desk", { subscriptions: [{ topic: "notes/t1", after: "nonsense" }, { topic: "notes/t2", after: "00000000ff.7" }, { topic: "notes/t3" }, { topic: "nowhere/t4" }] });
-  expect(await fleet.until(() => hand.of("confirmed").length === 2 && hand.of("fault").length === 2, 5000)).toEqual(true);
-  expect(hand.of("fault").map((line) => [line["topic"], line["code"]])).toEqual([["notes/t1", "malformed-place"], ["nowhere/t4", "unknown-topic"]]);
+  const hand = new Hand(fleet, "vise-1", "desk", {
+    subscriptions: [
+      { topic: "notes/t1", after: "nonsense" },
+      { topic: "notes/t2", after: "00000000ff.7" },
+      { topic: "notes/t3" },
+      { topic: "nowhere/t4" },
+    ],
+  });
+  expect(await fleet.until(() => hand.of("confirmed").length === 2 && hand.of("fault").length === 2, 5000)).toEqual(
+    true,
+  );
+  expect(hand.of("fault").map((line) => [line["topic"], line["code"]])).toEqual([
+    ["notes/t1", "malformed-place"],
+    ["nowhere/t4", "unknown-topic"],
+  ]);
   expect(hand.of("expired").map((line) => line["topic"])).toEqual(["notes/t2"]);
   expect(hand.isClosed).toEqual(false);
   const place = String(hand.of("confirmed").find((line) => line["topic"] === "notes/t3")!["place"]).split(".")[0];
@@ -168,36 +225,44 @@
   expect(hand.of("message").map((line) => line["number"])).toEqual([3]);
 });
 
-test("a reader that does not read has a bounded buffer: its link is closed, and it resumes by its place without a gap", async () => {
-  const { fleet, publish } = await served(18);
-  const reader = new Hand(fleet, "vise-1", "slow", wish);
-  const writer = new Hand(fleet, "vise-2", "pen", {});
-  await fleet.until(() => reader.of("confirmed").length === 1 && writer.of("open").length === 1, 5000);
-  await publish("pen", 1, "vise-2");
-  await fleet.until(() => reader.of("message").length === 1, 3000);
-  const after = String(reader.of("message")[0]!["place"]);
-  const { live } = fleet.find("vise-1")!.vise!;
-  live.bufferBytes = 2000;
-  fleet.port.stalled.add("slow");
-  for (let number = 2; number <= 40; number += 1) expect((await publish("pen", number, "vise-2"))["receipt"]).toEqual("accepted");
-  expect(await fleet.until(() => reader.isClosed, 5000)).toEqual(true);
-  expect(fleet.find("vise-1")!.vise!.sessions.find("slow")!.link).toEqual(undefined);
-  fleet.port.stalled.clear();
-  const again = new Hand(fleet, "vise-3", "slow", { subscriptions: [{ topic: "notes/t1", after }] });
-  expect(await fleet.until(() => again.of("message").length === 39, 5000)).toEqual(true);
-  expect(again.of("message").map((line) => line["number"])).toEqual(Array.from({ length: 39 }, (_, i) => i + 2));
-});
+test(
+  "a reader that does not read has a bounded buffer: its link is closed, and it resumes by " +
+    "its place without a gap",
+  async () => {
+    const { fleet, publish } = await served(18);
+    const reader = new Hand(fleet, "vise-1", "slow", wish);
+    const writer = new Hand(fleet, "vise-2", "pen", {});
+    await fleet.until(() => reader.of("confirmed").length === 1 && writer.of("open").length === 1, 5000);
+    await publish("pen", 1, "vise-2");
+    await fleet.until(() => reader.of("message").length === 1, 3000);
+    const after = String(reader.of("message")[0]!["place"]);
+    const { live } = fleet.find("vise-1")!.vise!;
+    live.bufferBytes = 2000;
+    fleet.port.stalled.add("slow");
+    for (let number = 2; number <= 40; number += 1)
+      expect((await publish("pen", number, "vise-2"))["receipt"]).toEqual("accepted");
+    expect(await fleet.until(() => reader.isClosed, 5000)).toEqual(true);
+    expect(fleet.find("vise-1")!.vise!.sessions.find("slow")!.link).toEqual(undefined);
+    fleet.port.stalled.clear();
+    const again = new Hand(fleet, "vise-3", "slow", { subscriptions: [{ topic: "notes/t1", after }] });
+    expect(await fleet.until(() => again.of("message").length === 39, 5000)).toEqual(true);
+    expect(again.of("message").map((line) => line["number"])).toEqual(Array.from({ length: 39 }, (_, i) => i + 2));
+  },
+);
 
 for (const ways of ["both", "out", "in"] as const) {
   test(`an edge whose way to a holder is cut (${ways}) publishes and reads through another node`, async () => {
     const { fleet, publish } = await served(19);
     const hand = new Hand(fleet, "vise-1", "desk", wish);
     expect(await fleet.until(() => hand.of("confirmed").length === 1, 5000)).toEqual(true);
-    const { holder, epoch } = fleet.find("vise-1")!.node.shards.find(fleet.find("vise-1")!.vise!.topics.shardOf("notes/t1"));
+    const { holder, epoch } = fleet
+      .find("vise-1")!
+      .node.shards.find(fleet.find("vise-1")!.vise!.topics.shardOf("notes/t1"));
     fleet.isolate("vise-1", [holder], ways);
     for (let number = 1; number <= 5; number += 1) {
       let receipt = await publish("desk", number);
-      for (let tries = 0; receipt["receipt"] !== "accepted" && tries < 4; tries += 1) receipt = await publish("desk", number);
+      for (let tries = 0; receipt["receipt"] !== "accepted" && tries < 4; tries += 1)
+        receipt = await publish("desk", number);
       expect(receipt["receipt"]).toEqual("accepted");
     }
     expect(await fleet.until(() => hand.of("message").length === 5, 3000)).toEqual(true);
--- a/packages/jig/src/process/sim/shards.test.ts
+++ b/packages/jig/src/process/sim/shards.test.ts
@@ -10,7 +10,11 @@
 const zones = ["north", "south", "west"];
 const withSpares = (anvils: number): Machine[] => [
   ...Array.from({ length: 3 }, (_, i): Machine => ({ name: `lathe-${i + 1}`, role: "lathe", zone: zones[i]! })),
-  ...Array.from({ length: anvils }, (_, i): Machine => ({ name: `anvil-${i + 1}`, role: "anvil", zone: zones[i % 3]! })),
+  ...Array.from({ length: anvils }, (_, i): Machine => ({
+    name: `anvil-${i + 1}`,
+    role: "anvil",
+    zone: zones[i % 3]!,
+  })),
   ...Array.from({ length: 2 }, (_, i): Machine => ({ name: `vise-${i + 1}`, role: "vise", zone: zones[i]! })),
 ];
 
@@ -23,8 +27,16 @@
   return { fleet, load };
 }
 
-const setsOf = (fleet: SimFleet): string[][] => fleet.find("vise-1")!.node.shards.all().map(([, route]) => route.set?.members.map((member) => member.name).sort() ?? []);
-const isHeld = (fleet: SimFleet): boolean => fleet.find("vise-1")!.node.shards.all().every(([, route]) => route.holder !== "");
+const setsOf = (fleet: SimFleet): string[][] =>
+  fleet
+    .find("vise-1")!
+    .node.shards.all()
+    .map(([, route]) => route.set?.members.map((member) => member.name).sort() ?? []);
+const isHeld = (fleet: SimFleet): boolean =>
+  fleet
+    .find("vise-1")!
+    .node.shards.all()
+    .every(([, route]) => route.holder !== "");
 
 async function judged(fleet: SimFleet, load: SimLoad): Promise<string[]> {
   expect(await load.settle(12_000)).toEqual(true);
@@ -32,7 +44,8 @@
   return Checker.judge(load.history.seen, fleet.world.now).map((breach) => `${breach.rule}: ${breach.text}`);
 }
 
-const holderOf = (fleet: SimFleet, topic: string): string => fleet.find("vise-1")!.node.shards.find(fleet.find("vise-1")!.vise!.topics.shardOf(topic)).holder;
+const holderOf = (fleet: SimFleet, topic: string): string =>
+  fleet.find("vise-1")!.node.shards.find(fleet.find("vise-1")!.vise!.topics.shardOf(topic)).holder;
 
 async function acceptPlan(fleet: SimFleet, load: SimLoad, spaces: readonly string[]): Promise<number> {
   const mark = load.nextMark;
@@ -48,57 +61,79 @@
   await fleet.run(3000);
   const before = load.history.seen.length;
   await fleet.run(3000);
-  expect(load.history.seen.slice(before).filter((one) => one.kind === "accepted" && one.topic.startsWith("notes/"))).toEqual([]);
+  expect(
+    load.history.seen.slice(before).filter((one) => one.kind === "accepted" && one.topic.startsWith("notes/")),
+  ).toEqual([]);
   return mark;
 }
 
-async function call(fleet: SimFleet, method: string, path: string): Promise<{ status: number; body: Record<string, unknown> }> {
+async function call(
+  fleet: SimFleet,
+  method: string,
+  path: string,
+): Promise<{ status: number; body: Record<string, unknown> }> {
   let got: { status: number; body: Record<string, unknown> } | undefined;
   void fleet.port.call("vise-1", method, path, undefined).then((receipt) => (got = receipt));
   expect(await fleet.until(() => got !== undefined, 6000)).toEqual(true);
   return got!;
 }
 
-test("a machine is emptied under load, repeatably, with progress; a restart midway resumes; it is undone by asking", async () => {
-  const { fleet, load } = await loaded(31, withSpares(3));
-  const path = "/v1/machines/anvil-2/emptying";
-  expect((await call(fleet, "PUT", path)).body["shardsLeft"]).toEqual(4);
-  expect((await call(fleet, "PUT", path)).status).toEqual(200);
-  await fleet.run(600);
-  fleet.kill("anvil-1");
-  await fleet.run(500);
-  fleet.start("anvil-1");
-  expect(await fleet.until(() => setsOf(fleet).every((set) => !set.includes("anvil-2")), 40_000)).toEqual(true);
-  expect((await call(fleet, "GET", path)).body["isEmpty"]).toEqual(true);
-  expect(await fleet.until(() => isHeld(fleet), 8000)).toEqual(true);
-  fleet.wipe("anvil-2");
-  await fleet.run(2000);
-  fleet.start("anvil-2");
-  expect((await call(fleet, "DELETE", path)).body["isAsked"]).toEqual(false);
-  expect(await fleet.until(() => setsOf(fleet).every((set) => set.includes("anvil-2")), 40_000)).toEqual(true);
-  expect(await judged(fleet, load)).toEqual([]);
-});
+test(
+  "a machine is emptied under load, repeatably, with progress; a restart midway resumes; it " + "is undone by asking",
+  async () => {
+    const { fleet, load } = await loaded(31, withSpares(3));
+    const path = "/v1/machines/anvil-2/emptying";
+    expect((await call(fleet, "PUT", path)).body["shardsLeft"]).toEqual(4);
+    expect((await call(fleet, "PUT", path)).status).toEqual(200);
+    await fleet.run(600);
+    fleet.kill("anvil-1");
+    await fleet.run(500);
+    fleet.start("anvil-1");
+    expect(await fleet.until(() => setsOf(fleet).every((set) => !set.includes("anvil-2")), 40_000)).toEqual(true);
+    expect((await call(fleet, "GET", path)).body["isEmpty"]).toEqual(true);
+    expect(await fleet.until(() => isHeld(fleet), 8000)).toEqual(true);
+    fleet.wipe("anvil-2");
+    await fleet.run(2000);
+    fleet.start("anvil-2");
+    expect((await call(fleet, "DELETE", path)).body["isAsked"]).toEqual(false);
+    expect(await fleet.until(() => setsOf(fleet).every((set) => set.includes("anvil-2")), 40_000)).toEqual(true);
+    expect(await judged(fleet, load)).toEqual([]);
+  },
+);
 
 test("emptying is refused, with the reason, where the contracts could not be kept", async () => {
   const { fleet } = await loaded(32, withSpares(3));
   fleet.kill("lathe-2");
   await fleet.run(3000);
   const refused = await call(fleet, "PUT", "/v1/machines/anvil-2/emptying");
-  expect([refused.status, (refused.body["error"] as { code: string; message: string }).code]).toEqual([409, "contract-at-risk"]);
-  expect((refused.body["error"] as { message: string }).message).toEqual(expect.includes("space notices must survive the loss of a zone"));
+  expect([refused.status, (refused.body["error"] as { code: string; message: string }).code]).toEqual([
+    409,
+    "contract-at-risk",
+  ]);
+  expect((refused.body["error"] as { message: string }).message).toEqual(
+    expect.includes("space notices must survive the loss of a zone"),
+  );
   expect((await call(fleet, "PUT", "/v1/machines/anvil-9/emptying")).status).toEqual(404);
   expect((await call(fleet, "PUT", "/v1/machines/vise-1/emptying")).status).toEqual(404);
 });
 
-test("a lost storage machine is replaced by a spare in its zone, and a blank one in its place takes over from the spare", async () => {
-  const { fleet, load } = await loaded(33, withSpares(3));
-  fleet.wipe("anvil-3");
-  expect(await fleet.until(() => setsOf(fleet).every((set) => !set.includes("anvil-3") && set.length === 3), 40_000)).toEqual(true);
-  expect(setsOf(fleet).every((set) => set.includes("lathe-3"))).toEqual(true);
-  fleet.start("anvil-3");
-  expect(await fleet.until(() => setsOf(fleet).every((set) => set.join() === "anvil-1,anvil-2,anvil-3"), 40_000)).toEqual(true);
-  expect(await judged(fleet, load)).toEqual([]);
-});
+test(
+  "a lost storage machine is replaced by a spare in its zone, and a blank one in its place " +
+    "takes over from the spare",
+  async () => {
+    const { fleet, load } = await loaded(33, withSpares(3));
+    fleet.wipe("anvil-3");
+    expect(
+      await fleet.until(() => setsOf(fleet).every((set) => !set.includes("anvil-3") && set.length === 3), 40_000),
+    ).toEqual(true);
+    expect(setsOf(fleet).every((set) => set.includes("lathe-3"))).toEqual(true);
+    fleet.start("anvil-3");
+    expect(
+      await fleet.until(() => setsOf(fleet).every((set) => set.join() === "anvil-1,anvil-2,anvil-3"), 40_000),
+    ).toEqual(true);
+    expect(await judged(fleet, load)).toEqual([]);
+  },
+);
 
 test("one machine's disk after the other is lost, each once the last is mended: no message is", async () => {
   const { fleet, load } = await loaded(34, withSpares(3));
@@ -107,7 +142,12 @@
     fleet.wipe(name);
     await fleet.run(1000);
     fleet.start(name);
-    const isMended = (): boolean => isHeld(fleet) && fleet.find("vise-1")!.node.shards.all().every(([, route]) => route.set!.members.every((member) => member.id !== lost));
+    const isMended = (): boolean =>
+      isHeld(fleet) &&
+      fleet
+        .find("vise-1")!
+        .node.shards.all()
+        .every(([, route]) => route.set!.members.every((member) => member.id !== lost));
     expect(await fleet.until(isMended, 40_000)).toEqual(true);
   }
   expect(await judged(fleet, load)).toEqual([]);
@@ -119,56 +159,88 @@
   expect(await fleet.until(() => isHeld(fleet), 8000)).toEqual(true);
   await fleet.run(3000);
   fleet.startAll();
-  expect(await fleet.until(() => setsOf(fleet).every((set) => set.join() === "anvil-1,anvil-2,anvil-3"), 60_000)).toEqual(true);
+  expect(
+    await fleet.until(() => setsOf(fleet).every((set) => set.join() === "anvil-1,anvil-2,anvil-3"), 60_000),
+  ).toEqual(true);
   expect(await judged(fleet, load)).toEqual([]);
 });
 
-test("a holder frozen past its lease wakes into a fleet that went on: it neither acks nor delivers for its old epoch", async () => {
-  const { fleet, load } = await loaded(36, Scenario.machines());
-  for (let round = 0; round < 3; round += 1) {
-    const holders = new Set(fleet.find("vise-1")!.node.shards.all().map(([, route]) => route.holder));
-    const frozen = [...holders][0]!;
-    fleet.pause(frozen, 7000);
-    expect(await fleet.until(() => isHeld(fleet) && fleet.find("vise-1")!.node.shards.all().every(([, route]) => route.holder !== frozen), 6000)).toEqual(true);
-    await fleet.run(6000);
-  }
-  expect(await judged(fleet, load)).toEqual([]);
-});
-
-test("a removed space ends everywhere within 3 s, also at a holder that cannot hear of it; made again it is a new birth", async () => {
-  const { fleet, load } = await loaded(37, Scenario.machines());
-  const holder = holderOf(fleet, "notes/t1");
-  fleet.isolate(holder, fleet.withRole("lathe"), "both");
-  await removeNotes(fleet, load);
-  fleet.wires.heal();
-  await fleet.run(3000);
-  await acceptPlan(fleet, load, ["notes", "notices"]);
-  await fleet.run(3000);
-  const births = new Set(load.history.seen.flatMap((one) => (one.kind === "accepted" && one.topic === "notes/t1" ? [one.place.split(".")[0]] : [])));
-  expect(births.size).toEqual(2);
-  expect(await judged(fleet, load)).toEqual([]);
-});
-
-test("an edge and a storage machine are added to a running fleet: the one takes clients, the other what is emptied", async () => {
-  const fleet = new SimFleet(38, withSpares(4));
-  const load = new SimLoad(fleet);
-  expect(await load.begin(8, 6, ["anvil-4", "vise-2"])).toEqual(true);
-  load.play(20);
-  await fleet.run(2000);
-  expect(setsOf(fleet).every((set) => !set.includes("anvil-4"))).toEqual(true);
-  fleet.startAll();
-  expect(await fleet.until(() => fleet.find("vise-2")!.vise!.isReady, 8000)).toEqual(true);
-  expect((await call(fleet, "PUT", "/v1/machines/anvil-1/emptying")).status).toEqual(200);
-  expect(await fleet.until(() => setsOf(fleet).every((set) => set.includes("anvil-4")), 40_000)).toEqual(true);
-  load.dropAll();
-  expect(await fleet.until(() => fleet.find("vise-2")!.vise!.sessions.links > 0, 8000)).toEqual(true);
-  expect(await judged(fleet, load)).toEqual([]);
-});
+test(
+  "a holder frozen past its lease wakes into a fleet that went on: it neither acks nor " + "delivers for its old epoch",
+  async () => {
+    const { fleet, load } = await loaded(36, Scenario.machines());
+    for (let round = 0; round < 3; round += 1) {
+      const holders = new Set(
+        fleet
+          .find("vise-1")!
+          .node.shards.all()
+          .map(([, route]) => route.holder),
+      );
+      const frozen = [...holders][0]!;
+      fleet.pause(frozen, 7000);
+      expect(
+        await fleet.until(
+          () =>
+            isHeld(fleet) &&
+            fleet
+              .find("vise-1")!
+              .node.shards.all()
+              .every(([, route]) => route.holder !== frozen),
+          6000,
+        ),
+      ).toEqual(true);
+      await fleet.run(6000);
+    }
+    expect(await judged(fleet, load)).toEqual([]);
+  },
+);
+
+test(
+  "a removed space ends everywhere within 3 s, also at a holder that cannot hear of it; made " +
+    "again it is a new birth",
+  async () => {
+    const { fleet, load } = await loaded(37, Scenario.machines());
+    const holder = holderOf(fleet, "notes/t1");
+    fleet.isolate(holder, fleet.withRole("lathe"), "both");
+    await removeNotes(fleet, load);
+    fleet.wires.heal();
+    await fleet.run(3000);
+    await acceptPlan(fleet, load, ["notes", "notices"]);
+    await fleet.run(3000);
+    const births = new Set(
+      load.history.seen.flatMap((one) =>
+        one.kind === "accepted" && one.topic === "notes/t1" ? [one.place.split(".")[0]] : [],
+      ),
+    );
+    expect(births.size).toEqual(2);
+    expect(await judged(fleet, load)).toEqual([]);
+  },
+);
+
+test(
+  "an edge and a storage machine are added to a running fleet: the one takes clients, the " + "other what is emptied",
+  async () => {
+    const fleet = new SimFleet(38, withSpares(4));
+    const load = new SimLoad(fleet);
+    expect(await load.begin(8, 6, ["anvil-4", "vise-2"])).toEqual(true);
+    load.play(20);
+    await fleet.run(2000);
+    expect(setsOf(fleet).every((set) => !set.includes("anvil-4"))).toEqual(true);
+    fleet.startAll();
+    expect(await fleet.until(() => fleet.find("vise-2")!.vise!.isReady, 8000)).toEqual(true);
+    expect((await call(fleet, "PUT", "/v1/machines/anvil-1/emptying")).status).toEqual(200);
+    expect(await fleet.until(() => setsOf(fleet).every((set) => set.includes("anvil-4")), 40_000)).toEqual(true);
+    load.dropAll();
+    expect(await fleet.until(() => fleet.find("vise-2")!.vise!.sessions.links > 0, 8000)).toEqual(true);
+    expect(await judged(fleet, load)).toEqual([]);
+  },
+);
 
 test("a holder that keeps its lease but hears nothing of plans stops taking messages", async () => {
   const { fleet, load } = await loaded(39, Scenario.machines());
   const holder = holderOf(fleet, "notes/t1");
-  fleet.wires.mutate = (_from, to, bytes) => (to === fleet.addressOf(holder) && Wire.decode(bytes)?.body.case === "feedPush" ? [] : undefined);
+  fleet.wires.mutate = (_from, to, bytes) =>
+    to === fleet.addressOf(holder) && Wire.decode(bytes)?.body.case === "feedPush" ? [] : undefined;
   const mark = await removeNotes(fleet, load);
   fleet.wires.heal();
   expect(await fleet.until(() => fleet.find(holder)!.node.plan.mark === mark, 6000)).toEqual(true);
--- a/packages/jig/src/process/sim/sim.test.ts
+++ b/packages/jig/src/process/sim/sim.test.ts
@@ -2,10 +2,15 @@
 import { expect } from "earl";
 import { Scenario } from "./scenario.js";
 
-const tell = (report: Awaited<ReturnType<typeof Scenario.run>>): string[] => report.breaches.map((breach) => `${breach.rule}: ${breach.text}`);
+const tell = (report: Awaited<ReturnType<typeof Scenario.run>>): string[] =>
+  report.breaches.map((breach) => `${breach.rule}: ${breach.text}`);
 
 test("a seed replays to the same trace, and another seed to another", async () => {
-  const [one, again, other] = [await Scenario.run(5, { faultMs: 6000 }), await Scenario.run(5, { faultMs: 6000 }), await Scenario.run(6, { faultMs: 6000 })];
+  const [one, again, other] = [
+    await Scenario.run(5, { faultMs: 6000 }),
+    await Scenario.run(5, { faultMs: 6000 }),
+    await Scenario.run(6, { faultMs: 6000 }),
+  ];
   expect(again.trace).toEqual(one.trace);
   expect(again.accepted).toEqual(one.accepted);
   expect(other.trace === one.trace).toEqual(false);
--- a/packages/jig/src/process/sim/simDisk.ts
+++ b/packages/jig/src/process/sim/simDisk.ts
@@ -22,7 +22,11 @@
   mount(body: SimBody): Disk {
     const live = new Map(this.#durable);
     return {
-      read: (prefix) => [...live].filter(([key]) => key.startsWith(prefix)).sort(([a], [b]) => (a < b ? -1 : 1)).map(([key, value]) => ({ key, value })),
+      read: (prefix) =>
+        [...live]
+          .filter(([key]) => key.startsWith(prefix))
+          .sort(([a], [b]) => (a < b ? -1 : 1))
+          .map(([key, value]) => ({ key, value })),
       write: (changes) => {
         if (body.isDead) return new Promise(() => undefined);
         SimDisk.#apply(live, changes);
--- a/packages/jig/src/process/sim/simFleet.ts
+++ b/packages/jig/src/process/sim/simFleet.ts
@@ -6,7 +6,13 @@
 import { SimWires } from "./simNet.js";
 import { SimWorld } from "./simWorld.js";
 
-interface Slot { machine: Machine; settings: Settings; disk: SimDisk; life: SimNode | undefined; lives: number }
+interface Slot {
+  machine: Machine;
+  settings: Settings;
+  disk: SimDisk;
+  life: SimNode | undefined;
+  lives: number;
+}
 
 /** A whole fleet in one process and one thread, under virtual time. */
 export class SimFleet {
@@ -21,9 +27,23 @@
     this.port = new SimPort(this);
     const seeds = machines.slice(0, 3).map((_, i) => `10.0.0.${i + 1}:1`);
     machines.forEach((machine, i) => {
-      const read = SettingsReader.check({ ...machine, address: `10.0.0.${i + 1}:1`, http: `10.0.0.${i + 1}:2`, seeds, shards, lathes: machines.filter((one) => one.role === "lathe").length, ...(machine.role === "vise" ? {} : { data: "simulated" }) });
+      const read = SettingsReader.check({
+        ...machine,
+        address: `10.0.0.${i + 1}:1`,
+        http: `10.0.0.${i + 1}:2`,
+        seeds,
+        shards,
+        lathes: machines.filter((one) => one.role === "lathe").length,
+        ...(machine.role === "vise" ? {} : { data: "simulated" }),
+      });
       if ("problems" in read) throw new Error(read.problems.join());
-      this.#slots.set(machine.name, { machine, settings: read.settings, disk: new SimDisk(this.world), life: undefined, lives: 0 });
+      this.#slots.set(machine.name, {
+        machine,
+        settings: read.settings,
+        disk: new SimDisk(this.world),
+        life: undefined,
+        lives: 0,
+      });
     });
   }
 
--- a/packages/jig/src/process/sim/simLoad.ts
+++ b/packages/jig/src/process/sim/simLoad.ts
@@ -4,7 +4,11 @@
 import { Caller } from "../caller.js";
 import { History } from "../../mark/history.js";
 
-export interface SimSpaces { shared: string; broadcast: string; topics: number }
+export interface SimSpaces {
+  shared: string;
+  broadcast: string;
+  topics: number;
+}
 
 /** Callers and operators against a simulated fleet. */
 export class SimLoad {
@@ -25,8 +29,19 @@
 
   static plan(mark: number, spaces: readonly string[] = ["notes", "notices"]): object {
     const all: Record<string, object> = {
-      notes: { name: "notes", program: [{ when: {}, owe: { keep: 120, order: "sender", fault_budget: { machines: 1 } } }] },
-      notices: { name: "notices", program: [{ when: {}, owe: { keep: 300, order: "one", fault_budget: { machines: 1, zones: 1 }, publishers: ["sender-*"] } }] },
+      notes: {
+        name: "notes",
+        program: [{ when: {}, owe: { keep: 120, order: "sender", fault_budget: { machines: 1 } } }],
+      },
+      notices: {
+        name: "notices",
+        program: [
+          {
+            when: {},
+            owe: { keep: 300, order: "one", fault_budget: { machines: 1, zones: 1 }, publishers: ["sender-*"] },
+          },
+        ],
+      },
       extra: { name: "extra", program: [{ when: {}, owe: { keep: 60, order: "one", fault_budget: {} } }] },
     };
     return { mark, spaces: spaces.map((space) => all[space]) };
@@ -37,11 +52,12 @@
   }
 
   /** An operator's put, tried again until it has a final receipt. */
-  async putPlan(plan: { mark?: number }): Promise<number> {
+  async putPlan(plan: { mark?: number; spaces?: unknown }): Promise<number> {
     const text = JSON.stringify(plan);
     for (let tries = 0; tries < 100; tries += 1) {
       const receipt = await this.#fleet.port.call(this.#chance.pick(this.#fleet.names), "PUT", "/v1/plan", text);
-      if (receipt.status === 200) this.history.add({ kind: "planAccepted", at: this.#clock.now(), mark: plan.mark!, text });
+      if (receipt.status === 200)
+        this.history.add({ kind: "planAccepted", at: this.#clock.now(), mark: plan.mark!, text });
       if (receipt.status !== 503 && receipt.status !== 504 && receipt.status !== 0) return receipt.status;
       await new Promise<void>((resolve) => void this.#clock.once(300, resolve));
     }
@@ -58,9 +74,19 @@
     for (let i = 0; i < callers; i += 1) {
       const session = i < 2 ? `sender-${i + 1}` : `caller-${i + 1}`;
       this.#zones.set(session, zones[i % zones.length]!);
-      const caller = new Caller({ session, port: this.#fleet.port, clock: this.#clock, draw: () => this.#chance.draw(), history: this.history, nodes: () => this.#nodes(session) });
+      const caller = new Caller({
+        session,
+        port: this.#fleet.port,
+        clock: this.#clock,
+        draw: () => this.#chance.draw(),
+        history: this.history,
+        nodes: () => this.#nodes(session),
+      });
       this.callers.push(caller);
-      const wanted = new Set([`notices/t0`, ...Array.from({ length: 3 }, () => `notes/t${Math.floor(this.#chance.draw() * topics)}`)]);
+      const wanted = new Set([
+        `notices/t0`,
+        ...Array.from({ length: 3 }, () => `notes/t${Math.floor(this.#chance.draw() * topics)}`),
+      ]);
       caller.start([...wanted]);
     }
     this.#topics = topics;
@@ -95,7 +121,10 @@
   async settle(dueMs: number): Promise<boolean> {
     this.#isPlaying = false;
     const isBack = await this.#fleet.until(() => this.callers.every((caller) => caller.isSettled), dueMs);
-    const isSettled = await this.#fleet.until(() => this.callers.every((caller) => caller.isSettled && caller.open === 0), 25_000);
+    const isSettled = await this.#fleet.until(
+      () => this.callers.every((caller) => caller.isSettled && caller.open === 0),
+      25_000,
+    );
     await this.#fleet.run(3000);
     return isBack && isSettled;
   }
@@ -111,7 +140,8 @@
     for (let tries = 0; tries < 30; tries += 1) {
       const running = this.#fleet.names.filter((name) => this.#fleet.find(name) !== undefined);
       const receipt = await this.#fleet.port.call(this.#chance.pick(running), "GET", "/v1/plan", undefined);
-      if (receipt.status === 200) return this.history.add({ kind: "planRead", at: this.#clock.now(), text: String(receipt.body["raw"]) });
+      if (receipt.status === 200)
+        return this.history.add({ kind: "planRead", at: this.#clock.now(), text: String(receipt.body["raw"]) });
       if (receipt.status === 404) break;
       await new Promise<void>((resolve) => void this.#clock.once(500, resolve));
     }
--- a/packages/jig/src/process/sim/simNet.ts
+++ b/packages/jig/src/process/sim/simNet.ts
@@ -2,9 +2,18 @@
 import type { SimBody } from "./simClock.js";
 import type { SimWorld } from "./simWorld.js";
 
-interface Port { body: SimBody; take: (bytes: Uint8Array) => void; lost: (address: string) => void; unreachable: Set<string> }
+interface Port {
+  body: SimBody;
+  take: (bytes: Uint8Array) => void;
+  lost: (address: string) => void;
+  unreachable: Set<string>;
+}
 /** What becomes of one frame: nothing special where undefined. */
-export type Mutate = (from: string, to: string, bytes: Uint8Array) => Array<{ bytes: Uint8Array; delay: number }> | undefined;
+export type Mutate = (
+  from: string,
+  to: string,
+  bytes: Uint8Array,
+) => Array<{ bytes: Uint8Array; delay: number }> | undefined;
 
 /** The wires between all machines: latency, loss, one-way cuts, slowness, and mutated frames. */
 export class SimWires {
@@ -39,7 +48,9 @@
   /** The process at an address is gone: whoever held a connection to it hears so. */
   detach(address: string): void {
     this.#ports.delete(address);
-    for (const [other, port] of this.#ports) if (!this.#cuts.has(`${address}>${other}`)) this.#world.at(this.#world.now + 1, () => this.#tellLost(port, address));
+    for (const [other, port] of this.#ports)
+      if (!this.#cuts.has(`${address}>${other}`))
+        this.#world.at(this.#world.now + 1, () => this.#tellLost(port, address));
   }
 
   cut(from: string, to: string): void {
@@ -63,7 +74,8 @@
 
   #tellLost(port: Port, address: string): void {
     if (port.body.isDead || this.#ports.has(address)) return;
-    if (port.body.pausedUntil > this.#world.now) return void this.#world.at(port.body.pausedUntil, () => this.#tellLost(port, address));
+    if (port.body.pausedUntil > this.#world.now)
+      return void this.#world.at(port.body.pausedUntil, () => this.#tellLost(port, address));
     port.unreachable.add(address);
     port.lost(address);
   }
@@ -96,7 +108,8 @@
   #arrive(key: string, to: string, bytes: Uint8Array): void {
     const port = this.#ports.get(to);
     if (port === undefined || port.body.isDead || this.#cuts.has(key)) return;
-    if (port.body.pausedUntil > this.#world.now) return void this.#world.at(port.body.pausedUntil, () => this.#arrive(key, to, bytes));
+    if (port.body.pausedUntil > this.#world.now)
+      return void this.#world.at(port.body.pausedUntil, () => this.#arrive(key, to, bytes));
     this.#world.mark(`${this.#world.now} ${key} `);
     this.#world.mark(bytes);
     port.take(bytes);
--- a/packages/jig/src/process/sim/simNode.ts
+++ b/packages/jig/src/process/sim/simNode.ts
@@ -33,7 +33,10 @@
     const mounted = settings.role === "vise" ? undefined : new SealedDisk(disk.mount(this.body));
     const net = wires.attach(settings.address, this.body);
     const prefixes = settings.role === "vise" ? ["plan", "shards/", "sessions/"] : ["plan", "shards/", "machines/"];
-    this.node = new ClusterNode({ settings, clock: this.clock, net, disk: mounted, chance, log: this.log, incarnation }, prefixes);
+    this.node = new ClusterNode(
+      { settings, clock: this.clock, net, disk: mounted, chance, log: this.log, incarnation },
+      prefixes,
+    );
     this.router = new Router(this.node);
     try {
       if (settings.role === "lathe") this.lathe = new Lathe(this.node, mounted!, this.router);
@@ -45,7 +48,8 @@
     }
     if (this.fault !== undefined) return;
     new NodeStatus(this.node, this.router, {
-      garbled: () => 0, settingsFault: () => "",
+      garbled: () => 0,
+      settingsFault: () => "",
       more: () => (this.lathe ?? this.anvil ?? this.vise)!.status(),
       isReady: () => this.lathe?.isReady ?? this.vise?.isReady ?? this.node.feed.isFresh,
     });
--- a/packages/jig/src/process/sim/simPort.ts
+++ b/packages/jig/src/process/sim/simPort.ts
@@ -18,7 +18,12 @@
     this.#fleet = fleet;
   }
 
-  async link(name: string, session: string, body: object, heed: { line(line: Record<string, unknown>): void; closed(): void }): Promise<PortLink | PortReceipt> {
+  async link(
+    name: string,
+    session: string,
+    body: object,
+    heed: { line(line: Record<string, unknown>): void; closed(): void },
+  ): Promise<PortLink | PortReceipt> {
     const simNode = this.#fleet.find(name);
     if (simNode?.vise === undefined) return this.#later(away);
     const state = { isOpen: false, isClientGone: false, isServerGone: false, whenClosed: (): void => undefined };
@@ -60,29 +65,41 @@
         state.whenClosed();
       });
     };
-    return this.#ask<PortLink | PortReceipt>(simNode, (settle) => {
-      forget = simNode.onFall(closeClient);
-      void simNode.vise!.link(session, Buffer.from(JSON.stringify(body)), () => {
-        state.isOpen = true;
-        settle({ close });
-        return link;
-      }).then((receipt) => {
-        if (receipt === undefined) return;
-        forget();
-        settle(SimPort.#read(receipt));
-      });
-    }, () => {
-      close();
-      return { status: 0, body: {}, comeBack: 0.3 };
-    });
+    return this.#ask<PortLink | PortReceipt>(
+      simNode,
+      (settle) => {
+        forget = simNode.onFall(closeClient);
+        void simNode
+          .vise!.link(session, Buffer.from(JSON.stringify(body)), () => {
+            state.isOpen = true;
+            settle({ close });
+            return link;
+          })
+          .then((receipt) => {
+            if (receipt === undefined) return;
+            forget();
+            settle(SimPort.#read(receipt));
+          });
+      },
+      () => {
+        close();
+        return { status: 0, body: {}, comeBack: 0.3 };
+      },
+    );
   }
 
   call(name: string, method: string, path: string, body: string | undefined): Promise<PortReceipt> {
     const simNode = this.#fleet.find(name);
     if (simNode === undefined) return this.#later(away);
-    return this.#ask<PortReceipt>(simNode, (settle) => {
-      void simNode.router.run(method, path, Buffer.from(body ?? "")).then((receipt) => settle(SimPort.#read(receipt)));
-    }, () => ({ status: 0, body: { error: { code: "broken" } }, comeBack: 0.3 }));
+    return this.#ask<PortReceipt>(
+      simNode,
+      (settle) => {
+        void simNode.router
+          .run(method, path, Buffer.from(body ?? ""))
+          .then((receipt) => settle(SimPort.#read(receipt)));
+      },
+      () => ({ status: 0, body: { error: { code: "broken" } }, comeBack: 0.3 }),
+    );
   }
 
   static #read(receipt: ApiReceipt): PortReceipt {
@@ -109,9 +126,11 @@
       };
       const forget = simNode.onFall(() => this.#afterWire(() => finish(giveUp)));
       world.at(world.now + SimPort.giveUpMs, () => finish(giveUp));
-      this.#onNode(simNode, () => act((value) => {
-        if (!simNode.body.isDead) this.#afterWire(() => finish(() => value));
-      }));
+      this.#onNode(simNode, () =>
+        act((value) => {
+          if (!simNode.body.isDead) this.#afterWire(() => finish(() => value));
+        }),
+      );
     });
   }
 
--- a/packages/jig/src/process/sim/simWorld.ts
+++ b/packages/jig/src/process/sim/simWorld.ts
@@ -1,7 +1,12 @@
 import { createHash } from "node:crypto";
 import { SimChance } from "./simChance.js";
 
-interface Event { at: number; order: number; act: () => void; isOff: boolean }
+interface Event {
+  at: number;
+  order: number;
+  act: () => void;
+  isOff: boolean;
+}
 
 /**
  * Virtual time and everything that is to happen in it.
--- a/packages/jig/src/process/sim/store.test.ts
+++ b/packages/jig/src/process/sim/store.test.ts
@@ -4,8 +4,14 @@
 import { SimFleet } from "./simFleet.js";
 import { SimLoad } from "./simLoad.js";
 
+type Rollout = { taken: number; of: number; nodes: Array<{ name: string; hasTakenUp: boolean; why?: string }> };
+
 const lathes = (fleet: SimFleet): string[] => fleet.withRole("lathe");
-const proposer = (fleet: SimFleet): string | undefined => lathes(fleet).find((name) => fleet.find(name)?.lathe?.ledger?.isProposer === true && fleet.find(name)!.body.pausedUntil <= fleet.world.now);
+const proposer = (fleet: SimFleet): string | undefined =>
+  lathes(fleet).find(
+    (name) =>
+      fleet.find(name)?.lathe?.ledger?.isProposer === true && fleet.find(name)!.body.pausedUntil <= fleet.world.now,
+  );
 
 async function founded(seed: number, machines = Scenario.machines(5)): Promise<{ fleet: SimFleet; load: SimLoad }> {
   const fleet = new SimFleet(seed, machines);
@@ -21,28 +27,39 @@
   return got!.value;
 }
 
-test("founding waits for every expected lathe, says what is missing, and goes on when the last one is there", async () => {
-  const fleet = new SimFleet(21, Scenario.machines(5));
-  for (const name of fleet.names.filter((one) => one !== "lathe-4")) fleet.start(name);
-  await fleet.run(8000);
-  expect(lathes(fleet).some((name) => fleet.find(name)?.lathe?.ledger !== undefined)).toEqual(false);
-  expect(fleet.find("lathe-1")!.lathe!.founding.missing).toEqual(expect.includes("4 of 5 blank lathes"));
-  fleet.start("lathe-4");
-  expect(await fleet.until(() => proposer(fleet) !== undefined, 8000)).toEqual(true);
-  expect(new Set(lathes(fleet).map((name) => fleet.find(name)!.lathe!.founding.founding)).size).toEqual(1);
-});
+test(
+  "founding waits for every expected lathe, says what is missing, and goes on when the last " + "one is there",
+  async () => {
+    const fleet = new SimFleet(21, Scenario.machines(5));
+    for (const name of fleet.names.filter((one) => one !== "lathe-4")) fleet.start(name);
+    await fleet.run(8000);
+    expect(lathes(fleet).some((name) => fleet.find(name)?.lathe?.ledger !== undefined)).toEqual(false);
+    expect(fleet.find("lathe-1")!.lathe!.founding.missing).toEqual(expect.includes("4 of 5 blank lathes"));
+    fleet.start("lathe-4");
+    expect(await fleet.until(() => proposer(fleet) !== undefined, 8000)).toEqual(true);
+    expect(new Set(lathes(fleet).map((name) => fleet.find(name)!.lathe!.founding.founding)).size).toEqual(1);
+  },
+);
 
-test("a founded lathe vetoes another founding: blank ones join the old store as new members and read its plan", async () => {
-  const { fleet, load } = await founded(22);
-  for (const name of ["lathe-1", "lathe-2"]) fleet.wipe(name);
-  await fleet.run(1000);
-  for (const name of ["lathe-1", "lathe-2"]) fleet.start(name);
-  const fresh = ["lathe-1", "lathe-2"].map((name) => fleet.find(name)!.lathe!.founding.id);
-  const voters = (): string[] => (proposer(fleet) === undefined ? [] : fleet.find(proposer(fleet)!)!.lathe!.ledger!.members.voters.map((one) => one.id));
-  expect(await fleet.until(() => voters().length === 5 && fresh.every((id) => voters().includes(id)), 20_000)).toEqual(true);
-  await load.readPlan();
-  expect(load.history.seen.at(-1)?.kind).toEqual("planRead");
-});
+test(
+  "a founded lathe vetoes another founding: blank ones join the old store as new members and " + "read its plan",
+  async () => {
+    const { fleet, load } = await founded(22);
+    for (const name of ["lathe-1", "lathe-2"]) fleet.wipe(name);
+    await fleet.run(1000);
+    for (const name of ["lathe-1", "lathe-2"]) fleet.start(name);
+    const fresh = ["lathe-1", "lathe-2"].map((name) => fleet.find(name)!.lathe!.founding.id);
+    const voters = (): string[] =>
+      proposer(fleet) === undefined
+        ? []
+        : fleet.find(proposer(fleet)!)!.lathe!.ledger!.members.voters.map((one) => one.id);
+    expect(
+      await fleet.until(() => voters().length === 5 && fresh.every((id) => voters().includes(id)), 20_000),
+    ).toEqual(true);
+    await load.readPlan();
+    expect(load.history.seen.at(-1)?.kind).toEqual("planRead");
+  },
+);
 
 test("with most disks lost nothing is founded afresh: the last one remembers, and says so", async () => {
   const { fleet } = await founded(23);
@@ -55,22 +72,32 @@
   expect(proposer(fleet)).toEqual(undefined);
 });
 
-test("a cut-off proposer gives up: the others elect, and what it was asked meanwhile is never answered as done", async () => {
-  const { fleet, load } = await founded(24);
-  const old = proposer(fleet)!;
-  const others = fleet.names.filter((name) => name !== old);
-  fleet.isolate(old, others, "both");
-  const asked = settled(fleet, fleet.port.call(old, "PUT", "/v1/plan", JSON.stringify(SimLoad.plan(50, ["notes"]))));
-  const answer = await asked;
-  expect([503, 504].includes(answer.status)).toEqual(true);
-  expect(await fleet.until(() => lathes(fleet).some((name) => name !== old && fleet.find(name)!.lathe!.ledger!.isProposer), 6000)).toEqual(true);
-  expect(fleet.find(old)!.lathe!.ledger!.isInTouch).toEqual(false);
-  const next = load.nextMark;
-  expect(await settled(fleet, load.putPlan({ ...SimLoad.plan(next), mark: next }))).toEqual(200);
-  fleet.wires.heal();
-  await fleet.run(3000);
-  expect(JSON.parse(String((await settled(fleet, fleet.port.call(old, "GET", "/v1/plan", undefined))).body["raw"])).mark).toEqual(next);
-});
+test(
+  "a cut-off proposer gives up: the others elect, and what it was asked meanwhile is never " + "answered as done",
+  async () => {
+    const { fleet, load } = await founded(24);
+    const old = proposer(fleet)!;
+    const others = fleet.names.filter((name) => name !== old);
+    fleet.isolate(old, others, "both");
+    const asked = settled(fleet, fleet.port.call(old, "PUT", "/v1/plan", JSON.stringify(SimLoad.plan(50, ["notes"]))));
+    const answer = await asked;
+    expect([503, 504].includes(answer.status)).toEqual(true);
+    expect(
+      await fleet.until(
+        () => lathes(fleet).some((name) => name !== old && fleet.find(name)!.lathe!.ledger!.isProposer),
+        6000,
+      ),
+    ).toEqual(true);
+    expect(fleet.find(old)!.lathe!.ledger!.isInTouch).toEqual(false);
+    const next = load.nextMark;
+    expect(await settled(fleet, load.putPlan({ ...SimLoad.plan(next), mark: next }))).toEqual(200);
+    fleet.wires.heal();
+    await fleet.run(3000);
+    expect(
+      JSON.parse(String((await settled(fleet, fleet.port.call(old, "GET", "/v1/plan", undefined))).body["raw"])).mark,
+    ).toEqual(next);
+  },
+);
 
 test("a frozen proposer reads nothing stale when it wakes", async () => {
   const { fleet, load } = await founded(25);
@@ -81,7 +108,9 @@
   const asked = settled(fleet, fleet.port.call(old, "GET", "/v1/plan", undefined));
   const other = proposer(fleet)!;
   let status = 0;
-  void fleet.port.call(other, "PUT", "/v1/plan", JSON.stringify(SimLoad.plan(mark))).then((receipt) => (status = receipt.status));
+  void fleet.port
+    .call(other, "PUT", "/v1/plan", JSON.stringify(SimLoad.plan(mark)))
+    .then((receipt) => (status = receipt.status));
   await fleet.until(() => status !== 0, 4000);
   expect(status).toEqual(200);
   const read = await asked;
@@ -89,29 +118,60 @@
   else expect([0, 503].includes(read.status)).toEqual(true);
 });
 
-test("two operators under one mark: exactly one wins, the same plan again gets the same receipt, stale and broken ones change nothing", async () => {
-  const { fleet } = await founded(26);
-  const put = (node: string, plan: unknown): Promise<{ status: number; body: Record<string, unknown> }> => fleet.port.call(node, "PUT", "/v1/plan", typeof plan === "string" ? plan : JSON.stringify(plan));
-  const rivals = await settled(fleet, Promise.all([put("lathe-1", SimLoad.plan(7, ["notes"])), put("vise-2", SimLoad.plan(7, ["notices"])), put("anvil-1", SimLoad.plan(7, ["extra"]))]));
-  expect(rivals.map((receipt) => receipt.status).sort()).toEqual([200, 409, 409]);
-  const won = rivals.findIndex((receipt) => receipt.status === 200);
-  const again = await settled(fleet, put("lathe-2", SimLoad.plan(7, [["notes"], ["notices"], ["extra"]][won])));
-  expect([again.status, again.body["revision"]]).toEqual([200, rivals[won]!.body["revision"]]);
-  const stale = await settled(fleet, put("lathe-3", SimLoad.plan(6)));
-  expect([stale.status, (stale.body["error"] as { markInForce: number }).markInForce]).toEqual([409, 7]);
-  const broken = await settled(fleet, put("vise-1", { mark: 8, spaces: [{ name: "x", program: [{ when: {}, owe: { keep: -1, order: "sender", fault_budget: {} } }] }], more: true }));
-  const { problems } = broken.body["error"] as { problems: Array<{ path: string }> };
-  expect([broken.status, problems.map((one) => one.path).sort()]).toEqual([422, ["more", "spaces.0.program.0.owe.keep"]]);
-  expect((await settled(fleet, put("vise-1", "{"))).status).toEqual(400);
-  const unkept = await settled(fleet, put("vise-1", { mark: 9, spaces: [{ name: "x", program: [{ when: {}, owe: { keep: 1, order: "one", fault_budget: { machines: 2 } } }] }] }));
-  expect((unkept.body["error"] as { problems: Array<{ path: string }> }).problems[0]!.path).toEqual("spaces.0.program.0.owe.fault_budget.machines");
-  const read = await settled(fleet, fleet.port.call("vise-3", "GET", "/v1/plan", undefined));
-  expect(read.body["raw"]).toEqual(JSON.stringify(SimLoad.plan(7, [["notes"], ["notices"], ["extra"]][won])));
-});
+test(
+  "two operators under one mark: exactly one wins, the same plan again gets the same " +
+    "receipt, stale and broken ones change nothing",
+  async () => {
+    const { fleet } = await founded(26);
+    const put = (node: string, plan: unknown): Promise<{ status: number; body: Record<string, unknown> }> =>
+      fleet.port.call(node, "PUT", "/v1/plan", typeof plan === "string" ? plan : JSON.stringify(plan));
+    const rivals = await settled(
+      fleet,
+      Promise.all([
+        put("lathe-1", SimLoad.plan(7, ["notes"])),
+        put("vise-2", SimLoad.plan(7, ["notices"])),
+        put("anvil-1", SimLoad.plan(7, ["extra"])),
+      ]),
+    );
+    expect(rivals.map((receipt) => receipt.status).sort()).toEqual([200, 409, 409]);
+    const won = rivals.findIndex((receipt) => receipt.status === 200);
+    const again = await settled(fleet, put("lathe-2", SimLoad.plan(7, [["notes"], ["notices"], ["extra"]][won])));
+    expect([again.status, again.body["revision"]]).toEqual([200, rivals[won]!.body["revision"]]);
+    const stale = await settled(fleet, put("lathe-3", SimLoad.plan(6)));
+    expect([stale.status, (stale.body["error"] as { markInForce: number }).markInForce]).toEqual([409, 7]);
+    const broken = await settled(
+      fleet,
+      put("vise-1", {
+        mark: 8,
+        spaces: [{ name: "x", program: [{ when: {}, owe: { keep: -1, order: "sender", fault_budget: {} } }] }],
+        more: true,
+      }),
+    );
+    const { problems } = broken.body["error"] as { problems: Array<{ path: string }> };
+    expect([broken.status, problems.map((one) => one.path).sort()]).toEqual([
+      422,
+      ["more", "spaces.0.program.0.owe.keep"],
+    ]);
+    expect((await settled(fleet, put("vise-1", "{"))).status).toEqual(400);
+    const unkept = await settled(
+      fleet,
+      put("vise-1", {
+        mark: 9,
+        spaces: [{ name: "x", program: [{ when: {}, owe: { keep: 1, order: "one", fault_budget: { machines: 2 } } }] }],
+      }),
+    );
+    expect((unkept.body["error"] as { problems: Array<{ path: string }> }).problems[0]!.path).toEqual(
+      "spaces.0.program.0.owe.fault_budget.machines",
+    );
+    const read = await settled(fleet, fleet.port.call("vise-3", "GET", "/v1/plan", undefined));
+    expect(read.body["raw"]).toEqual(JSON.stringify(SimLoad.plan(7, [["notes"], ["notices"], ["extra"]][won])));
+  },
+);
 
 test("a rollout counts every node, names the one that is cut off, and is whole again when it is back", async () => {
   const { fleet, load } = await founded(27);
-  const rollout = async (): Promise<{ taken: number; of: number; nodes: Array<{ name: string; hasTakenUp: boolean; why?: string }> }> => (await settled(fleet, fleet.port.call("lathe-1", "GET", "/v1/plan/rollout", undefined))).body as never;
+  const rollout = async (): Promise<Rollout> =>
+    (await settled(fleet, fleet.port.call("lathe-1", "GET", "/v1/plan/rollout", undefined))).body as Rollout;
   fleet.isolate("vise-2", fleet.names, "both");
   await fleet.run(500);
   const mark = load.nextMark;
@@ -128,7 +188,10 @@
 test("a damaged data folder stops a process with its reason, and the fleet goes on without it", async () => {
   const { fleet } = await founded(28);
   await fleet.run(4000);
-  for (const [name, prefix] of [["lathe-1", "store/e"], ["anvil-1", "shard"]] as const) {
+  for (const [name, prefix] of [
+    ["lathe-1", "store/e"],
+    ["anvil-1", "shard"],
+  ] as const) {
     fleet.kill(name);
     expect(fleet.diskOf(name).corrupt(prefix)).toEqual(true);
     expect(fleet.start(name).fault).toEqual(expect.includes("damaged at"));
@@ -165,7 +228,9 @@
     await fleet.run(5500);
   }
   await fleet.run(3000);
-  const mutes = fleet.names.flatMap((name) => fleet.names.filter((other) => fleet.find(name)!.node.exchange.isMute(other)).map((other) => `${name} to ${other}`));
+  const mutes = fleet.names.flatMap((name) =>
+    fleet.names.filter((other) => fleet.find(name)!.node.exchange.isMute(other)).map((other) => `${name} to ${other}`),
+  );
   expect(mutes).toEqual([]);
   expect(fleet.names.filter((name) => !fleet.find(name)!.node.feed.isFresh)).toEqual([]);
 });
--- a/packages/lathe/src/mark/metadata.ts
+++ b/packages/lathe/src/mark/metadata.ts
@@ -1,10 +1,22 @@
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import BTreeModule from "sorted-btree";
-import { KvSchema, StoreCommandSchema, StorePictureSchema, type Kv, type Members, type Txn } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import {
+  KvSchema,
+  StoreCommandSchema,
+  StorePictureSchema,
+  type Kv,
+  type Members,
+  type Txn,
+} from "@cranetrack/chest/gen/cranetrack_pb.js";
 
 const BTree = BTreeModule.default;
 
-export interface Applied { outcome: "done" | "conflict" | "lost"; revision: number; kvs: Kv[]; changes: Kv[] }
+export interface Applied {
+  outcome: "done" | "conflict" | "lost";
+  revision: number;
+  kvs: Kv[];
+  changes: Kv[];
+}
 
 /**
  * What the committed log says: keys and leases. Deterministic: the same entries give the same state.
@@ -35,7 +47,8 @@
     const changes: Kv[] = [];
     this.revision = index;
     if (command.case === "grant") {
-      if (!this.#leases.has(command.value.lease)) this.#leases.set(command.value.lease, { length: command.value.length, keys: new Set() });
+      if (!this.#leases.has(command.value.lease))
+        this.#leases.set(command.value.lease, { length: command.value.length, keys: new Set() });
       return { outcome: "done", revision: index, kvs: [], changes };
     }
     if (command.case === "revoke") {
@@ -50,7 +63,10 @@
 
   picture(members: Members | undefined): Uint8Array {
     const leases = [...this.#leases].map(([lease, { length }]) => ({ lease, length }));
-    return toBinary(StorePictureSchema, create(StorePictureSchema, { kvs: [...this.#keys.values()], leases, members, revision: this.revision }));
+    return toBinary(
+      StorePictureSchema,
+      create(StorePictureSchema, { kvs: [...this.#keys.values()], leases, members, revision: this.revision }),
+    );
   }
 
   /** Takes a picture in place of everything and returns the members it names. */
@@ -74,7 +90,8 @@
       const kvs = failed.map((check) => this.#keys.get(check.key)).filter((kv) => kv !== undefined);
       return { outcome: "conflict", revision: index, kvs, changes };
     }
-    if (txn.puts.some((kv) => kv.lease !== "" && !this.#leases.has(kv.lease))) return { outcome: "lost", revision: index, kvs: [], changes };
+    if (txn.puts.some((kv) => kv.lease !== "" && !this.#leases.has(kv.lease)))
+      return { outcome: "lost", revision: index, kvs: [], changes };
     for (const key of txn.deletes) this.#remove(key, index, changes);
     for (const kv of txn.puts) {
       this.#leases.get(this.#keys.get(kv.key)?.lease ?? "")?.keys.delete(kv.key);
--- a/packages/lathe/src/process/feeds.ts
+++ b/packages/lathe/src/process/feeds.ts
@@ -1,12 +1,28 @@
 import { create } from "@bufbuild/protobuf";
-import { FeedStateSchema, type FeedAck, type FeedOpen, type FeedState, type Kv } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import {
+  FeedStateSchema,
+  type FeedAck,
+  type FeedOpen,
+  type FeedState,
+  type Kv,
+} from "@cranetrack/chest/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { Ledger } from "./ledger.js";
 
 interface Feed {
-  readonly feed: string; readonly name: string; readonly prefixes: readonly string[];
+  readonly feed: string;
+  readonly name: string;
+  readonly prefixes: readonly string[];
   /** Revision the node has acknowledged, and the one told last. */
-  acked: number; told: number; number: number; ackedNumber: number; toldAt: number; heardAt: number; planMark: number; fault: string; isReady: boolean;
+  acked: number;
+  told: number;
+  number: number;
+  ackedNumber: number;
+  toldAt: number;
+  heardAt: number;
+  planMark: number;
+  fault: string;
+  isReady: boolean;
 }
 
 /**
@@ -42,7 +58,15 @@
 
   states(): FeedState[] {
     const now = this.#node.parts.clock.now();
-    return [...this.#feeds.values()].map((feed) => create(FeedStateSchema, { name: feed.name, revision: feed.acked, planMark: feed.planMark, age: Math.round(now - feed.heardAt), fault: feed.fault }));
+    return [...this.#feeds.values()].map((feed) =>
+      create(FeedStateSchema, {
+        name: feed.name,
+        revision: feed.acked,
+        planMark: feed.planMark,
+        age: Math.round(now - feed.heardAt),
+        fault: feed.fault,
+      }),
+    );
   }
 
   #keep(changes: Kv[]): void {
@@ -51,13 +75,27 @@
       const cut = this.#changes.splice(0, this.#changes.length - Feeds.mostChanges / 2);
       this.#since = cut.at(-1)!.revision;
     }
-    if (changes.length > 0) for (const feed of this.#feeds.values()) if (feed.number === feed.ackedNumber) this.#tell(feed);
+    if (changes.length > 0)
+      for (const feed of this.#feeds.values()) if (feed.number === feed.ackedNumber) this.#tell(feed);
   }
 
   async #open(open: FeedOpen): Promise<undefined> {
     for (const [id, feed] of this.#feeds) if (feed.name === open.name) this.#feeds.delete(id);
     const now = this.#node.parts.clock.now();
-    const feed: Feed = { feed: open.feed, name: open.name, prefixes: open.prefixes, acked: open.revision, told: open.revision, number: 0, ackedNumber: 0, toldAt: -Infinity, heardAt: now, planMark: 0, fault: "", isReady: false };
+    const feed: Feed = {
+      feed: open.feed,
+      name: open.name,
+      prefixes: open.prefixes,
+      acked: open.revision,
+      told: open.revision,
+      number: 0,
+      ackedNumber: 0,
+      toldAt: -Infinity,
+      heardAt: now,
+      planMark: 0,
+      fault: "",
+      isReady: false,
+    };
     this.#feeds.set(open.feed, feed);
     if (!(await this.#isConfirmed()) || this.#ledger.metadata.revision < open.revision) {
       this.#close(feed, "not in touch with a majority");
@@ -110,9 +148,14 @@
     const from = feed.told;
     const isPicture = from === 0 || from < this.#since;
     const isWanted = (kv: Kv): boolean => feed.prefixes.some((prefix) => kv.key.startsWith(prefix));
-    const kvs = isPicture ? feed.prefixes.flatMap((prefix) => this.#ledger.metadata.range(prefix)) : this.#after(from).filter(isWanted);
+    const kvs = isPicture
+      ? feed.prefixes.flatMap((prefix) => this.#ledger.metadata.range(prefix))
+      : this.#after(from).filter(isWanted);
     feed.told = this.#ledger.metadata.revision;
-    this.#node.exchange.tell(feed.name, { case: "feedPush", value: { feed: feed.feed, number: feed.number, isPicture, kvs, fromRevision: from, revision: feed.told } });
+    this.#node.exchange.tell(feed.name, {
+      case: "feedPush",
+      value: { feed: feed.feed, number: feed.number, isPicture, kvs, fromRevision: from, revision: feed.told },
+    });
   }
 
   #after(revision: number): Kv[] {
--- a/packages/lathe/src/process/founding.ts
+++ b/packages/lathe/src/process/founding.ts
@@ -1,13 +1,25 @@
 import { EventEmitter } from "node:events";
 import { create, toBinary } from "@bufbuild/protobuf";
-import { EntrySchema, MembersSchema, type Founded, type FoundingAsk, type LatheMember, type Member } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import {
+  EntrySchema,
+  MembersSchema,
+  type Founded,
+  type FoundingAsk,
+  type LatheMember,
+  type Member,
+} from "@cranetrack/chest/gen/cranetrack_pb.js";
 import { ReplicaLog } from "@cranetrack/chest/mark/replicaLog.js";
 import type { Disk } from "@cranetrack/chest/process/disk.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { BodyInit } from "@cranetrack/chest/process/wire.js";
 import { entryKind } from "./ledger.js";
 
-interface Identity { id: string; founding: string; agreed: string; members: Array<{ id: string; name: string }> }
+interface Identity {
+  id: string;
+  founding: string;
+  agreed: string;
+  members: Array<{ id: string; name: string }>;
+}
 
 /**
  * How a store comes to be: the expected number of blank lathes agree, all of them, each synced.
@@ -30,7 +42,10 @@
     this.#disk = disk;
     this.#expected = expected;
     const kept = disk.read("identity")[0];
-    this.#identity = kept === undefined ? { id: node.parts.chance.identity(), founding: "", agreed: "", members: [] } : (JSON.parse(Buffer.from(kept.value).toString()) as Identity);
+    this.#identity =
+      kept === undefined
+        ? { id: node.parts.chance.identity(), founding: "", agreed: "", members: [] }
+        : (JSON.parse(Buffer.from(kept.value).toString()) as Identity);
     node.exchange.serve("foundingAsk", (ask) => this.#agree(ask));
     node.exchange.serve("founded", (founded) => this.#accept(founded));
   }
@@ -62,7 +77,10 @@
     const lathes = this.#node.membership.alive("lathe").filter((member) => member.disk !== "");
     const founded = lathes.find((member) => member.isFounded);
     if (founded !== undefined) await this.#join(founded);
-    else if (lathes.length !== this.#expected) this.missing = `founding waits: ${lathes.length} of ${this.#expected} blank lathes are here (${lathes.map((one) => one.name).join(", ")})`;
+    else if (lathes.length !== this.#expected)
+      this.missing =
+        `founding waits: ${lathes.length} of ${this.#expected} blank lathes are here ` +
+        `(${lathes.map((one) => one.name).join(", ")})`;
     else if (this.#isFirst(lathes)) await this.#ask(lathes);
     else this.missing = "founding waits for the agreement of all lathes";
     this.#isAsking = false;
@@ -74,31 +92,45 @@
 
   async #ask(lathes: Member[]): Promise<void> {
     const members = lathes.map((member) => ({ id: member.disk, name: member.name }));
-    const founding = this.#identity.agreed !== "" && JSON.stringify(this.#identity.members) === JSON.stringify(members) ? this.#identity.agreed : this.#node.parts.chance.identity();
+    const founding =
+      this.#identity.agreed !== "" && JSON.stringify(this.#identity.members) === JSON.stringify(members)
+        ? this.#identity.agreed
+        : this.#node.parts.chance.identity();
     const ask: BodyInit = { case: "foundingAsk", value: { founding, members } };
     const own = await this.#agree({ founding, members: members as LatheMember[] } as FoundingAsk);
     const others = members.filter((member) => member.id !== this.id);
     const receipts = await Promise.all(others.map((member) => this.#node.exchange.call(member.name, ask, 1000)));
     const refused = others.filter((_, i) => !(receipts[i]?.case === "foundingReceipt" && receipts[i].value.isAgreed));
-    this.missing = refused.length > 0 ? `founding waits: no agreement of ${refused.map((one) => one.name).join(", ")}` : "";
+    this.missing =
+      refused.length > 0 ? `founding waits: no agreement of ${refused.map((one) => one.name).join(", ")}` : "";
     const isOwn = own.case === "foundingReceipt" && own.value.isAgreed === true;
     if (refused.length > 0 || !isOwn || this.#identity.agreed !== founding) return;
     await this.#found(founding, members);
-    for (const member of others) this.#node.exchange.tell(member.name, { case: "founded", value: { founding, members } });
+    for (const member of others)
+      this.#node.exchange.tell(member.name, { case: "founded", value: { founding, members } });
   }
 
   async #agree(ask: FoundingAsk): Promise<BodyInit> {
     if (this.founding !== "") return { case: "foundingReceipt", value: { isAgreed: false, veto: this.founding } };
-    const isMeant = this.#isReady && ask.members.length === this.#expected && ask.members.some((one) => one.id === this.id);
+    const isMeant =
+      this.#isReady && ask.members.length === this.#expected && ask.members.some((one) => one.id === this.id);
     if (!isMeant) return { case: "foundingReceipt", value: { isAgreed: false, veto: "" } };
     const before = this.#identity.agreed;
-    this.#identity = { ...this.#identity, agreed: ask.founding, members: ask.members.map(({ id, name }) => ({ id, name })) };
+    this.#identity = {
+      ...this.#identity,
+      agreed: ask.founding,
+      members: ask.members.map(({ id, name }) => ({ id, name })),
+    };
     if (before !== ask.founding) await this.#keep();
-    return { case: "foundingReceipt", value: { isAgreed: this.#identity.agreed === ask.founding && this.founding === "", veto: "" } };
+    return {
+      case: "foundingReceipt",
+      value: { isAgreed: this.#identity.agreed === ask.founding && this.founding === "", veto: "" },
+    };
   }
 
   async #accept(founded: Founded): Promise<undefined> {
-    if (this.founding === "" && this.#identity.agreed === founded.founding) await this.#found(founded.founding, founded.members);
+    if (this.founding === "" && this.#identity.agreed === founded.founding)
+      await this.#found(founded.founding, founded.members);
     return undefined;
   }
 
@@ -124,7 +156,14 @@
   async #join(founded: Member): Promise<void> {
     this.missing = `asks ${founded.name} to join the founded store`;
     if (this.#identity.agreed === founded.founding) return this.#found(founded.founding, this.#identity.members);
-    const body = await this.#node.exchange.call(founded.name, { case: "storeCall", value: { call: { case: "join", value: { id: this.id, name: this.#node.parts.settings.name } } } }, 1000);
+    const body = await this.#node.exchange.call(
+      founded.name,
+      {
+        case: "storeCall",
+        value: { call: { case: "join", value: { id: this.id, name: this.#node.parts.settings.name } } },
+      },
+      1000,
+    );
     if (body?.case === "storeReceipt" && body.value.outcome === "done") await this.#settle(founded.founding);
   }
 }
--- a/packages/lathe/src/process/lathe.ts
+++ b/packages/lathe/src/process/lathe.ts
@@ -29,7 +29,9 @@
     router.on("GET", /^\/v1\/plan$/, async () => {
       const read = await node.store.read(["plan"]);
       if (read.outcome !== "done") return ApiReceipts.away("no majority of the lathes answers");
-      return read.kvs![0] === undefined ? ApiReceipts.fault(404, "no-plan", "no plan was ever accepted") : ApiReceipts.done(read.kvs![0].value);
+      return read.kvs![0] === undefined
+        ? ApiReceipts.fault(404, "no-plan", "no plan was ever accepted")
+        : ApiReceipts.done(read.kvs![0].value);
     });
     const emptying = /^\/v1\/machines\/([^/]+)\/emptying$/;
     router.on("PUT", emptying, (call) => EmptyMachine.ask(node, call.params[0]!));
@@ -61,7 +63,18 @@
     const members = ledger?.members;
     return {
       founding: { id: this.founding.id, founded: this.founding.founding, missing: this.founding.missing },
-      ledger: ledger === undefined ? null : { term: ledger.term, commit: ledger.commit, isProposer: ledger.isProposer, proposer: ledger.proposerName, isInTouch: ledger.isInTouch, voters: members!.voters.map((one) => one.name), learners: members!.learners.map((one) => one.name) },
+      ledger:
+        ledger === undefined
+          ? null
+          : {
+              term: ledger.term,
+              commit: ledger.commit,
+              isProposer: ledger.isProposer,
+              proposer: ledger.proposerName,
+              isInTouch: ledger.isInTouch,
+              voters: members!.voters.map((one) => one.name),
+              learners: members!.learners.map((one) => one.name),
+            },
       spare: this.spare.status(),
     };
   }
@@ -69,7 +82,17 @@
   #begin(): void {
     const { exchange, groups, membership, parts } = this.node;
     const log = new ReplicaLog(this.#disk, "store");
-    this.#ledger = new Ledger({ id: this.founding.id, founding: this.founding.founding, log, exchange, groups, electionMs: parts.settings.electionMs, clock: parts.clock, chance: parts.chance, ring: parts.log });
+    this.#ledger = new Ledger({
+      id: this.founding.id,
+      founding: this.founding.founding,
+      log,
+      exchange,
+      groups,
+      electionMs: parts.settings.electionMs,
+      clock: parts.clock,
+      chance: parts.chance,
+      ring: parts.log,
+    });
     new StoreDesk(this.node, this.#ledger);
     membership.self.isFounded = true;
     membership.self.founding = this.founding.founding;
--- a/packages/lathe/src/process/leases.ts
+++ b/packages/lathe/src/process/leases.ts
@@ -41,7 +41,8 @@
   #follow(): void {
     const { leases } = this.#ledger.metadata;
     if (!this.#ledger.isProposer || (leases.size === this.#due.size && this.#ending.size === 0)) return;
-    for (const [lease, { length }] of leases) if (!this.#due.has(lease)) this.#due.set(lease, this.#clock.now() + length);
+    for (const [lease, { length }] of leases)
+      if (!this.#due.has(lease)) this.#due.set(lease, this.#clock.now() + length);
     for (const lease of this.#due.keys()) if (!leases.has(lease)) this.#due.delete(lease);
     for (const lease of this.#ending) if (!leases.has(lease)) this.#ending.delete(lease);
   }
--- a/packages/lathe/src/process/ledger.ts
+++ b/packages/lathe/src/process/ledger.ts
@@ -1,6 +1,13 @@
 import { EventEmitter } from "node:events";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
-import { EntrySchema, MembersSchema, type LatheMember, type Members, type Vote, type VoteReceipt } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import {
+  EntrySchema,
+  MembersSchema,
+  type LatheMember,
+  type Members,
+  type Vote,
+  type VoteReceipt,
+} from "@cranetrack/chest/gen/cranetrack_pb.js";
 import { Intake } from "@cranetrack/chest/mark/intake.js";
 import type { ReplicaLog } from "@cranetrack/chest/mark/replicaLog.js";
 import { Spread } from "@cranetrack/chest/mark/spread.js";
@@ -53,7 +60,17 @@
   #isPre = false;
   #noopIndex = 0;
 
-  constructor(parts: { id: string; founding: string; log: ReplicaLog; exchange: Exchange; groups: Groups; electionMs: number; clock: Clock; chance: Chance; ring: LogRing }) {
+  constructor(parts: {
+    id: string;
+    founding: string;
+    log: ReplicaLog;
+    exchange: Exchange;
+    groups: Groups;
+    electionMs: number;
+    clock: Clock;
+    chance: Chance;
+    ring: LogRing;
+  }) {
     super();
     this.setMaxListeners(0);
     this.id = parts.id;
@@ -68,13 +85,24 @@
     this.#heardAt = parts.clock.now();
     this.#commit = this.#applied = this.#log.baseIndex;
     if (this.#log.baseIndex > 0) this.#pictureMembers = this.metadata.install(this.#log.picture);
-    this.#intake = new Intake(this.#log, this.id, (index) => this.#advance(index), (index, state) => this.#install(index, state));
+    this.#intake = new Intake(
+      this.#log,
+      this.id,
+      (index) => this.#advance(index),
+      (index, state) => this.#install(index, state),
+    );
     this.#findMembers();
     this.#exchange.serve("vote", (vote) => this.#vote(vote));
     this.#exchange.serve("voteReceipt", (receipt) => this.#count(receipt));
     parts.groups.enlist(this.#log.group, {
-      append: (append, from) => (append.receiver === this.id ? this.#take(append, from, () => this.#intake.take(append, this.#commit)) : undefined),
-      picture: (picture, from) => (picture.receiver === this.id ? this.#take(picture, from, () => this.#intake.takePicture(picture, this.#commit)) : undefined),
+      append: (append, from) =>
+        append.receiver === this.id
+          ? this.#take(append, from, () => this.#intake.take(append, this.#commit))
+          : undefined,
+      picture: (picture, from) =>
+        picture.receiver === this.id
+          ? this.#take(picture, from, () => this.#intake.takePicture(picture, this.#commit))
+          : undefined,
       receipt: (receipt) => {
         if (receipt.receiver === this.id) this.#spread?.take(receipt);
       },
@@ -88,7 +116,9 @@
   }
 
   get proposerName(): string {
-    return this.#spread !== undefined ? this.#exchange.name : (this.#members.voters.find((one) => one.id === this.#proposer)?.name ?? "");
+    return this.#spread !== undefined
+      ? this.#exchange.name
+      : (this.#members.voters.find((one) => one.id === this.#proposer)?.name ?? "");
   }
 
   get members(): Members {
@@ -114,7 +144,9 @@
     const spread = this.#spread;
     if (spread === undefined) return Promise.resolve(undefined);
     const entry = create(EntrySchema, { index: this.#log.lastIndex + 1, term: this.#log.term, kind, data });
-    const settled = new Promise<Applied | undefined>((resolve) => this.#pending.set(entry.index, { term: entry.term, settle: resolve }));
+    const settled = new Promise<Applied | undefined>((resolve) =>
+      this.#pending.set(entry.index, { term: entry.term, settle: resolve }),
+    );
     void this.#log.append([entry]).then(() => this.#spread?.kick());
     if (kind === entryKind.members) this.#findMembers();
     spread.kick();
@@ -135,11 +167,18 @@
   /** One step of a change of members, where none is under way. */
   changeMembers(voters: LatheMember[], learners: LatheMember[]): void {
     if (!this.isProposer || this.#membersIndex > this.#commit) return;
-    this.#ring.note("members change", { voters: voters.map((one) => one.name).join(), learners: learners.map((one) => one.name).join() });
+    this.#ring.note("members change", {
+      voters: voters.map((one) => one.name).join(),
+      learners: learners.map((one) => one.name).join(),
+    });
     void this.propose(toBinary(MembersSchema, create(MembersSchema, { voters, learners })), entryKind.members);
   }
 
-  async #take(message: { term: number; sender: string }, from: string, take: () => Promise<BodyInit>): Promise<undefined> {
+  async #take(
+    message: { term: number; sender: string },
+    from: string,
+    take: () => Promise<BodyInit>,
+  ): Promise<undefined> {
     if (message.term >= this.#log.term) {
       if (message.term > this.#log.term) this.#stepDown("a higher term");
       this.#proposer = message.sender;
@@ -176,8 +215,16 @@
     const asking = this.#asking;
     const send = (): void => {
       if (this.#asking !== asking || this.#isPre !== isPre) return;
-      const vote = { term: asking, candidate: this.id, lastIndex: this.#log.lastIndex, lastTerm: this.#log.lastTerm, isPre, founding: this.founding };
-      for (const one of this.#members.voters) if (one.id !== this.id) this.#exchange.tell(one.name, { case: "vote", value: vote });
+      const vote = {
+        term: asking,
+        candidate: this.id,
+        lastIndex: this.#log.lastIndex,
+        lastTerm: this.#log.lastTerm,
+        isPre,
+        founding: this.founding,
+      };
+      for (const one of this.#members.voters)
+        if (one.id !== this.id) this.#exchange.tell(one.name, { case: "vote", value: vote });
       this.#tally();
     };
     if (isPre) return send();
@@ -187,24 +234,35 @@
   async #vote(vote: Vote): Promise<undefined> {
     if (vote.founding !== this.founding || !Number.isSafeInteger(vote.term)) return undefined;
     const name = this.#members.voters.find((one) => one.id === vote.candidate)?.name;
-    const isLed = this.#spread !== undefined || (this.#proposer !== "" && this.#clock.now() - this.#heardAt < this.#electionMs);
-    const isCurrent = vote.lastTerm > this.#log.lastTerm || (vote.lastTerm === this.#log.lastTerm && vote.lastIndex >= this.#log.lastIndex);
+    const isLed =
+      this.#spread !== undefined || (this.#proposer !== "" && this.#clock.now() - this.#heardAt < this.#electionMs);
+    const isCurrent =
+      vote.lastTerm > this.#log.lastTerm ||
+      (vote.lastTerm === this.#log.lastTerm && vote.lastIndex >= this.#log.lastIndex);
     let isGranted = isCurrent && !isLed && vote.term > this.#log.term;
     if (!vote.isPre && !isLed) {
-      isGranted = isCurrent && (vote.term > this.#log.term || (vote.term === this.#log.term && (this.#log.vote === "" || this.#log.vote === vote.candidate)));
+      isGranted =
+        isCurrent &&
+        (vote.term > this.#log.term ||
+          (vote.term === this.#log.term && (this.#log.vote === "" || this.#log.vote === vote.candidate)));
       if (vote.term > this.#log.term || isGranted) {
         await this.#log.promise(vote.term, isGranted ? vote.candidate : "");
         this.#rearm();
       }
     }
     if (name === undefined) return undefined;
-    this.#exchange.tell(name, { case: "voteReceipt", value: { term: isGranted ? vote.term : this.#log.term, isGranted, voter: this.id, isPre: vote.isPre } });
+    this.#exchange.tell(name, {
+      case: "voteReceipt",
+      value: { term: isGranted ? vote.term : this.#log.term, isGranted, voter: this.id, isPre: vote.isPre },
+    });
     return undefined;
   }
 
   #count(receipt: VoteReceipt): undefined {
-    if (!Number.isSafeInteger(receipt.term) || !this.#members.voters.some((one) => one.id === receipt.voter)) return undefined;
-    if (!receipt.isGranted && receipt.term > this.#log.term && this.#spread === undefined) void this.#log.promise(receipt.term, "");
+    if (!Number.isSafeInteger(receipt.term) || !this.#members.voters.some((one) => one.id === receipt.voter))
+      return undefined;
+    if (!receipt.isGranted && receipt.term > this.#log.term && this.#spread === undefined)
+      void this.#log.promise(receipt.term, "");
     if (receipt.isGranted && this.#asking === receipt.term && receipt.isPre === this.#isPre) {
       this.#votes.add(receipt.voter);
       this.#tally();
@@ -223,9 +281,14 @@
   #propose(): void {
     this.#asking = 0;
     this.#proposer = this.id;
-    const names = (): Map<string, string> => new Map([...this.#members.voters, ...this.#members.learners].map((one) => [one.id, one.name]));
+    const names = (): Map<string, string> =>
+      new Map([...this.#members.voters, ...this.#members.learners].map((one) => [one.id, one.name]));
     const spread = new Spread({
-      log: this.#log, clock: this.#clock, self: this.id, term: this.#log.term, commit: this.#commit,
+      log: this.#log,
+      clock: this.#clock,
+      self: this.id,
+      term: this.#log.term,
+      commit: this.#commit,
       send: (id, body) => this.#exchange.tell(names().get(id) ?? "", body),
     });
     this.#spread = spread;
@@ -262,7 +325,9 @@
       const entry = this.#log.at(this.#applied + 1)!;
       this.#applied += 1;
       const isCommand = entry.kind === entryKind.command;
-      const applied: Applied = isCommand ? this.metadata.apply(entry.index, entry.data) : { outcome: "done", revision: entry.index, kvs: [], changes: [] };
+      const applied: Applied = isCommand
+        ? this.metadata.apply(entry.index, entry.data)
+        : { outcome: "done", revision: entry.index, kvs: [], changes: [] };
       if (!isCommand) this.metadata.revision = entry.index;
       const pending = this.#pending.get(entry.index);
       this.#pending.delete(entry.index);
@@ -270,7 +335,8 @@
       this.emit("applied", applied);
     }
     if (!wasProposer && this.isProposer) this.emit("elected");
-    if (this.#log.length > Ledger.compactAt && this.#applied > this.#log.baseIndex + Ledger.compactAt / 2) this.#compact();
+    if (this.#log.length > Ledger.compactAt && this.#applied > this.#log.baseIndex + Ledger.compactAt / 2)
+      this.#compact();
   }
 
   #compact(): void {
@@ -295,23 +361,34 @@
   }
 
   #membersAt(last: number): Members {
-    if (last === this.#log.lastIndex && this.#membersIndex > this.#log.baseIndex && this.#log.termAt(this.#membersIndex) === this.#membersTerm && !this.#hasNewerMembers()) return this.#members;
+    if (
+      last === this.#log.lastIndex &&
+      this.#membersIndex > this.#log.baseIndex &&
+      this.#log.termAt(this.#membersIndex) === this.#membersTerm &&
+      !this.#hasNewerMembers()
+    )
+      return this.#members;
     for (let i = last; i > this.#log.baseIndex; i -= 1) {
       const entry = this.#log.at(i)!;
       if (entry.kind !== entryKind.members) continue;
       if (last === this.#log.lastIndex) [this.#membersIndex, this.#membersTerm] = [i, entry.term];
       return fromBinary(MembersSchema, entry.data);
     }
-    if (last === this.#log.lastIndex) [this.#membersIndex, this.#membersTerm] = [this.#log.baseIndex, this.#log.baseTerm];
+    if (last === this.#log.lastIndex)
+      [this.#membersIndex, this.#membersTerm] = [this.#log.baseIndex, this.#log.baseTerm];
     return this.#pictureMembers ?? create(MembersSchema, {});
   }
 
   #hasNewerMembers(): boolean {
-    for (let i = this.#log.lastIndex; i > this.#membersIndex; i -= 1) if (this.#log.at(i)?.kind === entryKind.members) return true;
+    for (let i = this.#log.lastIndex; i > this.#membersIndex; i -= 1)
+      if (this.#log.at(i)?.kind === entryKind.members) return true;
     return false;
   }
 
   #enlist(): void {
-    this.#spread?.enlist([this.#members.voters.map((one) => one.id)], this.#members.learners.map((one) => one.id));
+    this.#spread?.enlist(
+      [this.#members.voters.map((one) => one.id)],
+      this.#members.learners.map((one) => one.id),
+    );
   }
 }
--- a/packages/lathe/src/process/planArchive.test.ts
+++ b/packages/lathe/src/process/planArchive.test.ts
@@ -11,28 +11,32 @@
 
 const textOf = (mark: number): string => JSON.stringify({ mark, spaces: [] });
 
-test("accepted plans become commits in order; a lost or damaged archive is made again from the store's plan", async () => {
-  const folder = join(mkdtempSync(join(tmpdir(), "cranetrack-plans-")), "plans");
-  const journal = new Journal<Change>();
-  const log = new LogRing("test", () => undefined);
-  const archive = new PlanArchive(folder, new PlanView(journal), log);
-  const accept = (mark: number, text = textOf(mark)): void => journal.append({ key: "plan", value: Buffer.from(text), revision: mark });
-  accept(1);
-  accept(4);
-  accept(3);
-  accept(5, `${textOf(5)}\n`);
-  await archive.settled();
-  expect(await archive.marks()).toEqual([5, 4, 1]);
-  expect(readFileSync(join(folder, PlanArchive.file), "utf8")).toEqual(`${textOf(5)}\n`);
+test(
+  "accepted plans become commits in order; a lost or damaged archive is made again from the " + "store's plan",
+  async () => {
+    const folder = join(mkdtempSync(join(tmpdir(), "cranetrack-plans-")), "plans");
+    const journal = new Journal<Change>();
+    const log = new LogRing("test", () => undefined);
+    const archive = new PlanArchive(folder, new PlanView(journal), log);
+    const accept = (mark: number, text = textOf(mark)): void =>
+      journal.append({ key: "plan", value: Buffer.from(text), revision: mark });
+    accept(1);
+    accept(4);
+    accept(3);
+    accept(5, `${textOf(5)}\n`);
+    await archive.settled();
+    expect(await archive.marks()).toEqual([5, 4, 1]);
+    expect(readFileSync(join(folder, PlanArchive.file), "utf8")).toEqual(`${textOf(5)}\n`);
 
-  rmSync(folder, { recursive: true });
-  accept(6);
-  await archive.settled();
-  expect(await archive.marks()).toEqual([6]);
+    rmSync(folder, { recursive: true });
+    accept(6);
+    await archive.settled();
+    expect(await archive.marks()).toEqual([6]);
 
-  rmSync(folder, { recursive: true });
-  writeFileSync(folder, "in the way");
-  accept(7);
-  await archive.settled();
-  expect([archive.mark, log.lines.some((line) => line.includes("could not be archived"))]).toEqual([6, true]);
-});
+    rmSync(folder, { recursive: true });
+    writeFileSync(folder, "in the way");
+    accept(7);
+    await archive.settled();
+    expect([archive.mark, log.lines.some((line) => line.includes("could not be archived"))]).toEqual([6, true]);
+  },
+);
--- a/packages/lathe/src/process/storeDesk.ts
+++ b/packages/lathe/src/process/storeDesk.ts
@@ -1,5 +1,13 @@
 import { create, toBinary } from "@bufbuild/protobuf";
-import { StoreCommandSchema, type FeedState, type Join, type Kv, type LatheMember, type StoreCall } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import {
+  StoreCallSchema,
+  StoreCommandSchema,
+  type FeedState,
+  type Join,
+  type Kv,
+  type LatheMember,
+  type StoreCall,
+} from "@cranetrack/chest/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { Outcome } from "@cranetrack/chest/process/storeClient.js";
 import type { BodyInit } from "@cranetrack/chest/process/wire.js";
@@ -19,9 +27,20 @@
   constructor(node: ClusterNode, ledger: Ledger) {
     this.#node = node;
     this.#ledger = ledger;
-    this.#leases = new Leases(ledger, node.parts.clock, (lease) => void ledger.propose(toBinary(StoreCommandSchema, create(StoreCommandSchema, { command: { case: "revoke", value: { lease } } }))));
-    this.#feeds = new Feeds(node, ledger, async () => (await this.run({ call: { case: "read", value: { keys: [], prefixes: [] } }, isPassed: false } as unknown as StoreCall)).outcome === "done");
-    node.exchange.serve("storeCall", async (call): Promise<BodyInit> => ({ case: "storeReceipt", value: await this.run(call) }));
+    this.#leases = new Leases(
+      ledger,
+      node.parts.clock,
+      (lease) =>
+        void ledger.propose(
+          toBinary(StoreCommandSchema, create(StoreCommandSchema, { command: { case: "revoke", value: { lease } } })),
+        ),
+    );
+    const look = create(StoreCallSchema, { call: { case: "read", value: {} } });
+    this.#feeds = new Feeds(node, ledger, async () => (await this.run(look)).outcome === "done");
+    node.exchange.serve("storeCall", async (call): Promise<BodyInit> => ({
+      case: "storeReceipt",
+      value: await this.run(call),
+    }));
     node.parts.clock.every(300, () => this.#tendMembers());
   }
 
@@ -32,8 +51,12 @@
       case "txn":
       case "grant":
       case "revoke": {
-        const applied = await this.#ledger.propose(toBinary(StoreCommandSchema, create(StoreCommandSchema, { command: call.call as never })));
-        return applied === undefined ? { outcome: "unsure", comeBack: 1 } : { outcome: applied.outcome, revision: applied.revision, kvs: applied.kvs };
+        const applied = await this.#ledger.propose(
+          toBinary(StoreCommandSchema, create(StoreCommandSchema, { command: call.call })),
+        );
+        return applied === undefined
+          ? { outcome: "unsure", comeBack: 1 }
+          : { outcome: applied.outcome, revision: applied.revision, kvs: applied.kvs };
       }
       case "read":
         return this.#read(call.call.value.keys, call.call.value.prefixes);
@@ -58,13 +81,22 @@
     if (!(await this.#ledger.confirm())) return { outcome: "away", comeBack: 1 };
     const { metadata } = this.#ledger;
     const single = keys.map((key) => metadata.get(key)).filter((kv): kv is Kv => kv !== undefined);
-    return { outcome: "done", kvs: [...single, ...prefixes.flatMap((prefix) => metadata.range(prefix))], revision: metadata.revision };
+    return {
+      outcome: "done",
+      kvs: [...single, ...prefixes.flatMap((prefix) => metadata.range(prefix))],
+      revision: metadata.revision,
+    };
   }
 
   async #pass(call: StoreCall): Promise<Outcome> {
     const proposer = this.#ledger.proposerName;
-    if (call.isPassed || proposer === "" || proposer === this.#node.exchange.name) return { outcome: "away", comeBack: 1, reason: "no proposer is known" };
-    const body = await this.#node.exchange.call(proposer, { case: "storeCall", value: { call: call.call, isPassed: true } as unknown as StoreCall }, 450);
+    if (call.isPassed || proposer === "" || proposer === this.#node.exchange.name)
+      return { outcome: "away", comeBack: 1, reason: "no proposer is known" };
+    const body = await this.#node.exchange.call(
+      proposer,
+      { case: "storeCall", value: { call: call.call, isPassed: true } },
+      450,
+    );
     if (body?.case === "storeReceipt") return body.value;
     const isChange = call.call.case === "txn" || call.call.case === "grant" || call.call.case === "revoke";
     return isChange ? { outcome: "unsure", comeBack: 0.5 } : { outcome: "away", comeBack: 0.5 };
@@ -74,7 +106,9 @@
     if (!(await this.#ledger.confirm())) return { outcome: "away", comeBack: 1 };
     this.#joining.set(join.name, { id: join.id, at: this.#node.parts.clock.now() });
     const { voters, learners } = this.#ledger.members;
-    return [...voters, ...learners].some((one) => one.id === join.id) ? { outcome: "done" } : { outcome: "away", reason: "joining" };
+    return [...voters, ...learners].some((one) => one.id === join.id)
+      ? { outcome: "done" }
+      : { outcome: "away", reason: "joining" };
   }
 
   /** One step at a time: the lost self out, the new one in as a learner, then a voter. */
@@ -86,12 +120,17 @@
       return behind < 50 && heardAgo < 500;
     };
     const grown = learners.find(isReady);
-    if (grown !== undefined) return this.#ledger.changeMembers([...voters, grown], learners.filter((one) => one.id !== grown.id));
+    if (grown !== undefined)
+      return this.#ledger.changeMembers(
+        [...voters, grown],
+        learners.filter((one) => one.id !== grown.id),
+      );
     for (const [name, { id }] of this.#joining) {
       if ([...voters, ...learners].some((one) => one.id === id)) this.#joining.delete(name);
       else {
         const without = (list: LatheMember[]): LatheMember[] => list.filter((one) => one.name !== name);
-        if (without(voters).length < voters.length) return this.#ledger.changeMembers(without(voters), without(learners));
+        if (without(voters).length < voters.length)
+          return this.#ledger.changeMembers(without(voters), without(learners));
         return this.#ledger.changeMembers(voters, [...without(learners), { id, name } as LatheMember]);
       }
     }
--- a/packages/lathe/src/request/emptyMachine.ts
+++ b/packages/lathe/src/request/emptyMachine.ts
@@ -9,14 +9,16 @@
     const refusal = refuse(node, name);
     if (refusal !== undefined) return refusal;
     const written = await node.store.txn({ puts: [{ key: keyOf(name), value: Buffer.from("{}") }] });
-    if (written.outcome === "unsure") return ApiReceipts.unsure("the lathes did not answer in time; the same request again settles it");
+    if (written.outcome === "unsure")
+      return ApiReceipts.unsure("the lathes did not answer in time; the same request again settles it");
     if (written.outcome !== "done") return ApiReceipts.away("no majority of the lathes answers");
     return EmptyMachine.progress(node, name);
   },
 
   async undo(node: ClusterNode, name: string): Promise<ApiReceipt> {
     const written = await node.store.txn({ deletes: [keyOf(name)] });
-    if (written.outcome !== "done") return ApiReceipts.unsure("the lathes did not answer in time; the same request again settles it");
+    if (written.outcome !== "done")
+      return ApiReceipts.unsure("the lathes did not answer in time; the same request again settles it");
     return EmptyMachine.progress(node, name);
   },
 
@@ -24,9 +26,24 @@
     const read = await node.store.read([keyOf(name)], ["shards/"]);
     if (read.outcome !== "done") return ApiReceipts.away("no majority of the lathes answers");
     const isAsked = read.kvs!.some((kv) => kv.key === keyOf(name));
-    const sets = read.kvs!.filter((kv) => kv.key.endsWith("/replicas")).map((kv) => ({ shard: Number(kv.key.split("/")[1]), members: (JSON.parse(Buffer.from(kv.value).toString()) as { members: Array<{ name: string }> }).members }));
-    const left = sets.filter((set) => set.members.some((member) => member.name === name)).map((set) => set.shard).sort((a, b) => a - b);
-    return ApiReceipts.done({ machine: name, isAsked, isEmpty: left.length === 0, shardsLeft: left.length, of: sets.length, left });
+    const sets = read
+      .kvs!.filter((kv) => kv.key.endsWith("/replicas"))
+      .map((kv) => ({
+        shard: Number(kv.key.split("/")[1]),
+        members: (JSON.parse(Buffer.from(kv.value).toString()) as { members: Array<{ name: string }> }).members,
+      }));
+    const left = sets
+      .filter((set) => set.members.some((member) => member.name === name))
+      .map((set) => set.shard)
+      .sort((a, b) => a - b);
+    return ApiReceipts.done({
+      machine: name,
+      isAsked,
+      isEmpty: left.length === 0,
+      shardsLeft: left.length,
+      of: sets.length,
+      left,
+    });
   },
 };
 
@@ -34,12 +51,26 @@
 function refuse(node: ClusterNode, name: string): ApiReceipt | undefined {
   const { membership, machines } = node;
   const member = membership.find(name);
-  if (member === undefined || member.shelf === "") return ApiReceipts.fault(404, "unknown-machine", `no machine called ${name} has a disk for topic logs`);
-  const left = membership.alive().filter((one) => one.shelf !== "" && one.name !== name && !machines.isEmptying(one.name));
-  if (left.length < 3) return ApiReceipts.fault(409, "contract-at-risk", `only ${left.length} machines with a disk would be left, and each shard needs three`);
+  if (member === undefined || member.shelf === "")
+    return ApiReceipts.fault(404, "unknown-machine", `no machine called ${name} has a disk for topic logs`);
+  const left = membership
+    .alive()
+    .filter((one) => one.shelf !== "" && one.name !== name && !machines.isEmptying(one.name));
+  if (left.length < 3)
+    return ApiReceipts.fault(
+      409,
+      "contract-at-risk",
+      `only ${left.length} machines with a disk would be left, and each shard needs three`,
+    );
   const zones = new Set(left.map((one) => one.zone)).size;
-  const program = node.plan.plan?.spaces.flatMap((space) => space.program.map((rule) => ({ space: space.name, rule }))) ?? [];
+  const program =
+    node.plan.plan?.spaces.flatMap((space) => space.program.map((rule) => ({ space: space.name, rule }))) ?? [];
   const bound = program.find(({ rule }) => (rule.owe.fault_budget.zones ?? 0) > 0);
-  if (bound !== undefined && zones < 3) return ApiReceipts.fault(409, "contract-at-risk", `space ${bound.space} must survive the loss of a zone, and machines would be left in only ${zones}`);
+  if (bound !== undefined && zones < 3)
+    return ApiReceipts.fault(
+      409,
+      "contract-at-risk",
+      `space ${bound.space} must survive the loss of a zone, and machines would be left in only ${zones}`,
+    );
   return undefined;
 }
--- a/packages/lathe/src/request/getRollout.ts
+++ b/packages/lathe/src/request/getRollout.ts
@@ -11,7 +11,11 @@
   if (inForce === undefined) return ApiReceipts.fault(404, "no-plan", "no plan was ever accepted");
   const { mark } = JSON.parse(Buffer.from(inForce.value).toString()) as Plan;
   const lathes = node.membership.alive("lathe").map((member) => member.name);
-  const asked = await Promise.all(lathes.map((name) => node.exchange.call(name, { case: "storeCall", value: { call: { case: "feeds", value: {} } } }, 600)));
+  const asked = await Promise.all(
+    lathes.map((name) =>
+      node.exchange.call(name, { case: "storeCall", value: { call: { case: "feeds", value: {} } } }, 600),
+    ),
+  );
   const newest = new Map<string, FeedState>();
   for (const body of asked) {
     for (const feed of body?.case === "storeReceipt" ? body.value.feeds : []) {
@@ -19,11 +23,28 @@
       if (known === undefined || feed.age < known.age) newest.set(feed.name, feed);
     }
   }
-  const nodes = node.membership.all().filter((member) => member.state === "up").map((member) => {
-    const feed = newest.get(member.name);
-    const why = feed === undefined ? "has no feed open" : feed.fault !== "" ? feed.fault : feed.planMark >= mark ? "" : "has not acknowledged yet";
-    return { name: member.name, role: member.role, mark: feed?.planMark ?? 0, hasTakenUp: (feed?.planMark ?? 0) >= mark, ...(why === "" ? {} : { why }), isAlive: node.membership.isAlive(member.name) };
-  });
+  const nodes = node.membership
+    .all()
+    .filter((member) => member.state === "up")
+    .map((member) => {
+      const feed = newest.get(member.name);
+      const why =
+        feed === undefined
+          ? "has no feed open"
+          : feed.fault !== ""
+            ? feed.fault
+            : feed.planMark >= mark
+              ? ""
+              : "has not acknowledged yet";
+      return {
+        name: member.name,
+        role: member.role,
+        mark: feed?.planMark ?? 0,
+        hasTakenUp: (feed?.planMark ?? 0) >= mark,
+        ...(why === "" ? {} : { why }),
+        isAlive: node.membership.isAlive(member.name),
+      };
+    });
   const taken = nodes.filter((one) => one.hasTakenUp).length;
   return ApiReceipts.done({ mark, taken, of: nodes.length, nodes });
 }
--- a/packages/spanner/src/mark/runbook.ts
+++ b/packages/spanner/src/mark/runbook.ts
@@ -1,6 +1,11 @@
 import type { FleetClient } from "../process/fleetClient.js";
 
-export interface RunbookContext { client: FleetClient; args: Record<string, string>; wait(ms: number): Promise<void>; say(line: string): void }
+export interface RunbookContext {
+  client: FleetClient;
+  args: Record<string, string>;
+  wait(ms: number): Promise<void>;
+  say(line: string): void;
+}
 /** What a check found: undefined where all is well, else what is wrong. */
 export type Check = (context: RunbookContext) => Promise<string | undefined>;
 
--- a/packages/spanner/src/process/fleetChecks.ts
+++ b/packages/spanner/src/process/fleetChecks.ts
@@ -1,11 +1,21 @@
 import type { Check, RunbookContext } from "../mark/runbook.js";
 
-interface MemberState { name: string; role: string; zone: string; http: string; state: string }
-interface ShardState { shard: number; holder: string; replicas: string[] }
+interface MemberState {
+  name: string;
+  role: string;
+  zone: string;
+  http: string;
+  state: string;
+}
+interface ShardState {
+  shard: number;
+  holder: string;
+  replicas: string[];
+}
 
 async function status(context: RunbookContext): Promise<{ members: MemberState[]; shards: ShardState[] } | undefined> {
   const receipt = await context.client.call("GET", "/v1/status");
-  return receipt.status === 200 ? (receipt.body as unknown as { members: MemberState[]; shards: ShardState[] }) : undefined;
+  return receipt.status === 200 ? (receipt.body as { members: MemberState[]; shards: ShardState[] }) : undefined;
 }
 
 /** What runbooks ask of a fleet. Each answers undefined where all is well. */
@@ -17,7 +27,9 @@
   allAlive: (async (context) => {
     const seen = await status(context);
     if (seen === undefined) return "no node answers";
-    const missing = seen.members.filter((member) => member.state !== "alive").map((member) => `${member.name} is ${member.state}`);
+    const missing = seen.members
+      .filter((member) => member.state !== "alive")
+      .map((member) => `${member.name} is ${member.state}`);
     return missing.length === 0 ? undefined : missing.join(", ");
   }) satisfies Check,
 
@@ -33,7 +45,9 @@
     const seen = await status(context);
     if (seen === undefined) return "no node answers";
     const alive = new Set(seen.members.filter((member) => member.state === "alive").map((member) => member.name));
-    const weak = seen.shards.filter((shard) => shard.replicas.length < 3 || shard.replicas.some((name) => !alive.has(name))).map((shard) => shard.shard);
+    const weak = seen.shards
+      .filter((shard) => shard.replicas.length < 3 || shard.replicas.some((name) => !alive.has(name)))
+      .map((shard) => shard.shard);
     return weak.length === 0 ? undefined : `shards ${weak.join(", ")} lack a live replica`;
   }) satisfies Check,
 
@@ -41,7 +55,9 @@
     const receipt = await context.client.call("GET", "/v1/plan/rollout");
     if (receipt.status === 404) return undefined;
     if (receipt.status !== 200) return "the rollout cannot be read";
-    const late = (receipt.body["nodes"] as Array<{ name: string; hasTakenUp: boolean; isAlive: boolean; why?: string }>).filter((node) => node.isAlive && !node.hasTakenUp);
+    const late = (
+      receipt.body["nodes"] as Array<{ name: string; hasTakenUp: boolean; isAlive: boolean; why?: string }>
+    ).filter((node) => node.isAlive && !node.hasTakenUp);
     return late.length === 0 ? undefined : late.map((node) => `${node.name} ${node.why ?? "is behind"}`).join(", ");
   }) satisfies Check,
 
@@ -51,7 +67,8 @@
     const lathes = seen.members.filter((member) => member.role === "lathe" && member.state === "alive");
     for (const lathe of lathes) {
       const own = await context.client.call("GET", "/v1/status", undefined, [lathe.http]);
-      const ledger = own.body["ledger"] as { voters: string[]; learners: string[]; isProposer: boolean } | null | undefined;
+      const ledger = own.body["ledger"] as
+        { voters: string[]; learners: string[]; isProposer: boolean } | null | undefined;
       if (ledger?.isProposer !== true) continue;
       const outside = lathes.filter((one) => !ledger.voters.includes(one.name)).map((one) => one.name);
       return outside.length === 0 ? undefined : `${outside.join(", ")} not a voter yet`;
@@ -59,18 +76,24 @@
     return "no lathe proposes";
   }) satisfies Check,
 
-  isAlive: (arg: string): Check => async (context) => {
-    const seen = await status(context);
-    const member = seen?.members.find((one) => one.name === context.args[arg]);
-    if (member === undefined) return `no node is called ${context.args[arg]}`;
-    return member.state === "alive" ? undefined : `${member.name} is ${member.state}`;
-  },
+  isAlive:
+    (arg: string): Check =>
+    async (context) => {
+      const seen = await status(context);
+      const member = seen?.members.find((one) => one.name === context.args[arg]);
+      if (member === undefined) return `no node is called ${context.args[arg]}`;
+      return member.state === "alive" ? undefined : `${member.name} is ${member.state}`;
+    },
 
-  isGone: (arg: string): Check => async (context) => ((await FleetChecks.isAlive(arg)(context)) === undefined ? `${context.args[arg]} still runs` : undefined),
+  isGone:
+    (arg: string): Check =>
+    async (context) =>
+      (await FleetChecks.isAlive(arg)(context)) === undefined ? `${context.args[arg]} still runs` : undefined,
 
   zoneAlive: (async (context) => {
     const seen = await status(context);
-    const down = seen?.members.filter((member) => member.zone === context.args["zone"] && member.state !== "alive") ?? [];
+    const down =
+      seen?.members.filter((member) => member.zone === context.args["zone"] && member.state !== "alive") ?? [];
     return down.length === 0 ? undefined : `${down.map((member) => member.name).join(", ")} not back`;
   }) satisfies Check,
 
@@ -81,11 +104,13 @@
   }) satisfies Check,
 
   /** Every check in turn; the first that finds something says it. */
-  all: (...checks: Check[]): Check => async (context) => {
-    for (const check of checks) {
-      const why = await check(context);
-      if (why !== undefined) return why;
-    }
-    return undefined;
-  },
+  all:
+    (...checks: Check[]): Check =>
+    async (context) => {
+      for (const check of checks) {
+        const why = await check(context);
+        if (why !== undefined) return why;
+      }
+      return undefined;
+    },
 };
--- a/packages/spanner/src/process/fleetClient.ts
+++ b/packages/spanner/src/process/fleetClient.ts
@@ -1,7 +1,12 @@
 import { readFileSync } from "node:fs";
 import { Agent, request } from "undici";
 
-export interface FleetReceipt { status: number; text: string; body: Record<string, unknown>; comeBack: number | undefined }
+export interface FleetReceipt {
+  status: number;
+  text: string;
+  body: Record<string, unknown>;
+  comeBack: number | undefined;
+}
 
 /** Calls any node of the fleet over HTTP; the next one where one does not answer. */
 export class FleetClient {
@@ -16,14 +21,33 @@
     return readFileSync(path === "-" ? 0 : path, "utf8");
   }
 
-  async call(method: "GET" | "PUT" | "POST" | "DELETE", path: string, body?: string, nodes: readonly string[] = this.#nodes): Promise<FleetReceipt> {
-    let last: FleetReceipt = { status: 0, text: "", body: { error: { code: "unreachable", message: `no node answers: ${nodes.join(", ")}` } }, comeBack: undefined };
+  async call(
+    method: "GET" | "PUT" | "POST" | "DELETE",
+    path: string,
+    body?: string,
+    nodes: readonly string[] = this.#nodes,
+  ): Promise<FleetReceipt> {
+    let last: FleetReceipt = {
+      status: 0,
+      text: "",
+      body: { error: { code: "unreachable", message: `no node answers: ${nodes.join(", ")}` } },
+      comeBack: undefined,
+    };
     for (const node of nodes) {
       try {
-        const answer = await request(`http://${node}${path}`, { method, dispatcher: this.#agent, ...(body === undefined ? {} : { body, headers: { "Content-Type": "application/json" } }) });
+        const answer = await request(`http://${node}${path}`, {
+          method,
+          dispatcher: this.#agent,
+          ...(body === undefined ? {} : { body, headers: { "Content-Type": "application/json" } }),
+        });
         const text = await answer.body.text();
         const retryAfter = answer.headers["retry-after"];
-        last = { status: answer.statusCode, text, body: FleetClient.#parse(text), comeBack: retryAfter === undefined ? undefined : Number(retryAfter) };
+        last = {
+          status: answer.statusCode,
+          text,
+          body: FleetClient.#parse(text),
+          comeBack: retryAfter === undefined ? undefined : Number(retryAfter),
+        };
         if (answer.statusCode !== 503) return last;
       } catch {
         // An unreachable node says nothing about the call; the next one is asked.
--- a/packages/spanner/src/process/runbookRunner.ts
+++ b/packages/spanner/src/process/runbookRunner.ts
@@ -1,6 +1,10 @@
 import type { Runbook, RunbookContext, Step } from "../mark/runbook.js";
 
-export interface StepReport { step: string; outcome: "done" | "would be done" | "failed before" | "failed" | "failed after" | "not reached"; why?: string }
+export interface StepReport {
+  step: string;
+  outcome: "done" | "would be done" | "failed before" | "failed" | "failed after" | "not reached";
+  why?: string;
+}
 
 /** Runs a runbook step by step, or says what it would do. */
 export class RunbookRunner {
@@ -15,7 +19,11 @@
   async run(runbook: Runbook, isDry: boolean): Promise<{ isDone: boolean; steps: StepReport[] }> {
     const steps: StepReport[] = [];
     for (const step of runbook.steps) {
-      const report: StepReport = steps.some(({ outcome }) => outcome.startsWith("failed")) ? { step: step.title, outcome: "not reached" } : isDry ? await this.#look(step) : await this.#do(step);
+      const report: StepReport = steps.some(({ outcome }) => outcome.startsWith("failed"))
+        ? { step: step.title, outcome: "not reached" }
+        : isDry
+          ? await this.#look(step)
+          : await this.#do(step);
       steps.push(report);
       this.#context.say(`${report.outcome}: ${report.step}${report.why === undefined ? "" : ` (${report.why})`}`);
     }
@@ -25,7 +33,9 @@
   /** Only the first check is asked for, and nothing is changed. */
   async #look(step: Step): Promise<StepReport> {
     const why = await step.before(this.#context);
-    return why === undefined ? { step: step.title, outcome: "would be done" } : { step: step.title, outcome: "would be done", why: `at present: ${why}` };
+    return why === undefined
+      ? { step: step.title, outcome: "would be done" }
+      : { step: step.title, outcome: "would be done", why: `at present: ${why}` };
   }
 
   async #do(step: Step): Promise<StepReport> {
@@ -38,6 +48,8 @@
       await this.#context.wait(RunbookRunner.lookMs);
       why = await step.after(this.#context);
     }
-    return why === undefined ? { step: step.title, outcome: "done" } : { step: step.title, outcome: "failed after", why };
+    return why === undefined
+      ? { step: step.title, outcome: "done" }
+      : { step: step.title, outcome: "failed after", why };
   }
 }
--- a/packages/spanner/src/process/statusText.ts
+++ b/packages/spanner/src/process/statusText.ts
@@ -1,5 +1,7 @@
 interface StatusBody {
-  name: string; feed: { ageMs: number | null; isFresh: boolean }; plan: { mark: number; spaces: string[] };
+  name: string;
+  feed: { ageMs: number | null; isFresh: boolean };
+  plan: { mark: number; spaces: string[] };
   members: Array<{ name: string; role: string; zone: string; http: string; state: string }>;
   shards: Array<{ shard: number; holder: string; epoch: number; replicas: string[] }>;
   faults: { settings: string; last: string; garbledFrames: number };
@@ -9,14 +11,28 @@
 export const StatusText = {
   write(body: object): string {
     const status = body as StatusBody;
-    const lines = [`plan ${status.plan.mark === 0 ? "none" : `mark ${status.plan.mark}`} (${status.plan.spaces.join(", ")}), as ${status.name} sees it`];
-    for (const member of status.members) lines.push(`${member.name.padEnd(12)} ${member.role.padEnd(6)} ${member.zone.padEnd(12)} ${member.http.padEnd(22)} ${member.state}`);
+    const lines = [
+      `plan ${status.plan.mark === 0 ? "none" : `mark ${status.plan.mark}`} ` +
+        `(${status.plan.spaces.join(", ")}), as ${status.name} sees it`,
+    ];
+    for (const member of status.members)
+      lines.push(
+        [
+          member.name.padEnd(12),
+          member.role.padEnd(6),
+          member.zone.padEnd(12),
+          member.http.padEnd(22),
+          member.state,
+        ].join(" "),
+      );
     const holders = new Map<string, number>();
     for (const { holder } of status.shards) holders.set(holder, (holders.get(holder) ?? 0) + 1);
-    for (const [holder, count] of [...holders].sort()) lines.push(holder === "" ? `${count} shards have no holder` : `${holder} holds ${count} shards`);
+    for (const [holder, count] of [...holders].sort())
+      lines.push(holder === "" ? `${count} shards have no holder` : `${holder} holds ${count} shards`);
     const alive = new Set(status.members.filter((member) => member.state === "alive").map((member) => member.name));
     const weak = status.shards.filter((shard) => shard.replicas.some((name) => !alive.has(name)));
-    if (weak.length > 0) lines.push(`${weak.length} shards lack a live replica: ${weak.map((shard) => shard.shard).join(", ")}`);
+    if (weak.length > 0)
+      lines.push(`${weak.length} shards lack a live replica: ${weak.map((shard) => shard.shard).join(", ")}`);
     if (!status.feed.isFresh) lines.push(`${status.name} is out of touch with the store`);
     if (status.faults.settings !== "") lines.push(`settings: ${status.faults.settings}`);
     if (status.faults.last !== "") lines.push(`last fault: ${status.faults.last}`);
@@ -24,8 +40,15 @@
   },
 
   rollout(body: Record<string, unknown>): string {
-    const { mark, taken, of, nodes } = body as { mark: number; taken: number; of: number; nodes: Array<{ name: string; mark: number; hasTakenUp: boolean; why?: string }> };
-    const late = nodes.filter((node) => !node.hasTakenUp).map((node) => `  ${node.name} at mark ${node.mark}: ${node.why ?? ""}\n`);
+    const { mark, taken, of, nodes } = body as {
+      mark: number;
+      taken: number;
+      of: number;
+      nodes: Array<{ name: string; mark: number; hasTakenUp: boolean; why?: string }>;
+    };
+    const late = nodes
+      .filter((node) => !node.hasTakenUp)
+      .map((node) => `  ${node.name} at mark ${node.mark}: ${node.why ?? ""}\n`);
     return `mark ${mark}: taken up by ${taken} of ${of}\n${late.join("")}`;
   },
 };
--- a/packages/vise/src/link/httpLink.ts
+++ b/packages/vise/src/link/httpLink.ts
@@ -9,7 +9,11 @@
 
   constructor(answer: ServerResponse) {
     this.#answer = answer;
-    answer.writeHead(200, { "Content-Type": "application/x-ndjson; charset=utf-8", "Cache-Control": "no-store", "X-Accel-Buffering": "no" });
+    answer.writeHead(200, {
+      "Content-Type": "application/x-ndjson; charset=utf-8",
+      "Cache-Control": "no-store",
+      "X-Accel-Buffering": "no",
+    });
     answer.on("close", () => this.#ended());
     answer.on("error", () => this.#ended());
     answer.socket?.setNoDelay(true);
--- a/packages/vise/src/link/subscription.ts
+++ b/packages/vise/src/link/subscription.ts
@@ -25,7 +25,14 @@
   #isPumping = false;
   #isStopped = false;
 
-  constructor(parts: { table: TopicTable; tail: TopicTail; link: ClientLink; start: Place; maySend: () => boolean; onEnd: () => void }) {
+  constructor(parts: {
+    table: TopicTable;
+    tail: TopicTail;
+    link: ClientLink;
+    start: Place;
+    maySend: () => boolean;
+    onEnd: () => void;
+  }) {
     this.topic = parts.tail.topic;
     this.#table = parts.table;
     this.#tail = parts.tail;
@@ -87,7 +94,14 @@
     if (message.seq !== this.cursor + 1) return;
     this.cursor = message.seq;
     const { session, number, payload, seq } = message;
-    this.#link.send({ kind: "message", topic: this.topic, sender: session, number, place: Places.write(this.birth, seq), payload: Buffer.from(payload).toString() });
+    this.#link.send({
+      kind: "message",
+      topic: this.topic,
+      sender: session,
+      number,
+      place: Places.write(this.birth, seq),
+      payload: Buffer.from(payload).toString(),
+    });
   }
 
   #expire(low: number, reason: string): void {
--- a/packages/vise/src/mark/ownersView.ts
+++ b/packages/vise/src/mark/ownersView.ts
@@ -1,7 +1,11 @@
 import type { Change } from "@cranetrack/chest/process/feedFollower.js";
 import type { Journal } from "@cranetrack/chest/process/journal.js";
 
-export interface Owner { node: string; lease: string; revision: number }
+export interface Owner {
+  node: string;
+  lease: string;
+  revision: number;
+}
 
 /** Which node owns which session, as far as this node has heard. Only a cache; the store decides. */
 export class OwnersView {
--- a/packages/vise/src/mark/place.ts
+++ b/packages/vise/src/mark/place.ts
@@ -1,4 +1,7 @@
-export interface Place { birth: string; seq: number }
+export interface Place {
+  birth: string;
+  seq: number;
+}
 
 /** A client's place in a topic: an opaque string to the client, birth and sequence number to us. */
 export const Places = {
--- a/packages/vise/src/process/session.ts
+++ b/packages/vise/src/process/session.ts
@@ -2,7 +2,10 @@
 import type { Subscription } from "../link/subscription.js";
 import type { Place } from "../mark/place.js";
 
-export interface NumberState { number: number; isOpen: boolean }
+export interface NumberState {
+  number: number;
+  isOpen: boolean;
+}
 
 /**
  * What the owner of a client's session holds: the publish numbers accepted, the publishes not yet
--- a/packages/vise/src/process/sessions.ts
+++ b/packages/vise/src/process/sessions.ts
@@ -8,7 +8,10 @@
 import { Session } from "./session.js";
 
 export type Claimed = { session: Session } | { comeBack: number; reason: string };
-interface Shipped { body: BodyInit; at: number }
+interface Shipped {
+  body: BodyInit;
+  at: number;
+}
 
 /**
  * The sessions this node owns, and how one changes hands: the new node pulls from the old owner, which
@@ -74,13 +77,30 @@
     const shipped = owner === undefined ? undefined : await this.#pull(id, owner, lease);
     if (shipped !== undefined && "comeBack" in shipped) return shipped;
     const value = Buffer.from(JSON.stringify({ node: this.#node.exchange.name, lease }));
-    const written = await this.#node.store.txn({ checks: [{ key, revision: owner?.revision ?? 0 }], puts: [{ key, value, lease }] });
-    const revision = written.outcome === "unsure" ? await this.#settle(key, lease) : written.outcome === "done" ? written.revision! : 0;
-    if (revision === 0) return { comeBack: 0.3, reason: written.outcome === "conflict" ? "another resume of this session won" : "the owner key could not be written" };
+    const written = await this.#node.store.txn({
+      checks: [{ key, revision: owner?.revision ?? 0 }],
+      puts: [{ key, value, lease }],
+    });
+    const revision =
+      written.outcome === "unsure"
+        ? await this.#settle(key, lease)
+        : written.outcome === "done"
+          ? written.revision!
+          : 0;
+    if (revision === 0)
+      return {
+        comeBack: 0.3,
+        reason:
+          written.outcome === "conflict" ? "another resume of this session won" : "the owner key could not be written",
+      };
     if (!this.#lease.isHeld || this.#lease.lease !== lease) return { comeBack: 1, reason: "this node lost its lease" };
     this.emit("step", "owner-written", id);
     const session = new Session(id, revision);
-    this.#fill(session, read.kvs!.filter((kv) => kv !== kept), shipped?.state);
+    this.#fill(
+      session,
+      read.kvs!.filter((kv) => kv !== kept),
+      shipped?.state,
+    );
     this.#table.set(id, session);
     return { session };
   }
@@ -91,9 +111,14 @@
     const key = `sessions/${session.id}/owner`;
     const prefix = `sessions/${session.id}/subscriptions/`;
     const lease = `session:${session.id}`;
-    const puts = [...session.cursors()].map(([topic, place]) => ({ key: prefix + topic, value: Buffer.from(Places.write(place.birth, place.seq)), lease }));
+    const puts = [...session.cursors()].map(([topic, place]) => ({
+      key: prefix + topic,
+      value: Buffer.from(Places.write(place.birth, place.seq)),
+      lease,
+    }));
     const released = await this.#node.store.txn({ checks: [{ key, revision: session.epoch }], puts, deletes: [key] });
-    if (released.outcome === "lost") await this.#node.store.txn({ checks: [{ key, revision: session.epoch }], deletes: [key] });
+    if (released.outcome === "lost")
+      await this.#node.store.txn({ checks: [{ key, revision: session.epoch }], deletes: [key] });
   }
 
   /** Closes every link; the sessions stay to be pulled until released. */
@@ -101,17 +126,30 @@
     for (const session of this.#table.values()) session.unlink(reason, comeBack(), this.#node.parts.clock.now());
   }
 
-  async #pull(id: string, owner: Owner, lease: string): Promise<{ state: PullReceipt } | { comeBack: number; reason: string } | undefined> {
+  async #pull(
+    id: string,
+    owner: Owner,
+    lease: string,
+  ): Promise<{ state: PullReceipt } | { comeBack: number; reason: string } | undefined> {
     if (owner.node === this.#node.exchange.name && owner.lease !== lease) {
       // This very process, or one before it at the same address, held that lease and is gone from it.
-      await this.#node.store.call({ case: "revoke", value: { lease: owner.lease } as never });
+      await this.#node.store.call({ case: "revoke", value: { lease: owner.lease } });
       return { comeBack: 0.2, reason: "an earlier lease of this node is being given up" };
     }
     if (owner.node === this.#node.exchange.name) return undefined;
     this.emit("step", "pull", id);
-    const receipt = await this.#node.exchange.call(owner.node, { case: "pull", value: { session: id, ownerRevision: owner.revision, asker: this.#node.exchange.name } }, Sessions.pullDue);
-    if (receipt?.case !== "pullReceipt") return { comeBack: 0.4, reason: `the owner ${owner.node} does not answer; its lease must run out first` };
-    if (receipt.value.outcome !== "shipped") return { comeBack: receipt.value.comeBack || 0.3, reason: `the owner ${owner.node} says ${receipt.value.outcome}` };
+    const receipt = await this.#node.exchange.call(
+      owner.node,
+      { case: "pull", value: { session: id, ownerRevision: owner.revision, asker: this.#node.exchange.name } },
+      Sessions.pullDue,
+    );
+    if (receipt?.case !== "pullReceipt")
+      return { comeBack: 0.4, reason: `the owner ${owner.node} does not answer; its lease must run out first` };
+    if (receipt.value.outcome !== "shipped")
+      return {
+        comeBack: receipt.value.comeBack || 0.3,
+        reason: `the owner ${owner.node} says ${receipt.value.outcome}`,
+      };
     this.emit("step", "shipped", id);
     return { state: receipt.value };
   }
@@ -139,7 +177,8 @@
   /** The key names this node, which does not have the session: it lost it with a lease, or never got it. */
   #shipNothing(pull: Pull): BodyInit {
     const owner = this.#table.get(pull.session);
-    if (owner !== undefined || this.#claiming.has(pull.session)) return { case: "pullReceipt", value: { outcome: "owned under another revision", comeBack: 0.3 } };
+    if (owner !== undefined || this.#claiming.has(pull.session))
+      return { case: "pullReceipt", value: { outcome: "owned under another revision", comeBack: 0.3 } };
     return { case: "pullReceipt", value: { outcome: "shipped" } };
   }
 
@@ -157,7 +196,8 @@
       const place = Places.read(Buffer.from(kv.value).toString());
       if (place !== undefined) session.places.set(kv.key.slice(`sessions/${session.id}/subscriptions/`.length), place);
     }
-    for (const { topic, birth, cursor } of shipped?.subscriptions ?? []) session.places.set(topic, { birth, seq: cursor });
+    for (const { topic, birth, cursor } of shipped?.subscriptions ?? [])
+      session.places.set(topic, { birth, seq: cursor });
     for (const { topic, number, isOpen } of shipped?.numbers ?? []) session.numbers.set(topic, { number, isOpen });
   }
 
@@ -173,6 +213,7 @@
     const now = this.#node.parts.clock.now();
     for (const [id, { at }] of this.#shipped) if (now - at > Sessions.keepShippedMs) this.#shipped.delete(id);
     if (!this.#lease.isHeld) return;
-    for (const session of [...this.#table.values()]) if (session.link === undefined && now - session.leftAt > Sessions.keepIdleMs) void this.release(session);
+    for (const session of [...this.#table.values()])
+      if (session.link === undefined && now - session.leftAt > Sessions.keepIdleMs) void this.release(session);
   }
 }
--- a/packages/vise/src/process/shardFollow.ts
+++ b/packages/vise/src/process/shardFollow.ts
@@ -68,7 +68,11 @@
     const topics = wanted.map((tail) => ({ topic: tail.topic, birth: tail.birth, after: tail.head }));
     const follow = this.#follow;
     const turn = this.#turn;
-    const receipt = await this.#node.exchange.call(this.holder, { case: "follow", value: { shard: this.#shard, follow, seen: this.#seen, isFull, topics } }, 800);
+    const receipt = await this.#node.exchange.call(
+      this.holder,
+      { case: "follow", value: { shard: this.#shard, follow, seen: this.#seen, isFull, topics } },
+      800,
+    );
     if (turn !== this.#turn) return;
     this.#isAsking = false;
     if (receipt?.case !== "followReceipt" || receipt.value.outcome !== "done") {
@@ -92,9 +96,18 @@
     if (this.#isStale || this.#asked.size > 0) return this.tend();
     const follow = this.#follow;
     const seen = this.#seen;
-    const receipt = await this.#node.exchange.call(this.holder, { case: "follow", value: { shard: this.#shard, follow, seen, isFull: false } }, 700);
+    const receipt = await this.#node.exchange.call(
+      this.holder,
+      { case: "follow", value: { shard: this.#shard, follow, seen, isFull: false } },
+      700,
+    );
     const isGood = receipt?.case === "followReceipt" && receipt.value.outcome === "done";
-    if (isGood || follow !== this.#follow || (receipt?.case === "followReceipt" && receipt.value.outcome === "resync" && this.#seen !== seen)) return;
+    if (
+      isGood ||
+      follow !== this.#follow ||
+      (receipt?.case === "followReceipt" && receipt.value.outcome === "resync" && this.#seen !== seen)
+    )
+      return;
     this.#isStale = true;
     await this.tend();
   }
@@ -116,11 +129,24 @@
   }
 
   /** Messages after a place that the tail no longer has; undefined where the holder can't be asked now. */
-  async fetch(topic: string, birth: string, after: number): Promise<{ outcome: string; low: number; birth: string; messages: TopicMessage[] } | undefined> {
+  async fetch(
+    topic: string,
+    birth: string,
+    after: number,
+  ): Promise<{ outcome: string; low: number; birth: string; messages: TopicMessage[] } | undefined> {
     if (this.holder === "") return undefined;
-    const receipt = await this.#node.exchange.call(this.holder, { case: "fetch", value: { shard: this.#shard, topic, birth, after, limit: 500 } }, 800);
+    const receipt = await this.#node.exchange.call(
+      this.holder,
+      { case: "fetch", value: { shard: this.#shard, topic, birth, after, limit: 500 } },
+      800,
+    );
     if (receipt?.case !== "fetchReceipt" || receipt.value.outcome === "away") return undefined;
-    return { outcome: receipt.value.outcome, low: receipt.value.low, birth: receipt.value.batch?.birth ?? birth, messages: receipt.value.batch?.messages ?? [] };
+    return {
+      outcome: receipt.value.outcome,
+      low: receipt.value.low,
+      birth: receipt.value.batch?.birth ?? birth,
+      messages: receipt.value.batch?.messages ?? [],
+    };
   }
 
   #learn(head: TopicHead): void {
--- a/packages/vise/src/process/topicTail.ts
+++ b/packages/vise/src/process/topicTail.ts
@@ -52,7 +52,8 @@
       this.#bytes += message.payload.length;
     }
     this.head = fresh.at(-1)!.seq;
-    while (this.messages.length > TopicTail.most || this.#bytes > TopicTail.mostBytes) this.#bytes -= this.messages.shift()!.payload.length;
+    while (this.messages.length > TopicTail.most || this.#bytes > TopicTail.mostBytes)
+      this.#bytes -= this.messages.shift()!.payload.length;
     this.emit("grown");
   }
 
--- a/packages/vise/src/process/vise.ts
+++ b/packages/vise/src/process/vise.ts
@@ -46,8 +46,12 @@
     this.sessions = new Sessions(node, this.lease);
     this.topics = new TopicTable(node);
     router.on("POST", /^\/v1\/sessions\/([^/]+)\/messages$/, (call) => publishMessage(this, call));
-    router.on("POST", /^\/v1\/sessions\/([^/]+)\/subscriptions$/, (call) => this.#onOwner(call, (session) => this.#subscribe(session, call.body)));
-    router.on("DELETE", /^\/v1\/sessions\/([^/]+)\/subscriptions\/(.+)$/, (call) => this.#onOwner(call, (session) => unsubscribeTopic(this, session, call.params[1]!)));
+    router.on("POST", /^\/v1\/sessions\/([^/]+)\/subscriptions$/, (call) =>
+      this.#onOwner(call, (session) => this.#subscribe(session, call.body)),
+    );
+    router.on("DELETE", /^\/v1\/sessions\/([^/]+)\/subscriptions\/(.+)$/, (call) =>
+      this.#onOwner(call, (session) => unsubscribeTopic(this, session, call.params[1]!)),
+    );
     clock.every(this.beatMs, () => this.#beat());
     clock.every(200_000, () => this.#renewSessions());
   }
@@ -57,7 +61,15 @@
   }
 
   status(): object {
-    return { links: this.sessions.links, sessions: this.sessions.table.size, topics: this.topics.count, owners: this.owners.count, isDraining: this.isDraining, hasLease: this.lease.isHeld, leasesLost: this.lease.losses };
+    return {
+      links: this.sessions.links,
+      sessions: this.sessions.table.size,
+      topics: this.topics.count,
+      owners: this.owners.count,
+      isDraining: this.isDraining,
+      hasLease: this.lease.isHeld,
+      leasesLost: this.lease.losses,
+    };
   }
 
   start(): void {
@@ -87,8 +99,12 @@
   async #subscribe(session: Session, body: Uint8Array): Promise<ApiReceipt> {
     const read = BodyReader.read(body, subscriptionsBody);
     if ("receipt" in read) return read.receipt;
-    if (!Plans.isTopic(read.value.topic)) return ApiReceipts.fault(400, "malformed", "a topic is space/name", { problems: [{ path: "topic", problem: "must be space/name" }] });
-    if (session.link === undefined) return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
+    if (!Plans.isTopic(read.value.topic))
+      return ApiReceipts.fault(400, "malformed", "a topic is space/name", {
+        problems: [{ path: "topic", problem: "must be space/name" }],
+      });
+    if (session.link === undefined)
+      return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
     return subscribeTopics(this, session, session.link, [read.value]);
   }
 
@@ -96,8 +112,12 @@
     const session = this.sessions.find(call.params[0]!);
     if (session !== undefined) return act(session);
     const owner = this.owners.find(call.params[0]!);
-    if (call.isPassed || owner === undefined || owner.node === this.node.exchange.name) return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
-    return (await this.router.passTo(owner.node, call.method, call.path, call.body)) ?? ApiReceipts.unsure("the session's owner did not answer");
+    if (call.isPassed || owner === undefined || owner.node === this.node.exchange.name)
+      return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
+    return (
+      (await this.router.passTo(owner.node, call.method, call.path, call.body)) ??
+      ApiReceipts.unsure("the session's owner did not answer")
+    );
   }
 
   #beat(): void {
@@ -111,6 +131,7 @@
   }
 
   #renewSessions(): void {
-    for (const session of this.sessions.table.values()) void this.node.store.call({ case: "renew", value: { lease: `session:${session.id}` } as never });
+    for (const session of this.sessions.table.values())
+      void this.node.store.call({ case: "renew", value: { lease: `session:${session.id}` } });
   }
 }
--- a/packages/vise/src/request/enrolLink.ts
+++ b/packages/vise/src/request/enrolLink.ts
@@ -8,26 +8,45 @@
 import type { ViseParts } from "../process/viseParts.js";
 import { subscribeTopics, type Wish } from "./subscribeTopics.js";
 
-const linkBody = type({ "+": "reject", "subscriptions?": type({ "+": "reject", topic: "string", "after?": "string" }).array().atMostLength(500) });
+const linkBody = type({
+  "+": "reject",
+  "subscriptions?": type({ "+": "reject", topic: "string", "after?": "string" }).array().atMostLength(500),
+});
 
 /** A client's long connection, new or resumed, from its request to its confirmed subscriptions. */
-export async function enrolLink(vise: ViseParts, id: string, body: Uint8Array, open: () => ClientLink): Promise<ApiReceipt | undefined> {
+export async function enrolLink(
+  vise: ViseParts,
+  id: string,
+  body: Uint8Array,
+  open: () => ClientLink,
+): Promise<ApiReceipt | undefined> {
   const { sessions, node, lease } = vise;
-  if (!/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/.test(id)) return ApiReceipts.fault(400, "malformed", "a session is named by 1 to 64 letters, digits, dots, dashes and underscores", { problems: [{ path: "session", problem: "is malformed" }] });
+  if (!/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/.test(id))
+    return ApiReceipts.fault(
+      400,
+      "malformed",
+      "a session is named by 1 to 64 letters, digits, dots, dashes and underscores",
+      { problems: [{ path: "session", problem: "is malformed" }] },
+    );
   const read = BodyReader.read(body.length === 0 ? Buffer.from("{}") : body, linkBody);
   if ("receipt" in read) return read.receipt;
   const faulty = (read.value.subscriptions ?? []).findIndex((wish) => !Plans.isTopic(wish.topic));
-  if (faulty !== -1) return ApiReceipts.fault(400, "malformed", "a topic is space/name", { problems: [{ path: `subscriptions.${faulty}.topic`, problem: "must be space/name" }] });
+  if (faulty !== -1)
+    return ApiReceipts.fault(400, "malformed", "a topic is space/name", {
+      problems: [{ path: `subscriptions.${faulty}.topic`, problem: "must be space/name" }],
+    });
   if (vise.isDraining) return ApiReceipts.away("this node is stopping", 0.2, "stopping");
   if (!lease.isHeld || !node.feed.isFresh) return ApiReceipts.away("this node is out of touch with the store");
-  if (sessions.links + vise.enrolling >= vise.live.mostLinks) return ApiReceipts.away("this node has as many links as it takes", 1 + node.parts.chance.draw() * 2, "full");
+  if (sessions.links + vise.enrolling >= vise.live.mostLinks)
+    return ApiReceipts.away("this node has as many links as it takes", 1 + node.parts.chance.draw() * 2, "full");
 
   vise.enrolling += 1;
   const claimed = await sessions.claim(id);
   vise.enrolling -= 1;
   if ("comeBack" in claimed) return ApiReceipts.away(claimed.reason, claimed.comeBack, "session-elsewhere");
   const { session } = claimed;
-  if (vise.isDraining || session.isStopped) return ApiReceipts.away("the session moved on meanwhile", 0.3, "session-elsewhere");
+  if (vise.isDraining || session.isStopped)
+    return ApiReceipts.away("the session moved on meanwhile", 0.3, "session-elsewhere");
   session.unlink("replaced by a newer link", 0, node.parts.clock.now());
 
   const link = open();
@@ -36,7 +55,13 @@
     if (session.link === link) session.unlink("closed by the client", 0, node.parts.clock.now());
   });
   const kept: Wish[] = [...session.places.keys()].map((topic) => ({ topic }));
-  link.send({ kind: "open", session: id, node: node.exchange.name, beatMs: vise.beatMs, numbers: Object.fromEntries([...session.numbers].map(([topic, { number }]) => [topic, number])) });
+  link.send({
+    kind: "open",
+    session: id,
+    node: node.exchange.name,
+    beatMs: vise.beatMs,
+    numbers: Object.fromEntries([...session.numbers].map(([topic, { number }]) => [topic, number])),
+  });
   forgetOthers(session, read.value.subscriptions);
   await subscribeTopics(vise, session, link, read.value.subscriptions ?? kept);
   return undefined;
--- a/packages/vise/src/request/publishMessage.ts
+++ b/packages/vise/src/request/publishMessage.ts
@@ -7,8 +7,18 @@
 import type { Session } from "../process/session.js";
 import type { ViseParts } from "../process/viseParts.js";
 
-const messageBody = type({ "+": "reject", topic: "string", number: "1 <= number.integer <= 9007199254740991", payload: "string" });
-const statuses: Record<string, number> = { malformed: 400, "unknown-topic": 404, "not-a-publisher": 403, "too-large": 413 };
+const messageBody = type({
+  "+": "reject",
+  topic: "string",
+  number: "1 <= number.integer <= 9007199254740991",
+  payload: "string",
+});
+const statuses: Record<string, number> = {
+  malformed: 400,
+  "unknown-topic": 404,
+  "not-a-publisher": 403,
+  "too-large": 413,
+};
 
 /** One publish, from its body to its final receipt. The shard's holder alone judges it. */
 export async function publishMessage(vise: ViseParts, call: ApiCall): Promise<ApiReceipt> {
@@ -17,18 +27,26 @@
   const read = BodyReader.read(call.body, messageBody);
   if ("receipt" in read) return read.receipt;
   const { topic, number, payload } = read.value;
-  if (!Plans.isTopic(topic)) return ApiReceipts.fault(400, "malformed", "a topic is space/name", { problems: [{ path: "topic", problem: "must be space/name" }] });
+  if (!Plans.isTopic(topic))
+    return ApiReceipts.fault(400, "malformed", "a topic is space/name", {
+      problems: [{ path: "topic", problem: "must be space/name" }],
+    });
   const session = sessions.find(id);
   if (session === undefined) return passOn(vise, id, call);
 
   const shard = vise.topics.shardOf(topic);
   const { holder } = node.shards.find(shard);
   if (holder === "") return ApiReceipts.away("the topic has no holder just now", 0.2);
-  if (node.exchange.isMute(holder) && !node.membership.isAlive(holder)) return ApiReceipts.away("the topic's holder does not answer", 0.5);
+  if (node.exchange.isMute(holder) && !node.membership.isAlive(holder))
+    return ApiReceipts.away("the topic's holder does not answer", 0.5);
   note(session, topic, number, true);
   const publish = { shard, session: id, ownerEpoch: session.epoch, number, topic, payload: Buffer.from(payload) };
-  const answered = await Promise.race([node.exchange.call(holder, { case: "publish", value: publish }, vise.publishDue), movedFrom(vise, shard, holder)]);
-  if (answered?.case !== "publishReceipt") return ApiReceipts.unsure("the topic's holder did not answer; the same number again settles it");
+  const answered = await Promise.race([
+    node.exchange.call(holder, { case: "publish", value: publish }, vise.publishDue),
+    movedFrom(vise, shard, holder),
+  ]);
+  if (answered?.case !== "publishReceipt")
+    return ApiReceipts.unsure("the topic's holder did not answer; the same number again settles it");
   const receipt = answered.value;
   switch (receipt.outcome) {
     case "accepted":
@@ -36,11 +54,17 @@
       return ApiReceipts.done({ receipt: "accepted", topic, number, place: Places.write(receipt.birth, receipt.seq) });
     case "refused":
       note(session, topic, number, false);
-      return ApiReceipts.fault(statuses[receipt.code] ?? 409, receipt.code, receipt.reason, { details: { receipt: "refused" } });
+      return ApiReceipts.fault(statuses[receipt.code] ?? 409, receipt.code, receipt.reason, {
+        details: { receipt: "refused" },
+      });
     case "unsure":
       return ApiReceipts.unsure(receipt.reason, receipt.comeBack);
     default:
-      return ApiReceipts.away(receipt.reason || "the topic is changing hands", receipt.comeBack || 0.5, receipt.code || "unavailable");
+      return ApiReceipts.away(
+        receipt.reason || "the topic is changing hands",
+        receipt.comeBack || 0.5,
+        receipt.code || "unavailable",
+      );
   }
 }
 
@@ -70,7 +94,8 @@
 async function passOn(vise: ViseParts, id: string, call: ApiCall): Promise<ApiReceipt> {
   const owner = vise.owners.find(id);
   const self = vise.node.exchange.name;
-  if (call.isPassed || owner === undefined || owner.node === self) return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
+  if (call.isPassed || owner === undefined || owner.node === self)
+    return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
   const receipt = await vise.router.passTo(owner.node, "POST", call.path, call.body, vise.publishDue + 300);
   return receipt ?? ApiReceipts.unsure("the session's owner did not answer; the same number again settles it");
 }
--- a/packages/vise/src/request/unsubscribeTopic.ts
+++ b/packages/vise/src/request/unsubscribeTopic.ts
@@ -10,5 +10,7 @@
   const checks = [{ key: `sessions/${session.id}/owner`, revision: session.epoch }];
   const written = await vise.node.store.txn({ checks, deletes: [`sessions/${session.id}/subscriptions/${topic}`] });
   if (written.outcome === "done") return ApiReceipts.done({ receipt: "unsubscribed", topic });
-  return written.outcome === "unsure" ? ApiReceipts.unsure("the store did not answer") : ApiReceipts.away("the session moved on meanwhile", 0.3);
+  return written.outcome === "unsure"
+    ? ApiReceipts.unsure("the store did not answer")
+    : ApiReceipts.away("the session moved on meanwhile", 0.3);
 }
--- a/packages/vise/src/vise.ts
+++ b/packages/vise/src/vise.ts
@@ -14,10 +14,11 @@
     take: ({ mostLinks, bufferBytes }) => Object.assign(vise.live, { mostLinks, bufferBytes }),
     stream: {
       pattern: Vise.linkPath,
-      open: (path, body, reply) => vise.link(decodeURIComponent(Vise.linkPath.exec(path)![1]!), body, () => {
-        reply.hijack();
-        return new HttpLink(reply.raw);
-      }),
+      open: (path, body, reply) =>
+        vise.link(decodeURIComponent(Vise.linkPath.exec(path)![1]!), body, () => {
+          reply.hijack();
+          return new HttpLink(reply.raw);
+        }),
     },
   };
 }).run(process.argv);
