--- /dev/null
+++ b/packages/anvil/src/mark/startOf.ts
@@ -0,0 +1,16 @@
+import { create } from "@bufbuild/protobuf";
+import { TopicStartSchema, type TopicPlace, type TopicStart } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { Streams } from "@cranetrack/chest/mark/streams.js";
+import type { StreamLog } from "./streamLog.js";
+
+/** Where a topic's subscription starts, judged by the committed log. Without a place it is the head. */
+export function startOf(log: StreamLog, { topic, birth, seq, spaceBirth }: TopicPlace): TopicStart {
+  const answer = (outcome: string, at: number, reason = ""): TopicStart =>
+    create(TopicStartSchema, { topic, outcome, birth: log.birth, seq: at, reason });
+  if (birth === "") return answer("known", log.head);
+  const isNone = Streams.spaceBirthOf(birth) === 0 || Streams.spaceBirthOf(birth) > spaceBirth;
+  if (isNone || (birth === log.birth && seq > log.head)) return answer("unknown-place", 0, "there is no such place");
+  if (birth !== log.birth) return answer("expired", log.low, "the place is of another birth of the topic");
+  const isTrimmed = (log.trims.get(topic) ?? 0) > seq;
+  return isTrimmed ? answer("expired", log.low, "older messages were trimmed") : answer("known", seq);
+}
--- /dev/null
+++ b/packages/anvil/src/mark/streamLog.ts
@@ -0,0 +1,140 @@
+import { create } from "@bufbuild/protobuf";
+import {
+  StreamMessageSchema,
+  type Accept,
+  type StreamMessage,
+  type StreamPicture,
+} from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { Streams } from "@cranetrack/chest/mark/streams.js";
+
+interface Known {
+  at: number;
+  ownerEpoch: number;
+  numbers: number[];
+  seqs: number[];
+}
+export type Verdict =
+  | { outcome: "accepted"; stream: string; birth: string; seq: number; isFresh: boolean }
+  | { outcome: "refused"; code: string; reason: string };
+
+/**
+ * One stream's part of a shard's log: its messages in their order, and what was sent before.
+ * Invariants: messages are contiguous from low + 1 to head; a session's numbers in a topic only rise, and a
+ * number has one verdict as long as the session is known; `trims` has for each topic the last message that
+ * was trimmed.
+ */
+export class StreamLog {
+  static readonly window = 128;
+
+  readonly stream: string;
+  readonly birth: string;
+  readonly trims = new Map<string, number>();
+  /** By topic, then by session. */
+  readonly #known = new Map<string, Map<string, Known>>();
+  head = 0;
+  low = 0;
+  messages: StreamMessage[] = [];
+
+  constructor(stream: string, birth: string) {
+    this.stream = stream;
+    this.birth = birth;
+  }
+
+  get spaceBirth(): number {
+    return Streams.spaceBirthOf(this.birth);
+  }
+
+  /** How many sessions' numbers are kept, over all topics. */
+  get knownCount(): number {
+    let count = 0;
+    for (const sessions of this.#known.values()) count += sessions.size;
+    return count;
+  }
+
+  /** The verdict on a number that is known already. */
+  known(topic: string, session: string, number: number): Verdict | undefined {
+    const record = this.#known.get(topic)?.get(session);
+    if (record === undefined || number > record.numbers.at(-1)!) return undefined;
+    const seq = record.seqs[record.numbers.indexOf(number)];
+    if (seq === undefined) {
+      const reason = `number ${number} is below ${record.numbers.at(-1)} and was never taken`;
+      return { outcome: "refused", code: "number-went-backwards", reason };
+    }
+    if (seq === 0)
+      return { outcome: "refused", code: "refused-before", reason: `number ${number} was refused for good` };
+    return { outcome: "accepted", stream: this.stream, birth: this.birth, seq, isFresh: false };
+  }
+
+  accept(accept: Accept): Verdict {
+    const { topic, session, number, payload, at } = accept;
+    const known = this.known(topic, session, number);
+    if (known !== undefined) return known;
+    const record = this.#sessions(topic).get(session) ?? { at: 0, ownerEpoch: 0, numbers: [], seqs: [] };
+    if (accept.ownerEpoch < record.ownerEpoch)
+      return { outcome: "refused", code: "stale-owner", reason: "the session has moved to another node" };
+    const seq = accept.isVoid ? 0 : this.head + 1;
+    if (!accept.isVoid) {
+      this.head = seq;
+      this.messages.push(create(StreamMessageSchema, { seq, session, number, payload, at, topic }));
+    }
+    record.at = at;
+    record.ownerEpoch = accept.ownerEpoch;
+    record.numbers.push(number);
+    record.seqs.push(seq);
+    if (record.numbers.length > StreamLog.window) {
+      record.numbers.shift();
+      record.seqs.shift();
+    }
+    this.#sessions(topic).set(session, record);
+    if (accept.isVoid) return { outcome: "refused", code: "refused", reason: "refused for good" };
+    return { outcome: "accepted", stream: this.stream, birth: this.birth, seq, isFresh: true };
+  }
+
+  trim(low: number): void {
+    if (low <= this.low) return;
+    const cut = Math.min(low, this.head) - this.low;
+    for (const { topic, seq } of this.messages.slice(0, cut)) this.trims.set(topic, seq);
+    this.messages = this.messages.slice(cut);
+    this.low += cut;
+  }
+
+  /** Known sessions last heard of before a shard time. */
+  hasOlder(at: number): boolean {
+    for (const sessions of this.#known.values())
+      for (const record of sessions.values()) if (record.at < at) return true;
+    return false;
+  }
+
+  forget(before: number): void {
+    for (const [topic, sessions] of this.#known) {
+      for (const [session, record] of sessions) if (record.at < before) sessions.delete(session);
+      if (sessions.size === 0) this.#known.delete(topic);
+    }
+  }
+
+  picture(): object {
+    const { stream, birth, head, low, messages } = this;
+    const trims = [...this.trims].map(([topic, seq]) => ({ topic, seq }));
+    const dedups = [...this.#known].flatMap(([topic, sessions]) =>
+      [...sessions].map(([session, record]) => ({ topic, session, ...record })),
+    );
+    return { stream, birth, head, low, messages, trims, dedups };
+  }
+
+  static from(picture: StreamPicture): StreamLog {
+    const log = new StreamLog(picture.stream, picture.birth);
+    log.head = picture.head;
+    log.low = picture.low;
+    log.messages = picture.messages;
+    for (const { topic, seq } of picture.trims) log.trims.set(topic, seq);
+    for (const { topic, session, at, ownerEpoch, numbers, seqs } of picture.dedups)
+      log.#sessions(topic).set(session, { at, ownerEpoch, numbers, seqs });
+    return log;
+  }
+
+  #sessions(topic: string): Map<string, Known> {
+    let sessions = this.#known.get(topic);
+    if (sessions === undefined) this.#known.set(topic, (sessions = new Map()));
+    return sessions;
+  }
+}
--- a/packages/anvil/src/process/anvil.ts
+++ b/packages/anvil/src/process/anvil.ts
@@ -1,3 +1,4 @@
+import { ReplicasKey } from "@cranetrack/chest/mark/replicasKey.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { Disk } from "@cranetrack/chest/process/disk.js";
 import { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
@@ -76,6 +77,10 @@
       "fetch",
       (fetch) => this.#bench(fetch.shard)?.fetch(fetch) ?? { case: "fetchReceipt", value: { outcome: "away" } },
     );
+    exchange.serve(
+      "startAsk",
+      async (ask) => (await this.#bench(ask.shard)?.start(ask)) ?? { case: "startReceipt", value: { outcome: "away" } },
+    );
     this.#claims = new Claims(this.#node, this.#lease, this.#replicas, this.#id);
     this.#lease.start();
     if (!this.#isSpare) this.#node.parts.clock.every(300, () => this.#foundSets());
@@ -121,10 +126,10 @@
       const members = picked
         .map((name) => storage.find((member) => member.name === name)!)
         .map(({ shelf, name, zone }) => ({ id: shelf, name, zone }));
-      const key = `shards/${shard}/replicas`;
+      const key = ReplicasKey.of(shard);
       void store.txn({
         checks: [{ key, revision: 0 }],
-        puts: [{ key, value: Buffer.from(JSON.stringify({ members })) }],
+        puts: [{ key, value: ReplicasKey.write({ members }) }],
       });
     }
   }
--- a/packages/anvil/src/process/claims.ts
+++ b/packages/anvil/src/process/claims.ts
@@ -1,5 +1,7 @@
 import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import { HolderKey } from "@cranetrack/chest/mark/holderKey.js";
+import { ReplicasKey } from "@cranetrack/chest/mark/replicasKey.js";
 import type { ShardSet } from "@cranetrack/chest/mark/shardSet.js";
 import type { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
 import { Bench } from "./bench.js";
@@ -129,12 +131,12 @@
     const { set, setRevision } = this.#node.shards.find(shard);
     const lease = this.#lease.lease;
     if (set === undefined) return;
-    const key = `shards/${shard}/holder`;
-    const value = Buffer.from(JSON.stringify({ name: this.#node.exchange.name, id: this.#id, lease }));
+    const key = HolderKey.of(shard);
+    const value = HolderKey.write({ name: this.#node.exchange.name, id: this.#id, lease });
     const receipt = await this.#node.store.txn({
       checks: [
         { key, revision: 0 },
-        { key: `shards/${shard}/replicas`, revision: setRevision },
+        { key: ReplicasKey.of(shard), revision: setRevision },
       ],
       puts: [{ key, value, lease }],
     });
@@ -163,7 +165,7 @@
   }
 
   async #giveBack(shard: number, epoch: number): Promise<void> {
-    const key = `shards/${shard}/holder`;
+    const key = HolderKey.of(shard);
     await this.#node.store.txn({ checks: [{ key, revision: epoch }], deletes: [key] });
   }
 
--- a/packages/anvil/src/process/follows.ts
+++ b/packages/anvil/src/process/follows.ts
@@ -1,10 +1,12 @@
 import { create } from "@bufbuild/protobuf";
 import {
-  TopicBatchSchema,
+  StreamBatchSchema,
+  StreamHeadSchema,
   type Follow,
-  type TopicBatch,
-  type TopicHead,
-  type TopicMessage,
+  type StreamAt,
+  type StreamBatch,
+  type StreamHead,
+  type StreamMessage,
 } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { ShardState } from "../mark/shardState.js";
@@ -12,15 +14,15 @@
 interface Following {
   readonly follow: string;
   readonly edge: string;
-  readonly topics: Map<string, { birth: string; sent: number }>;
+  readonly streams: Map<string, { birth: string; sent: number }>;
   number: number;
   heardAt: number;
 }
 
 /**
- * Which edges follow which topics of one held shard. Pushes are numbered a follow; what an edge misses
+ * Which edges follow which streams of one held shard. Pushes are numbered a follow; what an edge misses
  * it sees by the numbers and asks for.
- * Invariant: only committed messages are pushed, each topic's in order.
+ * Invariant: only committed messages are pushed, each stream's in order.
  */
 export class Follows {
   static readonly mostMessages = 200;
@@ -31,7 +33,7 @@
   readonly #shard: number;
   readonly #epoch: number;
   readonly #follows = new Map<string, Following>();
-  readonly #byTopic = new Map<string, Set<Following>>();
+  readonly #byStream = new Map<string, Set<Following>>();
 
   constructor(node: ClusterNode, state: ShardState, shard: number, epoch: number) {
     this.#node = node;
@@ -52,52 +54,52 @@
     return following.number === follow.seen;
   }
 
-  /** Enrols topics and returns their heads and the number the next push follows on. */
-  enrol(follow: Follow, edge: string): { heads: TopicHead[]; number: number } {
+  /** Enrols streams and returns their heads and the number the next push follows on. */
+  enrol(follow: Follow, followed: readonly StreamAt[], edge: string): { heads: StreamHead[]; number: number } {
     let following = this.#follows.get(follow.follow);
     if (follow.isFull || following === undefined) {
       for (const old of [...this.#follows.values()]) if (old.edge === edge) this.#drop(old);
-      following = { follow: follow.follow, edge, topics: new Map(), number: 0, heardAt: 0 };
+      following = { follow: follow.follow, edge, streams: new Map(), number: 0, heardAt: 0 };
       this.#follows.set(follow.follow, following);
     }
     following.heardAt = this.#node.parts.clock.now();
-    const heads: TopicHead[] = [];
-    for (const { topic, birth, after } of follow.topics) {
-      const log = this.#state.topics.get(topic);
+    const heads: StreamHead[] = [];
+    for (const { stream, birth, after } of followed) {
+      const log = this.#state.streams.get(stream);
       if (log === undefined) continue;
       const sent = birth === log.birth ? Math.max(after, log.low) : log.head;
-      following.topics.set(topic, { birth: log.birth, sent });
-      let followers = this.#byTopic.get(topic);
-      if (followers === undefined) this.#byTopic.set(topic, (followers = new Set()));
+      following.streams.set(stream, { birth: log.birth, sent });
+      let followers = this.#byStream.get(stream);
+      if (followers === undefined) this.#byStream.set(stream, (followers = new Set()));
       followers.add(following);
-      heads.push({ topic, birth: log.birth, head: log.head, low: log.low, fault: "" } as TopicHead);
+      heads.push(create(StreamHeadSchema, { stream, birth: log.birth, head: log.head, low: log.low }));
     }
     return { heads, number: following.number };
   }
 
-  /** Sends whatever each follower of these topics has not been sent. */
-  push(topics: Iterable<string>): void {
-    const batches = new Map<Following, TopicBatch[]>();
-    for (const topic of topics) {
-      for (const following of this.#byTopic.get(topic) ?? []) {
-        const batch = this.#batch(following, topic);
-        if (batch === undefined) continue;
-        const list = batches.get(following);
-        if (list === undefined) batches.set(following, [batch]);
-        else list.push(batch);
+  /** Sends whatever each follower of these streams has not been sent. */
+  push(streams: Iterable<string>): void {
+    const batches = new Map<Following, StreamBatch[]>();
+    for (const stream of streams) {
+      for (const following of this.#byStream.get(stream) ?? []) {
+        const list = batches.get(following) ?? [];
+        // All of it: what is left over here would wait for somebody's next message.
+        for (let batch = this.#batch(following, stream); batch !== undefined; batch = this.#batch(following, stream))
+          list.push(batch);
+        if (list.length > 0) batches.set(following, list);
       }
     }
     for (const [following, list] of batches) this.#send(following, list);
   }
 
-  /** Tells the followers of topics that no plan owes any more. */
-  end(topics: Iterable<string>): void {
-    for (const topic of topics) {
-      for (const following of this.#byTopic.get(topic) ?? []) {
-        following.topics.delete(topic);
-        this.#send(following, [create(TopicBatchSchema, { topic, fault: "topic-gone" })]);
+  /** Tells the followers of streams that no plan owes any more. */
+  end(streams: Iterable<string>): void {
+    for (const stream of streams) {
+      for (const following of this.#byStream.get(stream) ?? []) {
+        following.streams.delete(stream);
+        this.#send(following, [create(StreamBatchSchema, { stream, fault: "topic-gone" })]);
       }
-      this.#byTopic.delete(topic);
+      this.#byStream.delete(stream);
     }
   }
 
@@ -108,8 +110,8 @@
   }
 
   /** Messages after a place, as many as fit one receipt. */
-  static slice(messages: readonly TopicMessage[], low: number, after: number, most: number): TopicMessage[] {
-    const found: TopicMessage[] = [];
+  static slice(messages: readonly StreamMessage[], low: number, after: number, most: number): StreamMessage[] {
+    const found: StreamMessage[] = [];
     let size = 0;
     for (let i = Math.max(0, after - low); i < messages.length && found.length < most && size < 1024 * 1024; i += 1) {
       found.push(messages[i]!);
@@ -118,17 +120,17 @@
     return found;
   }
 
-  #batch(following: Following, topic: string): TopicBatch | undefined {
-    const at = following.topics.get(topic);
-    const log = this.#state.topics.get(topic);
+  #batch(following: Following, stream: string): StreamBatch | undefined {
+    const at = following.streams.get(stream);
+    const log = this.#state.streams.get(stream);
     if (at === undefined || log === undefined || at.birth !== log.birth || at.sent >= log.head) return undefined;
     const messages = Follows.slice(log.messages, log.low, at.sent, Follows.mostMessages);
     const prev = (messages[0]?.seq ?? log.head + 1) - 1;
     at.sent = messages.at(-1)?.seq ?? log.head;
-    return create(TopicBatchSchema, { topic, birth: log.birth, prev, messages });
+    return create(StreamBatchSchema, { stream, birth: log.birth, prev, messages });
   }
 
-  #send(following: Following, batches: TopicBatch[]): void {
+  #send(following: Following, batches: StreamBatch[]): void {
     following.number += 1;
     this.#node.exchange.tell(following.edge, {
       case: "push",
@@ -138,10 +140,10 @@
 
   #drop(following: Following): void {
     this.#follows.delete(following.follow);
-    for (const topic of following.topics.keys()) {
-      const followers = this.#byTopic.get(topic);
+    for (const stream of following.streams.keys()) {
+      const followers = this.#byStream.get(stream);
       followers?.delete(following);
-      if (followers?.size === 0) this.#byTopic.delete(topic);
+      if (followers?.size === 0) this.#byStream.delete(stream);
     }
   }
 }
--- a/packages/anvil/src/process/holder.ts
+++ b/packages/anvil/src/process/holder.ts
@@ -1,13 +1,13 @@
 import { EventEmitter } from "node:events";
-import { create, toBinary } from "@bufbuild/protobuf";
+import { create, toBinary, type MessageInitShape } from "@bufbuild/protobuf";
 import { EntrySchema, ShardCommandSchema } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import { Spread } from "@cranetrack/chest/mark/spread.js";
 import type { ShardSet } from "@cranetrack/chest/mark/shardSet.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import type { Verdict } from "../mark/shardState.js";
+import type { Verdict } from "../mark/streamLog.js";
 import type { AppliedEntry, Replica } from "./replica.js";
 
-type CommandInit = { case: "accept" | "trim" | "birth"; value: object };
+type CommandInit = NonNullable<MessageInitShape<typeof ShardCommandSchema>["command"]>;
 
 /**
  * A shard's holder for one epoch. It serves only after a majority has pledged its epoch and an entry of
--- a/packages/anvil/src/process/mender.ts
+++ b/packages/anvil/src/process/mender.ts
@@ -1,4 +1,6 @@
 import type { Member } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { HolderKey } from "@cranetrack/chest/mark/holderKey.js";
+import { ReplicasKey } from "@cranetrack/chest/mark/replicasKey.js";
 import type { ShardSet } from "@cranetrack/chest/mark/shardSet.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
@@ -155,17 +157,17 @@
     this.#isWriting = true;
     const { shard, id } = this.#replica;
     const isOut = move.out.id === id;
-    const holderKey = `shards/${shard}/holder`;
-    const setKey = `shards/${shard}/replicas`;
+    const holderKey = HolderKey.of(shard);
+    const setKey = ReplicasKey.of(shard);
     const { setRevision } = this.#node.shards.find(shard);
     const checks = [
       { key: holderKey, revision: this.#holder.epoch },
       { key: setKey, revision: setRevision },
     ];
-    const setPut = { key: setKey, value: Buffer.from(JSON.stringify(move.set)) };
+    const setPut = { key: setKey, value: ReplicasKey.write(move.set) };
     const holderPut = {
       key: holderKey,
-      value: Buffer.from(JSON.stringify({ name: this.#node.exchange.name, id, lease: this.#lease })),
+      value: HolderKey.write({ name: this.#node.exchange.name, id, lease: this.#lease }),
       lease: this.#lease,
     };
     const written = await this.#node.store.txn(
--- a/packages/anvil/src/process/replica.ts
+++ b/packages/anvil/src/process/replica.ts
@@ -6,7 +6,8 @@
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { Disk } from "@cranetrack/chest/process/disk.js";
 import type { BodyInit } from "@cranetrack/chest/process/wire.js";
-import { ShardState, type Verdict } from "../mark/shardState.js";
+import { ShardState } from "../mark/shardState.js";
+import type { Verdict } from "../mark/streamLog.js";
 
 export interface AppliedEntry {
   entry: Entry;
--- /dev/null
+++ b/packages/chest/src/mark/emptyingKey.ts
@@ -0,0 +1,11 @@
+/** The operators' wish to have a machine emptied. */
+export const EmptyingKey = {
+  of(machine: string): string {
+    return `machines/${machine}/emptying`;
+  },
+
+  /** The machine that a key is about, if it is such a key. */
+  machineOf(key: string): string | undefined {
+    return /^machines\/([^/]+)\/emptying$/.exec(key)?.[1];
+  },
+};
--- a/packages/chest/src/mark/machinesView.ts
+++ b/packages/chest/src/mark/machinesView.ts
@@ -1,5 +1,6 @@
 import type { Change } from "../process/feedFollower.js";
 import type { Journal } from "../process/journal.js";
+import { EmptyingKey } from "./emptyingKey.js";
 
 /** Which machines operators want emptied, as far as this node has heard. */
 export class MachinesView {
@@ -7,10 +8,10 @@
 
   constructor(journal: Journal<Change>) {
     journal.fold((change) => {
-      const found = /^machines\/([^/]+)\/emptying$/.exec(change.key);
-      if (found === null) return;
-      if (change.value === undefined) this.#emptying.delete(found[1]!);
-      else this.#emptying.add(found[1]!);
+      const machine = EmptyingKey.machineOf(change.key);
+      if (machine === undefined) return;
+      if (change.value === undefined) this.#emptying.delete(machine);
+      else this.#emptying.add(machine);
     });
   }
 
--- a/packages/chest/src/mark/plan.ts
+++ b/packages/chest/src/mark/plan.ts
@@ -29,6 +29,8 @@
 
 export type Plan = typeof planType.infer;
 export type Owe = typeof owe.infer;
+export type Order = Owe["order"];
+export type PlanRead = { plan: Plan } | { faults: PlanFault[] };
 export interface PlanFault {
   path: string;
   problem: string;
@@ -38,7 +40,7 @@
 export const Plans = {
   mostBytes: 1024 * 1024,
 
-  read(value: unknown): { plan: Plan } | { faults: PlanFault[] } {
+  read(value: unknown): PlanRead {
     const checked = planType(value);
     if (checked instanceof type.errors) {
       return { faults: [...checked].map((fault) => ({ path: fault.path.join("."), problem: fault.message })) };
@@ -49,10 +51,27 @@
       if (names.has(space.name))
         faults.push({ path: `spaces.${i}.name`, problem: `a second space is called ${space.name}` });
       names.add(space.name);
+      const order = space.program[0]?.owe.order;
+      space.program.forEach((rule, j) => {
+        if (rule.owe.order === order) return;
+        faults.push({
+          path: `spaces.${i}.program.${j}.owe.order`,
+          problem: `must be ${order}, as in the space's first rule: a space has one order`,
+        });
+      });
     });
     return faults.length > 0 ? { faults } : { plan: checked };
   },
 
+  /** Whatever the text is. */
+  parse(text: string): PlanRead {
+    try {
+      return Plans.read(JSON.parse(text));
+    } catch (cause) {
+      return { faults: [{ path: "", problem: `is not JSON: ${(cause as Error).message}` }] };
+    }
+  },
+
   /** A topic is `space/rest`. */
   spaceOf(topic: string): string {
     return topic.slice(0, Math.max(0, topic.indexOf("/")));
@@ -62,6 +81,11 @@
     return typeof topic === "string" && topic.length <= 200 && /^[a-z0-9][a-z0-9-]{0,62}\/[^\s/][^\s]*$/.test(topic);
   },
 
+  /** The order of a space, which all its rules name. */
+  orderOf(plan: Plan | undefined, space: string): Order | undefined {
+    return plan?.spaces.find((one) => one.name === space)?.program[0]?.owe.order;
+  },
+
   /** What the plan owes a topic: its space's first rule that matches; undefined where none does. */
   owed(plan: Plan | undefined, topic: string): Owe | undefined {
     const space = plan?.spaces.find((one) => one.name === Plans.spaceOf(topic));
--- a/packages/chest/src/mark/planView.ts
+++ b/packages/chest/src/mark/planView.ts
@@ -1,17 +1,27 @@
 import { EventEmitter } from "node:events";
 import type { Change } from "../process/feedFollower.js";
 import type { Journal } from "../process/journal.js";
+import { BirthsKey, type BirthsRecord } from "./birthsKey.js";
 import { Plans, type Plan } from "./plan.js";
+import { PlanKey } from "./planKey.js";
+import { Streams, type StreamRoute } from "./streams.js";
 
-/** The plan in force on this node. Invariant: its mark only rises. */
+/**
+ * The plan in force on this node, and its spaces' births.
+ * Invariants: the mark only rises; plan and births are taken up together, those of one mark.
+ */
 export class PlanView extends EventEmitter<{ changed: [] }> {
   plan: Plan | undefined;
   text = "";
   /** Why the newest plan is not in force here; empty when it is. */
   fault = "";
+  births: Record<string, number> = {};
+  #next: { plan: Plan; text: string } | undefined;
+  #nextBirths: BirthsRecord | undefined;
 
   constructor(journal: Journal<Change>) {
     super();
+    this.setMaxListeners(0);
     journal.fold((change) => this.#fold(change));
   }
 
@@ -19,16 +29,33 @@
     return this.plan?.mark ?? 0;
   }
 
+  /** Where a topic's messages go; undefined where this node knows no such space. */
+  route(topic: string): StreamRoute | undefined {
+    return Streams.route(this.plan, this.births, topic);
+  }
+
   #fold(change: Change): void {
-    if (change.key !== "plan" || change.value === undefined) return;
-    const text = Buffer.from(change.value).toString();
-    const read = Plans.read(JSON.parse(text));
-    if ("faults" in read)
-      return void (this.fault = `cannot read the plan: ${read.faults[0]!.path} ${read.faults[0]!.problem}`);
-    if (read.plan.mark <= this.mark) return;
+    if (change.value === undefined) return;
+    if (change.key === BirthsKey.name) this.#nextBirths = BirthsKey.read(change.value);
+    else if (change.key === PlanKey.name) this.#read(Buffer.from(change.value).toString());
+    else return;
+    this.#takeUp();
+  }
+
+  #read(text: string): void {
+    const read = Plans.parse(text);
+    if ("faults" in read) this.fault = `cannot read the plan: ${read.faults[0]!.path} ${read.faults[0]!.problem}`;
+    else this.#next = { plan: read.plan, text };
+  }
+
+  #takeUp(): void {
+    const next = this.#next;
+    const births = this.#nextBirths;
+    if (next === undefined || births?.mark !== next.plan.mark || next.plan.mark <= this.mark) return;
     this.fault = "";
-    this.plan = read.plan;
-    this.text = text;
+    this.plan = next.plan;
+    this.text = next.text;
+    this.births = births.spaces;
     this.emit("changed");
   }
 }
--- a/packages/chest/src/mark/shardsView.ts
+++ b/packages/chest/src/mark/shardsView.ts
@@ -1,6 +1,9 @@
 import { EventEmitter } from "node:events";
+import type { Clock } from "../process/clock.js";
 import type { Change } from "../process/feedFollower.js";
 import type { Journal } from "../process/journal.js";
+import { HolderKey } from "./holderKey.js";
+import { ReplicasKey } from "./replicasKey.js";
 import type { ShardSet } from "./shardSet.js";
 
 export interface ShardRoute {
@@ -32,18 +35,33 @@
     return [...this.#routes].sort((a, b) => a[0] - b[0]);
   }
 
+  /** Resolves when the shard is no longer that holder's, or the due has passed: waiting for it has no use then. */
+  moved(shard: number, holder: string, clock: Clock, due: number): Promise<undefined> {
+    return new Promise((resolve) => {
+      const look = (changed: number): void => {
+        if (changed === shard && this.find(shard).holder !== holder) end();
+      };
+      const beat = clock.once(due, () => end());
+      const end = (): void => {
+        beat.stop();
+        this.off("changed", look);
+        resolve(undefined);
+      };
+      this.on("changed", look);
+    });
+  }
+
   #fold(change: Change): void {
     const found = /^shards\/(\d+)\/(replicas|holder)$/.exec(change.key);
     if (found === null) return;
     const shard = Number(found[1]);
     const route = this.find(shard);
-    const value =
-      change.value === undefined ? undefined : (JSON.parse(Buffer.from(change.value).toString()) as unknown);
+    const { value } = change;
     if (found[2] === "replicas") {
-      route.set = value as ShardSet | undefined;
-      route.setRevision = change.value === undefined ? 0 : change.revision;
+      route.set = value === undefined ? undefined : ReplicasKey.read(value);
+      route.setRevision = value === undefined ? 0 : change.revision;
     } else {
-      const holder = value as { name: string; id: string } | undefined;
+      const holder = value === undefined ? undefined : HolderKey.read(value);
       route.holder = holder?.name ?? "";
       route.holderId = holder?.id ?? "";
       route.epoch = holder === undefined ? 0 : change.revision;
--- a/packages/jig/src/jig.ts
+++ b/packages/jig/src/jig.ts
@@ -11,7 +11,8 @@
 import { Fleet } from "./process/fleet.js";
 import { Load } from "./process/load.js";
 import type { FaultName } from "./process/sim/faults.js";
-import { Scenario } from "./process/sim/scenario.js";
+import type { ScenarioReport } from "./process/sim/scenario.js";
+import { Sweep } from "./process/sim/sweep.js";
 
 const cli = cac("jig");
 cli.option("--set <list>", "Settings for all members, as key=number parted by commas");
@@ -107,29 +108,41 @@
     }),
   );
 
+interface SimOptions {
+  from: number;
+  seeds: number;
+  faults?: string;
+  ms: number;
+  atOnce: number;
+  json?: boolean;
+}
+
+const tellSeed = ({ seed, breaches, accepted, received, events, trace, faults, backMs }: ScenarioReport): string => {
+  const isGood = breaches.length === 0;
+  const figures = `accepted ${accepted}  received ${received}  back ${Math.round(backMs)} ms  events ${events}`;
+  const told = breaches.slice(0, 5).map(({ at, rule, text }) => `  ${Math.round(at)} ${rule}: ${text}\n`);
+  const caused = isGood ? "" : `  faults: ${faults.join("; ")}\n`;
+  return `seed ${seed}: ${isGood ? "good" : "BREACH"}  ${figures}  ${trace.slice(0, 12)}\n${told.join("")}${caused}`;
+};
+
 cli
   .command("sim", "Run seeded failure scenarios in the simulator")
   .option("--from <seed>", "First seed", { default: 1 })
   .option("--seeds <n>", "How many seeds", { default: 20 })
   .option("--faults <list>", "Only these faults, parted by commas")
   .option("--ms <n>", "How long faults rage, in virtual milliseconds", { default: 25_000 })
-  .action(async (options: { from: number; seeds: number; faults?: string; ms: number }) => {
+  .option("--at-once <n>", "How many at a time", { default: 1 })
+  .option("--json", "A line of JSON for each seed")
+  .action(async (options: SimOptions) => {
     const faults = options.faults?.split(",") as FaultName[] | undefined;
-    let failed = 0;
-    for (let seed = options.from; seed < options.from + options.seeds; seed += 1) {
-      const report = await Scenario.run(seed, { faultMs: options.ms, ...(faults === undefined ? {} : { faults }) });
-      const isGood = report.breaches.length === 0;
-      if (!isGood) failed += 1;
-      process.stdout.write(
-        `seed ${seed}: ${isGood ? "good" : "BREACH"}  accepted ${report.accepted}  received ${report.received}  ` +
-          `events ${report.events}  ${report.trace.slice(0, 12)}\n`,
-      );
-      for (const breach of report.breaches.slice(0, 5))
-        process.stdout.write(`  ${Math.round(breach.at)} ${breach.rule}: ${breach.text}\n`);
-      if (!isGood) process.stdout.write(`  faults: ${report.faults.join("; ")}\n`);
-    }
-    process.stdout.write(`${options.seeds - failed} passed, ${failed} failed\n`);
-    process.exitCode = failed > 0 ? 1 : 0;
+    const { from, seeds, ms, atOnce } = options;
+    const sweep = new Sweep({ from, seeds, ms, faults, atOnce }, (report) =>
+      process.stdout.write(options.json === true ? `${JSON.stringify(report)}\n` : tellSeed(report)),
+    );
+    if (atOnce > 1) await sweep.run(fileURLToPath(import.meta.url));
+    else for (let seed = from; seed < from + seeds; seed += 1) sweep.take(await Sweep.run(seed, ms, faults));
+    if (options.json !== true) process.stdout.write(sweep.text);
+    process.exitCode = sweep.failed > 0 ? 1 : 0;
   });
 
 cli
--- a/packages/jig/src/mark/checker.ts
+++ b/packages/jig/src/mark/checker.ts
@@ -1,6 +1,7 @@
-import { Plans, type Plan } from "@cranetrack/chest/mark/plan.js";
+import { Plans, type Owe } from "@cranetrack/chest/mark/plan.js";
 import type { Seen } from "./history.js";
 import { OrderGraph } from "./orderGraph.js";
+import { PlanHistory } from "./planHistory.js";
 
 export interface Breach {
   rule: string;
@@ -13,7 +14,7 @@
   number: number;
   payload: string;
   firstAt: number;
-  lastAt: number;
+  tries: number[];
   acceptedAt: number | undefined;
   isUnsure: boolean;
   isRefused: boolean;
@@ -23,67 +24,52 @@
   asked: boolean;
   got: Map<string, number>;
   last: Map<string, number>;
-  lastAt: number;
-  order: string[];
   resetAt: number;
+  /** When it last had the topic. */
+  seenAt: number;
+  /** Could not have the topic on a link that it had; and until when it caught up after that. */
+  isLagging: boolean;
+  lagsUntil: number;
 }
 
 const keyOf = (sender: string, number: number): string => `${sender}#${number}`;
+const isSmall = (owe: Owe, payload: string): boolean => Buffer.byteLength(payload) <= (owe.maxBytes ?? 65_536);
 
 /**
- * Judges a history by the users' list of what must never happen. Knows only what callers and operators saw.
+ * Judges a history by the users' list of what must never happen, but for how late a message is. Knows only what
+ * callers and operators saw.
  */
 export class Checker {
-  static readonly takeUpMs = 3000;
   static readonly leastKeepMs = 35_000;
+  static readonly mostKeepMs = 60_000;
 
   readonly #seen: readonly Seen[];
   readonly #endAt: number;
   readonly #breaches: Breach[] = [];
   readonly #messages = new Map<string, Map<string, Message>>();
   readonly #readers = new Map<string, Reader>();
-  readonly #plans: Array<{ at: number; plan: Plan; text: string }> = [];
+  readonly #plans: PlanHistory;
+  /** By subscriber and space of one order: what came, in its order. */
+  readonly #orders = new Map<string, Map<string, string[]>>();
+  readonly #marks = new Map<string, number>();
 
   constructor(seen: readonly Seen[], endAt: number) {
     this.#seen = seen;
     this.#endAt = endAt;
+    this.#plans = new PlanHistory(seen);
   }
 
   static judge(seen: readonly Seen[], endAt: number): Breach[] {
     return new Checker(seen, endAt).#judge();
   }
 
-  /**
-   * Milliseconds from a message's first try to each of its receipts, by subscribers whose subscription was
-   * confirmed on the link they had when it was first tried.
-   */
-  static delays(seen: readonly Seen[]): number[] {
-    const first = new Map<string, number>();
-    const confirmed = new Map<string, number>();
-    const linked = new Map<string, number>();
-    const delays: number[] = [];
-    for (const one of seen) {
-      if (one.kind === "tried") {
-        const key = `${one.topic} ${keyOf(one.sender, one.number)}`;
-        if (!first.has(key)) first.set(key, one.at);
-      } else if (one.kind === "linked") linked.set(one.subscriber, one.at);
-      else if (one.kind === "confirmed") confirmed.set(`${one.subscriber} ${one.topic}`, one.at);
-      else if (one.kind === "received") {
-        const at = first.get(`${one.topic} ${keyOf(one.sender, one.number)}`) ?? -Infinity;
-        const since = confirmed.get(`${one.subscriber} ${one.topic}`) ?? Infinity;
-        if (at >= since && since >= (linked.get(one.subscriber) ?? Infinity)) delays.push(one.at - at);
-      }
-    }
-    return delays.sort((a, b) => a - b);
-  }
-
   #judge(): Breach[] {
     for (const one of this.#seen)
       if (one.kind === "tried" || one.kind === "accepted" || one.kind === "refused" || one.kind === "unsure")
         this.#note(one);
     for (const one of this.#seen) this.#step(one);
     this.#missing();
-    this.#orders();
+    this.#judgeOrders();
     return this.#breaches;
   }
 
@@ -104,12 +90,12 @@
           number: one.number,
           payload: one.payload,
           firstAt: one.at,
-          lastAt: one.at,
+          tries: [one.at],
           acceptedAt: undefined,
           isUnsure: false,
           isRefused: false,
         });
-      else message.lastAt = one.at;
+      else message.tries.push(one.at);
     } else if (message !== undefined) {
       if (one.kind === "accepted") message.acceptedAt ??= one.at;
       else if (one.kind === "unsure") message.isUnsure = true;
@@ -128,9 +114,10 @@
           asked: false,
           got: new Map(),
           last: new Map(),
-          lastAt: -Infinity,
-          order: [],
           resetAt: -Infinity,
+          seenAt: -Infinity,
+          isLagging: false,
+          lagsUntil: -Infinity,
         }),
       );
     return reader;
@@ -148,18 +135,25 @@
           ...(one.kind === "left" ? { asked: false } : {}),
         });
         return;
+      case "faulted":
+        this.#reader(one.subscriber, one.topic).isLagging = true;
+        return;
       case "confirmed": {
         const reader = this.#reader(one.subscriber, one.topic);
         reader.confirmedAt = Math.min(reader.confirmedAt, one.at);
+        reader.seenAt = one.at;
+        if (reader.isLagging) reader.lagsUntil = one.at;
+        reader.isLagging = false;
         return;
       }
       case "received":
         return this.#received(one);
       case "expired":
         return this.#expired(one);
-      case "planAccepted":
-        this.#plans.push({ at: one.at, plan: JSON.parse(one.text) as Plan, text: one.text });
-        return;
+      case "accepted":
+        return this.#accepted(one);
+      case "marked":
+        return this.#marked(one);
       case "planRead":
         return this.#planRead(one);
       case "planLost":
@@ -179,7 +173,12 @@
     if (message === undefined || message.firstAt > one.at)
       this.#breach("nobody-sent", one.at, `${what} was never sent`);
     else if (message.payload !== one.payload) this.#breach("changed-bytes", one.at, `${what} came with other bytes`);
-    else if (message.isRefused && message.acceptedAt === undefined && !message.isUnsure && message.lastAt < one.at)
+    else if (
+      message.isRefused &&
+      message.acceptedAt === undefined &&
+      !message.isUnsure &&
+      message.tries.at(-1)! < one.at
+    )
       this.#breach("refused-delivered", one.at, `${what} was delivered though every try was refused`);
     if (reader.got.has(key)) this.#breach("twice", one.at, `${what} came twice`);
     else {
@@ -187,39 +186,79 @@
       if (one.number < last) this.#breach("sender-order", one.at, `${what} came after number ${last}`);
       reader.last.set(one.sender, Math.max(last, one.number));
       reader.got.set(key, one.at);
-      reader.order.push(key);
+      this.#keepOrder(one, message, reader);
     }
-    reader.lastAt = one.at;
+    reader.seenAt = one.at;
     if (message !== undefined) this.#afterRemoval(one, message);
   }
 
-  /** New messages of a space that the plan in force for more than 3 s does not have. */
+  /**
+   * The order in which a subscriber sees a space of one order. A topic that could not be had for a while, on a
+   * link that went on with the space's others, catches up afterwards; what it missed has no place in the order.
+   */
+  #keepOrder(one: Extract<Seen, { kind: "received" }>, message: Message | undefined, reader: Reader): void {
+    const space = Plans.spaceOf(one.topic);
+    if (this.#plans.orderOf(space) !== "one" || message === undefined || message.firstAt < reader.lagsUntil) return;
+    const spaces = this.#orders.get(space) ?? new Map<string, string[]>();
+    this.#orders.set(space, spaces);
+    const order = spaces.get(one.subscriber) ?? [];
+    spaces.set(one.subscriber, order);
+    order.push(`${one.topic} ${keyOf(one.sender, one.number)}`);
+  }
+
+  /** New messages of a space that no plan in force for more than 3 s has. */
   #afterRemoval(one: Extract<Seen, { kind: "received" }>, message: Message): void {
-    const inForce = this.#plans.filter((plan) => plan.at <= message.firstAt - Checker.takeUpMs).at(-1);
-    if (inForce === undefined) return;
-    const since = this.#plans.slice(this.#plans.indexOf(inForce));
-    if (since.every(({ plan }) => Plans.owed(plan, one.topic) === undefined))
-      this.#breach(
-        "removed-space",
-        one.at,
-        `${one.topic}: ${keyOf(one.sender, one.number)} was sent and delivered over 3 s after its space was removed`,
-      );
+    const owed = this.#plans.owedBetween(one.topic, message.firstAt, one.at);
+    if (owed === undefined || owed.some((owe) => owe !== undefined)) return;
+    const what = `${one.topic}: ${keyOf(one.sender, one.number)}`;
+    this.#breach("removed-space", one.at, `${what} was sent and delivered over 3 s after its space was removed`);
   }
 
-  /** A space in force for more than 3 s must be known to whoever is asked. */
+  /** A rule in force for more than 3 s must be known to whoever is asked: what all plans allow is not refused. */
   #refused(one: Extract<Seen, { kind: "refused" }>): void {
-    if (one.code !== "unknown-topic") return;
-    const inForce = this.#plans.filter((plan) => plan.at <= one.at - Checker.takeUpMs).at(-1);
-    if (inForce === undefined) return;
-    const since = this.#plans.slice(this.#plans.indexOf(inForce)).filter((plan) => plan.at <= one.at + 1000);
-    if (since.every(({ plan }) => Plans.owed(plan, one.topic) !== undefined))
-      this.#breach("plan-late", one.at, `${one.topic} was unknown more than 3 s after the plan was accepted`);
+    const message = this.#messages.get(one.topic)?.get(keyOf(one.sender, one.number));
+    const owed = this.#plans.owedBetween(one.topic, message?.tries.findLast((at) => at <= one.at) ?? one.at, one.at);
+    if (owed === undefined || message === undefined) return;
+    const isWrong = owed.every((owe) => {
+      if (one.code === "unknown-topic") return owe !== undefined;
+      if (one.code === "not-a-publisher") return owe !== undefined && Plans.mayPublish(owe, one.sender);
+      return one.code === "too-large" && owe !== undefined && isSmall(owe, message.payload);
+    });
+    const what = `${one.topic}: ${keyOf(one.sender, one.number)}`;
+    if (isWrong)
+      this.#breach("plan-late", one.at, `${what} was refused (${one.code}) over 3 s after a plan allowed it`);
+  }
+
+  /** And what none of them allows is not accepted. */
+  #accepted(one: Extract<Seen, { kind: "accepted" }>): void {
+    const message = this.#messages.get(one.topic)?.get(keyOf(one.sender, one.number));
+    if (message === undefined) return;
+    // An earlier try may have been taken under an earlier plan.
+    const owed = this.#plans.owedBetween(one.topic, message.firstAt, one.at);
+    if (owed === undefined) return;
+    const isAllowed = owed.some(
+      (owe) => owe !== undefined && Plans.mayPublish(owe, one.sender) && isSmall(owe, message.payload),
+    );
+    const what = `${one.topic}: ${keyOf(one.sender, one.number)}`;
+    if (!isAllowed) this.#breach("plan-late", one.at, `${what} was accepted over 3 s after the plans ruled it out`);
+  }
+
+  /** A node may forget its plan with a restart, but never goes back to an older one. */
+  #marked({ node, mark, at }: Extract<Seen, { kind: "marked" }>): void {
+    const before = this.#marks.get(node) ?? 0;
+    if (mark > 0 && mark < before) this.#breach("slipped-back", at, `${node} showed mark ${mark} after ${before}`);
+    this.#marks.set(node, Math.max(before, mark));
   }
 
   #expired(one: Extract<Seen, { kind: "expired" }>): void {
     const reader = this.#reader(one.subscriber, one.topic);
     reader.resetAt = one.at;
-    if (one.reason === "the topic was made again") return;
+    const { seenAt } = reader;
+    reader.seenAt = one.at;
+    if (this.#plans.wasGone(one.topic, seenAt, one.at)) return;
+    const keeps = this.#plans.owedBetween(one.topic, one.at - Checker.mostKeepMs, one.at) ?? [];
+    const keepMs = Math.max(Checker.leastKeepMs, Math.min(...keeps.map((owe) => (owe?.keep ?? 0) * 1000)) * 0.98);
+    const leastMs = keeps.length === 0 ? Checker.leastKeepMs : keepMs;
     const missed = [...(this.#messages.get(one.topic)?.values() ?? [])].filter(
       (message) =>
         message.acceptedAt !== undefined &&
@@ -227,25 +266,19 @@
         message.acceptedAt < one.at &&
         !reader.got.has(keyOf(message.sender, message.number)),
     );
-    if (missed.every((message) => one.at - message.acceptedAt! < Checker.leastKeepMs))
+    if (missed.every((message) => one.at - message.acceptedAt! < leastMs))
       this.#breach(
         "expired-early",
         one.at,
-        `${one.subscriber} on ${one.topic} was told its place expired; all it missed was younger than 35 s`,
+        `${one.subscriber} on ${one.topic} was told its place expired; all it missed was younger than ${leastMs} ms`,
       );
   }
 
   #planRead(one: Extract<Seen, { kind: "planRead" }>): void {
-    const newest = this.#plans.reduce<{ plan: Plan; text: string } | undefined>(
-      (best, plan) => (best === undefined || plan.plan.mark > best.plan.mark ? plan : best),
-      undefined,
-    );
-    if (newest !== undefined && newest.text !== one.text)
-      this.#breach(
-        "plan-read-back",
-        one.at,
-        `the plan read back is not the one accepted last (mark ${newest.plan.mark})`,
-      );
+    const { newest } = this.#plans;
+    if (newest === undefined || newest.text === one.text || this.#plans.mayHaveBeenAccepted(one.text)) return;
+    const what = `the plan read back is not the one accepted last (mark ${newest.plan.mark})`;
+    this.#breach("plan-read-back", one.at, what);
   }
 
   /** Everything accepted after a confirmation must have come, unless the topic or the place was lost to a rule. */
@@ -272,17 +305,11 @@
     }
   }
 
-  #orders(): void {
-    const graphs = new Map<string, OrderGraph>();
-    for (const [key, reader] of this.#readers) {
-      const topic = key.slice(key.indexOf(" ") + 1);
-      const isOne = this.#plans.some(({ plan }) => Plans.owed(plan, topic)?.order === "one");
-      if (!isOne) continue;
-      let graph = graphs.get(topic);
-      if (graph === undefined) graphs.set(topic, (graph = new OrderGraph()));
-      graph.add(reader.order);
+  #judgeOrders(): void {
+    for (const [space, orders] of this.#orders) {
+      const graph = new OrderGraph();
+      for (const order of orders.values()) graph.add(order);
+      if (graph.hasCycle()) this.#breach("one-order", this.#endAt, `${space}: two subscribers saw different orders`);
     }
-    for (const [topic, graph] of graphs)
-      if (graph.hasCycle()) this.#breach("one-order", this.#endAt, `${topic}: two subscribers saw different orders`);
   }
 }
--- a/packages/jig/src/mark/history.ts
+++ b/packages/jig/src/mark/history.ts
@@ -7,14 +7,21 @@
   | { kind: "asked"; at: number; subscriber: string; topic: string }
   | { kind: "left"; at: number; subscriber: string; topic: string }
   | { kind: "linked"; at: number; subscriber: string; node: string }
-  | { kind: "closed"; at: number; subscriber: string }
+  /** `isOwn`: the caller dropped off of its own accord. */
+  | { kind: "closed"; at: number; subscriber: string; isOwn: boolean }
   | { kind: "confirmed"; at: number; subscriber: string; topic: string }
   | { kind: "received"; at: number; subscriber: string; topic: string; sender: string; number: number; payload: string }
   | { kind: "expired"; at: number; subscriber: string; topic: string; reason: string }
   | { kind: "ended"; at: number; subscriber: string; topic: string }
+  /** The topic could not be had on this link just now. */
+  | { kind: "faulted"; at: number; subscriber: string; topic: string; code: string }
+  | { kind: "planTried"; at: number; mark: number; text: string }
   | { kind: "planAccepted"; at: number; mark: number; text: string }
+  | { kind: "planRefused"; at: number; mark: number; text: string }
   | { kind: "planRead"; at: number; text: string }
-  | { kind: "planLost"; at: number; why: string };
+  | { kind: "planLost"; at: number; why: string }
+  /** The mark of the plan in force that a node showed. */
+  | { kind: "marked"; at: number; node: string; mark: number };
 
 /** A run's history. Append-only. */
 export class History {
--- /dev/null
+++ b/packages/jig/src/mark/lateness.ts
@@ -0,0 +1,64 @@
+import type { Seen } from "./history.js";
+
+export interface Receipt {
+  subscriber: string;
+  topic: string;
+  id: string;
+  triedAt: number;
+  at: number;
+  delay: number;
+}
+
+/** How long messages took, from their first try to each subscriber that was owed them. */
+export const Lateness = {
+  /** Nothing may take longer. */
+  mostMs: 2000,
+  aimMs: 333,
+
+  /**
+   * Receipts by subscribers that were confirmed when the message was first tried and have not dropped off of
+   * their own accord since. A link that broke, or a node that fell silent, excuses nothing.
+   */
+  receipts(seen: readonly Seen[]): Receipt[] {
+    const first = new Map<string, number>();
+    const confirmed = new Map<string, Map<string, number>>();
+    const receipts: Receipt[] = [];
+    const topicsOf = (subscriber: string): Map<string, number> => {
+      const topics = confirmed.get(subscriber) ?? new Map<string, number>();
+      confirmed.set(subscriber, topics);
+      return topics;
+    };
+    for (const one of seen) {
+      if (one.kind === "tried") {
+        const key = `${one.topic} ${one.sender}#${one.number}`;
+        if (!first.has(key)) first.set(key, one.at);
+      } else if (one.kind === "closed") {
+        if (one.isOwn) confirmed.delete(one.subscriber);
+      } else if (one.kind === "ended" || one.kind === "expired") topicsOf(one.subscriber).delete(one.topic);
+      else if (one.kind === "confirmed") {
+        const topics = topicsOf(one.subscriber);
+        if (!topics.has(one.topic)) topics.set(one.topic, one.at);
+      } else if (one.kind === "received") {
+        const { subscriber, topic, at } = one;
+        const id = `${one.sender}#${one.number}`;
+        const triedAt = first.get(`${topic} ${id}`) ?? -Infinity;
+        const since = confirmed.get(subscriber)?.get(topic) ?? Infinity;
+        if (triedAt >= since) receipts.push({ subscriber, topic, id, triedAt, at, delay: at - triedAt });
+      }
+    }
+    return receipts;
+  },
+
+  /** Late receipts counted by what was going on between the try and the receipt; nothing is a cause of its own. */
+  byCause(receipts: readonly Receipt[], causes: ReadonlyArray<{ what: string; from: number; to: number }>) {
+    const counts = new Map<string, { count: number; worst: number }>();
+    for (const { triedAt, at, delay } of receipts) {
+      if (delay <= Lateness.mostMs) continue;
+      const active = causes.filter(({ from, to }) => from <= at && to >= triedAt).map(({ what }) => what);
+      const cause = active.length === 0 ? "nothing" : [...new Set(active)].sort().join("+");
+      const count = counts.get(cause) ?? { count: 0, worst: 0 };
+      counts.set(cause, { count: count.count + 1, worst: Math.max(count.worst, Math.round(delay)) });
+    }
+    return counts;
+  },
+};
--- /dev/null
+++ b/packages/jig/src/mark/planHistory.ts
@@ -0,0 +1,81 @@
+import { Plans, type Order, type Owe, type Plan } from "@cranetrack/chest/mark/plan.js";
+import type { Seen } from "./history.js";
+
+interface Put {
+  at: number;
+  plan: Plan;
+  text: string;
+}
+
+/** The plans that operators sent, and which of them may have been in force when, as far as they could see. */
+export class PlanHistory {
+  /** So long a plan may take until it is in effect everywhere. */
+  static readonly takeUpMs = 3000;
+  /** A receipt is on its way for so long at the most, after what it tells of. */
+  static readonly receiptMs = 1000;
+
+  readonly #accepted: Put[] = [];
+  readonly #tried = new Map<string, Put>();
+  readonly #refused = new Set<string>();
+
+  constructor(seen: readonly Seen[]) {
+    for (const one of seen) {
+      if (one.kind === "planTried" && !this.#tried.has(one.text)) this.#tried.set(one.text, PlanHistory.#put(one));
+      else if (one.kind === "planAccepted") this.#accepted.push(PlanHistory.#put(one));
+      else if (one.kind === "planRefused") this.#refused.add(one.text);
+    }
+  }
+
+  get newest(): Put | undefined {
+    return this.#accepted.reduce<Put | undefined>(
+      (best, put) => (best === undefined || put.plan.mark > best.plan.mark ? put : best),
+      undefined,
+    );
+  }
+
+  /** A put that got no final receipt may have been accepted all the same. */
+  mayHaveBeenAccepted(text: string): boolean {
+    const put = this.#tried.get(text);
+    return put !== undefined && !this.#refused.has(text) && put.plan.mark > (this.newest?.plan.mark ?? 0);
+  }
+
+  /**
+   * All plans that somebody may have acted on between two moments: the one accepted for long enough before, and
+   * every one that was sent since. Undefined where none was in force for sure.
+   */
+  between(from: number, to: number): Plan[] | undefined {
+    const settled = this.#accepted
+      .filter((put) => put.at <= from - PlanHistory.takeUpMs)
+      .reduce<Put | undefined>((a, b) => (a === undefined || b.plan.mark > a.plan.mark ? b : a), undefined);
+    if (settled === undefined) return undefined;
+    const later = [...this.#tried.values(), ...this.#accepted].filter(
+      ({ plan, at }) => plan.mark > settled.plan.mark && at <= to + PlanHistory.receiptMs,
+    );
+    return [settled.plan, ...later.map((put) => put.plan)];
+  }
+
+  /** What every plan that may have been in force then owed the topic; undefined where none was for sure. */
+  owedBetween(topic: string, from: number, to: number): Array<Owe | undefined> | undefined {
+    return this.between(from, to)?.map((plan) => Plans.owed(plan, topic));
+  }
+
+  /** Whether some plan sent in that time did not have the topic. */
+  wasGone(topic: string, from: number, to: number): boolean {
+    return [...this.#tried.values(), ...this.#accepted].some(
+      ({ at, plan }) => at >= from - PlanHistory.takeUpMs && at <= to && Plans.owed(plan, topic) === undefined,
+    );
+  }
+
+  /** The one order that all plans of the run gave a space; undefined where they differ or none has it. */
+  orderOf(space: string): Order | undefined {
+    const orders = new Set(
+      [...this.#tried.values(), ...this.#accepted].flatMap(({ plan }) => Plans.orderOf(plan, space) ?? []),
+    );
+    return orders.size === 1 ? [...orders][0] : undefined;
+  }
+
+  static #put({ at, text }: { at: number; text: string }): Put {
+    const read = Plans.read(JSON.parse(text));
+    return { at, text, plan: "plan" in read ? read.plan : { mark: 0, spaces: [] } };
+  }
+}
--- a/packages/jig/src/process/caller.ts
+++ b/packages/jig/src/process/caller.ts
@@ -24,7 +24,7 @@
   /** Topics asked for and the last place known in each. */
   readonly #places = new Map<string, string | undefined>();
   readonly #numbers = new Map<string, number>();
-  readonly #busy = new Map<string, Promise<void>>();
+  readonly #busy = new Map<string, Promise<boolean>>();
   #link: PortLink | undefined;
   #node = "";
   #isOpen = false;
@@ -68,29 +68,34 @@
     void this.#connect();
   }
 
+  get topics(): string[] {
+    return [...this.#places.keys()];
+  }
+
   /** Drops off without a word, and comes back after a while. */
   dropOff(ms: number): void {
-    this.#cut();
+    this.#cut(true);
     this.#again(ms);
   }
 
   stop(): void {
     this.#isWanted = false;
     this.#waiting?.stop();
-    this.#cut();
+    this.#cut(true);
   }
 
-  /** Publishes under the topic's next number, after the ones before it are settled. */
-  publish(topic: string, payload: string): Promise<void> {
+  /** Publishes under the topic's next number, after the ones before it are settled; true where it was accepted. */
+  publish(topic: string, payload: string): Promise<boolean> {
     const number = (this.#numbers.get(topic) ?? 0) + 1;
     this.#numbers.set(topic, number);
     this.open += 1;
-    const before = this.#busy.get(topic) ?? Promise.resolve();
+    const before = this.#busy.get(topic) ?? Promise.resolve(true);
     const done = before
       .then(() => this.#settle(topic, number, payload))
-      .then(() => {
+      .then((isAccepted) => {
         this.open -= 1;
         if (this.#busy.get(topic) === done) this.#busy.delete(topic);
+        return isAccepted;
       });
     this.#busy.set(topic, done);
     return done;
@@ -100,7 +105,7 @@
     return this.#parts.clock.now();
   }
 
-  async #settle(topic: string, number: number, payload: string): Promise<void> {
+  async #settle(topic: string, number: number, payload: string): Promise<boolean> {
     const { history, port, clock } = this.#parts;
     for (let tries = 0; tries < 200; tries += 1) {
       if (!this.#isOpen) await new Promise<void>((resolve) => void this.#whenOpen.push(resolve));
@@ -113,18 +118,21 @@
         JSON.stringify({ topic, number, payload }),
       );
       const about = { at: this.#now, sender: this.session, topic, number };
-      if (receipt.status === 200)
-        return history.add({ kind: "accepted", ...about, place: String(receipt.body["place"]) });
+      if (receipt.status === 200) {
+        history.add({ kind: "accepted", ...about, place: String(receipt.body["place"]) });
+        return true;
+      }
       const code = String((receipt.body["error"] as { code?: string } | undefined)?.code ?? "");
       if (receipt.status === 504 || receipt.status === 0) history.add({ kind: "unsure", ...about });
       else history.add({ kind: "refused", ...about, code });
       const isFinal = receipt.status !== 504 && receipt.status !== 0 && receipt.status !== 503 && code !== "no-link";
-      if (isFinal) return;
+      if (isFinal) return false;
       await new Promise<void>(
         (resolve) =>
           void clock.once(Math.min(1000, (receipt.comeBack ?? 0.3) * 1000 * (0.5 + this.#parts.draw() * 0.5)), resolve),
       );
     }
+    return false;
   }
 
   #pick(): string {
@@ -195,6 +203,7 @@
         history.add({ kind: "ended", ...about });
         return this.#subscribeAgain(topic);
       case "fault":
+        history.add({ kind: "faulted", ...about, code: String(line["code"]) });
         return this.#subscribeAgain(topic);
       case "goodbye":
         this.#cut();
@@ -225,12 +234,18 @@
   /** Silence is counted from the last line, whatever it said. */
   #hush(): void {
     this.#silence?.stop();
-    this.#silence = this.#parts.clock.once(this.#beatMs * Caller.silentBeats, () => this.dropOff(0));
+    this.#silence = this.#parts.clock.once(this.#beatMs * Caller.silentBeats, () => this.#elsewhere());
+  }
+
+  /** The node has fallen silent. */
+  #elsewhere(): void {
+    this.#cut();
+    this.#again(0);
   }
 
-  #cut(): void {
+  #cut(isOwn = false): void {
     this.#silence?.stop();
-    if (this.#isOpen) this.#parts.history.add({ kind: "closed", at: this.#now, subscriber: this.session });
+    if (this.#isOpen) this.#parts.history.add({ kind: "closed", at: this.#now, subscriber: this.session, isOwn });
     this.#isOpen = false;
     this.#attempt += 1;
     this.#link?.close();
--- a/packages/jig/src/process/load.ts
+++ b/packages/jig/src/process/load.ts
@@ -1,6 +1,7 @@
 import { HostChance } from "@cranetrack/chest/process/hostChance.js";
 import { HostClock } from "@cranetrack/chest/process/hostClock.js";
 import { Checker, type Breach } from "../mark/checker.js";
+import { Lateness } from "../mark/lateness.js";
 import { History } from "../mark/history.js";
 import { Deployments } from "../mark/deployments.js";
 import { Caller } from "./caller.js";
@@ -35,15 +36,16 @@
     this.#fleet = fleet;
   }
 
-  async putPlan(plan: object): Promise<void> {
+  async putPlan(plan: { mark: number }): Promise<void> {
     const text = JSON.stringify(plan);
+    this.history.add({ kind: "planTried", at: this.#clock.now(), mark: plan.mark, text });
     for (;;) {
       const receipt = await this.#fleet.call(this.#fleet.withRole("vise")[0]!, "PUT", "/v1/plan", text);
       if (receipt.status === 200) break;
       if (receipt.status < 500) throw new Error(`the plan was refused: ${JSON.stringify(receipt.body)}`);
       await this.#wait(300);
     }
-    this.history.add({ kind: "planAccepted", at: this.#clock.now(), mark: (plan as { mark: number }).mark, text });
+    this.history.add({ kind: "planAccepted", at: this.#clock.now(), mark: plan.mark, text });
   }
 
   /** Plan, callers, confirmations. */
@@ -143,7 +145,9 @@
 
   static report(history: History, endAt: number, callers: readonly Caller[]): LoadReport {
     const { seen } = history;
-    const delays = Checker.delays(seen);
+    const delays = Lateness.receipts(seen)
+      .map((receipt) => receipt.delay)
+      .sort((a, b) => a - b);
     const rank = (share: number): number =>
       Math.round(delays[Math.min(delays.length - 1, Math.floor(delays.length * share))] ?? 0);
     return {
@@ -155,8 +159,8 @@
       p50: rank(0.5),
       p99: rank(0.99),
       max: Math.round(delays.at(-1) ?? 0),
-      above333: delays.filter((delay) => delay > 333).length,
-      above2000: delays.filter((delay) => delay > 2000).length,
+      above333: delays.filter((delay) => delay > Lateness.aimMs).length,
+      above2000: delays.filter((delay) => delay > Lateness.mostMs).length,
       breaches: Checker.judge(seen, endAt),
     };
   }
--- /dev/null
+++ b/packages/jig/src/process/sim/faultActs.ts
@@ -0,0 +1,233 @@
+import type { SimChance } from "./simChance.js";
+import type { SimFleet } from "./simFleet.js";
+import { SimLoad } from "./simLoad.js";
+import { SimPlans } from "./simPlans.js";
+
+type Act = (name: string, ms: number) => number;
+
+/**
+ * The failures of the brief, one function each. An act is given a machine and a length, both drawn, and returns
+ * after how many milliseconds the failure itself is over; what it takes to recover is not its business.
+ */
+export class FaultActs {
+  readonly #fleet: SimFleet;
+  readonly #load: SimLoad;
+  readonly #chance: SimChance;
+
+  constructor(fleet: SimFleet, load: SimLoad, chance: SimChance) {
+    this.#fleet = fleet;
+    this.#load = load;
+    this.#chance = chance;
+  }
+
+  readonly kill: Act = (name, ms) => {
+    this.#fleet.kill(name);
+    return this.#later(ms * 0.6, () => this.#fleet.revive(name));
+  };
+
+  /** A disk is lost for good, and only where no other loss is still to be mended: one loss is what is promised. */
+  readonly wipe: Act = () => {
+    if (!this.#fleet.isWhole) return -1;
+    const name = this.#chance.pick([...this.#fleet.withRole("lathe"), ...this.#fleet.withRole("anvil")]);
+    if (this.#fleet.find(name) === undefined) return -1;
+    this.#fleet.wipe(name);
+    return this.#later(this.#chance.between(500, 8000), () => this.#fleet.revive(name));
+  };
+
+  readonly pause: Act = (name, ms) => {
+    this.#fleet.pause(name, ms);
+    return ms;
+  };
+
+  readonly isolate: Act = (name, ms) => {
+    this.#fleet.isolate(name, this.#fleet.names, this.#chance.pick(["in", "out", "both"]));
+    return this.#later(ms, () => this.#fleet.wires.heal());
+  };
+
+  readonly cut: Act = (_name, ms) => {
+    for (let i = 0; i < 4; i += 1) {
+      const [one, other] = [this.#chance.pick(this.#fleet.names), this.#chance.pick(this.#fleet.names)];
+      this.#fleet.isolate(one, [other], this.#chance.pick(["in", "out", "both"]));
+    }
+    return this.#later(ms, () => this.#fleet.wires.heal());
+  };
+
+  readonly loss: Act = (_name, ms) => {
+    this.#fleet.wires.loss = this.#chance.between(0.01, 0.15);
+    return this.#later(ms, () => void (this.#fleet.wires.loss = 0));
+  };
+
+  readonly slowNode: Act = (name, ms) => {
+    this.#fleet.wires.slow.set(this.#fleet.addressOf(name), this.#chance.between(50, 400));
+    return this.#later(ms, () => void this.#fleet.wires.slow.clear());
+  };
+
+  readonly slowDisk: Act = (name, ms) => {
+    this.#fleet.diskOf(name).slowness = this.#chance.between(10, 150);
+    return this.#later(ms, () => void (this.#fleet.diskOf(name).slowness = 1));
+  };
+
+  readonly cycle: Act = (name) => {
+    this.#fleet.cycle(name);
+    return this.#later(6500, () => this.#fleet.revive(name));
+  };
+
+  readonly rolling: Act = () => {
+    const names = this.#fleet.withRole(this.#chance.pick(["lathe", "anvil", "vise"]));
+    names.forEach((name, i) => {
+      this.#later(i * 2500, () => this.#fleet.cycle(name));
+      this.#later(i * 2500 + 2400, () => this.#fleet.revive(name));
+    });
+    return names.length * 2500;
+  };
+
+  readonly crowd: Act = () => {
+    this.#load.dropAll();
+    return 500;
+  };
+
+  /** Everybody comes to a third of the edges. */
+  readonly third: Act = (_name, ms) => {
+    this.#load.crowdAt(this.#fleet.withRole("vise").slice(0, Math.ceil(this.#fleet.withRole("vise").length / 3)));
+    this.#load.dropAll();
+    return this.#later(ms, () => this.#load.crowdAt([]));
+  };
+
+  readonly move: Act = () => {
+    for (let i = 0; i < 4; i += 1) this.#load.moveOne();
+    return 2000;
+  };
+
+  /** Operators send different plans under one mark, at different nodes, and one sends what is stale or broken. */
+  readonly race: Act = () => {
+    const mark = this.#load.nextMark;
+    void this.#load.putPlan(SimLoad.plan(mark));
+    void this.#load.putPlan(SimPlans.write(mark, SimPlans.changed(this.#chance)));
+    void this.#load.putPlan(SimLoad.plan(Math.max(1, mark - 1)));
+    void this.#load.putPlan({ mark: mark + 1000, spaces: "broken" });
+    return 0;
+  };
+
+  /** The same while the lathe that proposes is frozen. */
+  readonly raceFrozen: Act = (name, ms) => {
+    const proposer = this.#fleet.proposer;
+    if (proposer !== undefined) this.#fleet.pause(proposer, ms);
+    this.race(name, ms);
+    this.replan(name, ms);
+    return ms;
+  };
+
+  readonly replan: Act = () => {
+    void this.#load.putPlan(SimPlans.write(this.#load.nextMark, SimPlans.changed(this.#chance)));
+    return 0;
+  };
+
+  /** A space is removed, and made again a while later with another contract, also with another order. */
+  readonly remake: Act = (_name, ms) => {
+    void this.#load.putPlan(SimLoad.plan(this.#load.nextMark, ["notes", "notices"]));
+    return this.#later(ms, () => {
+      const spaces = SimPlans.usual();
+      Object.assign(spaces["extra"]![0]!.owe, { order: this.#chance.pick(["one", "sender"]), keep: 90 });
+      void this.#load.putPlan(SimPlans.write(this.#load.nextMark, spaces));
+    });
+  };
+
+  readonly zone: Act = (name, ms) => {
+    const zone = this.#fleet.zoneOf(name);
+    const names = this.#fleet.names.filter((one) => this.#fleet.zoneOf(one) === zone && this.#fleet.isUsed(one));
+    for (const one of names) this.#fleet.kill(one);
+    return this.#later(ms * 0.7, () => names.forEach((one) => this.#fleet.revive(one)));
+  };
+
+  /** Power is lost everywhere. */
+  readonly all: Act = () => {
+    for (const one of this.#fleet.names) this.#fleet.kill(one);
+    return this.#later(1000, () => this.#reviveAll());
+  };
+
+  /** A storage machine is to be emptied; it is restarted midway, and the wish is taken back. */
+  readonly emptying: Act = (_name, ms) => {
+    const machine = this.#chance.pick(this.#fleet.withRole("anvil"));
+    this.#load.ask("PUT", machine);
+    if (this.#chance.draw() < 0.5) {
+      this.#later(ms * 0.3, () => this.#fleet.kill(machine));
+      this.#later(ms * 0.4, () => this.#fleet.revive(machine));
+    }
+    return this.#later(ms, () => this.#load.ask("DELETE", machine));
+  };
+
+  /** Power is lost everywhere while replicas are being moved. */
+  readonly allMoving: Act = (name, ms) => {
+    this.emptying(name, ms + 1500);
+    this.#later(this.#chance.between(200, 1200), () => this.all(name, 0));
+    return ms + 1500;
+  };
+
+  /** A node that was never there joins. */
+  readonly added: Act = () => {
+    const unused = this.#fleet.names.filter((name) => !this.#fleet.isUsed(name) && !this.#fleet.isRetired(name));
+    if (unused.length === 0) return -1;
+    this.#fleet.start(this.#chance.pick(unused));
+    return 0;
+  };
+
+  /** A node that was added is gone for good; a storage machine only while nothing else is to be mended. */
+  readonly gone: Act = () => {
+    const extra = this.#load.later.filter((name) => this.#fleet.find(name) !== undefined);
+    if (extra.length === 0 || !this.#fleet.isWhole) return -1;
+    const name = this.#chance.pick(extra);
+    this.#fleet.retire(name);
+    return 0;
+  };
+
+  /** A shard's holder and the edge of some session fail at once, each in its own way. */
+  readonly pair: Act = (_name, ms) => {
+    const holder = this.#fleet.holder;
+    const { node } = this.#chance.pick(this.#load.callers);
+    const ways = [this.kill, this.pause, this.isolate];
+    for (const name of [holder, node]) if (name !== undefined && name !== "") this.#chance.pick(ways)(name, ms);
+    return ms;
+  };
+
+  /** Nearly all links are reset, and again while the sessions that they left are being pulled. */
+  readonly pulls: Act = (_name, ms) => {
+    this.#load.dropAll();
+    this.#later(350, () => this.#load.dropAll());
+    this.#later(450, () => this.#fleet.pause(this.#chance.pick(this.#fleet.withRole("vise")), ms));
+    return 450 + ms;
+  };
+
+  /** One of the next frames is dropped, doubled, delayed or altered. */
+  readonly mutate: Act = () => {
+    let left = 10 + Math.floor(this.#chance.draw() * 400);
+    const way = this.#chance.pick(["drop", "double", "delay", "swap", "truncate", "alter"]);
+    this.#fleet.wires.mutate = (_from, _to, bytes) => {
+      left -= 1;
+      if (left !== 0) return undefined;
+      this.#fleet.wires.mutate = undefined;
+      if (way === "drop") return [];
+      if (way === "double")
+        return [
+          { bytes, delay: 0 },
+          { bytes, delay: this.#chance.between(1, 3000) },
+        ];
+      if (way === "delay") return [{ bytes, delay: this.#chance.between(100, 5000) }];
+      if (way === "swap") return [{ bytes, delay: this.#chance.between(2, 20) }];
+      if (way === "truncate")
+        return [{ bytes: bytes.subarray(0, Math.floor(this.#chance.draw() * bytes.length)), delay: 0 }];
+      const altered = Uint8Array.from(bytes);
+      altered[Math.floor(this.#chance.draw() * altered.length)]! ^= 1 << Math.floor(this.#chance.draw() * 8);
+      return [{ bytes: altered, delay: 0 }];
+    };
+    return 5000;
+  };
+
+  #reviveAll(): void {
+    for (const name of this.#fleet.names) this.#fleet.revive(name);
+  }
+
+  #later(ms: number, act: () => void): number {
+    this.#fleet.world.at(this.#fleet.world.now + ms, act);
+    return ms;
+  }
+}
--- /dev/null
+++ b/packages/jig/src/process/sim/hand.ts
@@ -0,0 +1,73 @@
+import { expect } from "earl";
+import { Scenario } from "./scenario.js";
+import { SimFleet } from "./simFleet.js";
+import { SimLoad } from "./simLoad.js";
+import { SimPlans } from "./simPlans.js";
+
+export type Line = Record<string, unknown>;
+
+/** A client by hand: one link and the lines it gave. */
+export class Hand {
+  readonly lines: Line[] = [];
+  isClosed = false;
+  receipt: Line | undefined;
+  close: () => void = () => undefined;
+
+  constructor(fleet: SimFleet, node: string, session: string, body: object) {
+    const heed = { line: (line: Line) => void this.lines.push(line), closed: () => void (this.isClosed = true) };
+    void fleet.port.link(node, session, body, heed).then((got) => {
+      if ("close" in got) this.close = () => got.close();
+      else this.receipt = { status: got.status, ...got.body, comeBack: got.comeBack };
+    });
+  }
+
+  of(kind: string): Line[] {
+    return this.lines.filter((line) => line["kind"] === kind);
+  }
+
+  /** What was delivered, as `topic number` or just the numbers of one topic. */
+  got(topic?: string): unknown[] {
+    const messages = this.of("message");
+    if (topic === undefined) return messages.map((line) => `${String(line["topic"])} ${String(line["number"])}`);
+    return messages.filter((line) => line["topic"] === topic).map((line) => line["number"]);
+  }
+}
+
+export interface Served {
+  fleet: SimFleet;
+  load: SimLoad;
+  /** Any call at any node; awaited under virtual time. */
+  ask(node: string, method: string, path: string, body?: string): Promise<Line>;
+  publish(session: string, number: number, node?: string, topic?: string): Promise<Line>;
+  /** Puts the usual plan with these spaces and these changes of their contracts; returns the receipt. */
+  plan(spaces: readonly string[], change?: (spaces: Record<string, Array<{ owe: Line }>>) => void): Promise<Line>;
+}
+
+/** A simulated fleet that serves, for tests that act by hand. */
+export async function served(seed: number, machines = Scenario.machines()): Promise<Served> {
+  const fleet = new SimFleet(seed, machines);
+  const load = new SimLoad(fleet);
+  expect(await load.begin(0)).toEqual(true);
+  const { shards } = fleet.find("vise-1")!.node;
+  const isHeld = (): boolean => shards.all().length === 4 && shards.all().every(([, route]) => route.holder !== "");
+  expect(await fleet.until(isHeld, 10_000)).toEqual(true);
+  await fleet.run(1000);
+  const ask: Served["ask"] = async (node, method, path, body) => {
+    let receipt: Line | undefined;
+    void fleet.port
+      .call(node, method, path, body)
+      .then((got) => (receipt = { status: got.status, ...got.body, comeBack: got.comeBack }));
+    expect(await fleet.until(() => receipt !== undefined, 6000)).toEqual(true);
+    return receipt!;
+  };
+  const publish: Served["publish"] = (session, number, node = "vise-1", topic = "notes/t1") => {
+    const body = JSON.stringify({ topic, number, payload: `p${number}` });
+    return ask(node, "POST", `/v1/sessions/${session}/messages`, body);
+  };
+  const plan: Served["plan"] = (names, change) => {
+    const spaces = SimPlans.usual();
+    change?.(spaces);
+    return ask("lathe-2", "PUT", "/v1/plan", JSON.stringify(SimPlans.write(load.nextMark, spaces, names)));
+  };
+  return { fleet, load, ask, publish, plan };
+}
--- a/packages/jig/src/process/sim/simClock.ts
+++ b/packages/jig/src/process/sim/simClock.ts
@@ -5,6 +5,8 @@
 export interface SimBody {
   isDead: boolean;
   pausedUntil: number;
+  /** How fast its clock runs: 1.02 gains two hundredths. */
+  rate?: number;
 }
 
 /** A process's view of virtual time: beats stop with it, and wait while it is paused. */
@@ -18,19 +20,19 @@
   }
 
   now(): number {
-    return this.#world.now;
+    return this.#world.now * this.#rate;
   }
 
   once(ms: number, ring: () => void): Beat {
     const beat = { isOff: false };
-    this.#ring(this.#world.now + Math.max(0.01, ms), beat, ring);
+    this.#ring(this.#world.now + Math.max(0.01, ms) / this.#rate, beat, ring);
     return { stop: () => void (beat.isOff = true) };
   }
 
   every(ms: number, ring: () => void): Beat {
     const beat = { isOff: false };
     const again = (): void => {
-      this.#ring(this.#world.now + ms, beat, () => {
+      this.#ring(this.#world.now + ms / this.#rate, beat, () => {
         again();
         ring();
       });
@@ -39,6 +41,10 @@
     return { stop: () => void (beat.isOff = true) };
   }
 
+  get #rate(): number {
+    return this.#body.rate ?? 1;
+  }
+
   #ring(at: number, beat: { isOff: boolean }, ring: () => void): void {
     this.#world.at(at, () => {
       if (beat.isOff || this.#body.isDead) return;
--- a/packages/jig/src/process/sim/simFleet.ts
+++ b/packages/jig/src/process/sim/simFleet.ts
@@ -12,6 +12,10 @@
   disk: SimDisk;
   life: SimNode | undefined;
   lives: number;
+  rate: number;
+  /** Whether it was ever started; and whether it is gone for good. */
+  isUsed: boolean;
+  isRetired: boolean;
 }
 
 /** A whole fleet in one process and one thread, under virtual time. */
@@ -43,6 +47,9 @@
         disk: new SimDisk(this.world),
         life: undefined,
         lives: 0,
+        rate: 1,
+        isUsed: false,
+        isRetired: false,
       });
     });
   }
@@ -79,10 +86,69 @@
     const slot = this.#slots.get(name)!;
     if (slot.life !== undefined) return slot.life;
     slot.lives += 1;
-    slot.life = new SimNode(this.world, this.wires, slot.disk, slot.settings, slot.lives);
+    slot.isUsed = true;
+    slot.life = new SimNode(this.world, this.wires, slot.disk, slot.settings, slot.lives, slot.rate);
     return slot.life;
   }
 
+  /** Starts what was started before and is not gone for good. */
+  revive(name: string): void {
+    const slot = this.#slots.get(name)!;
+    if (slot.isUsed && !slot.isRetired) this.start(name);
+  }
+
+  isUsed(name: string): boolean {
+    const { isUsed, isRetired } = this.#slots.get(name)!;
+    return isUsed && !isRetired;
+  }
+
+  /** Gone for good, with its disk. */
+  retire(name: string): void {
+    this.wipe(name);
+    this.#slots.get(name)!.isRetired = true;
+  }
+
+  isRetired(name: string): boolean {
+    return this.#slots.get(name)!.isRetired;
+  }
+
+  /** How fast a machine's clock runs, from its next start on. */
+  setRate(name: string, rate: number): void {
+    this.#slots.get(name)!.rate = rate;
+  }
+
+  /** The lathe that proposes and knows that it does. */
+  get proposer(): string | undefined {
+    return this.withRole("lathe").find((name) => {
+      const life = this.find(name);
+      return life?.lathe?.ledger?.isProposer === true && life.body.pausedUntil <= this.world.now;
+    });
+  }
+
+  /** Whoever holds some shard, as the proposer sees it. */
+  get holder(): string | undefined {
+    const { proposer } = this;
+    const routes = proposer === undefined ? [] : this.find(proposer)!.node.shards.all();
+    return routes.map(([, route]) => route.holder).find((holder) => holder !== "");
+  }
+
+  /** Every disk that anything was promised on is there: no loss is still to be mended. */
+  get isWhole(): boolean {
+    const { proposer } = this;
+    if (proposer === undefined) return false;
+    const lives = this.names.map((name) => this.find(name)).filter((life) => life !== undefined);
+    const shelves = new Set(lives.flatMap(({ lathe, anvil }) => (lathe?.spare ?? anvil)?.id ?? []));
+    const lathes = new Set(lives.flatMap(({ lathe }) => lathe?.founding.id ?? []));
+    const { node, lathe } = this.find(proposer)!;
+    const sets = node.shards.all().map(([, route]) => route.set?.members ?? []);
+    const voters = lathe!.ledger!.members.voters.map((one) => one.id);
+    return (
+      sets.every((members) => members.length === 3 && members.every((member) => shelves.has(member.id))) &&
+      voters.length === this.withRole("lathe").length &&
+      voters.every((id) => lathes.has(id))
+    );
+  }
+
   /** The process or its power is gone at once. */
   kill(name: string): void {
     const slot = this.#slots.get(name)!;
--- a/packages/jig/src/process/sim/simNode.ts
+++ b/packages/jig/src/process/sim/simNode.ts
@@ -14,7 +14,7 @@
 
 /** One process's life in the simulator: the production classes over simulated seams. */
 export class SimNode {
-  readonly body: SimBody = { isDead: false, pausedUntil: 0 };
+  readonly body: SimBody;
   readonly clock: SimClock;
   readonly node: ClusterNode;
   readonly router: Router;
@@ -26,7 +26,8 @@
   /** Why it would not start, as a process would exit. */
   readonly fault: string | undefined;
 
-  constructor(world: SimWorld, wires: SimWires, disk: SimDisk, settings: Settings, incarnation: number) {
+  constructor(world: SimWorld, wires: SimWires, disk: SimDisk, settings: Settings, incarnation: number, rate: number) {
+    this.body = { isDead: false, pausedUntil: 0, rate };
     this.clock = new SimClock(world, this.body);
     this.log = new LogRing(settings.name, () => undefined);
     const chance = world.chance.fork();
--- /dev/null
+++ b/packages/jig/src/process/sim/simPlans.ts
@@ -0,0 +1,41 @@
+import type { SimChance } from "./simChance.js";
+
+type Rule = { when: object; owe: Record<string, unknown> };
+export type SimSpaces = Record<string, Rule[]>;
+
+const spaceNames: readonly string[] = ["notes", "notices", "extra"];
+
+/** The plans of simulated operators: three spaces, and the contracts that they change. */
+export const SimPlans = {
+  all: spaceNames,
+  topics: { notes: 6, notices: 3, extra: 2 } as Record<string, number>,
+
+  /** The plan with which all callers are served. */
+  usual(): SimSpaces {
+    return {
+      notes: [{ when: {}, owe: { keep: 120, order: "sender", fault_budget: { machines: 1 } } }],
+      notices: [
+        {
+          when: {},
+          owe: { keep: 300, order: "one", fault_budget: { machines: 1, zones: 1 }, publishers: ["sender-*"] },
+        },
+      ],
+      extra: [{ when: {}, owe: { keep: 60, order: "one", fault_budget: {} } }],
+    };
+  },
+
+  /** The usual spaces with a contract or two changed. */
+  changed(chance: SimChance): SimSpaces {
+    const spaces = SimPlans.usual();
+    if (chance.draw() < 0.4)
+      spaces["notes"]!.unshift({ when: { topic: "t1" }, owe: { ...spaces["notes"]![0]!.owe, maxBytes: 8 } });
+    if (chance.draw() < 0.4) spaces["notices"]![0]!.owe["publishers"] = ["sender-1"];
+    if (chance.draw() < 0.4) spaces["extra"]![0]!.owe["keep"] = chance.pick([46, 90, 200]);
+    return spaces;
+  },
+
+  write(mark: number, spaces: SimSpaces, names: readonly string[] = spaceNames): { mark: number; spaces: object[] } {
+    const kept = names.flatMap((name) => (spaces[name] === undefined ? [] : [{ name, program: spaces[name] }]));
+    return { mark, spaces: kept };
+  },
+};
--- /dev/null
+++ b/packages/jig/src/process/sim/streams.test.ts
@@ -0,0 +1,224 @@
+import { test } from "node:test";
+import { Wire } from "@cranetrack/chest/process/wire.js";
+import { expect } from "earl";
+import { Checker } from "../../mark/checker.js";
+import { Hand, served, type Line, type Served } from "./hand.js";
+import { Scenario } from "./scenario.js";
+import { SimFleet } from "./simFleet.js";
+import { SimLoad } from "./simLoad.js";
+
+const placeOf = (hand: Hand, topic: string): string =>
+  String([...hand.lines].reverse().find((line) => line["topic"] === topic && line["place"] !== undefined)!["place"]);
+
+const isKind = (bytes: Uint8Array, ...kinds: string[]): boolean => kinds.includes(Wire.decode(bytes)?.body.case ?? "");
+
+async function linked({ fleet }: Served, node: string, session: string, topics: readonly string[]): Promise<Hand> {
+  const hand = new Hand(fleet, node, session, { subscriptions: topics.map((topic) => ({ topic })) });
+  const isLinked = (): boolean => hand.of("open").length > 0 && hand.of("confirmed").length === topics.length;
+  expect(await fleet.until(isLinked, 5000)).toEqual(true);
+  return hand;
+}
+
+test("a space of one order has it over all its topics, whoever holds what, through a change of holder", async () => {
+  const fleet = new SimFleet(51, Scenario.machines());
+  const load = new SimLoad(fleet);
+  expect(await load.begin(12)).toEqual(true);
+  // Both senders at once, on different topics; what one edge hears of a machine comes later than elsewhere.
+  for (let round = 0; round < 80; round += 1) {
+    if (round % 20 === 0) fleet.wires.slow.clear();
+    if (round % 20 === 0) fleet.wires.slow.set(fleet.addressOf(fleet.withRole("anvil")[(round / 20) % 3]!), 60);
+    if (round === 40) fleet.kill(fleet.holder!);
+    for (const [i, sender] of load.callers.slice(0, 2).entries())
+      void sender.publish(`notices/t${(round + i) % 3}`, `round ${round} of ${sender.session}`);
+    await fleet.run(40);
+  }
+  fleet.wires.heal();
+  for (const name of fleet.names) fleet.revive(name);
+  expect(await load.settle()).toEqual(true);
+  const got = load.history.seen.filter((one) => one.kind === "received" && one.topic.startsWith("notices/"));
+  expect(got.length > 600).toEqual(true);
+  expect(Checker.judge(load.history.seen, fleet.world.now).map((breach) => breach.rule)).toEqual([]);
+});
+
+test("a link that resumes with several places in a stream reads from the lowest and skips what each had", async () => {
+  const all = await served(52);
+  const { fleet, publish } = all;
+  const reader = await linked(all, "vise-1", "desk", ["notices/t0", "notices/t1"]);
+  await linked(all, "vise-2", "sender-1", []);
+  const say = async (number: number, topic: string): Promise<void> => {
+    expect((await publish("sender-1", number, "vise-2", topic))["receipt"]).toEqual("accepted");
+  };
+  await say(1, "notices/t0");
+  await say(1, "notices/t1");
+  await say(2, "notices/t0");
+  expect(await fleet.until(() => reader.got().length === 3, 3000)).toEqual(true);
+  reader.close();
+  await say(3, "notices/t0");
+  await say(2, "notices/t1");
+  await say(4, "notices/t0");
+  const subscriptions = ["notices/t0", "notices/t1"].map((topic) => ({ topic, after: placeOf(reader, topic) }));
+  const again = new Hand(fleet, "vise-3", "desk", { subscriptions });
+  expect(await fleet.until(() => again.got().length === 3, 4000)).toEqual(true);
+  await fleet.run(1000);
+  expect(again.got()).toEqual(["notices/t0 3", "notices/t1 2", "notices/t0 4"]);
+});
+
+test("a quiet topic's place in a busy space outlives the trimming of the others; only theirs expires", async () => {
+  const all = await served(53);
+  const { fleet, publish } = all;
+  await all.plan(["notes", "notices", "extra"], (spaces) => {
+    spaces["extra"]![0]!.owe["keep"] = 46;
+  });
+  const reader = await linked(all, "vise-1", "desk", ["extra/t0", "extra/t1"]);
+  await linked(all, "vise-2", "pen", []);
+  expect((await publish("pen", 1, "vise-2", "extra/t0"))["receipt"]).toEqual("accepted");
+  expect((await publish("pen", 1, "vise-2", "extra/t1"))["receipt"]).toEqual("accepted");
+  expect(await fleet.until(() => reader.got().length === 2, 3000)).toEqual(true);
+  reader.close();
+  const subscriptions = ["extra/t0", "extra/t1"].map((topic) => ({ topic, after: placeOf(reader, topic) }));
+  for (let number = 2; number <= 5; number += 1) await publish("pen", number, "vise-2", "extra/t0");
+  await fleet.run(70_000);
+  const again = new Hand(fleet, "vise-3", "desk", { subscriptions });
+  expect(await fleet.until(() => again.of("confirmed").length === 2, 5000)).toEqual(true);
+  expect(again.of("expired").map((line) => line["topic"])).toEqual(["extra/t0"]);
+  await publish("pen", 6, "vise-2", "extra/t0");
+  await publish("pen", 2, "vise-2", "extra/t1");
+  expect(await fleet.until(() => again.got().length === 2, 3000)).toEqual(true);
+  expect(again.got()).toEqual(["extra/t0 6", "extra/t1 2"]);
+});
+
+test("a place that is ahead of what an edge has heard is no unknown place: the holder is asked", async () => {
+  const all = await served(54);
+  const { fleet, publish } = all;
+  const here = await linked(all, "vise-1", "desk", ["notes/t1"]);
+  const there = await linked(all, "vise-2", "other", ["notes/t1"]);
+  // From now on the second edge hears nothing of the topic any more: no push, and no look at what it missed.
+  const late = fleet.addressOf("vise-2");
+  fleet.wires.mutate = (_from, to, bytes) => (to === late && isKind(bytes, "push", "followReceipt") ? [] : undefined);
+  for (let number = 1; number <= 3; number += 1) expect((await publish("desk", number))["receipt"]).toEqual("accepted");
+  expect(await fleet.until(() => here.got().length === 3, 2000)).toEqual(true);
+  expect(there.got()).toEqual([]);
+  const subscriptions = [{ topic: "notes/t1", after: placeOf(here, "notes/t1") }];
+  const moved = new Hand(fleet, "vise-2", "desk", { subscriptions });
+  expect(await fleet.until(() => moved.of("confirmed").length + moved.of("fault").length > 0, 3000)).toEqual(true);
+  expect(moved.of("fault")).toEqual([]);
+  fleet.wires.heal();
+  expect((await publish("desk", 4, "vise-2"))["receipt"]).toEqual("accepted");
+  expect(await fleet.until(() => moved.got().length === 1 && there.got().length === 4, 4000)).toEqual(true);
+  expect(moved.got("notes/t1")).toEqual([4]);
+});
+
+test("a space removed and made again has a new birth, though the holder saw neither plan", async () => {
+  const all = await served(55);
+  const { fleet, publish } = all;
+  const reader = await linked(all, "vise-1", "desk", ["notes/t1"]);
+  expect((await publish("desk", 1))["receipt"]).toEqual("accepted");
+  expect(await fleet.until(() => reader.got().length === 1, 2000)).toEqual(true);
+  const before = placeOf(reader, "notes/t1");
+  reader.close();
+  // All storage machines sleep through both plans; nobody else has the logs.
+  for (const name of fleet.withRole("anvil")) fleet.kill(name);
+  await fleet.run(1500);
+  expect((await all.plan(["notices"]))["status"]).toEqual(200);
+  await fleet.run(300);
+  expect((await all.plan(["notes", "notices"]))["status"]).toEqual(200);
+  for (const name of fleet.withRole("anvil")) fleet.revive(name);
+  await fleet.run(6000);
+  const again = new Hand(fleet, "vise-2", "desk", { subscriptions: [{ topic: "notes/t1", after: before }] });
+  expect(await fleet.until(() => again.of("confirmed").length === 1, 5000)).toEqual(true);
+  expect(again.of("expired").length).toEqual(1);
+  expect(placeOf(again, "notes/t1").split(".")[0] === before.split(".")[0]).toEqual(false);
+  // A number of the space's earlier life says nothing about this one.
+  expect((await publish("desk", 1, "vise-2"))["receipt"]).toEqual("accepted");
+  expect(await fleet.until(() => again.got().length === 1, 2000)).toEqual(true);
+});
+
+test("rules of a space with different orders, and a changed order of a living space, are 422 with paths", async () => {
+  const all = await served(56);
+  const pathsOf = ({ error }: Line): unknown[] =>
+    (error as { problems: Array<{ path: string }> }).problems.map((one) => one.path);
+  const mixed = await all.plan(["notes", "notices"], (spaces) => {
+    spaces["notes"]!.push({ owe: { keep: 60, order: "one", fault_budget: {} }, ...{ when: {} } });
+  });
+  expect([mixed["status"], pathsOf(mixed)]).toEqual([422, ["spaces.0.program.1.owe.order"]]);
+  const turned = await all.plan(["notes", "notices"], (spaces) => {
+    spaces["notices"]![0]!.owe["order"] = "sender";
+  });
+  expect([turned["status"], pathsOf(turned)]).toEqual([422, ["spaces.1.program.0.owe.order"]]);
+  const inForce = await all.ask("vise-1", "GET", "/v1/plan");
+  expect(JSON.parse(String(inForce["raw"]))).toEqual(SimLoad.plan(1));
+  // Removed and made again it may have another.
+  expect((await all.plan(["notes"]))["status"]).toEqual(200);
+  const made = await all.plan(["notes", "notices"], (spaces) => {
+    spaces["notices"]![0]!.owe["order"] = "sender";
+  });
+  expect(made["status"]).toEqual(200);
+});
+
+test("an edge that has not heard of a space answers 503 at once; 404 only where the store knows none", async () => {
+  const all = await served(57);
+  const { fleet, ask } = all;
+  await all.plan(["notes", "notices"]);
+  await fleet.run(1000);
+  await linked(all, "vise-1", "desk", []);
+  const deaf = fleet.addressOf("vise-1");
+  fleet.wires.mutate = (_from, to, bytes) => (to === deaf && isKind(bytes, "feedPush") ? [] : undefined);
+  expect((await all.plan(["notes", "notices", "extra"]))["status"]).toEqual(200);
+  const askedAt = fleet.world.now;
+  const body = JSON.stringify({ topic: "extra/t0", number: 1, payload: "x" });
+  const early = await ask("vise-1", "POST", "/v1/sessions/desk/messages", body);
+  expect([early["status"], Number(early["comeBack"]) > 0]).toEqual([503, true]);
+  const asked = await ask("vise-1", "POST", "/v1/sessions/desk/subscriptions", JSON.stringify({ topic: "extra/t0" }));
+  expect([asked["status"], Number(asked["comeBack"]) > 0]).toEqual([503, true]);
+  expect(fleet.world.now - askedAt < 300).toEqual(true);
+  const unknown = JSON.stringify({ topic: "nowhere/t0", number: 1, payload: "x" });
+  expect((await ask("vise-1", "POST", "/v1/sessions/desk/messages", unknown))["status"]).toEqual(404);
+  fleet.wires.heal();
+  expect(await fleet.until(() => fleet.find("vise-1")!.node.plan.route("extra/t0") !== undefined, 4000)).toEqual(true);
+  expect((await ask("vise-1", "POST", "/v1/sessions/desk/messages", body))["receipt"]).toEqual("accepted");
+});
+
+test("an edge that missed more than a push may carry gets all of it without anybody's next message", async () => {
+  const all = await served(58);
+  const { fleet, publish } = all;
+  const reader = await linked(all, "vise-1", "desk", ["notes/t1"]);
+  await linked(all, "vise-2", "pen", []);
+  const late = fleet.addressOf("vise-1");
+  fleet.wires.mutate = (_from, to, bytes) => (to === late && isKind(bytes, "push", "followReceipt") ? [] : undefined);
+  for (let number = 1; number <= 350; number += 1)
+    expect((await publish("pen", number, "vise-2"))["receipt"]).toEqual("accepted");
+  fleet.wires.heal();
+  expect(await fleet.until(() => reader.got().length === 350, 3000)).toEqual(true);
+});
+
+test("places of another space, stream or birth, or made up, get an answer for their topic alone", async () => {
+  const all = await served(59);
+  const { fleet, publish } = all;
+  const reader = await linked(all, "vise-1", "desk", ["notes/t1", "notes/t2", "extra/t0"]);
+  const afters: Record<string, string> = {
+    "notes/t1": placeOf(reader, "extra/t0"),
+    "notes/t2": "ffffff-0123456789.3",
+    "notes/t3": `${placeOf(reader, "notes/t1").split(".")[0]!}.77`,
+    "notices/t0": "no place at all",
+  };
+  const subscriptions = [
+    ...Object.entries(afters).map(([topic, after]) => ({ topic, after })),
+    { topic: "extra/t0", after: placeOf(reader, "extra/t0") },
+  ];
+  const hand = new Hand(fleet, "vise-2", "desk", { subscriptions });
+  expect(await fleet.until(() => hand.of("confirmed").length === 3 && hand.of("fault").length === 2, 5000)).toEqual(
+    true,
+  );
+  expect(hand.of("fault").map((line) => [line["topic"], line["code"]])).toLooseEqual([
+    ["notices/t0", "malformed-place"],
+    ["notes/t2", "unknown-place"],
+  ]);
+  expect(
+    hand
+      .of("expired")
+      .map((line) => line["topic"])
+      .sort(),
+  ).toEqual(["notes/t1", "notes/t3"]);
+  expect((await publish("desk", 1, "vise-2", "extra/t0"))["receipt"]).toEqual("accepted");
+  expect(await fleet.until(() => hand.got("extra/t0").length === 1, 2000)).toEqual(true);
+});
--- /dev/null
+++ b/packages/jig/src/process/sim/sweep.ts
@@ -0,0 +1,91 @@
+import { spawn } from "node:child_process";
+import { createInterface } from "node:readline";
+import PQueue from "p-queue";
+import { Scenario, type ScenarioReport } from "./scenario.js";
+import type { FaultName } from "./faults.js";
+
+export interface SweepOptions {
+  from: number;
+  seeds: number;
+  ms: number;
+  faults?: readonly FaultName[] | undefined;
+  atOnce: number;
+}
+
+/** Many seeds, several at a time, and what came of them all. */
+export class Sweep {
+  readonly #options: SweepOptions;
+  readonly #say: (report: ScenarioReport) => void;
+  readonly #caused = new Map<string, number>();
+  readonly #late = new Map<string, { count: number; worst: number; seed: number }>();
+  #worstBackMs = 0;
+  #received = 0;
+  passed = 0;
+  failed = 0;
+
+  constructor(options: SweepOptions, say: (report: ScenarioReport) => void) {
+    this.#options = options;
+    this.#say = say;
+  }
+
+  static run(seed: number, ms: number, faults: readonly FaultName[] | undefined): Promise<ScenarioReport> {
+    return Scenario.run(seed, { ...Scenario.shapeOf(seed), faultMs: ms, ...(faults === undefined ? {} : { faults }) });
+  }
+
+  /** Each run is a process of its own, given one seed after the other. */
+  async run(program: string): Promise<void> {
+    const { from, seeds, atOnce } = this.#options;
+    const queue = new PQueue({ concurrency: atOnce });
+    const size = Math.max(1, Math.min(8, Math.ceil(seeds / atOnce)));
+    for (let first = from; first < from + seeds; first += size) {
+      const count = Math.min(size, from + seeds - first);
+      void queue.add(() => this.#part(program, first, count));
+    }
+    await queue.onIdle();
+  }
+
+  take(report: ScenarioReport): void {
+    if (report.breaches.length === 0) this.passed += 1;
+    else this.failed += 1;
+    for (const fault of report.faults) {
+      const what = fault.split(" ")[1]!;
+      this.#caused.set(what, (this.#caused.get(what) ?? 0) + 1);
+    }
+    for (const { cause, count, worst } of report.late) {
+      const known = this.#late.get(cause) ?? { count: 0, worst: 0, seed: 0 };
+      const seed = worst > known.worst ? report.seed : known.seed;
+      this.#late.set(cause, { count: known.count + count, worst: Math.max(known.worst, worst), seed });
+    }
+    this.#received += report.received;
+    if (Number.isFinite(report.backMs)) this.#worstBackMs = Math.max(this.#worstBackMs, Math.round(report.backMs));
+    this.#say(report);
+  }
+
+  /** For people's eyes. */
+  get text(): string {
+    const caused = [...this.#caused].sort().map(([what, count]) => `${what} ${count}`);
+    const late = [...this.#late]
+      .sort((a, b) => b[1].worst - a[1].worst)
+      .slice(0, 12)
+      .map(([cause, { count, worst, seed }]) => `  ${count} during ${cause}, up to ${worst} ms (seed ${seed})\n`);
+    const all = [...this.#late.values()].reduce((sum, { count }) => sum + count, 0);
+    return (
+      `faults caused: ${caused.join(", ")}\n` +
+      `service back after ${this.#worstBackMs} ms at the latest; ${all} of ${this.#received} receipts above 2 s\n` +
+      `${late.join("")}${this.passed} passed, ${this.failed} failed\n`
+    );
+  }
+
+  async #part(program: string, first: number, count: number): Promise<void> {
+    const { ms, faults } = this.#options;
+    const args = ["sim", "--json", "--from", String(first), "--seeds", String(count), "--ms", String(ms)];
+    if (faults !== undefined) args.push("--faults", faults.join(","));
+    const child = spawn(process.execPath, [program, ...args], { stdio: ["ignore", "pipe", "inherit"] });
+    let got = 0;
+    for await (const line of createInterface({ input: child.stdout })) {
+      got += 1;
+      this.take(JSON.parse(line) as ScenarioReport);
+    }
+    this.failed += count - got;
+  }
+}
--- a/packages/lathe/src/mark/metadata.ts
+++ b/packages/lathe/src/mark/metadata.ts
@@ -8,6 +8,8 @@
   type Members,
   type Txn,
 } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { BirthsKey } from "@cranetrack/chest/mark/birthsKey.js";
+import { PlanKey } from "@cranetrack/chest/mark/planKey.js";
 
 const BTree = BTreeModule.default;
 
@@ -93,7 +95,7 @@
     if (txn.puts.some((kv) => kv.lease !== "" && !this.#leases.has(kv.lease)))
       return { outcome: "lost", revision: index, kvs: [], changes };
     for (const key of txn.deletes) this.#remove(key, index, changes);
-    for (const kv of txn.puts) {
+    for (const kv of this.#withBirths(txn.puts)) {
       this.#leases.get(this.#keys.get(kv.key)?.lease ?? "")?.keys.delete(kv.key);
       const fresh = create(KvSchema, { key: kv.key, value: kv.value, lease: kv.lease, revision: index });
       this.#keys.set(kv.key, fresh);
@@ -103,6 +105,17 @@
     return { outcome: "done", revision: index, kvs: [], changes };
   }
 
+  /** A plan is kept with its spaces' births, which follow from the plan before it and from nothing else. */
+  #withBirths(puts: readonly Kv[]): Kv[] {
+    return puts.flatMap((kv) => {
+      const outline = kv.key === PlanKey.name ? PlanKey.outline(kv.value) : undefined;
+      if (outline === undefined) return [kv];
+      const before = this.#keys.get(BirthsKey.name);
+      const births = BirthsKey.next(before === undefined ? undefined : BirthsKey.read(before.value), outline);
+      return [create(KvSchema, { key: BirthsKey.name, value: BirthsKey.write(births) }), kv];
+    });
+  }
+
   #remove(key: string, index: number, changes: Kv[]): void {
     const kv = this.#keys.get(key);
     if (kv === undefined) return;
--- a/packages/lathe/src/process/lathe.ts
+++ b/packages/lathe/src/process/lathe.ts
@@ -1,4 +1,5 @@
 import { Anvil } from "@cranetrack/anvil/process/anvil.js";
+import { PlanKey } from "@cranetrack/chest/mark/planKey.js";
 import { ReplicaLog } from "@cranetrack/chest/mark/replicaLog.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { Disk } from "@cranetrack/chest/process/disk.js";
@@ -27,7 +28,7 @@
     this.founding.on("founded", () => this.#begin());
     router.on("PUT", /^\/v1\/plan$/, (call) => putPlan(node, call.body));
     router.on("GET", /^\/v1\/plan$/, async () => {
-      const read = await node.store.read(["plan"]);
+      const read = await node.store.read([PlanKey.name]);
       if (read.outcome !== "done") return ApiReceipts.away("no majority of the lathes answers");
       return read.kvs![0] === undefined
         ? ApiReceipts.fault(404, "no-plan", "no plan was ever accepted")
--- a/packages/lathe/src/request/emptyMachine.ts
+++ b/packages/lathe/src/request/emptyMachine.ts
@@ -1,14 +1,14 @@
+import { EmptyingKey } from "@cranetrack/chest/mark/emptyingKey.js";
+import { ReplicasKey } from "@cranetrack/chest/mark/replicasKey.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
 
-const keyOf = (name: string): string => `machines/${name}/emptying`;
-
 /** The operators' wish to have a machine's topic logs moved off it: kept, repeatable, undone by asking. */
 export const EmptyMachine = {
   async ask(node: ClusterNode, name: string): Promise<ApiReceipt> {
     const refusal = refuse(node, name);
     if (refusal !== undefined) return refusal;
-    const written = await node.store.txn({ puts: [{ key: keyOf(name), value: Buffer.from("{}") }] });
+    const written = await node.store.txn({ puts: [{ key: EmptyingKey.of(name), value: Buffer.from("{}") }] });
     if (written.outcome === "unsure")
       return ApiReceipts.unsure("the lathes did not answer in time; the same request again settles it");
     if (written.outcome !== "done") return ApiReceipts.away("no majority of the lathes answers");
@@ -16,21 +16,21 @@
   },
 
   async undo(node: ClusterNode, name: string): Promise<ApiReceipt> {
-    const written = await node.store.txn({ deletes: [keyOf(name)] });
+    const written = await node.store.txn({ deletes: [EmptyingKey.of(name)] });
     if (written.outcome !== "done")
       return ApiReceipts.unsure("the lathes did not answer in time; the same request again settles it");
     return EmptyMachine.progress(node, name);
   },
 
   async progress(node: ClusterNode, name: string): Promise<ApiReceipt> {
-    const read = await node.store.read([keyOf(name)], ["shards/"]);
+    const read = await node.store.read([EmptyingKey.of(name)], ["shards/"]);
     if (read.outcome !== "done") return ApiReceipts.away("no majority of the lathes answers");
-    const isAsked = read.kvs!.some((kv) => kv.key === keyOf(name));
+    const isAsked = read.kvs!.some((kv) => kv.key === EmptyingKey.of(name));
     const sets = read
       .kvs!.filter((kv) => kv.key.endsWith("/replicas"))
       .map((kv) => ({
         shard: Number(kv.key.split("/")[1]),
-        members: (JSON.parse(Buffer.from(kv.value).toString()) as { members: Array<{ name: string }> }).members,
+        members: ReplicasKey.read(kv.value)?.members ?? [],
       }));
     const left = sets
       .filter((set) => set.members.some((member) => member.name === name))
--- a/packages/lathe/src/request/getRollout.ts
+++ b/packages/lathe/src/request/getRollout.ts
@@ -1,15 +1,15 @@
 import type { FeedState } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { Plan } from "@cranetrack/chest/mark/plan.js";
+import { PlanKey } from "@cranetrack/chest/mark/planKey.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
 
 /** How far the plan in force has got: the acknowledgements of all lathes' feeds, counted by node. */
 export async function getRollout(node: ClusterNode): Promise<ApiReceipt> {
-  const present = await node.store.read(["plan"]);
+  const present = await node.store.read([PlanKey.name]);
   if (present.outcome !== "done") return ApiReceipts.away("no majority of the lathes answers");
   const inForce = present.kvs![0];
   if (inForce === undefined) return ApiReceipts.fault(404, "no-plan", "no plan was ever accepted");
-  const { mark } = JSON.parse(Buffer.from(inForce.value).toString()) as Plan;
+  const mark = PlanKey.markOf(inForce.value);
   const lathes = node.membership.alive("lathe").map((member) => member.name);
   const asked = await Promise.all(
     lathes.map((name) =>
--- /dev/null
+++ b/packages/vise/src/link/streamCursor.ts
@@ -0,0 +1,177 @@
+import type { StreamMessage } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { Plans, type Plan } from "@cranetrack/chest/mark/plan.js";
+import type { Beat, Clock } from "@cranetrack/chest/process/clock.js";
+import { Places, type Place } from "../mark/place.js";
+import type { StreamTable } from "../process/streamTable.js";
+import type { StreamTail } from "../process/streamTail.js";
+import type { ClientLink } from "./clientLink.js";
+
+interface CursorParts {
+  table: StreamTable;
+  tail: StreamTail;
+  link: ClientLink;
+  clock: Clock;
+  /** False closes the link: nothing may be sent any more. */
+  maySend: () => boolean;
+  onEnd: (topic: string) => void;
+}
+
+/**
+ * One stream on one link: reads the log by cursor, in order, and hands on what is of the topics asked for.
+ * Invariants: `cursor` is the last message read and only rises within a birth, but where a topic joins with an
+ * older place; a topic's entry in `topics` is the last place up to which it needs nothing more, so no message
+ * is handed on twice; nothing is handed on before its topic was confirmed, or after it was stopped.
+ */
+export class StreamCursor {
+  static readonly againMs = 250;
+
+  readonly #parts: CursorParts;
+  readonly #topics = new Map<string, number>();
+  readonly #grown = (): void => void this.#pump();
+  readonly #ended = (fault: string): void => this.#endAll(fault);
+  birth = "";
+  cursor = 0;
+  #isPumping = false;
+  #isStopped = false;
+  #again: Beat | undefined;
+
+  constructor(parts: CursorParts) {
+    this.#parts = parts;
+  }
+
+  get tail(): StreamTail {
+    return this.#parts.tail;
+  }
+
+  get isStopped(): boolean {
+    return this.#isStopped;
+  }
+
+  /** Adds a topic from its place on; the cursor goes back to it where it must, and no other topic with it. */
+  add(topic: string, start: Place): void {
+    if (this.#topics.size === 0 && this.birth === "") {
+      this.birth = start.birth;
+      this.cursor = start.seq;
+    }
+    const isBehind = start.birth === this.birth && start.seq < this.cursor;
+    if (isBehind) {
+      for (const [other, at] of this.#topics) this.#topics.set(other, Math.max(at, this.cursor));
+      this.cursor = start.seq;
+    }
+    this.#topics.set(topic, start.birth === this.birth ? start.seq : this.cursor);
+  }
+
+  start(): void {
+    const { tail } = this.#parts;
+    tail.off("grown", this.#grown);
+    tail.off("ended", this.#ended);
+    tail.on("grown", this.#grown);
+    tail.on("ended", this.#ended);
+    void this.#pump();
+  }
+
+  placeOf(topic: string): Place {
+    return { birth: this.birth, seq: Math.max(this.#topics.get(topic) ?? 0, this.cursor) };
+  }
+
+  remove(topic: string): void {
+    this.#topics.delete(topic);
+    if (this.#topics.size === 0) this.stop();
+  }
+
+  stop(): void {
+    if (this.#isStopped) return;
+    this.#isStopped = true;
+    this.#again?.stop();
+    this.#parts.tail.off("grown", this.#grown);
+    this.#parts.tail.off("ended", this.#ended);
+    this.#parts.table.leave(this.#parts.tail);
+  }
+
+  /** Topics that the plan now in force owes nothing end. */
+  planChanged(plan: Plan | undefined): void {
+    for (const topic of [...this.#topics.keys()])
+      if (Plans.owed(plan, topic) === undefined) this.#end(topic, "topic-gone");
+  }
+
+  /** Every turn moves the cursor, or is the last: a step without progress waits for news or the next look. */
+  async #pump(): Promise<void> {
+    if (this.#isPumping) return;
+    this.#isPumping = true;
+    const { tail } = this.#parts;
+    while (!this.#isStopped && this.#parts.maySend()) {
+      if (tail.birth !== this.birth && tail.isKnown) this.#restart();
+      const before = this.cursor;
+      if (tail.birth !== this.birth || before >= tail.head) break;
+      const next = tail.after(before);
+      if (next !== undefined) this.#deliver(next);
+      else await this.#fetch();
+      if (this.cursor > before) continue;
+      this.#lookAgain();
+      break;
+    }
+    this.#isPumping = false;
+  }
+
+  /** What could not be fetched now is asked for again, also where no news comes. */
+  #lookAgain(): void {
+    this.#again?.stop();
+    this.#again = this.#parts.clock.once(StreamCursor.againMs, () => void this.#pump());
+  }
+
+  async #fetch(): Promise<void> {
+    const { table, tail, maySend } = this.#parts;
+    const { birth, cursor } = this;
+    const got = await table.followOf(tail.shard).fetch(tail.stream, birth, cursor);
+    if (got === undefined || this.#isStopped || this.birth !== birth || this.cursor !== cursor) return;
+    if (got.outcome === "trimmed") this.#skip(got.low, got.trims);
+    for (const message of got.messages) {
+      if (this.#isStopped || !maySend()) return;
+      this.#deliver(message);
+    }
+  }
+
+  #deliver(message: StreamMessage): void {
+    if (message.seq !== this.cursor + 1) return;
+    this.cursor = message.seq;
+    const { session, number, payload, seq, topic } = message;
+    const from = this.#topics.get(topic);
+    if (from === undefined || seq <= from) return;
+    const place = Places.write(this.birth, seq);
+    const text = Buffer.from(payload).toString();
+    this.#parts.link.send({ kind: "message", topic, sender: session, number, place, payload: text });
+  }
+
+  /** Goes on after what was trimmed. Only topics that lost a message by it are told. */
+  #skip(low: number, trims: ReadonlyMap<string, number>): void {
+    const cursor = this.cursor;
+    for (const [topic, from] of this.#topics) {
+      if ((trims.get(topic) ?? 0) > Math.max(from, cursor)) this.#expire(topic, low, "older messages were trimmed");
+    }
+    this.cursor = Math.max(cursor, low);
+  }
+
+  /** The stream was made again: all of the new birth is news. */
+  #restart(): void {
+    const { tail } = this.#parts;
+    this.birth = tail.birth;
+    this.cursor = tail.low;
+    for (const topic of this.#topics.keys()) this.#expire(topic, tail.low, "the topic was made again");
+  }
+
+  #expire(topic: string, low: number, reason: string): void {
+    this.#topics.set(topic, low);
+    this.#parts.link.send({ kind: "expired", topic, place: Places.write(this.birth, low), reason });
+  }
+
+  #endAll(fault: string): void {
+    for (const topic of [...this.#topics.keys()]) this.#end(topic, fault);
+  }
+
+  #end(topic: string, reason: string): void {
+    if (this.#isStopped || !this.#topics.has(topic)) return;
+    this.remove(topic);
+    this.#parts.onEnd(topic);
+    this.#parts.link.send({ kind: "ended", topic, reason });
+  }
+}
--- a/packages/vise/src/mark/ownersView.ts
+++ b/packages/vise/src/mark/ownersView.ts
@@ -1,11 +1,8 @@
 import type { Change } from "@cranetrack/chest/process/feedFollower.js";
 import type { Journal } from "@cranetrack/chest/process/journal.js";
+import { OwnerKey, type OwnerRecord } from "./ownerKey.js";
 
-export interface Owner {
-  node: string;
-  lease: string;
-  revision: number;
-}
+export type Owner = OwnerRecord & { revision: number };
 
 /** Which node owns which session, as far as this node has heard. Only a cache; the store decides. */
 export class OwnersView {
@@ -13,17 +10,14 @@
 
   constructor(journal: Journal<Change>) {
     journal.fold((change) => {
-      const found = /^sessions\/([^/]+)\/owner$/.exec(change.key);
-      if (found === null) return;
-      if (change.value === undefined) this.#owners.delete(found[1]!);
-      else this.#owners.set(found[1]!, OwnersView.read(change.value, change.revision));
+      const session = OwnerKey.sessionOf(change.key);
+      if (session === undefined) return;
+      const owner = change.value === undefined ? undefined : OwnerKey.read(change.value);
+      if (owner === undefined) this.#owners.delete(session);
+      else this.#owners.set(session, { ...owner, revision: change.revision });
     });
   }
 
-  static read(value: Uint8Array, revision: number): Owner {
-    return { ...(JSON.parse(Buffer.from(value).toString()) as { node: string; lease: string }), revision };
-  }
-
   find(session: string): Owner | undefined {
     return this.#owners.get(session);
   }
--- a/packages/vise/src/mark/place.ts
+++ b/packages/vise/src/mark/place.ts
@@ -3,14 +3,15 @@
   seq: number;
 }
 
-/** A client's place in a topic: an opaque string to the client, birth and sequence number to us. */
+/** A client's place in a topic: an opaque string to the client, stream's birth and sequence number to us. */
 export const Places = {
   write(birth: string, seq: number): string {
     return `${birth}.${seq}`;
   },
 
   read(text: unknown): Place | undefined {
-    const found = typeof text === "string" ? /^([0-9a-f]{6,40})\.(0|[1-9][0-9]{0,15})$/.exec(text) : null;
+    if (typeof text !== "string") return undefined;
+    const found = /^([0-9a-f]{1,14}-[0-9a-f]{6,20})\.(0|[1-9][0-9]{0,15})$/.exec(text);
     return found === null ? undefined : { birth: found[1]!, seq: Number(found[2]) };
   },
 };
--- a/packages/vise/src/process/session.ts
+++ b/packages/vise/src/process/session.ts
@@ -1,5 +1,5 @@
 import type { ClientLink } from "../link/clientLink.js";
-import type { Subscription } from "../link/subscription.js";
+import type { StreamCursor } from "../link/streamCursor.js";
 import type { Place } from "../mark/place.js";
 
 export interface NumberState {
@@ -18,7 +18,8 @@
   readonly numbers = new Map<string, NumberState>();
   /** Cursors of topics without a live subscription: shipped, or left by an earlier link. */
   readonly places = new Map<string, Place>();
-  readonly subscriptions = new Map<string, Subscription>();
+  /** By topic: the cursor of its stream. Topics of one stream share one. */
+  readonly subscriptions = new Map<string, StreamCursor>();
   link: ClientLink | undefined;
   leftAt = 0;
   isStopped = false;
@@ -34,20 +35,22 @@
     if (link === undefined) return;
     this.link = undefined;
     this.leftAt = now;
-    for (const subscription of this.subscriptions.values()) {
-      subscription.stop();
-      this.places.set(subscription.topic, { birth: subscription.birth, seq: subscription.cursor });
-    }
+    for (const [topic, cursor] of this.subscriptions) this.places.set(topic, cursor.placeOf(topic));
+    for (const cursor of this.cursors()) cursor.stop();
     this.subscriptions.clear();
     if (link.isClosed) return;
     link.send({ kind: "goodbye", reason, comeBack });
     link.close();
   }
 
-  /** Cursors of everything, linked or not. */
-  cursors(): Map<string, Place> {
-    const cursors = new Map(this.places);
-    for (const [topic, { birth, cursor }] of this.subscriptions) cursors.set(topic, { birth, seq: cursor });
-    return cursors;
+  cursors(): ReadonlySet<StreamCursor> {
+    return new Set(this.subscriptions.values());
+  }
+
+  /** Places of everything, linked or not. */
+  allPlaces(): Map<string, Place> {
+    const places = new Map(this.places);
+    for (const [topic, cursor] of this.subscriptions) places.set(topic, cursor.placeOf(topic));
+    return places;
   }
 }
--- a/packages/vise/src/process/sessions.ts
+++ b/packages/vise/src/process/sessions.ts
@@ -3,8 +3,9 @@
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
 import type { BodyInit } from "@cranetrack/chest/process/wire.js";
-import { OwnersView, type Owner } from "../mark/ownersView.js";
-import { Places } from "../mark/place.js";
+import { OwnerKey } from "../mark/ownerKey.js";
+import type { Owner } from "../mark/ownersView.js";
+import { SubscriptionKey } from "../mark/subscriptionKey.js";
 import { Session } from "./session.js";
 
 export type Claimed = { session: Session } | { comeBack: number; reason: string };
@@ -69,16 +70,17 @@
   async #claim(id: string): Promise<Claimed> {
     const { lease } = this.#lease;
     if (!this.#lease.isHeld) return { comeBack: 1, reason: "this node has no lease" };
-    const key = `sessions/${id}/owner`;
-    const read = await this.#node.store.read([key], [`sessions/${id}/subscriptions/`]);
+    const key = OwnerKey.of(id);
+    const read = await this.#node.store.read([key], [SubscriptionKey.prefix(id)]);
     if (read.outcome !== "done") return { comeBack: 1, reason: "the store does not answer" };
     const kept = read.kvs!.find((kv) => kv.key === key);
-    const owner = kept === undefined ? undefined : OwnersView.read(kept.value, kept.revision);
+    const record = kept === undefined ? undefined : OwnerKey.read(kept.value);
+    const owner = kept === undefined || record === undefined ? undefined : { ...record, revision: kept.revision };
     const shipped = owner === undefined ? undefined : await this.#pull(id, owner, lease);
     if (shipped !== undefined && "comeBack" in shipped) return shipped;
-    const value = Buffer.from(JSON.stringify({ node: this.#node.exchange.name, lease }));
+    const value = OwnerKey.write({ node: this.#node.exchange.name, lease });
     const written = await this.#node.store.txn({
-      checks: [{ key, revision: owner?.revision ?? 0 }],
+      checks: [{ key, revision: kept?.revision ?? 0 }],
       puts: [{ key, value, lease }],
     });
     const revision =
@@ -108,12 +110,11 @@
   /** Gives sessions back to the store, with their cursors, so that anyone may take them at once. */
   async release(session: Session): Promise<void> {
     this.#prepare(session);
-    const key = `sessions/${session.id}/owner`;
-    const prefix = `sessions/${session.id}/subscriptions/`;
-    const lease = `session:${session.id}`;
-    const puts = [...session.cursors()].map(([topic, place]) => ({
-      key: prefix + topic,
-      value: Buffer.from(Places.write(place.birth, place.seq)),
+    const key = OwnerKey.of(session.id);
+    const lease = SubscriptionKey.leaseOf(session.id);
+    const puts = [...session.allPlaces()].map(([topic, place]) => ({
+      key: SubscriptionKey.of(session.id, topic),
+      value: SubscriptionKey.write(place),
       lease,
     }));
     const released = await this.#node.store.txn({ checks: [{ key, revision: session.epoch }], puts, deletes: [key] });
@@ -167,7 +168,7 @@
   #prepare(session: Session): BodyInit {
     session.isStopped = true;
     this.#table.delete(session.id);
-    const subscriptions = [...session.cursors()].map(([topic, { birth, seq }]) => ({ topic, birth, cursor: seq }));
+    const subscriptions = [...session.allPlaces()].map(([topic, { birth, seq }]) => ({ topic, birth, cursor: seq }));
     const numbers = [...session.numbers].map(([topic, { number, isOpen }]) => ({ topic, number, isOpen }));
     const body: BodyInit = { case: "pullReceipt", value: { outcome: "shipped", subscriptions, numbers } };
     this.#shipped.set(`${session.id}@${session.epoch}`, { body, at: this.#node.parts.clock.now() });
@@ -187,14 +188,14 @@
     const read = await this.#node.store.read([key]);
     const kept = read.kvs?.[0];
     if (read.outcome !== "done" || kept === undefined) return 0;
-    const owner = OwnersView.read(kept.value, kept.revision);
-    return owner.node === this.#node.exchange.name && owner.lease === lease ? kept.revision : 0;
+    const owner = OwnerKey.read(kept.value);
+    return owner?.node === this.#node.exchange.name && owner.lease === lease ? kept.revision : 0;
   }
 
   #fill(session: Session, kvs: Kv[], shipped: PullReceipt | undefined): void {
     for (const kv of kvs) {
-      const place = Places.read(Buffer.from(kv.value).toString());
-      if (place !== undefined) session.places.set(kv.key.slice(`sessions/${session.id}/subscriptions/`.length), place);
+      const place = SubscriptionKey.read(kv.value);
+      if (place !== undefined) session.places.set(kv.key.slice(SubscriptionKey.prefix(session.id).length), place);
     }
     for (const { topic, birth, cursor } of shipped?.subscriptions ?? [])
       session.places.set(topic, { birth, seq: cursor });
--- a/packages/vise/src/process/shardFollow.ts
+++ b/packages/vise/src/process/shardFollow.ts
@@ -1,19 +1,28 @@
-import type { Push, TopicHead, TopicMessage } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import type { Push, StreamHead, StreamMessage } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import type { TopicTail } from "./topicTail.js";
+import type { StreamTail } from "./streamTail.js";
+
+export interface Fetched {
+  outcome: "done" | "trimmed";
+  low: number;
+  messages: readonly StreamMessage[];
+  /** For each topic the last message of it that was trimmed. */
+  trims: ReadonlyMap<string, number>;
+}
 
 /**
- * This edge's following of one shard's topics at whoever holds the shard.
+ * This edge's following of one shard's streams at whoever holds the shard.
  * Invariants: a push counts only in its number's turn; `#seen` is the last number counted; anything else
  * makes the edge follow again, in full, from what it has.
  */
 export class ShardFollow {
   static readonly beatMs = 500;
+  static readonly againMs = 60;
 
   readonly #node: ClusterNode;
   readonly #shard: number;
-  readonly #topics = new Map<string, TopicTail>();
-  readonly #asked = new Set<TopicTail>();
+  readonly #streams = new Map<string, StreamTail>();
+  readonly #asked = new Set<StreamTail>();
   #follow = "";
   #epoch = 0;
   #seen = 0;
@@ -28,21 +37,21 @@
   }
 
   get isIdle(): boolean {
-    return this.#topics.size === 0;
+    return this.#streams.size === 0;
   }
 
   get holder(): string {
     return this.#node.shards.find(this.#shard).holder;
   }
 
-  add(tail: TopicTail): void {
-    this.#topics.set(tail.topic, tail);
+  add(tail: StreamTail): void {
+    this.#streams.set(tail.stream, tail);
     this.#asked.add(tail);
     this.#node.parts.clock.once(0, () => void this.tend());
   }
 
-  remove(tail: TopicTail): void {
-    this.#topics.delete(tail.topic);
+  remove(tail: StreamTail): void {
+    if (this.#streams.get(tail.stream) === tail) this.#streams.delete(tail.stream);
     this.#asked.delete(tail);
   }
 
@@ -63,21 +72,22 @@
     if (!this.#isStale && this.#asked.size === 0) return;
     this.#isAsking = true;
     const isFull = this.#isStale;
-    const wanted = isFull ? [...this.#topics.values()] : [...this.#asked];
+    const wanted = isFull ? [...this.#streams.values()] : [...this.#asked];
     if (isFull) this.#follow = `${this.#node.exchange.name}/${this.#node.parts.chance.identity().slice(0, 8)}`;
-    const topics = wanted.map((tail) => ({ topic: tail.topic, birth: tail.birth, after: tail.head }));
+    const streams = wanted.map(({ route, birth, head }) => ({ ...route, birth, after: head }));
     const follow = this.#follow;
     const turn = this.#turn;
     const receipt = await this.#node.exchange.call(
       this.holder,
-      { case: "follow", value: { shard: this.#shard, follow, seen: this.#seen, isFull, topics } },
+      { case: "follow", value: { shard: this.#shard, follow, seen: this.#seen, isFull, streams } },
       800,
     );
     if (turn !== this.#turn) return;
     this.#isAsking = false;
     if (receipt?.case !== "followReceipt" || receipt.value.outcome !== "done") {
       this.#isStale = true;
-      for (const tail of wanted) tail.away();
+      // Whoever has just claimed the shard serves in a moment; the next beat would be late.
+      this.#node.parts.clock.once(ShardFollow.againMs, () => void this.tend());
       return;
     }
     if (isFull) {
@@ -86,8 +96,14 @@
       this.#seen = receipt.value.number;
     }
     for (const tail of wanted) this.#asked.delete(tail);
-    for (const head of receipt.value.heads) this.#learn(head);
+    const behind = receipt.value.heads.filter((head) => head.fault === "behind").map((head) => head.stream);
     if (this.#asked.size > 0) void this.tend();
+    for (const head of receipt.value.heads) this.#learn(head);
+    // Who has not heard of the newest plan, this node or the holder, is given until the next beat.
+    for (const stream of behind) {
+      const tail = this.#streams.get(stream);
+      if (tail !== undefined) this.#asked.add(tail);
+    }
   }
 
   /** Asks whether all pushes were seen; the answer to a lost last push. */
@@ -121,7 +137,7 @@
     }
     this.#seen = push.number;
     for (const batch of push.batches) {
-      const tail = this.#topics.get(batch.topic);
+      const tail = this.#streams.get(batch.stream);
       if (tail === undefined) continue;
       if (batch.fault !== "") tail.end(batch.fault);
       else tail.extend(batch.birth, batch.messages);
@@ -129,29 +145,23 @@
   }
 
   /** Messages after a place that the tail no longer has; undefined where the holder can't be asked now. */
-  async fetch(
-    topic: string,
-    birth: string,
-    after: number,
-  ): Promise<{ outcome: string; low: number; birth: string; messages: TopicMessage[] } | undefined> {
+  async fetch(stream: string, birth: string, after: number): Promise<Fetched | undefined> {
     if (this.holder === "") return undefined;
     const receipt = await this.#node.exchange.call(
       this.holder,
-      { case: "fetch", value: { shard: this.#shard, topic, birth, after, limit: 500 } },
+      { case: "fetch", value: { shard: this.#shard, stream, birth, after, limit: 500 } },
       800,
     );
-    if (receipt?.case !== "fetchReceipt" || receipt.value.outcome === "away") return undefined;
-    return {
-      outcome: receipt.value.outcome,
-      low: receipt.value.low,
-      birth: receipt.value.batch?.birth ?? birth,
-      messages: receipt.value.batch?.messages ?? [],
-    };
+    if (receipt?.case !== "fetchReceipt") return undefined;
+    const { outcome, low, batch, trims } = receipt.value;
+    if ((outcome !== "done" && outcome !== "trimmed") || batch?.birth !== birth) return undefined;
+    return { outcome, low, messages: batch.messages, trims: new Map(trims.map(({ topic, seq }) => [topic, seq])) };
   }
 
-  #learn(head: TopicHead): void {
-    const tail = this.#topics.get(head.topic);
+  #learn(head: StreamHead): void {
+    const tail = this.#streams.get(head.stream);
     if (tail === undefined) return;
+    if (head.fault === "behind") return;
     if (head.fault !== "") tail.end(head.fault);
     else tail.learn(head.birth, head.head, head.low);
   }
--- /dev/null
+++ b/packages/vise/src/process/streamTail.test.ts
@@ -0,0 +1,53 @@
+import { test } from "node:test";
+import { create } from "@bufbuild/protobuf";
+import { StreamMessageSchema, type StreamMessage } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { expect } from "earl";
+import { StreamTail } from "./streamTail.js";
+
+const birth = "1-0123456789";
+const message = (seq: number): StreamMessage => create(StreamMessageSchema, { seq, session: "s", number: seq });
+const tailOf = (): StreamTail => new StreamTail({ stream: "notes/t1", space: "notes", spaceBirth: 1 }, 0);
+
+/** The invariant that readers rest on: what is here ends at the head, without a gap. */
+function look(tail: StreamTail): void {
+  tail.messages.forEach((one, i) => expect(one.seq).toEqual(tail.head - tail.messages.length + 1 + i));
+  for (let seq = tail.low; seq < tail.head; seq += 1) {
+    const next = tail.after(seq);
+    if (next !== undefined) expect(next.seq).toEqual(seq + 1);
+  }
+}
+
+test("a tail that ended and comes back in the same birth with a higher head has no gap before it", () => {
+  const tail = tailOf();
+  tail.learn(birth, 0, 0);
+  tail.extend(birth, [message(1), message(2)]);
+  tail.end("topic-gone");
+  tail.learn(birth, 7, 0);
+  look(tail);
+  expect([tail.head, tail.after(1), tail.after(2)]).toEqual([7, undefined, undefined]);
+  tail.extend(birth, [message(8)]);
+  look(tail);
+  expect(tail.after(7)?.seq).toEqual(8);
+});
+
+test("whatever is heard in whatever order, messages end at the head and the head only rises", () => {
+  for (let round = 0; round < 300; round += 1) {
+    const tail = tailOf();
+    let draw = round + 1;
+    const next = (most: number): number => (draw = (draw * 1103515245 + 12345) % 2147483648) % most;
+    for (let step = 0; step < 40; step += 1) {
+      const before = tail.head;
+      const first = next(30) + 1;
+      const act = next(5);
+      if (act === 0) tail.learn(birth, next(900), 0);
+      else if (act === 1) tail.end("topic-gone");
+      else
+        tail.extend(
+          birth,
+          Array.from({ length: next(6) }, (_, i) => message(first + i)),
+        );
+      look(tail);
+      expect(tail.head >= before).toEqual(true);
+    }
+  }
+});
--- a/packages/vise/src/process/topicTail.ts
+++ b/packages/vise/src/process/streamTail.ts
@@ -1,48 +1,56 @@
 import { EventEmitter } from "node:events";
-import type { TopicMessage } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import type { StreamMessage } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import type { StreamRoute } from "@cranetrack/chest/mark/streams.js";
 
 /**
- * The newest messages of a topic that this edge has heard of, shared by all its subscriptions.
- * Invariants: `messages` are contiguous and end at `head`; within one birth `head` only rises.
+ * The newest messages of a stream that this edge has heard of, shared by all its links.
+ * Invariants: `messages` are contiguous and end at `head`, whatever was heard or missed; within one birth
+ * `head` only rises; `owed` has topics only that the stream's holder has found owed in this birth of the space.
  */
-export class TopicTail extends EventEmitter<{ grown: []; known: []; ended: [fault: string]; away: [] }> {
+export class StreamTail extends EventEmitter<{ grown: []; known: []; ended: [fault: string] }> {
   static readonly most = 400;
   static readonly mostBytes = 2 * 1024 * 1024;
 
-  readonly topic: string;
+  readonly route: StreamRoute;
   readonly shard: number;
+  readonly owed = new Set<string>();
   birth = "";
   head = 0;
   low = 0;
-  messages: TopicMessage[] = [];
+  messages: StreamMessage[] = [];
   #bytes = 0;
   isKnown = false;
   users = 0;
 
-  constructor(topic: string, shard: number) {
+  constructor(route: StreamRoute, shard: number) {
     super();
     this.setMaxListeners(0);
-    this.topic = topic;
+    this.route = route;
     this.shard = shard;
   }
 
+  get stream(): string {
+    return this.route.stream;
+  }
+
   /** The message after a place, if it is here. */
-  after(seq: number): TopicMessage | undefined {
+  after(seq: number): StreamMessage | undefined {
     const first = this.messages[0];
     return first === undefined || seq + 1 < first.seq ? undefined : this.messages[seq + 1 - first.seq];
   }
 
+  /** A confirmed head. What lies between it and what was heard before is not here: readers fetch it. */
   learn(birth: string, head: number, low: number): void {
     if (birth !== this.birth) this.#reborn(birth);
     this.low = Math.max(low, this.low);
-    if (!this.isKnown) this.head = Math.max(this.head, head);
+    const isFarAhead = head - this.head > StreamTail.most;
+    if (head > this.head && (!this.isKnown || isFarAhead)) this.#skipTo(head);
     this.isKnown = true;
     this.emit("known");
-    if (head > this.head && head - this.head > TopicTail.most) this.#skipTo(head);
     this.emit("grown");
   }
 
-  extend(birth: string, messages: TopicMessage[]): void {
+  extend(birth: string, messages: readonly StreamMessage[]): void {
     if (birth !== this.birth) return;
     const fresh = messages.filter((message) => message.seq > this.head);
     if (fresh.length === 0) return;
@@ -52,20 +60,17 @@
       this.#bytes += message.payload.length;
     }
     this.head = fresh.at(-1)!.seq;
-    while (this.messages.length > TopicTail.most || this.#bytes > TopicTail.mostBytes)
+    while (this.messages.length > StreamTail.most || this.#bytes > StreamTail.mostBytes)
       this.#bytes -= this.messages.shift()!.payload.length;
     this.emit("grown");
   }
 
   end(fault: string): void {
     this.isKnown = false;
+    this.owed.clear();
     this.emit("ended", fault);
   }
 
-  away(): void {
-    this.emit("away");
-  }
-
   #reborn(birth: string): void {
     this.birth = birth;
     this.head = 0;
--- a/packages/vise/src/process/vise.ts
+++ b/packages/vise/src/process/vise.ts
@@ -7,13 +7,15 @@
 import { BodyReader } from "@cranetrack/chest/request/bodyReader.js";
 import type { ClientLink } from "../link/clientLink.js";
 import { OwnersView } from "../mark/ownersView.js";
+import { SubscriptionKey } from "../mark/subscriptionKey.js";
 import { enrolLink } from "../request/enrolLink.js";
 import { publishMessage } from "../request/publishMessage.js";
 import { subscribeTopics } from "../request/subscribeTopics.js";
 import { unsubscribeTopic } from "../request/unsubscribeTopic.js";
 import type { Session } from "./session.js";
 import { Sessions } from "./sessions.js";
-import { TopicTable } from "./topicTable.js";
+import { PlanCheck } from "./planCheck.js";
+import { StreamTable } from "./streamTable.js";
 import type { ViseParts } from "./viseParts.js";
 
 const subscriptionsBody = type({ "+": "reject", topic: "string", "after?": "string" });
@@ -26,7 +28,8 @@
   readonly node: ClusterNode;
   readonly lease: LeaseKeeper;
   readonly sessions: Sessions;
-  readonly topics: TopicTable;
+  readonly streams: StreamTable;
+  readonly planCheck: PlanCheck;
   readonly owners: OwnersView;
   readonly router: Router;
   readonly beatMs = 500;
@@ -44,7 +47,8 @@
     this.owners = new OwnersView(node.journal);
     this.lease = new LeaseKeeper(settings.name, settings.edgeLeaseMs, node.store, clock, chance);
     this.sessions = new Sessions(node, this.lease);
-    this.topics = new TopicTable(node);
+    this.streams = new StreamTable(node);
+    this.planCheck = new PlanCheck(node.store);
     router.on("POST", /^\/v1\/sessions\/([^/]+)\/messages$/, (call) => publishMessage(this, call));
     router.on("POST", /^\/v1\/sessions\/([^/]+)\/subscriptions$/, (call) =>
       this.#onOwner(call, (session) => this.#subscribe(session, call.body)),
@@ -52,6 +56,7 @@
     router.on("DELETE", /^\/v1\/sessions\/([^/]+)\/subscriptions\/(.+)$/, (call) =>
       this.#onOwner(call, (session) => unsubscribeTopic(this, session, call.params[1]!)),
     );
+    node.plan.on("changed", () => this.#planChanged());
     clock.every(this.beatMs, () => this.#beat());
     clock.every(200_000, () => this.#renewSessions());
   }
@@ -64,7 +69,7 @@
     return {
       links: this.sessions.links,
       sessions: this.sessions.table.size,
-      topics: this.topics.count,
+      streams: this.streams.count,
       owners: this.owners.count,
       isDraining: this.isDraining,
       hasLease: this.lease.isHeld,
@@ -105,7 +110,13 @@
       });
     if (session.link === undefined)
       return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
-    return subscribeTopics(this, session, session.link, [read.value]);
+    const faults = await subscribeTopics(this, session, session.link, [read.value]);
+    const fault = faults?.[0];
+    if (faults === undefined) return ApiReceipts.away("the subscriptions could not be kept", 0.5);
+    if (fault === undefined) return ApiReceipts.done({ receipt: "subscribed", topic: read.value.topic });
+    if (fault.comeBack !== undefined) return ApiReceipts.away(fault.reason, fault.comeBack);
+    const status = fault.code === "unknown-topic" ? 404 : fault.code === "malformed-place" ? 400 : 409;
+    return ApiReceipts.fault(status, fault.code, fault.reason);
   }
 
   async #onOwner(call: ApiCall, act: (session: Session) => Promise<ApiReceipt>): Promise<ApiReceipt> {
@@ -120,6 +131,12 @@
     );
   }
 
+  #planChanged(): void {
+    const { plan } = this.node.plan;
+    for (const session of this.sessions.table.values())
+      for (const cursor of session.cursors()) cursor.planChanged(plan);
+  }
+
   #beat(): void {
     const isLost = this.node.feed.age > Vise.outOfTouchMs;
     for (const session of this.sessions.table.values()) {
@@ -132,6 +149,6 @@
 
   #renewSessions(): void {
     for (const session of this.sessions.table.values())
-      void this.node.store.call({ case: "renew", value: { lease: `session:${session.id}` } });
+      void this.node.store.call({ case: "renew", value: { lease: SubscriptionKey.leaseOf(session.id) } });
   }
 }
--- a/packages/vise/src/process/viseParts.ts
+++ b/packages/vise/src/process/viseParts.ts
@@ -5,14 +5,16 @@
 import type { OwnersView } from "../mark/ownersView.js";
 import type { Session } from "./session.js";
 import type { Sessions } from "./sessions.js";
-import type { TopicTable } from "./topicTable.js";
+import type { PlanCheck } from "./planCheck.js";
+import type { StreamTable } from "./streamTable.js";
 
 /** What the requests of an edge work with. */
 export interface ViseParts {
   readonly node: ClusterNode;
   readonly lease: LeaseKeeper;
   readonly sessions: Sessions;
-  readonly topics: TopicTable;
+  readonly streams: StreamTable;
+  readonly planCheck: PlanCheck;
   readonly owners: OwnersView;
   readonly router: Router;
   readonly beatMs: number;
--- /dev/null
+++ b/packages/vise/src/request/askStarts.ts
@@ -0,0 +1,28 @@
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import type { TopicPlaceSchema, TopicStart } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import type { ViseParts } from "../process/viseParts.js";
+
+const mostMs = 1500;
+const callMs = 700;
+const againMs = 80;
+
+/** Asks a shard's holder for starts, and whoever holds it next while it changes hands; undefined where none can. */
+export async function askStarts(
+  vise: ViseParts,
+  shard: number,
+  places: Array<MessageInitShape<typeof TopicPlaceSchema>>,
+): Promise<Map<string, TopicStart> | undefined> {
+  const { exchange, shards, parts } = vise.node;
+  const end = parts.clock.now() + mostMs;
+  for (let left = mostMs; left > 0; left = end - parts.clock.now()) {
+    const { holder } = shards.find(shard);
+    if (holder !== "") {
+      const ask = exchange.call(holder, { case: "startAsk", value: { shard, places } }, Math.min(callMs, left));
+      const receipt = await Promise.race([ask, shards.moved(shard, holder, parts.clock, left)]);
+      if (receipt?.case === "startReceipt" && receipt.value.outcome === "done")
+        return new Map(receipt.value.starts.map((start) => [start.topic, start]));
+    }
+    await new Promise<void>((resolve) => void parts.clock.once(againMs, resolve));
+  }
+  return undefined;
+}
--- a/packages/vise/src/request/enrolLink.ts
+++ b/packages/vise/src/request/enrolLink.ts
@@ -6,7 +6,8 @@
 import { Places } from "../mark/place.js";
 import type { Session } from "../process/session.js";
 import type { ViseParts } from "../process/viseParts.js";
-import { subscribeTopics, type Wish } from "./subscribeTopics.js";
+import type { Wish } from "./findStarts.js";
+import { subscribeTopics } from "./subscribeTopics.js";
 
 const linkBody = type({
   "+": "reject",
@@ -63,7 +64,8 @@
     numbers: Object.fromEntries([...session.numbers].map(([topic, { number }]) => [topic, number])),
   });
   forgetOthers(session, read.value.subscriptions);
-  await subscribeTopics(vise, session, link, read.value.subscriptions ?? kept);
+  const faults = await subscribeTopics(vise, session, link, read.value.subscriptions ?? kept);
+  if (session.link === link) for (const fault of faults ?? []) link.send({ kind: "fault", ...fault });
   return undefined;
 }
 
--- /dev/null
+++ b/packages/vise/src/request/findStarts.ts
@@ -0,0 +1,112 @@
+import { Grouped } from "@cranetrack/chest/process/grouped.js";
+import type { TopicStart } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import type { StreamRoute } from "@cranetrack/chest/mark/streams.js";
+import { Places, type Place } from "../mark/place.js";
+import type { TopicFault } from "../mark/topicFault.js";
+import type { Session } from "../process/session.js";
+import type { StreamTail } from "../process/streamTail.js";
+import type { ViseParts } from "../process/viseParts.js";
+import { askStarts } from "./askStarts.js";
+
+export interface Wish {
+  topic: string;
+  after?: string;
+}
+export interface Start {
+  topic: string;
+  tail: StreamTail;
+  place: Place;
+  /** Why delivery does not go on from the client's place. */
+  expired: string;
+}
+interface Routed {
+  topic: string;
+  tail: StreamTail;
+  route: StreamRoute;
+  /** The client's own place, else the one kept for it; none for a topic that it never had. */
+  place: Place | undefined;
+  isAsked: boolean;
+}
+
+/**
+ * Where each topic's delivery starts. A place that this edge has heard of is good; all else is judged by the
+ * stream's holder, never by what this edge has cached. Each start comes with a taken tail, to be left again.
+ */
+export async function findStarts(
+  vise: ViseParts,
+  session: Session,
+  wishes: readonly Wish[],
+): Promise<{ starts: Start[]; faults: TopicFault[] }> {
+  const faults: TopicFault[] = [];
+  const unrouted: string[] = [];
+  const routed: Routed[] = [];
+  for (const { topic, after } of wishes) {
+    const asked = Places.read(after);
+    const route = vise.node.plan.route(topic);
+    if (after !== undefined && asked === undefined)
+      faults.push({ topic, code: "malformed-place", reason: "the place is malformed" });
+    else if (route === undefined) unrouted.push(topic);
+    else {
+      const place = asked ?? session.places.get(topic);
+      routed.push({ topic, tail: vise.streams.take(route), route, place, isAsked: asked !== undefined });
+    }
+  }
+  const starts: Start[] = [];
+  const unsure: Routed[] = [];
+  for (const one of routed) {
+    const heard = heardStart(one);
+    if (heard === undefined) unsure.push(one);
+    else starts.push(heard);
+  }
+  const [judged] = await Promise.all([
+    judge(vise, unsure),
+    Promise.all(unrouted.map(async (topic) => faults.push(await vise.planCheck.faultOf(topic)))),
+  ]);
+  for (const one of judged) {
+    if ("code" in one) faults.push(one);
+    else starts.push(one);
+  }
+  return { starts, faults };
+}
+
+/** What the tail shows by itself: a place it has passed in the same birth, of a topic found owed before. */
+function heardStart({ topic, tail, place }: Routed): Start | undefined {
+  if (!tail.isKnown || !tail.owed.has(topic)) return undefined;
+  if (place === undefined) return { topic, tail, place: { birth: tail.birth, seq: tail.head }, expired: "" };
+  const isHeard = place.birth === tail.birth && place.seq >= tail.low && place.seq <= tail.head;
+  return isHeard ? { topic, tail, place, expired: "" } : undefined;
+}
+
+async function judge(vise: ViseParts, unsure: readonly Routed[]): Promise<Array<Start | TopicFault>> {
+  const shards = Grouped.by(unsure, ({ tail }) => tail.shard);
+  const { mark } = vise.node.plan;
+  const judged = await Promise.all(
+    [...shards].map(async ([shard, list]) => {
+      const places = list.map(({ topic, route: { spaceBirth }, place }) => ({ topic, spaceBirth, ...place }));
+      const answers = await askStarts(vise, shard, places);
+      return list.map((one) => settle(one, answers?.get(one.topic), vise.node.plan.mark === mark));
+    }),
+  );
+  const all = judged.flat();
+  for (const one of unsure)
+    if (!all.some((found) => "tail" in found && found.topic === one.topic)) vise.streams.leave(one.tail);
+  return all;
+}
+
+function settle(
+  { topic, tail, isAsked }: Routed,
+  answer: TopicStart | undefined,
+  isPlanSame: boolean,
+): Start | TopicFault {
+  const away = { topic, code: "unavailable", reason: "the topic's holder does not answer", comeBack: 0.5 };
+  if (answer === undefined) return away;
+  const { outcome, birth, seq, reason } = answer;
+  if (outcome === "behind") return { ...away, reason: "the topic's space is changing", comeBack: 0.3 };
+  if (outcome === "unknown-topic")
+    return { topic, code: outcome, reason: `the plan in force has no rule for ${topic}` };
+  if (outcome === "unknown-place" && isAsked) return { topic, code: outcome, reason };
+  if (isPlanSame) tail.owed.add(topic);
+  // A kept place that the log does not know can only be of a log that is gone.
+  const expired = outcome === "known" ? "" : reason;
+  return { topic, tail, place: { birth, seq }, expired };
+}
--- a/packages/vise/src/request/publishMessage.ts
+++ b/packages/vise/src/request/publishMessage.ts
@@ -3,6 +3,7 @@
 import type { ApiCall } from "@cranetrack/chest/process/router.js";
 import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
 import { BodyReader } from "@cranetrack/chest/request/bodyReader.js";
+import type { TopicFault } from "../mark/topicFault.js";
 import { Places } from "../mark/place.js";
 import type { Session } from "../process/session.js";
 import type { ViseParts } from "../process/viseParts.js";
@@ -34,16 +35,26 @@
   const session = sessions.find(id);
   if (session === undefined) return passOn(vise, id, call);
 
-  const shard = vise.topics.shardOf(topic);
+  const route = node.plan.route(topic);
+  if (route === undefined) return unrouted(await vise.planCheck.faultOf(topic));
+  const shard = vise.streams.shardOf(route.stream);
   const { holder } = node.shards.find(shard);
   if (holder === "") return ApiReceipts.away("the topic has no holder just now", 0.2);
   if (node.exchange.isMute(holder) && !node.membership.isAlive(holder))
     return ApiReceipts.away("the topic's holder does not answer", 0.5);
   note(session, topic, number, true);
-  const publish = { shard, session: id, ownerEpoch: session.epoch, number, topic, payload: Buffer.from(payload) };
+  const publish = {
+    shard,
+    session: id,
+    ownerEpoch: session.epoch,
+    spaceBirth: route.spaceBirth,
+    number,
+    topic,
+    payload: Buffer.from(payload),
+  };
   const answered = await Promise.race([
     node.exchange.call(holder, { case: "publish", value: publish }, vise.publishDue),
-    movedFrom(vise, shard, holder),
+    node.shards.moved(shard, holder, node.parts.clock, vise.publishDue),
   ]);
   if (answered?.case !== "publishReceipt")
     return ApiReceipts.unsure("the topic's holder did not answer; the same number again settles it");
@@ -68,21 +79,10 @@
   }
 }
 
-/** Resolves when the shard is no longer that holder's: waiting for its answer has no use then. */
-function movedFrom(vise: ViseParts, shard: number, holder: string): Promise<undefined> {
-  const { shards } = vise.node;
-  return new Promise((resolve) => {
-    const look = (changed: number): void => {
-      if (changed === shard && shards.find(shard).holder !== holder) end();
-    };
-    const beat = vise.node.parts.clock.once(vise.publishDue, () => end());
-    const end = (): void => {
-      beat.stop();
-      shards.off("changed", look);
-      resolve(undefined);
-    };
-    shards.on("changed", look);
-  });
+/** The plan this node knows has no such space. */
+function unrouted({ code, reason, comeBack }: TopicFault): ApiReceipt {
+  if (comeBack !== undefined) return ApiReceipts.away(reason, comeBack);
+  return ApiReceipts.fault(statuses[code] ?? 409, code, reason, { details: { receipt: "refused" } });
 }
 
 function note(session: Session, topic: string, number: number, isOpen: boolean): void {
