--- a/packages/vise/src/request/subscribeTopics.ts
+++ b/packages/vise/src/request/subscribeTopics.ts
@@ -1,120 +1,83 @@
-import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
+import { Grouped } from "@cranetrack/chest/process/grouped.js";
 import type { ClientLink } from "../link/clientLink.js";
-import { Subscription } from "../link/subscription.js";
-import { Places, type Place } from "../mark/place.js";
+import { StreamCursor } from "../link/streamCursor.js";
+import { OwnerKey } from "../mark/ownerKey.js";
+import { Places } from "../mark/place.js";
+import { SubscriptionKey } from "../mark/subscriptionKey.js";
+import type { TopicFault } from "../mark/topicFault.js";
 import type { Session } from "../process/session.js";
-import type { TopicTail } from "../process/topicTail.js";
 import type { ViseParts } from "../process/viseParts.js";
-
-export interface Wish {
-  topic: string;
-  after?: string;
-}
-interface Ready {
-  wish: Wish;
-  tail: TopicTail;
-  start: Place;
-  note: object | undefined;
-}
+import { findStarts, type Start, type Wish } from "./findStarts.js";
 
 /**
- * Each topic: follow it at its holder, find the start, write the key under the owner key's revision, and
- * only then confirm. What fails is said for that topic alone.
+ * Each topic: find where its stream starts, write the key under the owner key's revision, and only then
+ * confirm and deliver. What fails is answered for that topic alone; undefined where the link had to be closed.
  */
 export async function subscribeTopics(
   vise: ViseParts,
   session: Session,
   link: ClientLink,
   wishes: readonly Wish[],
-): Promise<ApiReceipt> {
+): Promise<TopicFault[] | undefined> {
   const fresh = wishes.filter(
     (wish, i) => !session.subscriptions.has(wish.topic) && wishes.findIndex((one) => one.topic === wish.topic) === i,
   );
-  for (const wish of wishes) {
-    const subscription = session.subscriptions.get(wish.topic);
-    if (subscription !== undefined)
-      link.send({ kind: "confirmed", topic: wish.topic, place: Places.write(subscription.birth, subscription.cursor) });
+  for (const { topic } of wishes) {
+    const cursor = session.subscriptions.get(topic);
+    if (cursor !== undefined) confirm(link, topic, cursor);
   }
-  const ready = (await Promise.all(fresh.map((wish) => prepare(vise, session, link, wish)))).filter(
-    (one) => one !== undefined,
-  );
-  if (ready.length === 0) return ApiReceipts.done({ receipt: "subscribed" });
+  const { starts, faults } = await findStarts(vise, session, fresh);
+  const isKept = starts.length === 0 || (await keep(vise, session, starts));
+  if (isKept && session.link === link) deliver(vise, session, link, starts);
+  for (const { tail } of starts) vise.streams.leave(tail);
+  if (isKept) return faults;
+  if (session.link === link) session.unlink("the subscriptions could not be kept", 0.5, vise.node.parts.clock.now());
+  return undefined;
+}
 
-  const lease = `session:${session.id}`;
-  const prefix = `sessions/${session.id}/subscriptions/`;
-  const checks = [{ key: `sessions/${session.id}/owner`, revision: session.epoch }];
-  const puts = ready.map(({ wish, start }) => ({
-    key: prefix + wish.topic,
-    value: Buffer.from(Places.write(start.birth, start.seq)),
-    lease,
-  }));
-  let written = await vise.node.store.txn({ checks, puts });
-  if (written.outcome === "lost") {
-    await vise.node.store.call({ case: "grant", value: { lease, length: vise.sessionKeepMs } });
-    written = await vise.node.store.txn({ checks, puts });
-  }
-  if (written.outcome !== "done" || session.link !== link) {
-    for (const { tail } of ready) vise.topics.leave(tail);
-    if (session.link === link) session.unlink("the subscriptions could not be kept", 0.5, vise.node.parts.clock.now());
-    return ApiReceipts.away("the subscriptions could not be kept", 0.5);
-  }
-  for (const { wish, tail, start, note } of ready) {
-    if (session.link !== link || session.subscriptions.has(wish.topic)) {
-      vise.topics.leave(tail);
-      continue;
+/** The keys, which only the session's owner may write. */
+async function keep(vise: ViseParts, session: Session, starts: readonly Start[]): Promise<boolean> {
+  const lease = SubscriptionKey.leaseOf(session.id);
+  const checks = [{ key: OwnerKey.of(session.id), revision: session.epoch }];
+  const puts = starts.map(({ topic, place }) => {
+    return { key: SubscriptionKey.of(session.id, topic), value: SubscriptionKey.write(place), lease };
+  });
+  const written = await vise.node.store.txn({ checks, puts });
+  if (written.outcome !== "lost") return written.outcome === "done";
+  await vise.node.store.call({ case: "grant", value: { lease, length: vise.sessionKeepMs } });
+  return (await vise.node.store.txn({ checks, puts })).outcome === "done";
+}
+
+/** All topics of a stream join its cursor before it moves, so that what they missed comes in the stream's order. */
+function deliver(vise: ViseParts, session: Session, link: ClientLink, starts: readonly Start[]): void {
+  for (const [tail, list] of Grouped.by(starts, (start) => start.tail)) {
+    const joining = list.filter(({ topic }) => !session.subscriptions.has(topic));
+    if (joining.length === 0) continue;
+    let cursor = [...session.cursors()].find((one) => one.tail === tail && !one.isStopped);
+    if (cursor === undefined) {
+      cursor = new StreamCursor({
+        table: vise.streams,
+        tail: vise.streams.take(tail.route),
+        link,
+        clock: vise.node.parts.clock,
+        maySend: () => vise.maySend(session, link),
+        onEnd: (topic) => session.subscriptions.delete(topic),
+      });
     }
-    const subscription = new Subscription({
-      table: vise.topics,
-      tail,
-      link,
-      start,
-      maySend: () => vise.maySend(session, link),
-      onEnd: () => session.subscriptions.delete(wish.topic),
-    });
-    session.subscriptions.set(wish.topic, subscription);
-    session.places.delete(wish.topic);
-    if (!vise.maySend(session, link)) break;
-    if (note !== undefined) link.send(note);
-    link.send({ kind: "confirmed", topic: wish.topic, place: Places.write(start.birth, start.seq) });
-    subscription.start();
+    for (const { topic, place, expired } of joining) {
+      if (!vise.maySend(session, link)) return cursor.stop();
+      cursor.add(topic, place);
+      session.subscriptions.set(topic, cursor);
+      session.places.delete(topic);
+      if (expired !== "")
+        link.send({ kind: "expired", topic, place: Places.write(place.birth, place.seq), reason: expired });
+      confirm(link, topic, cursor);
+    }
+    cursor.start();
   }
-  return ApiReceipts.done({ receipt: "subscribed" });
 }
 
-async function prepare(vise: ViseParts, session: Session, link: ClientLink, wish: Wish): Promise<Ready | undefined> {
-  const { topic, after } = wish;
-  const asked = Places.read(after);
-  if (after !== undefined && asked === undefined)
-    return void link.send({ kind: "fault", topic, code: "malformed-place", reason: "the place is malformed" });
-  const tail = vise.topics.take(topic);
-  const known = await vise.topics.known(tail, 1500);
-  const leave = (line: object): undefined => {
-    vise.topics.leave(tail);
-    if (session.link === link) link.send(line);
-    return undefined;
-  };
-  if (known === "away")
-    return leave({
-      kind: "fault",
-      topic,
-      code: "unavailable",
-      reason: "the topic's holder does not answer",
-      comeBack: 0.5,
-    });
-  if (known !== "known")
-    return leave({ kind: "fault", topic, code: known.fault, reason: `the plan in force has no rule for ${topic}` });
-  const place = asked ?? session.places.get(topic);
-  if (place === undefined) return { wish, tail, start: { birth: tail.birth, seq: tail.head }, note: undefined };
-  if (place.birth !== tail.birth) {
-    const start = { birth: tail.birth, seq: tail.low };
-    return {
-      wish,
-      tail,
-      start,
-      note: { kind: "expired", topic, place: Places.write(start.birth, start.seq), reason: "the topic was made again" },
-    };
-  }
-  if (asked !== undefined && place.seq > tail.head)
-    return leave({ kind: "fault", topic, code: "unknown-place", reason: "the topic has no such place" });
-  return { wish, tail, start: place, note: undefined };
+function confirm(link: ClientLink, topic: string, cursor: StreamCursor): void {
+  const { birth, seq } = cursor.placeOf(topic);
+  link.send({ kind: "confirmed", topic, place: Places.write(birth, seq) });
 }
