--- a/packages/anvil/src/process/claims.ts
+++ b/packages/anvil/src/process/claims.ts
@@ -22,7 +22,7 @@
  * Invariant: a holder here acts only while the lease that its key is under is held.
  */
 export class Claims {
-  static readonly turnMs = 250;
+  static readonly turnMs = 100;
   static readonly mostMoves = 4;
 
   readonly #node: ClusterNode;
@@ -115,11 +115,15 @@
   #rank(shard: number): number {
     const members = this.#node.shards.find(shard).set?.members ?? [];
     const alive = members
-      .filter((member) => member.id === this.#id || this.#node.membership.isAlive(member.name))
+      .filter((member) => member.id === this.#id || this.#isWell(member.name))
       .map((member) => member.id);
     return Rendezvous.rank(`holder ${shard}`, alive).indexOf(this.#id);
   }
 
+  #isWell(name: string): boolean {
+    return this.#node.membership.isAlive(name) && !this.#node.exchange.isMute(name);
+  }
+
   async #guard(shard: number, act: () => Promise<void>): Promise<void> {
     this.#busy.add(shard);
     await act();
@@ -174,5 +178,7 @@
     const claim = this.#claims.get(shard);
     const route = this.#node.shards.find(shard);
     if (claim !== undefined && route.epoch > claim.holder.epoch) claim.holder.stop("the store names another holder");
+    // Freed just now: whose turn it is need not wait for a beat.
+    if (route.holder === "" && this.#lease.isHeld && this.#node.feed.isFresh) this.#consider(this.#replicas[shard]!);
   }
 }
--- a/packages/anvil/src/process/follows.ts
+++ b/packages/anvil/src/process/follows.ts
@@ -26,6 +26,8 @@
  */
 export class Follows {
   static readonly mostMessages = 200;
+  /** An edge that is further behind is not sent everything: its readers fetch what they need. */
+  static readonly mostBehind = 400;
   static readonly silentMs = 6000;
 
   readonly #node: ClusterNode;
@@ -67,12 +69,13 @@
     for (const { stream, birth, after } of followed) {
       const log = this.#state.streams.get(stream);
       if (log === undefined) continue;
-      const sent = birth === log.birth ? Math.max(after, log.low) : log.head;
+      const isNear = birth === log.birth && log.head - after <= Follows.mostBehind;
+      const sent = isNear ? Math.max(after, log.low) : log.head;
       following.streams.set(stream, { birth: log.birth, sent });
       let followers = this.#byStream.get(stream);
       if (followers === undefined) this.#byStream.set(stream, (followers = new Set()));
       followers.add(following);
-      heads.push(create(StreamHeadSchema, { stream, birth: log.birth, head: log.head, low: log.low }));
+      heads.push(create(StreamHeadSchema, { stream, birth: log.birth, from: sent, low: log.low }));
     }
     return { heads, number: following.number };
   }
--- a/packages/chest/src/process/leaseKeeper.ts
+++ b/packages/chest/src/process/leaseKeeper.ts
@@ -1,13 +1,15 @@
 import { EventEmitter } from "node:events";
 import type { Chance } from "./chance.js";
 import type { Beat, Clock } from "./clock.js";
-import type { StoreClient } from "./storeClient.js";
+import type { StoreChange, StoreClient } from "./storeClient.js";
 
 /**
  * Holds one lease with the store. The holder counts from when it SENT the renewal, and stops a
  * tenth early, so that it stops before the store can expire it.
  */
 export class LeaseKeeper extends EventEmitter<{ held: [lease: string]; lost: [lease: string] }> {
+  static readonly againMs = 60;
+
   readonly #store: Pick<StoreClient, "call">;
   readonly #clock: Clock;
   readonly #chance: Chance;
@@ -18,6 +20,7 @@
   #isEnded = false;
   #isAsking = false;
   #edge: Beat | undefined;
+  #retry: Beat | undefined;
   lease = "";
   /** Leases lost since the start, however it came. */
   losses = 0;
@@ -44,33 +47,41 @@
 
   async end(): Promise<void> {
     this.#isEnded = true;
+    this.#retry?.stop();
     const lease = this.lease;
     if (lease === "") return;
     this.#lose();
     await this.#store.call({ case: "revoke", value: { lease } }, 700);
   }
 
+  /** Renewals may overlap, for a slow store must not cost the lease; each counts from when it was sent. */
   async #renew(): Promise<void> {
-    if (this.#isEnded || this.#isAsking) return;
+    const isNew = !this.isHeld;
+    if (this.#isEnded || (isNew && this.#isAsking)) return;
     this.#isAsking = true;
     const sentAt = this.#clock.now();
-    const isNew = !this.isHeld;
     const lease = isNew ? `${this.#name}/${this.#chance.identity().slice(0, 12)}` : this.lease;
-    const due = Math.max(300, Math.min(1000, this.#length / 3));
-    const receipt = await this.#store.call(
-      isNew ? { case: "grant", value: { lease, length: this.#length } } : { case: "renew", value: { lease } },
-      due,
-    );
+    const call: StoreChange = isNew
+      ? { case: "grant", value: { lease, length: this.#length } }
+      : { case: "renew", value: { lease } };
+    const receipt = await this.#store.call(call, Math.max(300, this.#length * 0.6));
     this.#isAsking = false;
-    if (this.#isEnded) return;
+    if (this.#isEnded || (!isNew && this.lease !== lease)) return;
     if (receipt.outcome === "lost") return this.#lose();
-    if (receipt.outcome !== "done" || (!isNew && !this.isHeld)) return;
+    if (receipt.outcome !== "done") return this.#again();
+    if (!isNew && !this.isHeld) return;
     this.lease = lease;
-    this.#until = sentAt + this.#length * 0.9;
+    this.#until = Math.max(this.#until, sentAt + this.#length * 0.9);
     this.#watch();
     if (isNew) this.emit("held", lease);
   }
 
+  /** An election may be under way: its end must not be missed by a beat. */
+  #again(): void {
+    this.#retry?.stop();
+    this.#retry = this.#clock.once(LeaseKeeper.againMs, () => void this.#renew());
+  }
+
   #watch(): void {
     this.#edge?.stop();
     this.#edge = this.#clock.once(Math.max(1, this.#until - this.#clock.now() + 1), () => void this.isHeld);
--- a/packages/chest/src/process/settings.ts
+++ b/packages/chest/src/process/settings.ts
@@ -17,9 +17,9 @@
   shards: "1 <= number.integer <= 256 = 32",
   "data?": "string > 0",
   "log?": "string > 0",
-  edgeLeaseMs: "1000 <= number.integer <= 60000 = 1800",
-  holderLeaseMs: "1000 <= number.integer <= 60000 = 1500",
-  electionMs: "200 <= number.integer <= 10000 = 400",
+  edgeLeaseMs: "1000 <= number.integer <= 60000 = 1400",
+  holderLeaseMs: "1000 <= number.integer <= 60000 = 1200",
+  electionMs: "200 <= number.integer <= 10000 = 300",
   mostLinks: "1 <= number.integer <= 100000 = 2000",
   bufferBytes: "1024 <= number.integer <= 67108864 = 1048576",
 });
--- a/packages/chest/src/process/storeClient.ts
+++ b/packages/chest/src/process/storeClient.ts
@@ -6,15 +6,16 @@
 import type { Membership } from "./membership.js";
 import { Rendezvous } from "./rendezvous.js";
 
-type Call = NonNullable<MessageInitShape<typeof StoreCallSchema>["call"]>;
+export type StoreChange = NonNullable<MessageInitShape<typeof StoreCallSchema>["call"]>;
 export type Outcome = { outcome: string } & Partial<
   Pick<StoreReceipt, "revision" | "kvs" | "comeBack" | "reason" | "feeds" | "proposer">
 >;
 
 /** Calls on the metadata store. Any lathe takes any call and passes it on. */
 export class StoreClient {
-  /** How long one lathe gets for a call that may as well be made twice. */
-  static readonly tryMs = 300;
+  /** How long one lathe gets for a call that may as well be made twice; longer for what another might undo. */
+  static readonly readMs = 300;
+  static readonly tryMs: Readonly<Record<string, number>> = { txn: 700, renew: 600 };
 
   readonly #exchange: Exchange;
   readonly #membership: Membership;
@@ -37,7 +38,7 @@
   }
 
   /** Ends by `due` with an outcome: `unsure` where a change may have been carried out, `away` where it was not. */
-  async call(call: Call, due = 1200): Promise<Outcome> {
+  async call(call: StoreChange, due = 1200): Promise<Outcome> {
     const end = this.#clock.now() + due;
     let isSent = false;
     for (const name of this.#order()) {
@@ -46,7 +47,7 @@
       const body = await this.#exchange.call(
         name,
         { case: "storeCall", value: { call } },
-        Math.min(left, call.case === "txn" ? 700 : StoreClient.tryMs),
+        Math.min(left, StoreClient.tryMs[call.case ?? "read"] ?? StoreClient.readMs),
       );
       if (body?.case === "storeReceipt" && body.value.outcome !== "away") {
         this.#favourite = name;
--- a/packages/jig/src/jig.ts
+++ b/packages/jig/src/jig.ts
@@ -95,18 +95,20 @@
   .option("--share <n>", "Share of today's load", { default: 1 })
   .option("--folder <folder>", "Where settings, data and logs go")
   .option("--only <list>", "Only these drills, parted by commas")
-  .action((name: string, options: PlayOptions & { only?: string }) =>
-    play(name, options, ["vise-2", "anvil-2"], async (fleet, load) => {
-      const drill = new Drill(fleet, load, (step) =>
-        process.stderr.write(
-          `${step.what}: ready after ${step.readyMs}, held after ${step.heldMs}, ` +
-            `callers back after ${step.backMs} ms\n`,
-        ),
+  .option("--targets <list>", "Only on these: edge, holder, proposer")
+  .action((name: string, options: PlayOptions & { only?: string; targets?: string }) => {
+    const relayed = Deployments.machines(Deployments.find(name)).map((machine) => machine.name);
+    return play(name, options, relayed, async (fleet, load) => {
+      const drill = new Drill(fleet, load, ({ what, readyMs, backMs }) =>
+        process.stderr.write(`${what}: ready after ${readyMs}, service back after ${backMs} ms\n`),
       );
-      await drill.run(options.only?.split(",") ?? Drill.names);
-      return { isGood: drill.steps.every((step) => step.backMs <= Drill.backMs), steps: drill.steps };
-    }),
-  );
+      const targets = options.targets?.split(",") as Array<"edge" | "holder" | "proposer"> | undefined;
+      await drill.run(options.only?.split(",") ?? Drill.names, targets);
+      const steps = drill.delays(load.history.seen);
+      for (const step of steps) process.stderr.write(`${JSON.stringify(step)}\n`);
+      return { isGood: drill.steps.every((step) => step.backMs <= Drill.backMs), steps };
+    });
+  });
 
 interface SimOptions {
   from: number;
--- a/packages/jig/src/mark/lateness.ts
+++ b/packages/jig/src/mark/lateness.ts
@@ -49,6 +49,14 @@
     return receipts;
   },
 
+  figures(delays: readonly number[]): { receipts: number; p50: number; p99: number; max: number; above2000: number } {
+    const sorted = [...delays].sort((a, b) => a - b);
+    const rank = (share: number): number =>
+      Math.round(sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0);
+    const above2000 = sorted.filter((delay) => delay > Lateness.mostMs).length;
+    return { receipts: sorted.length, p50: rank(0.5), p99: rank(0.99), max: Math.round(sorted.at(-1) ?? 0), above2000 };
+  },
+
   /** Late receipts counted by what was going on between the try and the receipt; nothing is a cause of its own. */
   byCause(receipts: readonly Receipt[], causes: ReadonlyArray<{ what: string; from: number; to: number }>) {
     const counts = new Map<string, { count: number; worst: number }>();
--- a/packages/jig/src/process/caller.ts
+++ b/packages/jig/src/process/caller.ts
@@ -166,7 +166,7 @@
     );
     if (!isCurrent()) return void ("close" in got && got.close());
     if ("close" in got) this.#link = got;
-    else this.#again(Math.min(3000, (got.comeBack ?? 0.5) * 1000 * (0.7 + this.#parts.draw() * 0.6)));
+    else this.#again(Math.min(3000, (got.comeBack ?? 0.5) * 1000 + this.#parts.draw() * 100));
   }
 
   #heed(line: Record<string, unknown>, node: string): void {
--- a/packages/jig/src/process/drill.ts
+++ b/packages/jig/src/process/drill.ts
@@ -1,18 +1,46 @@
+import { Lateness } from "../mark/lateness.js";
+import type { Seen } from "../mark/history.js";
 import type { Fleet } from "./fleet.js";
 import type { Load } from "./load.js";
+import type { Probe } from "./probe.js";
 
 export interface DrillStep {
   what: string;
+  /** When it was caused, and when service was back. */
+  from: number;
+  to: number;
   readyMs: number;
-  heldMs: number;
+  /** From the machines' return until a message of every caller had reached its readers. */
   backMs: number;
 }
+export interface StepDelays {
+  what: string;
+  backMs: number;
+  receipts: number;
+  p50: number;
+  p99: number;
+  max: number;
+  above2000: number;
+}
+type Target = "edge" | "holder" | "proposer";
 
 /** Causes failures on a real fleet under load, one after the other, and measures how long service takes to be back. */
 export class Drill {
   static readonly backMs = 12_000;
-  static readonly names = ["kill", "cycle", "freeze", "unplug", "slow", "reset", "wipe", "blackout"];
-
+  static readonly names = [
+    "kill",
+    "freeze",
+    "cut",
+    "slow",
+    "cycle",
+    "reset",
+    "move",
+    "wipe",
+    "zone",
+    "settings",
+    "replan",
+    "blackout",
+  ];
   readonly #fleet: Fleet;
   readonly #load: Load;
   readonly #say: (step: DrillStep) => void;
@@ -24,17 +52,24 @@
     this.#load = load;
   }
 
-  /** The named drills, each on every role that it is about. */
-  async run(names: readonly string[]): Promise<void> {
+  /** The named drills; the first four on an edge, on a machine that holds shards, and on the lathe that proposes. */
+  async run(names: readonly string[], targets: readonly Target[] = ["edge", "holder", "proposer"]): Promise<void> {
+    const each = async (act: (name: string, target: Target) => Promise<void>): Promise<void> => {
+      for (const target of targets) await act(await this.#find(target), target);
+    };
     const drills: Record<string, () => Promise<void>> = {
-      kill: () => this.#each(["vise-1", "anvil-1", "lathe-1"], (name) => this.kill([name])),
-      cycle: () => this.#each(["vise-2", "anvil-2", "lathe-2"], (name) => this.cycle(name)),
-      freeze: () => this.#each(["vise-1", "anvil-3", "lathe-3"], (name) => this.freeze(name, 7000)),
-      unplug: () => this.#each(["vise-2", "anvil-2"], (name) => this.unplug(name, 6000)),
-      slow: () => this.#each(["vise-2", "anvil-2"], (name) => this.slow(name, 5000)),
-      reset: () => this.resetLinks(),
-      wipe: () => this.#each(["lathe-1", "anvil-1"], (name) => this.wipe(name)),
-      blackout: () => this.blackout(),
+      kill: () => each((name, target) => this.kill([name], target)),
+      freeze: () => each((name, target) => this.freeze(name, 5000, target)),
+      cut: () => each((name, target) => this.cut(name, 5000, target)),
+      slow: () => each((name, target) => this.slow(name, 5000, target)),
+      cycle: () => each((name, target) => this.cycle(name, target)),
+      reset: () => this.#cause("nearly all links reset", async () => this.#load.resetAll()),
+      move: () => this.#cause("everybody comes to one zone", async () => this.#load.moveAll()),
+      wipe: () => each((name, target) => (target === "edge" ? Promise.resolve() : this.wipe(name, target))),
+      zone: () => this.zone(),
+      settings: () => this.settings(),
+      replan: () => this.#cause("five plans at once, one stale, one broken", () => this.#load.replan()),
+      blackout: () => this.kill(this.#fleet.names, "everything"),
     };
     for (const name of names) {
       const drill = drills[name];
@@ -43,82 +78,130 @@
     }
   }
 
-  async #each(names: readonly string[], act: (name: string) => Promise<void>): Promise<void> {
-    for (const name of names) await act(name);
-  }
-
   /** kill -9, then started again. */
-  async kill(names: readonly string[]): Promise<void> {
-    await Promise.all(names.map((name) => this.#fleet.end(name, "SIGKILL")));
-    await this.#wait(500);
-    for (const name of names) this.#fleet.launch(name);
-    await this.#back(`SIGKILL ${names.join(" ")}`);
+  kill(names: readonly string[], what: string): Promise<void> {
+    return this.#cause(`SIGKILL ${what}`, async () => {
+      await Promise.all(names.map((name) => this.#fleet.end(name, "SIGKILL")));
+      await this.#wait(names.length > 1 ? 500 : 4000);
+      for (const name of names) this.#fleet.launch(name);
+    });
   }
 
   /** Politely, and forcibly six seconds later. */
-  async cycle(name: string): Promise<void> {
-    const isPolite = await this.#fleet.cycle(name);
-    this.#fleet.launch(name);
-    await this.#back(`SIGTERM ${name}${isPolite ? "" : " (had to be killed)"}`);
+  cycle(name: string, what: string): Promise<void> {
+    return this.#cause(`SIGTERM ${what}`, async () => {
+      if (!(await this.#fleet.cycle(name))) throw new Error(`${name} had to be killed after SIGTERM`);
+      this.#fleet.launch(name);
+    });
   }
 
   /** Frozen past every lease, then let go on. */
-  async freeze(name: string, ms: number): Promise<void> {
-    this.#fleet.signal(name, "SIGSTOP");
-    await this.#wait(ms);
-    this.#fleet.signal(name, "SIGCONT");
-    await this.#back(`SIGSTOP ${name} for ${ms} ms`);
+  freeze(name: string, ms: number, what: string): Promise<void> {
+    return this.#cause(`SIGSTOP ${what}`, async () => {
+      this.#fleet.signal(name, "SIGSTOP");
+      await this.#wait(ms);
+      this.#fleet.signal(name, "SIGCONT");
+    });
   }
 
-  /** The cable of a relayed machine is pulled out, then put back. */
-  async unplug(name: string, ms: number): Promise<void> {
-    this.#fleet.wire(name).set("silent");
-    await this.#wait(ms);
-    this.#fleet.wire(name).set("reset");
-    this.#fleet.wire(name).set("open");
-    await this.#back(`cut ${name} for ${ms} ms`);
+  /** The cable of a relayed machine is pulled out, then put back: nothing that others send reaches it. */
+  cut(name: string, ms: number, what: string): Promise<void> {
+    return this.#cause(`cut ${what}`, async () => {
+      this.#fleet.wire(name).set("silent");
+      await this.#wait(ms);
+      this.#fleet.wire(name).set("reset");
+      this.#fleet.wire(name).set("open");
+    });
   }
 
   /** Whatever reaches a relayed machine comes 250 ms late. */
-  async slow(name: string, ms: number): Promise<void> {
-    this.#fleet.wire(name).set("open", 250);
-    await this.#wait(ms);
-    this.#fleet.wire(name).set("open");
-    await this.#back(`${name} slow for ${ms} ms`);
+  slow(name: string, ms: number, what: string): Promise<void> {
+    return this.#cause(`slow ${what}`, async () => {
+      this.#fleet.wire(name).set("open", 250);
+      await this.#wait(ms);
+      this.#fleet.wire(name).set("open");
+    });
   }
 
-  async wipe(name: string): Promise<void> {
-    await this.#fleet.end(name, "SIGKILL");
-    this.#fleet.wipe(name);
-    this.#fleet.launch(name);
-    await this.#back(`disk of ${name} lost`);
+  wipe(name: string, what: string): Promise<void> {
+    return this.#cause(`disk of ${what} lost`, async () => {
+      await this.#fleet.end(name, "SIGKILL");
+      this.#fleet.wipe(name);
+      this.#fleet.launch(name);
+    });
   }
 
-  async resetLinks(): Promise<void> {
-    this.#load.resetAll();
-    await this.#back("nearly all links reset");
+  /** All machines of one zone lose power for a while. */
+  zone(): Promise<void> {
+    const zone = this.#fleet.zoneOf("anvil-3");
+    const names = this.#fleet.names.filter((name) => this.#fleet.zoneOf(name) === zone);
+    return this.#cause("SIGKILL a zone", async () => {
+      await Promise.all(names.map((name) => this.#fleet.end(name, "SIGKILL")));
+      await this.#wait(4000);
+      for (const name of names) this.#fleet.launch(name);
+    });
   }
 
-  /** Everything is killed and started again. */
-  async blackout(): Promise<void> {
-    await this.kill(this.#fleet.names);
+  /** Every node's settings file changes, half of them with a signal; then it is as it was. */
+  settings(): Promise<void> {
+    return this.#cause("settings changed", async () => {
+      this.#fleet.names.forEach((name, i) => {
+        this.#fleet.changeSettings(name, { mostLinks: 1900 });
+        if (i % 2 === 0) this.#fleet.signal(name, "SIGHUP");
+      });
+      await this.#wait(3000);
+      for (const name of this.#fleet.names) this.#fleet.changeSettings(name, { mostLinks: 2000 });
+    });
   }
 
-  /** Until every node is ready, every shard held and every caller confirmed again. */
-  async #back(what: string): Promise<void> {
-    const startedAt = performance.now();
+  /** What readers waited during each step, from its cause until service was back. */
+  delays(seen: readonly Seen[]): StepDelays[] {
+    const receipts = Lateness.receipts(seen);
+    return this.steps.map(({ what, from, to, backMs }) => {
+      const delays = receipts.filter(({ triedAt }) => triedAt >= from && triedAt <= to).map(({ delay }) => delay);
+      return { what, backMs, ...Lateness.figures(delays) };
+    });
+  }
+
+  async #find(target: Target): Promise<string> {
+    const most = (names: readonly string[], counted: readonly string[]): string => {
+      const count = (name: string): number => counted.filter((one) => one === name).length;
+      return names.reduce((best, name) => (count(name) > count(best) ? name : best));
+    };
+    if (target === "edge")
+      return most(
+        this.#fleet.withRole("vise"),
+        this.#load.callers.map((caller) => caller.node),
+      );
+    if (target === "holder") return most(this.#fleet.withRole("anvil"), await this.#fleet.holders());
+    for (;;) {
+      for (const name of this.#fleet.withRole("lathe")) {
+        const { body } = await this.#fleet.call(name, "GET", "/v1/status");
+        if ((body["ledger"] as { isProposer?: boolean } | null | undefined)?.isProposer === true) return name;
+      }
+      await this.#wait(50);
+    }
+  }
+
+  /** Causes it, and waits until every node is ready and a message of every caller has reached its readers. */
+  async #cause(what: string, act: () => Promise<void>): Promise<void> {
+    const from = this.#load.now;
     this.#load.isCalm = true;
-    const isBack = (): boolean => this.#load.callers.every((caller) => caller.isSettled);
-    await this.#fleet.ready();
-    const readyMs = Math.round(performance.now() - startedAt);
-    await this.#fleet.held();
-    const heldMs = Math.round(performance.now() - startedAt);
-    while (!isBack() && performance.now() - startedAt < 30_000) await this.#wait(50);
-    const step = { what, readyMs, heldMs, backMs: Math.round(performance.now() - startedAt) };
+    await act();
+    const returnedAt = this.#load.now;
+    let probe: Probe | undefined;
+    const isBack = (): boolean => {
+      if (this.#load.callers.every((caller) => caller.isSettled)) probe ??= this.#load.probe();
+      return probe?.isBack === true;
+    };
+    const ready = this.#fleet.ready().then((ms) => Math.round(ms));
+    while (!isBack() && this.#load.now - returnedAt < 30_000) await this.#wait(20);
+    const to = this.#load.now;
+    const step = { what, from, to, readyMs: await ready, backMs: Math.round(to - returnedAt) };
     this.steps.push(step);
     this.#say(step);
     this.#load.isCalm = false;
-    await this.#wait(1000);
+    await this.#wait(1500);
   }
 
   #wait(ms: number): Promise<void> {
--- a/packages/jig/src/process/fleet.test.ts
+++ b/packages/jig/src/process/fleet.test.ts
@@ -1,4 +1,4 @@
-import { spawn, spawnSync } from "node:child_process";
+import { spawn } from "node:child_process";
 import { mkdirSync, mkdtempSync, readFileSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -12,13 +12,27 @@
 import { Load } from "./load.js";
 
 const folder = mkdtempSync(join(tmpdir(), "cranetrack-fleet-"));
-const fleet = new Fleet(Deployments.find("small"), folder, ["anvil-2"]);
+const fleet = new Fleet(
+  Deployments.find("small"),
+  folder,
+  Deployments.machines(Deployments.find("small")).map((machine) => machine.name),
+);
 const programOf = (role: string): string => fileURLToPath(import.meta.resolve(`@cranetrack/${role}/${role}.js`));
 const codeOf = (receipt: PortReceipt): unknown => (receipt.body["error"] as { code?: unknown } | undefined)?.code;
-const run = (program: string, ...args: string[]): { status: number | null; out: string; err: string } => {
-  const ran = spawnSync(process.execPath, [programOf(program), ...args], { encoding: "utf8", timeout: 20_000 });
-  return { status: ran.status, out: ran.stdout, err: ran.stderr };
-};
+interface Ran {
+  status: number | null;
+  out: string;
+  err: string;
+}
+/** Without stopping this process, through which the fleet's wires run. */
+const run = (program: string, ...args: string[]): Promise<Ran> =>
+  new Promise((resolve) => {
+    const child = spawn(process.execPath, [programOf(program), ...args], { timeout: 60_000 });
+    let [out, err] = ["", ""];
+    child.stdout.on("data", (chunk) => (out += String(chunk)));
+    child.stderr.on("data", (chunk) => (err += String(chunk)));
+    child.on("close", (status) => resolve({ status, out, err }));
+  });
 
 before(async () => {
   await fleet.start();
@@ -27,7 +41,7 @@
 
 after(() => fleet.stop());
 
-test("bad settings and flags end a program with exit 2 and one line a problem; a foreign folder with exit 3", () => {
+test("bad settings and flags end a program with exit 2 and one line a problem; a foreign folder with exit 3", async () => {
   const bad = join(folder, "bad.json");
   writeFileSync(
     bad,
@@ -42,7 +56,7 @@
       colour: 1,
     }),
   );
-  const refused = run("vise", "--settings", bad);
+  const refused = await run("vise", "--settings", bad);
   expect(refused.status).toEqual(2);
   expect(
     refused.err
@@ -51,12 +65,12 @@
       .map((line) => line.split(":")[0])
       .sort(),
   ).toEqual(["colour", "lathes", "seeds.0"]);
-  expect(run("vise", "--settings", join(folder, "none.json")).status).toEqual(2);
-  expect(run("lathe", "--settings", fleet.settingsOf("vise-1")).err).toEqual(
+  expect((await run("vise", "--settings", join(folder, "none.json"))).status).toEqual(2);
+  expect((await run("lathe", "--settings", fleet.settingsOf("vise-1"))).err).toEqual(
     expect.includes("this program is a lathe"),
   );
-  expect(run("vise", "--settings", fleet.settingsOf("vise-1"), "--zone").status).toEqual(2);
-  expect(run("vise", "--settings", fleet.settingsOf("vise-1"), "--check").out).toEqual("settings are good\n");
+  expect((await run("vise", "--settings", fleet.settingsOf("vise-1"), "--zone")).status).toEqual(2);
+  expect((await run("vise", "--settings", fleet.settingsOf("vise-1"), "--check")).out).toEqual("settings are good\n");
   const foreign = join(folder, "foreign");
   mkdirSync(foreign);
   writeFileSync(join(foreign, "data.mdb"), "this is no database of ours, whatever its name says".repeat(400));
@@ -67,7 +81,7 @@
   };
   const path = join(folder, "foreign.json");
   writeFileSync(path, JSON.stringify(settings));
-  const ran = run("anvil", "--settings", path);
+  const ran = await run("anvil", "--settings", path);
   expect(ran.status).toEqual(3);
   expect(ran.err).toEqual(expect.includes("cannot be used"));
 });
@@ -171,19 +185,8 @@
 test(
   "spanner: status, plans, rollouts and runbooks against a fleet, with exit codes that say " + "what happened",
   async () => {
-    const spanner = (...args: string[]): Promise<{ status: number | null; out: string; err: string }> =>
-      new Promise((resolve) => {
-        const child = spawn(process.execPath, [
-          programOf("spanner"),
-          ...args,
-          "--node",
-          `127.0.0.1:9,${fleet.httpOf("anvil-1")}`,
-        ]);
-        let [out, err] = ["", ""];
-        child.stdout.on("data", (chunk) => (out += String(chunk)));
-        child.stderr.on("data", (chunk) => (err += String(chunk)));
-        child.on("close", (status) => resolve({ status, out, err }));
-      });
+    const spanner = (...args: string[]): Promise<Ran> =>
+      run("spanner", ...args, "--node", `127.0.0.1:9,${fleet.httpOf("anvil-1")}`);
     const status = await spanner("status");
     expect([status.status, status.out.includes("lathe-3"), status.out.includes("holds")]).toEqual([0, true, true]);
     const plan = join(folder, "plan.json");
@@ -220,14 +223,15 @@
       await load.begin();
       load.play();
       const drill = new Drill(fleet, load);
-      await drill.run(["kill", "cycle", "freeze", "reset", "wipe", "blackout"]);
-      await drill.unplug("anvil-2", 4000);
+      await drill.run(["kill", "freeze", "cycle"], ["edge", "holder", "proposer"]);
+      await drill.run(["cut"], ["holder"]);
+      await drill.run(["reset", "wipe", "settings", "replan", "blackout"], ["holder", "proposer"]);
       const report = await load.end();
       expect(report.breaches).toEqual([]);
       expect(fleet.fallen).toEqual([]);
       expect(drill.steps.filter((step) => step.backMs > Drill.backMs)).toEqual([]);
       expect(report.accepted).toEqual(report.sent);
-      expect(report.received > report.accepted).toEqual(true);
+      expect(report.receipts > report.accepted).toEqual(true);
     } finally {
       load.halt();
     }
--- a/packages/jig/src/process/fleet.ts
+++ b/packages/jig/src/process/fleet.ts
@@ -1,6 +1,6 @@
 import { spawn, type ChildProcess } from "node:child_process";
 import { once } from "node:events";
-import { mkdirSync, rmSync, writeFileSync, openSync } from "node:fs";
+import { mkdirSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -74,8 +74,8 @@
     const addresses = ports.map((port) => `127.0.0.1:${port}`);
     const relayed = (name: string): boolean => this.#relayed.includes(name);
     // A relayed machine listens on a port of its own and is known to others by its relay's.
-    const seeds = machines
-      .filter((machine) => !relayed(machine.name))
+    const open = machines.filter((machine) => !relayed(machine.name));
+    const seeds = (open.length > 0 ? open : machines)
       .map((machine) => addresses[machines.indexOf(machine)]!)
       .slice(0, 3);
     mkdirSync(this.#folder, { recursive: true });
@@ -135,6 +135,13 @@
     this.#members.get(name)!.child?.kill(signal);
   }
 
+  /** Writes some keys of a member's settings file anew. */
+  changeSettings(name: string, change: object): void {
+    const path = this.settingsOf(name);
+    const present = JSON.parse(readFileSync(path, "utf8")) as object;
+    writeFileSync(path, `${JSON.stringify({ ...present, ...change }, null, 2)}\n`);
+  }
+
   /** Ends a process and waits until it is gone. */
   async end(name: string, signal: NodeJS.Signals): Promise<void> {
     const member = this.#members.get(name)!;
@@ -188,13 +195,19 @@
     return performance.now() - startedAt;
   }
 
+  /** Who holds each shard, as one edge sees it; empty for a free one. */
+  async holders(): Promise<string[]> {
+    const edge = this.withRole("vise").find((name) => this.isRunning(name))!;
+    const { body } = await this.call(edge, "GET", "/v1/status");
+    return ((body["shards"] ?? []) as Array<{ holder: string }>).map((shard) => shard.holder);
+  }
+
   /** Resolves when every shard has a holder, as one edge sees it. */
   async held(dueMs = 30_000): Promise<void> {
     const startedAt = performance.now();
     for (;;) {
-      const status = await this.call(this.withRole("vise")[0]!, "GET", "/v1/status");
-      const shards = (status.body["shards"] ?? []) as Array<{ holder: string }>;
-      if (shards.length > 0 && shards.every((shard) => shard.holder !== "")) return;
+      const holders = await this.holders();
+      if (holders.length > 0 && holders.every((holder) => holder !== "")) return;
       if (performance.now() - startedAt > dueMs) throw new Error("not every shard is held");
       await new Promise((resolve) => setTimeout(resolve, 100));
     }
--- a/packages/jig/src/process/load.ts
+++ b/packages/jig/src/process/load.ts
@@ -5,12 +5,14 @@
 import { History } from "../mark/history.js";
 import { Deployments } from "../mark/deployments.js";
 import { Caller } from "./caller.js";
+import { Probe } from "./probe.js";
 import type { Fleet } from "./fleet.js";
 
 export interface LoadReport {
   sent: number;
   accepted: number;
-  received: number;
+  /** Of readers that were confirmed when the message was first tried. */
+  receipts: number;
   reconnects: number;
   p50: number;
   p99: number;
@@ -114,6 +116,26 @@
     this.#every(2500, () => this.isCalm || this.#move(this.#any(this.callers)));
   }
 
+  /** Operators send several plans at once, at different nodes; one is stale and one is broken. */
+  async replan(): Promise<void> {
+    const { deployment } = this.#fleet;
+    const mark = await this.#markInForce();
+    const edges = this.#fleet.withRole("vise");
+    const stray = [JSON.stringify(Deployments.plan(deployment, mark)), '{"mark": 1e9, "spaces": 7}'];
+    const sent = stray.map((text, i) => this.#fleet.call(edges[i % edges.length]!, "PUT", "/v1/plan", text));
+    for (let i = 1; i <= 3; i += 1) await this.putPlan(Deployments.plan(deployment, mark + i));
+    await Promise.all(sent);
+  }
+
+  /** Everybody comes to one zone, and stays there until moved again. */
+  moveAll(): void {
+    const zone = this.#any(this.#fleet.deployment.zones);
+    for (const caller of this.callers) {
+      this.#zoneOf.set(caller.session, zone);
+      caller.dropOff(this.#chance.draw() * 500);
+    }
+  }
+
   /** Nearly all at once. */
   resetAll(): void {
     for (const caller of this.callers) if (this.#chance.draw() < 0.95) caller.dropOff(this.#chance.draw() * 500);
@@ -145,26 +167,34 @@
 
   static report(history: History, endAt: number, callers: readonly Caller[]): LoadReport {
     const { seen } = history;
-    const delays = Lateness.receipts(seen)
-      .map((receipt) => receipt.delay)
-      .sort((a, b) => a - b);
-    const rank = (share: number): number =>
-      Math.round(delays[Math.min(delays.length - 1, Math.floor(delays.length * share))] ?? 0);
+    const delays = Lateness.receipts(seen).map(({ delay }) => delay);
+    const sent = seen.flatMap((one) => (one.kind === "tried" ? [`${one.sender} ${one.topic} ${one.number}`] : []));
     return {
-      sent: new Set(seen.flatMap((one) => (one.kind === "tried" ? [`${one.sender} ${one.topic} ${one.number}`] : [])))
-        .size,
+      sent: new Set(sent).size,
       accepted: seen.filter((one) => one.kind === "accepted").length,
-      received: delays.length,
       reconnects: callers.reduce((sum, caller) => sum + caller.reconnects, 0),
-      p50: rank(0.5),
-      p99: rank(0.99),
-      max: Math.round(delays.at(-1) ?? 0),
+      ...Lateness.figures(delays),
       above333: delays.filter((delay) => delay > Lateness.aimMs).length,
-      above2000: delays.filter((delay) => delay > Lateness.mostMs).length,
       breaches: Checker.judge(seen, endAt),
     };
   }
 
+  get now(): number {
+    return this.#clock.now();
+  }
+
+  /** Every caller publishes once more, on a topic that it reads itself. */
+  probe(): Probe {
+    const { space } = this.#fleet.deployment.shared;
+    return new Probe({
+      history: this.history,
+      callers: this.callers,
+      draw: () => this.#chance.draw(),
+      now: () => this.#clock.now(),
+      topicsFor: (caller) => caller.topics.filter((topic) => topic.startsWith(`${space}/`)),
+    });
+  }
+
   #publish(caller: Caller, space: string, topics: number): void {
     const topic = `${space}/t${Math.floor(this.#chance.draw() * topics)}`;
     void caller.publish(topic, `${caller.session} ${this.#chance.identity()}`);
--- a/packages/jig/src/process/sim/simNode.ts
+++ b/packages/jig/src/process/sim/simNode.ts
@@ -74,7 +74,7 @@
   async stop(): Promise<void> {
     await this.vise?.drain();
     await this.anvil?.stop();
-    await this.lathe?.spare.stop();
+    await this.lathe?.stop();
     this.node.membership.leave();
   }
 }
--- a/packages/jig/src/process/sim/streams.test.ts
+++ b/packages/jig/src/process/sim/streams.test.ts
@@ -222,3 +222,20 @@
   expect((await publish("desk", 1, "vise-2", "extra/t0"))["receipt"]).toEqual("accepted");
   expect(await fleet.until(() => hand.got("extra/t0").length === 1, 2000)).toEqual(true);
 });
+
+test("a push that overtakes the receipt which tells of its stream is not lost", async () => {
+  const all = await served(60);
+  const { fleet, publish } = all;
+  const { streams } = fleet.find("vise-1")!.vise!;
+  const shard = streams.shardOf("notes/t1");
+  const other = Array.from({ length: 40 }, (_, i) => `notes/u${i}`).find((topic) => streams.shardOf(topic) === shard)!;
+  await linked(all, "vise-2", "pen", []);
+  await linked(all, "vise-1", "desk", ["notes/t1"]);
+  const late = fleet.addressOf("vise-1");
+  fleet.wires.mutate = (_from, to, bytes) =>
+    to === late && isKind(bytes, "followReceipt") ? [{ bytes, delay: 400 }] : undefined;
+  const reader = await linked(all, "vise-1", "reader", [other]);
+  await fleet.run(50);
+  expect((await publish("pen", 1, "vise-2", other))["receipt"]).toEqual("accepted");
+  expect(await fleet.until(() => reader.got().length === 1, 2000)).toEqual(true);
+});
--- a/packages/lathe/src/lathe.ts
+++ b/packages/lathe/src/lathe.ts
@@ -10,7 +10,7 @@
   return {
     load: () => lathe.load(),
     start: () => lathe.start(),
-    stop: () => lathe.spare.stop(),
+    stop: () => lathe.stop(),
     isReady: () => lathe.isReady,
     status: () => ({ ...lathe.status(), archivedMark: archive.mark }),
   };
--- a/packages/lathe/src/process/founding.ts
+++ b/packages/lathe/src/process/founding.ts
@@ -12,7 +12,7 @@
 import type { Disk } from "@cranetrack/chest/process/disk.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { BodyInit } from "@cranetrack/chest/process/wire.js";
-import { entryKind } from "./ledger.js";
+import { entryKind } from "../mark/entryKind.js";
 
 interface Identity {
   id: string;
--- a/packages/lathe/src/process/lathe.ts
+++ b/packages/lathe/src/process/lathe.ts
@@ -55,6 +55,11 @@
     await this.founding.start();
   }
 
+  async stop(): Promise<void> {
+    await this.spare.stop();
+    this.#ledger?.resign();
+  }
+
   get isReady(): boolean {
     return this.#ledger?.isInTouch === true && this.node.feed.isFresh;
   }
--- a/packages/lathe/src/process/leases.ts
+++ b/packages/lathe/src/process/leases.ts
@@ -7,6 +7,8 @@
  * majority, or after the present proposer was elected.
  */
 export class Leases {
+  static readonly beatMs = 25;
+
   readonly #ledger: Ledger;
   readonly #clock: Clock;
   readonly #revoke: (lease: string) => void;
@@ -21,7 +23,7 @@
     ledger.on("elected", () => this.#begin());
     ledger.on("deposed", () => this.#due.clear());
     ledger.on("applied", () => this.#follow());
-    clock.every(100, () => this.#beat());
+    clock.every(Leases.beatMs, () => this.#beat());
   }
 
   /** True where the lease was there to renew. The caller confirms the proposer before and answers after. */
@@ -32,6 +34,11 @@
     return true;
   }
 
+  /** Milliseconds until a lease may be lost if nobody renews it; 0 where it is none or the proposer can't tell. */
+  leftOf(lease: string): number {
+    return Math.max(0, (this.#due.get(lease) ?? 0) - this.#clock.now());
+  }
+
   #begin(): void {
     this.#due.clear();
     this.#ending.clear();
--- a/packages/lathe/src/process/ledger.ts
+++ b/packages/lathe/src/process/ledger.ts
@@ -1,5 +1,5 @@
 import { EventEmitter } from "node:events";
-import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { create, toBinary } from "@bufbuild/protobuf";
 import {
   EntrySchema,
   MembersSchema,
@@ -7,6 +7,7 @@
   type Members,
   type Vote,
   type VoteReceipt,
+  type Yield,
 } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import { Intake } from "@cranetrack/chest/mark/intake.js";
 import type { ReplicaLog } from "@cranetrack/chest/mark/replicaLog.js";
@@ -17,9 +18,10 @@
 import type { Groups } from "@cranetrack/chest/process/groups.js";
 import type { LogRing } from "@cranetrack/chest/process/logRing.js";
 import type { BodyInit } from "@cranetrack/chest/process/wire.js";
+import { entryKind } from "../mark/entryKind.js";
+import { MemberLog } from "../mark/memberLog.js";
 import { Metadata, type Applied } from "../mark/metadata.js";
 
-export const entryKind = { command: 0, noop: 1, members: 2 } as const;
 type Pending = { term: number; settle: (applied: Applied | undefined) => void };
 
 /**
@@ -44,10 +46,7 @@
   readonly #ring: LogRing;
   readonly #intake: Intake;
   readonly #pending = new Map<number, Pending>();
-  #pictureMembers: Members | undefined;
-  #members: Members = create(MembersSchema, {});
-  #membersIndex = 0;
-  #membersTerm = 0;
+  readonly #memberLog: MemberLog;
   #spread: Spread | undefined;
   #commit: number;
   #applied: number;
@@ -59,6 +58,7 @@
   #asking = 0;
   #isPre = false;
   #noopIndex = 0;
+  #isResigned = false;
 
   constructor(parts: {
     id: string;
@@ -84,7 +84,8 @@
     this.#ring = parts.ring;
     this.#heardAt = parts.clock.now();
     this.#commit = this.#applied = this.#log.baseIndex;
-    if (this.#log.baseIndex > 0) this.#pictureMembers = this.metadata.install(this.#log.picture);
+    this.#memberLog = new MemberLog(this.#log);
+    if (this.#log.baseIndex > 0) this.#memberLog.installed(this.metadata.install(this.#log.picture));
     this.#intake = new Intake(
       this.#log,
       this.id,
@@ -94,6 +95,7 @@
     this.#findMembers();
     this.#exchange.serve("vote", (vote) => this.#vote(vote));
     this.#exchange.serve("voteReceipt", (receipt) => this.#count(receipt));
+    this.#exchange.serve("yield", (yielded) => this.#succeed(yielded));
     parts.groups.enlist(this.#log.group, {
       append: (append, from) =>
         append.receiver === this.id
@@ -108,7 +110,7 @@
       },
     });
     this.#rearm();
-    this.#clock.every(Ledger.beatMs, () => this.#beat());
+    this.#clock.every(Math.min(Ledger.beatMs, parts.electionMs / 4), () => this.#beat());
   }
 
   get isProposer(): boolean {
@@ -118,11 +120,11 @@
   get proposerName(): string {
     return this.#spread !== undefined
       ? this.#exchange.name
-      : (this.#members.voters.find((one) => one.id === this.#proposer)?.name ?? "");
+      : (this.members.voters.find((one) => one.id === this.#proposer)?.name ?? "");
   }
 
   get members(): Members {
-    return this.#members;
+    return this.#memberLog.members;
   }
 
   get commit(): number {
@@ -166,7 +168,7 @@
 
   /** One step of a change of members, where none is under way. */
   changeMembers(voters: LatheMember[], learners: LatheMember[]): void {
-    if (!this.isProposer || this.#membersIndex > this.#commit) return;
+    if (!this.isProposer || this.#memberLog.index > this.#commit) return;
     this.#ring.note("members change", {
       voters: voters.map((one) => one.name).join(),
       learners: learners.map((one) => one.name).join(),
@@ -198,8 +200,8 @@
       if (this.#spread.majorityAgo() > this.#inTouchMs) return this.#stepDown("no majority answers");
       return this.#spread.beat();
     }
-    const isVoter = this.#members.voters.some((one) => one.id === this.id);
-    if (isVoter && now >= this.#electionAt) this.#ask(true);
+    const isVoter = this.members.voters.some((one) => one.id === this.id);
+    if (isVoter && now >= this.#electionAt && !this.#isResigned) this.#ask(true);
   }
 
   #rearm(): void {
@@ -223,7 +225,7 @@
         isPre,
         founding: this.founding,
       };
-      for (const one of this.#members.voters)
+      for (const one of this.members.voters)
         if (one.id !== this.id) this.#exchange.tell(one.name, { case: "vote", value: vote });
       this.#tally();
     };
@@ -233,7 +235,7 @@
 
   async #vote(vote: Vote): Promise<undefined> {
     if (vote.founding !== this.founding || !Number.isSafeInteger(vote.term)) return undefined;
-    const name = this.#members.voters.find((one) => one.id === vote.candidate)?.name;
+    const name = this.members.voters.find((one) => one.id === vote.candidate)?.name;
     const isLed =
       this.#spread !== undefined || (this.#proposer !== "" && this.#clock.now() - this.#heardAt < this.#electionMs);
     const isCurrent =
@@ -259,7 +261,7 @@
   }
 
   #count(receipt: VoteReceipt): undefined {
-    if (!Number.isSafeInteger(receipt.term) || !this.#members.voters.some((one) => one.id === receipt.voter))
+    if (!Number.isSafeInteger(receipt.term) || !this.members.voters.some((one) => one.id === receipt.voter))
       return undefined;
     if (!receipt.isGranted && receipt.term > this.#log.term && this.#spread === undefined)
       void this.#log.promise(receipt.term, "");
@@ -271,8 +273,8 @@
   }
 
   #tally(): void {
-    const granted = this.#members.voters.filter((one) => this.#votes.has(one.id)).length;
-    if (this.#asking === 0 || granted * 2 <= this.#members.voters.length) return;
+    const granted = this.members.voters.filter((one) => this.#votes.has(one.id)).length;
+    if (this.#asking === 0 || granted * 2 <= this.members.voters.length) return;
     if (this.#isPre) return this.#ask(false);
     if (this.#log.term !== this.#asking || this.#log.vote !== this.id) return;
     this.#propose();
@@ -282,7 +284,7 @@
     this.#asking = 0;
     this.#proposer = this.id;
     const names = (): Map<string, string> =>
-      new Map([...this.#members.voters, ...this.#members.learners].map((one) => [one.id, one.name]));
+      new Map([...this.members.voters, ...this.members.learners].map((one) => [one.id, one.name]));
     const spread = new Spread({
       log: this.#log,
       clock: this.#clock,
@@ -304,8 +306,25 @@
     spread.beat();
   }
 
+  /** Gives the term up before the process stops, so that the others need not wait for silence. */
+  resign(): void {
+    this.#isResigned = true;
+    this.#stepDown("the process is stopping");
+  }
+
+  /** The proposer gave up: whoever draws the shortest wait asks first. */
+  #succeed({ term, sender }: Yield): undefined {
+    if (term !== this.#log.term || sender !== this.#proposer || this.#spread !== undefined) return undefined;
+    this.#proposer = "";
+    this.#electionAt = this.#clock.now() + this.#electionMs * 0.3 * this.#chance.draw();
+    return undefined;
+  }
+
   #stepDown(why: string): void {
     if (this.#spread === undefined) return;
+    const yielded = { term: this.#log.term, sender: this.id };
+    for (const one of this.members.voters)
+      if (one.id !== this.id) this.#exchange.tell(one.name, { case: "yield", value: yielded });
     this.#ring.note("no longer proposes", { why, term: this.#log.term });
     this.#spread.stop();
     this.#spread = undefined;
@@ -340,55 +359,25 @@
   }
 
   #compact(): void {
-    this.#pictureMembers = this.#membersAt(this.#applied);
-    void this.#log.compact(this.#applied, this.metadata.picture(this.#pictureMembers));
+    const members = this.#memberLog.picture(this.#applied);
+    void this.#log.compact(this.#applied, this.metadata.picture(members));
   }
 
   #install(index: number, state: Uint8Array): void {
-    this.#pictureMembers = this.metadata.install(state);
+    this.#memberLog.installed(this.metadata.install(state));
     this.#commit = this.#applied = index;
-    this.#membersTerm = -1;
     this.#findMembers();
     this.emit("pictured");
   }
 
-  /** The members in force are the newest in the log, committed or not. */
   #findMembers(): void {
-    const found = this.#membersAt(this.#log.lastIndex);
-    if (found === this.#members) return;
-    this.#members = found;
-    this.#enlist();
-  }
-
-  #membersAt(last: number): Members {
-    if (
-      last === this.#log.lastIndex &&
-      this.#membersIndex > this.#log.baseIndex &&
-      this.#log.termAt(this.#membersIndex) === this.#membersTerm &&
-      !this.#hasNewerMembers()
-    )
-      return this.#members;
-    for (let i = last; i > this.#log.baseIndex; i -= 1) {
-      const entry = this.#log.at(i)!;
-      if (entry.kind !== entryKind.members) continue;
-      if (last === this.#log.lastIndex) [this.#membersIndex, this.#membersTerm] = [i, entry.term];
-      return fromBinary(MembersSchema, entry.data);
-    }
-    if (last === this.#log.lastIndex)
-      [this.#membersIndex, this.#membersTerm] = [this.#log.baseIndex, this.#log.baseTerm];
-    return this.#pictureMembers ?? create(MembersSchema, {});
-  }
-
-  #hasNewerMembers(): boolean {
-    for (let i = this.#log.lastIndex; i > this.#membersIndex; i -= 1)
-      if (this.#log.at(i)?.kind === entryKind.members) return true;
-    return false;
+    if (this.#memberLog.look()) this.#enlist();
   }
 
   #enlist(): void {
     this.#spread?.enlist(
-      [this.#members.voters.map((one) => one.id)],
-      this.#members.learners.map((one) => one.id),
+      [this.members.voters.map((one) => one.id)],
+      this.members.learners.map((one) => one.id),
     );
   }
 }
--- a/packages/lathe/src/process/storeDesk.ts
+++ b/packages/lathe/src/process/storeDesk.ts
@@ -1,10 +1,10 @@
 import { create, toBinary } from "@bufbuild/protobuf";
 import {
+  KvSchema,
   StoreCallSchema,
   StoreCommandSchema,
   type FeedState,
   type Join,
-  type Kv,
   type LatheMember,
   type StoreCall,
 } from "@cranetrack/chest/gen/cranetrack_pb.js";
@@ -80,7 +80,10 @@
   async #read(keys: readonly string[], prefixes: readonly string[]): Promise<Outcome> {
     if (!(await this.#ledger.confirm())) return { outcome: "away", comeBack: 1 };
     const { metadata } = this.#ledger;
-    const single = keys.map((key) => metadata.get(key)).filter((kv): kv is Kv => kv !== undefined);
+    const single = keys
+      .map((key) => metadata.get(key))
+      .filter((kv) => kv !== undefined)
+      .map((kv) => (kv.lease === "" ? kv : create(KvSchema, { ...kv, leaseLeft: this.#leases.leftOf(kv.lease) })));
     return {
       outcome: "done",
       kvs: [...single, ...prefixes.flatMap((prefix) => metadata.range(prefix))],
@@ -95,7 +98,7 @@
     const body = await this.#node.exchange.call(
       proposer,
       { case: "storeCall", value: { call: call.call, isPassed: true } },
-      450,
+      call.call.case === "renew" ? 600 : 450,
     );
     if (body?.case === "storeReceipt") return body.value;
     const isChange = call.call.case === "txn" || call.call.case === "grant" || call.call.case === "revoke";
--- a/packages/vise/src/process/sessions.ts
+++ b/packages/vise/src/process/sessions.ts
@@ -2,9 +2,9 @@
 import type { Kv, Pull, PullReceipt } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
-import type { BodyInit } from "@cranetrack/chest/process/wire.js";
+import type { Body, BodyInit } from "@cranetrack/chest/process/wire.js";
 import { OwnerKey } from "../mark/ownerKey.js";
-import type { Owner } from "../mark/ownersView.js";
+import type { Owner, OwnersView } from "../mark/ownersView.js";
 import { SubscriptionKey } from "../mark/subscriptionKey.js";
 import { Session } from "./session.js";
 
@@ -23,20 +23,25 @@
  */
 export class Sessions extends EventEmitter<{ step: [step: string, session: string] }> {
   static readonly pullDue = 700;
+  /** What lies between the end of a lease and everybody's hearing of it; and what is soon enough to be waited for. */
+  static readonly expiryMs = 100;
+  static readonly soonMs = 400;
   static readonly keepShippedMs = 30_000;
   static readonly keepIdleMs = 60_000;
 
   readonly #node: ClusterNode;
   readonly #lease: LeaseKeeper;
+  readonly #owners: OwnersView;
   readonly #table = new Map<string, Session>();
   readonly #claiming = new Set<string>();
   /** State already shipped, for an asker whose receipt was lost. */
   readonly #shipped = new Map<string, Shipped>();
 
-  constructor(node: ClusterNode, lease: LeaseKeeper) {
+  constructor(node: ClusterNode, lease: LeaseKeeper, owners: OwnersView) {
     super();
     this.#node = node;
     this.#lease = lease;
+    this.#owners = owners;
     node.exchange.serve("pull", (pull) => this.#ship(pull));
     lease.on("lost", () => this.#dropAll());
     node.parts.clock.every(1000, () => this.#tend());
@@ -62,12 +67,14 @@
     if (own !== undefined) return { session: own };
     if (this.#claiming.has(id)) return { comeBack: 0.3, reason: "another resume of this session is under way" };
     this.#claiming.add(id);
-    const claimed = await this.#claim(id);
+    let claimed = await this.#claim(id);
+    // The owner's lease was lost while it was being asked: its key is free now.
+    if (claimed === "freed") claimed = await this.#claim(id);
     this.#claiming.delete(id);
-    return claimed;
+    return claimed === "freed" ? { comeBack: 0.1, reason: "the session is changing hands" } : claimed;
   }
 
-  async #claim(id: string): Promise<Claimed> {
+  async #claim(id: string): Promise<Claimed | "freed"> {
     const { lease } = this.#lease;
     if (!this.#lease.isHeld) return { comeBack: 1, reason: "this node has no lease" };
     const key = OwnerKey.of(id);
@@ -76,8 +83,8 @@
     const kept = read.kvs!.find((kv) => kv.key === key);
     const record = kept === undefined ? undefined : OwnerKey.read(kept.value);
     const owner = kept === undefined || record === undefined ? undefined : { ...record, revision: kept.revision };
-    const shipped = owner === undefined ? undefined : await this.#pull(id, owner, lease);
-    if (shipped !== undefined && "comeBack" in shipped) return shipped;
+    const shipped = owner === undefined ? undefined : await this.#pull(id, owner, lease, kept!.leaseLeft);
+    if (shipped === "freed" || (shipped !== undefined && "comeBack" in shipped)) return shipped;
     const value = OwnerKey.write({ node: this.#node.exchange.name, lease });
     const written = await this.#node.store.txn({
       checks: [{ key, revision: kept?.revision ?? 0 }],
@@ -131,7 +138,8 @@
     id: string,
     owner: Owner,
     lease: string,
-  ): Promise<{ state: PullReceipt } | { comeBack: number; reason: string } | undefined> {
+    leaseLeft: number,
+  ): Promise<{ state: PullReceipt } | { comeBack: number; reason: string } | "freed" | undefined> {
     if (owner.node === this.#node.exchange.name && owner.lease !== lease) {
       // This very process, or one before it at the same address, held that lease and is gone from it.
       await this.#node.store.call({ case: "revoke", value: { lease: owner.lease } });
@@ -139,13 +147,14 @@
     }
     if (owner.node === this.#node.exchange.name) return undefined;
     this.emit("step", "pull", id);
-    const receipt = await this.#node.exchange.call(
-      owner.node,
-      { case: "pull", value: { session: id, ownerRevision: owner.revision, asker: this.#node.exchange.name } },
-      Sessions.pullDue,
-    );
-    if (receipt?.case !== "pullReceipt")
-      return { comeBack: 0.4, reason: `the owner ${owner.node} does not answer; its lease must run out first` };
+    const receipt = await this.#ask(id, owner, leaseLeft);
+    if (receipt?.case !== "pullReceipt") {
+      const present = this.#owners.find(id);
+      if (present !== undefined && present.revision !== owner.revision) return "freed";
+      if (present === undefined && this.#node.feed.isFresh) return "freed";
+      const comeBack = (leaseLeft + Sessions.expiryMs) / 1000;
+      return { comeBack, reason: `the owner ${owner.node} does not answer; its lease must run out first` };
+    }
     if (receipt.value.outcome !== "shipped")
       return {
         comeBack: receipt.value.comeBack || 0.3,
@@ -155,6 +164,17 @@
     return { state: receipt.value };
   }
 
+  /** Asks the owner for the session, as long as it may answer and its key is there. */
+  #ask(id: string, owner: Owner, leaseLeft: number): Promise<Body | undefined> {
+    const { exchange, parts } = this.#node;
+    const ask = { session: id, ownerRevision: owner.revision, asker: exchange.name };
+    const isMute = exchange.isMute(owner.node);
+    const due = isMute ? Math.min(leaseLeft + Sessions.expiryMs, Sessions.soonMs) : Sessions.pullDue;
+    const left = this.#owners.left(id, owner.revision, parts.clock, due);
+    if (isMute) return leaseLeft + Sessions.expiryMs > Sessions.soonMs ? Promise.resolve(undefined) : left;
+    return Promise.race([exchange.call(owner.node, { case: "pull", value: ask }, Sessions.pullDue), left]);
+  }
+
   /** The old owner's part: close the link, stop, prepare, ship. */
   #ship(pull: Pull): BodyInit {
     const session = this.#table.get(pull.session);
--- a/packages/vise/src/process/shardFollow.ts
+++ b/packages/vise/src/process/shardFollow.ts
@@ -75,6 +75,8 @@
     const wanted = isFull ? [...this.#streams.values()] : [...this.#asked];
     if (isFull) this.#follow = `${this.#node.exchange.name}/${this.#node.parts.chance.identity().slice(0, 8)}`;
     const streams = wanted.map(({ route, birth, head }) => ({ ...route, birth, after: head }));
+    // What is asked for again while this is under way stays asked for.
+    for (const tail of wanted) this.#asked.delete(tail);
     const follow = this.#follow;
     const turn = this.#turn;
     const receipt = await this.#node.exchange.call(
@@ -86,6 +88,7 @@
     this.#isAsking = false;
     if (receipt?.case !== "followReceipt" || receipt.value.outcome !== "done") {
       this.#isStale = true;
+      for (const tail of wanted) if (this.#streams.has(tail.stream)) this.#asked.add(tail);
       // Whoever has just claimed the shard serves in a moment; the next beat would be late.
       this.#node.parts.clock.once(ShardFollow.againMs, () => void this.tend());
       return;
@@ -95,14 +98,12 @@
       this.#epoch = receipt.value.epoch;
       this.#seen = receipt.value.number;
     }
-    for (const tail of wanted) this.#asked.delete(tail);
-    const behind = receipt.value.heads.filter((head) => head.fault === "behind").map((head) => head.stream);
-    if (this.#asked.size > 0) void this.tend();
     for (const head of receipt.value.heads) this.#learn(head);
+    if (this.#asked.size > 0) void this.tend();
     // Who has not heard of the newest plan, this node or the holder, is given until the next beat.
-    for (const stream of behind) {
+    for (const { fault, stream } of receipt.value.heads) {
       const tail = this.#streams.get(stream);
-      if (tail !== undefined) this.#asked.add(tail);
+      if (fault === "behind" && tail !== undefined) this.#asked.add(tail);
     }
   }
 
@@ -140,7 +141,9 @@
       const tail = this.#streams.get(batch.stream);
       if (tail === undefined) continue;
       if (batch.fault !== "") tail.end(batch.fault);
-      else tail.extend(batch.birth, batch.messages);
+      else if (tail.isKnown && tail.birth === batch.birth) tail.extend(batch.birth, batch.messages);
+      // Overtook the receipt that tells of the stream: it counts as seen, so it has to be asked for.
+      else this.add(tail);
     }
   }
 
@@ -163,6 +166,6 @@
     if (tail === undefined) return;
     if (head.fault === "behind") return;
     if (head.fault !== "") tail.end(head.fault);
-    else tail.learn(head.birth, head.head, head.low);
+    else tail.learn(head.birth, head.from, head.low);
   }
 }
--- a/packages/vise/src/process/streamTail.ts
+++ b/packages/vise/src/process/streamTail.ts
@@ -7,7 +7,7 @@
  * Invariants: `messages` are contiguous and end at `head`, whatever was heard or missed; within one birth
  * `head` only rises; `owed` has topics only that the stream's holder has found owed in this birth of the space.
  */
-export class StreamTail extends EventEmitter<{ grown: []; known: []; ended: [fault: string] }> {
+export class StreamTail extends EventEmitter<{ grown: []; ended: [fault: string] }> {
   static readonly most = 400;
   static readonly mostBytes = 2 * 1024 * 1024;
 
@@ -39,14 +39,12 @@
     return first === undefined || seq + 1 < first.seq ? undefined : this.messages[seq + 1 - first.seq];
   }
 
-  /** A confirmed head. What lies between it and what was heard before is not here: readers fetch it. */
-  learn(birth: string, head: number, low: number): void {
+  /** The holder pushes what comes after `from`. What lies before it and was not heard is for readers to fetch. */
+  learn(birth: string, from: number, low: number): void {
     if (birth !== this.birth) this.#reborn(birth);
     this.low = Math.max(low, this.low);
-    const isFarAhead = head - this.head > StreamTail.most;
-    if (head > this.head && (!this.isKnown || isFarAhead)) this.#skipTo(head);
+    if (from > this.head) this.#skipTo(from);
     this.isKnown = true;
-    this.emit("known");
     this.emit("grown");
   }
 
--- a/packages/vise/src/process/vise.ts
+++ b/packages/vise/src/process/vise.ts
@@ -32,7 +32,7 @@
   readonly planCheck: PlanCheck;
   readonly owners: OwnersView;
   readonly router: Router;
-  readonly beatMs = 500;
+  readonly beatMs = 300;
   readonly publishDue = 700;
   readonly sessionKeepMs = 900_000;
   readonly live: { mostLinks: number; bufferBytes: number };
@@ -46,7 +46,7 @@
     this.live = { mostLinks: settings.mostLinks, bufferBytes: settings.bufferBytes };
     this.owners = new OwnersView(node.journal);
     this.lease = new LeaseKeeper(settings.name, settings.edgeLeaseMs, node.store, clock, chance);
-    this.sessions = new Sessions(node, this.lease);
+    this.sessions = new Sessions(node, this.lease, this.owners);
     this.streams = new StreamTable(node);
     this.planCheck = new PlanCheck(node.store);
     router.on("POST", /^\/v1\/sessions\/([^/]+)\/messages$/, (call) => publishMessage(this, call));
--- a/packages/vise/src/request/publishMessage.ts
+++ b/packages/vise/src/request/publishMessage.ts
@@ -1,4 +1,6 @@
+import type { MessageInitShape } from "@bufbuild/protobuf";
 import { type } from "arktype";
+import type { PublishReceipt, PublishSchema } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import { Plans } from "@cranetrack/chest/mark/plan.js";
 import type { ApiCall } from "@cranetrack/chest/process/router.js";
 import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
@@ -8,6 +10,10 @@
 import type { Session } from "../process/session.js";
 import type { ViseParts } from "../process/viseParts.js";
 
+/** How long a free shard is waited for, and a holder that does not serve yet. */
+const claimMs = 300;
+const againMs = 40;
+
 const messageBody = type({
   "+": "reject",
   topic: "string",
@@ -38,27 +44,15 @@
   const route = node.plan.route(topic);
   if (route === undefined) return unrouted(await vise.planCheck.faultOf(topic));
   const shard = vise.streams.shardOf(route.stream);
-  const { holder } = node.shards.find(shard);
-  if (holder === "") return ApiReceipts.away("the topic has no holder just now", 0.2);
-  if (node.exchange.isMute(holder) && !node.membership.isAlive(holder))
-    return ApiReceipts.away("the topic's holder does not answer", 0.5);
+  if (!(await isHeld(vise, shard))) return ApiReceipts.away("the topic has no holder just now", 0.1);
   note(session, topic, number, true);
-  const publish = {
-    shard,
-    session: id,
-    ownerEpoch: session.epoch,
-    spaceBirth: route.spaceBirth,
-    number,
-    topic,
-    payload: Buffer.from(payload),
-  };
-  const answered = await Promise.race([
-    node.exchange.call(holder, { case: "publish", value: publish }, vise.publishDue),
-    node.shards.moved(shard, holder, node.parts.clock, vise.publishDue),
-  ]);
-  if (answered?.case !== "publishReceipt")
-    return ApiReceipts.unsure("the topic's holder did not answer; the same number again settles it");
-  const receipt = answered.value;
+  const { spaceBirth } = route;
+  const publish = { shard, session: id, ownerEpoch: session.epoch, spaceBirth, number, topic };
+  const answered = await atHolder(vise, shard, { ...publish, payload: Buffer.from(payload) });
+  if (answered === "mute") return ApiReceipts.away("the topic's holder does not answer", 0.2);
+  if (answered === undefined)
+    return ApiReceipts.unsure("the topic's holder did not answer; the same number again settles it", 0.2);
+  const receipt = answered;
   switch (receipt.outcome) {
     case "accepted":
       note(session, topic, number, false);
@@ -79,6 +73,47 @@
   }
 }
 
+/** A shard that has just become free is claimed in a moment. */
+async function isHeld(vise: ViseParts, shard: number): Promise<boolean> {
+  const { shards, parts } = vise.node;
+  if (shards.find(shard).holder === "") await shards.moved(shard, "", parts.clock, claimMs);
+  return shards.find(shard).holder !== "";
+}
+
+/**
+ * Hands a publish to the shard's holder, and to the next one where the shard changes hands meanwhile: its number
+ * makes it the same message to both. Undefined where nobody answered; "mute" where nothing was handed over.
+ */
+async function atHolder(
+  vise: ViseParts,
+  shard: number,
+  publish: MessageInitShape<typeof PublishSchema>,
+): Promise<PublishReceipt | "mute" | undefined> {
+  const { exchange, membership, shards, parts } = vise.node;
+  const end = parts.clock.now() + vise.publishDue;
+  let isOpen = false;
+  for (let left: number = vise.publishDue; left > 0; left = end - parts.clock.now()) {
+    const { holder } = shards.find(shard);
+    if (exchange.isMute(holder) && !membership.isAlive(holder)) return isOpen ? undefined : "mute";
+    const body = await Promise.race([
+      exchange.call(holder, { case: "publish", value: publish }, left),
+      shards.moved(shard, holder, parts.clock, left),
+    ]);
+    const receipt = body?.case === "publishReceipt" ? body.value : undefined;
+    // Behind a try that nobody answered only what the log says for good is an answer to both.
+    const isFinal =
+      receipt?.outcome === "accepted" || (receipt?.outcome === "refused" && receipt.code !== "unknown-topic");
+    if (isFinal || (receipt !== undefined && !isOpen && receipt.reason !== "")) return receipt;
+    if (receipt === undefined) isOpen = true;
+    const isMoved = shards.find(shard).holder !== holder;
+    if (receipt === undefined && !isMoved) return undefined;
+    if (!(await isHeld(vise, shard))) return isOpen ? undefined : receipt;
+    // Whoever has just claimed it does not serve yet.
+    if (!isMoved) await new Promise<void>((resolve) => void parts.clock.once(againMs, resolve));
+  }
+  return undefined;
+}
+
 /** The plan this node knows has no such space. */
 function unrouted({ code, reason, comeBack }: TopicFault): ApiReceipt {
   if (comeBack !== undefined) return ApiReceipts.away(reason, comeBack);
