After a blackout, links find their starts by one follow an edge, not by a call each

Change: a follow's receipt is a confirmed head, so what it tells settles every place at or below it; only what is ahead of it, trimmed or of another birth is asked of the holder. Whether a topic is owed is read from the plan: the edge may confirm from it and never refuses by it.

--- a/packages/vise/src/process/streamTable.ts
+++ b/packages/vise/src/process/streamTable.ts
@@ -66,11 +66,26 @@
     });
   }
 
+  /** Resolves once the stream's holder has told of it, or said that it has none, or the due has passed. */
+  known(tail: StreamTail, due: number): Promise<void> {
+    if (tail.isKnown) return Promise.resolve();
+    return new Promise((resolve) => {
+      const end = (): void => {
+        beat.stop();
+        tail.off("grown", end);
+        tail.off("ended", end);
+        resolve();
+      };
+      const beat = this.#node.parts.clock.once(due, end);
+      tail.on("grown", end);
+      tail.on("ended", end);
+    });
+  }
+
   /** A plan in force that has no such space, or another birth of it, ends what was followed of it. */
   #planChanged(): void {
     const { births } = this.#node.plan;
     for (const tail of this.#tails.values()) {
-      tail.owed.clear();
       if (births[tail.route.space] === tail.route.spaceBirth) continue;
       this.#follows[tail.shard]!.remove(tail);
       tail.end("topic-gone");
--- a/packages/vise/src/process/streamTail.ts
+++ b/packages/vise/src/process/streamTail.ts
@@ -5,7 +5,7 @@
 /**
  * The newest messages of a stream that this edge has heard of, shared by all its links.
  * Invariants: `messages` are contiguous and end at `head`, whatever was heard or missed; within one birth
- * `head` only rises; `owed` has topics only that the stream's holder has found owed in this birth of the space.
+ * `head` only rises; it is known only while its holder has confirmed that it owes the stream.
  */
 export class StreamTail extends EventEmitter<{ grown: []; ended: [fault: string] }> {
   static readonly most = 400;
@@ -13,7 +13,6 @@
 
   readonly route: StreamRoute;
   readonly shard: number;
-  readonly owed = new Set<string>();
   birth = "";
   head = 0;
   low = 0;
@@ -65,7 +64,6 @@
 
   end(fault: string): void {
     this.isKnown = false;
-    this.owed.clear();
     this.emit("ended", fault);
   }
 
--- a/packages/vise/src/request/findStarts.ts
+++ b/packages/vise/src/request/findStarts.ts
@@ -1,5 +1,6 @@
 import { Grouped } from "@cranetrack/chest/process/grouped.js";
 import type { TopicStart } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { Plans } from "@cranetrack/chest/mark/plan.js";
 import type { StreamRoute } from "@cranetrack/chest/mark/streams.js";
 import { Places, type Place } from "../mark/place.js";
 import type { TopicFault } from "../mark/topicFault.js";
@@ -8,6 +9,8 @@
 import type { ViseParts } from "../process/viseParts.js";
 import { askStarts } from "./askStarts.js";
 
+const knownMs = 600;
+
 export interface Wish {
   topic: string;
   after?: string;
@@ -53,8 +56,10 @@
   }
   const starts: Start[] = [];
   const unsure: Routed[] = [];
+  // One follow of an edge tells the confirmed heads of all its links' streams; a crowd need not ask one by one.
+  await Promise.all(routed.map(({ tail }) => vise.streams.known(tail, knownMs)));
   for (const one of routed) {
-    const heard = heardStart(one);
+    const heard = heardStart(vise, one);
     if (heard === undefined) unsure.push(one);
     else starts.push(heard);
   }
@@ -69,9 +74,9 @@
   return { starts, faults };
 }
 
-/** What the tail shows by itself: a place it has passed in the same birth, of a topic found owed before. */
-function heardStart({ topic, tail, place }: Routed): Start | undefined {
-  if (!tail.isKnown || !tail.owed.has(topic)) return undefined;
+/** What the tail shows by itself: a place it has passed in the same birth, of a topic that the plan owes. */
+function heardStart(vise: ViseParts, { topic, tail, place }: Routed): Start | undefined {
+  if (!tail.isKnown || Plans.owed(vise.node.plan.plan, topic) === undefined) return undefined;
   if (place === undefined) return { topic, tail, place: { birth: tail.birth, seq: tail.head }, expired: "" };
   const isHeard = place.birth === tail.birth && place.seq >= tail.low && place.seq <= tail.head;
   return isHeard ? { topic, tail, place, expired: "" } : undefined;
@@ -79,12 +84,11 @@
 
 async function judge(vise: ViseParts, unsure: readonly Routed[]): Promise<Array<Start | TopicFault>> {
   const shards = Grouped.by(unsure, ({ tail }) => tail.shard);
-  const { mark } = vise.node.plan;
   const judged = await Promise.all(
     [...shards].map(async ([shard, list]) => {
       const places = list.map(({ topic, route: { spaceBirth }, place }) => ({ topic, spaceBirth, ...place }));
       const answers = await askStarts(vise, shard, places);
-      return list.map((one) => settle(one, answers?.get(one.topic), vise.node.plan.mark === mark));
+      return list.map((one) => settle(one, answers?.get(one.topic)));
     }),
   );
   const all = judged.flat();
@@ -93,11 +97,7 @@
   return all;
 }
 
-function settle(
-  { topic, tail, isAsked }: Routed,
-  answer: TopicStart | undefined,
-  isPlanSame: boolean,
-): Start | TopicFault {
+function settle({ topic, tail, isAsked }: Routed, answer: TopicStart | undefined): Start | TopicFault {
   const away = { topic, code: "unavailable", reason: "the topic's holder does not answer", comeBack: 0.5 };
   if (answer === undefined) return away;
   const { outcome, birth, seq, reason } = answer;
@@ -105,7 +105,6 @@
   if (outcome === "unknown-topic")
     return { topic, code: outcome, reason: `the plan in force has no rule for ${topic}` };
   if (outcome === "unknown-place" && isAsked) return { topic, code: outcome, reason };
-  if (isPlanSame) tail.owed.add(topic);
   // A kept place that the log does not know can only be of a log that is gone.
   const expired = outcome === "known" ? "" : reason;
   return { topic, tail, place: { birth, seq }, expired };
