--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,7 @@
 const hidden = "a cast through unknown or never hides a type";
 
 export default tseslint.config(
-  { ignores: ["**/dist/**", "**/gen/**", "node_modules/**"] },
+  { ignores: ["**/dist/**", "**/gen/**", "node_modules/**", "target/**"] },
   js.configs.recommended,
   ...tseslint.configs.recommended,
   {
