Vise: an in-process interface for connections; owner keys are asked for, not pushed to all

The users' platform speaks its own protocol to edges. A connection whose client brings its topics and places keeps none in the store; subscribing is answered by values, deliveries start after the confirmation. Owner keys of all sessions were pushed to every edge: a table of all connections on each node. Now a node reads the key it needs, and waits for an old owner only as long as asked. Promises: what an earlier try may have handed over is answered unsure, never away.

--- a/packages/jig/src/mark/sabotages.ts
+++ b/packages/jig/src/mark/sabotages.ts
@@ -99,7 +99,7 @@
   {
     name: "ownership is rewritten without a pull",
     file: "vise/dist/process/sessions.js",
-    find: "owner === undefined ? undefined : await this.#pull(id, owner, lease, kept.leaseLeft)",
+    find: 'owner === undefined || owner.node === "" ? undefined : await this.#pull(id, owner, lease)',
     put: "undefined",
     test: `${sim}/sessions.test.js`,
   },
--- a/packages/jig/src/process/sim/bounds.test.ts
+++ b/packages/jig/src/process/sim/bounds.test.ts
@@ -6,6 +6,7 @@
 import { LogRing } from "@cranetrack/chest/process/logRing.js";
 import { Sessions } from "@cranetrack/vise/process/sessions.js";
 import { StreamTail } from "@cranetrack/vise/process/streamTail.js";
+import { OwnerKey } from "@cranetrack/vise/mark/ownerKey.js";
 import { expect } from "earl";
 import { Hand, served } from "./hand.js";
 
@@ -61,5 +62,11 @@
   await fleet.run(Sessions.keepIdleMs + 2500);
   expect([old!.keptPulls, young!.table.size]).toEqual([0, 0]);
   await fleet.run(Sessions.keepShippedMs + 2500);
-  expect([young!.keptPulls, fleet.find("vise-3")!.vise!.owners.count]).toEqual([0, 0]);
+  const owners = ["lathe-1", "lathe-2", "lathe-3"].flatMap((name) =>
+    fleet
+      .find(name)!
+      .lathe!.ledger!.metadata.range("sessions/")
+      .filter(({ key }) => OwnerKey.sessionOf(key) !== undefined),
+  );
+  expect([young!.keptPulls, owners.length]).toEqual([0, 0]);
 });
--- a/packages/jig/src/process/sim/sessions.test.ts
+++ b/packages/jig/src/process/sim/sessions.test.ts
@@ -1,6 +1,17 @@
 import { test } from "node:test";
+import { OwnerKey } from "@cranetrack/vise/mark/ownerKey.js";
 import { expect } from "earl";
 import { Hand, served, type Line } from "./hand.js";
+import type { SimFleet } from "./simFleet.js";
+
+/** What the store itself says: the newest of all lathes. */
+function ownerOf(fleet: SimFleet, session: string): { node: string; revision: number } {
+  const kept = ["lathe-1", "lathe-2", "lathe-3"]
+    .map((name) => fleet.find(name)?.lathe?.ledger?.metadata.get(OwnerKey.of(session)))
+    .filter((kv) => kv !== undefined)
+    .sort((a, b) => b.revision - a.revision)[0]!;
+  return { node: OwnerKey.read(kept.value)!.node, revision: kept.revision };
+}
 
 const wish = { subscriptions: [{ topic: "notes/t1" }] };
 
@@ -12,14 +23,14 @@
     expect(await fleet.until(() => first.of("confirmed").length === 1, 5000)).toEqual(true);
     expect((await publish("desk", 1))["receipt"]).toEqual("accepted");
     expect(await fleet.until(() => first.of("message").length === 1, 2000)).toEqual(true);
-    const before = fleet.find("vise-3")!.vise!.owners.find("desk")!;
+    const before = ownerOf(fleet, "desk");
     expect(before.node).toEqual("vise-1");
 
     const steps: string[] = [];
     fleet.find("vise-1")!.vise!.sessions.on("step", (step) => steps.push(`old ${step}`));
     fleet.find("vise-2")!.vise!.sessions.on("step", (step) => {
       steps.push(`new ${step}`);
-      if (step === "shipped") steps.push(`key names ${fleet.find("vise-3")!.vise!.owners.find("desk")!.node}`);
+      if (step === "shipped") steps.push(`key names ${ownerOf(fleet, "desk").node}`);
     });
     const second = new Hand(fleet, "vise-2", "desk", wish);
     expect(await fleet.until(() => second.of("confirmed").length === 1, 5000)).toEqual(true);
@@ -32,7 +43,7 @@
     expect(steps.find((step) => step.startsWith("key"))).toEqual(expect.includes("key names vise-1"));
     expect(first.of("goodbye")[0]?.["reason"]).toEqual("taken over");
     await fleet.run(1000);
-    const after = fleet.find("vise-3")!.vise!.owners.find("desk")!;
+    const after = ownerOf(fleet, "desk");
     expect([after.node, after.revision > before.revision]).toEqual(["vise-2", true]);
 
     // Shipped: the numbers accepted and the cursor, so nothing comes twice and a known number keeps its receipt.
--- a/packages/jig/src/process/sim/simNode.ts
+++ b/packages/jig/src/process/sim/simNode.ts
@@ -33,7 +33,7 @@
     const chance = world.chance.fork();
     const mounted = settings.role === "vise" ? undefined : new SealedDisk(disk.mount(this.body));
     const net = wires.attach(settings.address, this.body);
-    const prefixes = settings.role === "vise" ? ["plan", "shards/", "sessions/"] : ["plan", "shards/", "machines/"];
+    const prefixes = settings.role === "vise" ? ["plan", "shards/"] : ["plan", "shards/", "machines/"];
     this.node = new ClusterNode(
       { settings, clock: this.clock, net, disk: mounted, chance, log: this.log, incarnation },
       prefixes,
--- /dev/null
+++ b/packages/vise/src/connection/sessionConnection.ts
@@ -0,0 +1,126 @@
+import { Plans } from "@cranetrack/chest/mark/plan.js";
+import type { ClientLink } from "../link/clientLink.js";
+import { Places } from "../mark/place.js";
+import type { TopicFault } from "../mark/topicFault.js";
+import type { Connection, SubscribeOutcome } from "../process/connections.js";
+import type { Session } from "../process/session.js";
+import type { ViseParts } from "../process/viseParts.js";
+import { findStarts, type Start } from "../request/findStarts.js";
+import { joinStreams } from "../request/joinStreams.js";
+import { publishMessage, type PublishOutcome } from "../request/publishMessage.js";
+
+interface Asked {
+  topic: string;
+  after: string | undefined;
+  settle: (outcome: SubscribeOutcome) => void;
+}
+const faultOutcomes = ["unknown-topic", "malformed-place", "unknown-place", "away"] as const;
+
+/**
+ * A connection whose client brings its topics and places itself.
+ * Invariants: a topic is pending from its call until it joined or failed; what is asked for in one turn is
+ * looked up together; nothing of a topic is delivered in the turn in which its subscription is confirmed.
+ */
+export class SessionConnection implements Connection {
+  static readonly mostTopics = 500;
+
+  readonly #vise: ViseParts;
+  readonly #session: Session;
+  readonly #link: ClientLink;
+  readonly #pending = new Map<string, Promise<SubscribeOutcome>>();
+  #asked: Asked[] = [];
+
+  constructor(vise: ViseParts, session: Session, link: ClientLink) {
+    this.#vise = vise;
+    this.#session = session;
+    this.#link = link;
+  }
+
+  get session(): string {
+    return this.#session.id;
+  }
+
+  subscribe(topic: string, after?: string): Promise<SubscribeOutcome> {
+    const refusal = this.#refusal(topic);
+    if (refusal !== undefined) return Promise.resolve(refusal);
+    const cursor = this.#session.subscriptions.get(topic);
+    if (cursor !== undefined) {
+      const { birth, seq } = cursor.placeOf(topic);
+      return Promise.resolve({ outcome: "confirmed", place: Places.write(birth, seq) });
+    }
+    let pending = this.#pending.get(topic);
+    if (pending === undefined) {
+      pending = new Promise((settle) => this.#asked.push({ topic, after, settle }));
+      this.#pending.set(topic, pending);
+      if (this.#asked.length === 1) this.#vise.node.parts.clock.once(0, () => void this.#lookUp());
+    }
+    return pending;
+  }
+
+  unsubscribe(topic: string): Promise<{ outcome: "done" | "moved" }> {
+    if (!this.#isCurrent) return Promise.resolve({ outcome: "moved" });
+    this.#pending.delete(topic);
+    this.#session.subscriptions.get(topic)?.remove(topic);
+    this.#session.subscriptions.delete(topic);
+    return Promise.resolve({ outcome: "done" });
+  }
+
+  publish(topic: string, number: number, payload: string): Promise<PublishOutcome> {
+    if (!this.#isCurrent)
+      return Promise.resolve({ outcome: "unsure", reason: "the session moved on meanwhile", comeBack: 0.3 });
+    if (!Plans.isTopic(topic) || !Number.isSafeInteger(number) || number < 1)
+      return Promise.resolve({ outcome: "refused", code: "malformed", reason: "the topic or number is malformed" });
+    return publishMessage(this.#vise, this.#session, topic, number, payload);
+  }
+
+  close(): void {
+    if (this.#session.link !== this.#link) return;
+    this.#session.unlink("closed by the client", 0, this.#vise.node.parts.clock.now());
+  }
+
+  get #isCurrent(): boolean {
+    return this.#session.link === this.#link && !this.#session.isStopped && this.#vise.lease.isHeld;
+  }
+
+  #refusal(topic: string): SubscribeOutcome | undefined {
+    if (!this.#isCurrent) return { outcome: "moved", reason: "the session moved on meanwhile" };
+    if (!Plans.isTopic(topic)) return { outcome: "malformed", reason: "the topic is malformed" };
+    if (!this.#vise.node.feed.isFresh)
+      return { outcome: "away", reason: "this node is out of touch with the store", comeBack: 0.5 };
+    const isKnown = this.#session.subscriptions.has(topic) || this.#pending.has(topic);
+    const count = this.#session.subscriptions.size + this.#pending.size;
+    if (!isKnown && count >= SessionConnection.mostTopics)
+      return { outcome: "too-many", reason: `a connection may have ${SessionConnection.mostTopics} topics` };
+    return undefined;
+  }
+
+  async #lookUp(): Promise<void> {
+    const asked = this.#asked;
+    this.#asked = [];
+    const wishes = asked.map(({ topic, after }) => (after === undefined ? { topic } : { topic, after }));
+    const { starts, faults } = await findStarts(this.#vise, this.#session, wishes);
+    const good = starts.filter(({ expired }) => expired === "");
+    for (const one of asked) one.settle(this.#outcomeOf(one.topic, starts, faults));
+    // The confirmations go out first.
+    this.#vise.node.parts.clock.once(0, () => this.#join(good));
+    for (const { topic } of asked) if (!good.some((start) => start.topic === topic)) this.#pending.delete(topic);
+    for (const { tail, expired } of starts) if (expired !== "") this.#vise.streams.leave(tail);
+  }
+
+  #outcomeOf(topic: string, starts: readonly Start[], faults: readonly TopicFault[]): SubscribeOutcome {
+    if (!this.#isCurrent) return { outcome: "moved", reason: "the session moved on meanwhile" };
+    const start = starts.find((one) => one.topic === topic);
+    if (start !== undefined && start.expired !== "") return { outcome: "expired", reason: start.expired };
+    if (start !== undefined) return { outcome: "confirmed", place: Places.write(start.place.birth, start.place.seq) };
+    const fault = faults.find((one) => one.topic === topic);
+    const outcome = faultOutcomes.find((one) => one === fault?.code) ?? "away";
+    return { outcome, reason: fault?.reason ?? "the topic could not be looked up", comeBack: fault?.comeBack };
+  }
+
+  /** Topics that were left again meanwhile, or whose connection ended, don't join. */
+  #join(starts: readonly Start[]): void {
+    const joining = starts.filter(({ topic }) => this.#pending.delete(topic));
+    if (this.#isCurrent) joinStreams(this.#vise, this.#session, this.#link, joining, () => undefined);
+    for (const { tail } of starts) this.#vise.streams.leave(tail);
+  }
+}
--- a/packages/vise/src/link/streamCursor.ts
+++ b/packages/vise/src/link/streamCursor.ts
@@ -14,6 +14,8 @@
   /** False closes the link: nothing may be sent any more. */
   maySend: () => boolean;
   onEnd: (topic: string) => void;
+  /** The stream's space keeps nothing: whoever sequences it may forget what it had sequenced. */
+  keepsNothing: boolean;
 }
 
 /**
@@ -27,6 +29,8 @@
 
   readonly #parts: CursorParts;
   readonly #topics = new Map<string, number>();
+  /** Where nothing is kept: by topic and sender the last number handed on, for it may come again. */
+  readonly #given = new Map<string, number>();
   readonly #grown = (): void => void this.#pump();
   readonly #ended = (fault: string): void => this.#endAll(fault);
   birth = "";
@@ -137,11 +141,19 @@
     const { session, number, payload, seq, topic } = message;
     const from = this.#topics.get(topic);
     if (from === undefined || seq <= from) return;
+    if (this.#parts.keepsNothing && !this.#isNews(topic, session, number)) return;
     const place = Places.write(this.birth, seq);
     const text = Buffer.from(payload).toString();
     this.#parts.link.send({ kind: "message", topic, sender: session, number, place, payload: text });
   }
 
+  #isNews(topic: string, sender: string, number: number): boolean {
+    const key = `${topic} ${sender}`;
+    if (number <= (this.#given.get(key) ?? 0)) return false;
+    this.#given.set(key, number);
+    return true;
+  }
+
   /** Goes on after what was trimmed. Only topics that lost a message by it are told. */
   #skip(low: number, trims: ReadonlyMap<string, number>): void {
     const cursor = this.cursor;
--- a/packages/vise/src/process/session.ts
+++ b/packages/vise/src/process/session.ts
@@ -1,11 +1,7 @@
 import type { ClientLink } from "../link/clientLink.js";
 import type { StreamCursor } from "../link/streamCursor.js";
 import type { Place } from "../mark/place.js";
-
-export interface NumberState {
-  number: number;
-  isOpen: boolean;
-}
+import { PublishNumbers } from "../mark/publishNumbers.js";
 
 /**
  * What the owner of a client's session holds: the publish numbers accepted, the publishes not yet
@@ -15,31 +11,37 @@
 export class Session {
   readonly id: string;
   readonly epoch: number;
-  readonly numbers = new Map<string, NumberState>();
+  /** False where an earlier owner's state was lost with it: a number not known here may have been handed over. */
+  readonly isWhole: boolean;
+  readonly numbers = new PublishNumbers();
   /** Cursors of topics without a live subscription: shipped, or left by an earlier link. */
   readonly places = new Map<string, Place>();
   /** By topic: the cursor of its stream. Topics of one stream share one. */
   readonly subscriptions = new Map<string, StreamCursor>();
   link: ClientLink | undefined;
+  /** The client brings its topics and places with every connection: none are kept for it in between. */
+  bringsTopics = false;
   leftAt = 0;
   isStopped = false;
 
-  constructor(id: string, epoch: number) {
+  constructor(id: string, epoch: number, isWhole = true) {
     this.id = id;
     this.epoch = epoch;
+    this.isWhole = isWhole;
   }
 
   /** Stops deliveries on the present link, keeps their cursors, and says goodbye. */
-  unlink(reason: string, comeBack: number, now: number): void {
+  unlink(reason: string, comeBack: number, now: number, address = ""): void {
     const { link } = this;
     if (link === undefined) return;
     this.link = undefined;
     this.leftAt = now;
-    for (const [topic, cursor] of this.subscriptions) this.places.set(topic, cursor.placeOf(topic));
+    if (!this.bringsTopics)
+      for (const [topic, cursor] of this.subscriptions) this.places.set(topic, cursor.placeOf(topic));
     for (const cursor of this.cursors()) cursor.stop();
     this.subscriptions.clear();
     if (link.isClosed) return;
-    link.send({ kind: "goodbye", reason, comeBack });
+    link.send({ kind: "goodbye", reason, comeBack, ...(address === "" ? {} : { address }) });
     link.close();
   }
 
--- a/packages/vise/src/process/sessions.ts
+++ b/packages/vise/src/process/sessions.ts
@@ -4,8 +4,8 @@
 import type { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
 import type { Body, BodyInit } from "@cranetrack/chest/process/wire.js";
 import { OwnerKey } from "../mark/ownerKey.js";
-import type { Owner, OwnersView } from "../mark/ownersView.js";
 import { SubscriptionKey } from "../mark/subscriptionKey.js";
+import { readOwner, type Owner } from "../request/readOwner.js";
 import { Session } from "./session.js";
 
 export type Claimed = { session: Session } | { comeBack: number; reason: string };
@@ -31,17 +31,17 @@
 
   readonly #node: ClusterNode;
   readonly #lease: LeaseKeeper;
-  readonly #owners: OwnersView;
   readonly #table = new Map<string, Session>();
   readonly #claiming = new Set<string>();
+  /** Sessions whose owner was seen to be gone with their state, and when: numbers may have been handed over. */
+  readonly #orphans = new Map<string, number>();
   /** State already shipped, for an asker whose receipt was lost. */
   readonly #shipped = new Map<string, Shipped>();
 
-  constructor(node: ClusterNode, lease: LeaseKeeper, owners: OwnersView) {
+  constructor(node: ClusterNode, lease: LeaseKeeper) {
     super();
     this.#node = node;
     this.#lease = lease;
-    this.#owners = owners;
     node.exchange.serve("pull", (pull) => this.#ship(pull));
     lease.on("lost", () => this.#dropAll());
     node.parts.clock.every(1000, () => this.#tend());
@@ -66,11 +66,24 @@
     return this.#lease.isHeld ? this.#table.get(id) : undefined;
   }
 
-  /** Makes this node the session's owner, or says when to come back. */
-  async claim(id: string): Promise<Claimed> {
+  /**
+   * Makes this node the session's owner, or says when to come back. With patience it comes back itself, as long as
+   * that is soon enough.
+   */
+  async claim(id: string, patience = 0): Promise<Claimed> {
+    const { clock } = this.#node.parts;
+    const end = clock.now() + patience;
+    for (;;) {
+      const claimed = await this.#claimOnce(id);
+      if ("session" in claimed || clock.now() + claimed.comeBack * 1000 > end) return claimed;
+      await new Promise<void>((resolve) => void clock.once(claimed.comeBack * 1000, resolve));
+    }
+  }
+
+  async #claimOnce(id: string): Promise<Claimed> {
     const own = this.find(id);
     if (own !== undefined) return { session: own };
-    if (this.#claiming.has(id)) return { comeBack: 0.3, reason: "another resume of this session is under way" };
+    if (this.#claiming.has(id)) return { comeBack: 0.1, reason: "another resume of this session is under way" };
     this.#claiming.add(id);
     let claimed = await this.#claim(id);
     // The owner's lease was lost while it was being asked: its key is free now.
@@ -83,38 +96,23 @@
     const { lease } = this.#lease;
     if (!this.#lease.isHeld) return { comeBack: 1, reason: "this node has no lease" };
     const key = OwnerKey.of(id);
-    const read = await this.#node.store.read([key], [SubscriptionKey.prefix(id)]);
-    if (read.outcome !== "done") return { comeBack: 1, reason: "the store does not answer" };
-    const kept = read.kvs!.find((kv) => kv.key === key);
-    const record = kept === undefined ? undefined : OwnerKey.read(kept.value);
-    const owner = kept === undefined || record === undefined ? undefined : { ...record, revision: kept.revision };
-    const shipped = owner === undefined ? undefined : await this.#pull(id, owner, lease, kept!.leaseLeft);
+    const read = await readOwner(this.#node.store, id, [SubscriptionKey.prefix(id)]);
+    if (read === undefined) return { comeBack: 1, reason: "the store does not answer" };
+    const { owner } = read;
+    const shipped = owner === undefined || owner.node === "" ? undefined : await this.#pull(id, owner, lease);
     if (shipped === "freed" || (shipped !== undefined && "comeBack" in shipped)) return shipped;
     const value = OwnerKey.write({ node: this.#node.exchange.name, lease });
     const written = await this.#node.store.txn({
-      checks: [{ key, revision: kept?.revision ?? 0 }],
+      checks: [{ key, revision: owner?.revision ?? 0 }],
       puts: [{ key, value, lease }],
     });
-    const revision =
-      written.outcome === "unsure"
-        ? await this.#settle(key, lease)
-        : written.outcome === "done"
-          ? written.revision!
-          : 0;
-    if (revision === 0)
-      return {
-        comeBack: 0.3,
-        reason:
-          written.outcome === "conflict" ? "another resume of this session won" : "the owner key could not be written",
-      };
+    if (written.outcome === "conflict") return { comeBack: 0.1, reason: "another resume of this session won" };
+    const revision = written.outcome === "done" ? written.revision! : await this.#settle(id, lease, written.outcome);
+    if (revision === 0) return { comeBack: 0.3, reason: "the owner key could not be written" };
     if (!this.#lease.isHeld || this.#lease.lease !== lease) return { comeBack: 1, reason: "this node lost its lease" };
     this.emit("step", "owner-written", id);
-    const session = new Session(id, revision);
-    this.#fill(
-      session,
-      read.kvs!.filter((kv) => kv !== kept),
-      shipped?.state,
-    );
+    const session = new Session(id, revision, !this.#orphans.delete(id));
+    this.#fill(session, read.kvs, shipped?.state);
     this.#table.set(id, session);
     return { session };
   }
@@ -135,31 +133,26 @@
   }
 
   /** Closes every link; the sessions stay to be pulled until released. */
-  goodbye(reason: string, comeBack: () => number): void {
-    for (const session of this.#table.values()) session.unlink(reason, comeBack(), this.#node.parts.clock.now());
+  goodbye(reason: string, comeBack: () => number, addressFor: (session: string) => string): void {
+    for (const session of this.#table.values())
+      session.unlink(reason, comeBack(), this.#node.parts.clock.now(), addressFor(session.id));
   }
 
   async #pull(
     id: string,
     owner: Owner,
     lease: string,
-    leaseLeft: number,
   ): Promise<{ state: PullReceipt } | { comeBack: number; reason: string } | "freed" | undefined> {
     if (owner.node === this.#node.exchange.name && owner.lease !== lease) {
       // This very process, or one before it at the same address, held that lease and is gone from it.
+      this.#orphans.set(id, this.#node.parts.clock.now());
       await this.#node.store.call({ case: "revoke", value: { lease: owner.lease } });
-      return { comeBack: 0.2, reason: "an earlier lease of this node is being given up" };
+      return { comeBack: 0.1, reason: "an earlier lease of this node is being given up" };
     }
     if (owner.node === this.#node.exchange.name) return undefined;
     this.emit("step", "pull", id);
-    const receipt = await this.#ask(id, owner, leaseLeft);
-    if (receipt?.case !== "pullReceipt") {
-      const present = this.#owners.find(id);
-      if (present !== undefined && present.revision !== owner.revision) return "freed";
-      if (present === undefined && this.#node.feed.isFresh) return "freed";
-      const comeBack = (leaseLeft + Sessions.expiryMs) / 1000;
-      return { comeBack, reason: `the owner ${owner.node} does not answer; its lease must run out first` };
-    }
+    const receipt = await this.#ask(id, owner);
+    if (receipt?.case !== "pullReceipt") return this.#unanswered(id, owner);
     if (receipt.value.outcome !== "shipped")
       return {
         comeBack: receipt.value.comeBack || 0.3,
@@ -169,15 +162,26 @@
     return { state: receipt.value };
   }
 
-  /** Asks the owner for the session, as long as it may answer and its key is there. */
-  #ask(id: string, owner: Owner, leaseLeft: number): Promise<Body | undefined> {
+  /** Asks the owner for the session; one known to be mute is not asked, only waited for where its lease ends soon. */
+  async #ask(id: string, owner: Owner): Promise<Body | undefined> {
     const { exchange, parts } = this.#node;
-    const ask = { session: id, ownerRevision: owner.revision, asker: exchange.name };
-    const isMute = exchange.isMute(owner.node);
-    const due = isMute ? Math.min(leaseLeft + Sessions.expiryMs, Sessions.soonMs) : Sessions.pullDue;
-    const left = this.#owners.left(id, owner.revision, parts.clock, due);
-    if (isMute) return leaseLeft + Sessions.expiryMs > Sessions.soonMs ? Promise.resolve(undefined) : left;
-    return Promise.race([exchange.call(owner.node, { case: "pull", value: ask }, Sessions.pullDue), left]);
+    if (!exchange.isMute(owner.node)) {
+      const ask = { session: id, ownerRevision: owner.revision, asker: exchange.name };
+      return exchange.call(owner.node, { case: "pull", value: ask }, Sessions.pullDue);
+    }
+    const left = owner.leaseLeft + Sessions.expiryMs;
+    if (left <= Sessions.soonMs) await new Promise<void>((resolve) => void parts.clock.once(left, resolve));
+    return undefined;
+  }
+
+  /** The owner said nothing. What does the store say of its key now? */
+  async #unanswered(id: string, owner: Owner): Promise<"freed" | { comeBack: number; reason: string }> {
+    this.#orphans.set(id, this.#node.parts.clock.now());
+    const now = await readOwner(this.#node.store, id);
+    if (now !== undefined && now.owner?.revision !== owner.revision) return "freed";
+    const leaseLeft = now?.owner?.leaseLeft ?? owner.leaseLeft;
+    const comeBack = (leaseLeft + Sessions.expiryMs) / 1000;
+    return { comeBack, reason: `the owner ${owner.node} does not answer; its lease must run out first` };
   }
 
   /** The old owner's part: close the link, stop, prepare, ship. */
@@ -194,7 +198,7 @@
     session.isStopped = true;
     this.#table.delete(session.id);
     const subscriptions = [...session.allPlaces()].map(([topic, { birth, seq }]) => ({ topic, birth, cursor: seq }));
-    const numbers = [...session.numbers].map(([topic, { number, isOpen }]) => ({ topic, number, isOpen }));
+    const numbers = session.numbers.records();
     const body: BodyInit = { case: "pullReceipt", value: { outcome: "shipped", subscriptions, numbers } };
     this.#shipped.set(`${session.id}@${session.epoch}`, { body, at: this.#node.parts.clock.now() });
     return body;
@@ -209,12 +213,11 @@
   }
 
   /** A write whose outcome is unknown: what does the key say now? */
-  async #settle(key: string, lease: string): Promise<number> {
-    const read = await this.#node.store.read([key]);
-    const kept = read.kvs?.[0];
-    if (read.outcome !== "done" || kept === undefined) return 0;
-    const owner = OwnerKey.read(kept.value);
-    return owner?.node === this.#node.exchange.name && owner.lease === lease ? kept.revision : 0;
+  async #settle(id: string, lease: string, outcome: string): Promise<number> {
+    if (outcome !== "unsure") return 0;
+    const read = await readOwner(this.#node.store, id);
+    const owner = read?.owner;
+    return owner?.node === this.#node.exchange.name && owner.lease === lease ? owner.revision : 0;
   }
 
   #fill(session: Session, kvs: Kv[], shipped: PullReceipt | undefined): void {
@@ -224,7 +227,7 @@
     }
     for (const { topic, birth, cursor } of shipped?.subscriptions ?? [])
       session.places.set(topic, { birth, seq: cursor });
-    for (const { topic, number, isOpen } of shipped?.numbers ?? []) session.numbers.set(topic, { number, isOpen });
+    session.numbers.take(shipped?.numbers ?? []);
   }
 
   #dropAll(): void {
@@ -238,6 +241,7 @@
   #tend(): void {
     const now = this.#node.parts.clock.now();
     for (const [id, { at }] of this.#shipped) if (now - at > Sessions.keepShippedMs) this.#shipped.delete(id);
+    for (const [id, at] of this.#orphans) if (now - at > Sessions.keepIdleMs) this.#orphans.delete(id);
     if (!this.#lease.isHeld) return;
     for (const session of [...this.#table.values()])
       if (session.link === undefined && now - session.leftAt > Sessions.keepIdleMs) void this.release(session);
--- a/packages/vise/src/process/vise.ts
+++ b/packages/vise/src/process/vise.ts
@@ -1,15 +1,16 @@
 import { type } from "arktype";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
 import { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
 import { Router, type ApiCall } from "@cranetrack/chest/process/router.js";
 import { Plans } from "@cranetrack/chest/mark/plan.js";
 import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
 import { BodyReader } from "@cranetrack/chest/request/bodyReader.js";
 import type { ClientLink } from "../link/clientLink.js";
-import { OwnersView } from "../mark/ownersView.js";
 import { SubscriptionKey } from "../mark/subscriptionKey.js";
 import { enrolLink } from "../request/enrolLink.js";
-import { publishMessage } from "../request/publishMessage.js";
+import { publishCall } from "../request/publishMessage.js";
+import { readOwner } from "../request/readOwner.js";
 import { subscribeTopics } from "../request/subscribeTopics.js";
 import { unsubscribeTopic } from "../request/unsubscribeTopic.js";
 import type { Session } from "./session.js";
@@ -30,7 +31,6 @@
   readonly sessions: Sessions;
   readonly streams: StreamTable;
   readonly planCheck: PlanCheck;
-  readonly owners: OwnersView;
   readonly router: Router;
   readonly beatMs = 300;
   readonly publishDue = 700;
@@ -44,12 +44,11 @@
     this.node = node;
     this.router = router;
     this.live = { mostLinks: settings.mostLinks, bufferBytes: settings.bufferBytes };
-    this.owners = new OwnersView(node.journal);
     this.lease = new LeaseKeeper(settings.name, settings.edgeLeaseMs, node.store, clock, chance);
-    this.sessions = new Sessions(node, this.lease, this.owners);
+    this.sessions = new Sessions(node, this.lease);
     this.streams = new StreamTable(node);
     this.planCheck = new PlanCheck(node.store);
-    router.on("POST", /^\/v1\/sessions\/([^/]+)\/messages$/, (call) => publishMessage(this, call));
+    router.on("POST", /^\/v1\/sessions\/([^/]+)\/messages$/, (call) => publishCall(this, call));
     router.on("POST", /^\/v1\/sessions\/([^/]+)\/subscriptions$/, (call) =>
       this.#onOwner(call, (session) => this.#subscribe(session, call.body)),
     );
@@ -71,7 +70,6 @@
       sessions: this.sessions.table.size,
       keptPulls: this.sessions.keptPulls,
       streams: this.streams.count,
-      owners: this.owners.count,
       isDraining: this.isDraining,
       hasLease: this.lease.isHeld,
       leasesLost: this.lease.losses,
@@ -96,12 +94,27 @@
   /** Stop enrolling, say goodbye, leave the sessions to be pulled a while, release the rest. */
   async drain(): Promise<void> {
     this.isDraining = true;
-    this.sessions.goodbye("stopping", () => this.node.parts.chance.draw() * 0.5);
+    const next = this.#nextAddresses();
+    this.sessions.goodbye(
+      "stopping",
+      () => this.node.parts.chance.draw() * 0.5,
+      (session) => Rendezvous.rank(session, next)[0] ?? "",
+    );
     await new Promise<void>((resolve) => void this.node.parts.clock.once(1500, resolve));
-    await Promise.all([...this.sessions.table.values()].map((session) => this.sessions.release(session)));
+    // Sessions whose clients bring their topics have nothing to keep: their keys go with the lease.
+    const kept = [...this.sessions.table.values()].filter((session) => !session.bringsTopics);
+    await Promise.all(kept.map((session) => this.sessions.release(session)));
     await this.lease.end();
   }
 
+  /** Where this node's clients may go: edges of its zone, else of the others. */
+  #nextAddresses(): string[] {
+    const { exchange, membership, parts } = this.node;
+    const others = membership.alive("vise").filter(({ name, http }) => name !== exchange.name && http !== "");
+    const near = others.filter(({ zone }) => zone === parts.settings.zone);
+    return (near.length > 0 ? near : others).map(({ http }) => http);
+  }
+
   async #subscribe(session: Session, body: Uint8Array): Promise<ApiReceipt> {
     const read = BodyReader.read(body, subscriptionsBody);
     if ("receipt" in read) return read.receipt;
@@ -123,8 +136,8 @@
   async #onOwner(call: ApiCall, act: (session: Session) => Promise<ApiReceipt>): Promise<ApiReceipt> {
     const session = this.sessions.find(call.params[0]!);
     if (session !== undefined) return act(session);
-    const owner = this.owners.find(call.params[0]!);
-    if (call.isPassed || owner === undefined || owner.node === this.node.exchange.name)
+    const owner = call.isPassed ? undefined : (await readOwner(this.node.store, call.params[0]!))?.owner;
+    if (owner === undefined || owner.node === "" || owner.node === this.node.exchange.name)
       return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
     return (
       (await this.router.passTo(owner.node, call.method, call.path, call.body)) ??
@@ -150,6 +163,7 @@
 
   #renewSessions(): void {
     for (const session of this.sessions.table.values())
-      void this.node.store.call({ case: "renew", value: { lease: SubscriptionKey.leaseOf(session.id) } });
+      if (!session.bringsTopics)
+        void this.node.store.call({ case: "renew", value: { lease: SubscriptionKey.leaseOf(session.id) } });
   }
 }
--- /dev/null
+++ b/packages/vise/src/process/viseConnections.ts
@@ -0,0 +1,33 @@
+import { SessionConnection } from "../connection/sessionConnection.js";
+import type { ClientLink } from "../link/clientLink.js";
+import { AdmitSession } from "../request/admitSession.js";
+import type { ConnectOutcome, Connections, CountOutcome } from "./connections.js";
+import type { ViseParts } from "./viseParts.js";
+
+/** The in-process interface of an edge for fronts that clients connect to. */
+export class ViseConnections implements Connections {
+  /** How long a connection waits for its session's old owner before it is told when to come back. */
+  static readonly patienceMs = 800;
+
+  readonly #vise: ViseParts;
+
+  constructor(vise: ViseParts) {
+    this.#vise = vise;
+  }
+
+  async connect(id: string, link: ClientLink): Promise<ConnectOutcome> {
+    if (!AdmitSession.isName(id)) return { outcome: "malformed", reason: "a session's name is malformed" };
+    const admitted = await AdmitSession.run(this.#vise, id, ViseConnections.patienceMs);
+    if (!("session" in admitted)) return { outcome: "away", reason: admitted.reason, comeBack: admitted.comeBack };
+    const { session } = admitted;
+    if (link.isClosed) return { outcome: "away", reason: "the client is gone", comeBack: 0 };
+    AdmitSession.tie(this.#vise, session, link);
+    session.bringsTopics = true;
+    session.places.clear();
+    return { outcome: "open", connection: new SessionConnection(this.#vise, session, link) };
+  }
+
+  count(): Promise<CountOutcome> {
+    return Promise.resolve({ outcome: "away", comeBack: 1 });
+  }
+}
--- a/packages/vise/src/process/viseParts.ts
+++ b/packages/vise/src/process/viseParts.ts
@@ -2,7 +2,6 @@
 import type { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
 import type { Router } from "@cranetrack/chest/process/router.js";
 import type { ClientLink } from "../link/clientLink.js";
-import type { OwnersView } from "../mark/ownersView.js";
 import type { Session } from "./session.js";
 import type { Sessions } from "./sessions.js";
 import type { PlanCheck } from "./planCheck.js";
@@ -15,7 +14,6 @@
   readonly sessions: Sessions;
   readonly streams: StreamTable;
   readonly planCheck: PlanCheck;
-  readonly owners: OwnersView;
   readonly router: Router;
   readonly beatMs: number;
   readonly publishDue: number;
--- /dev/null
+++ b/packages/vise/src/request/admitSession.ts
@@ -0,0 +1,44 @@
+import type { ClientLink } from "../link/clientLink.js";
+import type { Session } from "../process/session.js";
+import type { ViseParts } from "../process/viseParts.js";
+
+export type Admitted = { session: Session } | { reason: string; comeBack: number; code: string };
+
+const sessionName = /^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/;
+
+/** The way to a session's ownership that every connection goes, whatever it speaks. */
+export const AdmitSession = {
+  isName(id: string): boolean {
+    return sessionName.test(id);
+  },
+
+  /** Makes this node the session's owner, or says when to come back; waits up to `patience` ms for an old owner. */
+  async run(vise: ViseParts, id: string, patience = 0): Promise<Admitted> {
+    const { sessions, node, lease } = vise;
+    if (vise.isDraining) return { reason: "this node is stopping", comeBack: 0.2, code: "stopping" };
+    if (!lease.isHeld || !node.feed.isFresh)
+      return { reason: "this node is out of touch with the store", comeBack: 1, code: "unavailable" };
+    if (sessions.links + vise.enrolling >= vise.live.mostLinks) {
+      const comeBack = 1 + node.parts.chance.draw() * 2;
+      return { reason: "this node has as many links as it takes", comeBack, code: "full" };
+    }
+    vise.enrolling += 1;
+    const claimed = await sessions.claim(id, patience);
+    vise.enrolling -= 1;
+    if ("comeBack" in claimed) return { ...claimed, code: "session-elsewhere" };
+    const { session } = claimed;
+    if (vise.isDraining || session.isStopped)
+      return { reason: "the session moved on meanwhile", comeBack: 0.3, code: "session-elsewhere" };
+    return { session };
+  },
+
+  /** Ties a connection to its session in place of an older one. */
+  tie(vise: ViseParts, session: Session, link: ClientLink): void {
+    const { clock } = vise.node.parts;
+    session.unlink("replaced by a newer link", 0, clock.now());
+    session.link = link;
+    link.onClose(() => {
+      if (session.link === link) session.unlink("closed by the client", 0, clock.now());
+    });
+  },
+};
--- a/packages/vise/src/request/enrolLink.ts
+++ b/packages/vise/src/request/enrolLink.ts
@@ -6,6 +6,7 @@
 import { Places } from "../mark/place.js";
 import type { Session } from "../process/session.js";
 import type { ViseParts } from "../process/viseParts.js";
+import { AdmitSession } from "./admitSession.js";
 import type { Wish } from "./findStarts.js";
 import { subscribeTopics } from "./subscribeTopics.js";
 
@@ -21,8 +22,7 @@
   body: Uint8Array,
   open: () => ClientLink,
 ): Promise<ApiReceipt | undefined> {
-  const { sessions, node, lease } = vise;
-  if (!/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/.test(id))
+  if (!AdmitSession.isName(id))
     return ApiReceipts.fault(
       400,
       "malformed",
@@ -36,32 +36,19 @@
     return ApiReceipts.fault(400, "malformed", "a topic is space/name", {
       problems: [{ path: `subscriptions.${faulty}.topic`, problem: "must be space/name" }],
     });
-  if (vise.isDraining) return ApiReceipts.away("this node is stopping", 0.2, "stopping");
-  if (!lease.isHeld || !node.feed.isFresh) return ApiReceipts.away("this node is out of touch with the store");
-  if (sessions.links + vise.enrolling >= vise.live.mostLinks)
-    return ApiReceipts.away("this node has as many links as it takes", 1 + node.parts.chance.draw() * 2, "full");
-
-  vise.enrolling += 1;
-  const claimed = await sessions.claim(id);
-  vise.enrolling -= 1;
-  if ("comeBack" in claimed) return ApiReceipts.away(claimed.reason, claimed.comeBack, "session-elsewhere");
-  const { session } = claimed;
-  if (vise.isDraining || session.isStopped)
-    return ApiReceipts.away("the session moved on meanwhile", 0.3, "session-elsewhere");
-  session.unlink("replaced by a newer link", 0, node.parts.clock.now());
-
+  const admitted = await AdmitSession.run(vise, id);
+  if (!("session" in admitted)) return ApiReceipts.away(admitted.reason, admitted.comeBack, admitted.code);
+  const { session } = admitted;
   const link = open();
-  session.link = link;
-  link.onClose(() => {
-    if (session.link === link) session.unlink("closed by the client", 0, node.parts.clock.now());
-  });
+  AdmitSession.tie(vise, session, link);
+  session.bringsTopics = false;
   const kept: Wish[] = [...session.places.keys()].map((topic) => ({ topic }));
   link.send({
     kind: "open",
     session: id,
-    node: node.exchange.name,
+    node: vise.node.exchange.name,
     beatMs: vise.beatMs,
-    numbers: Object.fromEntries([...session.numbers].map(([topic, { number }]) => [topic, number])),
+    numbers: session.numbers.highestByTopic(),
   });
   forgetOthers(session, read.value.subscriptions);
   const faults = await subscribeTopics(vise, session, link, read.value.subscriptions ?? kept);
--- /dev/null
+++ b/packages/vise/src/request/joinStreams.ts
@@ -0,0 +1,44 @@
+import { Plans } from "@cranetrack/chest/mark/plan.js";
+import { Grouped } from "@cranetrack/chest/process/grouped.js";
+import type { ClientLink } from "../link/clientLink.js";
+import { StreamCursor } from "../link/streamCursor.js";
+import type { Session } from "../process/session.js";
+import type { ViseParts } from "../process/viseParts.js";
+import type { Start } from "./findStarts.js";
+
+/**
+ * Subscribes a link to topics from their starts on. All topics of a stream join its cursor before it moves, so
+ * that what they missed comes in the stream's order. Tells of each topic before anything of it is delivered.
+ */
+export function joinStreams(
+  vise: ViseParts,
+  session: Session,
+  link: ClientLink,
+  starts: readonly Start[],
+  whenJoined: (start: Start, cursor: StreamCursor) => void,
+): void {
+  for (const [tail, list] of Grouped.by(starts, (start) => start.tail)) {
+    const joining = list.filter(({ topic }) => !session.subscriptions.has(topic));
+    if (joining.length === 0) continue;
+    let cursor = [...session.cursors()].find((one) => one.tail === tail && !one.isStopped);
+    if (cursor === undefined) {
+      cursor = new StreamCursor({
+        table: vise.streams,
+        tail: vise.streams.take(tail.route),
+        link,
+        clock: vise.node.parts.clock,
+        maySend: () => vise.maySend(session, link),
+        keepsNothing: Plans.owed(vise.node.plan.plan, list[0]!.topic)?.keep === 0,
+        onEnd: (topic) => session.subscriptions.delete(topic),
+      });
+    }
+    for (const start of joining) {
+      if (!vise.maySend(session, link)) return cursor.stop();
+      cursor.add(start.topic, start.place);
+      session.subscriptions.set(start.topic, cursor);
+      session.places.delete(start.topic);
+      whenJoined(start, cursor);
+    }
+    cursor.start();
+  }
+}
--- a/packages/vise/src/request/publishMessage.ts
+++ b/packages/vise/src/request/publishMessage.ts
@@ -5,10 +5,10 @@
 import type { ApiCall } from "@cranetrack/chest/process/router.js";
 import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
 import { BodyReader } from "@cranetrack/chest/request/bodyReader.js";
-import type { TopicFault } from "../mark/topicFault.js";
 import { Places } from "../mark/place.js";
 import type { Session } from "../process/session.js";
 import type { ViseParts } from "../process/viseParts.js";
+import { readOwner } from "./readOwner.js";
 
 /** How long a free shard is waited for, and a holder that does not serve yet. */
 const claimMs = 300;
@@ -27,10 +27,15 @@
   "too-large": 413,
 };
 
-/** One publish, from its body to its final receipt. The shard's holder alone judges it. */
-export async function publishMessage(vise: ViseParts, call: ApiCall): Promise<ApiReceipt> {
-  const { node, sessions } = vise;
-  const id = call.params[0]!;
+/** What became of a publish; `away` and `refused` promise that it was not done and never will be. */
+export type PublishOutcome =
+  | { outcome: "accepted"; place: string }
+  | { outcome: "refused"; code: string; reason: string }
+  | { outcome: "away"; reason: string; comeBack: number; code?: string }
+  | { outcome: "unsure"; reason: string; comeBack: number };
+
+/** A publish over HTTP, from its body to its receipt. */
+export async function publishCall(vise: ViseParts, call: ApiCall): Promise<ApiReceipt> {
   const read = BodyReader.read(call.body, messageBody);
   if ("receipt" in read) return read.receipt;
   const { topic, number, payload } = read.value;
@@ -38,39 +43,59 @@
     return ApiReceipts.fault(400, "malformed", "a topic is space/name", {
       problems: [{ path: "topic", problem: "must be space/name" }],
     });
-  const session = sessions.find(id);
-  if (session === undefined) return passOn(vise, id, call);
-
-  const route = node.plan.route(topic);
-  if (route === undefined) return unrouted(await vise.planCheck.faultOf(topic));
-  const shard = vise.streams.shardOf(route.stream);
-  if (!(await isHeld(vise, shard))) return ApiReceipts.away("the topic has no holder just now", 0.1);
-  note(session, topic, number, true);
-  const { spaceBirth } = route;
-  const publish = { shard, session: id, ownerEpoch: session.epoch, spaceBirth, number, topic };
-  const answered = await atHolder(vise, shard, { ...publish, payload: Buffer.from(payload) });
-  if (answered === "mute") return ApiReceipts.away("the topic's holder does not answer", 0.2);
-  if (answered === undefined)
-    return ApiReceipts.unsure("the topic's holder did not answer; the same number again settles it", 0.2);
-  const receipt = answered;
-  switch (receipt.outcome) {
+  const session = vise.sessions.find(call.params[0]!);
+  if (session === undefined) return passOn(vise, call.params[0]!, call);
+  const answer = await publishMessage(vise, session, topic, number, payload);
+  switch (answer.outcome) {
     case "accepted":
-      note(session, topic, number, false);
-      return ApiReceipts.done({ receipt: "accepted", topic, number, place: Places.write(receipt.birth, receipt.seq) });
+      return ApiReceipts.done({ receipt: "accepted", topic, number, place: answer.place });
     case "refused":
-      note(session, topic, number, false);
-      return ApiReceipts.fault(statuses[receipt.code] ?? 409, receipt.code, receipt.reason, {
+      return ApiReceipts.fault(statuses[answer.code] ?? 409, answer.code, answer.reason, {
         details: { receipt: "refused" },
       });
     case "unsure":
-      return ApiReceipts.unsure(receipt.reason, receipt.comeBack);
+      return ApiReceipts.unsure(answer.reason, answer.comeBack);
     default:
-      return ApiReceipts.away(
-        receipt.reason || "the topic is changing hands",
-        receipt.comeBack || 0.5,
-        receipt.code || "unavailable",
-      );
+      return ApiReceipts.away(answer.reason, answer.comeBack, answer.code ?? "unavailable");
+  }
+}
+
+/** One publish of an owned session, to its final answer. The shard's holder alone judges it. */
+export async function publishMessage(
+  vise: ViseParts,
+  session: Session,
+  topic: string,
+  number: number,
+  payload: string,
+): Promise<PublishOutcome> {
+  const { node } = vise;
+  // What an earlier try may have handed over can't be promised undone.
+  const isDoubtful = !session.isWhole || session.numbers.isOpen(topic, number);
+  const givenUp = (reason: string, comeBack: number, code?: string): PublishOutcome =>
+    isDoubtful
+      ? { outcome: "unsure", reason, comeBack }
+      : { outcome: "away", reason, comeBack, ...(code === undefined ? {} : { code }) };
+  const route = node.plan.route(topic);
+  if (route === undefined) {
+    const { code, reason, comeBack } = await vise.planCheck.faultOf(topic);
+    return comeBack === undefined ? { outcome: "refused", code, reason } : givenUp(reason, comeBack);
   }
+  const shard = vise.streams.shardOf(route.stream);
+  if (!(await isHeld(vise, shard))) return givenUp("the topic has no holder just now", 0.1);
+  session.numbers.opened(topic, number);
+  const { spaceBirth } = route;
+  const publish = { shard, session: session.id, ownerEpoch: session.epoch, spaceBirth, number, topic };
+  const receipt = await atHolder(vise, shard, { ...publish, payload: Buffer.from(payload) });
+  if (receipt === undefined)
+    return { outcome: "unsure", reason: "the topic's holder did not answer; the same number again", comeBack: 0.2 };
+  if (receipt !== "mute" && receipt.outcome === "unsure")
+    return { outcome: "unsure", reason: receipt.reason, comeBack: receipt.comeBack };
+  if (!isDoubtful || (receipt !== "mute" && receipt.outcome === "accepted")) session.numbers.settled(topic, number);
+  if (receipt === "mute") return givenUp("the topic's holder does not answer", 0.2);
+  const { outcome, code, reason, comeBack, birth, seq } = receipt;
+  if (outcome === "accepted") return { outcome: "accepted", place: Places.write(birth, seq) };
+  if (outcome === "refused") return { outcome: "refused", code, reason };
+  return givenUp(reason || "the topic is changing hands", comeBack || 0.5, code || undefined);
 }
 
 /** A shard that has just become free is claimed in a moment. */
@@ -114,22 +139,10 @@
   return undefined;
 }
 
-/** The plan this node knows has no such space. */
-function unrouted({ code, reason, comeBack }: TopicFault): ApiReceipt {
-  if (comeBack !== undefined) return ApiReceipts.away(reason, comeBack);
-  return ApiReceipts.fault(statuses[code] ?? 409, code, reason, { details: { receipt: "refused" } });
-}
-
-function note(session: Session, topic: string, number: number, isOpen: boolean): void {
-  const state = session.numbers.get(topic);
-  if (state === undefined || number >= state.number) session.numbers.set(topic, { number, isOpen });
-}
-
 /** The call came in at a node that does not own the session. */
 async function passOn(vise: ViseParts, id: string, call: ApiCall): Promise<ApiReceipt> {
-  const owner = vise.owners.find(id);
-  const self = vise.node.exchange.name;
-  if (call.isPassed || owner === undefined || owner.node === self)
+  const owner = call.isPassed ? undefined : (await readOwner(vise.node.store, id))?.owner;
+  if (owner === undefined || owner.node === "" || owner.node === vise.node.exchange.name)
     return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
   const receipt = await vise.router.passTo(owner.node, "POST", call.path, call.body, vise.publishDue + 300);
   return receipt ?? ApiReceipts.unsure("the session's owner did not answer; the same number again settles it");
--- a/packages/vise/src/request/subscribeTopics.ts
+++ b/packages/vise/src/request/subscribeTopics.ts
@@ -1,6 +1,5 @@
-import { Grouped } from "@cranetrack/chest/process/grouped.js";
 import type { ClientLink } from "../link/clientLink.js";
-import { StreamCursor } from "../link/streamCursor.js";
+import type { StreamCursor } from "../link/streamCursor.js";
 import { OwnerKey } from "../mark/ownerKey.js";
 import { Places } from "../mark/place.js";
 import { SubscriptionKey } from "../mark/subscriptionKey.js";
@@ -8,6 +7,7 @@
 import type { Session } from "../process/session.js";
 import type { ViseParts } from "../process/viseParts.js";
 import { findStarts, type Start, type Wish } from "./findStarts.js";
+import { joinStreams } from "./joinStreams.js";
 
 /**
  * Each topic: find where its stream starts, write the key under the owner key's revision, and only then
@@ -28,7 +28,12 @@
   }
   const { starts, faults } = await findStarts(vise, session, fresh);
   const isKept = starts.length === 0 || (await keep(vise, session, starts));
-  if (isKept && session.link === link) deliver(vise, session, link, starts);
+  if (isKept && session.link === link)
+    joinStreams(vise, session, link, starts, ({ topic, place, expired }, cursor) => {
+      if (expired !== "")
+        link.send({ kind: "expired", topic, place: Places.write(place.birth, place.seq), reason: expired });
+      confirm(link, topic, cursor);
+    });
   for (const { tail } of starts) vise.streams.leave(tail);
   if (isKept) return faults;
   if (session.link === link) session.unlink("the subscriptions could not be kept", 0.5, vise.node.parts.clock.now());
@@ -48,35 +53,6 @@
   return (await vise.node.store.txn({ checks, puts })).outcome === "done";
 }
 
-/** All topics of a stream join its cursor before it moves, so that what they missed comes in the stream's order. */
-function deliver(vise: ViseParts, session: Session, link: ClientLink, starts: readonly Start[]): void {
-  for (const [tail, list] of Grouped.by(starts, (start) => start.tail)) {
-    const joining = list.filter(({ topic }) => !session.subscriptions.has(topic));
-    if (joining.length === 0) continue;
-    let cursor = [...session.cursors()].find((one) => one.tail === tail && !one.isStopped);
-    if (cursor === undefined) {
-      cursor = new StreamCursor({
-        table: vise.streams,
-        tail: vise.streams.take(tail.route),
-        link,
-        clock: vise.node.parts.clock,
-        maySend: () => vise.maySend(session, link),
-        onEnd: (topic) => session.subscriptions.delete(topic),
-      });
-    }
-    for (const { topic, place, expired } of joining) {
-      if (!vise.maySend(session, link)) return cursor.stop();
-      cursor.add(topic, place);
-      session.subscriptions.set(topic, cursor);
-      session.places.delete(topic);
-      if (expired !== "")
-        link.send({ kind: "expired", topic, place: Places.write(place.birth, place.seq), reason: expired });
-      confirm(link, topic, cursor);
-    }
-    cursor.start();
-  }
-}
-
 function confirm(link: ClientLink, topic: string, cursor: StreamCursor): void {
   const { birth, seq } = cursor.placeOf(topic);
   link.send({ kind: "confirmed", topic, place: Places.write(birth, seq) });
--- a/packages/vise/src/vise.ts
+++ b/packages/vise/src/vise.ts
@@ -3,7 +3,7 @@
 import { HttpLink } from "./link/httpLink.js";
 import { Vise } from "./process/vise.js";
 
-await new Program("vise", ["plan", "shards/", "sessions/"], ({ node, router }) => {
+await new Program("vise", ["plan", "shards/"], ({ node, router }) => {
   const vise = new Vise(node, router);
   return {
     load: () => undefined,
