--- /dev/null
+++ b/packages/jig/src/process/sim/connections.test.ts
@@ -0,0 +1,112 @@
+import { test } from "node:test";
+import type { ClientLink } from "@cranetrack/vise/link/clientLink.js";
+import type { Connection } from "@cranetrack/vise/process/connections.js";
+import { ViseConnections } from "@cranetrack/vise/process/viseConnections.js";
+import { expect } from "earl";
+import { served } from "./hand.js";
+import type { SimFleet } from "./simFleet.js";
+
+type Line = Record<string, unknown>;
+
+/** A client's end of an in-process connection. */
+class Wire implements ClientLink {
+  readonly lines: Line[] = [];
+  waitingBytes = 0;
+  isClosed = false;
+  #whenClosed: () => void = () => undefined;
+
+  send(line: object): void {
+    this.lines.push(line as Line);
+  }
+
+  close(): void {
+    this.isClosed = true;
+    this.#whenClosed();
+  }
+
+  onClose(whenClosed: () => void): void {
+    this.#whenClosed = whenClosed;
+  }
+
+  numbers(): unknown[] {
+    return this.lines.filter(({ kind }) => kind === "message").map(({ number }) => number);
+  }
+}
+
+/** Runs the fleet until a call has its answer. */
+async function settled<T>(fleet: SimFleet, call: Promise<T>): Promise<T> {
+  let answer: { value: T } | undefined;
+  void call.then((value) => (answer = { value }));
+  expect(await fleet.until(() => answer !== undefined, 6000)).toEqual(true);
+  return answer!.value;
+}
+
+async function open(fleet: SimFleet, edge: string, session: string): Promise<{ wire: Wire; connection: Connection }> {
+  const wire = new Wire();
+  const answer = await settled(fleet, new ViseConnections(fleet.find(edge)!.vise!).connect(session, wire));
+  if (answer.outcome !== "open") throw new Error(`not connected: ${JSON.stringify(answer)}`);
+  return { wire, connection: answer.connection };
+}
+
+async function place(fleet: SimFleet, connection: Connection, after?: string): Promise<string> {
+  const answer = await settled(fleet, connection.subscribe("notes/t1", after));
+  return answer.outcome === "confirmed" ? answer.place : answer.outcome;
+}
+
+test("a connection's topics go with it: pulled, stopped and shipped, it goes on at the client's place", async () => {
+  const { fleet } = await served(71);
+  const first = await open(fleet, "vise-1", "desk");
+  const start = await place(fleet, first.connection);
+  expect((await settled(fleet, first.connection.publish("notes/t1", 1, "one"))).outcome).toEqual("accepted");
+  expect(await fleet.until(() => first.wire.numbers().length === 1, 2000)).toEqual(true);
+
+  const steps: string[] = [];
+  fleet.find("vise-1")!.vise!.sessions.on("step", (step) => steps.push(step));
+  fleet.find("vise-2")!.vise!.sessions.on("step", (step) => steps.push(step));
+  const second = await open(fleet, "vise-2", "desk");
+  expect(steps).toEqual(["pull", "stopped", "shipped", "owner-written"]);
+  expect([first.wire.isClosed, first.wire.lines.at(-1)!["kind"]]).toEqual([true, "goodbye"]);
+  expect((await settled(fleet, first.connection.subscribe("notes/t2"))).outcome).toEqual("moved");
+
+  // Nothing is delivered that this connection did not ask for, and the place decides where it goes on.
+  expect((await settled(fleet, second.connection.publish("notes/t1", 2, "two"))).outcome).toEqual("accepted");
+  await fleet.run(500);
+  expect(second.wire.lines).toEqual([]);
+  let linesBefore = -1;
+  const confirmed = second.connection.subscribe("notes/t1", start).then((answer) => {
+    linesBefore = second.wire.lines.length;
+    return answer;
+  });
+  expect(await settled(fleet, confirmed)).toEqual({ outcome: "confirmed", place: start });
+  expect(linesBefore).toEqual(0);
+  expect(await fleet.until(() => second.wire.numbers().length === 2, 2000)).toEqual(true);
+  expect(second.wire.numbers()).toEqual([1, 2]);
+  expect((await settled(fleet, second.connection.publish("notes/t1", 1, "one"))).outcome).toEqual("accepted");
+  expect(await place(fleet, second.connection, "no place")).toEqual(start.replace(/\d+$/, "2"));
+});
+
+test("each wrong topic or place is answered by itself, and a topic that was left gives nothing more", async () => {
+  const { fleet } = await served(72);
+  const { wire, connection } = await open(fleet, "vise-1", "desk");
+  const asked = ["notes/t1", "nowhere/t1", "notes/t2", "a blank/t"].map((topic) =>
+    connection.subscribe(topic, topic === "notes/t2" ? "malformed" : undefined),
+  );
+  const outcomes = (await settled(fleet, Promise.all(asked))).map(({ outcome }) => outcome);
+  expect(outcomes).toEqual(["confirmed", "unknown-topic", "malformed-place", "malformed"]);
+  expect((await settled(fleet, connection.unsubscribe("notes/t1"))).outcome).toEqual("done");
+  expect((await settled(fleet, connection.publish("notes/t1", 1, "one"))).outcome).toEqual("accepted");
+  await fleet.run(1000);
+  expect(wire.numbers()).toEqual([]);
+  const refused = await settled(fleet, connection.publish("nowhere/t1", 2, "two"));
+  expect([refused.outcome, "code" in refused && refused.code]).toEqual(["refused", "unknown-topic"]);
+});
+
+test("a publish that no holder took is away; one whose earlier try may have been taken is never promised", async () => {
+  const { fleet } = await served(73);
+  const { connection } = await open(fleet, "vise-1", "desk");
+  expect((await settled(fleet, connection.publish("notes/t1", 1, "one"))).outcome).toEqual("accepted");
+  // Both ways to the holders go while the edge's own lease holds.
+  fleet.isolate("vise-1", ["anvil-1", "anvil-2", "anvil-3", "lathe-1", "lathe-2", "lathe-3"], "in");
+  expect((await settled(fleet, connection.publish("notes/t1", 2, "two"))).outcome).toEqual("unsure");
+  expect((await settled(fleet, connection.publish("notes/t1", 2, "two"))).outcome).toEqual("unsure");
+});
--- a/packages/vise/src/process/vise.ts
+++ b/packages/vise/src/process/vise.ts
@@ -157,7 +157,7 @@
       const { link } = session;
       if (link === undefined) continue;
       if (isLost) session.unlink("this node is out of touch", 0.2, this.node.parts.clock.now());
-      else if (this.maySend(session, link)) link.send({ kind: "beat" });
+      else if (this.maySend(session, link) && !session.bringsTopics) link.send({ kind: "beat" });
     }
   }
 
