--- a/packages/anvil/src/mark/startOf.ts
+++ b/packages/anvil/src/mark/startOf.ts
@@ -14,3 +14,17 @@
   const isTrimmed = (log.trims.get(topic) ?? 0) > seq;
   return isTrimmed ? answer("expired", log.low, "older messages were trimmed") : answer("known", seq);
 }
+
+/**
+ * The same in a stream that keeps nothing: a place of another birth, or one that is no place, starts at the head,
+ * for nothing older is owed; one in the tail goes on from there.
+ */
+export function startInMemory(log: StreamLog, { topic, birth, seq }: TopicPlace): TopicStart {
+  const isHere = birth === log.birth && seq <= log.head;
+  return create(TopicStartSchema, {
+    topic,
+    outcome: "known",
+    birth: log.birth,
+    seq: isHere ? Math.max(seq, log.low) : log.head,
+  });
+}
--- a/packages/anvil/src/process/anvil.ts
+++ b/packages/anvil/src/process/anvil.ts
@@ -81,6 +81,14 @@
       "startAsk",
       async (ask) => (await this.#bench(ask.shard)?.start(ask)) ?? { case: "startReceipt", value: { outcome: "away" } },
     );
+    exchange.serve("followBeats", ({ beats }) => ({
+      case: "followBeatsReceipt",
+      value: { outcomes: beats.map((beat) => this.#bench(beat.shard)?.beaten(beat) ?? "away") },
+    }));
+    exchange.serve(
+      "countAsk",
+      (ask) => this.#bench(ask.shard)?.count(ask) ?? { case: "countReceipt", value: { outcome: "away" } },
+    );
     this.#claims = new Claims(this.#node, this.#lease, this.#replicas, this.#id);
     this.#lease.start();
     if (!this.#isSpare) this.#node.parts.clock.every(300, () => this.#foundSets());
--- a/packages/anvil/src/process/bench.ts
+++ b/packages/anvil/src/process/bench.ts
@@ -1,22 +1,28 @@
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import {
+  AcceptSchema,
   StreamHeadSchema,
+  TopicCountSchema,
   TopicStartSchema,
+  type Accept,
+  type CountAsk,
   type Fetch,
   type Follow,
   type Publish,
   type StartAsk,
   type TrimStreamSchema,
 } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { keepsNothing } from "@cranetrack/chest/mark/keepsNothing.js";
 import { Plans } from "@cranetrack/chest/mark/plan.js";
 import { Streams } from "@cranetrack/chest/mark/streams.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
 import type { BodyInit } from "@cranetrack/chest/process/wire.js";
-import { startOf } from "../mark/startOf.js";
-import type { Verdict } from "../mark/streamLog.js";
+import { startInMemory, startOf } from "../mark/startOf.js";
+import type { StreamLog, Verdict } from "../mark/streamLog.js";
 import { Follows } from "./follows.js";
 import type { Holder } from "./holder.js";
+import { MemoryStreams } from "./memoryStreams.js";
 import type { Replica } from "./replica.js";
 
 type PublishOutcome = Extract<BodyInit, { case: "publishReceipt" }>;
@@ -30,6 +36,8 @@
   /** Numbers sent before are known for this long after their session's last one in the topic. */
   static readonly forgetMs = 600_000;
   static readonly mostPending = 2000;
+  /** A new holder counts no subscribers until the edges have had this long to tell it of theirs. */
+  static readonly countMs = 700;
 
   readonly #node: ClusterNode;
   readonly #replica: Replica;
@@ -37,9 +45,13 @@
   readonly #follows: Follows;
   readonly #isHeld: () => boolean;
   readonly #births = new Map<string, Promise<void>>();
-  /** Streams with messages committed and not yet pushed. */
+  readonly #memory: MemoryStreams;
+  /** Streams with messages committed and not yet pushed; and whoever waits for the push. */
   readonly #fresh = new Set<string>();
+  #pushed: Promise<boolean> | undefined;
   #trimmedAt = 0;
+  #tendedAt = 0;
+  #servesSince = Infinity;
   #isTrimming = false;
 
   constructor(node: ClusterNode, replica: Replica, holder: Holder, isHeld: () => boolean) {
@@ -47,10 +59,18 @@
     this.#replica = replica;
     this.#holder = holder;
     this.#isHeld = isHeld;
-    this.#follows = new Follows(node, replica.state, replica.shard, holder.epoch);
+    this.#memory = new MemoryStreams(() => node.parts.chance.identity());
+    this.#follows = new Follows({
+      node,
+      shard: replica.shard,
+      epoch: holder.epoch,
+      find: (stream) => this.#find(stream),
+      isInMemory: (stream) => this.#isInMemory(stream),
+    });
     holder.on("applied", ({ verdict }) => {
-      if (verdict?.outcome === "accepted" && verdict.isFresh) this.#note(verdict.stream);
+      if (verdict?.outcome === "accepted" && verdict.isFresh) void this.#push(verdict.stream);
     });
+    holder.on("serving", () => (this.#servesSince = node.parts.clock.now()));
   }
 
   /** Whether claims, plan and epoch may be acted on now. */
@@ -73,7 +93,7 @@
     if (!this.#isOurs(stream) || !Number.isSafeInteger(number) || number < 1)
       return Bench.#refused("malformed", "the topic is another shard's, or the number is none");
     const known = this.#knownNow(stream, spaceBirth, publish);
-    if (known !== undefined) return Bench.#receipt(known);
+    if (known !== undefined) return this.#isInMemory(stream) ? this.#inMemory(stream, known) : Bench.#receipt(known);
     if (this.#holder.occupancy > Bench.mostPending)
       return {
         case: "publishReceipt",
@@ -82,7 +102,7 @@
     const refusal = Bench.#refusal(owed, publish);
     const birth = await this.#birthOf(stream, spaceBirth);
     if (birth === undefined || !this.isOpen) return this.#away();
-    const accept = {
+    const accept = create(AcceptSchema, {
       topic,
       stream,
       birth,
@@ -92,28 +112,49 @@
       payload: refusal === undefined ? publish.payload : new Uint8Array(),
       at: this.#holder.at,
       isVoid: refusal !== undefined,
-    };
+    });
+    if (this.#isInMemory(stream)) return this.#acceptInMemory(accept, refusal);
     const verdict = await this.#holder.propose({ case: "accept", value: accept });
-    if (verdict === undefined)
-      return {
-        case: "publishReceipt",
-        value: {
-          outcome: "unsure",
-          code: "unsure",
-          reason: "the holder lost its claim before the message was committed",
-          comeBack: 0.5,
-        },
-      };
+    if (verdict === undefined) return Bench.#unsure("the holder lost its claim before the message was committed");
     if (verdict.outcome === "refused" && refusal !== undefined) return Bench.#refused(refusal.code, refusal.reason);
     return Bench.#receipt(verdict);
   }
 
+  /** Sequences in memory. */
+  #acceptInMemory(accept: Accept, refusal: { code: string; reason: string } | undefined): Promise<PublishOutcome> {
+    const verdict = this.#memory.accept(accept);
+    if (verdict.outcome === "accepted" || refusal === undefined) return this.#inMemory(accept.stream, verdict);
+    return Promise.resolve(Bench.#refused(refusal.code, refusal.reason));
+  }
+
+  /** What is accepted has been pushed: nothing else remembers it. */
+  async #inMemory(stream: string, verdict: Verdict): Promise<PublishOutcome> {
+    if (verdict.outcome === "accepted" && !(await this.#push(stream)))
+      return Bench.#unsure("the holder lost its claim before the message was pushed");
+    return Bench.#receipt(verdict);
+  }
+
+  /** Beats of one edge for this shard. */
+  beaten(follow: Follow): string {
+    if (!this.isOpen) return "away";
+    return this.#follows.beat(follow) ? "done" : "resync";
+  }
+
+  count({ topics }: CountAsk): BodyInit {
+    const isEarly = this.#node.parts.clock.now() - this.#servesSince < Bench.countMs;
+    if (!this.isOpen || isEarly) return { case: "countReceipt", value: { outcome: "away" } };
+    const counts = topics.map((topic) => {
+      const owed = Plans.owed(this.#node.plan.plan, topic);
+      if (owed === undefined) return create(TopicCountSchema, { topic, fault: "unknown-topic" });
+      return create(TopicCountSchema, { topic, count: this.#follows.countOf(Streams.of(topic, owed.order), topic) });
+    });
+    return { case: "countReceipt", value: { outcome: "done", counts } };
+  }
+
   async follow(follow: Follow, edge: string): Promise<BodyInit> {
     if (!this.isOpen) return { case: "followReceipt", value: { outcome: "away" } };
-    if (follow.streams.length === 0 && !follow.isFull) {
-      const outcome = this.#follows.beat(follow) ? "done" : "resync";
-      return { case: "followReceipt", value: { outcome, epoch: this.#holder.epoch } };
-    }
+    if (follow.streams.length === 0 && !follow.isFull)
+      return { case: "followReceipt", value: { outcome: this.beaten(follow), epoch: this.#holder.epoch } };
     const standings = follow.streams.map(({ stream, spaceBirth }) => this.#standingOf(stream, spaceBirth));
     const followed = follow.streams.filter((_, i) => standings[i] === "ours");
     await Promise.all(followed.map(({ stream, spaceBirth }) => this.#birthOf(stream, spaceBirth)));
@@ -153,18 +194,18 @@
     await Promise.all([...good].map(([stream, spaceBirth]) => this.#birthOf(stream, spaceBirth)));
     if (!this.isOpen || !(await this.#holder.confirm()) || !this.isOpen) return away;
     const starts = asked.map(({ place, stream, fault }) => {
-      const log = this.#replica.state.streams.get(stream);
+      const log = this.#find(stream);
       if (fault !== "") return create(TopicStartSchema, { topic: place.topic, outcome: fault });
       if (log?.spaceBirth !== place.spaceBirth)
         return create(TopicStartSchema, { topic: place.topic, outcome: "behind" });
-      return startOf(log, place);
+      return this.#isInMemory(stream) ? startInMemory(log, place) : startOf(log, place);
     });
     return { case: "startReceipt", value: { outcome: "done", starts } };
   }
 
   fetch(fetch: Fetch): BodyInit {
     if (!this.isOpen) return { case: "fetchReceipt", value: { outcome: "away" } };
-    const log = this.#replica.state.streams.get(fetch.stream);
+    const log = this.#find(fetch.stream);
     if (log === undefined || this.#standingOf(fetch.stream, log.spaceBirth) !== "ours")
       return { case: "fetchReceipt", value: { outcome: "unknown-topic" } };
     const { birth, low, head } = log;
@@ -183,14 +224,25 @@
   /** Removed spaces end at once; what is past its keep goes at the next trim. */
   planChanged(): void {
     const logs = [...this.#replica.state.streams.values()];
-    const gone = logs.filter((log) => this.#standingOf(log.stream, log.spaceBirth) === "gone");
-    this.#follows.end(gone.map((log) => log.stream));
-    if (gone.length > 0) void this.#trim();
+    const inMemory = this.#memory.all();
+    const isGone = (log: StreamLog): boolean => this.#standingOf(log.stream, log.spaceBirth) === "gone";
+    const gone = logs.filter(isGone);
+    // A stream that moved between log and memory goes on in another birth.
+    const left = inMemory.filter((log) => !this.#isInMemory(log.stream));
+    const moved = logs.filter((log) => this.#isInMemory(log.stream));
+    this.#follows.end([...gone, ...inMemory.filter(isGone)].map((log) => log.stream));
+    this.#follows.askAgain([...left, ...moved].map((log) => log.stream));
+    for (const log of [...left, ...inMemory.filter(isGone)]) this.#memory.remove(log.stream);
+    if (gone.length + moved.length > 0) void this.#trim();
   }
 
   beat(): void {
     this.#follows.forgetSilent();
     const now = this.#node.parts.clock.now();
+    if (now - this.#tendedAt >= 1000) {
+      this.#tendedAt = now;
+      this.#memory.tend(this.#holder.at, Bench.forgetMs, (stream) => this.#follows.isFollowed(stream));
+    }
     if (now - this.#trimmedAt < 5000) return;
     this.#trimmedAt = now;
     void this.#trim();
@@ -203,6 +255,8 @@
     const streams = [...state.streams.values()].flatMap((log): Array<MessageInitShape<typeof TrimStreamSchema>> => {
       const { stream, birth } = log;
       const standing = this.#standingOf(stream, log.spaceBirth);
+      // Nothing of it is owed any more; should it be kept again, that is another birth.
+      if (standing === "ours" && this.#isInMemory(stream)) return [{ stream, birth, isRemoved: true }];
       if (standing !== "ours") return standing === "gone" ? [{ stream, birth, isRemoved: true }] : [];
       const old = log.messages.findIndex((message) => message.at >= at - this.#keepMs(message.topic));
       const low = old === -1 ? log.head : log.messages[old]!.seq - 1;
@@ -220,28 +274,39 @@
     return Math.max((owed?.keep ?? 0) * 1000, Bench.leastKeepMs);
   }
 
+  /** Whether the holder keeps the stream in its memory alone. */
+  #isInMemory(stream: string): boolean {
+    return keepsNothing(this.#node.plan.plan, stream);
+  }
+
+  #find(stream: string): StreamLog | undefined {
+    return this.#isInMemory(stream) ? this.#memory.find(stream) : this.#replica.state.streams.get(stream);
+  }
+
   /** The stream's birth, made where there was none of this birth of its space; undefined where it could not be. */
   async #birthOf(stream: string, spaceBirth: number): Promise<string | undefined> {
+    if (this.#isInMemory(stream)) return this.#memory.take(stream, spaceBirth, this.#holder.at)?.birth;
     const { streams } = this.#replica.state;
-    if ((streams.get(stream)?.spaceBirth ?? 0) < spaceBirth) {
-      let birth = this.#births.get(stream);
-      if (birth === undefined) {
-        const value = {
-          stream,
-          birth: Streams.birth(spaceBirth, this.#node.parts.chance.identity()),
-          at: this.#holder.at,
-        };
-        birth = this.#holder.propose({ case: "birth", value }).then(() => void this.#births.delete(stream));
-        this.#births.set(stream, birth);
-      }
-      await birth;
+    let birth = this.#births.get(stream);
+    if (birth === undefined && (streams.get(stream)?.spaceBirth ?? 0) < spaceBirth) {
+      const value = {
+        stream,
+        birth: Streams.birth(spaceBirth, this.#node.parts.chance.identity()),
+        at: this.#holder.at,
+      };
+      // Who comes when it was just made still waits behind those that have waited for it: in a stream's order of
+      // arrival.
+      const forget = (): void => void this.#births.delete(stream);
+      birth = this.#holder.propose({ case: "birth", value }).then(() => void this.#node.parts.clock.once(0, forget));
+      this.#births.set(stream, birth);
     }
+    if (birth !== undefined) await birth;
     const log = streams.get(stream);
     return log?.spaceBirth === spaceBirth ? log.birth : undefined;
   }
 
   #knownNow(stream: string, spaceBirth: number, { topic, session, number }: Publish): Verdict | undefined {
-    const log = this.#replica.state.streams.get(stream);
+    const log = this.#find(stream);
     return log?.spaceBirth === spaceBirth ? log.known(topic, session, number) : undefined;
   }
 
@@ -274,17 +339,24 @@
     return Rendezvous.shardOf(stream, this.#node.parts.settings.shards) === this.#replica.shard;
   }
 
-  #note(stream: string): void {
-    if (this.#fresh.size === 0) {
+  /** Pushes at the end of this event-loop turn what the followers lack; false where that may not be done any more. */
+  #push(stream: string): Promise<boolean> {
+    this.#fresh.add(stream);
+    this.#pushed ??= new Promise((resolve) => {
       this.#node.parts.clock.once(0, () => {
         const streams = [...this.#fresh];
         this.#fresh.clear();
-        if (!this.isOpen) return;
-        const { streams: logs } = this.#replica.state;
-        this.#follows.push(streams.filter((one) => this.#standingOf(one, logs.get(one)?.spaceBirth ?? 0) === "ours"));
+        this.#pushed = undefined;
+        const { isOpen } = this;
+        if (isOpen)
+          this.#follows.push(
+            streams.filter((one) => this.#standingOf(one, this.#find(one)?.spaceBirth ?? 0) === "ours"),
+          );
+        if (isOpen) this.#memory.trim(streams);
+        resolve(isOpen);
       });
-    }
-    this.#fresh.add(stream);
+    });
+    return this.#pushed;
   }
 
   #away(reason = "", comeBack = 0.5): PublishOutcome {
@@ -296,6 +368,10 @@
     return { case: "publishReceipt", value: { outcome: "refused", code, reason } };
   }
 
+  static #unsure(reason: string): PublishOutcome {
+    return { case: "publishReceipt", value: { outcome: "unsure", code: "unsure", reason, comeBack: 0.5 } };
+  }
+
   static #receipt(verdict: Verdict): PublishOutcome {
     if (verdict.outcome === "refused") return Bench.#refused(verdict.code, verdict.reason);
     return { case: "publishReceipt", value: { outcome: "accepted", birth: verdict.birth, seq: verdict.seq } };
--- a/packages/anvil/src/process/follows.ts
+++ b/packages/anvil/src/process/follows.ts
@@ -9,19 +9,34 @@
   type StreamMessage,
 } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import type { ShardState } from "../mark/shardState.js";
+import type { StreamLog } from "../mark/streamLog.js";
 
+interface FollowedStream {
+  birth: string;
+  sent: number;
+  /** The edge's subscribers by topic, of a topic's own stream under "". */
+  counts: Map<string, number>;
+}
 interface Following {
   readonly follow: string;
   readonly edge: string;
-  readonly streams: Map<string, { birth: string; sent: number }>;
+  readonly streams: Map<string, FollowedStream>;
   number: number;
   heardAt: number;
 }
+interface FollowParts {
+  node: ClusterNode;
+  shard: number;
+  epoch: number;
+  /** The stream as it is owed now, in the log or in memory. */
+  find: (stream: string) => StreamLog | undefined;
+  /** Streams in memory, of which an edge that knew an earlier birth is pushed all there is. */
+  isInMemory: (stream: string) => boolean;
+}
 
 /**
- * Which edges follow which streams of one held shard. Pushes are numbered a follow; what an edge misses
- * it sees by the numbers and asks for.
+ * Which edges follow which streams of one held shard, and with how many subscribers. Pushes are numbered a
+ * follow; what an edge misses it sees by the numbers and asks for.
  * Invariant: only committed messages are pushed, each stream's in order.
  */
 export class Follows {
@@ -30,29 +45,44 @@
   static readonly mostBehind = 400;
   static readonly silentMs = 6000;
 
-  readonly #node: ClusterNode;
-  readonly #state: ShardState;
-  readonly #shard: number;
-  readonly #epoch: number;
+  readonly #parts: FollowParts;
   readonly #follows = new Map<string, Following>();
   readonly #byStream = new Map<string, Set<Following>>();
 
-  constructor(node: ClusterNode, state: ShardState, shard: number, epoch: number) {
-    this.#node = node;
-    this.#state = state;
-    this.#shard = shard;
-    this.#epoch = epoch;
+  constructor(parts: FollowParts) {
+    this.#parts = parts;
   }
 
   get count(): number {
     return this.#follows.size;
   }
 
+  isFollowed(stream: string): boolean {
+    return this.#byStream.has(stream);
+  }
+
+  /** Subscribers of a topic at all edges that are there. */
+  countOf(stream: string, topic: string): number {
+    const { membership } = this.#parts.node;
+    let sum = 0;
+    for (const { edge, streams } of this.#byStream.get(stream) ?? []) {
+      const counts = streams.get(stream)?.counts;
+      if (membership.isAlive(edge)) sum += counts?.get(topic) ?? counts?.get("") ?? 0;
+    }
+    return sum;
+  }
+
   /** True where the edge has seen all pushes; otherwise it must follow in full again. */
   beat(follow: Follow): boolean {
     const following = this.#follows.get(follow.follow);
     if (following === undefined) return false;
-    following.heardAt = this.#node.parts.clock.now();
+    following.heardAt = this.#now();
+    for (const { stream, topic, count } of follow.counts) {
+      const counts = following.streams.get(stream)?.counts;
+      if (count > 0) counts?.set(topic, count);
+      else counts?.delete(topic);
+    }
+    for (const stream of follow.left) this.#leave(following, stream);
     return following.number === follow.seen;
   }
 
@@ -64,14 +94,14 @@
       following = { follow: follow.follow, edge, streams: new Map(), number: 0, heardAt: 0 };
       this.#follows.set(follow.follow, following);
     }
-    following.heardAt = this.#node.parts.clock.now();
+    following.heardAt = this.#now();
     const heads: StreamHead[] = [];
-    for (const { stream, birth, after } of followed) {
-      const log = this.#state.streams.get(stream);
+    for (const at of followed) {
+      const { stream } = at;
+      const log = this.#parts.find(stream);
       if (log === undefined) continue;
-      const isNear = birth === log.birth && log.head - after <= Follows.mostBehind;
-      const sent = isNear ? Math.max(after, log.low) : log.head;
-      following.streams.set(stream, { birth: log.birth, sent });
+      const sent = this.#sentTo(log, at);
+      following.streams.set(stream, { birth: log.birth, sent, counts: Follows.#countsOf(at) });
       let followers = this.#byStream.get(stream);
       if (followers === undefined) this.#byStream.set(stream, (followers = new Set()));
       followers.add(following);
@@ -97,17 +127,16 @@
 
   /** Tells the followers of streams that no plan owes any more. */
   end(streams: Iterable<string>): void {
-    for (const stream of streams) {
-      for (const following of this.#byStream.get(stream) ?? []) {
-        following.streams.delete(stream);
-        this.#send(following, [create(StreamBatchSchema, { stream, fault: "topic-gone" })]);
-      }
-      this.#byStream.delete(stream);
-    }
+    this.#dismiss(streams, "topic-gone");
+  }
+
+  /** Streams that go on in another birth, in memory or in the log: a batch of none makes their followers ask. */
+  askAgain(streams: Iterable<string>): void {
+    this.#dismiss(streams, "");
   }
 
   forgetSilent(): void {
-    const now = this.#node.parts.clock.now();
+    const now = this.#now();
     for (const following of [...this.#follows.values()])
       if (now - following.heardAt > Follows.silentMs) this.#drop(following);
   }
@@ -123,9 +152,28 @@
     return found;
   }
 
+  #now(): number {
+    return this.#parts.node.parts.clock.now();
+  }
+
+  #sentTo(log: StreamLog, { stream, birth, after }: StreamAt): number {
+    if (birth === log.birth && log.head - after <= Follows.mostBehind) return Math.max(after, log.low);
+    return birth !== "" && birth !== log.birth && this.#parts.isInMemory(stream) ? log.low : log.head;
+  }
+
+  #dismiss(streams: Iterable<string>, fault: string): void {
+    for (const stream of streams) {
+      for (const following of this.#byStream.get(stream) ?? []) {
+        following.streams.delete(stream);
+        this.#send(following, [create(StreamBatchSchema, { stream, fault })]);
+      }
+      this.#byStream.delete(stream);
+    }
+  }
+
   #batch(following: Following, stream: string): StreamBatch | undefined {
     const at = following.streams.get(stream);
-    const log = this.#state.streams.get(stream);
+    const log = this.#parts.find(stream);
     if (at === undefined || log === undefined || at.birth !== log.birth || at.sent >= log.head) return undefined;
     const messages = Follows.slice(log.messages, log.low, at.sent, Follows.mostMessages);
     const prev = (messages[0]?.seq ?? log.head + 1) - 1;
@@ -135,18 +183,27 @@
 
   #send(following: Following, batches: StreamBatch[]): void {
     following.number += 1;
-    this.#node.exchange.tell(following.edge, {
+    const { node, shard, epoch } = this.#parts;
+    node.exchange.tell(following.edge, {
       case: "push",
-      value: { shard: this.#shard, epoch: this.#epoch, follow: following.follow, number: following.number, batches },
+      value: { shard, epoch, follow: following.follow, number: following.number, batches },
     });
   }
 
   #drop(following: Following): void {
     this.#follows.delete(following.follow);
-    for (const stream of following.streams.keys()) {
-      const followers = this.#byStream.get(stream);
-      followers?.delete(following);
-      if (followers?.size === 0) this.#byStream.delete(stream);
-    }
+    for (const stream of [...following.streams.keys()]) this.#leave(following, stream);
+  }
+
+  #leave(following: Following, stream: string): void {
+    following.streams.delete(stream);
+    const followers = this.#byStream.get(stream);
+    followers?.delete(following);
+    if (followers?.size === 0) this.#byStream.delete(stream);
+  }
+
+  static #countsOf({ count, counts }: StreamAt): Map<string, number> {
+    const all = [["", count] as const, ...counts.map((one) => [one.topic, one.count] as const)];
+    return new Map(all.filter(([, number]) => number > 0));
   }
 }
--- /dev/null
+++ b/packages/anvil/src/process/memoryStreams.ts
@@ -0,0 +1,101 @@
+import type { Accept } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { Streams } from "@cranetrack/chest/mark/streams.js";
+import { StreamLog, type Verdict } from "../mark/streamLog.js";
+
+interface Kept {
+  log: StreamLog;
+  /** Shard time of the last use. */
+  usedAt: number;
+}
+
+/**
+ * The streams of one held shard whose spaces keep nothing: sequenced by the holder alone, on no disk.
+ * Invariants: a birth lives as long as this holder at most; messages are trimmed only by `trim`, so what one
+ * event-loop turn accepted is still there to be pushed; a stream is never replaced by one of an earlier birth of
+ * its space.
+ */
+export class MemoryStreams {
+  /** The tail that stays for edges that missed a push. */
+  static readonly mostKept = 200;
+  static readonly mostBytes = 2 * 1024 * 1024;
+  static readonly keepMs = 10_000;
+
+  readonly #identity: () => string;
+  readonly #streams = new Map<string, Kept>();
+
+  constructor(identity: () => string) {
+    this.#identity = identity;
+  }
+
+  get count(): number {
+    return this.#streams.size;
+  }
+
+  find(stream: string): StreamLog | undefined {
+    return this.#streams.get(stream)?.log;
+  }
+
+  all(): StreamLog[] {
+    return [...this.#streams.values()].map(({ log }) => log);
+  }
+
+  /** The stream, made where there was none of this birth of its space; undefined where there is a later one. */
+  take(stream: string, spaceBirth: number, at: number): StreamLog | undefined {
+    let kept = this.#streams.get(stream);
+    if (kept === undefined || kept.log.spaceBirth < spaceBirth) {
+      kept = { log: new StreamLog(stream, Streams.birth(spaceBirth, this.#identity())), usedAt: at };
+      this.#streams.set(stream, kept);
+    }
+    kept.usedAt = Math.max(kept.usedAt, at);
+    return kept.log.spaceBirth === spaceBirth ? kept.log : undefined;
+  }
+
+  accept(accept: Accept): Verdict {
+    const log = this.find(accept.stream);
+    if (log === undefined || log.birth !== accept.birth)
+      return { outcome: "refused", code: "topic-gone", reason: "the topic was removed meanwhile" };
+    return log.accept(accept);
+  }
+
+  /** Drops from these streams what is beyond the tail. Called once everything was pushed. */
+  trim(streams: Iterable<string>): void {
+    for (const stream of streams) {
+      const log = this.find(stream);
+      // In steps, so that a busy stream is not copied at every message.
+      if (log !== undefined && (log.messages.length > 2 * MemoryStreams.mostKept || MemoryStreams.#isLarge(log)))
+        MemoryStreams.#cut(log, -Infinity);
+    }
+  }
+
+  /** Drops what is old, and streams that nobody has used for long. */
+  tend(at: number, forgetMs: number, isFollowed: (stream: string) => boolean): void {
+    for (const [stream, { log, usedAt }] of this.#streams) {
+      MemoryStreams.#cut(log, at - MemoryStreams.keepMs);
+      if (log.hasOlder(at - forgetMs)) log.forget(at - forgetMs);
+      if (log.knownCount === 0 && at - usedAt > forgetMs && !isFollowed(stream)) this.#streams.delete(stream);
+    }
+  }
+
+  remove(stream: string): void {
+    this.#streams.delete(stream);
+  }
+
+  static #cut(log: StreamLog, before: number): void {
+    const { messages } = log;
+    let kept = 0;
+    let bytes = 0;
+    while (kept < messages.length && kept < MemoryStreams.mostKept) {
+      const message = messages[messages.length - 1 - kept]!;
+      bytes += message.payload.length;
+      if (message.at < before || bytes > MemoryStreams.mostBytes) break;
+      kept += 1;
+    }
+    log.trim(log.head - kept);
+  }
+
+  /** Looked at in steps as well: only streams of large payloads come near it. */
+  static #isLarge({ messages }: StreamLog): boolean {
+    const last = messages.at(-1);
+    return last !== undefined && messages.length * last.payload.length > 2 * MemoryStreams.mostBytes;
+  }
+}
--- /dev/null
+++ b/packages/chest/src/mark/keepsNothing.ts
@@ -0,0 +1,10 @@
+import { Plans, type Plan } from "./plan.js";
+import { Streams } from "./streams.js";
+
+/** Whether a stream lives in its holder's memory alone: all that the plan owes in it is kept for no time. */
+export function keepsNothing(plan: Plan | undefined, stream: string): boolean {
+  const space = Streams.spaceOf(stream);
+  if (stream !== space) return Plans.owed(plan, stream)?.keep === 0;
+  const rules = plan?.spaces.find((one) => one.name === space)?.program ?? [];
+  return rules.length > 0 && rules.every(({ owe }) => owe.keep === 0);
+}
--- /dev/null
+++ b/packages/jig/src/process/sim/memory.test.ts
@@ -0,0 +1,232 @@
+import { test } from "node:test";
+import type { Bench } from "@cranetrack/anvil/process/bench.js";
+import type { Holder } from "@cranetrack/anvil/process/holder.js";
+import type { PublishReceipt } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import type { Body } from "@cranetrack/chest/process/wire.js";
+import { countTopic, type Count } from "@cranetrack/vise/request/countTopic.js";
+import { expect } from "earl";
+import { Hand, served, type Served } from "./hand.js";
+
+/** A fleet whose space `notes` keeps nothing, and so does `extra`, which has one order. */
+async function keepingNothing(seed: number): Promise<Served> {
+  const all = await served(seed);
+  const receipt = await all.plan(["notes", "notices", "extra"], (spaces) => {
+    spaces["notes"]![0]!.owe["keep"] = 0;
+    spaces["extra"]![0]!.owe["keep"] = 0;
+  });
+  expect(receipt["status"]).toEqual(200);
+  await all.fleet.run(1000);
+  return all;
+}
+
+async function linked({ fleet }: Served, node: string, session: string, wishes: readonly object[]): Promise<Hand> {
+  const hand = new Hand(fleet, node, session, { subscriptions: wishes });
+  const isLinked = (): boolean => hand.of("open").length > 0 && hand.of("confirmed").length === wishes.length;
+  expect(await fleet.until(isLinked, 5000)).toEqual(true);
+  return hand;
+}
+
+function holderOf({ fleet }: Served, topic: string): { name: string; shard: number; holder: Holder; bench: Bench } {
+  const { node, vise } = fleet.find("vise-2")!;
+  const shard = vise!.streams.shardOf(node.plan.route(topic)!.stream);
+  const name = node.shards.find(shard).holder;
+  const { holder, bench } = fleet.find(name)!.anvil!.claims!.find(shard)!;
+  return { name, shard, holder, bench };
+}
+
+async function counted({ fleet }: Served, topic: string, node = "vise-2"): Promise<Count> {
+  let got: Count | undefined;
+  void countTopic(fleet.find(node)!.vise!, topic).then((count) => (got = count));
+  expect(await fleet.until(() => got !== undefined, 5000)).toEqual(true);
+  return got!;
+}
+
+const logged = ({ fleet }: Served): number =>
+  Math.max(...fleet.withRole("anvil").map((name) => fleet.find(name)?.anvil?.replicas[0]?.log.lastIndex ?? 0));
+
+test("a space that keeps nothing is delivered in order, from memory, and writes no log", async () => {
+  const all = await keepingNothing(801);
+  const { fleet, publish } = all;
+  const readers = [await linked(all, "vise-1", "desk", [{ topic: "notes/t1" }])];
+  readers.push(await linked(all, "vise-3", "shelf", [{ topic: "notes/t1" }, { topic: "extra/t0" }]));
+  await linked(all, "vise-2", "pen", []);
+  const before = logged(all);
+  for (let number = 1; number <= 5; number += 1) {
+    const receipt = await publish("pen", number, "vise-2");
+    expect(receipt["receipt"]).toEqual("accepted");
+    // Sent again it is the same message.
+    expect((await publish("pen", number, "vise-2"))["place"]).toEqual(receipt["place"]);
+  }
+  expect((await publish("pen", 1, "vise-2", "extra/t0"))["receipt"]).toEqual("accepted");
+  expect(await fleet.until(() => readers[1]!.got().length === 6, 2000)).toEqual(true);
+  await fleet.run(500);
+  for (const reader of readers) expect(reader.got("notes/t1")).toEqual([1, 2, 3, 4, 5]);
+  expect(readers[1]!.got("extra/t0")).toEqual([1]);
+  expect(logged(all)).toEqual(before);
+  const { shard } = holderOf(all, "notes/t1");
+  for (const name of fleet.withRole("anvil"))
+    expect(fleet.find(name)!.anvil!.replicas[shard]!.state.streams.has("notes/t1")).toEqual(false);
+});
+
+test("numbers that go backwards and payloads that are too large are refused in memory as in a log", async () => {
+  const all = await keepingNothing(802);
+  const { publish, ask } = all;
+  await linked(all, "vise-2", "pen", []);
+  expect((await publish("pen", 4, "vise-2"))["receipt"]).toEqual("accepted");
+  expect((await publish("pen", 3, "vise-2"))["status"]).toEqual(409);
+  const large = JSON.stringify({ topic: "notes/t1", number: 5, payload: "x".repeat(70_000) });
+  expect((await ask("vise-2", "POST", "/v1/sessions/pen/messages", large))["status"]).toEqual(413);
+  expect((await publish("pen", 5, "vise-2"))["status"]).toEqual(409);
+  expect((await publish("pen", 6, "vise-2"))["receipt"]).toEqual("accepted");
+});
+
+test("the holder changes in the middle: silent, no message twice, the sender's order holds", async () => {
+  const all = await keepingNothing(803);
+  const { fleet, publish } = all;
+  const reader = await linked(all, "vise-1", "desk", [{ topic: "notes/t1" }]);
+  await linked(all, "vise-2", "pen", []);
+  for (let number = 1; number <= 3; number += 1)
+    expect((await publish("pen", number, "vise-2"))["receipt"]).toEqual("accepted");
+  expect(await fleet.until(() => reader.got().length === 3, 2000)).toEqual(true);
+  const { name } = holderOf(all, "notes/t1");
+  fleet.kill(name);
+  expect(await fleet.until(() => ![name, ""].includes(fleet.find("vise-2")!.node.shards.find(holderShard(all)).holder), 9000)).toEqual(true);
+  // Whoever had no receipt for these sends them again, to a holder that knows nothing of them.
+  for (const number of [2, 3, 4, 5]) {
+    let receipt = await publish("pen", number, "vise-2");
+    for (let tries = 0; receipt["receipt"] !== "accepted" && tries < 20; tries += 1) {
+      await fleet.run(200);
+      receipt = await publish("pen", number, "vise-2");
+    }
+    expect(receipt["receipt"]).toEqual("accepted");
+  }
+  expect(await fleet.until(() => reader.got().length >= 5, 4000)).toEqual(true);
+  await fleet.run(2000);
+  expect(reader.got("notes/t1")).toEqual([1, 2, 3, 4, 5]);
+  expect([reader.of("expired"), reader.of("ended"), reader.isClosed]).toEqual([[], [], false]);
+});
+
+function holderShard({ fleet }: Served): number {
+  const { node, vise } = fleet.find("vise-2")!;
+  return vise!.streams.shardOf(node.plan.route("notes/t1")!.stream);
+}
+
+test("a place of another birth, of long ago or of nowhere is confirmed without a word where nothing is kept", async () => {
+  const all = await keepingNothing(804);
+  const { fleet, publish } = all;
+  const reader = await linked(all, "vise-1", "desk", [{ topic: "notes/t1" }]);
+  await linked(all, "vise-2", "pen", []);
+  for (let number = 1; number <= 2; number += 1) await publish("pen", number, "vise-2");
+  expect(await fleet.until(() => reader.got().length === 2, 2000)).toEqual(true);
+  const place = String(reader.of("message")[0]!["place"]);
+  reader.close();
+  await publish("pen", 3, "vise-2");
+  // From the tail, as long as it has it.
+  const soon = await linked(all, "vise-3", "desk", [{ topic: "notes/t1", after: place }]);
+  expect(await fleet.until(() => soon.got().length === 2, 2000)).toEqual(true);
+  expect(soon.got("notes/t1")).toEqual([2, 3]);
+  soon.close();
+  await fleet.run(15_000);
+  for (const after of [place, "1-0123456789.7", "ffffff-0123456789.3"]) {
+    const again = await linked(all, "vise-1", "desk", [{ topic: "notes/t1", after }]);
+    expect([again.of("expired"), again.of("fault"), again.got()]).toEqual([[], [], []]);
+    again.close();
+    await fleet.run(200);
+  }
+});
+
+test("numbers sent without waiting for each other are taken in order while the birth is being made", async () => {
+  const all = await keepingNothing(805);
+  const { fleet } = all;
+  for (const topic of ["notes/new", "notices/new"]) {
+    const { name, shard } = holderOf(all, topic);
+    const { exchange, plan } = fleet.find("vise-1")!.node;
+    const publish = { shard, session: "sender-1", ownerEpoch: 9, topic, spaceBirth: plan.route(topic)!.spaceBirth };
+    const receipts: PublishReceipt[] = [];
+    const heed = (body: Body | undefined): void => void (body?.case === "publishReceipt" && receipts.push(body.value));
+    for (let number = 1; number <= 8; number += 1)
+      void exchange.call(name, { case: "publish", value: { ...publish, number } }, 3000).then(heed);
+    expect(await fleet.until(() => receipts.length === 8, 4000)).toEqual(true);
+    expect(receipts.map(({ outcome }) => outcome)).toEqual(Array.from({ length: 8 }, () => "accepted"));
+    const first = receipts[0]!.seq;
+    expect(receipts.map(({ seq }) => seq - first)).toEqual([0, 1, 2, 3, 4, 5, 6, 7]);
+  }
+});
+
+test("a number that comes in the very turn in which the birth is committed does not overtake those that waited", async () => {
+  const all = await served(806);
+  const { fleet } = all;
+  const topic = "notes/fresh";
+  const { holder, bench, shard, name } = holderOf(all, topic);
+  const { spaceBirth } = fleet.find(name)!.node.plan.route(topic)!;
+  const base = { shard, session: "pen", ownerEpoch: 9, topic, spaceBirth, payload: new Uint8Array(1) };
+  const outcomes = new Map<number, string>();
+  const say = (number: number): void => {
+    const publish = { ...base, number, $typeName: "cranetrack.v1.Publish" as const };
+    void bench.publish(publish).then(({ value }) => outcomes.set(number, value.outcome ?? ""));
+  };
+  say(1);
+  say(2);
+  holder.once("applied", () => say(3));
+  expect(await fleet.until(() => outcomes.size === 3, 3000)).toEqual(true);
+  expect([...outcomes]).toEqual([
+    [1, "accepted"],
+    [2, "accepted"],
+    [3, "accepted"],
+  ]);
+});
+
+test("subscribers are counted right after joins, leaves, an edge's death and a change of holder", async () => {
+  const all = await keepingNothing(807);
+  const { fleet } = all;
+  const count = async (topic = "notes/t1"): Promise<number | string> => {
+    const got = await counted(all, topic);
+    return got.outcome === "counted" ? got.count : got.outcome;
+  };
+  const becomes = async (wanted: number, topic = "notes/t1"): Promise<void> => {
+    for (let tries = 0; tries < 60 && (await count(topic)) !== wanted; tries += 1) await fleet.run(100);
+    expect(await count(topic)).toEqual(wanted);
+  };
+  expect([await count(), await count("nowhere/t1")]).toEqual([0, "unknown-topic"]);
+  const wishes = ["notes/t1", "extra/t0"].map((topic) => ({ topic }));
+  const hands: Hand[] = [];
+  for (let i = 0; i < 6; i += 1) hands.push(await linked(all, `vise-${(i % 3) + 1}`, `desk-${i}`, wishes));
+  await linked(all, "vise-1", "other", [{ topic: "extra/t1" }]);
+  await fleet.run(100);
+  expect([await count(), await count("extra/t0"), await count("extra/t1")]).toEqual([6, 6, 1]);
+  hands[1]!.close();
+  expect((await all.ask("vise-3", "DELETE", "/v1/sessions/desk-2/subscriptions/notes/t1"))["status"]).toEqual(200);
+  await fleet.run(100);
+  expect([await count(), await count("extra/t0")]).toEqual([4, 5]);
+  fleet.kill("vise-1");
+  await becomes(2);
+  await becomes(3, "extra/t0");
+  await becomes(0, "extra/t1");
+  const { name } = holderOf(all, "notes/t1");
+  fleet.kill(name);
+  await fleet.run(300);
+  const seen = new Set<number>();
+  for (let tries = 0; tries < 30; tries += 1) {
+    const got = await counted(all, "notes/t1");
+    if (got.outcome === "counted") seen.add(got.count);
+    await fleet.run(200);
+  }
+  expect([...seen]).toEqual([2]);
+});
+
+test("a contract that begins to keep, and one that ceases to, moves its streams and delivery goes on", async () => {
+  const all = await served(808);
+  const { fleet, publish } = all;
+  const reader = await linked(all, "vise-1", "desk", [{ topic: "notes/t1" }]);
+  await linked(all, "vise-2", "pen", []);
+  let number = 0;
+  for (const keep of [120, 0, 120, 0]) {
+    const receipt = await all.plan(["notes", "notices", "extra"], (spaces) => (spaces["notes"]![0]!.owe["keep"] = keep));
+    expect(receipt["status"]).toEqual(200);
+    await fleet.run(2000);
+    for (let i = 0; i < 3; i += 1)
+      expect((await publish("pen", (number += 1), "vise-2"))["receipt"]).toEqual("accepted");
+    expect(await fleet.until(() => reader.got().length === number, 3000)).toEqual(true);
+  }
+  expect(reader.got("notes/t1")).toEqual(Array.from({ length: 12 }, (_, i) => i + 1));
+});
--- a/packages/vise/src/link/streamCursor.ts
+++ b/packages/vise/src/link/streamCursor.ts
@@ -58,6 +58,7 @@
       for (const [other, at] of this.#topics) this.#topics.set(other, Math.max(at, this.cursor));
       this.cursor = start.seq;
     }
+    if (!this.#topics.has(topic)) this.#parts.table.counts.join(this.tail, topic);
     this.#topics.set(topic, start.birth === this.birth ? start.seq : this.cursor);
   }
 
@@ -75,13 +76,14 @@
   }
 
   remove(topic: string): void {
-    this.#topics.delete(topic);
+    if (this.#topics.delete(topic) && !this.#isStopped) this.#parts.table.counts.part(this.tail, topic);
     if (this.#topics.size === 0) this.stop();
   }
 
   stop(): void {
     if (this.#isStopped) return;
     this.#isStopped = true;
+    for (const topic of this.#topics.keys()) this.#parts.table.counts.part(this.tail, topic);
     this.#again?.stop();
     this.#parts.tail.off("grown", this.#grown);
     this.#parts.tail.off("ended", this.#ended);
@@ -107,6 +109,11 @@
       if (next !== undefined) this.#deliver(next);
       else await this.#fetch();
       if (this.cursor > before) continue;
+      if (tail.keepsNothing && tail.birth === this.birth && tail.after(before) === undefined) {
+        // What neither the tail nor the holder has any more is owed to nobody.
+        this.cursor = Math.max(before, (tail.messages[0]?.seq ?? tail.head + 1) - 1);
+        if (this.cursor > before) continue;
+      }
       this.#lookAgain();
       break;
     }
@@ -136,27 +143,31 @@
     this.cursor = message.seq;
     const { session, number, payload, seq, topic } = message;
     const from = this.#topics.get(topic);
-    if (from === undefined || seq <= from) return;
+    if (from === undefined || seq <= from || this.tail.isRepeat(message)) return;
     const place = Places.write(this.birth, seq);
     const text = Buffer.from(payload).toString();
     this.#parts.link.send({ kind: "message", topic, sender: session, number, place, payload: text });
   }
 
-  /** Goes on after what was trimmed. Only topics that lost a message by it are told. */
+  /** Goes on after what was trimmed. Only topics that lost a message by it are told, and that were owed it. */
   #skip(low: number, trims: ReadonlyMap<string, number>): void {
     const cursor = this.cursor;
-    for (const [topic, from] of this.#topics) {
-      if ((trims.get(topic) ?? 0) > Math.max(from, cursor)) this.#expire(topic, low, "older messages were trimmed");
-    }
+    if (!this.tail.keepsNothing)
+      for (const [topic, from] of this.#topics) {
+        if ((trims.get(topic) ?? 0) > Math.max(from, cursor)) this.#expire(topic, low, "older messages were trimmed");
+      }
     this.cursor = Math.max(cursor, low);
   }
 
-  /** The stream was made again: all of the new birth is news. */
+  /** The stream was made again: all of the new birth is news. Where nothing is kept that is no loss to tell of. */
   #restart(): void {
     const { tail } = this.#parts;
     this.birth = tail.birth;
     this.cursor = tail.low;
-    for (const topic of this.#topics.keys()) this.#expire(topic, tail.low, "the topic was made again");
+    for (const topic of this.#topics.keys()) {
+      if (tail.keepsNothing) this.#topics.set(topic, tail.low);
+      else this.#expire(topic, tail.low, "the topic was made again");
+    }
   }
 
   #expire(topic: string, low: number, reason: string): void {
--- a/packages/vise/src/process/shardFollow.ts
+++ b/packages/vise/src/process/shardFollow.ts
@@ -1,7 +1,19 @@
-import type { Push, StreamHead, StreamMessage } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import type {
+  FollowSchema,
+  Push,
+  StreamAtSchema,
+  StreamHead,
+  StreamMessage,
+  TopicCountSchema,
+} from "@cranetrack/chest/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { StreamTail } from "./streamTail.js";
 
+export type FollowInit = MessageInitShape<typeof FollowSchema>;
+/** This edge's subscribers of a stream's topics. */
+export type CountsOf = (stream: string) => ReadonlyMap<string, number>;
+
 export interface Fetched {
   outcome: "done" | "trimmed";
   low: number;
@@ -23,6 +35,11 @@
   readonly #shard: number;
   readonly #streams = new Map<string, StreamTail>();
   readonly #asked = new Set<StreamTail>();
+  readonly #countsOf: CountsOf;
+  /** Topics whose counts the holder does not have yet, by stream; and streams that it still pushes for nobody. */
+  readonly #counted = new Map<StreamTail, Set<string>>();
+  readonly #left = new Set<string>();
+  #isTelling = false;
   #follow = "";
   #epoch = 0;
   #seen = 0;
@@ -31,9 +48,10 @@
   /** Rises when the holder changes; a receipt of an earlier turn is not heeded. */
   #turn = 0;
 
-  constructor(node: ClusterNode, shard: number) {
+  constructor(node: ClusterNode, shard: number, countsOf: CountsOf) {
     this.#node = node;
     this.#shard = shard;
+    this.#countsOf = countsOf;
   }
 
   get isIdle(): boolean {
@@ -46,13 +64,29 @@
 
   add(tail: StreamTail): void {
     this.#streams.set(tail.stream, tail);
+    this.#left.delete(tail.stream);
     this.#asked.add(tail);
     this.#node.parts.clock.once(0, () => void this.tend());
   }
 
   remove(tail: StreamTail): void {
-    if (this.#streams.get(tail.stream) === tail) this.#streams.delete(tail.stream);
+    if (this.#streams.get(tail.stream) === tail) {
+      this.#streams.delete(tail.stream);
+      this.#left.add(tail.stream);
+    }
     this.#asked.delete(tail);
+    this.#counted.delete(tail);
+  }
+
+  /** A topic's subscribers have changed: the holder is told at once, or right behind what it is being told. */
+  countChanged(tail: StreamTail, topic: string): void {
+    if (this.#streams.get(tail.stream) !== tail) return;
+    let topics = this.#counted.get(tail);
+    if (topics === undefined) this.#counted.set(tail, (topics = new Set()));
+    topics.add(topic);
+    if (this.#isTelling) return;
+    this.#isTelling = true;
+    this.#node.parts.clock.once(0, () => void this.#tell());
   }
 
   /** The shard may have another holder now. */
@@ -74,7 +108,8 @@
     const isFull = this.#isStale;
     const wanted = isFull ? [...this.#streams.values()] : [...this.#asked];
     if (isFull) this.#follow = `${this.#node.exchange.name}/${this.#node.parts.chance.identity().slice(0, 8)}`;
-    const streams = wanted.map(({ route, birth, head }) => ({ ...route, birth, after: head }));
+    const streams = wanted.map((tail) => this.#at(tail));
+    if (isFull) this.#left.clear();
     // What is asked for again while this is under way stays asked for.
     for (const tail of wanted) this.#asked.delete(tail);
     const follow = this.#follow;
@@ -99,6 +134,11 @@
       this.#seen = receipt.value.number;
     }
     for (const head of receipt.value.heads) this.#learn(head);
+    // What changed while this was asked.
+    if (!this.#isTelling && this.#counted.size > 0) {
+      this.#isTelling = true;
+      void this.#tell();
+    }
     if (this.#asked.size > 0) void this.tend();
     // Who has not heard of the newest plan, this node or the holder, is given until the next beat.
     for (const { fault, stream } of receipt.value.heads) {
@@ -107,23 +147,25 @@
     }
   }
 
-  /** Asks whether all pushes were seen; the answer to a lost last push. */
-  async beat(): Promise<void> {
-    if (this.isIdle) return;
-    if (this.#isStale || this.#asked.size > 0) return this.tend();
-    const follow = this.#follow;
-    const seen = this.#seen;
-    const receipt = await this.#node.exchange.call(
-      this.holder,
-      { case: "follow", value: { shard: this.#shard, follow, seen, isFull: false } },
-      700,
-    );
-    const isGood = receipt?.case === "followReceipt" && receipt.value.outcome === "done";
-    if (
-      isGood ||
-      follow !== this.#follow ||
-      (receipt?.case === "followReceipt" && receipt.value.outcome === "resync" && this.#seen !== seen)
-    )
+  /** What asks whether all pushes were seen, the answer to a lost last push; undefined where there is more to ask. */
+  beat(): FollowInit | undefined {
+    if (this.isIdle && this.#left.size === 0) return undefined;
+    if (this.#isAsking || this.#isStale || this.#asked.size > 0) return void this.tend();
+    const counts = [...this.#counted].flatMap(([tail, topics]) => {
+      const present = this.#countsOf(tail.stream);
+      return [...topics].map((topic): MessageInitShape<typeof TopicCountSchema> => {
+        return { stream: tail.stream, topic: tail.isWhole ? topic : "", count: present.get(topic) ?? 0 };
+      });
+    });
+    const left = [...this.#left];
+    this.#counted.clear();
+    this.#left.clear();
+    return { shard: this.#shard, follow: this.#follow, seen: this.#seen, isFull: false, counts, left };
+  }
+
+  /** The holder's answer to a beat, if it gave one. */
+  async beaten(beat: FollowInit, outcome: string | undefined): Promise<void> {
+    if (outcome === "done" || beat.follow !== this.#follow || (outcome === "resync" && this.#seen !== beat.seen))
       return;
     this.#isStale = true;
     await this.tend();
@@ -161,6 +203,28 @@
     return { outcome, low, messages: batch.messages, trims: new Map(trims.map(({ topic, seq }) => [topic, seq])) };
   }
 
+  /** One telling after the other, so that an older count never comes behind a newer one. */
+  async #tell(): Promise<void> {
+    while (this.#counted.size > 0) {
+      const beat = this.#isAsking || this.#isStale ? undefined : this.beat();
+      if (beat === undefined) break;
+      const receipt = await this.#node.exchange.call(this.holder, { case: "follow", value: beat }, 700);
+      await this.beaten(beat, receipt?.case === "followReceipt" ? receipt.value.outcome : undefined);
+    }
+    this.#isTelling = false;
+  }
+
+  #at(tail: StreamTail): MessageInitShape<typeof StreamAtSchema> {
+    const { route, birth, head, isWhole } = tail;
+    const { stream, spaceBirth } = route;
+    const present = [...this.#countsOf(stream)];
+    this.#counted.delete(tail);
+    const at = { stream, spaceBirth, birth, after: head };
+    return isWhole
+      ? { ...at, counts: present.map(([topic, count]) => ({ topic, count })) }
+      : { ...at, count: present[0]?.[1] ?? 0 };
+  }
+
   #learn(head: StreamHead): void {
     const tail = this.#streams.get(head.stream);
     if (tail === undefined) return;
--- a/packages/vise/src/process/streamTable.ts
+++ b/packages/vise/src/process/streamTable.ts
@@ -1,8 +1,11 @@
+import { Grouped } from "@cranetrack/chest/process/grouped.js";
 import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { StreamRoute } from "@cranetrack/chest/mark/streams.js";
-import { ShardFollow } from "./shardFollow.js";
+import { keepsNothing } from "@cranetrack/chest/mark/keepsNothing.js";
+import { ShardFollow, type CountsOf, type FollowInit } from "./shardFollow.js";
 import { StreamTail } from "./streamTail.js";
+import { SubscriberCounts } from "./subscriberCounts.js";
 
 /**
  * The streams that this edge's links need, each followed once.
@@ -15,19 +18,25 @@
   readonly #tails = new Map<string, StreamTail>();
   readonly #follows: ShardFollow[];
 
+  /** Who subscribes to what here; cursors tell it. */
+  readonly counts = new SubscriberCounts((tail, topic) => this.#follows[tail.shard]!.countChanged(tail, topic));
+  /** What the holders are told; whoever replaces it tells of changes by `countChanged`. */
+  countsOf: CountsOf = (stream) => this.counts.of(stream);
+
   constructor(node: ClusterNode) {
     this.#node = node;
-    this.#follows = Array.from({ length: node.parts.settings.shards }, (_, shard) => new ShardFollow(node, shard));
+    const countsOf: CountsOf = (stream) => this.countsOf(stream);
+    this.#follows = Array.from(
+      { length: node.parts.settings.shards },
+      (_, shard) => new ShardFollow(node, shard, countsOf),
+    );
     node.exchange.serve("push", (push) => {
       this.#follows[push.shard]?.take(push);
       return undefined;
     });
     node.shards.on("changed", (shard) => this.#follows[shard]?.moved());
     node.plan.on("changed", () => this.#planChanged());
-    this.#follows.forEach((follow, shard) => {
-      const first = (ShardFollow.beatMs * (shard + 1)) / this.#follows.length;
-      node.parts.clock.once(first, () => node.parts.clock.every(ShardFollow.beatMs, () => void follow.beat()));
-    });
+    node.parts.clock.every(ShardFollow.beatMs, () => this.#beat());
   }
 
   get count(): number {
@@ -48,6 +57,7 @@
     let tail = this.#tails.get(key);
     if (tail === undefined) {
       tail = new StreamTail(route, this.shardOf(route.stream));
+      tail.keepsNothing = keepsNothing(this.#node.plan.plan, route.stream);
       this.#tails.set(key, tail);
       this.#follows[tail.shard]!.add(tail);
     } else if (!tail.isKnown) this.#follows[tail.shard]!.add(tail);
@@ -82,10 +92,27 @@
     });
   }
 
+  /** One call to each holder for all its shards. */
+  #beat(): void {
+    const due = this.#follows.flatMap((follow) => {
+      const beat = follow.holder === "" ? undefined : follow.beat();
+      return beat === undefined ? [] : [{ follow, beat }];
+    });
+    for (const [holder, list] of Grouped.by(due, ({ follow }) => follow.holder)) void this.#beatHolder(holder, list);
+  }
+
+  async #beatHolder(holder: string, list: Array<{ follow: ShardFollow; beat: FollowInit }>): Promise<void> {
+    const beats = list.map(({ beat }) => beat);
+    const receipt = await this.#node.exchange.call(holder, { case: "followBeats", value: { beats } }, 700);
+    const outcomes = receipt?.case === "followBeatsReceipt" ? receipt.value.outcomes : [];
+    for (const [i, { follow, beat }] of list.entries()) void follow.beaten(beat, outcomes[i]);
+  }
+
   /** A plan in force that has no such space, or another birth of it, ends what was followed of it. */
   #planChanged(): void {
-    const { births } = this.#node.plan;
+    const { births, plan } = this.#node.plan;
     for (const tail of this.#tails.values()) {
+      tail.keepsNothing = keepsNothing(plan, tail.stream);
       if (births[tail.route.space] === tail.route.spaceBirth) continue;
       this.#follows[tail.shard]!.remove(tail);
       tail.end("topic-gone");
--- a/packages/vise/src/process/streamTail.ts
+++ b/packages/vise/src/process/streamTail.ts
@@ -1,6 +1,7 @@
 import { EventEmitter } from "node:events";
 import type { StreamMessage } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import type { StreamRoute } from "@cranetrack/chest/mark/streams.js";
+import { LastNumbers } from "../mark/lastNumbers.js";
 
 /**
  * The newest messages of a stream that this edge has heard of, shared by all its links.
@@ -20,6 +21,14 @@
   #bytes = 0;
   isKnown = false;
   users = 0;
+  /**
+   * Whether the holder alone has the stream: then a new birth is the same stream at another holder, which knows
+   * nothing of the numbers that the last one took.
+   */
+  keepsNothing = false;
+  /** What was given in this birth, and in those before it; only where nothing is kept. */
+  #numbers = new LastNumbers();
+  readonly #numbersBefore = new LastNumbers();
 
   constructor(route: StreamRoute, shard: number) {
     super();
@@ -32,6 +41,16 @@
     return this.route.stream;
   }
 
+  /** One sequence over all the space's topics. */
+  get isWhole(): boolean {
+    return this.route.stream === this.route.space;
+  }
+
+  /** A message that an earlier holder has pushed, or one older than it: sent again by a client that had no receipt. */
+  isRepeat({ topic, session, number }: StreamMessage): boolean {
+    return this.keepsNothing && number <= this.#numbersBefore.of(topic, session);
+  }
+
   /** The message after a place, if it is here. */
   after(seq: number): StreamMessage | undefined {
     const first = this.messages[0];
@@ -55,6 +74,7 @@
     for (const message of fresh) {
       this.messages.push(message);
       this.#bytes += message.payload.length;
+      if (this.keepsNothing) this.#numbers.note(message.topic, message.session, message.number);
     }
     this.head = fresh.at(-1)!.seq;
     while (this.messages.length > StreamTail.most || this.#bytes > StreamTail.mostBytes)
@@ -68,6 +88,8 @@
   }
 
   #reborn(birth: string): void {
+    this.#numbersBefore.add(this.#numbers);
+    this.#numbers = new LastNumbers();
     this.birth = birth;
     this.head = 0;
     this.low = 0;
--- /dev/null
+++ b/packages/vise/src/request/countTopic.ts
@@ -0,0 +1,40 @@
+import { Streams } from "@cranetrack/chest/mark/streams.js";
+import type { ViseParts } from "../process/viseParts.js";
+
+const mostMs = 1500;
+const callMs = 500;
+const againMs = 80;
+const comeBack = 0.5;
+
+export type Count =
+  { outcome: "counted"; count: number } | { outcome: "unknown-topic" } | { outcome: "away"; comeBack: number };
+
+/** Subscribers of a topic at all edges, told by the shard's holder, and by the next one while it changes hands. */
+export async function countTopic(vise: ViseParts, topic: string): Promise<Count> {
+  const { exchange, shards, parts, plan } = vise.node;
+  const end = parts.clock.now() + mostMs;
+  for (let left = mostMs; left > 0; left = end - parts.clock.now()) {
+    const route = Streams.route(plan.plan, plan.births, topic);
+    if (route === undefined) {
+      const fault = await vise.planCheck.faultOf(topic);
+      return fault.comeBack === undefined
+        ? { outcome: "unknown-topic" }
+        : { outcome: "away", comeBack: fault.comeBack };
+    }
+    const shard = vise.streams.shardOf(route.stream);
+    const { holder } = shards.find(shard);
+    if (holder !== "") {
+      const ask = exchange.call(
+        holder,
+        { case: "countAsk", value: { shard, topics: [topic] } },
+        Math.min(callMs, left),
+      );
+      const receipt = await Promise.race([ask, shards.moved(shard, holder, parts.clock, left)]);
+      const found = receipt?.case === "countReceipt" ? receipt.value.counts[0] : undefined;
+      if (found?.fault === "unknown-topic") return { outcome: "unknown-topic" };
+      if (found !== undefined) return { outcome: "counted", count: found.count };
+    }
+    await new Promise<void>((resolve) => void parts.clock.once(againMs, resolve));
+  }
+  return { outcome: "away", comeBack };
+}
