--- /dev/null
+++ b/packages/anvil/src/process/memoryStreams.test.ts
@@ -0,0 +1,70 @@
+import { test } from "node:test";
+import { create } from "@bufbuild/protobuf";
+import { AcceptSchema, TopicPlaceSchema } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { expect } from "earl";
+import { startInMemory } from "../mark/startOf.js";
+import { MemoryStreams } from "./memoryStreams.js";
+
+const forgetMs = 600_000;
+const stream = "notes/t1";
+let drawn = 0;
+const made = (): MemoryStreams => new MemoryStreams(() => (drawn += 1).toString(16).padStart(10, "0"));
+
+function say(streams: MemoryStreams, number: number, at = 0, bytes = 1): string {
+  const log = streams.take(stream, 1, at)!;
+  const accept = { topic: stream, stream, birth: log.birth, session: "pen", number, at };
+  return streams.accept(create(AcceptSchema, { ...accept, payload: new Uint8Array(bytes) })).outcome;
+}
+
+test("a stream is one birth as long as its space is, and never one of an earlier birth", () => {
+  const streams = made();
+  const first = streams.take(stream, 1, 0)!;
+  expect(streams.take(stream, 1, 0)).toEqual(first);
+  const second = streams.take(stream, 2, 0)!;
+  expect(second.birth === first.birth).toEqual(false);
+  expect(streams.take(stream, 1, 0)).toEqual(undefined);
+});
+
+test("only a bounded tail stays, and nothing goes before it was pushed", () => {
+  const streams = made();
+  for (let number = 1; number <= 1000; number += 1) expect(say(streams, number)).toEqual("accepted");
+  expect(streams.find(stream)!.messages.length).toEqual(1000);
+  streams.trim([stream]);
+  const log = streams.find(stream)!;
+  expect([log.messages.length, log.low, log.head]).toEqual([MemoryStreams.mostKept, 800, 1000]);
+  streams.tend(MemoryStreams.keepMs + 1, forgetMs, () => true);
+  expect([log.messages.length, log.low, log.head]).toEqual([0, 1000, 1000]);
+  for (let number = 1001; number <= 1100; number += 1) say(streams, number, 20_000, 65_536);
+  streams.trim([stream]);
+  expect(log.messages.length).toEqual(MemoryStreams.mostBytes / 65_536);
+});
+
+test("numbers are known for ten minutes, and a stream that nobody uses is forgotten with them", () => {
+  const streams = made();
+  expect([say(streams, 7), say(streams, 7), say(streams, 6)]).toEqual(["accepted", "accepted", "refused"]);
+  expect(streams.find(stream)!.head).toEqual(1);
+  streams.tend(forgetMs, forgetMs, () => false);
+  expect(say(streams, 6, forgetMs)).toEqual("refused");
+  streams.tend(2 * forgetMs + 1, forgetMs, () => true);
+  expect([streams.find(stream)?.knownCount, streams.count]).toEqual([0, 1]);
+  streams.tend(2 * forgetMs + 1, forgetMs, () => false);
+  expect(streams.count).toEqual(0);
+});
+
+test("a start is never refused and never expired: from the tail where the place is in it, else from the head", () => {
+  const streams = made();
+  for (let number = 1; number <= 5; number += 1) say(streams, number);
+  const log = streams.find(stream)!;
+  log.trim(2);
+  const from = (birth: string, seq: number): unknown[] => {
+    const { outcome, seq: start } = startInMemory(log, create(TopicPlaceSchema, { topic: stream, birth, seq }));
+    return [outcome, start];
+  };
+  expect([from("", 0), from(log.birth, 3), from(log.birth, 1), from(log.birth, 99), from("2-0123456789", 1)]).toEqual([
+    ["known", 5],
+    ["known", 3],
+    ["known", 2],
+    ["known", 5],
+    ["known", 5],
+  ]);
+});
--- a/packages/chest/src/mark/replication.test.ts
+++ b/packages/chest/src/mark/replication.test.ts
@@ -176,3 +176,33 @@
   await disk.sync();
   expect(isAnswered).toEqual(true);
 });
+
+test("a replica that has heard everything is sent nothing until the idle time is over; one that lacks something is", async () => {
+  let now = 0;
+  const sent: string[] = [];
+  const disk = new HeldDisk();
+  const log = new ReplicaLog(disk, "g");
+  const send = (id: string): void => void sent.push(id);
+  const spread = new Spread({ log, clock: { ...clock, now: () => now }, self: "a", term: 2, commit: 0, send });
+  const beatAt = (time: number): string => {
+    now = time;
+    sent.length = 0;
+    spread.beat(250);
+    return sent.join();
+  };
+  spread.enlist([["a", "b", "c"]], []);
+  void log.append([entry(1, 2)]).then(() => spread.kick());
+  await disk.sync();
+  expect(sent).toEqual(["b", "c"]);
+  spread.take(receipt("b", 1));
+  expect(spread.commit).toEqual(1);
+  // One has not heard of the commit, the other has not answered.
+  expect(beatAt(100)).toEqual("b,c");
+  spread.take(receipt("b", 1));
+  expect(beatAt(200)).toEqual("c");
+  spread.take(receipt("c", 1));
+  expect(beatAt(300)).toEqual("");
+  expect(beatAt(400)).toEqual("b");
+  expect(beatAt(500)).toEqual("b,c");
+  expect(beatAt(600)).toEqual("b,c");
+});
--- a/packages/jig/src/process/sim/memory.test.ts
+++ b/packages/jig/src/process/sim/memory.test.ts
@@ -90,7 +90,12 @@
   expect(await fleet.until(() => reader.got().length === 3, 2000)).toEqual(true);
   const { name } = holderOf(all, "notes/t1");
   fleet.kill(name);
-  expect(await fleet.until(() => ![name, ""].includes(fleet.find("vise-2")!.node.shards.find(holderShard(all)).holder), 9000)).toEqual(true);
+  expect(
+    await fleet.until(
+      () => ![name, ""].includes(fleet.find("vise-2")!.node.shards.find(holderShard(all)).holder),
+      9000,
+    ),
+  ).toEqual(true);
   // Whoever had no receipt for these sends them again, to a holder that knows nothing of them.
   for (const number of [2, 3, 4, 5]) {
     let receipt = await publish("pen", number, "vise-2");
@@ -221,7 +226,10 @@
   await linked(all, "vise-2", "pen", []);
   let number = 0;
   for (const keep of [120, 0, 120, 0]) {
-    const receipt = await all.plan(["notes", "notices", "extra"], (spaces) => (spaces["notes"]![0]!.owe["keep"] = keep));
+    const receipt = await all.plan(
+      ["notes", "notices", "extra"],
+      (spaces) => (spaces["notes"]![0]!.owe["keep"] = keep),
+    );
     expect(receipt["status"]).toEqual(200);
     await fleet.run(2000);
     for (let i = 0; i < 3; i += 1)
