Pushes of one turn go to an edge in one frame; what follows a number sent away waits for it

A holder of many shards sent each edge a frame a shard and turn. A publish answered busy or away while a later number of the same sender was taken could come again only to be refused for good: the later ones are sent away as well, for a second at most.

--- a/packages/anvil/src/process/bench.ts
+++ b/packages/anvil/src/process/bench.ts
@@ -18,15 +18,16 @@
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
 import type { BodyInit } from "@cranetrack/chest/process/wire.js";
+import { HeldBack } from "../mark/heldBack.js";
+import { PublishOutcomes, type PublishOutcome } from "../mark/publishOutcomes.js";
 import { startInMemory, startOf } from "../mark/startOf.js";
 import type { StreamLog, Verdict } from "../mark/streamLog.js";
 import { Follows } from "./follows.js";
 import type { Holder } from "./holder.js";
 import { MemoryStreams } from "./memoryStreams.js";
+import type { PushTurn } from "./pushTurn.js";
 import type { Replica } from "./replica.js";
 
-type PublishOutcome = Extract<BodyInit, { case: "publishReceipt" }>;
-
 /**
  * What a shard's holder does for edges: judges publishes against the plan, births streams, answers
  * starts, follows and fetches, and trims.
@@ -46,6 +47,8 @@
   readonly #isHeld: () => boolean;
   readonly #births = new Map<string, Promise<void>>();
   readonly #memory: MemoryStreams;
+  readonly #heldBack = new HeldBack();
+  readonly #turn: PushTurn;
   /** Streams with messages committed and not yet pushed; and whoever waits for the push. */
   readonly #fresh = new Set<string>();
   #pushed: Promise<boolean> | undefined;
@@ -54,7 +57,8 @@
   #servesSince = Infinity;
   #isTrimming = false;
 
-  constructor(node: ClusterNode, replica: Replica, holder: Holder, isHeld: () => boolean) {
+  constructor(node: ClusterNode, replica: Replica, holder: Holder, turn: PushTurn, isHeld: () => boolean) {
+    this.#turn = turn;
     this.#node = node;
     this.#replica = replica;
     this.#holder = holder;
@@ -64,6 +68,7 @@
       node,
       shard: replica.shard,
       epoch: holder.epoch,
+      turn,
       find: (stream) => this.#find(stream),
       isInMemory: (stream) => this.#isInMemory(stream),
     });
@@ -78,7 +83,19 @@
     return this.#holder.isServing && this.#isHeld() && this.#node.feed.isFresh;
   }
 
+  /** Numbers of one sender in one topic keep the order in which they come, whatever each waits for. */
   async publish(publish: Publish): Promise<PublishOutcome> {
+    const { topic, session, number } = publish;
+    const now = this.#node.parts.clock.now();
+    if (this.#heldBack.isBehind(topic, session, number, now))
+      return this.#away("an earlier number is to be sent again", 0.2);
+    const receipt = await this.#judge(publish);
+    const isAway = receipt.value.outcome === "away" || receipt.value.outcome === "busy";
+    this.#heldBack.note(topic, session, number, isAway, now);
+    return receipt;
+  }
+
+  async #judge(publish: Publish): Promise<PublishOutcome> {
     if (!this.isOpen) return this.#away();
     const { topic, session, number, spaceBirth } = publish;
     const { plan } = this.#node.plan;
@@ -88,12 +105,13 @@
     if (standing === "behind" || standing === "older") return this.#away("the topic's space is changing", 0.2);
     const owed = Plans.owed(plan, topic);
     if (standing === "gone" || owed === undefined)
-      return Bench.#refused("unknown-topic", `the plan in force has no rule for ${topic}`);
+      return PublishOutcomes.refused("unknown-topic", `the plan in force has no rule for ${topic}`);
     const stream = Streams.of(topic, owed.order);
     if (!this.#isOurs(stream) || !Number.isSafeInteger(number) || number < 1)
-      return Bench.#refused("malformed", "the topic is another shard's, or the number is none");
+      return PublishOutcomes.refused("malformed", "the topic is another shard's, or the number is none");
     const known = this.#knownNow(stream, spaceBirth, publish);
-    if (known !== undefined) return this.#isInMemory(stream) ? this.#inMemory(stream, known) : Bench.#receipt(known);
+    if (known !== undefined)
+      return this.#isInMemory(stream) ? this.#inMemory(stream, known) : PublishOutcomes.of(known);
     if (this.#holder.occupancy > Bench.mostPending)
       return {
         case: "publishReceipt",
@@ -115,23 +133,25 @@
     });
     if (this.#isInMemory(stream)) return this.#acceptInMemory(accept, refusal);
     const verdict = await this.#holder.propose({ case: "accept", value: accept });
-    if (verdict === undefined) return Bench.#unsure("the holder lost its claim before the message was committed");
-    if (verdict.outcome === "refused" && refusal !== undefined) return Bench.#refused(refusal.code, refusal.reason);
-    return Bench.#receipt(verdict);
+    if (verdict === undefined)
+      return PublishOutcomes.unsure("the holder lost its claim before the message was committed");
+    if (verdict.outcome === "refused" && refusal !== undefined)
+      return PublishOutcomes.refused(refusal.code, refusal.reason);
+    return PublishOutcomes.of(verdict);
   }
 
   /** Sequences in memory. */
   #acceptInMemory(accept: Accept, refusal: { code: string; reason: string } | undefined): Promise<PublishOutcome> {
     const verdict = this.#memory.accept(accept);
     if (verdict.outcome === "accepted" || refusal === undefined) return this.#inMemory(accept.stream, verdict);
-    return Promise.resolve(Bench.#refused(refusal.code, refusal.reason));
+    return Promise.resolve(PublishOutcomes.refused(refusal.code, refusal.reason));
   }
 
   /** What is accepted has been pushed: nothing else remembers it. */
   async #inMemory(stream: string, verdict: Verdict): Promise<PublishOutcome> {
     if (verdict.outcome === "accepted" && !(await this.#push(stream)))
-      return Bench.#unsure("the holder lost its claim before the message was pushed");
-    return Bench.#receipt(verdict);
+      return PublishOutcomes.unsure("the holder lost its claim before the message was pushed");
+    return PublishOutcomes.of(verdict);
   }
 
   /** Beats of one edge for this shard. */
@@ -343,7 +363,7 @@
   #push(stream: string): Promise<boolean> {
     this.#fresh.add(stream);
     this.#pushed ??= new Promise((resolve) => {
-      this.#node.parts.clock.once(0, () => {
+      this.#turn.atEnd(() => {
         const streams = [...this.#fresh];
         this.#fresh.clear();
         this.#pushed = undefined;
@@ -364,19 +384,6 @@
     return { case: "publishReceipt", value: { outcome: "away", holder, comeBack, reason } };
   }
 
-  static #refused(code: string, reason: string): PublishOutcome {
-    return { case: "publishReceipt", value: { outcome: "refused", code, reason } };
-  }
-
-  static #unsure(reason: string): PublishOutcome {
-    return { case: "publishReceipt", value: { outcome: "unsure", code: "unsure", reason, comeBack: 0.5 } };
-  }
-
-  static #receipt(verdict: Verdict): PublishOutcome {
-    if (verdict.outcome === "refused") return Bench.#refused(verdict.code, verdict.reason);
-    return { case: "publishReceipt", value: { outcome: "accepted", birth: verdict.birth, seq: verdict.seq } };
-  }
-
   static #refusal(owed: ReturnType<typeof Plans.owed>, publish: Publish): { code: string; reason: string } | undefined {
     if (!Plans.mayPublish(owed!, publish.session))
       return { code: "not-a-publisher", reason: "the contract does not name this session as a publisher" };
--- a/packages/anvil/src/process/claims.ts
+++ b/packages/anvil/src/process/claims.ts
@@ -7,6 +7,7 @@
 import { Bench } from "./bench.js";
 import { Holder } from "./holder.js";
 import { Mender } from "./mender.js";
+import { PushTurn } from "./pushTurn.js";
 import type { Replica } from "./replica.js";
 
 interface Claim {
@@ -32,6 +33,7 @@
   readonly #claims = new Map<number, Claim>();
   readonly #freeSince = new Map<number, number>();
   readonly #busy = new Set<number>();
+  readonly #turn: PushTurn;
   isEmptying = false;
 
   constructor(node: ClusterNode, lease: LeaseKeeper, replicas: readonly Replica[], id: string) {
@@ -39,6 +41,7 @@
     this.#lease = lease;
     this.#replicas = replicas;
     this.#id = id;
+    this.#turn = new PushTurn(node);
     lease.on("lost", () => {
       for (const claim of [...this.#claims.values()]) claim.holder.stop("the lease was lost");
     });
@@ -152,7 +155,13 @@
   async #hold(replica: Replica, set: ShardSet, epoch: number, lease: string): Promise<void> {
     const { shard } = replica;
     const holder = new Holder(replica, set, epoch, this.#node);
-    const bench = new Bench(this.#node, replica, holder, () => this.#lease.isHeld && this.#lease.lease === lease);
+    const bench = new Bench(
+      this.#node,
+      replica,
+      holder,
+      this.#turn,
+      () => this.#lease.isHeld && this.#lease.lease === lease,
+    );
     const claim: Claim = { replica, lease, holder, bench, mender: new Mender(this.#node, replica, holder, lease) };
     this.#claims.set(shard, claim);
     holder.on("over", (why) => void this.#over(shard, claim, why));
--- a/packages/anvil/src/process/follows.ts
+++ b/packages/anvil/src/process/follows.ts
@@ -10,6 +10,7 @@
 } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { StreamLog } from "../mark/streamLog.js";
+import type { PushTurn } from "./pushTurn.js";
 
 interface FollowedStream {
   birth: string;
@@ -28,6 +29,7 @@
   node: ClusterNode;
   shard: number;
   epoch: number;
+  turn: PushTurn;
   /** The stream as it is owed now, in the log or in memory. */
   find: (stream: string) => StreamLog | undefined;
   /** Streams in memory, of which an edge that knew an earlier birth is pushed all there is. */
@@ -183,11 +185,8 @@
 
   #send(following: Following, batches: StreamBatch[]): void {
     following.number += 1;
-    const { node, shard, epoch } = this.#parts;
-    node.exchange.tell(following.edge, {
-      case: "push",
-      value: { shard, epoch, follow: following.follow, number: following.number, batches },
-    });
+    const { turn, shard, epoch } = this.#parts;
+    turn.tell(following.edge, { shard, epoch, follow: following.follow, number: following.number, batches });
   }
 
   #drop(following: Following): void {
--- a/packages/vise/src/process/streamTable.ts
+++ b/packages/vise/src/process/streamTable.ts
@@ -34,6 +34,10 @@
       this.#follows[push.shard]?.take(push);
       return undefined;
     });
+    node.exchange.serve("pushes", ({ pushes }) => {
+      for (const push of pushes) this.#follows[push.shard]?.take(push);
+      return undefined;
+    });
     node.shards.on("changed", (shard) => this.#follows[shard]?.moved());
     node.plan.on("changed", () => this.#planChanged());
     node.parts.clock.every(ShardFollow.beatMs, () => this.#beat());
