--- a/packages/chest/src/mark/replication.test.ts
+++ b/packages/chest/src/mark/replication.test.ts
@@ -177,7 +177,7 @@
   expect(isAnswered).toEqual(true);
 });
 
-test("a replica that has heard everything is sent nothing until the idle time is over; one that lacks something is", async () => {
+test("a replica that has heard everything is sent nothing until the idle time is over", async () => {
   let now = 0;
   const sent: string[] = [];
   const disk = new HeldDisk();
--- a/packages/jig/src/process/sim/memory.test.ts
+++ b/packages/jig/src/process/sim/memory.test.ts
@@ -116,7 +116,7 @@
   return vise!.streams.shardOf(node.plan.route("notes/t1")!.stream);
 }
 
-test("a place of another birth, of long ago or of nowhere is confirmed without a word where nothing is kept", async () => {
+test("a place of another birth, or of nowhere, is confirmed without a word where nothing is kept", async () => {
   const all = await keepingNothing(804);
   const { fleet, publish } = all;
   const reader = await linked(all, "vise-1", "desk", [{ topic: "notes/t1" }]);
@@ -158,7 +158,7 @@
   }
 });
 
-test("a number that comes in the very turn in which the birth is committed does not overtake those that waited", async () => {
+test("a number that comes in the turn that commits its birth does not overtake those that waited", async () => {
   const all = await served(806);
   const { fleet } = all;
   const topic = "notes/fresh";
