--- a/packages/vise/src/process/viseConnections.ts
+++ b/packages/vise/src/process/viseConnections.ts
@@ -1,5 +1,6 @@
 import { SessionConnection } from "../connection/sessionConnection.js";
 import type { ClientLink } from "../link/clientLink.js";
+import { countTopic } from "../request/countTopic.js";
 import { AdmitSession } from "../request/admitSession.js";
 import type { ConnectOutcome, Connections, CountOutcome } from "./connections.js";
 import type { ViseParts } from "./viseParts.js";
@@ -27,7 +28,7 @@
     return { outcome: "open", connection: new SessionConnection(this.#vise, session, link) };
   }
 
-  count(): Promise<CountOutcome> {
-    return Promise.resolve({ outcome: "away", comeBack: 1 });
+  count(topic: string): Promise<CountOutcome> {
+    return countTopic(this.#vise, topic);
   }
 }
--- a/packages/vise/src/request/joinStreams.ts
+++ b/packages/vise/src/request/joinStreams.ts
@@ -1,4 +1,3 @@
-import { Plans } from "@cranetrack/chest/mark/plan.js";
 import { Grouped } from "@cranetrack/chest/process/grouped.js";
 import type { ClientLink } from "../link/clientLink.js";
 import { StreamCursor } from "../link/streamCursor.js";
@@ -28,7 +27,6 @@
         link,
         clock: vise.node.parts.clock,
         maySend: () => vise.maySend(session, link),
-        keepsNothing: Plans.owed(vise.node.plan.plan, list[0]!.topic)?.keep === 0,
         onEnd: (topic) => session.subscriptions.delete(topic),
       });
     }
