Lathes that store topic logs, and stores founded by named founders

A small site has too few machines for anvils of their own, and a process there knows three seeds but not how many others there are. A lathe with `stores` is a storage machine like an anvil (Member.is_storage); blank lathes at the `founders` addresses found the store together, others join, and `mayFound: false` never founds. A node with a disk keeps a few members' addresses, so that stale seeds do not stop a start.

--- a/packages/anvil/src/process/anvil.ts
+++ b/packages/anvil/src/process/anvil.ts
@@ -7,7 +7,7 @@
 import { Claims } from "./claims.js";
 import { Replica } from "./replica.js";
 
-/** The topic logs on one machine's disk. Runs on storage machines, and as a spare on small ones. */
+/** The topic logs on one machine's disk. Runs on storage machines, also as a part of lathes. */
 export class Anvil {
   readonly #node: ClusterNode;
   readonly #disk: Disk;
@@ -114,7 +114,7 @@
   /** Names the first replica sets, each shard's by the storage machine that ranks first for it. */
   #foundSets(): void {
     const { membership, feed, shards, store, parts } = this.#node;
-    const storage = membership.alive("anvil").filter((member) => member.shelf !== "");
+    const storage = membership.alive().filter((member) => member.isStorage && member.shelf !== "");
     if (!feed.isFresh || storage.length < 3) return void (this.#foundAt = 0);
     if (this.#foundAt === 0) this.#foundAt = parts.clock.now();
     if (parts.clock.now() - this.#foundAt < 900) return;
--- a/packages/anvil/src/process/mender.ts
+++ b/packages/anvil/src/process/mender.ts
@@ -124,7 +124,7 @@
       return { place: blank, why: "the machine came back with a blank disk", mustBeStorage: false };
     const gone = members.find((member) => (this.#holder.spread?.heardAgo(member.id) ?? 0) > Mender.goneMs);
     if (gone !== undefined) return { place: gone, why: "the replica is gone", mustBeStorage: false };
-    const spare = members.find((member) => membership.find(member.name)?.role === "lathe");
+    const spare = members.find((member) => membership.find(member.name)?.isStorage === false);
     return spare === undefined
       ? undefined
       : { place: spare, why: "a storage machine is there for a spare", mustBeStorage: true };
@@ -144,7 +144,7 @@
         !rest.some((one) => one.id === member.shelf || one.name === member.name) &&
         !(hasZones && taken.has(member.zone)),
     );
-    const storage = free.filter((member) => member.role === "anvil");
+    const storage = free.filter((member) => member.isStorage);
     const pool = storage.length > 0 || mustBeStorage ? storage : free;
     const first = Rendezvous.rank(
       `replicas ${this.#replica.shard}`,
--- a/packages/chest/src/process/clusterNode.ts
+++ b/packages/chest/src/process/clusterNode.ts
@@ -1,3 +1,4 @@
+import { AddressBook } from "./addressBook.js";
 import { Exchange } from "./exchange.js";
 import { FeedFollower, type Change } from "./feedFollower.js";
 import { Groups } from "./groups.js";
@@ -21,6 +22,7 @@
   readonly machines: MachinesView;
   readonly plan: PlanView;
   readonly shards: ShardsView;
+  readonly #addressBook: AddressBook | undefined;
 
   constructor(parts: NodeParts, prefixes: string[], disk = "") {
     const { settings, clock, net, chance } = parts;
@@ -34,9 +36,11 @@
       address: settings.address,
       http: settings.http,
       incarnation: parts.incarnation,
+      isStorage: settings.role === "anvil" || (settings.role === "lathe" && settings.stores),
       disk,
     };
     this.membership = new Membership(self, settings.seeds, this.exchange, clock, chance);
+    if (parts.disk !== undefined) this.#addressBook = new AddressBook(parts.disk, this.membership, clock);
     this.store = new StoreClient(this.exchange, this.membership, clock);
     this.feed = new FeedFollower({
       exchange: this.exchange,
@@ -55,6 +59,7 @@
 
   start(): void {
     this.membership.start();
+    this.#addressBook?.start();
     this.feed.start();
   }
 }
--- a/packages/chest/src/process/feedFollower.ts
+++ b/packages/chest/src/process/feedFollower.ts
@@ -87,7 +87,8 @@
   }
 
   #open(): void {
-    const lathes = this.#membership.alive("lathe").map((member) => member.name);
+    const inStore = this.#membership.alive("lathe").filter((member) => member.isInStore);
+    const lathes = inStore.map((member) => member.name);
     const lively = lathes.filter(
       (name) =>
         name !== this.#lathe && !this.#exchange.isMute(name) && this.#membership.ageOf(name) < FeedFollower.livelyMs,
--- a/packages/chest/src/process/membership.ts
+++ b/packages/chest/src/process/membership.ts
@@ -29,6 +29,8 @@
   /** Invariant: for each name the record with the highest (incarnation, count) ever heard. */
   readonly #known = new Map<string, Known>();
   readonly self: Member;
+  /** Where members were when this node last knew some; asked too while it knows nobody. */
+  remembered: readonly string[] = [];
 
   constructor(
     self: Partial<Member> & { name: string },
@@ -113,12 +115,20 @@
     const chosen = new Set(this.watchersOf(this.self.name).map((name) => this.find(name)!.address));
     const drawn = others[Math.floor(this.#chance.draw() * others.length)];
     if (drawn !== undefined) chosen.add(drawn.address);
+    if (others.length === 0) for (const address of this.#firstAsked()) chosen.add(address);
     const seed = this.#seeds[Math.floor(this.#chance.draw() * this.#seeds.length)];
     if (seed !== undefined && seed !== this.self.address && (others.length < 3 || this.#chance.draw() < 0.2))
       chosen.add(seed);
     for (const address of chosen) this.#tell(address, true);
   }
 
+  /** While nobody is known: all seeds, and a few of the addresses remembered, for any of them may be gone. */
+  #firstAsked(): string[] {
+    const first = Math.floor(this.#chance.draw() * this.remembered.length);
+    const few = [...this.remembered, ...this.remembered].slice(first, first + Math.min(3, this.remembered.length));
+    return [...this.#seeds, ...few].filter((address) => address !== this.self.address);
+  }
+
   #tell(address: string, isAsking: boolean): void {
     this.#exchange.tellAddress(address, { case: "gossip", value: { members: this.all(), isAsking } });
   }
@@ -149,6 +159,9 @@
       known.member.address !== member.address ||
       known.member.incarnation !== member.incarnation ||
       known.member.isFounded !== member.isFounded ||
+      known.member.isFounder !== member.isFounder ||
+      known.member.isInStore !== member.isInStore ||
+      known.member.isStorage !== member.isStorage ||
       known.member.disk !== member.disk ||
       known.member.shelf !== member.shelf;
     this.#known.set(member.name, { member, risenAt: this.#clock.now(), suspectedAt: 0 });
--- a/packages/chest/src/process/program.ts
+++ b/packages/chest/src/process/program.ts
@@ -51,7 +51,9 @@
       cli.option(`--${key} <value>`, `Setting ${key}`);
     for (const key of ["lathes", "shards", "edgeLeaseMs", "holderLeaseMs", "electionMs", "mostLinks", "bufferBytes"])
       cli.option(`--${key} <number>`, `Setting ${key}`);
-    cli.option("--seeds <list>", "Setting seeds: addresses parted by commas");
+    for (const key of ["seeds", "founders"])
+      cli.option(`--${key} <list>`, `Setting ${key}: addresses parted by commas`);
+    for (const key of ["stores", "mayFound"]) cli.option(`--${key} <boolean>`, `Setting ${key}: true or false`);
     cli.option("--check", "Only check the settings");
     cli.help();
     cli.version("0.1.0");
@@ -148,15 +150,17 @@
     options: Record<string, unknown>,
     args: readonly string[],
   ): { file: string | undefined; flags: Record<string, unknown>; problems: string[] } {
-    const { settings, seeds, ...rest } = options;
+    const { settings, ...rest } = options;
     const flags: Record<string, unknown> = {};
     const problems = args.map((arg) => `${arg}: no such argument`);
     for (const [key, value] of Object.entries(rest)) {
       if (key === "--" || key === "check" || key === "help" || key === "h" || key === "v" || key === "version")
         continue;
-      flags[key] = value;
+      if (key === "seeds" || key === "founders") flags[key] = String(value).split(",");
+      else if (key === "stores" || key === "mayFound")
+        flags[key] = value === "true" ? true : value === "false" ? false : value;
+      else flags[key] = value;
     }
-    if (seeds !== undefined) flags["seeds"] = String(seeds).split(",");
     return { file: settings === undefined ? undefined : String(settings), flags, problems };
   }
 
--- a/packages/chest/src/process/settings.ts
+++ b/packages/chest/src/process/settings.ts
@@ -13,7 +13,13 @@
   "listen?": address,
   http: address,
   seeds: address.array().atLeastLength(1).atMostLength(9),
+  /** Addresses of the lathes that found the store, all of them together; without them any `lathes` blank ones do. */
+  "founders?": address.array().atLeastLength(1).atMostLength(9),
+  /** False: never founds a store; joins one, or goes on with what its disk has. */
+  mayFound: "boolean = true",
   lathes: "1 <= number.integer <= 9",
+  /** A lathe that also keeps topic logs as a full storage machine. */
+  stores: "boolean = false",
   shards: "1 <= number.integer <= 256 = 32",
   "data?": "string > 0",
   "log?": "string > 0",
@@ -39,6 +45,7 @@
     const problems: string[] = [];
     if (checked.role !== "vise" && checked.data === undefined)
       problems.push(`data: a ${checked.role} needs a data folder`);
+    if (checked.stores && checked.role !== "lathe") problems.push("stores: is for lathes only");
     for (const key of ["address", "http"] as const)
       if (Number(checked[key].split(":").at(-1)) > 65535) problems.push(`${key}: the port is above 65535`);
     if (checked.address === checked.http) problems.push("http: must differ from address");
--- a/packages/chest/src/process/storeClient.ts
+++ b/packages/chest/src/process/storeClient.ts
@@ -69,7 +69,7 @@
   #order(): string[] {
     const lathes = this.#membership
       .all()
-      .filter((member) => member.role === "lathe" && member.state === "up")
+      .filter((member) => member.role === "lathe" && member.isInStore && member.state === "up")
       .map((member) => member.name);
     const waiting = [...this.#open.values()].filter(({ at }) => this.#clock.now() - at > StoreClient.waitMs);
     const isBad = (name: string): boolean =>
--- a/packages/jig/src/mark/deployments.ts
+++ b/packages/jig/src/mark/deployments.ts
@@ -1,9 +1,12 @@
+import type { Settings } from "@cranetrack/chest/process/settings.js";
 import type { Plan } from "@cranetrack/chest/mark/plan.js";
 
 export interface Machine {
   name: string;
   role: "lathe" | "anvil" | "vise";
   zone: string;
+  /** Settings of its own. */
+  settings?: Partial<Settings>;
 }
 export interface Deployment {
   name: string;
--- a/packages/jig/src/mark/sabotages.ts
+++ b/packages/jig/src/mark/sabotages.ts
@@ -141,7 +141,7 @@
   {
     name: "a founded lathe agrees again",
     file: "lathe/dist/process/founding.js",
-    find: "const founded = lathes.find((member) => member.isFounded);",
+    find: "const founded = lathes.find((member) => member.isInStore) ?? lathes.find((member) => member.isFounded);",
     put: "const founded = undefined;",
     test: `${sim}/store.test.js`,
   },
--- a/packages/jig/src/process/fleet.ts
+++ b/packages/jig/src/process/fleet.ts
@@ -93,6 +93,7 @@
         lathes: machines.filter((one) => one.role === "lathe").length,
         log: join(this.#folder, `${machine.name}.log`),
         ...(relayed(machine.name) ? { listen: addresses[2 * machines.length + i]! } : {}),
+        ...machine.settings,
         ...(machine.role === "vise" ? {} : { data: this.dataOf(machine.name) }),
       };
       writeFileSync(settings, `${JSON.stringify(content, null, 2)}\n`);
--- /dev/null
+++ b/packages/jig/src/process/sim/founding.test.ts
@@ -0,0 +1,126 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import type { Machine } from "../../mark/deployments.js";
+import { Hand, served } from "./hand.js";
+import { Scenario } from "./scenario.js";
+import { SimFleet } from "./simFleet.js";
+
+type Address = `${string}:${number}`;
+const addresses = (count: number): Address[] => Array.from({ length: count }, (_, i): Address => `10.0.0.${i + 1}:1`);
+/** Lathes with settings of their own, as many as given; then edges. */
+const withLathes = (settings: ReadonlyArray<Machine["settings"]>, vises = 1): Machine[] => [
+  ...Scenario.machines(settings.length, 0, 0).map((machine, i): Machine => ({ ...machine, settings: settings[i] })),
+  ...Scenario.machines(0, 0, vises),
+];
+const isFounded = (fleet: SimFleet, name: string): boolean => fleet.find(name)?.lathe?.ledger !== undefined;
+const voters = (fleet: SimFleet): string[] => {
+  const { proposer } = fleet;
+  const members = proposer === undefined ? undefined : fleet.find(proposer)!.lathe!.ledger!.members;
+  return (members?.voters ?? []).map((one) => one.name).sort();
+};
+
+test("named founders found the store, all of them and nobody else; a fourth lathe only joins", async () => {
+  const founders = addresses(3);
+  const fleet = new SimFleet(71, withLathes(Array.from({ length: 4 }, () => ({ founders, lathes: 3 }))));
+  for (const name of ["lathe-1", "lathe-2", "lathe-4", "vise-1"]) fleet.start(name);
+  await fleet.run(6000);
+  expect(fleet.withRole("lathe").filter((name) => isFounded(fleet, name))).toEqual([]);
+  expect(fleet.find("lathe-1")!.lathe!.founding.missing).toEqual(expect.includes("2 of 3 blank lathes"));
+  expect(fleet.find("lathe-4")!.lathe!.founding.missing).toEqual(expect.includes("founds none itself"));
+  fleet.start("lathe-3");
+  expect(await fleet.until(() => voters(fleet).length >= 3, 4000)).toEqual(true);
+  expect(voters(fleet)).toEqual(["lathe-1", "lathe-2", "lathe-3"]);
+  const founding = fleet.find("lathe-1")!.lathe!.founding.founding;
+  await fleet.run(8000);
+  const others = fleet.withRole("lathe").map((name) => fleet.find(name)!.lathe!.founding.founding);
+  expect(others.every((one) => one === founding || one === "")).toEqual(true);
+});
+
+test("a lathe that may not found never does, nor do several, and it joins a store that is there", async () => {
+  const fleet = new SimFleet(
+    72,
+    withLathes(
+      Array.from({ length: 3 }, () => ({ mayFound: false })),
+      0,
+    ),
+  );
+  fleet.startAll();
+  await fleet.run(10_000);
+  expect(fleet.names.filter((name) => isFounded(fleet, name))).toEqual([]);
+
+  const founders = addresses(3);
+  const other = new SimFleet(
+    73,
+    withLathes(
+      Array.from({ length: 3 }, () => ({ founders })),
+      0,
+    ),
+  );
+  other.startAll();
+  expect(await other.until(() => voters(other).length === 3, 6000)).toEqual(true);
+  other.wipe("lathe-2");
+  other.configure("lathe-2", { mayFound: false });
+  await other.run(1000);
+  other.start("lathe-2");
+  const { id } = other.find("lathe-2")!.lathe!.founding;
+  const isIn = (): boolean =>
+    other.find(other.proposer ?? "")?.lathe!.ledger!.members.voters.some((one) => one.id === id) === true;
+  expect(await other.until(isIn, 10_000)).toEqual(true);
+  for (const name of other.names) other.wipe(name);
+  for (const name of other.names) other.configure(name, { mayFound: false });
+  await other.run(1000);
+  other.startAll();
+  await other.run(10_000);
+  expect(other.names.filter((name) => isFounded(other, name))).toEqual([]);
+});
+
+test("a founder whose first start was cut short founds at its next: its disk remembers that it may", async () => {
+  const founders = addresses(3);
+  const fleet = new SimFleet(
+    74,
+    withLathes(
+      Array.from({ length: 3 }, () => ({ founders })),
+      0,
+    ),
+  );
+  fleet.start("lathe-1");
+  await fleet.run(500);
+  fleet.kill("lathe-1");
+  fleet.configure("lathe-1", { mayFound: false });
+  for (const name of fleet.names) fleet.start(name);
+  expect(await fleet.until(() => voters(fleet).length === 3, 6000)).toEqual(true);
+});
+
+test("a start finds the others through the addresses on its disk where all its seeds are gone", async () => {
+  const fleet = new SimFleet(75, Scenario.machines(4, 0, 0));
+  fleet.startAll();
+  await fleet.run(8000);
+  fleet.kill("lathe-4");
+  fleet.configure("lathe-4", { seeds: ["10.9.9.9:1"] });
+  // Long enough for the others to have forgotten it, so that nobody asks first.
+  await fleet.run(70_000);
+  fleet.start("lathe-4");
+  expect(await fleet.until(() => fleet.find("lathe-4")!.lathe!.isReady, 4000)).toEqual(true);
+});
+
+test("lathes that store serve publishes with no other storage machine, and go on without one of them", async () => {
+  const { fleet, publish } = await served(
+    76,
+    withLathes(
+      Array.from({ length: 3 }, () => ({ stores: true })),
+      2,
+    ),
+  );
+  new Hand(fleet, "vise-1", "s1", { subscriptions: [{ topic: "notes/t1" }] });
+  await fleet.run(1000);
+  expect((await publish("s1", 1))["status"]).toEqual(200);
+  const holders = fleet
+    .find("vise-1")!
+    .node.shards.all()
+    .map(([, route]) => route.holder);
+  expect(holders.every((holder) => holder.startsWith("lathe-"))).toEqual(true);
+  const lost = fleet.holder!;
+  fleet.kill(lost);
+  await fleet.run(4000);
+  expect((await publish("s1", 2))["status"]).toEqual(200);
+});
--- a/packages/jig/src/process/sim/simFleet.ts
+++ b/packages/jig/src/process/sim/simFleet.ts
@@ -31,14 +31,16 @@
     this.port = new SimPort(this);
     const seeds = machines.slice(0, 3).map((_, i) => `10.0.0.${i + 1}:1`);
     machines.forEach((machine, i) => {
+      const { settings, ...own } = machine;
       const read = SettingsReader.check({
-        ...machine,
+        ...own,
         address: `10.0.0.${i + 1}:1`,
         http: `10.0.0.${i + 1}:2`,
         seeds,
         shards,
         lathes: machines.filter((one) => one.role === "lathe").length,
         ...(machine.role === "vise" ? {} : { data: "simulated" }),
+        ...settings,
       });
       if ("problems" in read) throw new Error(read.problems.join());
       this.#slots.set(machine.name, {
@@ -91,6 +93,11 @@
     return slot.life;
   }
 
+  /** Other settings, from its next start on. */
+  configure(name: string, settings: Partial<Settings>): void {
+    Object.assign(this.#slots.get(name)!.settings, settings);
+  }
+
   /** Starts what was started before and is not gone for good. */
   revive(name: string): void {
     const slot = this.#slots.get(name)!;
@@ -137,7 +144,7 @@
     const { proposer } = this;
     if (proposer === undefined) return false;
     const lives = this.names.map((name) => this.find(name)).filter((life) => life !== undefined);
-    const shelves = new Set(lives.flatMap(({ lathe, anvil }) => (lathe?.spare ?? anvil)?.id ?? []));
+    const shelves = new Set(lives.flatMap(({ lathe, anvil }) => (lathe?.anvil ?? anvil)?.id ?? []));
     const lathes = new Set(lives.flatMap(({ lathe }) => lathe?.founding.id ?? []));
     const { node, lathe } = this.find(proposer)!;
     const sets = node.shards.all().map(([, route]) => route.set?.members ?? []);
--- a/packages/lathe/src/process/founding.ts
+++ b/packages/lathe/src/process/founding.ts
@@ -19,32 +19,38 @@
   founding: string;
   agreed: string;
   members: Array<{ id: string; name: string }>;
+  /** What the settings said when this disk was blank. */
+  mayFound: boolean;
 }
 
 /**
- * How a store comes to be: the expected number of blank lathes agree, all of them, each synced.
+ * How a store comes to be: the lathes at the founders' addresses, or the expected number of blank lathes where no
+ * founders are named, agree, all of them, each synced. Any other blank lathe joins.
  * Invariants: an identity is synced before it is used; a lathe accepts only the founding it agreed to
- * last; a founded lathe never agrees again.
+ * last; a founded lathe never agrees again; a disk that was blank at a start that may not found never founds.
  */
 export class Founding extends EventEmitter<{ founded: [] }> {
   readonly #node: ClusterNode;
   readonly #disk: Disk;
   readonly #expected: number;
+  readonly #founders: readonly string[] | undefined;
   #identity: Identity;
   #isAsking = false;
   #isReady = false;
   /** What the founding waits for, for status; empty once founded. */
   missing = "";
 
-  constructor(node: ClusterNode, disk: Disk, expected: number) {
+  constructor(node: ClusterNode, disk: Disk) {
     super();
     this.#node = node;
     this.#disk = disk;
-    this.#expected = expected;
+    const { founders, lathes, mayFound } = node.parts.settings;
+    this.#founders = founders;
+    this.#expected = founders?.length ?? lathes;
     const kept = disk.read("identity")[0];
     this.#identity =
       kept === undefined
-        ? { id: node.parts.chance.identity(), founding: "", agreed: "", members: [] }
+        ? { id: node.parts.chance.identity(), founding: "", agreed: "", members: [], mayFound }
         : (JSON.parse(Buffer.from(kept.value).toString()) as Identity);
     node.exchange.serve("foundingAsk", (ask) => this.#agree(ask));
     node.exchange.serve("founded", (founded) => this.#accept(founded));
@@ -58,6 +64,11 @@
     return this.#identity.founding;
   }
 
+  get #isFounder(): boolean {
+    const { address } = this.#node.parts.settings;
+    return this.founding === "" && this.#identity.mayFound && (this.#founders?.includes(address) ?? true);
+  }
+
   async start(): Promise<void> {
     await this.#keep();
     this.#isReady = true;
@@ -68,6 +79,7 @@
   #keep(): Promise<void> {
     const { self } = this.#node.membership;
     self.disk = this.#identity.id;
+    self.isFounder = this.#isFounder;
     return this.#disk.write([{ key: "identity", value: Buffer.from(JSON.stringify(this.#identity)) }]);
   }
 
@@ -75,17 +87,23 @@
     if (this.founding !== "" || this.#isAsking || !this.#isReady) return;
     this.#isAsking = true;
     const lathes = this.#node.membership.alive("lathe").filter((member) => member.disk !== "");
-    const founded = lathes.find((member) => member.isFounded);
+    const founders = lathes.filter((member) => member.isFounder && this.#isNamed(member.address));
+    const founded = lathes.find((member) => member.isInStore) ?? lathes.find((member) => member.isFounded);
     if (founded !== undefined) await this.#join(founded);
-    else if (lathes.length !== this.#expected)
+    else if (!this.#isFounder) this.missing = "waits for a founded store to join, and founds none itself";
+    else if (founders.length !== this.#expected)
       this.missing =
-        `founding waits: ${lathes.length} of ${this.#expected} blank lathes are here ` +
-        `(${lathes.map((one) => one.name).join(", ")})`;
-    else if (this.#isFirst(lathes)) await this.#ask(lathes);
+        `founding waits: ${founders.length} of ${this.#expected} blank lathes are here ` +
+        `(${founders.map((one) => one.name).join(", ")})`;
+    else if (this.#isFirst(founders)) await this.#ask(founders);
     else this.missing = "founding waits for the agreement of all lathes";
     this.#isAsking = false;
   }
 
+  #isNamed(address: string | undefined): boolean {
+    return this.#founders === undefined || (address !== undefined && this.#founders.includes(address));
+  }
+
   #isFirst(lathes: Member[]): boolean {
     return lathes.every((member) => member.disk >= this.id);
   }
@@ -113,7 +131,11 @@
   async #agree(ask: FoundingAsk): Promise<BodyInit> {
     if (this.founding !== "") return { case: "foundingReceipt", value: { isAgreed: false, veto: this.founding } };
     const isMeant =
-      this.#isReady && ask.members.length === this.#expected && ask.members.some((one) => one.id === this.id);
+      this.#isReady &&
+      this.#isFounder &&
+      ask.members.length === this.#expected &&
+      ask.members.some((one) => one.id === this.id) &&
+      ask.members.every((one) => this.#isNamed(this.#node.membership.find(one.name)?.address));
     if (!isMeant) return { case: "foundingReceipt", value: { isAgreed: false, veto: "" } };
     const before = this.#identity.agreed;
     this.#identity = {
--- a/packages/lathe/src/process/lathe.ts
+++ b/packages/lathe/src/process/lathe.ts
@@ -12,19 +12,19 @@
 import { Ledger } from "./ledger.js";
 import { StoreDesk } from "./storeDesk.js";
 
-/** A control node: a member of the metadata store, and a spare place for topic logs. */
+/** A control node: the metadata store, and a place for topic logs, in full (`stores`) or as a spare. */
 export class Lathe {
   readonly node: ClusterNode;
   readonly founding: Founding;
-  readonly spare: Anvil;
+  readonly anvil: Anvil;
   readonly #disk: Disk;
   #ledger: Ledger | undefined;
 
   constructor(node: ClusterNode, disk: Disk, router: Router) {
     this.node = node;
     this.#disk = disk;
-    this.founding = new Founding(node, disk, node.parts.settings.lathes);
-    this.spare = new Anvil(node, disk, true);
+    this.founding = new Founding(node, disk);
+    this.anvil = new Anvil(node, disk, !node.parts.settings.stores);
     this.founding.on("founded", () => this.#begin());
     router.on("PUT", /^\/v1\/plan$/, (call) => putPlan(node, call.body));
     router.on("GET", /^\/v1\/plan$/, async () => {
@@ -47,16 +47,16 @@
 
   /** Says what is wrong with the data folder, if anything is. */
   load(): string | undefined {
-    return new ReplicaLog(this.#disk, "store").fault() ?? this.spare.load();
+    return new ReplicaLog(this.#disk, "store").fault() ?? this.anvil.load();
   }
 
   async start(): Promise<void> {
-    await this.spare.start();
+    await this.anvil.start();
     await this.founding.start();
   }
 
   async stop(): Promise<void> {
-    await this.spare.stop();
+    await this.anvil.stop();
     this.#ledger?.resign();
   }
 
@@ -81,7 +81,7 @@
               voters: members!.voters.map((one) => one.name),
               learners: members!.learners.map((one) => one.name),
             },
-      spare: this.spare.status(),
+      anvil: this.anvil.status(),
     };
   }
 
@@ -100,7 +100,7 @@
       ring: parts.log,
     });
     new StoreDesk(this.node, this.#ledger);
-    membership.self.isFounded = true;
+    membership.self.isFounded = membership.self.isInStore = true;
     membership.self.founding = this.founding.founding;
     membership.tellNow();
   }
--- a/packages/lathe/src/request/getRollout.ts
+++ b/packages/lathe/src/request/getRollout.ts
@@ -10,7 +10,10 @@
   const inForce = present.kvs![0];
   if (inForce === undefined) return ApiReceipts.fault(404, "no-plan", "no plan was ever accepted");
   const mark = PlanKey.markOf(inForce.value);
-  const lathes = node.membership.alive("lathe").map((member) => member.name);
+  const lathes = node.membership
+    .alive("lathe")
+    .filter((member) => member.isInStore)
+    .map((member) => member.name);
   const asked = await Promise.all(
     lathes.map((name) =>
       node.exchange.call(name, { case: "storeCall", value: { call: { case: "feeds", value: {} } } }, 600),
