--- a/packages/chest/src/process/clusterNode.ts
+++ b/packages/chest/src/process/clusterNode.ts
@@ -32,7 +32,8 @@
       role: settings.role,
       zone: settings.zone,
       address: settings.address,
-      http: settings.http,
+      http: settings.http ?? "",
+      region: settings.region ?? "",
       incarnation: parts.incarnation,
       disk,
     };
--- /dev/null
+++ b/packages/chest/src/process/programHost.ts
@@ -0,0 +1,138 @@
+import type { HttpFront } from "../link/httpFront.js";
+import { ClusterNode } from "./clusterNode.js";
+import type { Disk } from "./disk.js";
+import { HostChance } from "./hostChance.js";
+import { HostClock } from "./hostClock.js";
+import { LogRing } from "./logRing.js";
+import { NodeStatus } from "./nodeStatus.js";
+import { Router } from "./router.js";
+import { SealedDisk } from "./sealedDisk.js";
+import type { Settings, SettingsRead } from "./settings.js";
+import { SettingsWatch } from "./settingsWatch.js";
+import { TcpNet } from "./tcpNet.js";
+
+/** A server towards callers that a program opens besides the link to its fellows. */
+export interface Front {
+  listen(): Promise<void>;
+  close(): Promise<void>;
+}
+export interface Built {
+  /** Says what is wrong with what was kept, if anything is. */
+  load(): string | undefined;
+  start(): Promise<void> | void;
+  stop(): Promise<void>;
+  status(): object;
+  isReady(): boolean;
+  take?(settings: Settings): void;
+  stream?: ConstructorParameters<typeof HttpFront>[1];
+  fronts?: readonly Front[];
+}
+export interface ProgramParts {
+  node: ClusterNode;
+  disk: Disk | undefined;
+  router: Router;
+}
+export interface WatchedSettings {
+  path: string;
+  read: () => SettingsRead;
+}
+type OpenDisk = Disk & { close(): Promise<void> };
+
+/** The thin part that all programs share, however they came by their settings: seams, fronts, signals. */
+export class ProgramHost {
+  static readonly stopMs = 4500;
+  static readonly exits = { settings: 2, data: 3, fault: 4 };
+
+  readonly #prefixes: string[];
+  readonly #build: (parts: ProgramParts) => Built;
+
+  constructor(prefixes: string[], build: (parts: ProgramParts) => Built) {
+    this.#prefixes = prefixes;
+    this.#build = build;
+  }
+
+  /** Starts the program with settings that were checked; `watched` is the file that they came from. */
+  async start(settings: Settings, watched?: WatchedSettings): Promise<void> {
+    const log = LogRing.toFile(settings.name, settings.log);
+    const clock = new HostClock();
+    const net = new TcpNet(settings.address, log, settings.listen);
+    const quit = (code: number, text: string): never => {
+      log.fault(text);
+      process.stderr.write(`${text}\n`);
+      process.exit(code);
+    };
+    let disk: OpenDisk | undefined;
+    let built: Built;
+    let node: ClusterNode;
+    let router: Router;
+    try {
+      disk = settings.data === undefined ? undefined : await ProgramHost.#openDisk(settings.data);
+      const sealed = disk === undefined ? undefined : new SealedDisk(disk);
+      node = new ClusterNode(
+        { settings, clock, net, disk: sealed, chance: new HostChance(), log, incarnation: Date.now() },
+        this.#prefixes,
+      );
+      router = new Router(node);
+      built = this.#build({ node, disk: sealed, router });
+      const fault = built.load();
+      if (fault !== undefined) return quit(ProgramHost.exits.data, fault);
+    } catch (cause) {
+      return quit(ProgramHost.exits.data, (cause as Error).message);
+    }
+    process.on("uncaughtException", (fault) =>
+      quit(ProgramHost.exits.fault, `a broken invariant: ${fault.stack ?? fault.message}`),
+    );
+    process.on("unhandledRejection", (fault) =>
+      quit(ProgramHost.exits.fault, `a broken invariant: ${String((fault as Error)?.stack ?? fault)}`),
+    );
+    const watch = watched === undefined ? undefined : new SettingsWatch(watched.path, watched.read, settings, clock);
+    watch?.on("changed", (taken) => built.take?.(taken));
+    watch?.on("fault", (text) => log.fault(text));
+    process.on("SIGHUP", () => watch?.look());
+    new NodeStatus(node, router, {
+      garbled: () => net.garbled,
+      settingsFault: () => watch?.fault ?? "",
+      more: () => built.status(),
+      isReady: () => built.isReady(),
+    });
+    const fronts = [...(built.fronts ?? [])];
+    try {
+      if (settings.http !== undefined) fronts.push(await ProgramHost.#httpFront(settings.http, router, built));
+      await net.listen();
+      for (const front of fronts) await front.listen();
+    } catch (cause) {
+      return quit(ProgramHost.exits.settings, `cannot listen: ${(cause as Error).message}`);
+    }
+    node.start();
+    await built.start();
+    log.note("started", { role: settings.role, zone: settings.zone });
+    let isStopping = false;
+    const stop = async (): Promise<void> => {
+      if (isStopping) return;
+      isStopping = true;
+      setTimeout(() => process.exit(0), ProgramHost.stopMs).unref();
+      await built.stop();
+      node.membership.leave();
+      // The goodbye is given a moment to leave; then nothing may come in any more, and only then the disk closes.
+      setTimeout(() => {
+        net.close();
+        void Promise.all(fronts.map((front) => front.close()))
+          .then(() => disk?.close())
+          .then(() => process.exit(0));
+      }, 50);
+    };
+    process.on("SIGTERM", () => void stop());
+    process.on("SIGINT", () => void stop());
+  }
+
+  static async #openDisk(folder: string): Promise<OpenDisk> {
+    const { LmdbDisk } = await import("./lmdbDisk.js");
+    return new LmdbDisk(folder);
+  }
+
+  static async #httpFront(address: string, router: Router, built: Built): Promise<Front> {
+    const { HttpFront } = await import("../link/httpFront.js");
+    const front = new HttpFront(router, built.stream);
+    return { listen: () => front.listen(address), close: () => front.close() };
+  }
+}
--- a/packages/chest/src/process/settings.test.ts
+++ b/packages/chest/src/process/settings.test.ts
@@ -43,7 +43,7 @@
     once: () => ({ stop: () => undefined }),
     every: (_ms: number, ring: () => void) => (beats.push(ring), { stop: () => undefined }),
   };
-  const watch = new SettingsWatch(path, {}, read.settings, clock);
+  const watch = new SettingsWatch(path, () => SettingsReader.fromFile(path), read.settings, clock);
   const taken: number[] = [];
   watch.on("changed", (settings) => taken.push(settings.mostLinks));
   write({ ...good, mostLinks: 5 });
--- a/packages/chest/src/process/settings.ts
+++ b/packages/chest/src/process/settings.ts
@@ -8,12 +8,22 @@
   name: "/^[a-z0-9][a-z0-9-]{0,62}$/",
   role: "'lathe' | 'anvil' | 'vise'",
   zone: "1 <= string <= 64",
+  /** What lies close together: traffic between regions is dear. */
+  "region?": "1 <= string <= 64",
   address,
   /** Where to listen, if not at the address that others know. */
   "listen?": address,
-  http: address,
+  /** Without it the program has no HTTP front of its own. */
+  "http?": address,
   seeds: address.array().atLeastLength(1).atMostLength(9),
   lathes: "1 <= number.integer <= 9",
+  /** A lathe that also stores topic logs as a storage machine. */
+  "stores?": "boolean",
+  /** The addresses that found the store at the first start; without them, the expected lathes do. */
+  "founders?": address.array().atMostLength(9),
+  "mayFound?": "boolean",
+  /** How many of the lathes vote. */
+  "voters?": "1 <= number.integer <= 9",
   shards: "1 <= number.integer <= 256 = 32",
   "data?": "string > 0",
   "log?": "string > 0",
@@ -29,9 +39,6 @@
 
 /** One file or flags; unknown keys are errors; every problem gets a line. */
 export const SettingsReader = {
-  /** Keys that a running process takes up when its file changes. */
-  live: ["mostLinks", "bufferBytes"] as const,
-
   check(value: unknown): SettingsRead {
     const checked = settingsType(value);
     if (checked instanceof type.errors)
@@ -40,7 +47,7 @@
     if (checked.role !== "vise" && checked.data === undefined)
       problems.push(`data: a ${checked.role} needs a data folder`);
     for (const key of ["address", "http"] as const)
-      if (Number(checked[key].split(":").at(-1)) > 65535) problems.push(`${key}: the port is above 65535`);
+      if (Number(checked[key]?.split(":").at(-1) ?? 0) > 65535) problems.push(`${key}: the port is above 65535`);
     if (checked.address === checked.http) problems.push("http: must differ from address");
     return problems.length > 0 ? { problems } : { settings: checked };
   },
--- a/packages/chest/src/process/settingsWatch.ts
+++ b/packages/chest/src/process/settingsWatch.ts
@@ -1,7 +1,7 @@
 import { EventEmitter } from "node:events";
 import { readFileSync } from "node:fs";
 import type { Clock } from "./clock.js";
-import { SettingsReader, type Settings } from "./settings.js";
+import type { Settings, SettingsRead } from "./settings.js";
 
 /**
  * Takes up a changed settings file, signal or none. What is bad, or can only be read at a start, changes
@@ -9,18 +9,20 @@
  */
 export class SettingsWatch extends EventEmitter<{ changed: [settings: Settings]; fault: [text: string] }> {
   static readonly periodMs = 1000;
+  /** Keys that a running process takes up when its file changes. */
+  static readonly live = ["mostLinks", "bufferBytes"] as const;
 
   readonly #path: string;
-  readonly #flags: Record<string, unknown>;
+  readonly #readSettings: () => SettingsRead;
   #settings: Settings;
   #content: string;
   /** Why the file as it stands is not in force; empty when it is. */
   fault = "";
 
-  constructor(path: string, flags: Record<string, unknown>, settings: Settings, clock: Clock) {
+  constructor(path: string, readSettings: () => SettingsRead, settings: Settings, clock: Clock) {
     super();
     this.#path = path;
-    this.#flags = flags;
+    this.#readSettings = readSettings;
     this.#settings = settings;
     this.#content = this.#read();
     clock.every(SettingsWatch.periodMs, () => this.look());
@@ -30,16 +32,16 @@
     const content = this.#read();
     if (content === this.#content) return;
     this.#content = content;
-    const read = SettingsReader.fromFile(this.#path, this.#flags);
+    const read = this.#readSettings();
     if ("problems" in read)
       return this.#refuse(`the settings file is bad, the old settings stay: ${read.problems.join("; ")}`);
-    const live: readonly string[] = SettingsReader.live;
+    const live: readonly string[] = SettingsWatch.live;
     const keys = Object.keys({ ...this.#settings, ...read.settings }) as Array<keyof Settings>;
     const fixed = keys.filter(
       (key) => !live.includes(key) && JSON.stringify(read.settings[key]) !== JSON.stringify(this.#settings[key]),
     );
     const taken: Settings = { ...this.#settings };
-    for (const key of SettingsReader.live) taken[key] = read.settings[key];
+    for (const key of SettingsWatch.live) taken[key] = read.settings[key];
     this.#settings = taken;
     this.fault = "";
     this.emit("changed", taken);
