--- a/packages/chest/src/process/programHost.ts
+++ b/packages/chest/src/process/programHost.ts
@@ -66,7 +66,7 @@
     let node: ClusterNode;
     let router: Router;
     try {
-      disk = settings.data === undefined ? undefined : await ProgramHost.#openDisk(settings.data);
+      disk = await ProgramHost.#openDisk(settings, log);
       const sealed = disk === undefined ? undefined : new SealedDisk(disk);
       node = new ClusterNode(
         { settings, clock, net, disk: sealed, chance: new HostChance(), log, incarnation: Date.now() },
@@ -125,9 +125,15 @@
     process.on("SIGINT", () => void stop());
   }
 
-  static async #openDisk(folder: string): Promise<OpenDisk> {
+  static async #openDisk({ data, disk, diskMb }: Settings, log: LogRing): Promise<OpenDisk | undefined> {
+    if (data === undefined) return undefined;
+    if (disk === "journal") {
+      const { JournalDisk } = await import("./journalDisk.js");
+      const mostBytes = diskMb === undefined ? undefined : diskMb * 1_000_000;
+      return JournalDisk.open(data, { mostBytes, onFull: (text) => log.fault(text) });
+    }
     const { LmdbDisk } = await import("./lmdbDisk.js");
-    return new LmdbDisk(folder);
+    return new LmdbDisk(data);
   }
 
   static async #httpFront(address: string, router: Router, built: Built): Promise<Front> {
--- a/packages/chest/src/process/settings.ts
+++ b/packages/chest/src/process/settings.ts
@@ -26,6 +26,9 @@
   "voters?": "1 <= number.integer <= 9",
   shards: "1 <= number.integer <= 256 = 32",
   "data?": "string > 0",
+  /** How the data folder is kept, and the room in it. The journal also survives torn writes of any kind. */
+  "disk?": "'lmdb' | 'journal'",
+  "diskMb?": "16 <= number.integer <= 1000000",
   "log?": "string > 0",
   edgeLeaseMs: "1000 <= number.integer <= 60000 = 1500",
   holderLeaseMs: "1000 <= number.integer <= 60000 = 1500",
