--- a/packages/chest/src/process/settings.ts
+++ b/packages/chest/src/process/settings.ts
@@ -8,10 +8,13 @@
   name: "/^[a-z0-9][a-z0-9-]{0,62}$/",
   role: "'lathe' | 'anvil' | 'vise'",
   zone: "1 <= string <= 64",
+  /** What lies close together: traffic between regions is dear. */
+  "region?": "1 <= string <= 64",
   address,
   /** Where to listen, if not at the address that others know. */
   "listen?": address,
-  http: address,
+  /** Without it the program has no HTTP front of its own. */
+  "http?": address,
   seeds: address.array().atLeastLength(1).atMostLength(9),
   /** Addresses of the lathes that found the store, all of them together; without them any `lathes` blank ones do. */
   "founders?": address.array().atLeastLength(1).atMostLength(9),
@@ -20,8 +23,13 @@
   lathes: "1 <= number.integer <= 9",
   /** A lathe that also keeps topic logs as a full storage machine. */
   stores: "boolean = false",
+  /** How many of the lathes vote. */
+  "voters?": "1 <= number.integer <= 9",
   shards: "1 <= number.integer <= 256 = 32",
   "data?": "string > 0",
+  /** How the data folder is kept, and the room in it. The journal also survives torn writes of any kind. */
+  "disk?": "'lmdb' | 'journal'",
+  "diskMb?": "16 <= number.integer <= 1000000",
   "log?": "string > 0",
   edgeLeaseMs: "1000 <= number.integer <= 60000 = 1500",
   holderLeaseMs: "1000 <= number.integer <= 60000 = 1500",
@@ -35,9 +43,6 @@
 
 /** One file or flags; unknown keys are errors; every problem gets a line. */
 export const SettingsReader = {
-  /** Keys that a running process takes up when its file changes. */
-  live: ["mostLinks", "bufferBytes"] as const,
-
   check(value: unknown): SettingsRead {
     const checked = settingsType(value);
     if (checked instanceof type.errors)
@@ -47,7 +52,7 @@
       problems.push(`data: a ${checked.role} needs a data folder`);
     if (checked.stores && checked.role !== "lathe") problems.push("stores: is for lathes only");
     for (const key of ["address", "http"] as const)
-      if (Number(checked[key].split(":").at(-1)) > 65535) problems.push(`${key}: the port is above 65535`);
+      if (Number(checked[key]?.split(":").at(-1) ?? 0) > 65535) problems.push(`${key}: the port is above 65535`);
     if (checked.address === checked.http) problems.push("http: must differ from address");
     return problems.length > 0 ? { problems } : { settings: checked };
   },
