--- a/packages/chest/src/mark/emptyingKey.ts
+++ b/packages/chest/src/mark/emptyingKey.ts
@@ -4,6 +4,10 @@
     return `machines/${machine}/emptying`;
   },
 
+  write(rampSeconds?: number): Uint8Array {
+    return Buffer.from(JSON.stringify({ rampSeconds }));
+  },
+
   /** The machine that a key is about, if it is such a key. */
   machineOf(key: string): string | undefined {
     return /^machines\/([^/]+)\/emptying$/.exec(key)?.[1];
--- a/packages/lathe/src/request/emptyMachine.ts
+++ b/packages/lathe/src/request/emptyMachine.ts
@@ -5,10 +5,13 @@
 
 /** The operators' wish to have a machine's topic logs moved off it: kept, repeatable, undone by asking. */
 export const EmptyMachine = {
-  async ask(node: ClusterNode, name: string): Promise<ApiReceipt> {
+  /** `rampSeconds`: how long the machine may take over it; kept with the wish. */
+  async ask(node: ClusterNode, name: string, rampSeconds?: number): Promise<ApiReceipt> {
     const refusal = refuse(node, name);
     if (refusal !== undefined) return refusal;
-    const written = await node.store.txn({ puts: [{ key: EmptyingKey.of(name), value: Buffer.from("{}") }] });
+    const written = await node.store.txn({
+      puts: [{ key: EmptyingKey.of(name), value: EmptyingKey.write(rampSeconds) }],
+    });
     if (written.outcome === "unsure")
       return ApiReceipts.unsure("the lathes did not answer in time; the same request again settles it");
     if (written.outcome !== "done") return ApiReceipts.away("no majority of the lathes answers");
