--- a/packages/chest/src/mark/planSchema.ts
+++ b/packages/chest/src/mark/planSchema.ts
@@ -28,7 +28,7 @@
     program: type({ "+": "reject", when, owe }).array().moreThanLength(0).atMostLength(64),
   })
     .array()
-    .atMostLength(256),
+    .atMostLength(4096),
   "limits?": type({
     "+": "reject",
     "subscriptions?": "1 <= number.integer <= 100000",
--- a/packages/chest/src/process/clusterNode.ts
+++ b/packages/chest/src/process/clusterNode.ts
@@ -35,6 +35,7 @@
       zone: settings.zone,
       address: settings.address,
       http: settings.http ?? "",
+      clients: settings.clients ?? "",
       region: settings.region ?? "",
       incarnation: parts.incarnation,
       isStorage: settings.role === "anvil" || (settings.role === "lathe" && settings.stores),
--- a/packages/chest/src/process/settings.ts
+++ b/packages/chest/src/process/settings.ts
@@ -15,6 +15,8 @@
   "listen?": address,
   /** Without it the program has no HTTP front of its own. */
   "http?": address,
+  /** Where an edge's clients connect, if not at its HTTP front; clients of a node that stops are sent there. */
+  "clients?": address,
   seeds: address.array().atLeastLength(1).atMostLength(9),
   /** Addresses of the lathes that found the store, all of them together; without them any `lathes` blank ones do. */
   "founders?": address.array().atLeastLength(1).atMostLength(9),
--- a/packages/vise/src/connection/sessionConnection.ts
+++ b/packages/vise/src/connection/sessionConnection.ts
@@ -2,7 +2,7 @@
 import type { ClientLink } from "../link/clientLink.js";
 import { Places } from "../mark/place.js";
 import type { TopicFault } from "../mark/topicFault.js";
-import type { Connection, SubscribeOutcome } from "../process/connections.js";
+import type { Connection, Subscribed } from "../process/connections.js";
 import type { Session } from "../process/session.js";
 import type { ViseParts } from "../process/viseParts.js";
 import { findStarts, type Start } from "../request/findStarts.js";
@@ -12,7 +12,7 @@
 interface Asked {
   topic: string;
   after: string | undefined;
-  settle: (outcome: SubscribeOutcome) => void;
+  settle: (outcome: Subscribed) => void;
 }
 const faultOutcomes = ["unknown-topic", "malformed-place", "unknown-place", "away"] as const;
 
@@ -27,7 +27,7 @@
   readonly #vise: ViseParts;
   readonly #session: Session;
   readonly #link: ClientLink;
-  readonly #pending = new Map<string, Promise<SubscribeOutcome>>();
+  readonly #pending = new Map<string, Promise<Subscribed>>();
   #asked: Asked[] = [];
 
   constructor(vise: ViseParts, session: Session, link: ClientLink) {
@@ -40,7 +40,7 @@
     return this.#session.id;
   }
 
-  subscribe(topic: string, after?: string): Promise<SubscribeOutcome> {
+  subscribe(topic: string, after?: string): Promise<Subscribed> {
     const refusal = this.#refusal(topic);
     if (refusal !== undefined) return Promise.resolve(refusal);
     const cursor = this.#session.subscriptions.get(topic);
@@ -82,7 +82,7 @@
     return this.#session.link === this.#link && !this.#session.isStopped && this.#vise.lease.isHeld;
   }
 
-  #refusal(topic: string): SubscribeOutcome | undefined {
+  #refusal(topic: string): Subscribed | undefined {
     if (!this.#isCurrent) return { outcome: "moved", reason: "the session moved on meanwhile" };
     if (!Plans.isTopic(topic)) return { outcome: "malformed", reason: "the topic is malformed" };
     if (!this.#vise.node.feed.isFresh)
@@ -107,7 +107,7 @@
     for (const { tail, expired } of starts) if (expired !== "") this.#vise.streams.leave(tail);
   }
 
-  #outcomeOf(topic: string, starts: readonly Start[], faults: readonly TopicFault[]): SubscribeOutcome {
+  #outcomeOf(topic: string, starts: readonly Start[], faults: readonly TopicFault[]): Subscribed {
     if (!this.#isCurrent) return { outcome: "moved", reason: "the session moved on meanwhile" };
     const start = starts.find((one) => one.topic === topic);
     if (start !== undefined && start.expired !== "") return { outcome: "expired", reason: start.expired };
--- a/packages/vise/src/process/connections.ts
+++ b/packages/vise/src/process/connections.ts
@@ -1,37 +1,49 @@
 import type { ClientLink } from "../link/clientLink.js";
-import type { PublishOutcome } from "../request/publishMessage.js";
-
-export type SubscribeOutcome =
-  | { outcome: "confirmed"; place: string }
-  | {
-      outcome:
-        "unknown-topic" | "malformed-place" | "unknown-place" | "expired" | "too-many" | "malformed" | "away" | "moved";
-      reason: string;
-      comeBack?: number | undefined;
-    };
-
-export type ConnectOutcome =
+
+/** What a front that speaks to clients in its own way stands on, inside the process. Outcomes are values. */
+export interface Connections {
+  /** Claims the session for this node and ties the link to it; all topics are brought by the client afterwards. */
+  connect(session: string, link: ClientLink): Promise<Connected>;
+  /** Subscribers of a topic now. */
+  count(topic: string): Promise<Counted>;
+}
+
+export interface Connection {
+  readonly session: string;
+  /** Never throws. `confirmed`: messages follow on the link only after this promise has settled. */
+  subscribe(topic: string, after?: string): Promise<Subscribed>;
+  unsubscribe(topic: string): Promise<Unsubscribed>;
+  publish(topic: string, number: number, payload: string): Promise<Published>;
+  close(): void;
+}
+
+export type Connected =
   | { outcome: "open"; connection: Connection }
   | { outcome: "away"; reason: string; comeBack: number }
   | { outcome: "malformed"; reason: string };
 
-export type CountOutcome =
+export type Counted =
   { outcome: "counted"; count: number } | { outcome: "unknown-topic" } | { outcome: "away"; comeBack: number };
 
-/** An edge, as the fronts that clients connect to see it. No call throws; waits (`comeBack`) are in seconds. */
-export interface Connections {
-  /** Claims the session for this node and ties the link to it; the client brings all its topics afterwards. */
-  connect(session: string, link: ClientLink): Promise<ConnectOutcome>;
-  /** Subscribers of a topic, over all edges. */
-  count(topic: string): Promise<CountOutcome>;
+export type Subscribed = { outcome: "confirmed"; place: string } | NotSubscribed;
+
+export interface NotSubscribed {
+  outcome:
+    "unknown-topic" | "malformed-place" | "unknown-place" | "expired" | "too-many" | "malformed" | "away" | "moved";
+  reason: string;
+  comeBack?: number;
 }
 
-/** One client's connection, as long as the session is this node's and no newer connection took its place. */
-export interface Connection {
-  readonly session: string;
-  /** Messages follow on the link only after this promise has settled with `confirmed`. */
-  subscribe(topic: string, after?: string): Promise<SubscribeOutcome>;
-  unsubscribe(topic: string): Promise<{ outcome: "done" | "moved" }>;
-  publish(topic: string, number: number, payload: string): Promise<PublishOutcome>;
-  close(): void;
+export interface Unsubscribed {
+  outcome: "done" | "moved";
 }
+
+/**
+ * `refused`: for good, never done. `away`: this and every earlier try of the number was never handed over and
+ * never will be. `unsure`: may have been done; the same number again settles it.
+ */
+export type Published =
+  | { outcome: "accepted"; place: string }
+  | { outcome: "refused"; code: string; reason: string }
+  | { outcome: "away"; reason: string; comeBack: number }
+  | { outcome: "unsure"; reason: string; comeBack: number };
--- a/packages/vise/src/process/vise.ts
+++ b/packages/vise/src/process/vise.ts
@@ -110,9 +110,13 @@
   /** Where this node's clients may go: edges of its zone, else of the others. */
   #nextAddresses(): string[] {
     const { exchange, membership, parts } = this.node;
-    const others = membership.alive("vise").filter(({ name, http }) => name !== exchange.name && http !== "");
+    const others = membership
+      .alive("vise")
+      .filter(({ name }) => name !== exchange.name)
+      .map(({ zone, clients, http }) => ({ zone, address: clients === "" ? http : clients }))
+      .filter(({ address }) => address !== "");
     const near = others.filter(({ zone }) => zone === parts.settings.zone);
-    return (near.length > 0 ? near : others).map(({ http }) => http);
+    return (near.length > 0 ? near : others).map(({ address }) => address);
   }
 
   async #subscribe(session: Session, body: Uint8Array): Promise<ApiReceipt> {
--- a/packages/vise/src/process/viseConnections.ts
+++ b/packages/vise/src/process/viseConnections.ts
@@ -2,7 +2,7 @@
 import type { ClientLink } from "../link/clientLink.js";
 import { countTopic } from "../request/countTopic.js";
 import { AdmitSession } from "../request/admitSession.js";
-import type { ConnectOutcome, Connections, CountOutcome } from "./connections.js";
+import type { Connected, Connections, Counted } from "./connections.js";
 import type { ViseParts } from "./viseParts.js";
 
 /** The in-process interface of an edge for fronts that clients connect to. */
@@ -16,7 +16,7 @@
     this.#vise = vise;
   }
 
-  async connect(id: string, link: ClientLink): Promise<ConnectOutcome> {
+  async connect(id: string, link: ClientLink): Promise<Connected> {
     if (!AdmitSession.isName(id)) return { outcome: "malformed", reason: "a session's name is malformed" };
     const admitted = await AdmitSession.run(this.#vise, id, ViseConnections.patienceMs);
     if (!("session" in admitted)) return { outcome: "away", reason: admitted.reason, comeBack: admitted.comeBack };
@@ -28,7 +28,7 @@
     return { outcome: "open", connection: new SessionConnection(this.#vise, session, link) };
   }
 
-  count(topic: string): Promise<CountOutcome> {
+  count(topic: string): Promise<Counted> {
     return countTopic(this.#vise, topic);
   }
 }
