--- a/packages/chest/src/process/contractRisks.ts
+++ b/packages/chest/src/process/contractRisks.ts
@@ -22,7 +22,7 @@
     .map(({ shard }) => shard);
   return (plan.plan?.spaces ?? []).flatMap(({ name, program }): ContractRisk[] => {
     const needs = (budget: "machines" | "zones"): boolean =>
-      program.some(({ owe }) => (owe.fault_budget[budget] ?? 0) > 0);
+      program.some(({ owe }) => owe.keep > 0 && (owe.fault_budget[budget] ?? 0) > 0);
     const risks: ContractRisk[] = [];
     const tell = (list: number[]): string => list.join(", ");
     if (needs("machines") && weak.length > 0)
--- a/packages/jig/src/process/sim/streams.test.ts
+++ b/packages/jig/src/process/sim/streams.test.ts
@@ -290,7 +290,10 @@
     // The other topics of the space go on.
     const subscriptions = [{ topic: "notes/t1", after: placeOf(reader, "notes/t1") }];
     reader.close();
+    const staying = await linked(all, "vise-1", "staying", [topic, "notes/t2"]);
     await put(!isMiddle);
+    expect(staying.of("ended").map((line) => line["topic"])).toEqual([topic]);
+    staying.close();
     const again = new Hand(fleet, "vise-3", "other", { subscriptions });
     expect(await fleet.until(() => again.of("confirmed").length === 1, 5000)).toEqual(true);
     expect(again.of("expired")).toEqual([]);
--- a/packages/lathe/src/request/emptyMachine.ts
+++ b/packages/lathe/src/request/emptyMachine.ts
@@ -65,7 +65,7 @@
   const zones = new Set(left.map((one) => one.zone)).size;
   const program =
     node.plan.plan?.spaces.flatMap((space) => space.program.map((rule) => ({ space: space.name, rule }))) ?? [];
-  const bound = program.find(({ rule }) => (rule.owe.fault_budget.zones ?? 0) > 0);
+  const bound = program.find(({ rule }) => rule.owe.keep > 0 && (rule.owe.fault_budget.zones ?? 0) > 0);
   if (bound !== undefined && zones < 3)
     return ApiReceipts.fault(
       409,
--- /dev/null
+++ b/packages/lathe/src/request/startUp.test.ts
@@ -0,0 +1,22 @@
+import { spawnSync } from "node:child_process";
+import { test } from "node:test";
+import { expect } from "earl";
+
+const hooks = `export async function resolve(name, context, next) {
+  if (name === "arktype") throw new Error("arktype is loaded");
+  return next(name, context);
+}`;
+const url = (code: string): string => `data:text/javascript,${encodeURIComponent(code)}`;
+const guard = url(`import { register } from "node:module"; register(${JSON.stringify(url(hooks))});`);
+
+function load(path: string): string {
+  const code = `await import(${JSON.stringify(new URL(path, import.meta.url).href)});`;
+  const { stderr } = spawnSync(process.execPath, ["--import", guard, "--input-type=module", "-e", code]);
+  return /arktype is loaded/.exec(stderr.toString())?.[0] ?? stderr.toString();
+}
+
+test("a lathe with its anvil and its calls is loaded without arktype; only the check of a plan needs it", () => {
+  expect(load("../process/lathe.js")).toEqual("");
+  expect(load("readDocument.js")).toEqual("");
+  expect(load("../../../chest/dist/mark/planSchema.js")).toEqual("arktype is loaded");
+});
