Gossip after SWIM: beats carry changes, not the whole table

The whole table went to 3 to 5 peers every 300 ms, so what an idle node cost grew with the fleet. Suspicion needs another's word that it does not reach the silent one either; a suspected node refutes.

--- a/packages/chest/src/process/membership.ts
+++ b/packages/chest/src/process/membership.ts
@@ -1,33 +1,61 @@
 import { EventEmitter } from "node:events";
-import { create } from "@bufbuild/protobuf";
-import { MemberSchema, type Gossip, type Member } from "../gen/cranetrack_pb.js";
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { MemberSchema, type Gossip, type GossipSchema, type Member, type Ping } from "../gen/cranetrack_pb.js";
 import type { Chance } from "./chance.js";
 import type { Clock } from "./clock.js";
 import type { Exchange } from "./exchange.js";
+import { MemberTable } from "./memberTable.js";
 import { Rendezvous } from "./rendezvous.js";
-
-interface Known {
-  member: Member;
-  risenAt: number;
-  suspectedAt: number;
-}
+import { Rumours } from "./rumours.js";
+import type { BodyInit } from "./wire.js";
 
 /**
- * Who is there. Seeds first, then gossip; rendezvous hashing names the three nodes that watch
- * each node. A suspicion speeds up routing and moves and takes no claim from anybody.
+ * Who is there, after SWIM: a node sends beats to the few watchers that rendezvous hashing names for it, and at each
+ * beat asks one random member for a sign of life. Whoever misses one asks directly and through others, and suspects
+ * only where another could not reach the silent one either. Suspicions, refutations and all other changes travel as
+ * rumours on these frames; tables are compared rarely, by digests. A suspicion speeds up routing and moves and takes
+ * no claim from anybody.
  */
 export class Membership extends EventEmitter<{ changed: []; suspected: [name: string] }> {
   static readonly beatMs = 300;
+  /** Silence before a member is asked directly and through others, and before it is suspected. */
+  static readonly probeMs = 600;
   static readonly suspectMs = 1400;
   static readonly forgetMs = 60_000;
   static readonly watchers = 3;
+  /** Others that are asked whether they reach a silent member, and that are told a change at once. */
+  static readonly helpers = 3;
+  static readonly pingDue = 350;
+  /** A helper's word needs its own ping first. */
+  static readonly helpDue = 900;
+  static readonly spreadMs = 30;
+  static readonly compareMs = 10_000;
+  /** How soon tables are compared again after a comparison that brought news. */
+  static readonly compareAgainMs = 1000;
 
   readonly #exchange: Exchange;
   readonly #clock: Clock;
   readonly #chance: Chance;
   readonly #seeds: readonly string[];
-  /** Invariant: for each name the record with the highest (incarnation, count) ever heard. */
-  readonly #known = new Map<string, Known>();
+  readonly #table = new MemberTable();
+  readonly #rumours = new Rumours();
+  /** Who calls this node its watcher. */
+  readonly #watched = new Set<string>();
+  /** Since when a sign of life is due, of those that are watched, were asked, or left a call unanswered. */
+  readonly #awaited = new Map<string, number>();
+  readonly #probing = new Set<string>();
+  /** When another said that it could not reach the member either. */
+  readonly #deniedAt = new Map<string, number>();
+  #peersOf: readonly Member[] | undefined;
+  #peers: Member[] = [];
+  #ownWatchers: Member[] = [];
+  #ownText = "";
+  #heardAt: number;
+  #beatAt: number;
+  #compareAt: number;
+  #isSpreading = false;
+  /** Whether another's whole table was ever received. */
+  #isIntroduced = false;
   readonly self: Member;
 
   constructor(
@@ -44,12 +72,15 @@
     this.#exchange = exchange;
     this.#clock = clock;
     this.#chance = chance;
-    this.#known.set(self.name, { member: this.self, risenAt: clock.now(), suspectedAt: 0 });
-    exchange.addressOf = (name) => this.#known.get(name)?.member.address;
+    this.#heardAt = this.#beatAt = clock.now();
+    this.#compareAt = clock.now() + Membership.compareMs * chance.draw();
+    this.#table.put(this.self, clock.now());
+    exchange.addressOf = (name) => this.find(name)?.address;
     exchange.relaysFor = () => this.alive().map((member) => member.name);
-    exchange.serve("gossip", (gossip, frame) => this.#hear(gossip, frame.fromAddress));
-    exchange.serve("ping", () => ({ case: "done", value: {} }));
+    exchange.serve("gossip", (gossip, frame) => this.#hear(gossip, frame.from, frame.fromAddress));
+    exchange.serve("ping", (ping) => this.#answer(ping));
     exchange.on("heard", (name) => this.#risen(name));
+    exchange.on("mute", (name) => this.#await(name));
   }
 
   start(): void {
@@ -58,119 +89,299 @@
   }
 
   find(name: string): Member | undefined {
-    return this.#known.get(name)?.member;
+    return this.#table.find(name)?.member;
   }
 
+  /** Up or heard directly just now; and a node that hears nobody takes nobody for alive. */
   isAlive(name: string): boolean {
     if (name === this.self.name) return true;
-    const known = this.#known.get(name);
-    return (
-      known !== undefined && known.member.state === "up" && this.#clock.now() - known.risenAt < Membership.suspectMs
-    );
+    const known = this.#table.find(name);
+    if (known === undefined || known.member.state === "left") return false;
+    const isLately = (at: number): boolean => this.#clock.now() - at < Membership.suspectMs;
+    return isLately(known.member.isSuspected ? known.heardAt : this.#heardAt);
   }
 
-  all(): Member[] {
-    return [...this.#known.values()].map((known) => known.member).sort((a, b) => (a.name < b.name ? -1 : 1));
+  all(): readonly Member[] {
+    return this.#table.all();
   }
 
   alive(role?: string): Member[] {
     return this.all().filter((member) => (role === undefined || member.role === role) && this.isAlive(member.name));
   }
 
-  /** Milliseconds since a sign of life. */
+  /** Milliseconds that a sign of life has been due; none from who is taken for alive and not waited for. */
   ageOf(name: string): number {
-    const known = this.#known.get(name);
-    return known === undefined ? Infinity : this.#clock.now() - known.risenAt;
+    const known = this.#table.find(name);
+    if (known === undefined) return Infinity;
+    if (!this.isAlive(name)) return this.#clock.now() - known.heardAt;
+    const since = this.#awaited.get(name);
+    return since === undefined ? 0 : this.#clock.now() - since;
   }
 
+  /** The nodes that a member sends its beats to, as this node's table has it. */
   watchersOf(name: string): string[] {
-    return Rendezvous.rank(
-      name,
-      this.all()
-        .map((member) => member.name)
-        .filter((other) => other !== name),
-    ).slice(0, Membership.watchers);
+    const others = this.all().filter((member) => member.name !== name && MemberTable.isUp(member));
+    return Rendezvous.spread(name, others, Membership.watchers);
   }
 
-  /** Says to everybody that this node is going. */
+  /** Says that this node is going: to its watchers and some others, who tell the rest. */
   leave(): void {
     this.self.state = "left";
-    this.self.count += 1;
-    for (const member of this.alive()) if (member.name !== this.self.name) this.#tell(member.address, false);
+    this.#changeSelf();
+    const told = new Set(this.#watchers());
+    for (const member of this.#draw(Rumours.most)) told.add(member);
+    for (const member of told) this.#tell(member.address, member.name);
   }
 
   /** Tells what changed about this node without waiting for the next beat. */
   tellNow(): void {
-    this.#beat();
+    this.#notice();
+    this.#spread();
   }
 
   #beat(): void {
-    this.self.count += 1;
-    const own = this.#known.get(this.self.name)!;
-    own.risenAt = this.#clock.now();
+    const now = this.#clock.now();
+    // Who slept itself knows nothing of the others' silence.
+    if (now - this.#beatAt > 2 * Membership.beatMs)
+      for (const name of this.#awaited.keys()) this.#awaited.set(name, now);
+    this.#beatAt = now;
+    this.#notice();
+    this.#judge();
     this.#forget();
-    const others = this.all().filter((member) => member.name !== this.self.name && member.state === "up");
-    const chosen = new Set(this.watchersOf(this.self.name).map((name) => this.find(name)!.address));
-    const drawn = others[Math.floor(this.#chance.draw() * others.length)];
-    if (drawn !== undefined) chosen.add(drawn.address);
+    const watchers = this.#watchers();
+    for (const member of watchers) this.#tell(member.address, member.name);
+    const [drawn] = this.#draw(1);
+    if (drawn !== undefined && !watchers.includes(drawn)) {
+      this.#await(drawn.name);
+      this.#tell(drawn.address, drawn.name, { isAsking: true });
+    }
+    this.#introduce();
+    if (now >= this.#compareAt) this.#compare();
+  }
+
+  /** Asks seeds for everybody, until some table came; later only those seeds that no member is at. */
+  #introduce(): void {
     const seed = this.#seeds[Math.floor(this.#chance.draw() * this.#seeds.length)];
-    if (seed !== undefined && seed !== this.self.address && (others.length < 3 || this.#chance.draw() < 0.2))
-      chosen.add(seed);
-    for (const address of chosen) this.#tell(address, true);
+    if (seed === undefined || seed === this.self.address) return;
+    const isStranger = !this.#upPeers().some((member) => member.address === seed);
+    const isNew = !this.#isIntroduced || this.#upPeers().length < 3;
+    if (isNew) this.#tell(seed, "", { isAsking: true, wantsAll: true, members: [this.self] });
+    else if (isStranger && this.#chance.draw() < 0.2)
+      this.#tell(seed, "", { isAsking: true, digests: this.#table.digests, members: [this.self] });
+  }
+
+  #compare(): void {
+    this.#compareAt = this.#clock.now() + Membership.compareMs;
+    const [drawn] = this.#draw(1);
+    if (drawn !== undefined) this.#tell(drawn.address, drawn.name, { isAsking: true, digests: this.#table.digests });
   }
 
-  #tell(address: string, isAsking: boolean): void {
-    this.#exchange.tellAddress(address, { case: "gossip", value: { members: this.all(), isAsking } });
+  #tell(address: string, name: string, more: MessageInitShape<typeof GossipSchema> = {}): void {
+    const rumours = this.#rumours.take((one) => this.find(one));
+    const members = new Set([...((more.members ?? []) as Member[]), ...rumours]);
+    const { incarnation, version } = this.self;
+    const isWatched = name !== "" && this.#watchers().some((member) => member.name === name);
+    this.#exchange.tellAddress(address, {
+      case: "gossip",
+      value: { ...more, members: [...members], incarnation, version, isWatched },
+    });
   }
 
-  #hear(gossip: Gossip, fromAddress: string): undefined {
-    let isChanged = false;
-    for (const member of gossip.members) isChanged = this.#learn(member) || isChanged;
-    if (gossip.isAsking && fromAddress !== "") this.#tell(fromAddress, false);
-    if (isChanged) this.emit("changed");
+  #hear(gossip: Gossip, from: string, address: string): undefined {
+    const isNews = gossip.members.map((member) => this.#learn(member)).includes(true);
+    if (from === this.self.name) return undefined;
+    const { isAsking, wantsAll, wantsSender, digests } = gossip;
+    if (gossip.isAll) this.#isIntroduced = true;
+    if (isNews && digests.length > 0) this.#compareAt = this.#clock.now() + Membership.compareAgainMs;
+    if (gossip.isWatched) this.#watched.add(from);
+    else if (this.#watched.delete(from)) this.#awaited.delete(from);
+    if (gossip.isWatched) this.#awaited.set(from, this.#clock.now());
+    if (address === "") return undefined;
+
+    const answer = new Set<Member>();
+    const known = this.find(from);
+    const stand = { incarnation: gossip.incarnation, version: gossip.version, state: "up", isSuspected: false };
+    const isUnknown =
+      (known === undefined || MemberTable.isAbove({ ...known, ...stand }, { ...known, state: "left" })) &&
+      !gossip.members.some((member) => member.name === from);
+    // A sender whose own record lost, to a suspicion or an earlier life, has to hear of it, to refute it.
+    if (known !== undefined && MemberTable.isAbove(known, { ...known, ...stand })) answer.add(known);
+    for (const member of gossip.members) {
+      const better = this.find(member.name);
+      if (better !== undefined && answer.size < Rumours.most && MemberTable.isAbove(better, member)) answer.add(better);
+    }
+    if (wantsSender) answer.add(this.self);
+    if (wantsAll) for (const member of this.all()) answer.add(member);
+    const differing = digests.length > 0 ? this.#table.differing(digests) : [];
+    for (const member of differing) answer.add(member);
+    const isDiffering = isAsking && differing.length > 0;
+    if (isAsking || isUnknown || answer.size > 0)
+      this.#tell(address, from, {
+        members: [...answer],
+        wantsSender: isUnknown,
+        isAll: wantsAll,
+        digests: isDiffering ? this.#table.digests : new Uint8Array(),
+      });
     return undefined;
   }
 
+  /** Takes up a record that outranks the one known; true where it does. */
   #learn(member: Member): boolean {
-    if (member.name === "" || member.address === "") return false;
-    if (member.name === this.self.name) {
-      if (member.incarnation > this.self.incarnation) this.self.incarnation = member.incarnation + 1;
-      return false;
-    }
-    const known = this.#known.get(member.name);
-    const isNewer =
-      known === undefined ||
-      member.incarnation > known.member.incarnation ||
-      (member.incarnation === known.member.incarnation && member.count > known.member.count);
-    if (!isNewer) return false;
-    const isFresh =
-      known === undefined ||
-      known.member.state !== member.state ||
-      known.member.address !== member.address ||
-      known.member.incarnation !== member.incarnation ||
-      known.member.isFounded !== member.isFounded ||
-      known.member.disk !== member.disk ||
-      known.member.shelf !== member.shelf;
-    this.#known.set(member.name, { member, risenAt: this.#clock.now(), suspectedAt: 0 });
-    if (known !== undefined && known.member.incarnation !== member.incarnation) this.#exchange.giveUp(member.name);
-    return isFresh;
+    if (!MemberTable.isSound(member)) return false;
+    if (member.name === this.self.name) return this.#learnSelf(member);
+    const before = this.#table.find(member.name)?.member;
+    if (before === undefined ? !MemberTable.isUp(member) : !MemberTable.isAbove(member, before)) return false;
+    this.#put(member);
+    if (before !== undefined && before.incarnation !== member.incarnation) this.#exchange.giveUp(member.name);
+    return true;
+  }
+
+  /** Refutes what is said of this node and is not so, or of an earlier life. */
+  #learnSelf(member: Member): boolean {
+    if (!MemberTable.isAbove(member, this.self)) return false;
+    if (member.incarnation > this.self.incarnation) this.self.incarnation = member.incarnation + 1;
+    else this.self.version = member.version;
+    this.#changeSelf();
+    this.#spread();
+    return false;
+  }
+
+  #put(member: Member): void {
+    this.#table.put(member, this.#clock.now());
+    this.#rumours.add(member.name, this.all().length);
+    this.#spread();
+    this.emit("changed");
+  }
+
+  /** Whoever set a field of this node's own record need not say so. */
+  #notice(): void {
+    if (this.#ownText !== JSON.stringify(this.self)) this.#changeSelf();
+  }
+
+  #changeSelf(): void {
+    this.self.version += 1;
+    this.#ownText = JSON.stringify(this.self);
+    this.#table.put(this.self, this.#clock.now());
+    this.#rumours.add(this.self.name, this.all().length);
+  }
+
+  /** A change goes on at once to a few others; what comes within a moment goes together. */
+  #spread(): void {
+    if (this.#isSpreading) return;
+    this.#isSpreading = true;
+    this.#clock.once(Membership.spreadMs, () => {
+      this.#isSpreading = false;
+      if (this.#rumours.isEmpty) return;
+      for (const member of this.#draw(Membership.helpers)) this.#tell(member.address, member.name);
+    });
   }
 
   #risen(name: string): void {
-    const known = this.#known.get(name);
-    if (known !== undefined && known.member.state === "up") known.risenAt = this.#clock.now();
+    const now = this.#clock.now();
+    this.#heardAt = now;
+    const known = this.#table.find(name);
+    if (known !== undefined) known.heardAt = now;
+    this.#sign(name);
+    // Whoever is heard though it is suspected is told so, and refutes it.
+    if (
+      known?.member.isSuspected !== true ||
+      known.member.state === "left" ||
+      now - known.accusedAt < Membership.beatMs
+    )
+      return;
+    known.accusedAt = now;
+    this.#tell(known.member.address, name, { members: [known.member] });
+  }
+
+  #sign(name: string): void {
+    this.#deniedAt.delete(name);
+    if (this.#watched.has(name)) this.#awaited.set(name, this.#clock.now());
+    else this.#awaited.delete(name);
+  }
+
+  #await(name: string): void {
+    const member = this.find(name);
+    if (member !== undefined && MemberTable.isUp(member) && !this.#awaited.has(name))
+      this.#awaited.set(name, this.#clock.now());
+  }
+
+  #judge(): void {
+    const now = this.#clock.now();
+    for (const [name, since] of this.#awaited) {
+      const member = this.find(name);
+      if (member === undefined || !MemberTable.isUp(member)) this.#awaited.delete(name);
+      else if (now - since >= Membership.suspectMs && (this.#deniedAt.get(name) ?? -Infinity) > since)
+        this.#suspect(member);
+      else if (now - since >= Membership.probeMs) void this.#probe(member);
+    }
+  }
+
+  #suspect(member: Member): void {
+    this.#awaited.delete(member.name);
+    this.#deniedAt.delete(member.name);
+    this.#put(create(MemberSchema, { ...member, isSuspected: true }));
+    this.emit("suspected", member.name);
+  }
+
+  /** Asks a silent member for a sign of life, and others whether they can reach it. */
+  async #probe({ name, address }: Member): Promise<void> {
+    if (this.#probing.has(name)) return;
+    this.#probing.add(name);
+    this.#tell(address, name, { isAsking: true });
+    const helpers = this.#draw(Membership.helpers, name);
+    await Promise.all(
+      helpers.map(async (helper) => {
+        const ping: BodyInit = { case: "ping", value: { about: name } };
+        const answer = await this.#exchange.call(helper.name, ping, Membership.helpDue);
+        if (answer?.case === "done") this.#sign(name);
+        else if (answer?.case === "fault") this.#deniedAt.set(name, this.#clock.now());
+      }),
+    );
+    this.#probing.delete(name);
+  }
+
+  async #answer({ about }: Ping): Promise<BodyInit> {
+    if (about === "" || about === this.self.name) return { case: "done", value: {} };
+    const answer = await this.#exchange.call(about, { case: "ping", value: {} }, Membership.pingDue);
+    return answer === undefined
+      ? { case: "fault", value: { code: "unanswered", message: `${about} does not answer` } }
+      : { case: "done", value: {} };
   }
 
   #forget(): void {
-    for (const [name, known] of this.#known) {
-      if (name === this.self.name) continue;
-      const age = this.#clock.now() - known.risenAt;
-      if (age > Membership.forgetMs) this.#known.delete(name);
-      else if (age > Membership.suspectMs && known.suspectedAt === 0) {
-        known.suspectedAt = this.#clock.now();
-        this.emit("suspected", name);
+    for (const [name, { member, changedAt }] of this.#table.entries())
+      if (!MemberTable.isUp(member) && name !== this.self.name && this.#clock.now() - changedAt > Membership.forgetMs) {
+        this.#table.remove(name);
+        this.#watched.delete(name);
         this.emit("changed");
       }
+  }
+
+  /** The others that are up; the same array until the table changes. */
+  #upPeers(): Member[] {
+    const all = this.all();
+    if (this.#peersOf !== all) {
+      this.#peersOf = all;
+      this.#peers = all.filter((member) => member.name !== this.self.name && MemberTable.isUp(member));
+      const names = Rendezvous.spread(this.self.name, this.#peers, Membership.watchers);
+      this.#ownWatchers = names.map((name) => this.find(name)!);
+    }
+    return this.#peers;
+  }
+
+  #watchers(): Member[] {
+    this.#upPeers();
+    return this.#ownWatchers;
+  }
+
+  /** Some of the others that are up and answer, at random. */
+  #draw(count: number, except = ""): Member[] {
+    const peers = this.#upPeers();
+    const drawn = new Set<Member>();
+    for (let i = 0; i < 3 * count && drawn.size < Math.min(count, peers.length); i += 1) {
+      const peer = peers[Math.floor(this.#chance.draw() * peers.length)]!;
+      if (peer.name !== except && !this.#exchange.isMute(peer.name)) drawn.add(peer);
     }
+    return [...drawn];
   }
 }
