TCP: envelope once a connection, one decode a frame, pings, bounded queues

Every frame carried from, to and address, and was decoded twice. Whole frames now set the envelope of a connection and later ones leave it out.

--- a/packages/chest/src/process/exchange.ts
+++ b/packages/chest/src/process/exchange.ts
@@ -46,7 +46,7 @@
     this.name = name;
     this.#net = net;
     this.#clock = clock;
-    net.onFrame((bytes) => void this.#take(bytes));
+    net.onFrame((frame) => void this.#take(frame));
     net.onLost((address) => {
       for (const waiting of [...this.#waiting.values()])
         if (this.addressOf(waiting.to) === address) waiting.settle(undefined);
@@ -67,8 +67,9 @@
     this.#send(to, { id: 0, isReceipt: false, body });
   }
 
-  tellAddress(address: string, body: BodyInit): void {
-    this.#net.send(address, this.#encode("", { id: 0, isReceipt: false, body }));
+  /** To whoever is at an address, or to a name that must be there. */
+  tellAddress(address: string, body: BodyInit, to = ""): void {
+    this.#net.send(address, this.#encode(to, { id: 0, isReceipt: false, body }));
   }
 
   call(to: string, body: BodyInit, due: number): Promise<Body | undefined> {
@@ -128,9 +129,8 @@
     );
   }
 
-  async #take(bytes: Uint8Array): Promise<void> {
-    const frame = Wire.decode(bytes);
-    if (frame === undefined || (frame.to !== "" && frame.to !== this.name)) return;
+  async #take(frame: Frame): Promise<void> {
+    if (frame.to !== "" && frame.to !== this.name) return;
     if (frame.hops === 0) this.emit("heard", frame.from);
     else if (this.#clock.now() - (this.#proven.get(frame.from) ?? -Infinity) > Exchange.provenMs)
       this.#unanswered(frame.from);
--- a/packages/chest/src/process/membership.ts
+++ b/packages/chest/src/process/membership.ts
@@ -181,10 +181,8 @@
     const members = new Set([...((more.members ?? []) as Member[]), ...rumours]);
     const { incarnation, version } = this.self;
     const isWatched = name !== "" && this.#watchers().some((member) => member.name === name);
-    this.#exchange.tellAddress(address, {
-      case: "gossip",
-      value: { ...more, members: [...members], incarnation, version, isWatched },
-    });
+    const value = { ...more, members: [...members], incarnation, version, isWatched };
+    this.#exchange.tellAddress(address, { case: "gossip", value }, name);
   }
 
   #hear(gossip: Gossip, from: string, address: string): undefined {
--- a/packages/chest/src/process/net.ts
+++ b/packages/chest/src/process/net.ts
@@ -1,3 +1,5 @@
+import type { Frame } from "../gen/cranetrack_pb.js";
+
 /**
  * The net seam: whole frames between addresses, with the manners of a datagram.
  * A frame may be lost, late or doubled; nothing above may rest on its arrival.
@@ -11,5 +13,6 @@
   onLost(take: (address: string) => void): void;
   /** Lets go of the connection to an address, so that the next frame opens a fresh one. */
   drop(address: string): void;
-  onFrame(take: (bytes: Uint8Array) => void): void;
+  /** Frames come decoded, once; what was no frame is not handed on. */
+  onFrame(take: (frame: Frame) => void): void;
 }
--- a/packages/chest/src/process/tcpNet.test.ts
+++ b/packages/chest/src/process/tcpNet.test.ts
@@ -2,8 +2,10 @@
 import { connect, createServer } from "node:net";
 import { test } from "node:test";
 import { expect } from "earl";
+import type { Frame } from "../gen/cranetrack_pb.js";
 import { LogRing } from "./logRing.js";
 import { TcpNet } from "./tcpNet.js";
+import { TcpLink } from "../link/tcpLink.js";
 import { Wire } from "./wire.js";
 
 async function freeAddress(): Promise<string> {
@@ -36,11 +38,82 @@
     expect(net.garbled).toEqual(wrongs.length);
 
     const sender = new TcpNet(await freeAddress(), new LogRing("test", () => undefined));
-    const came = new Promise<Uint8Array>((resolve) => net.onFrame(resolve));
+    const came = new Promise<Frame>((resolve) => net.onFrame(resolve));
     sender.send(address, Wire.encode({ id: 1, from: "a", body: { case: "ping", value: { about: "hello" } } }));
-    const frame = Wire.decode(await came);
-    expect(frame?.from).toEqual("a");
+    expect((await came).from).toEqual("a");
     sender.close();
     net.close();
   },
 );
+
+const pair = async (): Promise<{ sender: TcpNet; receiver: TcpNet; frames: Frame[] }> => {
+  const [sender, receiver] = await Promise.all(
+    [0, 1].map(async () => new TcpNet(await freeAddress(), new LogRing("test", () => undefined))),
+  );
+  await receiver!.listen();
+  const frames: Frame[] = [];
+  receiver!.onFrame((frame) => void frames.push(frame));
+  return { sender: sender!, receiver: receiver!, frames };
+};
+const ping = (about: string, more: object = {}): Uint8Array =>
+  Wire.encode({
+    id: 7,
+    from: "a",
+    to: "b",
+    fromAddress: "10.0.0.1:1",
+    body: { case: "ping", value: { about } },
+    ...more,
+  });
+const arrived = async (frames: Frame[], count: number): Promise<void> => {
+  while (frames.length < count) await new Promise((resolve) => setImmediate(resolve));
+};
+
+test("who sends to whom is said once a connection, and restored in every frame, also around relayed ones", async () => {
+  const { sender, receiver, frames } = await pair();
+  const sent = [
+    ping("1"),
+    ping("2"),
+    ping("3", { from: "c", fromAddress: "10.0.0.3:1", hops: 1 }),
+    ping("4", { id: 0 }),
+    ping("5", { to: "" }),
+    ping("6", { to: "", isReceipt: true }),
+    ping("7", { from: "x".repeat(200) }),
+    ping("8"),
+    ping("9"),
+  ];
+  for (const bytes of sent) sender.send(receiver.address, bytes);
+  await arrived(frames, sent.length);
+  expect(frames).toEqual(sent.map((bytes) => Wire.decode(bytes)!));
+  sender.close();
+  receiver.close();
+});
+
+test("a connection whose other end reads nothing is closed, what waits for it is bounded, and it is said", async () => {
+  const server = createServer((socket) => void socket.pause());
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const address = `127.0.0.1:${(server.address() as { port: number }).port}`;
+  const sender = new TcpNet(await freeAddress(), new LogRing("test", () => undefined));
+  const lost = new Promise<string>((resolve) => sender.onLost(resolve));
+  const startedAt = performance.now();
+  for (let i = 0; i < 100; i += 1) sender.send(address, ping("x".repeat(1024 * 1024)));
+  expect(sender.waiting(address) <= TcpLink.mostWaiting).toEqual(true);
+  expect(await lost).toEqual(address);
+  const tookMs = performance.now() - startedAt;
+  expect([tookMs > 1500, tookMs < 4000, sender.isReachable(address)]).toEqual([true, true, false]);
+  sender.close();
+  server.close();
+});
+
+test("an address that nobody listens at is lost at once, and tried again after a pause", async () => {
+  const address = await freeAddress();
+  const sender = new TcpNet(await freeAddress(), new LogRing("test", () => undefined));
+  const lost = (): Promise<string> => new Promise((resolve) => sender.onLost(resolve));
+  for (let i = 0; i < 3; i += 1) {
+    const heard = lost();
+    sender.send(address, ping("anybody?"));
+    expect(await heard).toEqual(address);
+    expect(sender.isReachable(address)).toEqual(false);
+  }
+  sender.close();
+});
--- a/packages/chest/src/process/tcpNet.ts
+++ b/packages/chest/src/process/tcpNet.ts
@@ -1,10 +1,16 @@
 import { createServer, connect, type Server, type Socket } from "node:net";
+import type { Frame } from "../gen/cranetrack_pb.js";
 import type { LogRing } from "./logRing.js";
 import type { Net } from "./net.js";
 import { TcpLink } from "../link/tcpLink.js";
 
 /** Frames over held TCP connections: one outward link an address, as many inward as come. */
 export class TcpNet implements Net {
+  static readonly connectDue = 1000;
+  /** Pauses between tries to reach an address: the first, doubled with every failure, up to the longest. */
+  static readonly pauseMs = 40;
+  static readonly mostPauseMs = 500;
+
   readonly address: string;
   readonly #listen: string;
   readonly #server: Server;
@@ -12,8 +18,8 @@
   readonly #outward = new Map<string, TcpLink>();
   readonly #inward = new Set<TcpLink>();
   /** Invariant: an address is in here only while the latest try to reach it failed. */
-  readonly #unreachable = new Map<string, number>();
-  #take: (bytes: Uint8Array) => void = () => undefined;
+  readonly #unreachable = new Map<string, { tries: number; againAt: number }>();
+  #take: (frame: Frame) => void = () => undefined;
   #lost: (address: string) => void = () => undefined;
   /** Garbled connections closed since the start. */
   garbled = 0;
@@ -22,7 +28,8 @@
     this.address = address;
     this.#listen = listen;
     this.#log = log;
-    this.#server = createServer((socket) => this.#enrolInward(socket));
+    this.#server = createServer((socket) => this.#admit(socket));
+    this.#server.on("error", (fault) => this.#log.warn("the listening socket failed", { fault: fault.message }));
   }
 
   listen(): Promise<void> {
@@ -33,7 +40,7 @@
     });
   }
 
-  onFrame(take: (bytes: Uint8Array) => void): void {
+  onFrame(take: (frame: Frame) => void): void {
     this.#take = take;
   }
 
@@ -52,14 +59,19 @@
   send(address: string, bytes: Uint8Array): void {
     let link = this.#outward.get(address);
     if (link === undefined) {
-      const failedAt = this.#unreachable.get(address);
-      if (failedAt !== undefined && performance.now() - failedAt < 100)
+      const failed = this.#unreachable.get(address);
+      if (failed !== undefined && performance.now() < failed.againAt)
         return void setImmediate(() => this.#lost(address));
       link = this.#open(address);
     }
     link.send(bytes);
   }
 
+  /** Bytes that wait for an address. */
+  waiting(address: string): number {
+    return this.#outward.get(address)?.waiting ?? 0;
+  }
+
   close(): void {
     this.#server.close();
     for (const link of [...this.#outward.values(), ...this.#inward]) link.close();
@@ -73,9 +85,9 @@
   #open(address: string): TcpLink {
     const [host, port] = TcpNet.split(address);
     const socket = connect({ host, port, noDelay: true });
-    const link = new TcpLink(socket, (bytes) => this.#take(bytes));
+    const link = new TcpLink(socket, (frame) => this.#take(frame), true);
     this.#outward.set(address, link);
-    const giveUp = setTimeout(() => link.close(), 1000);
+    const giveUp = setTimeout(() => link.close(), TcpNet.connectDue);
     socket.once("connect", () => {
       clearTimeout(giveUp);
       this.#unreachable.delete(address);
@@ -85,15 +97,19 @@
       if (isGarbled) this.#count(address);
       if (this.#outward.get(address) !== link) return;
       this.#outward.delete(address);
-      this.#unreachable.set(address, performance.now());
+      const tries = (this.#unreachable.get(address)?.tries ?? 0) + 1;
+      const pause = Math.min(TcpNet.pauseMs * 2 ** (tries - 1), TcpNet.mostPauseMs) * (0.5 + Math.random());
+      this.#unreachable.set(address, { tries, againAt: performance.now() + pause });
       this.#lost(address);
     });
     return link;
   }
 
-  #enrolInward(socket: Socket): void {
+  #admit(socket: Socket): void {
     socket.setNoDelay(true);
-    const link = new TcpLink(socket, (bytes) => this.#take(bytes));
+    // An end that is gone without a word is noticed by the machine, sooner or later.
+    socket.setKeepAlive(true, 10_000);
+    const link = new TcpLink(socket, (frame) => this.#take(frame), false);
     this.#inward.add(link);
     link.onClose((isGarbled) => {
       this.#inward.delete(link);
--- a/packages/chest/src/process/wire.ts
+++ b/packages/chest/src/process/wire.ts
@@ -4,6 +4,11 @@
 
 export type Body = Frame["body"];
 export type BodyInit = NonNullable<MessageInitShape<typeof FrameSchema>["body"]>;
+/** Who says it to whom: the same for nearly all frames on a connection. */
+export type Envelope = Pick<Frame, "from" | "to" | "fromAddress">;
+
+/** Tags of a frame's first fields, in the order of their bytes. */
+const tags = { id: 0x09, isReceipt: 0x10, envelope: [0x1a, 0x22, 0x2a], hops: 0x30 } as const;
 
 /** The frames that processes send one another. */
 export const Wire = {
@@ -19,14 +24,36 @@
     return Seal.close(toBinary(FrameSchema, frame));
   },
 
-  decode(bytes: Uint8Array): Frame | undefined {
+  /** With the envelope of an earlier frame where the bytes have none of their own. */
+  decode(bytes: Uint8Array, envelope?: Envelope): Frame | undefined {
     const opened = Seal.open(bytes);
     if (opened === undefined) return undefined;
     try {
       const frame = fromBinary(FrameSchema, opened);
+      if (envelope !== undefined) ({ from: frame.from, to: frame.to, fromAddress: frame.fromAddress } = envelope);
       return frame.from === "" || frame.body.case === undefined ? undefined : frame;
     } catch {
       return undefined;
     }
   },
+
+  /** Where the envelope lies in the bytes of a frame; undefined for one that another node carries. */
+  envelopeIn(bytes: Uint8Array): [start: number, end: number] | undefined {
+    let at = 4;
+    if (bytes[at] === tags.id) at += 9;
+    if (bytes[at] === tags.isReceipt) at += 2;
+    const start = at;
+    for (const tag of tags.envelope) {
+      if (bytes[at] !== tag) continue;
+      const length = bytes[at + 1]!;
+      if (length > 127) return undefined;
+      at += 2 + length;
+    }
+    return at === start || at >= bytes.length || bytes[at] === tags.hops ? undefined : [start, at];
+  },
+
+  /** A frame's bytes without the envelope. */
+  shorten(bytes: Uint8Array, [start, end]: [number, number]): Uint8Array {
+    return Seal.close(bytes.subarray(4, start), bytes.subarray(end));
+  },
 };
--- a/packages/jig/src/process/sim/simNet.ts
+++ b/packages/jig/src/process/sim/simNet.ts
@@ -1,10 +1,12 @@
+import type { Frame } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import type { Net } from "@cranetrack/chest/process/net.js";
+import { Wire } from "@cranetrack/chest/process/wire.js";
 import type { SimBody } from "./simClock.js";
 import type { SimWorld } from "./simWorld.js";
 
 interface Port {
   body: SimBody;
-  take: (bytes: Uint8Array) => void;
+  take: (frame: Frame) => void;
   lost: (address: string) => void;
   unreachable: Set<string>;
 }
@@ -112,6 +114,7 @@
       return void this.#world.at(port.body.pausedUntil, () => this.#arrive(key, to, bytes));
     this.#world.mark(`${this.#world.now} ${key} `);
     this.#world.mark(bytes);
-    port.take(bytes);
+    const frame = Wire.decode(bytes);
+    if (frame !== undefined) port.take(frame);
   }
 }
