--- a/packages/chest/src/process/settings.ts
+++ b/packages/chest/src/process/settings.ts
@@ -16,14 +16,13 @@
   /** Without it the program has no HTTP front of its own. */
   "http?": address,
   seeds: address.array().atLeastLength(1).atMostLength(9),
+  /** Addresses of the lathes that found the store, all of them together; without them any `lathes` blank ones do. */
+  "founders?": address.array().atLeastLength(1).atMostLength(9),
+  /** False: never founds a store; joins one, or goes on with what its disk has. */
+  mayFound: "boolean = true",
   lathes: "1 <= number.integer <= 9",
-  /** A lathe that also stores topic logs as a storage machine. */
-  "stores?": "boolean",
-  /** The addresses that found the store at the first start; without them, the expected lathes do. */
-  "founders?": address.array().atMostLength(9),
-  "mayFound?": "boolean",
-  /** How many of the lathes vote. */
-  "voters?": "1 <= number.integer <= 9",
+  /** A lathe that also keeps topic logs as a full storage machine. */
+  stores: "boolean = false",
   shards: "1 <= number.integer <= 256 = 32",
   "data?": "string > 0",
   /** How the data folder is kept, and the room in it. The journal also survives torn writes of any kind. */
@@ -49,6 +48,7 @@
     const problems: string[] = [];
     if (checked.role !== "vise" && checked.data === undefined)
       problems.push(`data: a ${checked.role} needs a data folder`);
+    if (checked.stores && checked.role !== "lathe") problems.push("stores: is for lathes only");
     for (const key of ["address", "http"] as const)
       if (Number(checked[key]?.split(":").at(-1) ?? 0) > 65535) problems.push(`${key}: the port is above 65535`);
     if (checked.address === checked.http) problems.push("http: must differ from address");
--- a/packages/jig/src/mark/deployments.ts
+++ b/packages/jig/src/mark/deployments.ts
@@ -1,9 +1,12 @@
+import type { Settings } from "@cranetrack/chest/process/settings.js";
 import type { Plan } from "@cranetrack/chest/mark/plan.js";
 
 export interface Machine {
   name: string;
   role: "lathe" | "anvil" | "vise";
   zone: string;
+  /** Settings of its own. */
+  settings?: Partial<Settings>;
 }
 export interface Deployment {
   name: string;
@@ -76,7 +79,7 @@
               when: {},
               owe: {
                 keep: 300,
-                order: "one",
+                order: "space",
                 fault_budget: { machines: 1, zones: 1 },
                 publishers: senders,
                 maxBytes: 8192,
--- a/packages/jig/src/process/sim/simNode.ts
+++ b/packages/jig/src/process/sim/simNode.ts
@@ -1,3 +1,5 @@
+// Loaded before the world runs: what a node loads late would take real time there.
+import "@cranetrack/chest/mark/planSchema.js";
 import { Anvil } from "@cranetrack/anvil/process/anvil.js";
 import { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import { LogRing } from "@cranetrack/chest/process/logRing.js";
@@ -33,7 +35,7 @@
     const chance = world.chance.fork();
     const mounted = settings.role === "vise" ? undefined : new SealedDisk(disk.mount(this.body));
     const net = wires.attach(settings.address, this.body);
-    const prefixes = settings.role === "vise" ? ["plan", "shards/", "sessions/"] : ["plan", "shards/", "machines/"];
+    const prefixes = settings.role === "vise" ? ["plan", "shards/"] : ["plan", "shards/", "machines/"];
     this.node = new ClusterNode(
       { settings, clock: this.clock, net, disk: mounted, chance, log: this.log, incarnation },
       prefixes,
