--- a/packages/chest/src/process/settings.ts
+++ b/packages/chest/src/process/settings.ts
@@ -23,6 +23,8 @@
   lathes: "1 <= number.integer <= 9",
   /** A lathe that also keeps topic logs as a full storage machine. */
   stores: "boolean = false",
+  /** How many of the lathes vote. */
+  "voters?": "1 <= number.integer <= 9",
   shards: "1 <= number.integer <= 256 = 32",
   "data?": "string > 0",
   /** How the data folder is kept, and the room in it. The journal also survives torn writes of any kind. */
