--- a/packages/jig/src/process/sim/simNode.ts
+++ b/packages/jig/src/process/sim/simNode.ts
@@ -9,6 +9,7 @@
 import type { Settings } from "@cranetrack/chest/process/settings.js";
 import { Lathe } from "@cranetrack/lathe/process/lathe.js";
 import { Vise } from "@cranetrack/vise/process/vise.js";
+import { ViseCalls } from "@cranetrack/vise/process/viseCalls.js";
 import { SimClock, type SimBody } from "./simClock.js";
 import type { SimDisk } from "./simDisk.js";
 import type { SimWires } from "./simNet.js";
@@ -24,6 +25,7 @@
   readonly lathe: Lathe | undefined;
   readonly anvil: Anvil | undefined;
   readonly vise: Vise | undefined;
+  readonly viseCalls: ViseCalls | undefined;
   readonly #closings = new Set<() => void>();
   /** Why it would not start, as a process would exit. */
   readonly fault: string | undefined;
@@ -45,6 +47,7 @@
       if (settings.role === "lathe") this.lathe = new Lathe(this.node, mounted!, this.router);
       else if (settings.role === "anvil") this.anvil = new Anvil(this.node, mounted!, false);
       else this.vise = new Vise(this.node, this.router);
+      if (this.vise !== undefined) this.viseCalls = new ViseCalls(this.vise, this.router);
       this.fault = this.lathe?.load() ?? this.anvil?.load();
     } catch (cause) {
       this.fault = (cause as Error).message;
--- a/packages/jig/src/process/sim/simPort.ts
+++ b/packages/jig/src/process/sim/simPort.ts
@@ -70,7 +70,7 @@
       (settle) => {
         forget = simNode.onFall(closeClient);
         void simNode
-          .vise!.link(session, Buffer.from(JSON.stringify(body)), () => {
+          .viseCalls!.link(session, Buffer.from(JSON.stringify(body)), () => {
             state.isOpen = true;
             settle({ close });
             return link;
--- a/packages/vise/src/process/vise.ts
+++ b/packages/vise/src/process/vise.ts
@@ -1,29 +1,17 @@
-import { type } from "arktype";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
 import { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
-import { Router, type ApiCall } from "@cranetrack/chest/process/router.js";
-import { Plans } from "@cranetrack/chest/mark/plan.js";
-import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
-import { BodyReader } from "@cranetrack/chest/request/bodyReader.js";
+import type { Router } from "@cranetrack/chest/process/router.js";
 import type { ClientLink } from "../link/clientLink.js";
 import { SubscriptionKey } from "../mark/subscriptionKey.js";
-import { enrolLink } from "../request/enrolLink.js";
-import { publishCall } from "../request/publishMessage.js";
-import { readOwner } from "../request/readOwner.js";
-import { subscribeTopics } from "../request/subscribeTopics.js";
-import { unsubscribeTopic } from "../request/unsubscribeTopic.js";
 import type { Session } from "./session.js";
 import { Sessions } from "./sessions.js";
 import { PlanCheck } from "./planCheck.js";
 import { StreamTable } from "./streamTable.js";
 import type { ViseParts } from "./viseParts.js";
 
-const subscriptionsBody = type({ "+": "reject", topic: "string", "after?": "string" });
-
 /** An edge: clients' links, their sessions, and the topics these need. Keeps nothing on disk. */
 export class Vise implements ViseParts {
-  static readonly linkPath = /^\/v1\/sessions\/([^/]+)\/link$/;
   static readonly outOfTouchMs = 3000;
 
   readonly node: ClusterNode;
@@ -48,13 +36,6 @@
     this.sessions = new Sessions(node, this.lease);
     this.streams = new StreamTable(node);
     this.planCheck = new PlanCheck(node.store);
-    router.on("POST", /^\/v1\/sessions\/([^/]+)\/messages$/, (call) => publishCall(this, call));
-    router.on("POST", /^\/v1\/sessions\/([^/]+)\/subscriptions$/, (call) =>
-      this.#onOwner(call, (session) => this.#subscribe(session, call.body)),
-    );
-    router.on("DELETE", /^\/v1\/sessions\/([^/]+)\/subscriptions\/(.+)$/, (call) =>
-      this.#onOwner(call, (session) => unsubscribeTopic(this, session, call.params[1]!)),
-    );
     node.plan.on("changed", () => this.#planChanged());
     clock.every(this.beatMs, () => this.#beat());
     clock.every(200_000, () => this.#renewSessions());
@@ -80,10 +61,6 @@
     this.lease.start();
   }
 
-  link(id: string, body: Uint8Array, open: () => ClientLink): Promise<ApiReceipt | undefined> {
-    return enrolLink(this, id, body, open);
-  }
-
   maySend(session: Session, link: ClientLink): boolean {
     if (!this.lease.isHeld || session.isStopped || session.link !== link) return false;
     if (link.waitingBytes <= this.live.bufferBytes) return true;
@@ -115,36 +92,6 @@
     return (near.length > 0 ? near : others).map(({ http }) => http);
   }
 
-  async #subscribe(session: Session, body: Uint8Array): Promise<ApiReceipt> {
-    const read = BodyReader.read(body, subscriptionsBody);
-    if ("receipt" in read) return read.receipt;
-    if (!Plans.isTopic(read.value.topic))
-      return ApiReceipts.fault(400, "malformed", "a topic is space/name", {
-        problems: [{ path: "topic", problem: "must be space/name" }],
-      });
-    if (session.link === undefined)
-      return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
-    const faults = await subscribeTopics(this, session, session.link, [read.value]);
-    const fault = faults?.[0];
-    if (faults === undefined) return ApiReceipts.away("the subscriptions could not be kept", 0.5);
-    if (fault === undefined) return ApiReceipts.done({ receipt: "subscribed", topic: read.value.topic });
-    if (fault.comeBack !== undefined) return ApiReceipts.away(fault.reason, fault.comeBack);
-    const status = fault.code === "unknown-topic" ? 404 : fault.code === "malformed-place" ? 400 : 409;
-    return ApiReceipts.fault(status, fault.code, fault.reason);
-  }
-
-  async #onOwner(call: ApiCall, act: (session: Session) => Promise<ApiReceipt>): Promise<ApiReceipt> {
-    const session = this.sessions.find(call.params[0]!);
-    if (session !== undefined) return act(session);
-    const owner = call.isPassed ? undefined : (await readOwner(this.node.store, call.params[0]!))?.owner;
-    if (owner === undefined || owner.node === "" || owner.node === this.node.exchange.name)
-      return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
-    return (
-      (await this.router.passTo(owner.node, call.method, call.path, call.body)) ??
-      ApiReceipts.unsure("the session's owner did not answer")
-    );
-  }
-
   #planChanged(): void {
     const { plan } = this.node.plan;
     for (const session of this.sessions.table.values())
--- /dev/null
+++ b/packages/vise/src/request/publishCall.ts
@@ -0,0 +1,56 @@
+import { type } from "arktype";
+import { Plans } from "@cranetrack/chest/mark/plan.js";
+import type { ApiCall } from "@cranetrack/chest/process/router.js";
+import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
+import { BodyReader } from "@cranetrack/chest/request/bodyReader.js";
+import type { ViseParts } from "../process/viseParts.js";
+import { publishMessage } from "./publishMessage.js";
+import { readOwner } from "./readOwner.js";
+
+const messageBody = type({
+  "+": "reject",
+  topic: "string",
+  number: "1 <= number.integer <= 9007199254740991",
+  payload: "string",
+});
+const statuses: Record<string, number> = {
+  malformed: 400,
+  "unknown-topic": 404,
+  "not-a-publisher": 403,
+  "too-large": 413,
+};
+
+/** A publish over HTTP, from its body to its receipt. */
+export async function publishCall(vise: ViseParts, call: ApiCall): Promise<ApiReceipt> {
+  const read = BodyReader.read(call.body, messageBody);
+  if ("receipt" in read) return read.receipt;
+  const { topic, number, payload } = read.value;
+  if (!Plans.isTopic(topic))
+    return ApiReceipts.fault(400, "malformed", "a topic is space/name", {
+      problems: [{ path: "topic", problem: "must be space/name" }],
+    });
+  const session = vise.sessions.find(call.params[0]!);
+  if (session === undefined) return passOn(vise, call.params[0]!, call);
+  const answer = await publishMessage(vise, session, topic, number, payload);
+  switch (answer.outcome) {
+    case "accepted":
+      return ApiReceipts.done({ receipt: "accepted", topic, number, place: answer.place });
+    case "refused":
+      return ApiReceipts.fault(statuses[answer.code] ?? 409, answer.code, answer.reason, {
+        details: { receipt: "refused" },
+      });
+    case "unsure":
+      return ApiReceipts.unsure(answer.reason, answer.comeBack);
+    default:
+      return ApiReceipts.away(answer.reason, answer.comeBack, answer.code ?? "unavailable");
+  }
+}
+
+/** The call came in at a node that does not own the session. */
+async function passOn(vise: ViseParts, id: string, call: ApiCall): Promise<ApiReceipt> {
+  const owner = call.isPassed ? undefined : (await readOwner(vise.node.store, id))?.owner;
+  if (owner === undefined || owner.node === "" || owner.node === vise.node.exchange.name)
+    return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
+  const receipt = await vise.router.passTo(owner.node, "POST", call.path, call.body, vise.publishDue + 300);
+  return receipt ?? ApiReceipts.unsure("the session's owner did not answer; the same number again settles it");
+}
--- a/packages/vise/src/vise.ts
+++ b/packages/vise/src/vise.ts
@@ -2,9 +2,11 @@
 import { Program } from "@cranetrack/chest/process/program.js";
 import { HttpLink } from "./link/httpLink.js";
 import { Vise } from "./process/vise.js";
+import { ViseCalls } from "./process/viseCalls.js";
 
 await new Program("vise", ["plan", "shards/"], ({ node, router }) => {
   const vise = new Vise(node, router);
+  const calls = new ViseCalls(vise, router);
   return {
     load: () => undefined,
     start: () => vise.start(),
@@ -13,9 +15,9 @@
     status: () => vise.status(),
     take: ({ mostLinks, bufferBytes }) => Object.assign(vise.live, { mostLinks, bufferBytes }),
     stream: {
-      pattern: Vise.linkPath,
+      pattern: ViseCalls.linkPath,
       open: (path, body, reply) =>
-        vise.link(decodeURIComponent(Vise.linkPath.exec(path)![1]!), body, () => {
+        calls.link(decodeURIComponent(ViseCalls.linkPath.exec(path)![1]!), body, () => {
           reply.hijack();
           return new HttpLink(reply.raw);
         }),
