--- a/packages/chest/src/process/program.ts
+++ b/packages/chest/src/process/program.ts
@@ -18,9 +18,18 @@
     const { SettingsReader } = await import("./settings.js");
     const cli = cac(this.#role);
     cli.option("--settings <file>", "Settings file (JSON); flags win over it");
-    for (const key of ["name", "zone", "address", "listen", "http", "data", "log"])
+    for (const key of ["name", "zone", "region", "address", "listen", "http", "data", "disk", "log"])
       cli.option(`--${key} <value>`, `Setting ${key}`);
-    for (const key of ["lathes", "shards", "edgeLeaseMs", "holderLeaseMs", "electionMs", "mostLinks", "bufferBytes"])
+    for (const key of [
+      "lathes",
+      "shards",
+      "edgeLeaseMs",
+      "holderLeaseMs",
+      "electionMs",
+      "mostLinks",
+      "bufferBytes",
+      "diskMb",
+    ])
       cli.option(`--${key} <number>`, `Setting ${key}`);
     for (const key of ["seeds", "founders"])
       cli.option(`--${key} <list>`, `Setting ${key}: addresses parted by commas`);
--- a/packages/chest/src/process/programHost.ts
+++ b/packages/chest/src/process/programHost.ts
@@ -36,7 +36,7 @@
   path: string;
   read: () => SettingsRead;
 }
-type OpenDisk = Disk & { close(): Promise<void> };
+type OpenDisk = Disk & { close(): Promise<void>; readonly fault?: string };
 
 /** The thin part that all programs share, however they came by their settings: seams, fronts, signals. */
 export class ProgramHost {
@@ -92,7 +92,7 @@
     new NodeStatus(node, router, {
       garbled: () => net.garbled,
       settingsFault: () => watch?.fault ?? "",
-      more: () => built.status(),
+      more: () => ({ ...built.status(), dataFolder: disk?.fault ?? "" }),
       isReady: () => built.isReady(),
     });
     const fronts = [...(built.fronts ?? [])];
