The store takes many calls of one turn in one sync, one round and few frames

400 clients that come back at once make a read and a transaction each. Each call was a frame, an entry, a disk write and a look at every peer of its own, every change went to every feed, and each frame was decoded twice.

--- a/packages/chest/src/link/tcpLink.ts
+++ b/packages/chest/src/link/tcpLink.ts
@@ -1,4 +1,5 @@
 import type { Socket } from "node:net";
+import { Seal } from "../process/seal.js";
 import { Wire } from "../process/wire.js";
 
 /** One TCP connection carrying frames, each behind its length in four bytes. */
@@ -62,7 +63,8 @@
       const rest = whole.subarray(4 + length);
       this.#chunks = rest.length > 0 ? [rest] : [];
       this.#size = rest.length;
-      if (Wire.decode(frame) === undefined) return this.#garble();
+      // Foreign bytes have no right checksum; what a frame says is read once, by whoever takes it.
+      if (Seal.open(frame) === undefined) return this.#garble();
       this.#take(frame);
     }
   }
--- a/packages/chest/src/process/clock.ts
+++ b/packages/chest/src/process/clock.ts
@@ -9,6 +9,7 @@
  */
 export interface Clock {
   now(): number;
+  /** After no time: once what came in together has been taken. */
   once(ms: number, ring: () => void): Beat;
   every(ms: number, ring: () => void): Beat;
 }
--- a/packages/chest/src/process/feedFollower.ts
+++ b/packages/chest/src/process/feedFollower.ts
@@ -87,13 +87,13 @@
   }
 
   #open(): void {
-    const inStore = this.#membership.alive("lathe").filter((member) => member.isInStore);
-    const lathes = inStore.map((member) => member.name);
+    const lathes = this.#membership.alive("lathe").filter((member) => member.isInStore);
     const lively = lathes.filter(
-      (name) =>
+      ({ name }) =>
         name !== this.#lathe && !this.#exchange.isMute(name) && this.#membership.ageOf(name) < FeedFollower.livelyMs,
     );
-    const ranked = Rendezvous.rank(this.#exchange.name, lively.length > 0 ? lively : lathes);
+    const { zone } = this.#membership.self;
+    const ranked = Rendezvous.nearest(this.#exchange.name, zone, lively.length > 0 ? lively : lathes);
     const lathe = ranked[this.#opens % Math.max(1, ranked.length)];
     if (lathe === undefined) return;
     this.#opens += 1;
--- a/packages/chest/src/process/hostClock.ts
+++ b/packages/chest/src/process/hostClock.ts
@@ -6,6 +6,10 @@
   }
 
   once(ms: number, ring: () => void): Beat {
+    if (ms <= 0) {
+      const turn = setImmediate(ring);
+      return { stop: () => clearImmediate(turn) };
+    }
     const beat = setTimeout(ring, ms);
     return { stop: () => clearTimeout(beat) };
   }
--- a/packages/chest/src/process/rendezvous.ts
+++ b/packages/chest/src/process/rendezvous.ts
@@ -13,6 +13,18 @@
     return weighed.map((one) => one.name);
   },
 
+  /** Names by rank, but those of one's own zone first: what stays in a zone is quick and costs little. */
+  nearest(key: string, zone: string, nodes: ReadonlyArray<{ name: string; zone: string }>): string[] {
+    const near = nodes.filter((node) => node.zone === zone);
+    const far = nodes.filter((node) => node.zone !== zone);
+    return [near, far].flatMap((some) =>
+      Rendezvous.rank(
+        key,
+        some.map((node) => node.name),
+      ),
+    );
+  },
+
   /** As many names as asked, best first, and from different zones as far as there are any. */
   spread(key: string, nodes: ReadonlyArray<{ name: string; zone: string }>, count: number): string[] {
     const zones = new Map(nodes.map((node) => [node.name, node.zone]));
--- a/packages/chest/src/process/storeClient.ts
+++ b/packages/chest/src/process/storeClient.ts
@@ -11,10 +11,16 @@
   Pick<StoreReceipt, "revision" | "kvs" | "comeBack" | "reason" | "feeds" | "proposer">
 >;
 
+interface Asked {
+  call: StoreChange;
+  settle: (receipt: StoreReceipt | undefined) => void;
+}
+
 /** Calls on the metadata store. Any lathe takes any call and passes it on. */
 export class StoreClient {
   /** How long one lathe gets for a call that may as well be made twice; longer for what another might undo. */
   static readonly readMs = 300;
+  static readonly mostBatch = 200;
   static readonly waitMs = 200;
   static readonly tryMs: Readonly<Record<string, number>> = { txn: 700, renew: 800 };
 
@@ -26,6 +32,8 @@
   /** Calls under way, and since when: a lathe that keeps one waiting is not given the next. */
   readonly #open = new Map<number, { name: string; at: number }>();
   #lastCall = 0;
+  /** What is to be asked of a lathe at the end of this turn: one frame for all calls of a kind. */
+  readonly #batches = new Map<string, Asked[]>();
 
   constructor(exchange: Exchange, membership: Membership, clock: Clock) {
     this.#exchange = exchange;
@@ -50,31 +58,55 @@
       if (left <= 20) break;
       const id = ++this.#lastCall;
       this.#open.set(id, { name, at: this.#clock.now() });
-      const body = await this.#exchange.call(
+      const receipt = await this.#ask(
         name,
-        { case: "storeCall", value: { call } },
+        call,
         Math.min(left, StoreClient.tryMs[call.case ?? "read"] ?? StoreClient.readMs),
       );
       this.#open.delete(id);
-      if (body?.case === "storeReceipt" && body.value.outcome !== "away") {
+      if (receipt !== undefined && receipt.outcome !== "away") {
         this.#favourite = name;
-        return body.value;
+        return receipt;
       }
-      if (body === undefined) isSent = true;
-      if (body === undefined && call.case === "txn") return { outcome: "unsure", comeBack: 0.5 };
+      if (receipt === undefined) isSent = true;
+      if (receipt === undefined && call.case === "txn") return { outcome: "unsure", comeBack: 0.5 };
     }
     return { outcome: isSent ? "unsure" : "away", comeBack: 1, reason: "no majority of lathes answers" };
   }
 
+  #ask(name: string, call: StoreChange, due: number): Promise<StoreReceipt | undefined> {
+    const key = `${name} ${call.case} ${due}`;
+    const batch = this.#batches.get(key) ?? [];
+    if (batch.length === 0)
+      this.#clock.once(0, () => {
+        if (this.#batches.get(key) === batch) this.#batches.delete(key);
+        void this.#send(name, batch, due);
+      });
+    if (batch.length < StoreClient.mostBatch) this.#batches.set(key, batch);
+    else this.#batches.delete(key);
+    return new Promise((resolve) => batch.push({ call, settle: resolve }));
+  }
+
+  async #send(name: string, batch: readonly Asked[], due: number): Promise<void> {
+    const calls = batch.map(({ call }) => ({ call }));
+    const body = await this.#exchange.call(
+      name,
+      calls.length === 1 ? { case: "storeCall", value: calls[0]! } : { case: "storeBatch", value: { calls } },
+      due,
+    );
+    if (body?.case === "storeReceipt") return batch[0]!.settle(body.value);
+    const receipts = body?.case === "storeBatchReceipt" ? body.value.receipts : [];
+    batch.forEach(({ settle }, i) => settle(receipts[i]));
+  }
+
   #order(): string[] {
     const lathes = this.#membership
       .all()
-      .filter((member) => member.role === "lathe" && member.isInStore && member.state === "up")
-      .map((member) => member.name);
+      .filter((member) => member.role === "lathe" && member.isInStore && member.state === "up");
     const waiting = [...this.#open.values()].filter(({ at }) => this.#clock.now() - at > StoreClient.waitMs);
     const isBad = (name: string): boolean =>
       !this.#membership.isAlive(name) || this.#exchange.isMute(name) || waiting.some((one) => one.name === name);
-    const ranked = Rendezvous.rank(this.#exchange.name, lathes);
+    const ranked = Rendezvous.nearest(this.#exchange.name, this.#membership.self.zone, lathes);
     const good = ranked.filter((name) => !isBad(name));
     const first = good.includes(this.#favourite) ? [this.#favourite] : [];
     return [...new Set([...first, ...good, ...ranked])];
--- a/packages/jig/src/mark/sabotages.ts
+++ b/packages/jig/src/mark/sabotages.ts
@@ -127,7 +127,7 @@
   {
     name: "reads do not ask whether another proposes",
     file: "lathe/dist/process/ledger.js",
-    find: "return (await this.#spread.confirm()) && this.isProposer;",
+    find: "return (await this.#proposals.confirm()) && this.isProposer;",
     put: "return true;",
     test: `${sim}/store.test.js`,
   },
--- a/packages/lathe/src/mark/metadata.ts
+++ b/packages/lathe/src/mark/metadata.ts
@@ -97,16 +97,19 @@
     for (const key of txn.deletes) this.#remove(key, index, changes);
     for (const kv of this.#withBirths(txn.puts)) {
       this.#leases.get(this.#keys.get(kv.key)?.lease ?? "")?.keys.delete(kv.key);
-      const fresh = create(KvSchema, { key: kv.key, value: kv.value, lease: kv.lease, revision: index });
-      this.#keys.set(kv.key, fresh);
+      kv.revision = index;
+      kv.isGone = false;
+      kv.leaseLeft = 0;
+      this.#keys.set(kv.key, kv);
       this.#leases.get(kv.lease)?.keys.add(kv.key);
-      changes.push(fresh);
+      changes.push(kv);
     }
     return { outcome: "done", revision: index, kvs: [], changes };
   }
 
   /** A plan is kept with its spaces' births, which follow from the plan before it and from nothing else. */
-  #withBirths(puts: readonly Kv[]): Kv[] {
+  #withBirths(puts: readonly Kv[]): readonly Kv[] {
+    if (!puts.some((kv) => kv.key === PlanKey.name)) return puts;
     return puts.flatMap((kv) => {
       const outline = kv.key === PlanKey.name ? PlanKey.outline(kv.value) : undefined;
       if (outline === undefined) return [kv];
--- a/packages/lathe/src/process/feeds.ts
+++ b/packages/lathe/src/process/feeds.ts
@@ -16,6 +16,8 @@
   /** Revision the node has acknowledged, and the one told last. */
   acked: number;
   told: number;
+  /** Revision up to which nothing that the node follows has changed since. */
+  idleTo: number;
   number: number;
   ackedNumber: number;
   toldAt: number;
@@ -40,6 +42,7 @@
   /** Invariant: every change after `#since`, in order. */
   #changes: Kv[] = [];
   #since: number;
+  #isTurnDue = false;
 
   constructor(node: ClusterNode, ledger: Ledger, isConfirmed: () => Promise<boolean>) {
     this.#node = node;
@@ -75,8 +78,13 @@
       const cut = this.#changes.splice(0, this.#changes.length - Feeds.mostChanges / 2);
       this.#since = cut.at(-1)!.revision;
     }
-    if (changes.length > 0)
-      for (const feed of this.#feeds.values()) if (feed.number === feed.ackedNumber) this.#tell(feed);
+    if (changes.length === 0 || this.#isTurnDue) return;
+    this.#isTurnDue = true;
+    this.#node.parts.clock.once(0, () => {
+      this.#isTurnDue = false;
+      for (const feed of this.#feeds.values())
+        if (feed.number === feed.ackedNumber && this.#isOwed(feed)) this.#tell(feed);
+    });
   }
 
   async #open(open: FeedOpen): Promise<undefined> {
@@ -88,6 +96,7 @@
       prefixes: open.prefixes,
       acked: open.revision,
       told: open.revision,
+      idleTo: 0,
       number: 0,
       ackedNumber: 0,
       toldAt: -Infinity,
@@ -115,7 +124,7 @@
     if (ack.number !== feed.number) return undefined;
     feed.ackedNumber = ack.number;
     feed.told = feed.acked = ack.revision;
-    if (feed.isReady && this.#changes.length > 0 && this.#changes.at(-1)!.revision > feed.told) this.#tell(feed);
+    if (this.#isOwed(feed)) this.#tell(feed);
     return undefined;
   }
 
@@ -147,10 +156,9 @@
     feed.toldAt = this.#node.parts.clock.now();
     const from = feed.told;
     const isPicture = from === 0 || from < this.#since;
-    const isWanted = (kv: Kv): boolean => feed.prefixes.some((prefix) => kv.key.startsWith(prefix));
     const kvs = isPicture
       ? feed.prefixes.flatMap((prefix) => this.#ledger.metadata.range(prefix))
-      : this.#after(from).filter(isWanted);
+      : this.#after(from).filter((kv) => Feeds.#isFollowed(feed, kv));
     feed.told = this.#ledger.metadata.revision;
     this.#node.exchange.tell(feed.name, {
       case: "feedPush",
@@ -158,6 +166,20 @@
     });
   }
 
+  /** Whether something that the node follows has changed; for the rest the next beat will do. */
+  #isOwed(feed: Feed): boolean {
+    if (!feed.isReady || feed.told >= this.#ledger.metadata.revision) return false;
+    if (feed.told < this.#since) return true;
+    const looked = Math.max(feed.told, feed.idleTo);
+    if (this.#after(looked).some((kv) => Feeds.#isFollowed(feed, kv))) return true;
+    feed.idleTo = this.#ledger.metadata.revision;
+    return false;
+  }
+
+  static #isFollowed(feed: Feed, kv: Kv): boolean {
+    return feed.prefixes.some((prefix) => kv.key.startsWith(prefix));
+  }
+
   #after(revision: number): Kv[] {
     let first = this.#changes.length;
     while (first > 0 && this.#changes[first - 1]!.revision > revision) first -= 1;
--- a/packages/lathe/src/process/ledger.ts
+++ b/packages/lathe/src/process/ledger.ts
@@ -1,7 +1,6 @@
 import { EventEmitter } from "node:events";
 import { create, toBinary } from "@bufbuild/protobuf";
 import {
-  EntrySchema,
   MembersSchema,
   type LatheMember,
   type Members,
@@ -22,10 +21,9 @@
 import { MemberLog } from "../mark/memberLog.js";
 import { Metadata, type Applied } from "../mark/metadata.js";
 import type { LedgerParts } from "./ledgerParts.js";
+import { Proposals } from "./proposals.js";
 import { SlowWatch } from "./slowWatch.js";
 
-type Pending = { term: number; settle: (applied: Applied | undefined) => void };
-
 /**
  * One lathe's part in the replicated log, by Raft's rules. Which lathe proposes changes with every
  * election and has no lasting meaning.
@@ -54,7 +52,7 @@
   readonly #chance: Chance;
   readonly #ring: LogRing;
   readonly #intake: Intake;
-  readonly #pending = new Map<number, Pending>();
+  readonly #proposals: Proposals;
   readonly #memberLog: MemberLog;
   #spread: Spread | undefined;
   #commit: number;
@@ -84,6 +82,7 @@
     this.#ring = parts.ring;
     this.#heardAt = parts.clock.now();
     this.#commit = this.#applied = this.#log.baseIndex;
+    this.#proposals = new Proposals(this.#log, this.#clock);
     this.#memberLog = new MemberLog(this.#log);
     if (this.#log.baseIndex > 0) this.#memberLog.installed(this.metadata.install(this.#log.picture));
     this.#intake = new Intake(
@@ -143,22 +142,15 @@
 
   /** Undefined: not the proposer any more; the command may or may not be carried out. */
   propose(data: Uint8Array, kind: number = entryKind.command): Promise<Applied | undefined> {
-    const spread = this.#spread;
-    if (spread === undefined) return Promise.resolve(undefined);
-    const entry = create(EntrySchema, { index: this.#log.lastIndex + 1, term: this.#log.term, kind, data });
-    const settled = new Promise<Applied | undefined>((resolve) =>
-      this.#pending.set(entry.index, { term: entry.term, settle: resolve }),
-    );
-    void this.#log.append([entry]).then(() => this.#spread?.kick());
+    const settled = this.#proposals.propose(data, kind);
     if (kind === entryKind.members) this.#findMembers();
-    spread.kick();
     return settled;
   }
 
   /** True once this lathe is known to have proposed after the call began, and has applied all before it. */
   async confirm(): Promise<boolean> {
     if (!this.isProposer) return false;
-    return (await this.#spread!.confirm()) && this.isProposer;
+    return (await this.#proposals.confirm()) && this.isProposer;
   }
 
   matchOf(id: string): { behind: number; heardAgo: number } {
@@ -307,6 +299,7 @@
       send: (id, body) => this.#exchange.tell(names().get(id) ?? "", body),
     });
     this.#spread = spread;
+    this.#proposals.begin(spread);
     this.#slowWatch.begin(this.#clock.now());
     spread.on("committed", (index) => this.#advance(index));
     spread.on("deposed", (term) => {
@@ -345,10 +338,7 @@
     this.#spread = undefined;
     this.#proposer = "";
     this.#rearm();
-    for (const [index, pending] of [...this.#pending]) {
-      this.#pending.delete(index);
-      pending.settle(undefined);
-    }
+    this.#proposals.end();
     this.emit("deposed");
   }
 
@@ -363,9 +353,7 @@
         ? this.metadata.apply(entry.index, entry.data)
         : { outcome: "done", revision: entry.index, kvs: [], changes: [] };
       if (!isCommand) this.metadata.revision = entry.index;
-      const pending = this.#pending.get(entry.index);
-      this.#pending.delete(entry.index);
-      pending?.settle(pending.term === entry.term ? applied : undefined);
+      this.#proposals.applied(entry, applied);
       this.emit("applied", applied);
     }
     if (!wasProposer && this.isProposer) this.emit("elected");
--- a/packages/lathe/src/process/storeDesk.ts
+++ b/packages/lathe/src/process/storeDesk.ts
@@ -41,12 +41,16 @@
       case: "storeReceipt",
       value: await this.run(call),
     }));
+    node.exchange.serve("storeBatch", async ({ calls }): Promise<BodyInit> => ({
+      case: "storeBatchReceipt",
+      value: { receipts: await this.#runAll(calls) },
+    }));
     node.parts.clock.every(300, () => this.#tendMembers());
   }
 
   async run(call: StoreCall): Promise<Outcome> {
     if (call.call.case === "feeds") return { outcome: "done", feeds: this.#feeds.states() };
-    if (!this.#ledger.isProposer) return this.#pass(call);
+    if (!this.#ledger.isProposer) return (await this.#pass([call]))[0]!;
     switch (call.call.case) {
       case "txn":
       case "grant":
@@ -73,6 +77,11 @@
     }
   }
 
+  /** Calls of one kind, made in one turn somewhere: passed on in one frame. */
+  #runAll(calls: StoreCall[]): Promise<Outcome[]> {
+    return this.#ledger.isProposer ? Promise.all(calls.map((call) => this.run(call))) : this.#pass(calls);
+  }
+
   get feeds(): FeedState[] {
     return this.#feeds.states();
   }
@@ -91,21 +100,23 @@
     };
   }
 
-  async #pass(call: StoreCall): Promise<Outcome> {
+  async #pass(calls: StoreCall[]): Promise<Outcome[]> {
+    const all = (outcome: Outcome): Outcome[] => calls.map(() => outcome);
     const proposer = this.#ledger.proposerName;
-    if (call.isPassed || proposer === "" || proposer === this.#node.exchange.name)
-      return { outcome: "away", comeBack: 1, reason: "no proposer is known" };
-    const isChange = call.call.case === "txn" || call.call.case === "grant" || call.call.case === "revoke";
+    if (calls.some((call) => call.isPassed) || proposer === "" || proposer === this.#node.exchange.name)
+      return all({ outcome: "away", comeBack: 1, reason: "no proposer is known" });
+    const kinds = new Set(calls.map((call) => call.call.case));
+    const isChange = kinds.has("txn") || kinds.has("grant") || kinds.has("revoke");
     const passed = this.#node.exchange.call(
       proposer,
-      { case: "storeCall", value: { call: call.call, isPassed: true } },
-      call.call.case === "renew" ? 800 : 450,
+      { case: "storeBatch", value: { calls: calls.map(({ call }) => ({ call, isPassed: true })) } },
+      kinds.has("renew") ? 800 : 450,
     );
     // What changes nothing may as well be asked of the next proposer, once there is one.
     const body = await (isChange ? passed : Promise.race([passed, this.#nextLed()]));
-    if (body === "led") return this.#pass(call);
-    if (body?.case === "storeReceipt") return body.value;
-    return isChange ? { outcome: "unsure", comeBack: 0.5 } : { outcome: "away", comeBack: 0.5 };
+    if (body === "led") return this.#runAll(calls);
+    if (body?.case === "storeBatchReceipt" && body.value.receipts.length === calls.length) return body.value.receipts;
+    return all(isChange ? { outcome: "unsure", comeBack: 0.5 } : { outcome: "away", comeBack: 0.5 });
   }
 
   #nextLed(): Promise<"led"> {
