Lathes beyond the voters stand by and replace a lost one; fewer renewals and beats

A site with more lathes than should vote had them all in the log, and a voter lost for good stayed one until its machine came back. A learner also became a voter before it had answered once, which with another loss cost the majority (found by the test of two losses). Renewals are 4 a lease instead of 6, feeds beat every 500 ms instead of 250; a node is stale after 1.45 s and asks another lathe after 1 s of silence.

--- a/packages/chest/src/process/feedFollower.ts
+++ b/packages/chest/src/process/feedFollower.ts
@@ -18,7 +18,9 @@
  * Invariants: `revision` only rises; a push is applied only in its number's turn.
  */
 export class FeedFollower extends EventEmitter<{ first: [] }> {
-  static readonly staleMs = 1200;
+  static readonly staleMs = 1450;
+  /** Two beats without a word: another lathe is asked before what this node knows is stale. */
+  static readonly silentMs = 1000;
   /** A first picture may take this long; asking elsewhere sooner only makes it later. What follows is short. */
   static readonly openMs = 2500;
   static readonly reopenMs = 1000;
@@ -79,7 +81,7 @@
     this.#open();
     this.#clock.every(200, () => {
       if (
-        this.age > FeedFollower.staleMs &&
+        this.age > FeedFollower.silentMs &&
         this.#clock.now() - this.#openedAt > (this.revision === 0 ? FeedFollower.openMs : FeedFollower.reopenMs)
       )
         this.#open();
--- a/packages/chest/src/process/leaseKeeper.ts
+++ b/packages/chest/src/process/leaseKeeper.ts
@@ -9,6 +9,8 @@
  */
 export class LeaseKeeper extends EventEmitter<{ held: [lease: string]; lost: [lease: string] }> {
   static readonly againMs = 60;
+  /** Renewals sent in a lease's length: three may go unanswered, and the fourth still comes before the end. */
+  static readonly renewals = 4;
 
   readonly #store: Pick<StoreClient, "call">;
   readonly #clock: Clock;
@@ -42,7 +44,7 @@
 
   start(): void {
     void this.#renew();
-    this.#clock.every(this.#length / 6, () => void this.#renew());
+    this.#clock.every(this.#length / LeaseKeeper.renewals, () => void this.#renew());
   }
 
   async end(): Promise<void> {
--- a/packages/chest/src/process/program.ts
+++ b/packages/chest/src/process/program.ts
@@ -49,7 +49,17 @@
     cli.option("--settings <file>", "Settings file (JSON); flags win over it");
     for (const key of ["name", "zone", "address", "listen", "http", "data", "log"])
       cli.option(`--${key} <value>`, `Setting ${key}`);
-    for (const key of ["lathes", "shards", "edgeLeaseMs", "holderLeaseMs", "electionMs", "mostLinks", "bufferBytes"])
+    for (const key of [
+      "lathes",
+      "shards",
+      "voters",
+      "replaceVoterMs",
+      "edgeLeaseMs",
+      "holderLeaseMs",
+      "electionMs",
+      "mostLinks",
+      "bufferBytes",
+    ])
       cli.option(`--${key} <number>`, `Setting ${key}`);
     for (const key of ["seeds", "founders"])
       cli.option(`--${key} <list>`, `Setting ${key}: addresses parted by commas`);
--- a/packages/chest/src/process/settings.test.ts
+++ b/packages/chest/src/process/settings.test.ts
@@ -31,6 +31,14 @@
   for (const key of Object.keys(good)) expect(problemsOf({ ...good, [key]: undefined }).length > 0).toEqual(true);
 });
 
+test("as many lathes vote as found the store, named or not, where the settings do not say otherwise", () => {
+  const voters = (more: object): number =>
+    (SettingsReader.check({ ...good, ...more }) as { settings: Settings }).settings.voters;
+  const founders = ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:5"];
+  expect([voters({}), voters({ founders }), voters({ founders, voters: 1 })]).toEqual([3, 5, 1]);
+  expect(problemsOf({ ...good, stores: true })).toEqual(["stores: is for lathes only"]);
+});
+
 test("a changed file is taken up, a bad one changes nothing and is said, and what needs a start is said", () => {
   const path = join(mkdtempSync(join(tmpdir(), "cranetrack-settings-")), "s.json");
   const write = (value: unknown): void =>
--- a/packages/chest/src/process/settings.ts
+++ b/packages/chest/src/process/settings.ts
@@ -18,6 +18,10 @@
   /** False: never founds a store; joins one, or goes on with what its disk has. */
   mayFound: "boolean = true",
   lathes: "1 <= number.integer <= 9",
+  /** How many lathes are members of the store; without it as many as found it. Others stand by. */
+  "voters?": "1 <= number.integer <= 9",
+  /** A member gone for longer is replaced by a lathe that stands by. */
+  replaceVoterMs: "1000 <= number.integer <= 3600000 = 10000",
   /** A lathe that also keeps topic logs as a full storage machine. */
   stores: "boolean = false",
   shards: "1 <= number.integer <= 256 = 32",
@@ -30,7 +34,7 @@
   bufferBytes: "1024 <= number.integer <= 67108864 = 1048576",
 });
 
-export type Settings = typeof settingsType.infer;
+export type Settings = typeof settingsType.infer & { voters: number };
 export type SettingsRead = { settings: Settings } | { problems: string[] };
 
 /** One file or flags; unknown keys are errors; every problem gets a line. */
@@ -42,6 +46,7 @@
     const checked = settingsType(value);
     if (checked instanceof type.errors)
       return { problems: [...checked].map((fault) => `${fault.path.join(".") || "settings"}: ${fault.message}`) };
+    const voters = checked.voters ?? checked.founders?.length ?? checked.lathes;
     const problems: string[] = [];
     if (checked.role !== "vise" && checked.data === undefined)
       problems.push(`data: a ${checked.role} needs a data folder`);
@@ -49,7 +54,7 @@
     for (const key of ["address", "http"] as const)
       if (Number(checked[key].split(":").at(-1)) > 65535) problems.push(`${key}: the port is above 65535`);
     if (checked.address === checked.http) problems.push("http: must differ from address");
-    return problems.length > 0 ? { problems } : { settings: checked };
+    return problems.length > 0 ? { problems } : { settings: { ...checked, voters } };
   },
 
   fromFile(path: string, flags: Record<string, unknown> = {}): SettingsRead {
--- a/packages/jig/src/process/sim/founding.test.ts
+++ b/packages/jig/src/process/sim/founding.test.ts
@@ -103,6 +103,72 @@
   expect(await fleet.until(() => fleet.find("lathe-4")!.lathe!.isReady, 4000)).toEqual(true);
 });
 
+/** Five lathes over three zones, of which three vote. */
+async function withStandbys(seed: number): Promise<SimFleet> {
+  const settings = { founders: addresses(3), replaceVoterMs: 3000, stores: true };
+  const fleet = new SimFleet(seed, withLathes(Array.from({ length: 5 }, () => settings)));
+  fleet.startAll();
+  expect(await fleet.until(() => voters(fleet).length === 3, 6000)).toEqual(true);
+  await fleet.run(3000);
+  expect(voters(fleet)).toEqual(["lathe-1", "lathe-2", "lathe-3"]);
+  return fleet;
+}
+const votes = (fleet: SimFleet, ...names: string[]): boolean => voters(fleet).join() === names.join();
+const written = async (fleet: SimFleet, key: string): Promise<string> => {
+  let outcome = "";
+  const put = { key, value: Buffer.from(key) };
+  void fleet
+    .find("vise-1")!
+    .node.store.txn({ puts: [put] })
+    .then((got) => (outcome = got.outcome));
+  await fleet.until(() => outcome !== "", 3000);
+  return outcome;
+};
+
+test("a lathe beyond the voters stands by: no calls and no feeds go to it, and it is ready", async () => {
+  const fleet = await withStandbys(77);
+  for (const name of ["lathe-4", "lathe-5"]) {
+    const { lathe, node } = fleet.find(name)!;
+    expect([lathe!.ledger, node.membership.self.isInStore, lathe!.isReady]).toEqual([undefined, false, true]);
+  }
+});
+
+test("a lost voter is replaced by a standby in its zone, and two losses one after the other lose nothing", async () => {
+  const fleet = await withStandbys(78);
+  expect(await written(fleet, "first")).toEqual("done");
+  fleet.kill("lathe-2");
+  expect(await written(fleet, "second")).toEqual("done");
+  expect(await fleet.until(() => votes(fleet, "lathe-1", "lathe-3", "lathe-5"), 10_000)).toEqual(true);
+  fleet.wipe("lathe-1");
+  expect(await fleet.until(() => votes(fleet, "lathe-3", "lathe-4", "lathe-5"), 10_000)).toEqual(true);
+  expect(await written(fleet, "third")).toEqual("done");
+  const { metadata } = fleet.find(fleet.proposer!)!.lathe!.ledger!;
+  expect(["first", "second", "third"].map((key) => metadata.get(key) !== undefined)).toEqual([true, true, true]);
+
+  // Both come back, one with its disk and one without: enough vote, so they stand by, and one is taken in again.
+  fleet.start("lathe-1");
+  fleet.start("lathe-2");
+  const isOut = (name: string): boolean => fleet.find("vise-1")!.node.membership.find(name)?.isInStore === false;
+  expect(await fleet.until(() => isOut("lathe-1") && isOut("lathe-2"), 6000)).toEqual(true);
+  await fleet.run(3000);
+  expect(votes(fleet, "lathe-3", "lathe-4", "lathe-5")).toEqual(true);
+  fleet.kill("lathe-5");
+  expect(await fleet.until(() => votes(fleet, "lathe-2", "lathe-3", "lathe-4"), 10_000)).toEqual(true);
+  expect(await fleet.until(() => !isOut("lathe-2"), 3000)).toEqual(true);
+  expect(await written(fleet, "fourth")).toEqual("done");
+});
+
+test("a voter that is back before it is replaced for good leaves as many voters as there should be", async () => {
+  const fleet = await withStandbys(79);
+  fleet.kill("lathe-3");
+  expect(await fleet.until(() => voters(fleet).length === 4, 10_000)).toEqual(true);
+  fleet.start("lathe-3");
+  expect(await fleet.until(() => voters(fleet).length === 3, 6000)).toEqual(true);
+  await fleet.run(5000);
+  expect(voters(fleet).length).toEqual(3);
+  expect(await written(fleet, "later")).toEqual("done");
+});
+
 test("lathes that store serve publishes with no other storage machine, and go on without one of them", async () => {
   const { fleet, publish } = await served(
     76,
--- a/packages/jig/src/process/sim/simFleet.ts
+++ b/packages/jig/src/process/sim/simFleet.ts
@@ -151,7 +151,7 @@
     const voters = lathe!.ledger!.members.voters.map((one) => one.id);
     return (
       sets.every((members) => members.length === 3 && members.every((member) => shelves.has(member.id))) &&
-      voters.length === this.withRole("lathe").length &&
+      voters.length === node.parts.settings.voters &&
       voters.every((id) => lathes.has(id))
     );
   }
--- a/packages/lathe/src/process/feeds.ts
+++ b/packages/lathe/src/process/feeds.ts
@@ -33,7 +33,7 @@
  */
 export class Feeds {
   static readonly mostChanges = 20_000;
-  static readonly beatMs = 250;
+  static readonly beatMs = 500;
 
   readonly #node: ClusterNode;
   readonly #ledger: Ledger;
--- a/packages/lathe/src/process/founding.ts
+++ b/packages/lathe/src/process/founding.ts
@@ -13,6 +13,7 @@
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { BodyInit } from "@cranetrack/chest/process/wire.js";
 import { entryKind } from "../mark/entryKind.js";
+import { Standing } from "./standing.js";
 
 interface Identity {
   id: string;
@@ -37,6 +38,9 @@
   #identity: Identity;
   #isAsking = false;
   #isReady = false;
+  #restUntil = 0;
+  /** A store is there, and has members enough. */
+  isStandingBy = false;
   /** What the founding waits for, for status; empty once founded. */
   missing = "";
 
@@ -171,21 +175,21 @@
     this.#identity = { ...this.#identity, founding };
     await this.#keep();
     this.missing = "";
+    this.isStandingBy = false;
     this.emit("founded");
   }
 
   /** A blank lathe beside a founded store: the founder's word again, or a new member's start. */
   async #join(founded: Member): Promise<void> {
-    this.missing = `asks ${founded.name} to join the founded store`;
+    if (!this.isStandingBy) this.missing = `asks ${founded.name} to join the founded store`;
     if (this.#identity.agreed === founded.founding) return this.#found(founded.founding, this.#identity.members);
-    const body = await this.#node.exchange.call(
-      founded.name,
-      {
-        case: "storeCall",
-        value: { call: { case: "join", value: { id: this.id, name: this.#node.parts.settings.name } } },
-      },
-      1000,
-    );
-    if (body?.case === "storeReceipt" && body.value.outcome === "done") await this.#settle(founded.founding);
+    const { clock } = this.#node.parts;
+    if (clock.now() < this.#restUntil) return;
+    const outcome = await Standing.ask(this.#node, founded.name, this.id);
+    if (outcome === "done") return this.#settle(founded.founding);
+    this.isStandingBy = outcome === "standby" || (outcome === "away" && this.isStandingBy);
+    if (!this.isStandingBy) return;
+    this.missing = "stands by: enough lathes vote";
+    this.#restUntil = clock.now() + Standing.beatMs;
   }
 }
--- a/packages/lathe/src/process/lathe.ts
+++ b/packages/lathe/src/process/lathe.ts
@@ -10,6 +10,7 @@
 import { putPlan } from "../request/putPlan.js";
 import { Founding } from "./founding.js";
 import { Ledger } from "./ledger.js";
+import { Standing } from "./standing.js";
 import { StoreDesk } from "./storeDesk.js";
 
 /** A control node: the metadata store, and a place for topic logs, in full (`stores`) or as a spare. */
@@ -60,8 +61,14 @@
     this.#ledger?.resign();
   }
 
+  /** Not a member of the store, which has enough: kept in mind for a loss, and ready for all else. */
+  get isStandingBy(): boolean {
+    return this.#ledger === undefined ? this.founding.isStandingBy : !this.node.membership.self.isInStore;
+  }
+
   get isReady(): boolean {
-    return this.#ledger?.isInTouch === true && this.node.feed.isFresh;
+    const isSettled = this.#ledger?.isInTouch === true || this.isStandingBy;
+    return isSettled && this.node.feed.isFresh;
   }
 
   status(): object {
@@ -100,8 +107,9 @@
       ring: parts.log,
     });
     new StoreDesk(this.node, this.#ledger);
-    membership.self.isFounded = membership.self.isInStore = true;
+    membership.self.isFounded = true;
     membership.self.founding = this.founding.founding;
+    new Standing(this.node, this.#ledger);
     membership.tellNow();
   }
 }
--- a/packages/lathe/src/process/ledger.ts
+++ b/packages/lathe/src/process/ledger.ts
@@ -66,6 +66,8 @@
   #isPre = false;
   #noopIndex = 0;
   #isResigned = false;
+  /** Taken out of the members: asks for no votes until a proposer speaks to it again. */
+  #isStandingBy = false;
   readonly #slowWatch = new SlowWatch();
 
   constructor(parts: LedgerParts) {
@@ -153,9 +155,10 @@
     return (await this.#proposals.confirm()) && this.isProposer;
   }
 
-  matchOf(id: string): { behind: number; heardAgo: number } {
-    if (this.#spread === undefined) return { behind: Infinity, heardAgo: Infinity };
-    return { behind: this.#log.lastIndex - this.#spread.matchOf(id), heardAgo: this.#spread.heardAgo(id) };
+  matchOf(id: string): { match: number; behind: number; heardAgo: number } {
+    if (this.#spread === undefined) return { match: 0, behind: Infinity, heardAgo: Infinity };
+    const match = this.#spread.matchOf(id);
+    return { match, behind: this.#log.lastIndex - match, heardAgo: this.#spread.heardAgo(id) };
   }
 
   /** One step of a change of members, where none is under way. */
@@ -174,6 +177,7 @@
     take: () => Promise<BodyInit>,
   ): Promise<undefined> {
     if (message.term >= this.#log.term) {
+      this.#isStandingBy = false;
       if (message.term > this.#log.term) this.#stepDown("a higher term");
       this.#follow(message.sender);
       this.#heardAt = this.#clock.now();
@@ -200,7 +204,7 @@
       return this.#spread.beat();
     }
     const isVoter = this.members.voters.some((one) => one.id === this.id);
-    if (isVoter && now >= this.#electionAt && !this.#isResigned) this.#ask(true);
+    if (isVoter && now >= this.#electionAt && !this.#isResigned && !this.#isStandingBy) this.#ask(true);
   }
 
   /** Lets somebody else propose, and asks again itself only if nobody does. */
@@ -313,6 +317,10 @@
     spread.beat();
   }
 
+  standBy(): void {
+    this.#isStandingBy = true;
+  }
+
   /** Gives the term up before the process stops, so that the others need not wait for silence. */
   resign(): void {
     this.#isResigned = true;
--- /dev/null
+++ b/packages/lathe/src/process/standing.ts
@@ -0,0 +1,59 @@
+import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import type { Ledger } from "./ledger.js";
+
+/**
+ * Whether this lathe, which has a log of the store, is a member of it. One that was taken out, perhaps while it was
+ * away, hears of it from the others, stands by, and is in the store again once a proposer speaks to it.
+ */
+export class Standing {
+  static readonly beatMs = 1000;
+  static readonly silentMs = 1500;
+
+  readonly #node: ClusterNode;
+  readonly #ledger: Ledger;
+  #inTouchAt: number;
+  #isAsking = false;
+
+  constructor(node: ClusterNode, ledger: Ledger) {
+    this.#node = node;
+    this.#ledger = ledger;
+    this.#inTouchAt = node.parts.clock.now();
+    this.#set(true);
+    node.parts.clock.every(Standing.beatMs, () => void this.#beat());
+  }
+
+  /** Asks to be taken in, or kept in mind; returns what the store says. */
+  static async ask(node: ClusterNode, lathe: string, id: string): Promise<string> {
+    const join = { id, name: node.parts.settings.name };
+    const call = { case: "join" as const, value: join };
+    const body = await node.exchange.call(lathe, { case: "storeCall", value: { call } }, 1000);
+    return body?.case === "storeReceipt" ? body.value.outcome : "away";
+  }
+
+  async #beat(): Promise<void> {
+    const { clock } = this.#node.parts;
+    if (this.#ledger.isInTouch) {
+      this.#inTouchAt = clock.now();
+      return this.#set(true);
+    }
+    if (this.#isAsking || clock.now() - this.#inTouchAt < Standing.silentMs) return;
+    const { exchange, membership } = this.#node;
+    const other = membership
+      .alive("lathe")
+      .find((one) => one.isInStore && one.name !== exchange.name && !exchange.isMute(one.name));
+    if (other === undefined) return;
+    this.#isAsking = true;
+    const outcome = await Standing.ask(this.#node, other.name, this.#ledger.id);
+    this.#isAsking = false;
+    if (outcome !== "standby" || this.#ledger.isInTouch) return;
+    this.#ledger.standBy();
+    this.#set(false);
+  }
+
+  #set(isInStore: boolean): void {
+    const { membership } = this.#node;
+    if (membership.self.isInStore === isInStore) return;
+    membership.self.isInStore = isInStore;
+    membership.tellNow();
+  }
+}
--- a/packages/lathe/src/process/storeDesk.ts
+++ b/packages/lathe/src/process/storeDesk.ts
@@ -4,8 +4,6 @@
   StoreCallSchema,
   StoreCommandSchema,
   type FeedState,
-  type Join,
-  type LatheMember,
   type StoreCall,
 } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
@@ -14,6 +12,7 @@
 import { Feeds } from "./feeds.js";
 import { Leases } from "./leases.js";
 import type { Ledger } from "./ledger.js";
+import { MemberChanges } from "./memberChanges.js";
 
 /** Takes every call on the store; what only the proposer can answer is passed on to it, once. */
 export class StoreDesk {
@@ -21,8 +20,7 @@
   readonly #ledger: Ledger;
   readonly #leases: Leases;
   readonly #feeds: Feeds;
-  /** Blank lathes that asked to join, by name, and when they last did. */
-  readonly #joining = new Map<string, { id: string; at: number }>();
+  readonly #memberChanges: MemberChanges;
 
   constructor(node: ClusterNode, ledger: Ledger) {
     this.#node = node;
@@ -45,7 +43,7 @@
       case: "storeBatchReceipt",
       value: { receipts: await this.#runAll(calls) },
     }));
-    node.parts.clock.every(300, () => this.#tendMembers());
+    this.#memberChanges = new MemberChanges(node, ledger);
   }
 
   async run(call: StoreCall): Promise<Outcome> {
@@ -71,7 +69,8 @@
         return { outcome: isThere ? "done" : "lost" };
       }
       case "join":
-        return this.#join(call.call.value);
+        if (!(await this.#ledger.confirm())) return { outcome: "away", comeBack: 1 };
+        return this.#memberChanges.join(call.call.value);
       default:
         return { outcome: "refused", reason: "unknown call" };
     }
@@ -122,38 +121,4 @@
   #nextLed(): Promise<"led"> {
     return new Promise((resolve) => void this.#ledger.once("led", () => resolve("led")));
   }
-
-  async #join(join: Join): Promise<Outcome> {
-    if (!(await this.#ledger.confirm())) return { outcome: "away", comeBack: 1 };
-    this.#joining.set(join.name, { id: join.id, at: this.#node.parts.clock.now() });
-    const { voters, learners } = this.#ledger.members;
-    return [...voters, ...learners].some((one) => one.id === join.id)
-      ? { outcome: "done" }
-      : { outcome: "away", reason: "joining" };
-  }
-
-  /** One step at a time: the lost self out, the new one in as a learner, then a voter. */
-  #tendMembers(): void {
-    if (!this.#ledger.isProposer) return;
-    const { voters, learners } = this.#ledger.members;
-    const isReady = (one: LatheMember): boolean => {
-      const { behind, heardAgo } = this.#ledger.matchOf(one.id);
-      return behind < 50 && heardAgo < 500;
-    };
-    const grown = learners.find(isReady);
-    if (grown !== undefined)
-      return this.#ledger.changeMembers(
-        [...voters, grown],
-        learners.filter((one) => one.id !== grown.id),
-      );
-    for (const [name, { id }] of this.#joining) {
-      if ([...voters, ...learners].some((one) => one.id === id)) this.#joining.delete(name);
-      else {
-        const without = (list: LatheMember[]): LatheMember[] => list.filter((one) => one.name !== name);
-        if (without(voters).length < voters.length)
-          return this.#ledger.changeMembers(without(voters), without(learners));
-        return this.#ledger.changeMembers(voters, [...without(learners), { id, name } as LatheMember]);
-      }
-    }
-  }
 }
