Merge: stand-by lathes, calls of one turn in one sync; a closed feed is no silence

Now a closed feed is opened elsewhere and stays as old as it is; a lathe that stops closes its feeds, so that nodes go on elsewhere.

--- a/packages/chest/src/process/feedFollower.ts
+++ b/packages/chest/src/process/feedFollower.ts
@@ -18,9 +18,13 @@
  * Invariants: `revision` only rises; a push is applied only in its number's turn.
  */
 export class FeedFollower extends EventEmitter<{ first: [] }> {
-  static readonly staleMs = 1200;
+  static readonly staleMs = 1450;
+  /** Two beats without a word: another lathe is asked before what this node knows is stale. */
+  static readonly silentMs = 1000;
   /** A first picture may take this long; asking elsewhere sooner only makes it later. What follows is short. */
   static readonly openMs = 2500;
+  /** After a lathe let go of the feed; it may have been told so at once. */
+  static readonly closedMs = 200;
   static readonly reopenMs = 1000;
   static readonly livelyMs = 900;
 
@@ -38,6 +42,8 @@
   #heardAt = -Infinity;
   #openedAt = -Infinity;
   #opens = 0;
+  /** The lathe let go of the feed. What was heard before stays as old as it is: another lathe may go on from it. */
+  #isClosed = false;
   revision = 0;
   /** Told by the plan's view, to be acknowledged. */
   planMark: () => number = () => 0;
@@ -61,7 +67,7 @@
     this.#journal = parts.journal;
     this.#exchange.serve("feedPush", (push, frame) => this.#take(push, frame.from));
     this.#exchange.serve("feedClose", (close) => {
-      if (close.feed === this.#feed) this.#openedAt = this.#heardAt = -Infinity;
+      if (close.feed === this.#feed) this.#isClosed = true;
       return undefined;
     });
   }
@@ -77,9 +83,10 @@
 
   start(): void {
     this.#open();
-    this.#clock.every(200, () => {
+    this.#clock.every(100, () => {
+      if (this.#isClosed && this.#clock.now() - this.#openedAt > FeedFollower.closedMs) return this.#open();
       if (
-        this.age > FeedFollower.staleMs &&
+        this.age > FeedFollower.silentMs &&
         this.#clock.now() - this.#openedAt > (this.revision === 0 ? FeedFollower.openMs : FeedFollower.reopenMs)
       )
         this.#open();
@@ -87,16 +94,17 @@
   }
 
   #open(): void {
-    const inStore = this.#membership.alive("lathe").filter((member) => member.isInStore);
-    const lathes = inStore.map((member) => member.name);
+    const lathes = this.#membership.alive("lathe").filter((member) => member.isInStore);
     const lively = lathes.filter(
-      (name) =>
+      ({ name }) =>
         name !== this.#lathe && !this.#exchange.isMute(name) && this.#membership.ageOf(name) < FeedFollower.livelyMs,
     );
-    const ranked = Rendezvous.rank(this.#exchange.name, lively.length > 0 ? lively : lathes);
+    const { zone } = this.#membership.self;
+    const ranked = Rendezvous.nearest(this.#exchange.name, zone, lively.length > 0 ? lively : lathes);
     const lathe = ranked[this.#opens % Math.max(1, ranked.length)];
     if (lathe === undefined) return;
     this.#opens += 1;
+    this.#isClosed = false;
     this.#openedAt = this.#clock.now();
     this.#feed = `${this.#exchange.name}/${this.#chance.identity().slice(0, 8)}`;
     this.#lathe = lathe;
--- a/packages/chest/src/process/program.ts
+++ b/packages/chest/src/process/program.ts
@@ -23,6 +23,8 @@
     for (const key of [
       "lathes",
       "shards",
+      "voters",
+      "replaceVoterMs",
       "edgeLeaseMs",
       "holderLeaseMs",
       "electionMs",
--- a/packages/lathe/src/process/lathe.ts
+++ b/packages/lathe/src/process/lathe.ts
@@ -10,6 +10,7 @@
 import { putPlan } from "../request/putPlan.js";
 import { Founding } from "./founding.js";
 import { Ledger } from "./ledger.js";
+import { Standing } from "./standing.js";
 import { StoreDesk } from "./storeDesk.js";
 
 /** A control node: the metadata store, and a place for topic logs, in full (`stores`) or as a spare. */
@@ -19,6 +20,7 @@
   readonly anvil: Anvil;
   readonly #disk: Disk;
   #ledger: Ledger | undefined;
+  #desk: StoreDesk | undefined;
 
   constructor(node: ClusterNode, disk: Disk, router: Router) {
     this.node = node;
@@ -58,10 +60,17 @@
   async stop(): Promise<void> {
     await this.anvil.stop();
     this.#ledger?.resign();
+    this.#desk?.closeFeeds("the process is stopping");
+  }
+
+  /** Not a member of the store, which has enough: kept in mind for a loss, and ready for all else. */
+  get isStandingBy(): boolean {
+    return this.#ledger === undefined ? this.founding.isStandingBy : !this.node.membership.self.isInStore;
   }
 
   get isReady(): boolean {
-    return this.#ledger?.isInTouch === true && this.node.feed.isFresh;
+    const isSettled = this.#ledger?.isInTouch === true || this.isStandingBy;
+    return isSettled && this.node.feed.isFresh;
   }
 
   status(): object {
@@ -99,9 +108,10 @@
       chance: parts.chance,
       ring: parts.log,
     });
-    new StoreDesk(this.node, this.#ledger);
-    membership.self.isFounded = membership.self.isInStore = true;
+    this.#desk = new StoreDesk(this.node, this.#ledger);
+    membership.self.isFounded = true;
     membership.self.founding = this.founding.founding;
+    new Standing(this.node, this.#ledger);
     membership.tellNow();
   }
 }
--- a/packages/lathe/src/process/ledger.ts
+++ b/packages/lathe/src/process/ledger.ts
@@ -1,7 +1,6 @@
 import { EventEmitter } from "node:events";
 import { create, toBinary } from "@bufbuild/protobuf";
 import {
-  EntrySchema,
   MembersSchema,
   type LatheMember,
   type Members,
@@ -22,10 +21,9 @@
 import { MemberLog } from "../mark/memberLog.js";
 import { Metadata, type Applied } from "../mark/metadata.js";
 import type { LedgerParts } from "./ledgerParts.js";
+import { Proposals } from "./proposals.js";
 import { SlowWatch } from "./slowWatch.js";
 
-type Pending = { term: number; settle: (applied: Applied | undefined) => void };
-
 /**
  * One lathe's part in the replicated log, by Raft's rules. Which lathe proposes changes with every
  * election and has no lasting meaning.
@@ -54,7 +52,7 @@
   readonly #chance: Chance;
   readonly #ring: LogRing;
   readonly #intake: Intake;
-  readonly #pending = new Map<number, Pending>();
+  readonly #proposals: Proposals;
   readonly #memberLog: MemberLog;
   #spread: Spread | undefined;
   #commit: number;
@@ -68,6 +66,8 @@
   #isPre = false;
   #noopIndex = 0;
   #isResigned = false;
+  /** Taken out of the members: asks for no votes until a proposer speaks to it again. */
+  #isStandingBy = false;
   readonly #slowWatch = new SlowWatch();
 
   constructor(parts: LedgerParts) {
@@ -84,6 +84,7 @@
     this.#ring = parts.ring;
     this.#heardAt = parts.clock.now();
     this.#commit = this.#applied = this.#log.baseIndex;
+    this.#proposals = new Proposals(this.#log, this.#clock);
     this.#memberLog = new MemberLog(this.#log);
     if (this.#log.baseIndex > 0) this.#memberLog.installed(this.metadata.install(this.#log.picture));
     this.#intake = new Intake(
@@ -143,27 +144,21 @@
 
   /** Undefined: not the proposer any more; the command may or may not be carried out. */
   propose(data: Uint8Array, kind: number = entryKind.command): Promise<Applied | undefined> {
-    const spread = this.#spread;
-    if (spread === undefined) return Promise.resolve(undefined);
-    const entry = create(EntrySchema, { index: this.#log.lastIndex + 1, term: this.#log.term, kind, data });
-    const settled = new Promise<Applied | undefined>((resolve) =>
-      this.#pending.set(entry.index, { term: entry.term, settle: resolve }),
-    );
-    void this.#log.append([entry]).then(() => this.#spread?.kick());
+    const settled = this.#proposals.propose(data, kind);
     if (kind === entryKind.members) this.#findMembers();
-    spread.kick();
     return settled;
   }
 
   /** True once this lathe is known to have proposed after the call began, and has applied all before it. */
   async confirm(): Promise<boolean> {
     if (!this.isProposer) return false;
-    return (await this.#spread!.confirm()) && this.isProposer;
+    return (await this.#proposals.confirm()) && this.isProposer;
   }
 
-  matchOf(id: string): { behind: number; heardAgo: number } {
-    if (this.#spread === undefined) return { behind: Infinity, heardAgo: Infinity };
-    return { behind: this.#log.lastIndex - this.#spread.matchOf(id), heardAgo: this.#spread.heardAgo(id) };
+  matchOf(id: string): { match: number; behind: number; heardAgo: number } {
+    if (this.#spread === undefined) return { match: 0, behind: Infinity, heardAgo: Infinity };
+    const match = this.#spread.matchOf(id);
+    return { match, behind: this.#log.lastIndex - match, heardAgo: this.#spread.heardAgo(id) };
   }
 
   /** One step of a change of members, where none is under way. */
@@ -182,6 +177,7 @@
     take: () => Promise<BodyInit>,
   ): Promise<undefined> {
     if (message.term >= this.#log.term) {
+      this.#isStandingBy = false;
       if (message.term > this.#log.term) this.#stepDown("a higher term");
       this.#follow(message.sender);
       this.#heardAt = this.#clock.now();
@@ -208,7 +204,7 @@
       return this.#spread.beat();
     }
     const isVoter = this.members.voters.some((one) => one.id === this.id);
-    if (isVoter && now >= this.#electionAt && !this.#isResigned) this.#ask(true);
+    if (isVoter && now >= this.#electionAt && !this.#isResigned && !this.#isStandingBy) this.#ask(true);
   }
 
   /** Lets somebody else propose, and asks again itself only if nobody does. */
@@ -307,6 +303,7 @@
       send: (id, body) => this.#exchange.tell(names().get(id) ?? "", body),
     });
     this.#spread = spread;
+    this.#proposals.begin(spread);
     this.#slowWatch.begin(this.#clock.now());
     spread.on("committed", (index) => this.#advance(index));
     spread.on("deposed", (term) => {
@@ -320,6 +317,10 @@
     spread.beat();
   }
 
+  standBy(): void {
+    this.#isStandingBy = true;
+  }
+
   /** Gives the term up before the process stops, so that the others need not wait for silence. */
   resign(): void {
     this.#isResigned = true;
@@ -345,10 +346,7 @@
     this.#spread = undefined;
     this.#proposer = "";
     this.#rearm();
-    for (const [index, pending] of [...this.#pending]) {
-      this.#pending.delete(index);
-      pending.settle(undefined);
-    }
+    this.#proposals.end();
     this.emit("deposed");
   }
 
@@ -363,9 +361,7 @@
         ? this.metadata.apply(entry.index, entry.data)
         : { outcome: "done", revision: entry.index, kvs: [], changes: [] };
       if (!isCommand) this.metadata.revision = entry.index;
-      const pending = this.#pending.get(entry.index);
-      this.#pending.delete(entry.index);
-      pending?.settle(pending.term === entry.term ? applied : undefined);
+      this.#proposals.applied(entry, applied);
       this.emit("applied", applied);
     }
     if (!wasProposer && this.isProposer) this.emit("elected");
--- a/packages/lathe/src/process/storeDesk.ts
+++ b/packages/lathe/src/process/storeDesk.ts
@@ -4,8 +4,6 @@
   StoreCallSchema,
   StoreCommandSchema,
   type FeedState,
-  type Join,
-  type LatheMember,
   type StoreCall,
 } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
@@ -14,6 +12,7 @@
 import { Feeds } from "./feeds.js";
 import { Leases } from "./leases.js";
 import type { Ledger } from "./ledger.js";
+import { MemberChanges } from "./memberChanges.js";
 
 /** Takes every call on the store; what only the proposer can answer is passed on to it, once. */
 export class StoreDesk {
@@ -21,8 +20,7 @@
   readonly #ledger: Ledger;
   readonly #leases: Leases;
   readonly #feeds: Feeds;
-  /** Blank lathes that asked to join, by name, and when they last did. */
-  readonly #joining = new Map<string, { id: string; at: number }>();
+  readonly #memberChanges: MemberChanges;
 
   constructor(node: ClusterNode, ledger: Ledger) {
     this.#node = node;
@@ -41,12 +39,16 @@
       case: "storeReceipt",
       value: await this.run(call),
     }));
-    node.parts.clock.every(300, () => this.#tendMembers());
+    node.exchange.serve("storeBatch", async ({ calls }): Promise<BodyInit> => ({
+      case: "storeBatchReceipt",
+      value: { receipts: await this.#runAll(calls) },
+    }));
+    this.#memberChanges = new MemberChanges(node, ledger);
   }
 
   async run(call: StoreCall): Promise<Outcome> {
     if (call.call.case === "feeds") return { outcome: "done", feeds: this.#feeds.states() };
-    if (!this.#ledger.isProposer) return this.#pass(call);
+    if (!this.#ledger.isProposer) return (await this.#pass([call]))[0]!;
     switch (call.call.case) {
       case "txn":
       case "grant":
@@ -67,12 +69,23 @@
         return { outcome: isThere ? "done" : "lost" };
       }
       case "join":
-        return this.#join(call.call.value);
+        if (!(await this.#ledger.confirm())) return { outcome: "away", comeBack: 1 };
+        return this.#memberChanges.join(call.call.value);
       default:
         return { outcome: "refused", reason: "unknown call" };
     }
   }
 
+  /** Calls of one kind, made in one turn somewhere: passed on in one frame. */
+  #runAll(calls: StoreCall[]): Promise<Outcome[]> {
+    return this.#ledger.isProposer ? Promise.all(calls.map((call) => this.run(call))) : this.#pass(calls);
+  }
+
+  /** Their nodes go on at other lathes at once. */
+  closeFeeds(reason: string): void {
+    this.#feeds.closeAll(reason);
+  }
+
   get feeds(): FeedState[] {
     return this.#feeds.states();
   }
@@ -91,58 +104,26 @@
     };
   }
 
-  async #pass(call: StoreCall): Promise<Outcome> {
+  async #pass(calls: StoreCall[]): Promise<Outcome[]> {
+    const all = (outcome: Outcome): Outcome[] => calls.map(() => outcome);
     const proposer = this.#ledger.proposerName;
-    if (call.isPassed || proposer === "" || proposer === this.#node.exchange.name)
-      return { outcome: "away", comeBack: 1, reason: "no proposer is known" };
-    const isChange = call.call.case === "txn" || call.call.case === "grant" || call.call.case === "revoke";
+    if (calls.some((call) => call.isPassed) || proposer === "" || proposer === this.#node.exchange.name)
+      return all({ outcome: "away", comeBack: 1, reason: "no proposer is known" });
+    const kinds = new Set(calls.map((call) => call.call.case));
+    const isChange = kinds.has("txn") || kinds.has("grant") || kinds.has("revoke");
     const passed = this.#node.exchange.call(
       proposer,
-      { case: "storeCall", value: { call: call.call, isPassed: true } },
-      call.call.case === "renew" ? 800 : 450,
+      { case: "storeBatch", value: { calls: calls.map(({ call }) => ({ call, isPassed: true })) } },
+      kinds.has("renew") ? 800 : 450,
     );
     // What changes nothing may as well be asked of the next proposer, once there is one.
     const body = await (isChange ? passed : Promise.race([passed, this.#nextLed()]));
-    if (body === "led") return this.#pass(call);
-    if (body?.case === "storeReceipt") return body.value;
-    return isChange ? { outcome: "unsure", comeBack: 0.5 } : { outcome: "away", comeBack: 0.5 };
+    if (body === "led") return this.#runAll(calls);
+    if (body?.case === "storeBatchReceipt" && body.value.receipts.length === calls.length) return body.value.receipts;
+    return all(isChange ? { outcome: "unsure", comeBack: 0.5 } : { outcome: "away", comeBack: 0.5 });
   }
 
   #nextLed(): Promise<"led"> {
     return new Promise((resolve) => void this.#ledger.once("led", () => resolve("led")));
   }
-
-  async #join(join: Join): Promise<Outcome> {
-    if (!(await this.#ledger.confirm())) return { outcome: "away", comeBack: 1 };
-    this.#joining.set(join.name, { id: join.id, at: this.#node.parts.clock.now() });
-    const { voters, learners } = this.#ledger.members;
-    return [...voters, ...learners].some((one) => one.id === join.id)
-      ? { outcome: "done" }
-      : { outcome: "away", reason: "joining" };
-  }
-
-  /** One step at a time: the lost self out, the new one in as a learner, then a voter. */
-  #tendMembers(): void {
-    if (!this.#ledger.isProposer) return;
-    const { voters, learners } = this.#ledger.members;
-    const isReady = (one: LatheMember): boolean => {
-      const { behind, heardAgo } = this.#ledger.matchOf(one.id);
-      return behind < 50 && heardAgo < 500;
-    };
-    const grown = learners.find(isReady);
-    if (grown !== undefined)
-      return this.#ledger.changeMembers(
-        [...voters, grown],
-        learners.filter((one) => one.id !== grown.id),
-      );
-    for (const [name, { id }] of this.#joining) {
-      if ([...voters, ...learners].some((one) => one.id === id)) this.#joining.delete(name);
-      else {
-        const without = (list: LatheMember[]): LatheMember[] => list.filter((one) => one.name !== name);
-        if (without(voters).length < voters.length)
-          return this.#ledger.changeMembers(without(voters), without(learners));
-        return this.#ledger.changeMembers(voters, [...without(learners), { id, name } as LatheMember]);
-      }
-    }
-  }
 }
