--- a/packages/jig/src/jig.ts
+++ b/packages/jig/src/jig.ts
@@ -7,6 +7,7 @@
 import { sabotages } from "./mark/sabotages.js";
 import { Saboteur } from "./process/saboteur.js";
 import { Deployments } from "./mark/deployments.js";
+import { Cost } from "./process/cost.js";
 import { Drill } from "./process/drill.js";
 import { Fleet } from "./process/fleet.js";
 import { Load } from "./process/load.js";
@@ -150,6 +151,21 @@
     process.exitCode = sweep.failed > 0 ? 1 : 0;
   });
 
+cli
+  .command("cost", "Measure what processes cost one another: an idle fleet, and small calls")
+  .option("--edges <list>", "Idle fleets with so many edges, parted by commas", { default: "6,54" })
+  .option("--calls <n>", "How many calls", { default: 20_000 })
+  .option("--json", "Only JSON")
+  .action(async (options: { edges: string | number; calls: number; json?: boolean }) => {
+    const calls = [await Cost.calls(options.calls, 1), await Cost.calls(options.calls, 50)];
+    const idle = [];
+    for (const edges of String(options.edges).split(",")) idle.push(await Cost.idle(Number(edges)));
+    process.stdout.write(`${JSON.stringify({ calls, idle }, null, 2)}\n`);
+    if (options.json === true) return;
+    console.table(calls);
+    console.table(idle.map(({ kinds, ...rest }) => ({ ...rest, gossip: kinds["gossip"] })));
+  });
+
 cli
   .command("sabotage", "Take one guard at a time out of a copy and see whether its test notices")
   .option("--at-once <n>", "How many at a time", { default: 4 })
