--- a/packages/chest/src/process/wire.test.ts
+++ b/packages/chest/src/process/wire.test.ts
@@ -1,5 +1,8 @@
 import { test } from "node:test";
+import { create, toBinary, type MessageInitShape } from "@bufbuild/protobuf";
 import { expect } from "earl";
+import { FrameSchema } from "../gen/cranetrack_pb.js";
+import { Seal } from "./seal.js";
 import { Wire } from "./wire.js";
 
 const frame = Wire.encode({ id: 7, from: "vise-1", to: "anvil-1", body: { case: "ping", value: { about: "x" } } });
@@ -20,3 +23,22 @@
     expect(Wire.decode(frame.subarray(0, length))).toEqual(undefined);
   expect(Wire.decode(Buffer.concat([frame, frame]))).toEqual(undefined);
 });
+
+test("a frame's bytes are those that protobuf writes, and its envelope is found in them", () => {
+  const body = { case: "ping", value: { about: "x" } } as const;
+  const frames: MessageInitShape<typeof FrameSchema>[] = [
+    { from: "a", body },
+    { id: 7, from: "a", to: "b", fromAddress: "10.0.0.1:1", body },
+    { id: 1.5, isReceipt: true, from: "ä".repeat(100), hops: 1, body: { case: "done", value: {} } },
+    { from: "a", to: "b", body: { case: "gossip", value: { members: [{ name: "c", version: 2 }], isAsking: true } } },
+  ];
+  for (const one of frames)
+    expect(Buffer.from(Wire.encode(one))).toEqual(
+      Buffer.from(Seal.close(toBinary(FrameSchema, create(FrameSchema, one)))),
+    );
+  const bytes = Wire.encode(frames[1]!);
+  const place = Wire.envelopeIn(bytes)!;
+  expect(Wire.decode(Wire.shorten(bytes, place))).toEqual(undefined);
+  expect(Wire.decode(Wire.shorten(bytes, place), Wire.decode(bytes))).toEqual(Wire.decode(bytes));
+  expect(Wire.envelopeIn(Wire.encode(frames[2]!))).toEqual(undefined);
+});
--- a/packages/chest/src/process/wire.ts
+++ b/packages/chest/src/process/wire.ts
@@ -1,4 +1,5 @@
-import { create, fromBinary, toBinary, type MessageInitShape } from "@bufbuild/protobuf";
+import { create, fromBinary, toBinary, type DescMessage, type MessageInitShape } from "@bufbuild/protobuf";
+import { BinaryWriter, WireType } from "@bufbuild/protobuf/wire";
 import { FrameSchema, type Frame } from "../gen/cranetrack_pb.js";
 import { Seal } from "./seal.js";
 
@@ -10,13 +11,34 @@
 /** Tags of a frame's first fields, in the order of their bytes. */
 const tags = { id: 0x09, isReceipt: 0x10, envelope: [0x1a, 0x22, 0x2a], hops: 0x30 } as const;
 
+/** The number and the message of each kind of body. */
+const bodies = new Map<string, { number: number; message: DescMessage }>(
+  FrameSchema.oneofs[0]!.fields.flatMap((field) =>
+    field.fieldKind === "message" ? [[field.localName, { number: field.number, message: field.message }]] : [],
+  ),
+);
+
 /** The frames that processes send one another. */
 export const Wire = {
   /** A frame longer than this is foreign, and its connection is closed. */
   most: 64 * 1024 * 1024,
 
+  /** As protobuf has it, written here: its own writer looks at every kind of body there is. */
   encode(frame: MessageInitShape<typeof FrameSchema>): Uint8Array {
-    return Seal.close(toBinary(FrameSchema, create(FrameSchema, frame)));
+    const { id = 0, isReceipt = false, from = "", to = "", fromAddress = "", hops = 0, body } = frame;
+    const writer = new BinaryWriter();
+    if (id !== 0) writer.tag(1, WireType.Bit64).double(id);
+    if (isReceipt) writer.tag(2, WireType.Varint).bool(true);
+    [from, to, fromAddress].forEach((text, i) => {
+      if (text !== "") writer.tag(3 + i, WireType.LengthDelimited).bytes(Buffer.from(text));
+    });
+    if (hops !== 0) writer.tag(6, WireType.Varint).uint32(hops);
+    const kind = body?.case === undefined ? undefined : bodies.get(body.case);
+    if (kind !== undefined)
+      writer
+        .tag(kind.number, WireType.LengthDelimited)
+        .bytes(toBinary(kind.message, create(kind.message, body!.value as MessageInitShape<DescMessage>)));
+    return Seal.close(writer.finish());
   },
 
   /** The bytes of a frame that was decoded before. */
