--- a/packages/jig/src/process/sim/sessions.test.ts
+++ b/packages/jig/src/process/sim/sessions.test.ts
@@ -108,6 +108,19 @@
   });
 }
 
+test("lathes that let go of their feeds for a moment cost no edge its connections", async () => {
+  const { fleet } = await served(21);
+  const hands = ["vise-1", "vise-2", "vise-3"].map((node) => new Hand(fleet, node, `desk-${node}`, wish));
+  expect(await fleet.until(() => hands.every((hand) => hand.of("confirmed").length === 1), 5000)).toEqual(true);
+  const lathes = fleet.withRole("lathe");
+  for (const lathe of lathes) fleet.isolate(lathe, lathes, "both");
+  // Long enough for them to be out of touch, too short for a lease.
+  await fleet.run(500);
+  fleet.wires.heal();
+  await fleet.run(3000);
+  expect(hands.map((hand) => hand.isClosed)).toEqual([false, false, false]);
+});
+
 test("an edge frozen past its lease closes its links before it delivers or takes anything", async () => {
   const { fleet, publish } = await served(13);
   const first = new Hand(fleet, "vise-1", "desk", wish);
