Replicas push what is committed to edges that follow at them; commit notices

Bytes between regions are dear, and each message crossed a region's border once for every edge behind it, though a replica there receives every entry anyway. A replica answers follows, beats and fetches from its committed, applied state while it hears its present holder. Commits are told to replicas at the end of the turn, one frame for all shards, so that they need not wait for the next entry or beat.

--- a/packages/anvil/src/process/anvil.ts
+++ b/packages/anvil/src/process/anvil.ts
@@ -2,9 +2,12 @@
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { Disk } from "@cranetrack/chest/process/disk.js";
 import { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
+import type { BodyInit } from "@cranetrack/chest/process/wire.js";
 import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
 import type { Bench } from "./bench.js";
 import { Claims } from "./claims.js";
+import { FollowerReads } from "./followerReads.js";
+import { PushTurn } from "./pushTurn.js";
 import { Replica } from "./replica.js";
 
 /** The topic logs on one machine's disk. Runs on storage machines, also as a part of lathes. */
@@ -14,6 +17,9 @@
   readonly #isSpare: boolean;
   readonly #lease: LeaseKeeper;
   readonly #replicas: Replica[] = [];
+  /** Of each shard; idle where its replica is the holder's, or this disk is not in its set. */
+  readonly #reads: FollowerReads[] = [];
+  readonly #turn: PushTurn;
   #claims: Claims | undefined;
   /** Invariant: synced before anybody hears it; a blank disk gets a new one. */
   #id = "";
@@ -23,6 +29,7 @@
     this.#node = node;
     this.#disk = disk;
     this.#isSpare = isSpare;
+    this.#turn = new PushTurn(node);
     const { settings, clock, chance } = node.parts;
     this.#lease = new LeaseKeeper(`${settings.name}-shards`, settings.holderLeaseMs, node.store, clock, chance);
   }
@@ -31,6 +38,11 @@
     return this.#claims;
   }
 
+  /** Of each shard. */
+  get reads(): readonly FollowerReads[] {
+    return this.#reads;
+  }
+
   get replicas(): readonly Replica[] {
     return this.#replicas;
   }
@@ -45,6 +57,7 @@
     this.#id = kept === undefined ? this.#node.parts.chance.identity() : Buffer.from(kept.value).toString();
     for (let shard = 0; shard < this.#node.parts.settings.shards; shard += 1)
       this.#replicas.push(new Replica(shard, this.#id, this.#disk, this.#node));
+    for (const replica of this.#replicas) this.#reads.push(new FollowerReads(this.#node, replica, this.#turn));
     return this.#replicas.map((replica) => replica.log.fault()).find((fault) => fault !== undefined);
   }
 
@@ -65,17 +78,21 @@
           value: { outcome: "away", holder: this.#node.shards.find(publish.shard).holder },
         },
     );
-    exchange.serve(
-      "follow",
-      async (follow, frame) =>
-        (await this.#bench(follow.shard)?.follow(follow, frame.from)) ?? {
-          case: "followReceipt",
-          value: { outcome: "away", holder: this.#node.shards.find(follow.shard).holder },
-        },
-    );
+    exchange.serve("follow", (follow, frame) => {
+      const away: BodyInit = {
+        case: "followReceipt",
+        value: { outcome: "away", holder: this.#node.shards.find(follow.shard).holder },
+      };
+      if (follow.isAtReplica) return this.#reads[follow.shard]?.follow(follow, frame.from) ?? away;
+      return this.#bench(follow.shard)?.follow(follow, frame.from) ?? away;
+    });
     exchange.serve(
       "fetch",
-      (fetch) => this.#bench(fetch.shard)?.fetch(fetch) ?? { case: "fetchReceipt", value: { outcome: "away" } },
+      (fetch) =>
+        (fetch.isAtReplica ? this.#reads[fetch.shard] : this.#bench(fetch.shard))?.fetch(fetch) ?? {
+          case: "fetchReceipt",
+          value: { outcome: "away" },
+        },
     );
     exchange.serve(
       "startAsk",
@@ -83,14 +100,25 @@
     );
     exchange.serve("followBeats", ({ beats }) => ({
       case: "followBeatsReceipt",
-      value: { outcomes: beats.map((beat) => this.#bench(beat.shard)?.beaten(beat) ?? "away") },
+      value: {
+        outcomes: beats.map(
+          (beat) => (beat.isAtReplica ? this.#reads[beat.shard] : this.#bench(beat.shard))?.beaten(beat) ?? "away",
+        ),
+        applied: beats.map((beat) => this.#replicas[beat.shard]?.applied ?? 0),
+      },
     }));
+    exchange.serve("commits", ({ receiver, commits }) => {
+      if (receiver === this.#id)
+        for (const { shard, term, index } of commits) this.#replicas[shard]?.committed(term, index);
+      return undefined;
+    });
     exchange.serve(
       "countAsk",
       (ask) => this.#bench(ask.shard)?.count(ask) ?? { case: "countReceipt", value: { outcome: "away" } },
     );
-    this.#claims = new Claims(this.#node, this.#lease, this.#replicas, this.#id);
+    this.#claims = new Claims(this.#node, this.#lease, this.#replicas, this.#id, this.#turn);
     this.#lease.start();
+    this.#node.parts.clock.every(100, () => this.#reads.forEach((reads) => reads.beat()));
     if (!this.#isSpare) this.#node.parts.clock.every(300, () => this.#foundSets());
   }
 
--- a/packages/anvil/src/process/bench.ts
+++ b/packages/anvil/src/process/bench.ts
@@ -12,7 +12,6 @@
   type StartAsk,
   type TrimStreamSchema,
 } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { keepsNothing } from "@cranetrack/chest/mark/keepsNothing.js";
 import { Plans } from "@cranetrack/chest/mark/plan.js";
 import { Streams } from "@cranetrack/chest/mark/streams.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
@@ -22,11 +21,13 @@
 import { PublishOutcomes, type PublishOutcome } from "../mark/publishOutcomes.js";
 import { startInMemory, startOf } from "../mark/startOf.js";
 import type { StreamLog, Verdict } from "../mark/streamLog.js";
+import { fetchFrom } from "./fetchFrom.js";
 import { Follows } from "./follows.js";
 import type { Holder } from "./holder.js";
 import { MemoryStreams } from "./memoryStreams.js";
 import type { PushTurn } from "./pushTurn.js";
 import type { Replica } from "./replica.js";
+import { StreamStandings } from "./streamStandings.js";
 
 /**
  * What a shard's holder does for edges: judges publishes against the plan, births streams, answers
@@ -44,6 +45,7 @@
   readonly #replica: Replica;
   readonly #holder: Holder;
   readonly #follows: Follows;
+  readonly #standings: StreamStandings;
   readonly #isHeld: () => boolean;
   readonly #births = new Map<string, Promise<void>>();
   readonly #memory: MemoryStreams;
@@ -63,6 +65,7 @@
     this.#replica = replica;
     this.#holder = holder;
     this.#isHeld = isHeld;
+    this.#standings = new StreamStandings(node);
     this.#memory = new MemoryStreams(() => node.parts.chance.identity());
     this.#follows = new Follows({
       node,
@@ -70,7 +73,7 @@
       epoch: holder.epoch,
       turn,
       find: (stream) => this.#find(stream),
-      isInMemory: (stream) => this.#isInMemory(stream),
+      isInMemory: (stream) => this.#standings.isInMemory(stream),
     });
     holder.on("applied", ({ verdict }) => {
       if (verdict?.outcome === "accepted" && verdict.isFresh) void this.#push(verdict.stream);
@@ -100,7 +103,7 @@
     const { topic, session, number, spaceBirth } = publish;
     const { plan } = this.#node.plan;
     const route = this.#node.plan.route(topic);
-    const standing = this.#standing(route?.spaceBirth, spaceBirth);
+    const standing = this.#standings.ofBirth(route?.spaceBirth, spaceBirth);
     // Whoever knows an earlier birth of a space that is there has not heard of the newest plan yet.
     if (standing === "behind" || standing === "older") return this.#away("the topic's space is changing", 0.2);
     const owed = Plans.owed(plan, topic);
@@ -111,7 +114,7 @@
       return PublishOutcomes.refused("malformed", "the topic is another shard's, or the number is none");
     const known = this.#knownNow(stream, spaceBirth, publish);
     if (known !== undefined)
-      return this.#isInMemory(stream) ? this.#inMemory(stream, known) : PublishOutcomes.of(known);
+      return this.#standings.isInMemory(stream) ? this.#inMemory(stream, known) : PublishOutcomes.of(known);
     if (this.#holder.occupancy > Bench.mostPending)
       return {
         case: "publishReceipt",
@@ -131,7 +134,7 @@
       at: this.#holder.at,
       isVoid: refusal !== undefined,
     });
-    if (this.#isInMemory(stream)) return this.#acceptInMemory(accept, refusal);
+    if (this.#standings.isInMemory(stream)) return this.#acceptInMemory(accept, refusal);
     const verdict = await this.#holder.propose({ case: "accept", value: accept });
     if (verdict === undefined)
       return PublishOutcomes.unsure("the holder lost its claim before the message was committed");
@@ -175,7 +178,7 @@
     if (!this.isOpen) return { case: "followReceipt", value: { outcome: "away" } };
     if (follow.streams.length === 0 && !follow.isFull)
       return { case: "followReceipt", value: { outcome: this.beaten(follow), epoch: this.#holder.epoch } };
-    const standings = follow.streams.map(({ stream, spaceBirth }) => this.#standingOf(stream, spaceBirth));
+    const standings = follow.streams.map(({ stream, spaceBirth }) => this.#standings.of(stream, spaceBirth));
     const followed = follow.streams.filter((_, i) => standings[i] === "ours");
     await Promise.all(followed.map(({ stream, spaceBirth }) => this.#birthOf(stream, spaceBirth)));
     // A head may become somebody's start only if nobody has taken over meanwhile.
@@ -203,7 +206,7 @@
     if (!this.isOpen) return away;
     const asked = ask.places.map((place) => {
       const route = this.#node.plan.route(place.topic);
-      const standing = this.#standing(route?.spaceBirth, place.spaceBirth);
+      const standing = this.#standings.ofBirth(route?.spaceBirth, place.spaceBirth);
       const owed = Plans.owed(this.#node.plan.plan, place.topic);
       const stream = route?.stream ?? "";
       const isBehind = standing === "behind" || standing === "older";
@@ -218,7 +221,7 @@
       if (fault !== "") return create(TopicStartSchema, { topic: place.topic, outcome: fault });
       if (log?.spaceBirth !== place.spaceBirth)
         return create(TopicStartSchema, { topic: place.topic, outcome: "behind" });
-      return this.#isInMemory(stream) ? startInMemory(log, place) : startOf(log, place);
+      return this.#standings.isInMemory(stream) ? startInMemory(log, place) : startOf(log, place);
     });
     return { case: "startReceipt", value: { outcome: "done", starts } };
   }
@@ -226,30 +229,20 @@
   fetch(fetch: Fetch): BodyInit {
     if (!this.isOpen) return { case: "fetchReceipt", value: { outcome: "away" } };
     const log = this.#find(fetch.stream);
-    if (log === undefined || this.#standingOf(fetch.stream, log.spaceBirth) !== "ours")
+    if (log === undefined || this.#standings.of(fetch.stream, log.spaceBirth) !== "ours")
       return { case: "fetchReceipt", value: { outcome: "unknown-topic" } };
-    const { birth, low, head } = log;
-    if (birth !== fetch.birth)
-      return { case: "fetchReceipt", value: { outcome: "another-birth", low, head, batch: { birth } } };
-    const messages = Follows.slice(log.messages, low, fetch.after, fetch.limit);
-    const isTrimmed = fetch.after < low;
-    const trims = isTrimmed
-      ? [...log.trims].filter(([, seq]) => seq > fetch.after).map(([topic, seq]) => ({ topic, seq }))
-      : [];
-    const prev = (messages[0]?.seq ?? head + 1) - 1;
-    const batch = { stream: fetch.stream, birth, prev, messages };
-    return { case: "fetchReceipt", value: { outcome: isTrimmed ? "trimmed" : "done", low, head, batch, trims } };
+    return fetchFrom(log, fetch);
   }
 
   /** Removed spaces end at once; what is past its keep goes at the next trim. */
   planChanged(): void {
     const logs = [...this.#replica.state.streams.values()];
     const inMemory = this.#memory.all();
-    const isGone = (log: StreamLog): boolean => this.#standingOf(log.stream, log.spaceBirth) === "gone";
+    const isGone = (log: StreamLog): boolean => this.#standings.of(log.stream, log.spaceBirth) === "gone";
     const gone = logs.filter(isGone);
     // A stream that moved between log and memory goes on in another birth.
-    const left = inMemory.filter((log) => !this.#isInMemory(log.stream));
-    const moved = logs.filter((log) => this.#isInMemory(log.stream));
+    const left = inMemory.filter((log) => !this.#standings.isInMemory(log.stream));
+    const moved = logs.filter((log) => this.#standings.isInMemory(log.stream));
     this.#follows.end([...gone, ...inMemory.filter(isGone)].map((log) => log.stream));
     this.#follows.askAgain([...left, ...moved].map((log) => log.stream));
     for (const log of [...left, ...inMemory.filter(isGone)]) this.#memory.remove(log.stream);
@@ -274,9 +267,9 @@
     const at = this.#holder.at;
     const streams = [...state.streams.values()].flatMap((log): Array<MessageInitShape<typeof TrimStreamSchema>> => {
       const { stream, birth } = log;
-      const standing = this.#standingOf(stream, log.spaceBirth);
+      const standing = this.#standings.of(stream, log.spaceBirth);
       // Nothing of it is owed any more; should it be kept again, that is another birth.
-      if (standing === "ours" && this.#isInMemory(stream)) return [{ stream, birth, isRemoved: true }];
+      if (standing === "ours" && this.#standings.isInMemory(stream)) return [{ stream, birth, isRemoved: true }];
       if (standing !== "ours") return standing === "gone" ? [{ stream, birth, isRemoved: true }] : [];
       const old = log.messages.findIndex((message) => message.at >= at - this.#keepMs(message.topic));
       const low = old === -1 ? log.head : log.messages[old]!.seq - 1;
@@ -294,18 +287,13 @@
     return Math.max((owed?.keep ?? 0) * 1000, Bench.leastKeepMs);
   }
 
-  /** Whether the holder keeps the stream in its memory alone. */
-  #isInMemory(stream: string): boolean {
-    return keepsNothing(this.#node.plan.plan, stream);
-  }
-
   #find(stream: string): StreamLog | undefined {
-    return this.#isInMemory(stream) ? this.#memory.find(stream) : this.#replica.state.streams.get(stream);
+    return this.#standings.isInMemory(stream) ? this.#memory.find(stream) : this.#replica.state.streams.get(stream);
   }
 
   /** The stream's birth, made where there was none of this birth of its space; undefined where it could not be. */
   async #birthOf(stream: string, spaceBirth: number): Promise<string | undefined> {
-    if (this.#isInMemory(stream)) return this.#memory.take(stream, spaceBirth, this.#holder.at)?.birth;
+    if (this.#standings.isInMemory(stream)) return this.#memory.take(stream, spaceBirth, this.#holder.at)?.birth;
     const { streams } = this.#replica.state;
     let birth = this.#births.get(stream);
     if (birth === undefined && (streams.get(stream)?.spaceBirth ?? 0) < spaceBirth) {
@@ -330,27 +318,6 @@
     return log?.spaceBirth === spaceBirth ? log.known(topic, session, number) : undefined;
   }
 
-  /**
-   * What this node's plan, in which a topic's space has the birth `present`, says of another birth of it: whether
-   * it is in force, was removed, is older than the one in force, or newer than all that this node has heard of.
-   */
-  #standing(present: number | undefined, spaceBirth: number): "ours" | "behind" | "older" | "gone" {
-    if (this.#node.plan.mark < spaceBirth) return "behind";
-    if (present === spaceBirth) return "ours";
-    if (present === undefined) return "gone";
-    return spaceBirth < present ? "older" : "behind";
-  }
-
-  /** The same for a stream, which is gone too where no rule owes its topic, or another space or order has it. */
-  #standingOf(stream: string, spaceBirth: number): "ours" | "behind" | "gone" {
-    const { plan } = this.#node.plan;
-    const standing = this.#standing(this.#node.plan.spaceBirthOf(stream), spaceBirth);
-    if (standing === "older") return "gone";
-    if (standing !== "ours") return standing;
-    const isWhole = Plans.orderOf(plan, Streams.spaceOf(stream)) === "space";
-    return isWhole || Plans.owed(plan, Streams.topicOf(stream)) !== undefined ? "ours" : "gone";
-  }
-
   #isOurs(stream: string): boolean {
     return Rendezvous.shardOf(stream, this.#node.parts.settings.shards) === this.#replica.shard;
   }
@@ -366,7 +333,7 @@
         const { isOpen } = this;
         if (isOpen)
           this.#follows.push(
-            streams.filter((one) => this.#standingOf(one, this.#find(one)?.spaceBirth ?? 0) === "ours"),
+            streams.filter((one) => this.#standings.of(one, this.#find(one)?.spaceBirth ?? 0) === "ours"),
           );
         if (isOpen) this.#memory.trim(streams);
         resolve(isOpen);
--- a/packages/anvil/src/process/claims.ts
+++ b/packages/anvil/src/process/claims.ts
@@ -7,7 +7,8 @@
 import { Bench } from "./bench.js";
 import { Holder } from "./holder.js";
 import { Mender } from "./mender.js";
-import { PushTurn } from "./pushTurn.js";
+import { CommitTurn } from "./commitTurn.js";
+import type { PushTurn } from "./pushTurn.js";
 import type { Replica } from "./replica.js";
 
 interface Claim {
@@ -34,14 +35,16 @@
   readonly #freeSince = new Map<number, number>();
   readonly #busy = new Set<number>();
   readonly #turn: PushTurn;
+  readonly #commits: CommitTurn;
   isEmptying = false;
 
-  constructor(node: ClusterNode, lease: LeaseKeeper, replicas: readonly Replica[], id: string) {
+  constructor(node: ClusterNode, lease: LeaseKeeper, replicas: readonly Replica[], id: string, turn: PushTurn) {
     this.#node = node;
     this.#lease = lease;
     this.#replicas = replicas;
     this.#id = id;
-    this.#turn = new PushTurn(node);
+    this.#turn = turn;
+    this.#commits = new CommitTurn(node);
     lease.on("lost", () => {
       for (const claim of [...this.#claims.values()]) claim.holder.stop("the lease was lost");
     });
@@ -154,7 +157,7 @@
   /** The store names this disk the holder under an epoch: serves once a majority has pledged it. */
   async #hold(replica: Replica, set: ShardSet, epoch: number, lease: string): Promise<void> {
     const { shard } = replica;
-    const holder = new Holder(replica, set, epoch, this.#node);
+    const holder = new Holder(replica, set, epoch, this.#node, this.#commits);
     const bench = new Bench(
       this.#node,
       replica,
--- /dev/null
+++ b/packages/anvil/src/process/fetchFrom.ts
@@ -0,0 +1,19 @@
+import type { Fetch } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import type { BodyInit } from "@cranetrack/chest/process/wire.js";
+import type { StreamLog } from "../mark/streamLog.js";
+import { Follows } from "./follows.js";
+
+/** Messages of a committed log after a place, or what was trimmed after it. */
+export function fetchFrom(log: StreamLog, fetch: Fetch): BodyInit {
+  const { birth, low, head } = log;
+  if (birth !== fetch.birth)
+    return { case: "fetchReceipt", value: { outcome: "another-birth", low, head, batch: { birth } } };
+  const messages = Follows.slice(log.messages, low, fetch.after, fetch.limit);
+  const isTrimmed = fetch.after < low;
+  const trims = isTrimmed
+    ? [...log.trims].filter(([, seq]) => seq > fetch.after).map(([topic, seq]) => ({ topic, seq }))
+    : [];
+  const prev = (messages[0]?.seq ?? head + 1) - 1;
+  const batch = { stream: fetch.stream, birth, prev, messages };
+  return { case: "fetchReceipt", value: { outcome: isTrimmed ? "trimmed" : "done", low, head, batch, trims } };
+}
--- a/packages/anvil/src/process/follows.ts
+++ b/packages/anvil/src/process/follows.ts
@@ -17,6 +17,8 @@
   sent: number;
   /** The edge's subscribers by topic, of a topic's own stream under "". */
   counts: Map<string, number>;
+  /** Pushed by a replica near the edge; followed here for what else there is to tell. */
+  isQuiet: boolean;
 }
 interface Following {
   readonly follow: string;
@@ -63,6 +65,20 @@
     return this.#byStream.has(stream);
   }
 
+  has(follow: string): boolean {
+    return this.#follows.has(follow);
+  }
+
+  streams(): string[] {
+    return [...this.#byStream.keys()];
+  }
+
+  /** Whether the stream is there no more in a birth that somebody follows. */
+  isOfAnotherBirth(stream: string): boolean {
+    const birth = this.#parts.find(stream)?.birth;
+    return [...(this.#byStream.get(stream) ?? [])].some((one) => one.streams.get(stream)?.birth !== birth);
+  }
+
   /** Subscribers of a topic at all edges that are there. */
   countOf(stream: string, topic: string): number {
     const { membership } = this.#parts.node;
@@ -85,6 +101,10 @@
       else counts?.delete(topic);
     }
     for (const stream of follow.left) this.#leave(following, stream);
+    for (const { stream, birth } of follow.quiet) {
+      const at = following.streams.get(stream);
+      if (at?.birth === birth && !this.#parts.isInMemory(stream)) at.isQuiet = true;
+    }
     return following.number === follow.seen;
   }
 
@@ -103,7 +123,8 @@
       const log = this.#parts.find(stream);
       if (log === undefined) continue;
       const sent = this.#sentTo(log, at);
-      following.streams.set(stream, { birth: log.birth, sent, counts: Follows.#countsOf(at) });
+      const isQuiet = at.isQuiet && at.birth === log.birth && !this.#parts.isInMemory(stream);
+      following.streams.set(stream, { birth: log.birth, sent, counts: Follows.#countsOf(at), isQuiet });
       let followers = this.#byStream.get(stream);
       if (followers === undefined) this.#byStream.set(stream, (followers = new Set()));
       followers.add(following);
@@ -137,6 +158,15 @@
     this.#dismiss(streams, "");
   }
 
+  /** Tells all followers that nothing is pushed to them from here any more. */
+  leaveAll(): void {
+    for (const following of [...this.#follows.values()]) {
+      this.#drop(following);
+      const { turn, shard, epoch } = this.#parts;
+      turn.tell(following.edge, { shard, epoch, follow: following.follow, isAway: true });
+    }
+  }
+
   forgetSilent(): void {
     const now = this.#now();
     for (const following of [...this.#follows.values()])
@@ -176,7 +206,8 @@
   #batch(following: Following, stream: string): StreamBatch | undefined {
     const at = following.streams.get(stream);
     const log = this.#parts.find(stream);
-    if (at === undefined || log === undefined || at.birth !== log.birth || at.sent >= log.head) return undefined;
+    if (at === undefined || at.isQuiet || log === undefined || at.birth !== log.birth || at.sent >= log.head)
+      return undefined;
     const messages = Follows.slice(log.messages, log.low, at.sent, Follows.mostMessages);
     const prev = (messages[0]?.seq ?? log.head + 1) - 1;
     at.sent = messages.at(-1)?.seq ?? log.head;
--- a/packages/anvil/src/process/holder.ts
+++ b/packages/anvil/src/process/holder.ts
@@ -5,6 +5,7 @@
 import type { ShardSet } from "@cranetrack/chest/mark/shardSet.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { Verdict } from "../mark/streamLog.js";
+import type { CommitTurn } from "./commitTurn.js";
 import type { AppliedEntry, Replica } from "./replica.js";
 
 type CommandInit = NonNullable<MessageInitShape<typeof ShardCommandSchema>["command"]>;
@@ -22,6 +23,7 @@
   readonly epoch: number;
   readonly #replica: Replica;
   readonly #node: ClusterNode;
+  readonly #commits: CommitTurn;
   readonly #pending = new Map<number, (verdict: Verdict | undefined) => void>();
   readonly #startedAt: number;
   #timeBase = 0;
@@ -32,13 +34,14 @@
   readonly #heed = (applied: AppliedEntry): void => this.#applied(applied);
   readonly #outbid = (): void => this.stop("a higher epoch");
 
-  constructor(replica: Replica, set: ShardSet, epoch: number, node: ClusterNode) {
+  constructor(replica: Replica, set: ShardSet, epoch: number, node: ClusterNode, commits: CommitTurn) {
     super();
     this.setMaxListeners(0);
     this.#replica = replica;
     this.#set = set;
     this.epoch = epoch;
     this.#node = node;
+    this.#commits = commits;
     this.#startedAt = node.parts.clock.now();
   }
 
@@ -125,6 +128,12 @@
     return this.#spread?.confirm() ?? Promise.resolve(false);
   }
 
+  /** Which replicas have all that is committed and were not told so; they count as told from now on. */
+  untold(): Array<{ id: string; name: string; commit: { shard: number; term: number; index: number } }> {
+    const commit = { shard: this.#replica.shard, term: this.epoch, index: this.#spread?.commit ?? 0 };
+    return (this.#spread?.untold() ?? []).map((id) => ({ id, name: this.#nameOf(id), commit }));
+  }
+
   stop(why: string): void {
     if (this.#isOver) return;
     this.#isOver = true;
@@ -151,7 +160,10 @@
     this.#spread = replica.spread = spread;
     replica.on("applied", this.#heed);
     replica.on("deposed", this.#outbid);
-    spread.on("committed", (index) => replica.advance(index));
+    spread.on("committed", (index) => {
+      replica.advance(index);
+      this.#commits.add(this);
+    });
     spread.on("deposed", () => this.stop("a higher epoch"));
     spread.enlist([this.#set.members.map((member) => member.id)], []);
     void this.#append(create(EntrySchema, { index: replica.log.lastIndex + 1, term: this.epoch, kind: 1 })).then(() => {
--- a/packages/anvil/src/process/replica.ts
+++ b/packages/anvil/src/process/replica.ts
@@ -23,6 +23,7 @@
   applied: [applied: AppliedEntry];
   deposed: [epoch: number];
   appended: [];
+  installed: [];
 }> {
   static readonly compactAt = 3000;
 
@@ -33,6 +34,10 @@
   readonly #intake: Intake;
   readonly #node: ClusterNode;
   applied = 0;
+  /** When a holder was last heard, of which epoch, and how far it said the log is committed. */
+  #heard = { term: 0, at: -Infinity, commit: 0 };
+  /** Since when something is committed that is not applied here; 0 while all is. */
+  #behindSince = 0;
   /** Set while this replica spreads its own log. */
   spread: Spread | undefined;
 
@@ -53,11 +58,11 @@
     node.groups.enlist(this.log.group, {
       append: (append, from) =>
         append.receiver === this.id
-          ? this.#take(append.term, from, () => this.#intake.take(append, this.applied))
+          ? this.#take(append.term, append.commit, from, () => this.#intake.take(append, this.applied))
           : undefined,
       picture: (picture, from) =>
         picture.receiver === this.id
-          ? this.#take(picture.term, from, () => this.#intake.takePicture(picture, this.applied))
+          ? this.#take(picture.term, picture.index, from, () => this.#intake.takePicture(picture, this.applied))
           : undefined,
       receipt: (receipt) => {
         if (receipt.receiver === this.id) this.spread?.take(receipt);
@@ -78,6 +83,23 @@
       void this.log.compact(this.applied, this.state.picture());
   }
 
+  /** The holder of an epoch says how far the log is committed. */
+  committed(epoch: number, index: number): void {
+    if (epoch !== this.log.term) return;
+    this.#intake.heed(epoch, index);
+    this.#hear(epoch, index);
+  }
+
+  /** Milliseconds since the holder of an epoch was last heard. */
+  heardAgo(epoch: number): number {
+    return this.#heard.term === epoch ? this.#node.parts.clock.now() - this.#heard.at : Infinity;
+  }
+
+  /** For how long something that is known to be committed has not been applied. */
+  get behindMs(): number {
+    return this.#behindSince === 0 ? 0 : this.#node.parts.clock.now() - this.#behindSince;
+  }
+
   /** A claimant asks for the promise to refuse all lower epochs. */
   async pledge(pledge: Pledge): Promise<BodyInit> {
     if (pledge.epoch < this.log.term || !Number.isSafeInteger(pledge.epoch))
@@ -131,15 +153,25 @@
   #install(index: number, state: Uint8Array): void {
     if (state.length > 0) this.state.install(state);
     this.applied = index;
+    this.emit("installed");
+  }
+
+  #hear(term: number, commit: number): void {
+    const at = this.#node.parts.clock.now();
+    this.#heard = { term, at, commit: Math.max(commit, this.#heard.commit) };
+    if (this.applied >= this.#heard.commit) this.#behindSince = 0;
+    else if (this.#behindSince === 0) this.#behindSince = at;
   }
 
   #outbid(term: number): void {
     if (this.spread !== undefined && term > this.log.term) this.emit("deposed", term);
   }
 
-  async #take(term: number, from: string, take: () => Promise<BodyInit>): Promise<undefined> {
+  async #take(term: number, commit: number, from: string, take: () => Promise<BodyInit>): Promise<undefined> {
     this.#outbid(term);
-    const receipt = await take();
+    const taken = take();
+    if (term === this.log.term) this.#hear(term, commit);
+    const receipt = await taken;
     this.emit("appended");
     this.#node.exchange.tell(from, receipt);
     return undefined;
--- a/packages/chest/src/mark/intake.ts
+++ b/packages/chest/src/mark/intake.ts
@@ -12,6 +12,8 @@
   /** Called with how far the log may be applied, after the entries are in it. */
   readonly #onCommit: (index: number) => void;
   readonly #onPicture: (index: number, state: Uint8Array) => void;
+  /** Up to where this log is known to be the one of the term's sender. */
+  #agreed = { term: 0, index: 0 };
 
   constructor(
     log: ReplicaLog,
@@ -38,6 +40,7 @@
       );
     }
     const match = append.prevIndex + append.entries.length;
+    this.#agree(append.term, match);
     const synced = this.#log.agree(append.prevIndex, append.entries);
     this.#onCommit(Math.min(append.commit, match));
     await promised;
@@ -49,6 +52,7 @@
     if (picture.term < this.#log.term || ![picture.term, picture.index, picture.indexTerm].every(Intake.#isCount))
       return this.#receipt(picture, false, 0);
     if (picture.term > this.#log.term) void this.#log.promise(picture.term, "");
+    this.#agree(picture.term, picture.index);
     if (picture.index > commit) {
       const installed = this.#log.install(picture.index, picture.indexTerm, picture.state);
       this.#onPicture(picture.index, picture.state);
@@ -57,6 +61,16 @@
     return this.#receipt(picture, true, picture.index);
   }
 
+  /** The sender of a term has committed its log up to an index. */
+  heed(term: number, index: number): void {
+    if (term === this.#log.term && term === this.#agreed.term && Intake.#isCount(index))
+      this.#onCommit(Math.min(index, this.#agreed.index));
+  }
+
+  #agree(term: number, index: number): void {
+    this.#agreed = { term, index: this.#agreed.term === term ? Math.max(this.#agreed.index, index) : index };
+  }
+
   static #isCount(value: number): boolean {
     return Number.isSafeInteger(value) && value >= 0;
   }
--- a/packages/chest/src/mark/spread.ts
+++ b/packages/chest/src/mark/spread.ts
@@ -127,6 +127,14 @@
     }
   }
 
+  /** Who has been sent all that is committed and not been told that it is: they count as told from now on. */
+  untold(): string[] {
+    if (this.#isOver) return [];
+    const found = [...this.#peers].filter(([, peer]) => peer.told < this.commit && peer.next > this.commit);
+    for (const [, peer] of found) peer.told = this.commit;
+    return found.map(([id]) => id);
+  }
+
   /** Resolves true once a majority has answered something sent after this call: nobody has taken over. */
   confirm(): Promise<boolean> {
     if (this.#isOver) return Promise.resolve(false);
