Edges follow kept streams at the replica of their own region

The holder's follow stays: it confirms heads, births and faults and counts subscribers, but pushes nothing that a near replica serves. At the first doubt the edge goes on at the holder from the head it has.

--- a/packages/vise/src/link/streamCursor.ts
+++ b/packages/vise/src/link/streamCursor.ts
@@ -132,7 +132,7 @@
   async #fetch(): Promise<void> {
     const { table, tail, maySend } = this.#parts;
     const { birth, cursor } = this;
-    const got = await table.followOf(tail.shard).fetch(tail.stream, birth, cursor);
+    const got = await table.fetch(tail, birth, cursor);
     if (got === undefined || this.#isStopped || this.birth !== birth || this.cursor !== cursor) return;
     if (got.outcome === "trimmed") this.#skip(got.low, got.trims);
     for (const message of got.messages) {
--- /dev/null
+++ b/packages/vise/src/process/replicaFollow.ts
@@ -0,0 +1,194 @@
+import type { Push } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
+import { fetchMessages, type Fetched } from "../request/fetchMessages.js";
+import type { FollowInit, ShardFollow } from "./shardFollow.js";
+import type { StreamTail } from "./streamTail.js";
+
+/**
+ * This edge's following of one shard's kept streams at a replica in its own region, beside the holder's, which
+ * confirms heads, births and faults and pushes nothing meanwhile.
+ * Invariants: a stream is served here only in the birth that the holder has confirmed, from the head that this edge
+ * has; at the first doubt the whole follow is left and the holder pushes again, from that head on.
+ */
+export class ReplicaFollow {
+  /** A replica that was left is tried again so much later; longer each time, unless it had served a while. */
+  static readonly againMs = 2000;
+  static readonly mostAgainMs = 16_000;
+  static readonly provenMs = 10_000;
+  /** When a stream is asked for again that the replica did not have in its birth. */
+  static readonly lackedMs = 400;
+
+  readonly #node: ClusterNode;
+  readonly #shard: number;
+  readonly #atHolder: ShardFollow;
+  readonly #tails = new Map<string, StreamTail>();
+  readonly #lacked = new Map<StreamTail, number>();
+  readonly #left = new Set<string>();
+  #server = "";
+  #follow = "";
+  #seen = 0;
+  #isAsking = false;
+  /** Pushes of a follow whose receipt has not been read yet. */
+  #early: Push[] | undefined;
+  #since = 0;
+  #againAt = 0;
+  #waitMs = ReplicaFollow.againMs;
+  /** Rises when a follow is left; a receipt of an earlier turn is not heeded. */
+  #turn = 0;
+
+  constructor(node: ClusterNode, shard: number, atHolder: ShardFollow) {
+    this.#node = node;
+    this.#shard = shard;
+    this.#atHolder = atHolder;
+  }
+
+  /** Whom this edge follows here now; empty where nobody. */
+  get server(): string {
+    return this.#server;
+  }
+
+  add(tail: StreamTail): void {
+    this.#tails.set(tail.stream, tail);
+    this.#left.delete(tail.stream);
+  }
+
+  remove(tail: StreamTail): void {
+    if (this.#tails.get(tail.stream) === tail) {
+      this.#tails.delete(tail.stream);
+      if (tail.servedBirth !== "") this.#left.add(tail.stream);
+    }
+    this.#lacked.delete(tail);
+    tail.servedBirth = "";
+  }
+
+  /** From now on the holder pushes the stream again. */
+  giveBack(tail: StreamTail): void {
+    if (tail.servedBirth === "") return;
+    tail.servedBirth = "";
+    this.#left.add(tail.stream);
+    this.#atHolder.add(tail);
+  }
+
+  /** Follows what the holder has confirmed and the replica does not serve yet. */
+  async tend(): Promise<void> {
+    const near = this.#near();
+    if (this.#server !== "" && this.#server !== near) this.#leave();
+    const now = this.#now();
+    if (this.#isAsking || near === "" || now < this.#againAt) return;
+    const wanted = [...this.#tails.values()].filter((tail) => this.#isWanted(tail, now));
+    if (wanted.length === 0) return;
+    const isFull = this.#follow === "";
+    if (isFull) {
+      this.#server = near;
+      this.#follow = `${this.#node.exchange.name}/${this.#node.parts.chance.identity().slice(0, 8)}`;
+      this.#early = [];
+      this.#since = now;
+    }
+    this.#isAsking = true;
+    const turn = this.#turn;
+    const streams = wanted.map(({ route: { stream, spaceBirth }, birth, head }) => {
+      this.#left.delete(stream);
+      return { stream, spaceBirth, birth, after: head };
+    });
+    const value = { shard: this.#shard, follow: this.#follow, seen: this.#seen, isFull, streams, isAtReplica: true };
+    const receipt = await this.#node.exchange.call(near, { case: "follow", value }, 800);
+    if (turn !== this.#turn) return;
+    this.#isAsking = false;
+    if (receipt?.case !== "followReceipt" || receipt.value.outcome !== "done") return this.fail();
+    for (const { stream, birth, from, fault } of receipt.value.heads) {
+      const tail = this.#tails.get(stream);
+      if (tail === undefined) continue;
+      if (fault !== "" || !tail.isKnown || tail.birth !== birth)
+        this.#lacked.set(tail, this.#now() + ReplicaFollow.lackedMs);
+      else {
+        tail.servedBirth = birth;
+        // Where this edge is far behind it, the replica pushes from its own head on.
+        if (from > tail.head) tail.learn(birth, from, 0);
+        this.#atHolder.quieten(tail);
+      }
+    }
+    if (isFull) this.#seen = receipt.value.number;
+    const early = this.#early ?? [];
+    this.#early = undefined;
+    for (const push of early) this.take(push);
+    void this.tend();
+  }
+
+  /** What asks whether all pushes were seen; undefined where nothing is followed here. */
+  beat(): FollowInit | undefined {
+    void this.tend();
+    if (this.#follow === "" || this.#isAsking) return undefined;
+    if (this.#tails.size === 0 && this.#left.size === 0) return void this.#leave();
+    const left = [...this.#left];
+    this.#left.clear();
+    return { shard: this.#shard, follow: this.#follow, seen: this.#seen, isFull: false, left, isAtReplica: true };
+  }
+
+  /** The replica's answer to a beat, if it gave one; and what the holder had applied before the beat was sent. */
+  beaten(beat: FollowInit, outcome: string | undefined, applied: number, appliedAtHolder: number): void {
+    if (beat.follow !== this.#follow || (outcome === "resync" && this.#seen !== beat.seen)) return;
+    if (outcome !== "done" || applied < appliedAtHolder) this.fail();
+  }
+
+  take(push: Push): void {
+    if (push.follow !== this.#follow) return;
+    if (push.isAway) return this.fail();
+    if (this.#early !== undefined) return void this.#early.push(push);
+    if (push.number <= this.#seen) return;
+    if (push.number !== this.#seen + 1) return this.fail();
+    this.#seen = push.number;
+    for (const batch of push.batches) {
+      const tail = this.#tails.get(batch.stream);
+      if (tail === undefined) continue;
+      if (batch.fault === "" && tail.isKnown && tail.birth === batch.birth) tail.extend(batch.birth, batch.messages);
+      else this.giveBack(tail);
+    }
+  }
+
+  fetch(stream: string, birth: string, after: number): Promise<Fetched | undefined> {
+    const fetch = { shard: this.#shard, stream, birth, after, isAtReplica: true };
+    return fetchMessages(this.#node, this.#server, fetch);
+  }
+
+  /** Leaves the replica, for a while. */
+  fail(): void {
+    const now = this.#now();
+    if (now - this.#since > ReplicaFollow.provenMs) this.#waitMs = ReplicaFollow.againMs;
+    this.#againAt = now + this.#waitMs;
+    this.#waitMs = Math.min(2 * this.#waitMs, ReplicaFollow.mostAgainMs);
+    this.#leave();
+  }
+
+  #leave(): void {
+    this.#turn += 1;
+    this.#server = this.#follow = "";
+    this.#seen = 0;
+    this.#isAsking = false;
+    this.#early = undefined;
+    for (const tail of this.#tails.values()) this.giveBack(tail);
+    this.#left.clear();
+  }
+
+  #isWanted(tail: StreamTail, now: number): boolean {
+    const isOurs = tail.isKnown && !tail.keepsNothing && tail.servedBirth !== tail.birth;
+    return isOurs && now >= (this.#lacked.get(tail) ?? 0);
+  }
+
+  /** The replica to follow: in this edge's region (zone, where there are none); nobody where the holder is. */
+  #near(): string {
+    const { shards, membership, exchange } = this.#node;
+    const { holder, set } = shards.find(this.#shard);
+    const own = membership.self.region || membership.self.zone;
+    const near = (set?.members ?? [])
+      .filter(({ name, zone }) => (membership.find(name)?.region || zone) === own)
+      .map(({ name }) => name);
+    if (holder === "" || near.includes(holder)) return "";
+    const alive = near.filter((name) => membership.isAlive(name) && !exchange.isMute(name));
+    return Rendezvous.rank(`near ${exchange.name}`, alive)[0] ?? "";
+  }
+
+  #now(): number {
+    return this.#node.parts.clock.now();
+  }
+}
--- a/packages/vise/src/process/shardFollow.ts
+++ b/packages/vise/src/process/shardFollow.ts
@@ -4,24 +4,16 @@
   Push,
   StreamAtSchema,
   StreamHead,
-  StreamMessage,
   TopicCountSchema,
 } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import { fetchMessages, type Fetched } from "../request/fetchMessages.js";
 import type { StreamTail } from "./streamTail.js";
 
 export type FollowInit = MessageInitShape<typeof FollowSchema>;
 /** This edge's subscribers of a stream's topics. */
 export type CountsOf = (stream: string) => ReadonlyMap<string, number>;
 
-export interface Fetched {
-  outcome: "done" | "trimmed";
-  low: number;
-  messages: readonly StreamMessage[];
-  /** For each topic the last message of it that was trimmed. */
-  trims: ReadonlyMap<string, number>;
-}
-
 /**
  * This edge's following of one shard's streams at whoever holds the shard.
  * Invariants: a push counts only in its number's turn; `#seen` is the last number counted; anything else
@@ -39,6 +31,11 @@
   /** Topics whose counts the holder does not have yet, by stream; and streams that it still pushes for nobody. */
   readonly #counted = new Map<StreamTail, Set<string>>();
   readonly #left = new Set<string>();
+  /** Served by a replica since a moment ago: the holder need not push them. */
+  readonly #quiet = new Set<StreamTail>();
+  readonly #learned: () => void;
+  /** Up to which index the holder had applied the shard's log when it last answered a beat. */
+  applied = 0;
   #isTelling = false;
   #follow = "";
   #epoch = 0;
@@ -48,10 +45,11 @@
   /** Rises when the holder changes; a receipt of an earlier turn is not heeded. */
   #turn = 0;
 
-  constructor(node: ClusterNode, shard: number, countsOf: CountsOf) {
+  constructor(node: ClusterNode, shard: number, countsOf: CountsOf, learned: () => void) {
     this.#node = node;
     this.#shard = shard;
     this.#countsOf = countsOf;
+    this.#learned = learned;
   }
 
   get isIdle(): boolean {
@@ -76,6 +74,12 @@
     }
     this.#asked.delete(tail);
     this.#counted.delete(tail);
+    this.#quiet.delete(tail);
+  }
+
+  /** A replica serves the stream: the holder hears of it with the next beat. */
+  quieten(tail: StreamTail): void {
+    if (this.#streams.get(tail.stream) === tail) this.#quiet.add(tail);
   }
 
   /** A topic's subscribers have changed: the holder is told at once, or right behind what it is being told. */
@@ -134,6 +138,7 @@
       this.#seen = receipt.value.number;
     }
     for (const head of receipt.value.heads) this.#learn(head);
+    this.#learned();
     // What changed while this was asked.
     if (!this.#isTelling && this.#counted.size > 0) {
       this.#isTelling = true;
@@ -158,9 +163,13 @@
       });
     });
     const left = [...this.#left];
+    const quiet = [...this.#quiet]
+      .filter((tail) => tail.servedBirth === tail.birth)
+      .map(({ stream, birth }) => ({ stream, birth }));
+    this.#quiet.clear();
     this.#counted.clear();
     this.#left.clear();
-    return { shard: this.#shard, follow: this.#follow, seen: this.#seen, isFull: false, counts, left };
+    return { shard: this.#shard, follow: this.#follow, seen: this.#seen, isFull: false, counts, left, quiet };
   }
 
   /** The holder's answer to a beat, if it gave one. */
@@ -190,17 +199,8 @@
   }
 
   /** Messages after a place that the tail no longer has; undefined where the holder can't be asked now. */
-  async fetch(stream: string, birth: string, after: number): Promise<Fetched | undefined> {
-    if (this.holder === "") return undefined;
-    const receipt = await this.#node.exchange.call(
-      this.holder,
-      { case: "fetch", value: { shard: this.#shard, stream, birth, after, limit: 500 } },
-      800,
-    );
-    if (receipt?.case !== "fetchReceipt") return undefined;
-    const { outcome, low, batch, trims } = receipt.value;
-    if ((outcome !== "done" && outcome !== "trimmed") || batch?.birth !== birth) return undefined;
-    return { outcome, low, messages: batch.messages, trims: new Map(trims.map(({ topic, seq }) => [topic, seq])) };
+  fetch(stream: string, birth: string, after: number): Promise<Fetched | undefined> {
+    return fetchMessages(this.#node, this.holder, { shard: this.#shard, stream, birth, after });
   }
 
   /** One telling after the other, so that an older count never comes behind a newer one. */
@@ -219,7 +219,9 @@
     const { stream, spaceBirth } = route;
     const present = [...this.#countsOf(stream)];
     this.#counted.delete(tail);
-    const at = { stream, spaceBirth, birth, after: head };
+    const isQuiet = birth !== "" && tail.servedBirth === birth;
+    this.#quiet.delete(tail);
+    const at = { stream, spaceBirth, birth, after: head, isQuiet };
     return isWhole
       ? { ...at, counts: present.map(([topic, count]) => ({ topic, count })) }
       : { ...at, count: present[0]?.[1] ?? 0 };
--- a/packages/vise/src/process/streamTable.ts
+++ b/packages/vise/src/process/streamTable.ts
@@ -1,12 +1,21 @@
+import type { Push } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import { Grouped } from "@cranetrack/chest/process/grouped.js";
 import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 import type { StreamRoute } from "@cranetrack/chest/mark/streams.js";
 import { keepsNothing } from "@cranetrack/chest/mark/keepsNothing.js";
+import type { Fetched } from "../request/fetchMessages.js";
+import { ReplicaFollow } from "./replicaFollow.js";
 import { ShardFollow, type CountsOf, type FollowInit } from "./shardFollow.js";
 import { StreamTail } from "./streamTail.js";
 import { SubscriberCounts } from "./subscriberCounts.js";
 
+interface Beaten {
+  server: string;
+  beat: FollowInit;
+  heed: (outcome: string | undefined, applied: number) => void;
+}
+
 /**
  * The streams that this edge's links need, each followed once.
  * Invariant: a stream of an earlier birth of its space is in here only until the last link has left it.
@@ -17,6 +26,7 @@
   readonly #node: ClusterNode;
   readonly #tails = new Map<string, StreamTail>();
   readonly #follows: ShardFollow[];
+  readonly #atReplicas: ReplicaFollow[];
 
   /** Who subscribes to what here; cursors tell it. */
   readonly counts = new SubscriberCounts((tail, topic) => this.#follows[tail.shard]!.countChanged(tail, topic));
@@ -28,17 +38,26 @@
     const countsOf: CountsOf = (stream) => this.countsOf(stream);
     this.#follows = Array.from(
       { length: node.parts.settings.shards },
-      (_, shard) => new ShardFollow(node, shard, countsOf),
+      (_, shard) => new ShardFollow(node, shard, countsOf, () => void this.#atReplicas[shard]!.tend()),
     );
+    this.#atReplicas = this.#follows.map((follow, shard) => new ReplicaFollow(node, shard, follow));
+    const failAt = (name: string): void => {
+      for (const follow of this.#atReplicas) if (follow.server === name) follow.fail();
+    };
+    node.exchange.on("mute", failAt);
+    node.membership.on("suspected", failAt);
     node.exchange.serve("push", (push) => {
-      this.#follows[push.shard]?.take(push);
+      this.#take(push);
       return undefined;
     });
     node.exchange.serve("pushes", ({ pushes }) => {
-      for (const push of pushes) this.#follows[push.shard]?.take(push);
+      for (const push of pushes) this.#take(push);
       return undefined;
     });
-    node.shards.on("changed", (shard) => this.#follows[shard]?.moved());
+    node.shards.on("changed", (shard) => {
+      this.#follows[shard]?.moved();
+      void this.#atReplicas[shard]?.tend();
+    });
     node.plan.on("changed", () => this.#planChanged());
     node.parts.clock.every(ShardFollow.beatMs, () => this.#beat());
   }
@@ -51,8 +70,19 @@
     return Rendezvous.shardOf(stream, this.#follows.length);
   }
 
-  followOf(shard: number): ShardFollow {
-    return this.#follows[shard]!;
+  /** Who pushes a stream to this edge now. */
+  serverOf(tail: StreamTail): string {
+    return tail.servedBirth !== "" ? this.#atReplicas[tail.shard]!.server : this.#follows[tail.shard]!.holder;
+  }
+
+  /** Messages after a place that the tail no longer has; the holder has them where the replica does not yet. */
+  async fetch(tail: StreamTail, birth: string, after: number): Promise<Fetched | undefined> {
+    const { stream, shard } = tail;
+    if (tail.servedBirth === birth) {
+      const got = await this.#atReplicas[shard]!.fetch(stream, birth, after);
+      if (got !== undefined && (got.outcome === "trimmed" || got.messages.length > 0)) return got;
+    }
+    return this.#follows[shard]!.fetch(stream, birth, after);
   }
 
   /** Each take is paired with one `leave`. */
@@ -64,6 +94,7 @@
       tail.keepsNothing = keepsNothing(this.#node.plan.plan, route.stream);
       this.#tails.set(key, tail);
       this.#follows[tail.shard]!.add(tail);
+      this.#atReplicas[tail.shard]!.add(tail);
     } else if (!tail.isKnown) this.#follows[tail.shard]!.add(tail);
     tail.users += 1;
     return tail;
@@ -76,7 +107,7 @@
       const key = StreamTable.#key(tail.route);
       if (tail.users > 0 || this.#tails.get(key) !== tail) return;
       this.#tails.delete(key);
-      this.#follows[tail.shard]!.remove(tail);
+      this.#remove(tail);
     });
   }
 
@@ -96,32 +127,63 @@
     });
   }
 
-  /** One call to each holder for all its shards. */
+  /** One call to each node for all its shards, those that it holds and those that it is followed at as a replica. */
   #beat(): void {
-    const due = this.#follows.flatMap((follow) => {
+    const due = this.#follows.flatMap((follow, shard): Beaten[] => {
+      const atReplica = this.#atReplicas[shard]!;
+      const { applied } = follow;
       const beat = follow.holder === "" ? undefined : follow.beat();
-      return beat === undefined ? [] : [{ follow, beat }];
+      const replicaBeat = atReplica.beat();
+      const beats: Beaten[] = [];
+      if (beat !== undefined)
+        beats.push({
+          server: follow.holder,
+          beat,
+          heed: (outcome, applied) => {
+            if (outcome !== undefined && outcome !== "away") follow.applied = applied;
+            void follow.beaten(beat, outcome);
+          },
+        });
+      if (replicaBeat !== undefined)
+        beats.push({
+          server: atReplica.server,
+          beat: replicaBeat,
+          heed: (outcome, appliedThere) => atReplica.beaten(replicaBeat, outcome, appliedThere, applied),
+        });
+      return beats;
     });
-    for (const [holder, list] of Grouped.by(due, ({ follow }) => follow.holder)) void this.#beatHolder(holder, list);
+    for (const [server, list] of Grouped.by(due, (one) => one.server)) void this.#beatServer(server, list);
   }
 
-  async #beatHolder(holder: string, list: Array<{ follow: ShardFollow; beat: FollowInit }>): Promise<void> {
+  async #beatServer(server: string, list: readonly Beaten[]): Promise<void> {
     const beats = list.map(({ beat }) => beat);
-    const receipt = await this.#node.exchange.call(holder, { case: "followBeats", value: { beats } }, 700);
-    const outcomes = receipt?.case === "followBeatsReceipt" ? receipt.value.outcomes : [];
-    for (const [i, { follow, beat }] of list.entries()) void follow.beaten(beat, outcomes[i]);
+    const receipt = await this.#node.exchange.call(server, { case: "followBeats", value: { beats } }, 700);
+    const { outcomes, applied } =
+      receipt?.case === "followBeatsReceipt" ? receipt.value : { outcomes: [], applied: [] };
+    for (const [i, { heed }] of list.entries()) heed(outcomes[i], applied[i] ?? 0);
   }
 
   /** A plan in force that has no such stream, or another birth of its space, ends what was followed of it. */
   #planChanged(): void {
     for (const tail of this.#tails.values()) {
       tail.keepsNothing = keepsNothing(this.#node.plan.plan, tail.stream);
+      if (tail.keepsNothing) this.#atReplicas[tail.shard]!.giveBack(tail);
       if (this.#node.plan.spaceBirthOf(tail.stream) === tail.route.spaceBirth) continue;
-      this.#follows[tail.shard]!.remove(tail);
+      this.#remove(tail);
       tail.end("topic-gone");
     }
   }
 
+  #remove(tail: StreamTail): void {
+    this.#atReplicas[tail.shard]!.remove(tail);
+    this.#follows[tail.shard]!.remove(tail);
+  }
+
+  #take(push: Push): void {
+    this.#follows[push.shard]?.take(push);
+    this.#atReplicas[push.shard]?.take(push);
+  }
+
   static #key({ stream, spaceBirth }: StreamRoute): string {
     return `${spaceBirth} ${stream}`;
   }
--- a/packages/vise/src/process/streamTail.ts
+++ b/packages/vise/src/process/streamTail.ts
@@ -20,6 +20,8 @@
   messages: StreamMessage[] = [];
   #bytes = 0;
   isKnown = false;
+  /** In which birth a replica near this edge pushes it; empty where the holder does. */
+  servedBirth = "";
   users = 0;
   /**
    * Whether the holder alone has the stream: then a new birth is the same stream at another holder, which knows
--- /dev/null
+++ b/packages/vise/src/request/fetchMessages.ts
@@ -0,0 +1,28 @@
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import type { FetchSchema, StreamMessage } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+
+export interface Fetched {
+  outcome: "done" | "trimmed";
+  low: number;
+  messages: readonly StreamMessage[];
+  /** For each topic the last message of it that was trimmed. */
+  trims: ReadonlyMap<string, number>;
+}
+
+const dueMs = 800;
+const limit = 500;
+
+/** Messages after a place that the tail no longer has; undefined where that server can't tell them now. */
+export async function fetchMessages(
+  node: ClusterNode,
+  server: string,
+  fetch: MessageInitShape<typeof FetchSchema> & { birth: string },
+): Promise<Fetched | undefined> {
+  if (server === "") return undefined;
+  const receipt = await node.exchange.call(server, { case: "fetch", value: { ...fetch, limit } }, dueMs);
+  if (receipt?.case !== "fetchReceipt") return undefined;
+  const { outcome, low, batch, trims } = receipt.value;
+  if ((outcome !== "done" && outcome !== "trimmed") || batch?.birth !== fetch.birth) return undefined;
+  return { outcome, low, messages: batch.messages, trims: new Map(trims.map(({ topic, seq }) => [topic, seq])) };
+}
