--- a/packages/anvil/src/process/bench.ts
+++ b/packages/anvil/src/process/bench.ts
@@ -184,6 +184,7 @@
     // A head may become somebody's start only if nobody has taken over meanwhile.
     if (!this.isOpen || !(await this.#holder.confirm()) || !this.isOpen)
       return { case: "followReceipt", value: { outcome: "away" } };
+    if (this.#follows.isLate(follow)) return { case: "followReceipt", value: { outcome: "resync" } };
     const { heads, number } = this.#follows.enrol(follow, followed, edge);
     const found = new Set(heads.map((head) => head.stream));
     const missing = follow.streams.flatMap(({ stream }, i) =>
--- a/packages/anvil/src/process/followerReads.ts
+++ b/packages/anvil/src/process/followerReads.ts
@@ -74,8 +74,7 @@
   /** Answers in the same event-loop turn, so that no push overtakes the answer. */
   follow(follow: Follow, edge: string): BodyInit {
     if (!this.isOpen) return { case: "followReceipt", value: { outcome: "away" } };
-    if (!follow.isFull && !this.#follows.has(follow.follow))
-      return { case: "followReceipt", value: { outcome: "resync" } };
+    if (this.#follows.isLate(follow)) return { case: "followReceipt", value: { outcome: "resync" } };
     const followed = follow.streams.filter((at) => this.#isHere(at));
     const { heads, number } = this.#follows.enrol(follow, followed, edge);
     const found = new Set(heads.map((head) => head.stream));
--- /dev/null
+++ b/packages/anvil/src/process/follows.test.ts
@@ -0,0 +1,56 @@
+import { test } from "node:test";
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { FollowSchema, StreamMessageSchema, type Push } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import { expect } from "earl";
+import { StreamLog } from "../mark/streamLog.js";
+import { Follows } from "./follows.js";
+import type { PushTurn } from "./pushTurn.js";
+
+const stream = "6:notes/t1";
+const birth = "1-one";
+const say = (more: MessageInitShape<typeof FollowSchema>): ReturnType<typeof create<typeof FollowSchema>> =>
+  create(FollowSchema, { follow: "edge/1", ...more });
+
+function follows(): { table: Follows; pushed: Push[]; add: () => void } {
+  const log = new StreamLog(stream, birth);
+  const pushed: Push[] = [];
+  const node = { parts: { clock: { now: () => 0 } } } as ClusterNode;
+  const turn = { tell: (_edge: string, push: Push) => void pushed.push(push) } as PushTurn;
+  const table = new Follows({ node, shard: 0, epoch: 1, turn, find: () => log, isInMemory: () => false });
+  const add = (): void => {
+    log.head += 1;
+    log.messages.push(create(StreamMessageSchema, { seq: log.head, topic: "notes/t1" }));
+    table.push([stream]);
+  };
+  const at = { stream, birth, after: 0, spaceBirth: 1 };
+  table.enrol(say({ isFull: true, serial: 1, streams: [at] }), say({ streams: [at] }).streams, "edge");
+  return { table, pushed, add };
+}
+
+test("what a replica serves is not pushed by the holder, until the edge asks for it again", () => {
+  const { table, pushed, add } = follows();
+  add();
+  expect(pushed.length).toEqual(1);
+  expect(table.beat(say({ serial: 2, seen: 1, quiet: [{ stream, birth: "1-other" }] }))).toEqual(true);
+  add();
+  expect(pushed.length).toEqual(2);
+  expect(table.beat(say({ serial: 3, seen: 2, quiet: [{ stream, birth }] }))).toEqual(true);
+  add();
+  expect(pushed.length).toEqual(2);
+  table.enrol(say({ serial: 4 }), say({ streams: [{ stream, birth, after: 2 }] }).streams, "edge");
+  add();
+  expect(pushed[2]!.batches[0]!.messages.map(({ seq }) => seq)).toEqual([3, 4]);
+});
+
+test("a beat that was delayed or doubled on its way undoes nothing that was said after it", () => {
+  const { table, pushed, add } = follows();
+  expect(table.beat(say({ serial: 3, seen: 0 }))).toEqual(true);
+  expect(table.beat(say({ serial: 2, seen: 0, quiet: [{ stream, birth }] }))).toEqual(false);
+  expect(table.beat(say({ serial: 3, seen: 0, left: [stream] }))).toEqual(false);
+  expect(table.isLate(say({ serial: 3, isFull: true }))).toEqual(true);
+  expect(table.isLate(say({ follow: "edge/2", serial: 1 }))).toEqual(true);
+  expect(table.isLate(say({ follow: "edge/2", serial: 1, isFull: true }))).toEqual(false);
+  add();
+  expect(pushed.length).toEqual(1);
+});
--- a/packages/anvil/src/process/follows.ts
+++ b/packages/anvil/src/process/follows.ts
@@ -26,6 +26,8 @@
   readonly streams: Map<string, FollowedStream>;
   number: number;
   heardAt: number;
+  /** Of the last that the edge said; what was delayed or doubled on its way could undo it. */
+  serial: number;
 }
 interface FollowParts {
   node: ClusterNode;
@@ -65,8 +67,10 @@
     return this.#byStream.has(stream);
   }
 
-  has(follow: string): boolean {
-    return this.#follows.has(follow);
+  /** Said before something that was heard already; or an addition to a follow that is not here. */
+  isLate({ follow, serial, isFull }: Follow): boolean {
+    const following = this.#follows.get(follow);
+    return following === undefined ? !isFull : serial <= following.serial;
   }
 
   streams(): string[] {
@@ -93,7 +97,8 @@
   /** True where the edge has seen all pushes; otherwise it must follow in full again. */
   beat(follow: Follow): boolean {
     const following = this.#follows.get(follow.follow);
-    if (following === undefined) return false;
+    if (following === undefined || this.isLate(follow)) return false;
+    following.serial = follow.serial;
     following.heardAt = this.#now();
     for (const { stream, topic, count } of follow.counts) {
       const counts = following.streams.get(stream)?.counts;
@@ -113,10 +118,11 @@
     let following = this.#follows.get(follow.follow);
     if (follow.isFull || following === undefined) {
       for (const old of [...this.#follows.values()]) if (old.edge === edge) this.#drop(old);
-      following = { follow: follow.follow, edge, streams: new Map(), number: 0, heardAt: 0 };
+      following = { follow: follow.follow, edge, streams: new Map(), number: 0, heardAt: 0, serial: 0 };
       this.#follows.set(follow.follow, following);
     }
     following.heardAt = this.#now();
+    following.serial = follow.serial;
     const heads: StreamHead[] = [];
     for (const at of followed) {
       const { stream } = at;
--- a/packages/anvil/src/process/replica.ts
+++ b/packages/anvil/src/process/replica.ts
@@ -85,7 +85,7 @@
 
   /** The holder of an epoch says how far the log is committed. */
   committed(epoch: number, index: number): void {
-    if (epoch !== this.log.term) return;
+    if (epoch !== this.log.term || !Number.isSafeInteger(index)) return;
     this.#intake.heed(epoch, index);
     this.#hear(epoch, index);
   }
@@ -158,8 +158,8 @@
 
   #hear(term: number, commit: number): void {
     const at = this.#node.parts.clock.now();
-    this.#heard = { term, at, commit: Math.max(commit, this.#heard.commit) };
-    if (this.applied >= this.#heard.commit) this.#behindSince = 0;
+    this.#heard = { term, at, commit };
+    if (this.applied >= commit) this.#behindSince = 0;
     else if (this.#behindSince === 0) this.#behindSince = at;
   }
 
--- a/packages/chest/src/mark/replication.test.ts
+++ b/packages/chest/src/mark/replication.test.ts
@@ -206,3 +206,50 @@
   expect(beatAt(500)).toEqual("b,c");
   expect(beatAt(600)).toEqual("b,c");
 });
+
+test("a commit notice commits no more than what this log shares with its term's sender", async () => {
+  const commits: number[] = [];
+  const log = new ReplicaLog(new HeldDisk(), "g");
+  const intake = new Intake(
+    log,
+    "b",
+    (index) => commits.push(index),
+    () => undefined,
+  );
+  const take = (term: number, entries: Entry[], prevIndex = 0, prevTerm = 0): void =>
+    void intake.take(
+      create(AppendSchema, { group: "g", term, sender: "a", receiver: "b", prevIndex, prevTerm, entries }),
+      0,
+    );
+  take(2, [entry(1, 2), entry(2, 2), entry(3, 2)]);
+  commits.length = 0;
+  intake.heed(2, 2);
+  intake.heed(2, 9);
+  intake.heed(1, 3);
+  intake.heed(2, NaN);
+  expect(commits).toEqual([2, 3]);
+  // The next term's sender has shared its log up to 1 only; entries 2 and 3 may not be in it.
+  take(3, [], 1, 2);
+  commits.length = 0;
+  intake.heed(2, 3);
+  intake.heed(3, 3);
+  expect(commits).toEqual([1]);
+});
+
+test("who has all that is committed is told so once, by an append where one goes out anyway", async () => {
+  const disk = new HeldDisk();
+  const log = new ReplicaLog(disk, "g");
+  const spread = new Spread({ log, clock, self: "a", term: 2, commit: 0, send: () => undefined });
+  spread.enlist([["a", "b", "c"]], []);
+  void log.append([entry(1, 2)]).then(() => spread.kick());
+  await disk.sync();
+  expect(spread.untold()).toEqual([]);
+  spread.take(receipt("b", 1));
+  expect(spread.untold()).toEqual(["b", "c"]);
+  expect(spread.untold()).toEqual([]);
+  void log.append([entry(2, 2)]).then(() => spread.kick());
+  await disk.sync();
+  spread.take(receipt("b", 2));
+  spread.beat();
+  expect(spread.untold()).toEqual([]);
+});
--- a/packages/vise/src/process/replicaFollow.ts
+++ b/packages/vise/src/process/replicaFollow.ts
@@ -28,6 +28,7 @@
   #server = "";
   #follow = "";
   #seen = 0;
+  #serial = 0;
   #isAsking = false;
   /** Pushes of a follow whose receipt has not been read yet. */
   #early: Push[] | undefined;
@@ -91,7 +92,15 @@
       this.#left.delete(stream);
       return { stream, spaceBirth, birth, after: head };
     });
-    const value = { shard: this.#shard, follow: this.#follow, seen: this.#seen, isFull, streams, isAtReplica: true };
+    const value = {
+      shard: this.#shard,
+      follow: this.#follow,
+      seen: this.#seen,
+      isFull,
+      streams,
+      isAtReplica: true,
+      serial: ++this.#serial,
+    };
     const receipt = await this.#node.exchange.call(near, { case: "follow", value }, 800);
     if (turn !== this.#turn) return;
     this.#isAsking = false;
@@ -122,7 +131,9 @@
     if (this.#tails.size === 0 && this.#left.size === 0) return void this.#leave();
     const left = [...this.#left];
     this.#left.clear();
-    return { shard: this.#shard, follow: this.#follow, seen: this.#seen, isFull: false, left, isAtReplica: true };
+    const serial = ++this.#serial;
+    const follow = this.#follow;
+    return { shard: this.#shard, follow, seen: this.#seen, isFull: false, left, isAtReplica: true, serial };
   }
 
   /** The replica's answer to a beat, if it gave one; and what the holder had applied before the beat was sent. */
--- a/packages/vise/src/process/shardFollow.ts
+++ b/packages/vise/src/process/shardFollow.ts
@@ -40,6 +40,7 @@
   #follow = "";
   #epoch = 0;
   #seen = 0;
+  #serial = 0;
   #isAsking = false;
   #isStale = true;
   /** Rises when the holder changes; a receipt of an earlier turn is not heeded. */
@@ -120,7 +121,10 @@
     const turn = this.#turn;
     const receipt = await this.#node.exchange.call(
       this.holder,
-      { case: "follow", value: { shard: this.#shard, follow, seen: this.#seen, isFull, streams } },
+      {
+        case: "follow",
+        value: { shard: this.#shard, follow, seen: this.#seen, isFull, streams, serial: ++this.#serial },
+      },
       800,
     );
     if (turn !== this.#turn) return;
@@ -169,7 +173,8 @@
     this.#quiet.clear();
     this.#counted.clear();
     this.#left.clear();
-    return { shard: this.#shard, follow: this.#follow, seen: this.#seen, isFull: false, counts, left, quiet };
+    const serial = ++this.#serial;
+    return { shard: this.#shard, follow: this.#follow, seen: this.#seen, isFull: false, counts, left, quiet, serial };
   }
 
   /** The holder's answer to a beat, if it gave one. */
