Follower reads; pushes that come with their follow's receipt are kept

The push was handled before the receipt's reader ran, was taken for one of an older follow, and the edge followed again, for ever; its readers got nothing more of that shard. Ruled out: the log (every replica had the message), births, starts, feeds. Now such pushes wait for the receipt.

--- /dev/null
+++ b/packages/vise/src/process/shardFollow.test.ts
@@ -0,0 +1,66 @@
+import { test } from "node:test";
+import { create } from "@bufbuild/protobuf";
+import {
+  FollowReceiptSchema,
+  PushSchema,
+  StreamMessageSchema,
+  type Push,
+  type StreamMessage,
+} from "@cranetrack/chest/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import type { Body, BodyInit } from "@cranetrack/chest/process/wire.js";
+import { expect } from "earl";
+import { ShardFollow } from "./shardFollow.js";
+import { StreamTail } from "./streamTail.js";
+
+const birth = "1-0123456789";
+const stream = "6:notes/t1";
+const message = (seq: number): StreamMessage =>
+  create(StreamMessageSchema, { seq, session: "s", number: seq, topic: "notes/t1" });
+const push = (follow: string, number: number, seqs: number[]): Push =>
+  create(PushSchema, { follow, number, batches: [{ stream, birth, messages: seqs.map(message) }] });
+
+/** A follow at a holder that answers a full follow and pushes what it owes in the same breath. */
+function followed(owed: number[]): { tail: StreamTail; follow: ShardFollow; asked: () => number } {
+  let fulls = 0;
+  const turns: Array<() => void> = [];
+  const parts: Pick<ClusterNode, "exchange" | "parts" | "shards"> = {
+    parts: {
+      clock: { once: (_ms: number, ring: () => void) => (turns.push(ring), { stop: () => undefined }) },
+      chance: { identity: () => `identity-${fulls}` },
+    } as ClusterNode["parts"],
+    shards: { find: () => ({ holder: "anvil-1", epoch: 7 }) } as object as ClusterNode["shards"],
+    exchange: {
+      name: "vise-1",
+      call: (_to: string, body: BodyInit): Promise<Body | undefined> => {
+        if (body.case !== "follow" || body.value.isFull !== true) return Promise.resolve(undefined);
+        fulls += 1;
+        const heads = [{ stream, birth, from: 0, low: 0 }];
+        const value = create(FollowReceiptSchema, { outcome: "done", epoch: 7, number: 0, heads });
+        const receipt = Promise.resolve<Body>({ case: "followReceipt", value });
+        // One piece of the net's: the receipt settles its promise, the push is handed on before anybody saw that.
+        follow.take(push(body.value.follow!, 1, owed));
+        return receipt;
+      },
+    } as object as ClusterNode["exchange"],
+  };
+  const follow = new ShardFollow(
+    parts as ClusterNode,
+    0,
+    () => new Map(),
+    () => undefined,
+  );
+  const tail = new StreamTail({ stream, space: "notes/", spaceBirth: 1 }, 0);
+  follow.add(tail);
+  for (const ring of turns.splice(0)) ring();
+  return { tail, follow, asked: () => fulls };
+}
+
+test("pushes that come in one piece with the receipt of their follow count, and are not asked for again", async () => {
+  const { tail, follow, asked } = followed([1, 2, 3]);
+  await new Promise<void>((resolve) => setImmediate(resolve));
+  expect([tail.isKnown, tail.head, tail.messages.length]).toEqual([true, 3, 3]);
+  // The holder counts one push, and so does this edge: its beat is answered with "done".
+  const beat = follow.beat()!;
+  expect([beat.seen, asked()]).toEqual([1, 1]);
+});
--- a/packages/vise/src/process/shardFollow.ts
+++ b/packages/vise/src/process/shardFollow.ts
@@ -4,24 +4,16 @@
   Push,
   StreamAtSchema,
   StreamHead,
-  StreamMessage,
   TopicCountSchema,
 } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import { fetchMessages, type Fetched } from "../request/fetchMessages.js";
 import type { StreamTail } from "./streamTail.js";
 
 export type FollowInit = MessageInitShape<typeof FollowSchema>;
 /** This edge's subscribers of a stream's topics. */
 export type CountsOf = (stream: string) => ReadonlyMap<string, number>;
 
-export interface Fetched {
-  outcome: "done" | "trimmed";
-  low: number;
-  messages: readonly StreamMessage[];
-  /** For each topic the last message of it that was trimmed. */
-  trims: ReadonlyMap<string, number>;
-}
-
 /**
  * This edge's following of one shard's streams at whoever holds the shard.
  * Invariants: a push counts only in its number's turn; `#seen` is the last number counted; anything else
@@ -39,19 +31,28 @@
   /** Topics whose counts the holder does not have yet, by stream; and streams that it still pushes for nobody. */
   readonly #counted = new Map<StreamTail, Set<string>>();
   readonly #left = new Set<string>();
+  /** Served by a replica since a moment ago: the holder need not push them. */
+  readonly #quiet = new Set<StreamTail>();
+  readonly #learned: () => void;
+  /** Up to which index the holder had applied the shard's log when it last answered a beat. */
+  applied = 0;
   #isTelling = false;
   #follow = "";
   #epoch = 0;
   #seen = 0;
+  #serial = 0;
   #isAsking = false;
   #isStale = true;
+  /** Pushes of a full follow whose receipt has not been read yet: both may come in one piece. */
+  #early: Push[] | undefined;
   /** Rises when the holder changes; a receipt of an earlier turn is not heeded. */
   #turn = 0;
 
-  constructor(node: ClusterNode, shard: number, countsOf: CountsOf) {
+  constructor(node: ClusterNode, shard: number, countsOf: CountsOf, learned: () => void) {
     this.#node = node;
     this.#shard = shard;
     this.#countsOf = countsOf;
+    this.#learned = learned;
   }
 
   get isIdle(): boolean {
@@ -76,6 +77,12 @@
     }
     this.#asked.delete(tail);
     this.#counted.delete(tail);
+    this.#quiet.delete(tail);
+  }
+
+  /** A replica serves the stream: the holder hears of it with the next beat. */
+  quieten(tail: StreamTail): void {
+    if (this.#streams.get(tail.stream) === tail) this.#quiet.add(tail);
   }
 
   /** A topic's subscribers have changed: the holder is told at once, or right behind what it is being told. */
@@ -109,18 +116,26 @@
     const wanted = isFull ? [...this.#streams.values()] : [...this.#asked];
     if (isFull) this.#follow = `${this.#node.exchange.name}/${this.#node.parts.chance.identity().slice(0, 8)}`;
     const streams = wanted.map((tail) => this.#at(tail));
-    if (isFull) this.#left.clear();
+    if (isFull) {
+      this.#left.clear();
+      this.#early = [];
+    }
     // What is asked for again while this is under way stays asked for.
     for (const tail of wanted) this.#asked.delete(tail);
     const follow = this.#follow;
     const turn = this.#turn;
     const receipt = await this.#node.exchange.call(
       this.holder,
-      { case: "follow", value: { shard: this.#shard, follow, seen: this.#seen, isFull, streams } },
+      {
+        case: "follow",
+        value: { shard: this.#shard, follow, seen: this.#seen, isFull, streams, serial: ++this.#serial },
+      },
       800,
     );
     if (turn !== this.#turn) return;
     this.#isAsking = false;
+    const early = this.#early ?? [];
+    this.#early = undefined;
     if (receipt?.case !== "followReceipt" || receipt.value.outcome !== "done") {
       this.#isStale = true;
       for (const tail of wanted) if (this.#streams.has(tail.stream)) this.#asked.add(tail);
@@ -134,6 +149,8 @@
       this.#seen = receipt.value.number;
     }
     for (const head of receipt.value.heads) this.#learn(head);
+    this.#learned();
+    for (const push of early) this.take(push);
     // What changed while this was asked.
     if (!this.#isTelling && this.#counted.size > 0) {
       this.#isTelling = true;
@@ -158,9 +175,14 @@
       });
     });
     const left = [...this.#left];
+    const quiet = [...this.#quiet]
+      .filter((tail) => tail.servedBirth === tail.birth)
+      .map(({ stream, birth }) => ({ stream, birth }));
+    this.#quiet.clear();
     this.#counted.clear();
     this.#left.clear();
-    return { shard: this.#shard, follow: this.#follow, seen: this.#seen, isFull: false, counts, left };
+    const serial = ++this.#serial;
+    return { shard: this.#shard, follow: this.#follow, seen: this.#seen, isFull: false, counts, left, quiet, serial };
   }
 
   /** The holder's answer to a beat, if it gave one. */
@@ -172,7 +194,9 @@
   }
 
   take(push: Push): void {
-    if (push.follow !== this.#follow || this.#isStale) return;
+    if (push.follow !== this.#follow) return;
+    if (this.#early !== undefined) return void this.#early.push(push);
+    if (this.#isStale) return;
     if (push.number !== this.#seen + 1) {
       if (push.number <= this.#seen) return;
       this.#isStale = true;
@@ -190,17 +214,8 @@
   }
 
   /** Messages after a place that the tail no longer has; undefined where the holder can't be asked now. */
-  async fetch(stream: string, birth: string, after: number): Promise<Fetched | undefined> {
-    if (this.holder === "") return undefined;
-    const receipt = await this.#node.exchange.call(
-      this.holder,
-      { case: "fetch", value: { shard: this.#shard, stream, birth, after, limit: 500 } },
-      800,
-    );
-    if (receipt?.case !== "fetchReceipt") return undefined;
-    const { outcome, low, batch, trims } = receipt.value;
-    if ((outcome !== "done" && outcome !== "trimmed") || batch?.birth !== birth) return undefined;
-    return { outcome, low, messages: batch.messages, trims: new Map(trims.map(({ topic, seq }) => [topic, seq])) };
+  fetch(stream: string, birth: string, after: number): Promise<Fetched | undefined> {
+    return fetchMessages(this.#node, this.holder, { shard: this.#shard, stream, birth, after });
   }
 
   /** One telling after the other, so that an older count never comes behind a newer one. */
@@ -219,7 +234,9 @@
     const { stream, spaceBirth } = route;
     const present = [...this.#countsOf(stream)];
     this.#counted.delete(tail);
-    const at = { stream, spaceBirth, birth, after: head };
+    const isQuiet = birth !== "" && tail.servedBirth === birth;
+    this.#quiet.delete(tail);
+    const at = { stream, spaceBirth, birth, after: head, isQuiet };
     return isWhole
       ? { ...at, counts: present.map(([topic, count]) => ({ topic, count })) }
       : { ...at, count: present[0]?.[1] ?? 0 };
