After a blackout: own earlier holds given up at once, early clients wait, asking for votes again

Ruled out: disks, feeds. Now a process gives up what a process of its name held before it, an edge waits up to its patience for its lease, pre-votes are sent again at each beat (the first may have reached nobody yet), and a swap's own key is no outbidding.

--- a/packages/anvil/src/process/claims.ts
+++ b/packages/anvil/src/process/claims.ts
@@ -34,6 +34,8 @@
   readonly #claims = new Map<number, Claim>();
   readonly #freeSince = new Map<number, number>();
   readonly #busy = new Set<number>();
+  /** Shards whose set is being swapped: their key's new epoch may be heard of before the swap's own receipt. */
+  readonly #mending = new Set<number>();
   readonly #turn: PushTurn;
   readonly #commits: CommitTurn;
   isEmptying = false;
@@ -88,7 +90,10 @@
     let moving = this.all().filter(([, { mender }]) => mender.progress !== undefined).length;
     for (const [shard, claim] of this.all()) {
       const wasMoving = claim.mender.progress !== undefined;
+      this.#mending.add(shard);
       const swap = await claim.mender.beat(moving < Claims.mostMoves);
+      this.#mending.delete(shard);
+      if (swap === undefined) this.#heed(shard);
       if (!wasMoving && claim.mender.progress !== undefined) moving += 1;
       if (swap === undefined) continue;
       this.#claims.delete(shard);
@@ -100,8 +105,9 @@
   #consider(replica: Replica): void {
     const { shard } = replica;
     const route = this.#node.shards.find(shard);
-    const isOwnKey = route.holderId === this.#id && this.#claims.get(shard)?.holder.epoch !== route.epoch;
-    if (this.#busy.has(shard)) return;
+    // A holder of this name that is not this process was one before it: nobody needs to wait for its lease.
+    const isOwnKey = route.holder === this.#node.exchange.name && this.#claims.get(shard)?.holder.epoch !== route.epoch;
+    if (this.#busy.has(shard) || this.#mending.has(shard)) return;
     if (isOwnKey) return void this.#guard(shard, () => this.#giveBack(shard, route.epoch));
     const rank = this.#rank(shard);
     if (
@@ -189,7 +195,9 @@
   #heed(shard: number): void {
     const claim = this.#claims.get(shard);
     const route = this.#node.shards.find(shard);
-    if (claim !== undefined && route.epoch > claim.holder.epoch) claim.holder.stop("the store names another holder");
+    const isOwnSwap = this.#mending.has(shard) && route.holderId === this.#id;
+    if (claim !== undefined && route.epoch > claim.holder.epoch && !isOwnSwap)
+      claim.holder.stop("the store names another holder");
     // Freed just now: whose turn it is need not wait for a beat.
     if (route.holder === "" && this.#lease.isHeld && this.#node.feed.isFresh) this.#consider(this.#replicas[shard]!);
   }
--- a/packages/jig/src/process/sim/connections.test.ts
+++ b/packages/jig/src/process/sim/connections.test.ts
@@ -110,3 +110,13 @@
   expect((await settled(fleet, connection.publish("notes/t1", 2, "two"))).outcome).toEqual("unsure");
   expect((await settled(fleet, connection.publish("notes/t1", 2, "two"))).outcome).toEqual("unsure");
 });
+
+test("a client that comes before its edge has a lease waits for it, and is not sent away over and over", async () => {
+  const { fleet } = await served(74);
+  fleet.kill("vise-1");
+  await fleet.run(100);
+  const { vise } = fleet.start("vise-1");
+  expect(vise!.lease.isHeld).toEqual(false);
+  const answer = await settled(fleet, new ViseConnections(vise!).connect("desk", new Wire()));
+  expect(answer.outcome).toEqual("open");
+});
--- a/packages/jig/src/process/sim/shards.test.ts
+++ b/packages/jig/src/process/sim/shards.test.ts
@@ -3,6 +3,7 @@
 import { expect } from "earl";
 import { Checker } from "../../mark/checker.js";
 import type { Machine } from "../../mark/deployments.js";
+import { served } from "./hand.js";
 import { Scenario } from "./scenario.js";
 import { SimFleet } from "./simFleet.js";
 import { SimLoad } from "./simLoad.js";
@@ -279,3 +280,19 @@
     expect(await judged(fleet, load)).toEqual([]);
   });
 }
+
+test("a holder that comes back with a blank disk gives up at once what its earlier self held", async () => {
+  const { fleet } = await served(57);
+  const { holder } = fleet;
+  const routes = (): Array<[number, { holder: string; epoch: number }]> => fleet.find("vise-1")!.node.shards.all();
+  const held = routes().filter(([, route]) => route.holder === holder);
+  expect(held.length > 0).toEqual(true);
+  fleet.wipe(holder!);
+  await fleet.run(50);
+  const { node } = fleet.start(holder!);
+  const startedAt = fleet.world.now;
+  const isFreed = (): boolean =>
+    held.every(([shard, { epoch }]) => node.shards.find(shard).epoch !== epoch && node.feed.revision > 0);
+  expect(await fleet.until(isFreed, 3000)).toEqual(true);
+  expect(fleet.world.now - startedAt < 1000).toEqual(true);
+});
--- a/packages/lathe/src/process/ledger.ts
+++ b/packages/lathe/src/process/ledger.ts
@@ -205,6 +205,8 @@
     }
     const isVoter = this.members.voters.some((one) => one.id === this.id);
     if (isVoter && now >= this.#electionAt && !this.#isResigned && !this.#isStandingBy) this.#ask(true);
+    // After a start of all, the first question may have reached nobody yet.
+    else if (this.#asking !== 0 && this.#isPre) this.#sendVote();
   }
 
   /** Lets somebody else propose, and asks again itself only if nobody does. */
@@ -224,22 +226,24 @@
     this.#asking = this.#log.term + 1;
     this.#votes = new Set([this.id]);
     const asking = this.#asking;
-    const send = (): void => {
-      if (this.#asking !== asking || this.#isPre !== isPre) return;
-      const vote = {
-        term: asking,
-        candidate: this.id,
-        lastIndex: this.#log.lastIndex,
-        lastTerm: this.#log.lastTerm,
-        isPre,
-        founding: this.founding,
-      };
-      for (const one of this.members.voters)
-        if (one.id !== this.id) this.#exchange.tell(one.name, { case: "vote", value: vote });
-      this.#tally();
+    if (isPre) return this.#sendVote();
+    void this.#log.promise(asking, this.id).then(() => {
+      if (this.#asking === asking && !this.#isPre) this.#sendVote();
+    });
+  }
+
+  #sendVote(): void {
+    const vote = {
+      term: this.#asking,
+      candidate: this.id,
+      lastIndex: this.#log.lastIndex,
+      lastTerm: this.#log.lastTerm,
+      isPre: this.#isPre,
+      founding: this.founding,
     };
-    if (isPre) return send();
-    void this.#log.promise(asking, this.id).then(send);
+    for (const one of this.members.voters)
+      if (one.id !== this.id) this.#exchange.tell(one.name, { case: "vote", value: vote });
+    this.#tally();
   }
 
   async #vote(vote: Vote): Promise<undefined> {
--- a/packages/vise/src/request/admitSession.ts
+++ b/packages/vise/src/request/admitSession.ts
@@ -8,14 +8,19 @@
 
 /** The way to a session's ownership that every connection goes, whatever it speaks. */
 export const AdmitSession = {
+  againMs: 50,
+
   isName(id: string): boolean {
     return sessionName.test(id);
   },
 
-  /** Makes this node the session's owner, or says when to come back; waits up to `patience` ms for an old owner. */
+  /** Makes this node the session's owner, or says when to come back; waits up to `patience` ms for what it lacks. */
   async run(vise: ViseParts, id: string, patience = 0): Promise<Admitted> {
     const { sessions, node, lease } = vise;
     if (vise.isDraining) return { reason: "this node is stopping", comeBack: 0.2, code: "stopping" };
+    const end = node.parts.clock.now() + patience;
+    while ((!lease.isHeld || !node.feed.isFresh) && node.parts.clock.now() < end)
+      await new Promise<void>((resolve) => void node.parts.clock.once(AdmitSession.againMs, resolve));
     if (!lease.isHeld || !node.feed.isFresh)
       return { reason: "this node is out of touch with the store", comeBack: 1, code: "unavailable" };
     if (sessions.links + vise.enrolling >= vise.live.mostLinks) {
@@ -23,7 +28,7 @@
       return { reason: "this node has as many links as it takes", comeBack, code: "full" };
     }
     vise.enrolling += 1;
-    const claimed = await sessions.claim(id, patience);
+    const claimed = await sessions.claim(id, end - node.parts.clock.now());
     vise.enrolling -= 1;
     if ("comeBack" in claimed) return { ...claimed, code: "session-elsewhere" };
     const { session } = claimed;
