Plans are judged by the fleet's machines, also those that are down

A plan was refused for capacity while one of three disk machines was stopped or forgotten, so no change of configuration could be acknowledged during trouble. What the replica sets name and the plan in force promises counts as the fleet's; a machine that was emptied and left does not, and a plan that asks for more is refused as before.

--- /dev/null
+++ b/packages/jig/src/process/sim/planCapacity.test.ts
@@ -0,0 +1,67 @@
+import { test } from "node:test";
+import { Membership } from "@cranetrack/chest/process/membership.js";
+import { expect } from "earl";
+import type { Machine } from "../../mark/deployments.js";
+import { served } from "./hand.js";
+import { Scenario } from "./scenario.js";
+import { SimFleet } from "./simFleet.js";
+import { SimPlans } from "./simPlans.js";
+
+/** So many machines with a disk: lathes that store topic logs too. */
+const machines = (disks: number): Machine[] =>
+  Scenario.machines(disks, 0, 2).map((one) => (one.role === "lathe" ? { ...one, settings: { stores: true } } : one));
+
+type Receipt = { status: number; paths: string[] };
+
+async function put(fleet: SimFleet, mark: number, spaces = SimPlans.usual()): Promise<Receipt> {
+  let receipt: Receipt | undefined;
+  const body = JSON.stringify(SimPlans.write(mark, spaces, ["notes", "notices"]));
+  void fleet.port.call("lathe-2", "PUT", "/v1/plan", body).then((got) => {
+    const { problems = [] } = (got.body["error"] ?? {}) as { problems?: Array<{ path: string }> };
+    receipt = { status: got.status, paths: problems.map(({ path }) => path) };
+  });
+  expect(await fleet.until(() => receipt !== undefined, 6000)).toEqual(true);
+  return receipt!;
+}
+
+async function withDisks(seed: number, count: number): Promise<SimFleet> {
+  const fleet = new SimFleet(seed, machines(count));
+  fleet.startAll();
+  expect(await fleet.until(() => fleet.proposer !== undefined, 10_000)).toEqual(true);
+  await fleet.run(6000);
+  return fleet;
+}
+
+for (const [how, end] of [
+  ["stopped", "cycle"],
+  ["killed", "kill"],
+] as const)
+  test(`a machine that was ${how} is still the fleet's: plans that ask for no more are accepted`, async () => {
+    const { fleet, load } = await served(end === "kill" ? 91 : 92, machines(3));
+    fleet[end]("lathe-1");
+    await fleet.run(3000);
+    expect(await put(fleet, load.nextMark)).toEqual({ status: 200, paths: [] });
+    await fleet.run(Membership.forgetMs + 3000);
+    expect(fleet.find("lathe-2")!.node.membership.find("lathe-1")).toEqual(undefined);
+    expect(await put(fleet, load.nextMark)).toEqual({ status: 200, paths: [] });
+    const spaces = SimPlans.usual();
+    spaces["notes"]![0]!.owe["fault_budget"] = { machines: 2 };
+    const path = "spaces.0.program.0.owe.fault_budget.machines";
+    expect(await put(fleet, load.nextMark, spaces)).toEqual({ status: 422, paths: [path] });
+  });
+
+test("the first plan rests on the replica sets, also while one of their machines is down", async () => {
+  const fleet = await withDisks(93, 3);
+  fleet.cycle("lathe-1");
+  await fleet.run(3000);
+  expect(await put(fleet, 1)).toEqual({ status: 200, paths: [] });
+});
+
+test("a fleet that never had the machines is promised nothing", async () => {
+  const fleet = await withDisks(94, 2);
+  const paths = ["0.program.0.owe.fault_budget.machines", "1.program.0.owe.fault_budget.machines"];
+  expect(await put(fleet, 1)).toEqual({
+    status: 422,
+    paths: [...paths, "1.program.0.owe.fault_budget.zones"].map((path) => `spaces.${path}`),
+  });
+});
--- a/packages/lathe/src/request/planCapacity.ts
+++ b/packages/lathe/src/request/planCapacity.ts
@@ -1,10 +1,13 @@
 import type { Plan, PlanFault } from "@cranetrack/chest/mark/plan.js";
 import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
 
-/** What the machines there are could not keep, said rather than promised more weakly. */
-export function planCapacity(node: ClusterNode, plan: Plan): PlanFault[] {
-  const disks = node.membership.all().filter((member) => member.shelf !== "" && member.state === "up");
-  const zones = new Set(disks.map((member) => member.zone)).size;
+/** What the capacity is judged by. */
+export type CapacityParts = Pick<ClusterNode, "membership" | "machines" | "shards" | "plan">;
+
+/** What the fleet could not keep, said rather than promised more weakly. */
+export function planCapacity(node: CapacityParts, plan: Plan): PlanFault[] {
+  const disks = disksOf(node);
+  const zones = new Set(disks.values()).size;
   const faults: PlanFault[] = [];
   plan.spaces.forEach((space, i) =>
     space.program.forEach(({ owe }, j) => {
@@ -15,14 +18,36 @@
           path: `${path}.machines`,
           problem: "replica sets of three survive the loss of one machine, not of two",
         });
-      if ((owe.fault_budget.machines ?? 0) > 0 && disks.length < 3)
+      if ((owe.fault_budget.machines ?? 0) > 0 && disks.size < 3 && !restsOn(node, "machines"))
         faults.push({
           path: `${path}.machines`,
-          problem: `needs three machines with a disk for topic logs; there are ${disks.length}`,
+          problem: `needs three machines with a disk for topic logs; there are ${disks.size}`,
         });
-      if ((owe.fault_budget.zones ?? 0) > 0 && zones < 3)
+      if ((owe.fault_budget.zones ?? 0) > 0 && zones < 3 && !restsOn(node, "zones"))
         faults.push({ path: `${path}.zones`, problem: `needs such machines in three zones; there are ${zones}` });
     }),
   );
   return faults;
 }
+
+/**
+ * The fleet's machines with a disk for topic logs, by name, each with its zone. One that is down belongs to it as
+ * long as a member knows it or a replica set names it; one that was emptied and has left does not.
+ */
+function disksOf({ membership, machines, shards }: CapacityParts): Map<string, string> {
+  const disks = new Map<string, string>();
+  const isGone = (name: string): boolean => machines.isEmptying(name) && membership.find(name)?.state !== "up";
+  for (const [, { set }] of shards.all())
+    for (const { name, zone } of set?.members ?? []) if (!isGone(name)) disks.set(name, zone);
+  for (const { name, zone, shelf } of membership.all()) if (shelf !== "" && !isGone(name)) disks.set(name, zone);
+  return disks;
+}
+
+/** Whether the plan in force promises as much: it was accepted by what the fleet has, and no machine leaves that. */
+function restsOn({ plan }: CapacityParts, budget: "machines" | "zones"): boolean {
+  return (
+    plan.plan?.spaces.some(({ program }) =>
+      program.some(({ owe }) => owe.keep > 0 && (owe.fault_budget[budget] ?? 0) > 0),
+    ) ?? false
+  );
+}
