The plan's limits and deadlines are kept

limits.subscriptions replaces a constant, on both interfaces; limits.payloadBytes caps every contract's maxBytes, and the checker knows it. A publish's final answer goes out within half of its space's deadline; giving one up early says nothing of its holder, who would otherwise be taken for mute.

--- a/packages/chest/src/mark/plan.ts
+++ b/packages/chest/src/mark/plan.ts
@@ -31,6 +31,9 @@
 /** The operators' configuration: data, checked whole where it is put, judged by pure functions on every node. */
 export const Plans = {
   mostBytes: 1024 * 1024,
+  /** Bytes of a payload, and topics of a connection, where the plan names no other limit. */
+  usualPayloadBytes: 65_536,
+  usualSubscriptions: 500,
 
   /** What identifies a space: a space of another prefix is another space, whatever it is called. */
   prefixOf(space: { name: string; prefix?: string }): string {
@@ -72,6 +75,16 @@
     return rule?.owe;
   },
 
+  /** Bytes that a message under this contract may have: the plan's limit holds for all, whatever a contract allows. */
+  mostPayload(plan: Plan | undefined, owed: Owe): number {
+    return Math.min(owed.maxBytes ?? Plans.usualPayloadBytes, plan?.limits?.payloadBytes ?? Infinity);
+  },
+
+  /** Topics that one connection may have. */
+  mostSubscriptions(plan: Plan | undefined): number {
+    return plan?.limits?.subscriptions ?? Plans.usualSubscriptions;
+  },
+
   mayPublish(owed: Owe, session: string): boolean {
     return (
       owed.publishers === undefined ||
--- a/packages/jig/src/mark/planHistory.ts
+++ b/packages/jig/src/mark/planHistory.ts
@@ -58,7 +58,7 @@
 
   /** What every plan that may have been in force then owed the topic; undefined where none was for sure. */
   owedBetween(topic: string, from: number, to: number): Array<Owe | undefined> | undefined {
-    return this.between(from, to)?.map((plan) => Plans.owed(plan, topic));
+    return this.between(from, to)?.map((plan) => PlanHistory.#limited(plan, Plans.owed(plan, topic)));
   }
 
   /** Whether some plan sent in that time did not have the topic. */
@@ -82,6 +82,12 @@
     return streams.size === 1 ? [...streams][0] : undefined;
   }
 
+  /** The plan's limit of a payload holds whatever a contract allows. */
+  static #limited({ limits }: Plan, owe: Owe | undefined): Owe | undefined {
+    const most = limits?.payloadBytes;
+    return owe === undefined || most === undefined ? owe : { ...owe, maxBytes: Math.min(owe.maxBytes ?? 65_536, most) };
+  }
+
   static #put({ at, text }: { at: number; text: string }): Put {
     const read = PlanSchema.read(JSON.parse(text));
     return { at, text, plan: "plan" in read ? read.plan : { mark: 0, spaces: [] } };
--- a/packages/vise/src/connection/sessionConnection.ts
+++ b/packages/vise/src/connection/sessionConnection.ts
@@ -22,8 +22,6 @@
  * looked up together; nothing of a topic is delivered in the turn in which its subscription is confirmed.
  */
 export class SessionConnection implements Connection {
-  static readonly mostTopics = 500;
-
   readonly #vise: ViseParts;
   readonly #session: Session;
   readonly #link: ClientLink;
@@ -89,8 +87,8 @@
       return { outcome: "away", reason: "this node is out of touch with the store", comeBack: 0.5 };
     const isKnown = this.#session.subscriptions.has(topic) || this.#pending.has(topic);
     const count = this.#session.subscriptions.size + this.#pending.size;
-    if (!isKnown && count >= SessionConnection.mostTopics)
-      return { outcome: "too-many", reason: `a connection may have ${SessionConnection.mostTopics} topics` };
+    const most = Plans.mostSubscriptions(this.#vise.node.plan.plan);
+    if (!isKnown && count >= most) return { outcome: "too-many", reason: `a connection may have ${most} topics` };
     return undefined;
   }
 
--- a/packages/vise/src/process/session.ts
+++ b/packages/vise/src/process/session.ts
@@ -19,6 +19,8 @@
   /** By topic: the cursor of its stream. Topics of one stream share one. */
   readonly subscriptions = new Map<string, StreamCursor>();
   link: ClientLink | undefined;
+  /** Topics being looked up for the link that there is: they count against the plan's limit already. */
+  joining = 0;
   /** The client brings its topics and places with every connection: none are kept for it in between. */
   bringsTopics = false;
   leftAt = 0;
@@ -35,6 +37,7 @@
     const { link } = this;
     if (link === undefined) return;
     this.link = undefined;
+    this.joining = 0;
     this.leftAt = now;
     if (!this.bringsTopics)
       for (const [topic, cursor] of this.subscriptions) this.places.set(topic, cursor.placeOf(topic));
--- a/packages/vise/src/request/enrolLink.ts
+++ b/packages/vise/src/request/enrolLink.ts
@@ -12,7 +12,7 @@
 
 const linkBody = type({
   "+": "reject",
-  "subscriptions?": type({ "+": "reject", topic: "string", "after?": "string" }).array().atMostLength(500),
+  "subscriptions?": type({ "+": "reject", topic: "string", "after?": "string" }).array().atMostLength(100_000),
 });
 
 /** A client's long connection, new or resumed, from its request to its confirmed subscriptions. */
--- a/packages/vise/src/request/publishCall.ts
+++ b/packages/vise/src/request/publishCall.ts
@@ -4,7 +4,7 @@
 import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
 import { BodyReader } from "@cranetrack/chest/request/bodyReader.js";
 import type { ViseParts } from "../process/viseParts.js";
-import { publishMessage } from "./publishMessage.js";
+import { publishDue, publishMessage } from "./publishMessage.js";
 import { readOwner } from "./readOwner.js";
 
 const messageBody = type({
@@ -30,7 +30,7 @@
       problems: [{ path: "topic", problem: "must be space/name" }],
     });
   const session = vise.sessions.find(call.params[0]!);
-  if (session === undefined) return passOn(vise, call.params[0]!, call);
+  if (session === undefined) return passOn(vise, call.params[0]!, topic, call);
   const answer = await publishMessage(vise, session, topic, number, payload);
   switch (answer.outcome) {
     case "accepted":
@@ -47,10 +47,11 @@
 }
 
 /** The call came in at a node that does not own the session. */
-async function passOn(vise: ViseParts, id: string, call: ApiCall): Promise<ApiReceipt> {
+async function passOn(vise: ViseParts, id: string, topic: string, call: ApiCall): Promise<ApiReceipt> {
   const owner = call.isPassed ? undefined : (await readOwner(vise.node.store, id))?.owner;
   if (owner === undefined || owner.node === "" || owner.node === vise.node.exchange.name)
     return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
-  const receipt = await vise.router.passTo(owner.node, "POST", call.path, call.body, vise.publishDue + 300);
+  const due = 1.4 * publishDue(vise, topic);
+  const receipt = await vise.router.passTo(owner.node, "POST", call.path, call.body, due);
   return receipt ?? ApiReceipts.unsure("the session's owner did not answer; the same number again settles it");
 }
--- a/packages/vise/src/request/publishMessage.ts
+++ b/packages/vise/src/request/publishMessage.ts
@@ -1,4 +1,5 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
+import { Plans } from "@cranetrack/chest/mark/plan.js";
 import type { PublishReceipt, PublishSchema } from "@cranetrack/chest/gen/cranetrack_pb.js";
 import { Places } from "../mark/place.js";
 import type { Session } from "../process/session.js";
@@ -24,6 +25,7 @@
   payload: string,
 ): Promise<PublishOutcome> {
   const { node } = vise;
+  const end = node.parts.clock.now() + publishDue(vise, topic);
   // What an earlier try may have handed over can't be promised undone.
   const isDoubtful = !session.isWhole || session.numbers.isOpen(topic, number);
   const givenUp = (reason: string, comeBack: number, code?: string): PublishOutcome =>
@@ -36,11 +38,11 @@
     return comeBack === undefined ? { outcome: "refused", code, reason } : givenUp(reason, comeBack);
   }
   const shard = vise.streams.shardOf(route.stream);
-  if (!(await isHeld(vise, shard))) return givenUp("the topic has no holder just now", 0.1);
+  if (!(await isHeld(vise, shard, end))) return givenUp("the topic has no holder just now", 0.1);
   session.numbers.opened(topic, number);
   const { spaceBirth } = route;
   const publish = { shard, session: session.id, ownerEpoch: session.epoch, spaceBirth, number, topic };
-  const receipt = await atHolder(vise, shard, { ...publish, payload: Buffer.from(payload) });
+  const receipt = await atHolder(vise, shard, end, { ...publish, payload: Buffer.from(payload) });
   if (receipt === undefined)
     return { outcome: "unsure", reason: "the topic's holder did not answer; the same number again", comeBack: 0.2 };
   if (receipt !== "mute" && receipt.outcome === "unsure")
@@ -53,10 +55,17 @@
   return givenUp(reason || "the topic is changing hands", comeBack || 0.5, code || undefined);
 }
 
+/** How long a publish may take: its space's deadline is its callers', who must hear the answer well before it. */
+export function publishDue(vise: ViseParts, topic: string): number {
+  const { deadlineMs = Infinity } = Plans.spaceOf(vise.node.plan.plan, topic) ?? {};
+  return Math.min(vise.publishDue, deadlineMs / 2);
+}
+
 /** A shard that has just become free is claimed in a moment. */
-async function isHeld(vise: ViseParts, shard: number): Promise<boolean> {
+async function isHeld(vise: ViseParts, shard: number, end: number): Promise<boolean> {
   const { shards, parts } = vise.node;
-  if (shards.find(shard).holder === "") await shards.moved(shard, "", parts.clock, claimMs);
+  const left = Math.max(0, end - parts.clock.now());
+  if (shards.find(shard).holder === "") await shards.moved(shard, "", parts.clock, Math.min(claimMs, left));
   return shards.find(shard).holder !== "";
 }
 
@@ -67,16 +76,17 @@
 async function atHolder(
   vise: ViseParts,
   shard: number,
+  end: number,
   publish: MessageInitShape<typeof PublishSchema>,
 ): Promise<PublishReceipt | "mute" | undefined> {
   const { exchange, membership, shards, parts } = vise.node;
-  const end = parts.clock.now() + vise.publishDue;
   let isOpen = false;
-  for (let left: number = vise.publishDue; left > 0; left = end - parts.clock.now()) {
+  for (let left = end - parts.clock.now(); left > 0; left = end - parts.clock.now()) {
     const { holder } = shards.find(shard);
     if (exchange.isMute(holder) && !membership.isAlive(holder)) return isOpen ? undefined : "mute";
+    // A short deadline gives this publish up, and not the holder, who may be slower than that and well.
     const body = await Promise.race([
-      exchange.call(holder, { case: "publish", value: publish }, left),
+      exchange.call(holder, { case: "publish", value: publish }, vise.publishDue),
       shards.moved(shard, holder, parts.clock, left),
     ]);
     const receipt = body?.case === "publishReceipt" ? body.value : undefined;
@@ -87,7 +97,7 @@
     if (receipt === undefined) isOpen = true;
     const isMoved = shards.find(shard).holder !== holder;
     if (receipt === undefined && !isMoved) return undefined;
-    if (!(await isHeld(vise, shard))) return isOpen ? undefined : receipt;
+    if (!(await isHeld(vise, shard, end))) return isOpen ? undefined : receipt;
     // Whoever has just claimed it does not serve yet.
     if (!isMoved) await new Promise<void>((resolve) => void parts.clock.once(againMs, resolve));
   }
--- a/packages/vise/src/request/subscribeTopics.ts
+++ b/packages/vise/src/request/subscribeTopics.ts
@@ -1,3 +1,4 @@
+import { Plans } from "@cranetrack/chest/mark/plan.js";
 import type { ClientLink } from "../link/clientLink.js";
 import type { StreamCursor } from "../link/streamCursor.js";
 import { OwnerKey } from "../mark/ownerKey.js";
@@ -11,7 +12,8 @@
 
 /**
  * Each topic: find where its stream starts, write the key under the owner key's revision, and only then
- * confirm and deliver. What fails is answered for that topic alone; undefined where the link had to be closed.
+ * confirm and deliver. A connection has no more topics than the plan's limit. What fails is answered for that
+ * topic alone; undefined where the link had to be closed.
  */
 export async function subscribeTopics(
   vise: ViseParts,
@@ -26,7 +28,10 @@
     const cursor = session.subscriptions.get(topic);
     if (cursor !== undefined) confirm(link, topic, cursor);
   }
-  const { starts, faults } = await findStarts(vise, session, fresh);
+  const room = Plans.mostSubscriptions(vise.node.plan.plan) - session.subscriptions.size - session.joining;
+  const admitted = fresh.slice(0, Math.max(0, room));
+  session.joining += admitted.length;
+  const { starts, faults } = await findStarts(vise, session, admitted);
   const isKept = starts.length === 0 || (await keep(vise, session, starts));
   if (isKept && session.link === link)
     joinStreams(vise, session, link, starts, ({ topic, place, expired }, cursor) => {
@@ -34,8 +39,12 @@
         link.send({ kind: "expired", topic, place: Places.write(place.birth, place.seq), reason: expired });
       confirm(link, topic, cursor);
     });
+  if (session.link === link) session.joining -= admitted.length;
   for (const { tail } of starts) vise.streams.leave(tail);
-  if (isKept) return faults;
+  const tooMany = fresh.slice(admitted.length).map(({ topic }) => {
+    return { topic, code: "too-many", reason: "a connection may have no more topics by the plan in force" };
+  });
+  if (isKept) return [...faults, ...tooMany];
   if (session.link === link) session.unlink("the subscriptions could not be kept", 0.5, vise.node.parts.clock.now());
   return undefined;
 }
