Fix: a dead member whose watchers died with it is drawn, so it is found missing

Red: membership.test.ts, "a member whose watchers all die with it is found missing by others" (false). Cause: the random member that is asked at each beat was drawn among those that are not mute. A closed connection makes the dead one mute for everybody, so nobody ever drew it; it was found only where a call to it was open by chance.

--- a/packages/chest/src/process/membership.ts
+++ b/packages/chest/src/process/membership.ts
@@ -11,10 +11,10 @@
 
 /**
  * Who is there, after SWIM: a node sends beats to the few watchers that rendezvous hashing names for it, and at each
- * beat asks one random member for a sign of life. Whoever misses one asks directly and through others, and suspects
- * only where another could not reach the silent one either. Suspicions, refutations and all other changes travel as
- * rumours on these frames; tables are compared rarely, by digests. A suspicion speeds up routing and moves and takes
- * no claim from anybody.
+ * beat asks any member, a mute one too, for a sign of life: who lost its watchers with it is found by nothing else.
+ * Whoever misses one asks directly and through others, and suspects only where another could not reach the silent one
+ * either. Suspicions, refutations and all other changes travel as rumours on these frames; tables are compared rarely,
+ * by digests. A suspicion speeds up routing and moves and takes no claim from anybody.
  */
 export class Membership extends EventEmitter<{ changed: []; suspected: [name: string] }> {
   static readonly beatMs = 300;
@@ -152,7 +152,8 @@
     this.#forget();
     const watchers = this.#watchers();
     for (const member of watchers) this.#tell(member.address, member.name);
-    const [drawn] = this.#draw(1);
+    const peers = this.#upPeers();
+    const drawn = peers[Math.floor(this.#chance.draw() * peers.length)];
     if (drawn !== undefined && !watchers.includes(drawn)) {
       this.#await(drawn.name);
       this.#tell(drawn.address, drawn.name, { isAsking: true });
