Fix: a slow proposer gives way sooner, and its word of it goes round

Red: store.test.ts, "a proposer that turned slow gives way, and nobody loses a lease over it" (1 lease lost). Cause: a lease of four renewals ends 975 to 1350 ms after the last confirmed one, and giving way took longer. (1) How slow a peer is was known only from answers that had come, so nothing counted while they were owed: deposed after 390 to 1060 ms. (2) The word of giving up is as slow as the proposer; whoever got it first was refused votes by those that had not, and what was sent before it set the old proposer in again: up to 760 ms more. Ruled out: batches (renewals of one turn got the same answers as single ones); LeaseKeeper and the race with the next proposer (renewals that were under way were carried on and answered "done" within 10 ms of the election). Now an owed answer counts for as long as it is owed (a proposer that slept itself starts afresh), voters pass the word on, and whatever comes of a term whose proposer gave up is taken but brings it back no more.

--- a/packages/chest/src/mark/replication.test.ts
+++ b/packages/chest/src/mark/replication.test.ts
@@ -207,6 +207,23 @@
   expect(beatAt(600)).toEqual("b,c");
 });
 
+test("an answer that is still owed counts as slow for as long as it is owed", async () => {
+  let now = 0;
+  const log = new ReplicaLog(new HeldDisk(), "g");
+  const ticking = { ...clock, now: () => now };
+  const spread = new Spread({ log, clock: ticking, self: "a", term: 2, commit: 0, send: () => undefined });
+  spread.enlist([["a", "b", "c"]], []);
+  spread.beat();
+  now = 400;
+  expect(spread.answerMs).toEqual(400);
+  spread.take(receipt("b", 0));
+  now = 500;
+  expect(spread.answerMs).toEqual(400);
+  spread.beat();
+  spread.take(receipt("c", 0));
+  expect(spread.answerMs).toEqual(400);
+});
+
 test("a commit notice commits no more than what this log shares with its term's sender", async () => {
   const commits: number[] = [];
   const log = new ReplicaLog(new HeldDisk(), "g");
--- a/packages/chest/src/mark/spread.ts
+++ b/packages/chest/src/mark/spread.ts
@@ -95,10 +95,13 @@
     );
   }
 
-  /** How long a majority of every set takes to answer. */
+  /** How long a majority of every set takes to answer, or has not answered yet. */
   get answerMs(): number {
+    const now = this.#clock.now();
+    const timeOf = (peer: Peer): number => Math.max(peer.answerMs, peer.isWaiting ? now - peer.askedAt : 0);
     const slowest = this.#sets.map((set) => {
-      const times = set.map((id) => (id === this.#self ? 0 : (this.#peers.get(id)?.answerMs ?? 0)));
+      const peers = set.map((id) => this.#peers.get(id));
+      const times = peers.map((peer) => (peer === undefined ? 0 : timeOf(peer)));
       return times.sort((a, b) => a - b)[Math.floor(set.length / 2)] ?? 0;
     });
     return Math.max(0, ...slowest);
--- a/packages/jig/src/process/sim/store.test.ts
+++ b/packages/jig/src/process/sim/store.test.ts
@@ -1,4 +1,5 @@
 import { test } from "node:test";
+import { Wire } from "@cranetrack/chest/process/wire.js";
 import { putPlan } from "@cranetrack/lathe/request/putPlan.js";
 import { readDocument } from "@cranetrack/lathe/request/readDocument.js";
 import { expect } from "earl";
@@ -262,6 +263,24 @@
   });
 }
 
+test("the word of a proposer that gives up goes round where it is slow, and nothing older undoes it", async () => {
+  const { fleet } = await founded(62);
+  const old = fleet.proposer!;
+  const { voters } = fleet.find(old)!.lathe!.ledger!.members;
+  const first = voters.map(({ name }) => name).find((name) => name !== old);
+  const delays: Record<string, number> = { append: 120, yield: 400 };
+  fleet.wires.mutate = (from, to, bytes) => {
+    const delay = delays[Wire.decode(bytes)?.body.case ?? ""];
+    const isSlow = from === fleet.addressOf(old) && to !== fleet.addressOf(first!);
+    return isSlow && delay !== undefined ? [{ bytes, delay }] : undefined;
+  };
+  await fleet.run(1000);
+  expect(fleet.proposer).toEqual(old);
+  fleet.find(old)!.lathe!.ledger!.resign();
+  expect(await fleet.until(() => fleet.proposer !== undefined, 300)).toEqual(true);
+  expect(fleet.proposer === old).toEqual(false);
+});
+
 test("the operators' document goes with its plan, and a stale mark leaves both; marks may leap", async () => {
   const { fleet } = await founded(41);
   const body = (mark: number, spaces?: readonly string[]): Uint8Array =>
--- a/packages/lathe/src/process/ledger.ts
+++ b/packages/lathe/src/process/ledger.ts
@@ -69,6 +69,8 @@
   /** Taken out of the members: asks for no votes until a proposer speaks to it again. */
   #isStandingBy = false;
   readonly #slowWatch = new SlowWatch();
+  /** The last term whose proposer gave up: whatever comes of it now was sent before. */
+  #yieldedTerm = 0;
 
   constructor(parts: LedgerParts) {
     super();
@@ -179,10 +181,7 @@
     if (message.term >= this.#log.term) {
       this.#isStandingBy = false;
       if (message.term > this.#log.term) this.#stepDown("a higher term");
-      this.#follow(message.sender);
-      this.#heardAt = this.#clock.now();
-      this.#asking = 0;
-      this.#rearm();
+      if (message.term > this.#yieldedTerm) this.#heed(message.sender);
     }
     const receipt = await take();
     this.#findMembers();
@@ -190,7 +189,10 @@
     return undefined;
   }
 
-  #follow(sender: string): void {
+  #heed(sender: string): void {
+    this.#heardAt = this.#clock.now();
+    this.#asking = 0;
+    this.#rearm();
     if (this.#proposer === sender) return;
     this.#proposer = sender;
     this.emit("led");
@@ -234,8 +236,7 @@
         isPre,
         founding: this.founding,
       };
-      for (const one of this.members.voters)
-        if (one.id !== this.id) this.#exchange.tell(one.name, { case: "vote", value: vote });
+      this.#tellVoters({ case: "vote", value: vote });
       this.#tally();
     };
     if (isPre) return send();
@@ -327,10 +328,12 @@
     this.#stepDown("the process is stopping");
   }
 
-  /** The proposer gave up: the others ask in turn, so that they do not split the votes. */
+  /** The proposer gave up: the others pass it on, for its word may be slow, and ask in turn, to split no votes. */
   #succeed({ term, sender }: Yield): undefined {
     if (term !== this.#log.term || sender !== this.#proposer || this.#spread !== undefined) return undefined;
     this.#proposer = "";
+    this.#yieldedTerm = term;
+    this.#tellVoters({ case: "yield", value: { term, sender } }, sender);
     const ids = this.members.voters.map((one) => one.id).filter((id) => id !== sender);
     this.#electionAt = this.#clock.now() + Rendezvous.rank(String(term), ids).indexOf(this.id) * Ledger.turnMs;
     return undefined;
@@ -338,9 +341,7 @@
 
   #stepDown(why: string): void {
     if (this.#spread === undefined) return;
-    const yielded = { term: this.#log.term, sender: this.id };
-    for (const one of this.members.voters)
-      if (one.id !== this.id) this.#exchange.tell(one.name, { case: "yield", value: yielded });
+    this.#tellVoters({ case: "yield", value: { term: this.#log.term, sender: this.id } });
     this.#ring.note("no longer proposes", { why, term: this.#log.term });
     this.#spread.stop();
     this.#spread = undefined;
@@ -350,6 +351,11 @@
     this.emit("deposed");
   }
 
+  #tellVoters(body: BodyInit, except = ""): void {
+    for (const { id, name } of this.members.voters)
+      if (id !== this.id && id !== except) this.#exchange.tell(name, body);
+  }
+
   #advance(index: number): void {
     const wasProposer = this.isProposer;
     this.#commit = Math.max(this.#commit, Math.min(index, this.#log.lastIndex));
--- /dev/null
+++ b/packages/lathe/src/process/slowWatch.test.ts
@@ -0,0 +1,26 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import { SlowWatch } from "./slowWatch.js";
+
+/** Looks every 75 ms; when it was said to be slow, if it was. */
+function slowAt(watch: SlowWatch, from: number, to: number, answerMs: number): number | undefined {
+  for (let now = from; now <= to; now += 75) if (watch.isSlow(now, answerMs)) return now;
+  return undefined;
+}
+
+test("slowness counts once it has lasted, and not again for a while", () => {
+  const watch = new SlowWatch();
+  watch.begin(0);
+  expect(slowAt(watch, 75, 600, SlowWatch.slowMs)).toEqual(undefined);
+  expect(slowAt(watch, 675, 2000, SlowWatch.slowMs + 1)).toEqual(975);
+  expect(slowAt(watch, 1050, 10_000, SlowWatch.slowMs + 1)).toEqual(undefined);
+});
+
+test("who slept itself says nothing of the others' slowness", () => {
+  const watch = new SlowWatch();
+  watch.begin(0);
+  expect(watch.isSlow(75, 0)).toEqual(false);
+  // Frozen for a while: the answers that came meanwhile are not read yet.
+  expect(watch.isSlow(450, 375)).toEqual(false);
+  expect(watch.isSlow(525, 1)).toEqual(false);
+});
--- a/packages/lathe/src/process/slowWatch.ts
+++ b/packages/lathe/src/process/slowWatch.ts
@@ -1,23 +1,29 @@
 /**
  * Tells when a proposer that others answer slowly should give way: it may be the slow one, and leases would
  * suffer from it.
- * Invariant: says so at most once in a while, for the slowness of all of them must not keep them electing.
+ * Invariants: says so at most once in a while, for the slowness of all of them must not keep them electing; who did
+ * not look for a while, because it slept itself, says nothing of the others' slowness.
  */
 export class SlowWatch {
   static readonly slowMs = 150;
   static readonly forMs = 300;
   static readonly restMs = 20_000;
+  /** Looks further apart than this are none. */
+  static readonly gapMs = 200;
 
+  #lookedAt = -Infinity;
   #quickAt = -Infinity;
   #gaveWayAt = -Infinity;
 
   /** A term begins. */
   begin(now: number): void {
-    this.#quickAt = now;
+    this.#quickAt = this.#lookedAt = now;
   }
 
   isSlow(now: number, answerMs: number): boolean {
-    if (answerMs <= SlowWatch.slowMs) this.#quickAt = now;
+    const isAsleep = now - this.#lookedAt > SlowWatch.gapMs;
+    this.#lookedAt = now;
+    if (isAsleep || answerMs <= SlowWatch.slowMs) this.#quickAt = now;
     if (now - this.#quickAt <= SlowWatch.forMs || now - this.#gaveWayAt <= SlowWatch.restMs) return false;
     this.#gaveWayAt = now;
     return true;
