--- a/packages/jig/src/process/sim/store.test.ts
+++ b/packages/jig/src/process/sim/store.test.ts
@@ -281,6 +281,31 @@
   expect(fleet.proposer === old).toEqual(false);
 });
 
+test("a lathe that proposes itself carries on what it had passed to the proposer before; no other keeps it waiting", async () => {
+  const { fleet } = await founded(63);
+  const old = fleet.proposer!;
+  fleet.wires.mutate = (from, _to, bytes) =>
+    from === fleet.addressOf(old) && Wire.decode(bytes)?.body.case === "storeBatchReceipt" ? [] : undefined;
+  const others = lathes(fleet).filter((name) => name !== old);
+  const answered = new Map<string, string | undefined>();
+  for (const name of others)
+    void fleet
+      .find("vise-1")!
+      .node.exchange.call(
+        name,
+        { case: "storeCall", value: { call: { case: "renew", value: { lease: "none" } } } },
+        2000,
+      )
+      .then((body) => answered.set(name, body?.case === "storeReceipt" ? body.value.outcome : undefined));
+  await fleet.run(50);
+  fleet.find(old)!.lathe!.ledger!.resign();
+  expect(await fleet.until(() => fleet.proposer !== undefined, 400)).toEqual(true);
+  await fleet.run(100);
+  expect(answered.get(fleet.proposer!)).toEqual("lost");
+  // Those that heard of the new proposer before its first entry was committed send their callers round again.
+  expect(others.filter((name) => answered.get(name) === undefined)).toEqual([]);
+});
+
 test("the operators' document goes with its plan, and a stale mark leaves both; marks may leap", async () => {
   const { fleet } = await founded(41);
   const body = (mark: number, spaces?: readonly string[]): Uint8Array =>
--- a/packages/lathe/src/process/storeDesk.ts
+++ b/packages/lathe/src/process/storeDesk.ts
@@ -117,13 +117,24 @@
       kinds.has("renew") ? 800 : 450,
     );
     // What changes nothing may as well be asked of the next proposer, once there is one.
-    const body = await (isChange ? passed : Promise.race([passed, this.#nextLed()]));
+    const body = await (isChange ? passed : this.#unlessLed(passed));
     if (body === "led") return this.#runAll(calls);
     if (body?.case === "storeBatchReceipt" && body.value.receipts.length === calls.length) return body.value.receipts;
     return all(isChange ? { outcome: "unsure", comeBack: 0.5 } : { outcome: "away", comeBack: 0.5 });
   }
 
-  #nextLed(): Promise<"led"> {
-    return new Promise((resolve) => void this.#ledger.once("led", () => resolve("led")));
+  /** What was passed on, or word that another proposes now: maybe this lathe itself. */
+  #unlessLed<T>(passed: Promise<T>): Promise<T | "led"> {
+    return new Promise((resolve) => {
+      const end = (settled: T | "led"): void => {
+        this.#ledger.off("led", led);
+        this.#ledger.off("elected", led);
+        resolve(settled);
+      };
+      const led = (): void => end("led");
+      this.#ledger.on("led", led);
+      this.#ledger.on("elected", led);
+      void passed.then(end);
+    });
   }
 }
