Fix: a holder that saw a space's removal and not its return says come back, not 404

Cause: a holder at mark 2 (space removed), asked under the space's birth of mark 1, answered unknown-topic, final, while the plan in force, mark 3, has the space. The holder cannot know that it is behind, so it refuses only what a rule of its own plan does not owe in the very birth that was asked under; the edge asks the store once its own plan has no space for the topic, and answers 404 then. Starts and counts the same: a holder that had not heard of a new space answered a count 404. What ends (follows) stays as it was: the stream of that birth is over in both plans. Before: the new test gets 404. After: 503 with comeBack, then accepted.

--- a/packages/anvil/src/process/bench.ts
+++ b/packages/anvil/src/process/bench.ts
@@ -104,10 +104,10 @@
     const { plan } = this.#node.plan;
     const route = this.#node.plan.route(topic);
     const standing = this.#standings.ofBirth(route?.spaceBirth, spaceBirth);
-    // Whoever knows an earlier birth of a space that is there has not heard of the newest plan yet.
-    if (standing === "behind" || standing === "older") return this.#away("the topic's space is changing", 0.2);
+    // One of the two has not heard of the newest plan yet; a space that this node has seen removed may be back.
+    if (route === undefined || standing !== "ours") return this.#away("the topic's space is changing", 0.2);
     const owed = Plans.owed(plan, topic);
-    if (route === undefined || owed === undefined)
+    if (owed === undefined)
       return PublishOutcomes.refused("unknown-topic", `the plan in force has no rule for ${topic}`);
     const { stream } = route;
     if (!this.#isOurs(stream) || !Number.isSafeInteger(number) || number < 1)
@@ -168,7 +168,7 @@
     if (!this.isOpen || isEarly) return { case: "countReceipt", value: { outcome: "away" } };
     const counts = topics.map((topic) => {
       const route = this.#node.plan.route(topic);
-      if (route === undefined) return create(TopicCountSchema, { topic, fault: "unknown-topic" });
+      if (route === undefined) return create(TopicCountSchema, { topic, fault: "behind" });
       return create(TopicCountSchema, { topic, count: this.#follows.countOf(route.stream, topic) });
     });
     return { case: "countReceipt", value: { outcome: "done", counts } };
@@ -210,8 +210,7 @@
       const standing = this.#standings.ofBirth(route?.spaceBirth, place.spaceBirth);
       const owed = Plans.owed(this.#node.plan.plan, place.topic);
       const stream = route?.stream ?? "";
-      const isBehind = standing === "behind" || standing === "older";
-      const fault = isBehind ? "behind" : standing === "gone" || owed === undefined ? "unknown-topic" : "";
+      const fault = standing !== "ours" ? "behind" : owed === undefined ? "unknown-topic" : "";
       return { place, stream, fault: fault === "" && !this.#isOurs(stream) ? "behind" : fault };
     });
     const good = new Map(asked.filter(({ fault }) => fault === "").map((one) => [one.stream, one.place.spaceBirth]));
--- a/packages/jig/src/process/sim/streams.test.ts
+++ b/packages/jig/src/process/sim/streams.test.ts
@@ -259,6 +259,31 @@
   expect((await publish("desk", 1, "vise-1", "extra/t0"))["receipt"]).toEqual("accepted");
 });
 
+test("a holder that has heard of a space's removal, and not of its return, says come back, never 404", async () => {
+  const all = await served(68);
+  const { fleet, publish } = all;
+  await linked(all, "vise-1", "desk", []);
+  const { node, vise } = fleet.find("vise-1")!;
+  const holder = node.shards.find(vise!.streams.shardOf(node.plan.route("extra/t0")!.stream)).holder;
+  const deaf = [fleet.addressOf("vise-1")];
+  fleet.wires.mutate = (_from, to, bytes) => (deaf.includes(to) && isKind(bytes, "feedPush") ? [] : undefined);
+  expect((await all.plan(["notes", "notices"]))["status"]).toEqual(200);
+  expect(await fleet.until(() => fleet.find(holder)!.node.plan.mark === 2, 1000)).toEqual(true);
+  deaf.push(fleet.addressOf(holder));
+  expect((await all.plan(["notes", "notices", "extra"]))["status"]).toEqual(200);
+  const body = JSON.stringify({ topic: "extra/t0" });
+  const asked = [publish("desk", 1, "vise-1", "extra/t0")];
+  asked.push(all.ask("vise-1", "POST", "/v1/sessions/desk/subscriptions", body));
+  for (const { status, comeBack } of await Promise.all(asked))
+    expect([status, Number(comeBack) > 0]).toEqual([503, true]);
+  expect([node.plan.mark, fleet.find(holder)!.node.plan.mark]).toEqual([1, 2]);
+  fleet.wires.heal();
+  expect(await fleet.until(() => [node, fleet.find(holder)!.node].every(({ plan }) => plan.mark === 3), 4000)).toEqual(
+    true,
+  );
+  expect((await publish("desk", 1, "vise-1", "extra/t0"))["receipt"]).toEqual("accepted");
+});
+
 test("a longer prefix takes a topic and gives it back: a place of one space is never good in the other", async () => {
   const all = await served(66);
   const { fleet, publish, load } = all;
--- a/packages/vise/src/request/countTopic.ts
+++ b/packages/vise/src/request/countTopic.ts
@@ -30,8 +30,8 @@
       );
       const receipt = await Promise.race([ask, shards.moved(shard, holder, parts.clock, left)]);
       const found = receipt?.case === "countReceipt" ? receipt.value.counts[0] : undefined;
-      if (found?.fault === "unknown-topic") return { outcome: "unknown-topic" };
-      if (found !== undefined) return { outcome: "counted", count: found.count };
+      // A holder that does not know the space is behind, or this edge is: which it is shows in a moment.
+      if (found?.fault === "") return { outcome: "counted", count: found.count };
     }
     await new Promise<void>((resolve) => void parts.clock.once(againMs, resolve));
   }
