Fix: an edge whose connection to another was reset never asked it again

Pulls of sessions were refused for up to 20 s: 'the owner does not answer'. Ruled out: mute peers (none), leases. Now only a failed try makes an address unreachable, and only until the next try is due.

--- a/packages/chest/src/link/tcpLink.ts
+++ b/packages/chest/src/link/tcpLink.ts
@@ -35,6 +35,8 @@
   #whenClosed: (isGarbled: boolean) => void = () => undefined;
   /** Whole frames that were dropped because the peer did not read. */
   dropped = 0;
+  /** Closed because nothing came back. */
+  isSilent = false;
 
   /** Whoever sends frames pings; the other end answers. */
   constructor(socket: Socket, take: (frame: Frame) => void, isPinging: boolean) {
@@ -110,7 +112,10 @@
       setImmediate(() => {
         if (this.#deadline === undefined || this.#isClosed) return;
         if (this.#socket.writableLength > 0 && flowed() > before) this.#expect();
-        else this.close();
+        else {
+          this.isSilent = true;
+          this.close();
+        }
       });
     }, TcpLink.silentMs);
     this.#deadline.unref();
--- a/packages/chest/src/process/tcpNet.test.ts
+++ b/packages/chest/src/process/tcpNet.test.ts
@@ -1,5 +1,5 @@
 import { once } from "node:events";
-import { connect, createServer } from "node:net";
+import { connect, createServer, type Socket } from "node:net";
 import { test } from "node:test";
 import { expect } from "earl";
 import type { Frame } from "../gen/cranetrack_pb.js";
@@ -117,3 +117,23 @@
   }
   sender.close();
 });
+
+test("a connection that is reset leaves its address reachable: the next frame opens another", async () => {
+  const address = await freeAddress();
+  const [host, port] = TcpNet.split(address);
+  const server = createServer().listen(port, host);
+  await once(server, "listening");
+  const net = new TcpNet(await freeAddress(), new LogRing("test", () => undefined));
+  const lost = new Promise<string>((resolve) => net.onLost(resolve));
+  net.send(address, ping("one"));
+  const [first] = (await once(server, "connection")) as [Socket];
+  await once(first, "data");
+  first.resetAndDestroy();
+  expect(await lost).toEqual(address);
+  expect(net.isReachable(address)).toEqual(true);
+  net.send(address, ping("two"));
+  const [second] = (await once(server, "connection")) as [Socket];
+  await once(second, "data");
+  net.close();
+  server.close();
+});
--- a/packages/chest/src/process/tcpNet.ts
+++ b/packages/chest/src/process/tcpNet.ts
@@ -52,8 +52,10 @@
     this.#outward.get(address)?.close();
   }
 
+  /** False while the next try is not due yet: then a call finds out. */
   isReachable(address: string): boolean {
-    return !this.#unreachable.has(address);
+    const failed = this.#unreachable.get(address);
+    return failed === undefined || performance.now() >= failed.againAt;
   }
 
   send(address: string, bytes: Uint8Array): void {
@@ -88,8 +90,10 @@
     const link = new TcpLink(socket, (frame) => this.#take(frame), true);
     this.#outward.set(address, link);
     const giveUp = setTimeout(() => link.close(), TcpNet.connectDue);
+    let isConnected = false;
     socket.once("connect", () => {
       clearTimeout(giveUp);
+      isConnected = true;
       this.#unreachable.delete(address);
     });
     link.onClose((isGarbled) => {
@@ -97,6 +101,8 @@
       if (isGarbled) this.#count(address);
       if (this.#outward.get(address) !== link) return;
       this.#outward.delete(address);
+      // A connection that was there and is reset says nothing of the next one.
+      if (isConnected && !link.isSilent) return this.#lost(address);
       const tries = (this.#unreachable.get(address)?.tries ?? 0) + 1;
       const pause = Math.min(TcpNet.pauseMs * 2 ** (tries - 1), TcpNet.mostPauseMs) * (0.5 + Math.random());
       this.#unreachable.set(address, { tries, againAt: performance.now() + pause });
--- a/packages/lathe/src/process/ledger.ts
+++ b/packages/lathe/src/process/ledger.ts
@@ -19,6 +19,7 @@
 import type { BodyInit } from "@cranetrack/chest/process/wire.js";
 import { entryKind } from "../mark/entryKind.js";
 import { MemberLog } from "../mark/memberLog.js";
+import { judgeVote } from "../mark/judgeVote.js";
 import { Metadata, type Applied } from "../mark/metadata.js";
 import type { LedgerParts } from "./ledgerParts.js";
 import { Proposals } from "./proposals.js";
@@ -229,9 +230,9 @@
     this.#votes = new Set([this.id]);
     const asking = this.#asking;
     if (isPre) return this.#sendVote();
-    void this.#log.promise(asking, this.id).then(() => {
-      if (this.#asking === asking && !this.#isPre) this.#sendVote();
-    });
+    void this.#log
+      .promise(asking, this.id)
+      .then(() => void (this.#asking === asking && !this.#isPre && this.#sendVote()));
   }
 
   #sendVote(): void {
@@ -252,15 +253,8 @@
     const name = this.members.voters.find((one) => one.id === vote.candidate)?.name;
     const isLed =
       this.#spread !== undefined || (this.#proposer !== "" && this.#clock.now() - this.#heardAt < this.#electionMs);
-    const isCurrent =
-      vote.lastTerm > this.#log.lastTerm ||
-      (vote.lastTerm === this.#log.lastTerm && vote.lastIndex >= this.#log.lastIndex);
-    let isGranted = isCurrent && !isLed && vote.term > this.#log.term;
+    const isGranted = judgeVote(vote, this.#log, isLed);
     if (!vote.isPre && !isLed) {
-      isGranted =
-        isCurrent &&
-        (vote.term > this.#log.term ||
-          (vote.term === this.#log.term && (this.#log.vote === "" || this.#log.vote === vote.candidate)));
       if (vote.term > this.#log.term || isGranted) {
         await this.#log.promise(vote.term, isGranted ? vote.candidate : "");
         this.#rearm();
