--- a/packages/jig/src/process/sim/store.test.ts
+++ b/packages/jig/src/process/sim/store.test.ts
@@ -281,7 +281,7 @@
   expect(fleet.proposer === old).toEqual(false);
 });
 
-test("a lathe that proposes itself carries on what it had passed to the proposer before; no other keeps it waiting", async () => {
+test("a lathe that proposes itself carries on what it had passed on before; no other keeps it waiting", async () => {
   const { fleet } = await founded(63);
   const old = fleet.proposer!;
   fleet.wires.mutate = (from, _to, bytes) =>
