--- a/packages/jig/src/jig.ts
+++ b/packages/jig/src/jig.ts
@@ -14,6 +14,8 @@
 import type { FaultName } from "./process/sim/faults.js";
 import type { ScenarioReport } from "./process/sim/scenario.js";
 import { Sweep } from "./process/sim/sweep.js";
+import { Slopes } from "./mark/slopes.js";
+import { SlopeRecord } from "./process/slopes/slopeRecord.js";
 
 const cli = cac("jig");
 cli.option("--set <list>", "Settings for all members, as key=number parted by commas");
@@ -166,6 +168,21 @@
     console.table(idle.map(({ kinds, ...rest }) => ({ ...rest, gossip: kinds["gossip"] })));
   });
 
+cli
+  .command("slope <name>", "Measure one slope of the capacity page, at several sizes")
+  .option("--sizes <list>", "Other sizes, parted by commas")
+  .option("--only <size>", "Print what one size costs, and nothing else")
+  .option("--record", "Keep it: the page's figures follow from what is kept")
+  .action(async (name: string, options: { sizes?: string; only?: number; record?: boolean }) => {
+    if (options.only !== undefined) {
+      process.stdout.write(`${Math.round(await SlopeRecord.find(name).run(options.only))}\n`);
+      process.exit(0);
+    }
+    const measured = SlopeRecord.measure(name, options.sizes?.split(",").map(Number));
+    if (options.record === true) SlopeRecord.write(name, measured);
+    process.stdout.write(`${JSON.stringify({ ...measured, ...Slopes.fit(measured.points) })}\n`);
+  });
+
 cli
   .command("sabotage", "Take one guard at a time out of a copy and see whether its test notices")
   .option("--at-once <n>", "How many at a time", { default: 4 })
--- a/packages/jig/src/process/cost.ts
+++ b/packages/jig/src/process/cost.ts
@@ -27,8 +27,8 @@
 /** What processes cost one another, idle and by the call. */
 export const Cost = {
   /** By whole frames, as the simulator carries them; a held connection leaves out the envelopes. */
-  async idle(vises: number, seconds = 10): Promise<IdleCost> {
-    const fleet = new SimFleet(7, Scenario.machines(3, 3, vises));
+  async idle(vises: number, seconds = 10, shards = 4): Promise<IdleCost> {
+    const fleet = new SimFleet(7, Scenario.machines(3, 3, vises), shards);
     fleet.startAll();
     await fleet.run(10_000);
     const kinds: Record<string, number> = {};
--- /dev/null
+++ b/packages/jig/src/process/slopes/edgeSlopes.ts
@@ -0,0 +1,105 @@
+import { fork } from "node:child_process";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { fileURLToPath } from "node:url";
+import { create } from "@bufbuild/protobuf";
+import { StreamMessageSchema, type StreamMessage } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { HostClock } from "@cranetrack/chest/process/hostClock.js";
+import type { ClientLink } from "@cranetrack/vise/link/clientLink.js";
+import { HttpLink } from "@cranetrack/vise/link/httpLink.js";
+import { StreamCursor } from "@cranetrack/vise/link/streamCursor.js";
+import { Session } from "@cranetrack/vise/process/session.js";
+import type { StreamTable } from "@cranetrack/vise/process/streamTable.js";
+import { StreamTail } from "@cranetrack/vise/process/streamTail.js";
+import { SubscriberCounts } from "@cranetrack/vise/process/subscriberCounts.js";
+import { Meter } from "./meter.js";
+
+const clock = new HostClock();
+const birth = "1-0123456789abcdef";
+const tableOf = (): StreamTable =>
+  ({ counts: new SubscriberCounts(() => undefined), leave: () => undefined }) as object as StreamTable;
+const silent: ClientLink = {
+  waitingBytes: 0,
+  isClosed: false,
+  send: () => undefined,
+  close: () => undefined,
+  onClose: () => undefined,
+};
+
+function tailOf(topic: string): StreamTail {
+  const tail = new StreamTail({ stream: `6:${topic}`, space: "notes/", spaceBirth: 1 }, 0);
+  tail.learn(birth, 0, 0);
+  return tail;
+}
+function subscribe(table: StreamTable, session: Session, tail: StreamTail, topic: string, link: ClientLink): void {
+  const cursor = new StreamCursor({ table, tail, link, clock, maySend: () => true, onEnd: () => undefined });
+  cursor.add(topic, { birth, seq: tail.head });
+  session.subscriptions.set(topic, cursor);
+  cursor.start();
+}
+const messageOf = (seq: number): StreamMessage =>
+  create(StreamMessageSchema, {
+    seq,
+    session: "caller-1234",
+    number: seq,
+    topic: "notes/busy",
+    payload: new Uint8Array(200).fill(97),
+  });
+
+/** Real sockets at this edge, one subscription each on one stream, and what a message to all of them costs. */
+async function links(count: number): Promise<{ bytes: number; delivery: number }> {
+  const before = Meter.live();
+  const rssBefore = process.memoryUsage().rss;
+  const table = tableOf();
+  const tail = tailOf("notes/busy");
+  const sessions = new Map<string, Session>();
+  const server = createServer((_ask, answer) => {
+    const session = new Session(`caller-${sessions.size}`, 1);
+    session.link = new HttpLink(answer);
+    session.link.send({ kind: "open" });
+    sessions.set(session.id, session);
+    subscribe(table, session, tail, "notes/busy", session.link);
+  }).listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const clients = fork(fileURLToPath(new URL("slopeClients.js", import.meta.url)), [`${port}`, `${count}`]);
+  await once(clients, "message");
+  const heap = Meter.live() - before;
+  const bytes = Math.max(heap, process.memoryUsage().rss - rssBefore);
+  const turns = 20;
+  const used = await Meter.processor(async () => {
+    for (let seq = 1; seq <= turns; seq += 1) {
+      tail.extend(birth, [messageOf(seq)]);
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+  });
+  clients.kill();
+  server.closeAllConnections();
+  server.close();
+  return { bytes, delivery: used / turns };
+}
+
+export const EdgeSlopes = {
+  async connectionBytes(count: number): Promise<number> {
+    return (await links(count)).bytes;
+  },
+
+  async deliveryProcessor(count: number): Promise<number> {
+    return (await links(count)).delivery;
+  },
+
+  subscriptionBytes(count: number): number {
+    const session = new Session("caller", 1);
+    const table = tableOf();
+    const tail = tailOf("notes/busy");
+    return Meter.heldBy(() => {
+      for (let i = 0; i < count; i += 1) subscribe(table, session, tail, `notes/topic-${i}`, silent);
+      return session;
+    });
+  },
+
+  streamBytes(count: number): number {
+    return Meter.heldBy(() => Array.from({ length: count }, (_, i) => tailOf(`notes/topic-${i}`)));
+  },
+};
--- /dev/null
+++ b/packages/jig/src/process/slopes/nodeSlopes.ts
@@ -0,0 +1,121 @@
+import { create, toBinary } from "@bufbuild/protobuf";
+import { KvSchema, MemberSchema, type Member } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { HolderKey } from "@cranetrack/chest/mark/holderKey.js";
+import { PlanReader } from "@cranetrack/chest/mark/planReader.js";
+import { ReplicasKey } from "@cranetrack/chest/mark/replicasKey.js";
+import { ShardsView } from "@cranetrack/chest/mark/shardsView.js";
+import type { Change } from "@cranetrack/chest/process/feedFollower.js";
+import { Journal } from "@cranetrack/chest/process/journal.js";
+import { MemberTable } from "@cranetrack/chest/process/memberTable.js";
+import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
+import { Cost } from "../cost.js";
+import { Meter } from "./meter.js";
+
+const disk = (node: number): string => `${node}`.padStart(32, "0123456789abcdef");
+const shardKeys = (shard: number): Change[] => {
+  const members = [0, 1, 2].map((i) => {
+    const node = (shard + i) % 3200;
+    return { id: disk(node), name: `anvil-${node}`, zone: `zone-${i}` };
+  });
+  const holder = { name: members[0]!.name, id: members[0]!.id, lease: `${members[0]!.name}/0123456789abcdef` };
+  return [
+    { key: ReplicasKey.of(shard), value: ReplicasKey.write({ members }), revision: shard + 1 },
+    { key: HolderKey.of(shard), value: HolderKey.write(holder), revision: shard + 2 },
+  ];
+};
+const memberOf = (i: number): Member =>
+  create(MemberSchema, {
+    name: `vise-${i}`,
+    role: "vise",
+    zone: `zone-${i % 10}`,
+    region: `region-${i % 3}`,
+    address: `10.${i >> 8}.${i & 255}.1:7000`,
+    http: `10.${i >> 8}.${i & 255}.1:7001`,
+    incarnation: 1_700_000_000_000 + i,
+    version: 1,
+    state: "up",
+    disk: disk(i),
+  });
+const planOf = (spaces: number): string =>
+  JSON.stringify({
+    mark: 5700,
+    spaces: Array.from({ length: spaces }, (_, i) => ({
+      name: `space-${i}`,
+      prefix: `space-${i}/`,
+      program: [{ when: {}, owe: { keep: 120, order: "topic", fault_budget: { machines: 1 } } }],
+    })),
+  });
+
+export const NodeSlopes = {
+  shardRouteBytes(count: number): number {
+    const journal = new Journal<Change>(1);
+    const view = new ShardsView(journal);
+    return Meter.heldBy(() => {
+      for (let shard = 0; shard < count; shard += 1) for (const change of shardKeys(shard)) journal.append(change);
+      return view;
+    });
+  },
+
+  /** What a first feed's snapshot says of the shards. */
+  shardSnapshotBytes(count: number): number {
+    let bytes = 0;
+    for (let shard = 0; shard < count; shard += 1)
+      for (const { key, value, revision } of shardKeys(shard))
+        bytes += toBinary(KvSchema, create(KvSchema, { key, value: value!, revision })).length + 2;
+    return bytes;
+  },
+
+  memberBytes(count: number): number {
+    const table = new MemberTable();
+    return Meter.heldBy(() => {
+      for (let i = 0; i < count; i += 1) table.put(memberOf(i), 0);
+      return table.all();
+    });
+  },
+
+  memberTableBytes: (count: number): number =>
+    Array.from({ length: count }, (_, i) => toBinary(MemberSchema, memberOf(i)).length + 2).reduce((a, b) => a + b, 0),
+
+  /** Names a node's watchers anew, as after each change of the members. */
+  async watchersProcessor(count: number): Promise<number> {
+    const nodes = Array.from({ length: count }, (_, i) => ({ name: `vise-${i}`, zone: `zone-${i % 10}` }));
+    const rounds = 20;
+    Rendezvous.spread("warm", nodes, 3);
+    const used = await Meter.processor(() => {
+      for (let i = 0; i < rounds; i += 1) Rendezvous.spread(`vise-${i}`, nodes, 3);
+    });
+    return used / rounds;
+  },
+
+  planBytes: (spaces: number): number => planOf(spaces).length,
+  planHeapBytes: (spaces: number): number => {
+    const text = planOf(spaces);
+    return Meter.heldBy(() => PlanReader.parse(text));
+  },
+  async planProcessor(spaces: number): Promise<number> {
+    const text = planOf(spaces);
+    for (let i = 0; i < 20; i += 1) PlanReader.parse(text);
+    const rounds = 20;
+    const used = await Meter.processor(() => {
+      for (let i = 0; i < rounds; i += 1) PlanReader.parse(text);
+    });
+    return used / rounds;
+  },
+
+  /** Both ends of so many small calls over loopback, fifty at a time. */
+  async callProcessor(calls: number): Promise<number> {
+    const { processorMicroseconds } = await Cost.calls(calls, 50);
+    return processorMicroseconds * calls;
+  },
+
+  gossipBytes: async (edges: number): Promise<number> => {
+    const { nodes, kinds } = await Cost.idle(edges);
+    return (kinds["gossip"] ?? 0) / nodes;
+  },
+
+  /** All frames of an idle fleet of twelve, by how many shards it has. */
+  async shardIdleBytes(shards: number): Promise<number> {
+    const { nodes, bytesPerNodeSecond } = await Cost.idle(6, 10, shards);
+    return nodes * bytesPerNodeSecond;
+  },
+};
--- /dev/null
+++ b/packages/jig/src/process/slopes/storeSlopes.ts
@@ -0,0 +1,158 @@
+import { EventEmitter } from "node:events";
+import { create, toBinary } from "@bufbuild/protobuf";
+import {
+  FeedStateSchema,
+  StoreCommandSchema,
+  type FeedOpen,
+  type FeedStateSchema as FeedStateType,
+} from "@cranetrack/chest/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import { HostClock } from "@cranetrack/chest/process/hostClock.js";
+import { Wire, type BodyInit } from "@cranetrack/chest/process/wire.js";
+import { Feeds } from "@cranetrack/lathe/process/feeds.js";
+import { Leases } from "@cranetrack/lathe/process/leases.js";
+import type { Ledger } from "@cranetrack/lathe/process/ledger.js";
+import { Metadata } from "@cranetrack/lathe/mark/metadata.js";
+import { OwnerKey } from "@cranetrack/vise/mark/ownerKey.js";
+import { Meter } from "./meter.js";
+
+type Command = Parameters<typeof create<typeof StoreCommandSchema>>[1];
+const commandOf = (command: Command): Uint8Array => toBinary(StoreCommandSchema, create(StoreCommandSchema, command));
+const leaseOf = (node: number): string => `vise-${node}/0123456789abcdef`;
+
+function withLeases(count: number): Metadata {
+  const metadata = new Metadata();
+  for (let i = 0; i < count; i += 1)
+    metadata.apply(i + 1, commandOf({ command: { case: "grant", value: { lease: leaseOf(i), length: 1500 } } }));
+  return metadata;
+}
+function ownerPut(session: number): Uint8Array {
+  const lease = leaseOf(session % 64);
+  const key = OwnerKey.of(`caller-${session}`);
+  const value = OwnerKey.write({ node: lease.split("/")[0]!, lease });
+  const puts = [{ key, value, lease }];
+  return commandOf({ command: { case: "txn", value: { checks: [{ key, revision: 0 }], puts } } });
+}
+function withOwners(count: number): Metadata {
+  const metadata = withLeases(64);
+  for (let i = 0; i < count; i += 1) metadata.apply(100 + i, ownerPut(i));
+  return metadata;
+}
+
+/** A lathe's feeds without a network: what is told is encoded as a frame and counted. */
+function feedsOf(count: number): { feeds: Feeds; change: () => void; told: { frames: number; bytes: number } } {
+  const told = { frames: 0, bytes: 0 };
+  const metadata = withLeases(1);
+  const ledger = Object.assign(new EventEmitter(), { metadata, isInTouch: true });
+  const serve = new Map<string, (body: unknown) => unknown>();
+  let numbers = 0;
+  const turns: Array<() => void> = [];
+  const node = {
+    exchange: {
+      serve: (kind: string, answer: (body: unknown) => unknown) => void serve.set(kind, answer),
+      tell: (to: string, body: BodyInit) => {
+        told.frames += 1;
+        told.bytes += Wire.encode({ id: 1, from: "lathe-1", to, fromAddress: "10.0.0.1:7000", body }).length;
+      },
+    },
+    parts: {
+      clock: {
+        now: () => performance.now(),
+        every: () => ({ stop: () => undefined }),
+        once: (_ms: number, ring: () => void) => void turns.push(ring),
+      },
+    },
+  };
+  const feeds = new Feeds(node as object as ClusterNode, ledger as object as Ledger, () => Promise.resolve(true));
+  for (let i = 0; i < count; i += 1) {
+    const open = { feed: `vise-${i}/01234567`, name: `vise-${i}`, prefixes: ["plan", "shards/"], revision: 1 };
+    void serve.get("feedOpen")!(open as object as FeedOpen);
+  }
+  const change = (): void => {
+    numbers += 1;
+    const key = `shards/${numbers % 64}/holder`;
+    const value = OwnerKey.write({ node: "anvil-1", lease: leaseOf(0) });
+    const applied = metadata.apply(
+      metadata.revision + 1,
+      commandOf({
+        command: { case: "txn", value: { puts: [{ key, value }] } },
+      }),
+    );
+    ledger.emit("applied", applied);
+    turns.splice(0).forEach((ring) => ring());
+    for (let i = 0; i < count; i += 1)
+      serve.get("feedAck")!({
+        feed: `vise-${i}/01234567`,
+        number: numbers + 1,
+        revision: metadata.revision,
+        planMark: 1,
+        fault: "",
+      });
+  };
+  return { feeds, change, told };
+}
+
+export const StoreSlopes = {
+  ownerKeyBytes: (count: number): number => Meter.heldBy(() => withOwners(count)),
+  ownerKeyProcessor: (count: number): Promise<number> => Meter.processor(() => withOwners(count)),
+  ownerSnapshotBytes: (count: number): number => withOwners(count).picture(undefined).length,
+  leaseBytes: (count: number): number => Meter.heldBy(() => withLeases(count)),
+
+  /** The proposer's look over all leases, a second of it. */
+  leaseProcessor(count: number): Promise<number> {
+    const metadata = withLeases(count);
+    const ledger = Object.assign(new EventEmitter(), { metadata, isProposer: true });
+    let look = (): void => undefined;
+    const clock = Object.assign(new HostClock(), {
+      every: (_ms: number, ring: () => void) => ((look = ring), { stop: () => undefined }),
+    });
+    new Leases(ledger as object as Ledger, clock, () => undefined);
+    ledger.emit("elected");
+    const looks = 1000 / Leases.beatMs;
+    const rounds = 10;
+    return Meter.processor(() => {
+      for (let i = 0; i < looks * rounds; i += 1) look();
+    }).then((used) => used / rounds);
+  },
+
+  async feedBytes(count: number): Promise<number> {
+    let kept: unknown;
+    const held = Meter.heldBy(() => (kept = feedsOf(count).feeds));
+    await Promise.resolve(kept);
+    return held;
+  },
+
+  /** One change, told to so many feeds and acknowledged by them. */
+  async pushProcessor(count: number): Promise<number> {
+    const { change } = feedsOf(count);
+    await new Promise((resolve) => setImmediate(resolve));
+    for (let i = 0; i < 5; i += 1) change();
+    const rounds = 20;
+    const used = await Meter.processor(() => {
+      for (let i = 0; i < rounds; i += 1) change();
+    });
+    return used / rounds;
+  },
+
+  async pushBytes(count: number): Promise<number> {
+    const { change, told } = feedsOf(count);
+    await new Promise((resolve) => setImmediate(resolve));
+    change();
+    const before = told.bytes;
+    change();
+    return told.bytes - before;
+  },
+
+  /** What an operator's question for all nodes' feeds is answered with. */
+  rolloutBytes(count: number): number {
+    const state = (i: number): Parameters<typeof create<typeof FeedStateType>>[1] => ({
+      name: `vise-${i}`,
+      revision: 1_000_000 + i,
+      planMark: 5700,
+      age: 120,
+    });
+    const feeds = Array.from({ length: count }, (_, i) => create(FeedStateSchema, state(i)));
+    const body: BodyInit = { case: "storeReceipt", value: { outcome: "done", feeds } };
+    return Wire.encode({ id: 1, from: "lathe-1", to: "lathe-2", fromAddress: "10.0.0.1:7000", body }).length;
+  },
+};
