--- a/packages/jig/src/process/slopes/storeSlopes.ts
+++ b/packages/jig/src/process/slopes/storeSlopes.ts
@@ -40,7 +40,12 @@
 }
 
 /** A lathe's feeds without a network: what is told is encoded as a frame and counted. */
-function feedsOf(count: number): { feeds: Feeds; change: () => void; told: { frames: number; bytes: number } } {
+function feedsOf(count: number): {
+  feeds: Feeds;
+  change: () => void;
+  told: { frames: number; bytes: number };
+  acknowledge: (number: number) => void;
+} {
   const told = { frames: 0, bytes: 0 };
   const metadata = withLeases(1);
   const ledger = Object.assign(new EventEmitter(), { metadata, isInTouch: true });
@@ -68,6 +73,11 @@
     const open = { feed: `vise-${i}/01234567`, name: `vise-${i}`, prefixes: ["plan", "shards/"], revision: 1 };
     void serve.get("feedOpen")!(open as object as FeedOpen);
   }
+  const acknowledge = (number: number): void => {
+    const { revision } = metadata;
+    for (let i = 0; i < count; i += 1)
+      serve.get("feedAck")!({ feed: `vise-${i}/01234567`, number, revision, planMark: 1, fault: "" });
+  };
   const change = (): void => {
     numbers += 1;
     const key = `shards/${numbers % 64}/holder`;
@@ -80,16 +90,9 @@
     );
     ledger.emit("applied", applied);
     turns.splice(0).forEach((ring) => ring());
-    for (let i = 0; i < count; i += 1)
-      serve.get("feedAck")!({
-        feed: `vise-${i}/01234567`,
-        number: numbers + 1,
-        revision: metadata.revision,
-        planMark: 1,
-        fault: "",
-      });
+    acknowledge(numbers + 1);
   };
-  return { feeds, change, told };
+  return { feeds, change, told, acknowledge };
 }
 
 export const StoreSlopes = {
@@ -124,8 +127,9 @@
 
   /** One change, told to so many feeds and acknowledged by them. */
   async pushProcessor(count: number): Promise<number> {
-    const { change } = feedsOf(count);
+    const { change, acknowledge } = feedsOf(count);
     await new Promise((resolve) => setImmediate(resolve));
+    acknowledge(1);
     for (let i = 0; i < 5; i += 1) change();
     const rounds = 20;
     const used = await Meter.processor(() => {
@@ -135,8 +139,9 @@
   },
 
   async pushBytes(count: number): Promise<number> {
-    const { change, told } = feedsOf(count);
+    const { change, told, acknowledge } = feedsOf(count);
     await new Promise((resolve) => setImmediate(resolve));
+    acknowledge(1);
     change();
     const before = told.bytes;
     change();
