--- a/packages/jig/src/process/slopes/nodeSlopes.ts
+++ b/packages/jig/src/process/slopes/nodeSlopes.ts
@@ -46,6 +46,11 @@
     })),
   });
 
+async function idleBytes(edges: number, wanted: readonly string[]): Promise<number> {
+  const { kinds } = await Cost.idle(edges);
+  return wanted.reduce((sum, kind) => sum + (kinds[kind] ?? 0), 0);
+}
+
 export const NodeSlopes = {
   shardRouteBytes(count: number): number {
     const journal = new Journal<Change>(1);
@@ -113,6 +118,11 @@
     return (kinds["gossip"] ?? 0) / nodes;
   },
 
+  /** What an idle fleet's feeds cost, and its leases with what lathes pass on to one another. */
+  feedIdleBytes: (edges: number): Promise<number> => idleBytes(edges, ["feedPush", "feedAck"]),
+  leaseIdleBytes: (edges: number): Promise<number> =>
+    idleBytes(edges, ["storeCall", "storeReceipt", "storeBatch", "storeBatchReceipt"]),
+
   /** All frames of an idle fleet of twelve, by how many shards it has. */
   async shardIdleBytes(shards: number): Promise<number> {
     const { nodes, bytesPerNodeSecond } = await Cost.idle(6, 10, shards);
