--- a/packages/jig/src/process/slopes/nodeSlopes.ts
+++ b/packages/jig/src/process/slopes/nodeSlopes.ts
@@ -46,6 +46,10 @@
     })),
   });
 
+async function gossipBytes(edges: number, settleMs: number): Promise<number> {
+  const { nodes, kinds } = await Cost.idle(edges, 10, 4, settleMs);
+  return (kinds["gossip"] ?? 0) / nodes;
+}
 async function idleBytes(edges: number, wanted: readonly string[]): Promise<number> {
   const { kinds } = await Cost.idle(edges);
   return wanted.reduce((sum, kind) => sum + (kinds[kind] ?? 0), 0);
@@ -113,10 +117,8 @@
     return processorMicroseconds * calls;
   },
 
-  gossipBytes: async (edges: number): Promise<number> => {
-    const { nodes, kinds } = await Cost.idle(edges);
-    return (kinds["gossip"] ?? 0) / nodes;
-  },
+  gossipBytes: (edges: number): Promise<number> => gossipBytes(edges, 40_000),
+  youngGossipBytes: (edges: number): Promise<number> => gossipBytes(edges, 10_000),
 
   /** What an idle fleet's feeds cost, and its leases with what lathes pass on to one another. */
   feedIdleBytes: (edges: number): Promise<number> => idleBytes(edges, ["feedPush", "feedAck"]),
--- a/packages/jig/src/process/slopes/slopeRuns.ts
+++ b/packages/jig/src/process/slopes/slopeRuns.ts
@@ -150,12 +150,19 @@
     run: NodeSlopes.watchersProcessor,
   },
   gossip: {
-    what: "gossip that an idle node sends in a second, by edges beside 3 lathes and 3 anvils (simulator)",
+    what: "gossip that an idle node sends in a second, 40 s after the start, beside 3 lathes and 3 anvils (simulator)",
     unit: "bytes a second",
     per: "edge",
-    sizes: [6, 24, 54, 114, 234],
+    sizes: [6, 24, 54, 114],
     run: NodeSlopes.gossipBytes,
   },
+  gossipYoung: {
+    what: "the same 10 s after all nodes started at once",
+    unit: "bytes a second",
+    per: "edge",
+    sizes: [6, 24, 54, 114, 234],
+    run: NodeSlopes.youngGossipBytes,
+  },
   feedIdle: {
     what: "feed pushes and acknowledgements of an idle fleet in a second (simulator)",
     unit: "bytes a second",
