--- a/packages/jig/src/jig.ts
+++ b/packages/jig/src/jig.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-import { mkdtempSync } from "node:fs";
+import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { cac } from "cac";
@@ -14,6 +14,7 @@
 import type { FaultName } from "./process/sim/faults.js";
 import type { ScenarioReport } from "./process/sim/scenario.js";
 import { Sweep } from "./process/sim/sweep.js";
+import { Capacity } from "./mark/capacity.js";
 import { Slopes } from "./mark/slopes.js";
 import { SlopeRecord } from "./process/slopes/slopeRecord.js";
 
@@ -173,16 +174,29 @@
   .option("--sizes <list>", "Other sizes, parted by commas")
   .option("--only <size>", "Print what one size costs, and nothing else")
   .option("--record", "Keep it: the page's figures follow from what is kept")
-  .action(async (name: string, options: { sizes?: string; only?: number; record?: boolean }) => {
+  .action(async (name: string, options: { sizes?: string | number; only?: number; record?: boolean }) => {
     if (options.only !== undefined) {
       process.stdout.write(`${Math.round(await SlopeRecord.find(name).run(options.only))}\n`);
       process.exit(0);
     }
-    const measured = SlopeRecord.measure(name, options.sizes?.split(",").map(Number));
+    const sizes = options.sizes === undefined ? undefined : String(options.sizes).split(",").map(Number);
+    const measured = SlopeRecord.measure(name, sizes);
     if (options.record === true) SlopeRecord.write(name, measured);
     process.stdout.write(`${JSON.stringify({ ...measured, ...Slopes.fit(measured.points) })}\n`);
   });
 
+cli
+  .command("capacity", "Print the capacity page's tables, worked out from the slopes on record")
+  .option("--page <file>", "Put them into that page instead")
+  .action((options: { page?: string }) => {
+    const slopes = SlopeRecord.read();
+    const faults = Slopes.faults(slopes, Capacity.needed);
+    if (faults.length > 0) throw new Error(faults.join("\n"));
+    if (options.page !== undefined)
+      return writeFileSync(options.page, Capacity.fill(readFileSync(options.page, "utf8"), slopes));
+    for (const table of Capacity.tables(slopes)) process.stdout.write(`${table.id}\n\n${Capacity.markdown(table)}\n\n`);
+  });
+
 cli
   .command("sabotage", "Take one guard at a time out of a copy and see whether its test notices")
   .option("--at-once <n>", "How many at a time", { default: 4 })
--- /dev/null
+++ b/packages/jig/src/mark/capacitySize.ts
@@ -0,0 +1,47 @@
+/** The size to design for, as it was asked for. */
+export const targetSize = {
+  nodes: 3200,
+  connections: 150e6,
+  shards: 560_000,
+  listeners: 1e6,
+  deliveries: 46e6,
+  regions: 3,
+  zones: 10,
+  changesADay: 5700,
+  controlMachines: 21,
+  failuresADay: 6,
+  restartsADay: 310,
+  controlCore: 0.018,
+  controlBytes: 128e6,
+  controlTraffic: 2000,
+};
+
+/** What nobody measured and no order says; every figure that rests on one is only as good as it. */
+export const assumed = {
+  fanOut: { value: 13.7, what: "deliveries a publish (as in today's load on Reefline: 256540 of 18677)" },
+  connectionLife: { value: 3600, what: "seconds that a connection lasts" },
+  subscriptions: { value: 3, what: "subscriptions a connection" },
+  spaces: { value: 10_000, what: "spaces in the configuration" },
+  keptSeconds: { value: 120, what: "seconds that a message is kept" },
+  messageBytes: { value: 500, what: "bytes in memory of a kept message, its record included" },
+  heap: { value: 4e9, what: "bytes of heap that one Node process is given" },
+  groupHeap: { value: 1e9, what: "bytes of heap that a group's member is planned for" },
+  burst: { value: 3, what: "peak of deliveries over their mean" },
+  returnSeconds: { value: 60, what: "seconds over which clients of a lost zone or rack come back" },
+  machineReturnSeconds: { value: 10, what: "seconds over which clients of one lost machine come back" },
+  rackNodes: { value: 40, what: "nodes in a rack or behind a switch" },
+  callEnd: { value: 0.5, what: "share of a call's processor time at each end" },
+  claimCalls: { value: 3, what: "call ends at a group's proposer for a claim (the caller's and two replicas')" },
+  shardGroups: { value: 9600, what: "groups that the shards are put in (chosen: three a node)" },
+  groups: { value: 84, what: "store groups for owner records (chosen: four proposers a control machine)" },
+  followBeats: { value: 1 / 300, what: "beats a second between an edge and a relay that say nothing (chosen)" },
+  followBeatBytes: { value: 160, what: "bytes of such a beat and its receipt" },
+  replicaBeats: {
+    value: 12 / 10,
+    what: "beats a second of 12 pairs of machines that share shard groups, idle (chosen)",
+  },
+  coreShare: { value: 0.8, what: "share of a core that a process may use at the peak" },
+  gossipBeat: { value: 300 / 600, what: "share of today's gossip once its beat is 600 ms instead of 300 (chosen)" },
+  leaseRide: { value: 40, what: "bytes a second of renewals that ride on feed acknowledgements (chosen)" },
+  gossipSteps: { value: 2, what: "each gossip byte is sent by one node and received by another" },
+};
--- a/packages/jig/src/process/slopes/slopeRecord.ts
+++ b/packages/jig/src/process/slopes/slopeRecord.ts
@@ -16,7 +16,8 @@
   write(name: string, measured: MeasuredSlope): void {
     const all = { ...SlopeRecord.read(), [name]: measured };
     const sorted = Object.fromEntries(Object.keys(slopeRuns).flatMap((key) => (all[key] ? [[key, all[key]]] : [])));
-    writeFileSync(path, `${JSON.stringify(sorted, null, 2)}\n`);
+    const text = JSON.stringify(sorted, null, 2).replace(/\[\s+([\d.-]+),\s+([\d.-]+)\s+\]/g, "[$1, $2]");
+    writeFileSync(path, `${text}\n`);
   },
 
   find(name: string): SlopeRun {
