--- a/packages/anvil/src/mark/shardState.ts
+++ b/packages/anvil/src/mark/shardState.ts
@@ -34,6 +34,14 @@
     return toBinary(ShardPictureSchema, create(ShardPictureSchema, { streams, at: this.at }));
   }
 
+  static isReadable(picture: Uint8Array): boolean {
+    try {
+      return fromBinary(ShardPictureSchema, picture).at >= 0;
+    } catch {
+      return false;
+    }
+  }
+
   install(picture: Uint8Array): void {
     const read = fromBinary(ShardPictureSchema, picture);
     this.streams.clear();
--- a/packages/anvil/src/process/replica.ts
+++ b/packages/anvil/src/process/replica.ts
@@ -53,6 +53,7 @@
       id,
       (index) => this.advance(index),
       (index, state) => this.#install(index, state),
+      (state) => ShardState.isReadable(state),
     );
     if (this.log.baseIndex > 0) this.#install(this.log.baseIndex, this.log.picture);
     node.groups.enlist(this.log.group, {
--- a/packages/chest/src/mark/intake.ts
+++ b/packages/chest/src/mark/intake.ts
@@ -15,16 +15,21 @@
   /** Up to where this log is known to be the one of the term's sender. */
   #agreed = { term: 0, index: 0 };
 
+  /** What cannot be read is refused before anything is replaced by it. */
+  readonly #isReadable: (state: Uint8Array) => boolean;
+
   constructor(
     log: ReplicaLog,
     self: string,
     onCommit: (index: number) => void,
     onPicture: (index: number, state: Uint8Array) => void,
+    isReadable: (state: Uint8Array) => boolean = () => true,
   ) {
     this.#log = log;
     this.#self = self;
     this.#onCommit = onCommit;
     this.#onPicture = onPicture;
+    this.#isReadable = isReadable;
   }
 
   async take(append: Append, commit: number): Promise<BodyInit> {
@@ -49,7 +54,8 @@
   }
 
   async takePicture(picture: Picture, commit: number): Promise<BodyInit> {
-    if (picture.term < this.#log.term || ![picture.term, picture.index, picture.indexTerm].every(Intake.#isCount))
+    const isSane = [picture.term, picture.index, picture.indexTerm].every(Intake.#isCount);
+    if (picture.term < this.#log.term || !isSane || !this.#isReadable(picture.state))
       return this.#receipt(picture, false, 0);
     if (picture.term > this.#log.term) void this.#log.promise(picture.term, "");
     this.#agree(picture.term, picture.index);
--- a/packages/lathe/src/mark/metadata.ts
+++ b/packages/lathe/src/mark/metadata.ts
@@ -71,6 +71,14 @@
     );
   }
 
+  static isReadable(picture: Uint8Array): boolean {
+    try {
+      return fromBinary(StorePictureSchema, picture).revision >= 0;
+    } catch {
+      return false;
+    }
+  }
+
   /** Takes a picture in place of everything and returns the members it names. */
   install(picture: Uint8Array): Members | undefined {
     const read = fromBinary(StorePictureSchema, picture);
--- a/packages/lathe/src/process/ledger.ts
+++ b/packages/lathe/src/process/ledger.ts
@@ -95,6 +95,7 @@
       this.id,
       (index) => this.#advance(index),
       (index, state) => this.#install(index, state),
+      (state) => Metadata.isReadable(state),
     );
     this.#findMembers();
     this.#exchange.serve("vote", (vote) => this.#vote(vote));
