--- a/packages/lathe/src/lathe.ts
+++ b/packages/control/src/lathe.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 import { join } from "node:path";
-import { Program } from "@cranetrack/chest/process/program.js";
+import { Program } from "@cranetrack/core/process/program.js";
 import { PlanArchive } from "./process/planArchive.js";
 import { Lathe } from "./process/lathe.js";
 
--- a/packages/lathe/src/mark/memberLog.ts
+++ b/packages/control/src/mark/memberLog.ts
@@ -1,6 +1,6 @@
 import { create, fromBinary } from "@bufbuild/protobuf";
-import { MembersSchema, type Members } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { ReplicaLog } from "@cranetrack/chest/mark/replicaLog.js";
+import { MembersSchema, type Members } from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { ReplicaLog } from "@cranetrack/core/mark/replicaLog.js";
 import { entryKind } from "./entryKind.js";
 
 /**
--- a/packages/lathe/src/mark/metadata.ts
+++ b/packages/control/src/mark/metadata.ts
@@ -7,9 +7,9 @@
   type Kv,
   type Members,
   type Txn,
-} from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { BirthsKey } from "@cranetrack/chest/mark/birthsKey.js";
-import { PlanKey } from "@cranetrack/chest/mark/planKey.js";
+} from "@cranetrack/core/gen/cranetrack_pb.js";
+import { BirthsKey } from "@cranetrack/core/mark/birthsKey.js";
+import { PlanKey } from "@cranetrack/core/mark/planKey.js";
 
 const BTree = BTreeModule.default;
 
--- a/packages/lathe/src/process/feeds.ts
+++ b/packages/control/src/process/feeds.ts
@@ -5,8 +5,8 @@
   type FeedOpen,
   type FeedState,
   type Kv,
-} from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+} from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
 import type { Ledger } from "./ledger.js";
 
 interface Feed {
--- a/packages/lathe/src/process/founding.ts
+++ b/packages/control/src/process/founding.ts
@@ -7,11 +7,11 @@
   type FoundingAsk,
   type LatheMember,
   type Member,
-} from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { ReplicaLog } from "@cranetrack/chest/mark/replicaLog.js";
-import type { Disk } from "@cranetrack/chest/process/disk.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import type { BodyInit } from "@cranetrack/chest/process/wire.js";
+} from "@cranetrack/core/gen/cranetrack_pb.js";
+import { ReplicaLog } from "@cranetrack/core/mark/replicaLog.js";
+import type { Disk } from "@cranetrack/core/process/disk.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import type { BodyInit } from "@cranetrack/core/process/wire.js";
 import { entryKind } from "../mark/entryKind.js";
 import { Standing } from "./standing.js";
 
--- a/packages/lathe/src/process/lathe.ts
+++ b/packages/control/src/process/lathe.ts
@@ -1,10 +1,10 @@
-import { Anvil } from "@cranetrack/anvil/process/anvil.js";
-import { PlanKey } from "@cranetrack/chest/mark/planKey.js";
-import { ReplicaLog } from "@cranetrack/chest/mark/replicaLog.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import type { Disk } from "@cranetrack/chest/process/disk.js";
-import type { Router } from "@cranetrack/chest/process/router.js";
-import { ApiReceipts } from "@cranetrack/chest/request/apiReceipt.js";
+import { Anvil } from "@cranetrack/log-storage/process/anvil.js";
+import { PlanKey } from "@cranetrack/core/mark/planKey.js";
+import { ReplicaLog } from "@cranetrack/core/mark/replicaLog.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import type { Disk } from "@cranetrack/core/process/disk.js";
+import type { Router } from "@cranetrack/core/process/router.js";
+import { ApiReceipts } from "@cranetrack/core/request/apiReceipt.js";
 import { EmptyMachine } from "../request/emptyMachine.js";
 import { getRollout } from "../request/getRollout.js";
 import { putPlan } from "../request/putPlan.js";
--- a/packages/lathe/src/process/leases.ts
+++ b/packages/control/src/process/leases.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "@cranetrack/chest/process/clock.js";
+import type { Clock } from "@cranetrack/core/process/clock.js";
 import type { Ledger } from "./ledger.js";
 
 /**
--- a/packages/lathe/src/process/ledger.ts
+++ b/packages/control/src/process/ledger.ts
@@ -7,16 +7,16 @@
   type Vote,
   type VoteReceipt,
   type Yield,
-} from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { Intake } from "@cranetrack/chest/mark/intake.js";
-import type { ReplicaLog } from "@cranetrack/chest/mark/replicaLog.js";
-import { Spread } from "@cranetrack/chest/mark/spread.js";
-import type { Chance } from "@cranetrack/chest/process/chance.js";
-import type { Clock } from "@cranetrack/chest/process/clock.js";
-import type { Exchange } from "@cranetrack/chest/process/exchange.js";
-import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
-import type { LogRing } from "@cranetrack/chest/process/logRing.js";
-import type { BodyInit } from "@cranetrack/chest/process/wire.js";
+} from "@cranetrack/core/gen/cranetrack_pb.js";
+import { Intake } from "@cranetrack/core/mark/intake.js";
+import type { ReplicaLog } from "@cranetrack/core/mark/replicaLog.js";
+import { Spread } from "@cranetrack/core/mark/spread.js";
+import type { Chance } from "@cranetrack/core/process/chance.js";
+import type { Clock } from "@cranetrack/core/process/clock.js";
+import type { Exchange } from "@cranetrack/core/process/exchange.js";
+import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
+import type { LogRing } from "@cranetrack/core/process/logRing.js";
+import type { BodyInit } from "@cranetrack/core/process/wire.js";
 import { entryKind } from "../mark/entryKind.js";
 import { MemberLog } from "../mark/memberLog.js";
 import { judgeVote } from "../mark/judgeVote.js";
--- a/packages/lathe/src/process/memberChanges.ts
+++ b/packages/control/src/process/memberChanges.ts
@@ -1,7 +1,7 @@
-import type { Join, LatheMember } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
-import type { Outcome } from "@cranetrack/chest/process/storeClient.js";
+import type { Join, LatheMember } from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
+import type { Outcome } from "@cranetrack/core/process/storeClient.js";
 import type { Ledger } from "./ledger.js";
 
 /**
--- a/packages/lathe/src/process/planArchive.test.ts
+++ b/packages/control/src/process/planArchive.test.ts
@@ -3,11 +3,11 @@
 import { join } from "node:path";
 import { test } from "node:test";
 import { expect } from "earl";
-import { BirthsKey } from "@cranetrack/chest/mark/birthsKey.js";
-import { PlanView } from "@cranetrack/chest/mark/planView.js";
-import type { Change } from "@cranetrack/chest/process/feedFollower.js";
-import { Journal } from "@cranetrack/chest/process/journal.js";
-import { LogRing } from "@cranetrack/chest/process/logRing.js";
+import { BirthsKey } from "@cranetrack/core/mark/birthsKey.js";
+import { PlanView } from "@cranetrack/core/mark/planView.js";
+import type { Change } from "@cranetrack/core/process/feedFollower.js";
+import { Journal } from "@cranetrack/core/process/journal.js";
+import { LogRing } from "@cranetrack/core/process/logRing.js";
 import { PlanArchive } from "./planArchive.js";
 
 const textOf = (mark: number): string => JSON.stringify({ mark, spaces: [] });
--- a/packages/lathe/src/process/planArchive.ts
+++ b/packages/control/src/process/planArchive.ts
@@ -3,8 +3,8 @@
 import { join } from "node:path";
 import git from "isomorphic-git";
 import PQueue from "p-queue";
-import type { PlanView } from "@cranetrack/chest/mark/planView.js";
-import type { LogRing } from "@cranetrack/chest/process/logRing.js";
+import type { PlanView } from "@cranetrack/core/mark/planView.js";
+import type { LogRing } from "@cranetrack/core/process/logRing.js";
 
 /**
  * Accepted plans as commits in a Git object store beside the lathe's data. Only a copy: it follows what the
--- a/packages/lathe/src/process/proposals.test.ts
+++ b/packages/control/src/process/proposals.test.ts
@@ -1,9 +1,9 @@
 import { test } from "node:test";
 import { expect } from "earl";
-import { ReplicaLog } from "@cranetrack/chest/mark/replicaLog.js";
-import { Spread } from "@cranetrack/chest/mark/spread.js";
-import type { DiskChange } from "@cranetrack/chest/process/disk.js";
-import type { BodyInit } from "@cranetrack/chest/process/wire.js";
+import { ReplicaLog } from "@cranetrack/core/mark/replicaLog.js";
+import { Spread } from "@cranetrack/core/mark/spread.js";
+import type { DiskChange } from "@cranetrack/core/process/disk.js";
+import type { BodyInit } from "@cranetrack/core/process/wire.js";
 import { entryKind } from "../mark/entryKind.js";
 import type { Applied } from "../mark/metadata.js";
 import { Proposals } from "./proposals.js";
--- a/packages/lathe/src/process/proposals.ts
+++ b/packages/control/src/process/proposals.ts
@@ -1,8 +1,8 @@
 import { create } from "@bufbuild/protobuf";
-import { EntrySchema, type Entry } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { ReplicaLog } from "@cranetrack/chest/mark/replicaLog.js";
-import type { Spread } from "@cranetrack/chest/mark/spread.js";
-import type { Clock } from "@cranetrack/chest/process/clock.js";
+import { EntrySchema, type Entry } from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { ReplicaLog } from "@cranetrack/core/mark/replicaLog.js";
+import type { Spread } from "@cranetrack/core/mark/spread.js";
+import type { Clock } from "@cranetrack/core/process/clock.js";
 import { entryKind } from "../mark/entryKind.js";
 import type { Applied } from "../mark/metadata.js";
 
--- a/packages/lathe/src/process/standing.ts
+++ b/packages/control/src/process/standing.ts
@@ -1,4 +1,4 @@
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
 import type { Ledger } from "./ledger.js";
 
 /**
--- a/packages/lathe/src/process/storeDesk.ts
+++ b/packages/control/src/process/storeDesk.ts
@@ -5,10 +5,10 @@
   StoreCommandSchema,
   type FeedState,
   type StoreCall,
-} from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import type { Outcome } from "@cranetrack/chest/process/storeClient.js";
-import type { BodyInit } from "@cranetrack/chest/process/wire.js";
+} from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import type { Outcome } from "@cranetrack/core/process/storeClient.js";
+import type { BodyInit } from "@cranetrack/core/process/wire.js";
 import { Feeds } from "./feeds.js";
 import { Leases } from "./leases.js";
 import type { Ledger } from "./ledger.js";
--- a/packages/lathe/src/request/emptyMachine.ts
+++ b/packages/control/src/request/emptyMachine.ts
@@ -1,7 +1,7 @@
-import { EmptyingKey } from "@cranetrack/chest/mark/emptyingKey.js";
-import { ReplicasKey } from "@cranetrack/chest/mark/replicasKey.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
+import { EmptyingKey } from "@cranetrack/core/mark/emptyingKey.js";
+import { ReplicasKey } from "@cranetrack/core/mark/replicasKey.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import { ApiReceipts, type ApiReceipt } from "@cranetrack/core/request/apiReceipt.js";
 
 /** The operators' wish to have a machine's topic logs moved off it: kept, repeatable, undone by asking. */
 export const EmptyMachine = {
--- a/packages/lathe/src/request/getRollout.ts
+++ b/packages/control/src/request/getRollout.ts
@@ -1,7 +1,7 @@
-import type { FeedState } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { PlanKey } from "@cranetrack/chest/mark/planKey.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
+import type { FeedState } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { PlanKey } from "@cranetrack/core/mark/planKey.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import { ApiReceipts, type ApiReceipt } from "@cranetrack/core/request/apiReceipt.js";
 
 /** How far the plan in force has got: the acknowledgements of all lathes' feeds, counted by node. */
 export async function getRollout(node: ClusterNode): Promise<ApiReceipt> {
--- a/packages/lathe/src/request/planCapacity.ts
+++ b/packages/control/src/request/planCapacity.ts
@@ -1,5 +1,5 @@
-import type { Plan, PlanFault } from "@cranetrack/chest/mark/plan.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import type { Plan, PlanFault } from "@cranetrack/core/mark/plan.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
 
 /** What the capacity is judged by. */
 export type CapacityParts = Pick<ClusterNode, "membership" | "machines" | "shards" | "plan">;
--- a/packages/lathe/src/request/putPlan.ts
+++ b/packages/control/src/request/putPlan.ts
@@ -1,10 +1,10 @@
-import type { Kv } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { DocumentKey } from "@cranetrack/chest/mark/documentKey.js";
-import { Plans, type Plan, type PlanFault } from "@cranetrack/chest/mark/plan.js";
-import { PlanKey } from "@cranetrack/chest/mark/planKey.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
-import { JsonBody } from "@cranetrack/chest/request/jsonBody.js";
+import type { Kv } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { DocumentKey } from "@cranetrack/core/mark/documentKey.js";
+import { Plans, type Plan, type PlanFault } from "@cranetrack/core/mark/plan.js";
+import { PlanKey } from "@cranetrack/core/mark/planKey.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import { ApiReceipts, type ApiReceipt } from "@cranetrack/core/request/apiReceipt.js";
+import { JsonBody } from "@cranetrack/core/request/jsonBody.js";
 import { planCapacity } from "./planCapacity.js";
 
 interface InForce {
@@ -21,7 +21,7 @@
     return ApiReceipts.fault(413, "too-large", `a plan and its document may have ${Plans.mostBytes} bytes each`);
   const json = JsonBody.read(body);
   if ("receipt" in json) return json.receipt;
-  const { PlanSchema } = await import("@cranetrack/chest/mark/planSchema.js");
+  const { PlanSchema } = await import("@cranetrack/core/mark/planSchema.js");
   const read = PlanSchema.read(json.value);
   const problems = "faults" in read ? read.faults : planCapacity(node, read.plan);
   if (problems.length > 0 || "faults" in read) return invalid(problems);
--- a/packages/lathe/src/request/readDocument.ts
+++ b/packages/control/src/request/readDocument.ts
@@ -1,5 +1,5 @@
-import { DocumentKey } from "@cranetrack/chest/mark/documentKey.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import { DocumentKey } from "@cranetrack/core/mark/documentKey.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
 
 export type DocumentRead = { outcome: "done"; document: Uint8Array } | { outcome: "none" } | { outcome: "away" };
 
--- a/packages/vise/src/link/streamCursor.ts
+++ b/packages/edge/src/link/streamCursor.ts
@@ -1,6 +1,6 @@
-import type { StreamMessage } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { Plans, type Plan } from "@cranetrack/chest/mark/plan.js";
-import type { Beat, Clock } from "@cranetrack/chest/process/clock.js";
+import type { StreamMessage } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { Plans, type Plan } from "@cranetrack/core/mark/plan.js";
+import type { Beat, Clock } from "@cranetrack/core/process/clock.js";
 import { Places, type Place } from "../mark/place.js";
 import type { StreamTable } from "../process/streamTable.js";
 import type { StreamTail } from "../process/streamTail.js";
--- a/packages/vise/src/process/planCheck.ts
+++ b/packages/edge/src/process/planCheck.ts
@@ -1,5 +1,5 @@
-import { PlanKey } from "@cranetrack/chest/mark/planKey.js";
-import type { StoreClient } from "@cranetrack/chest/process/storeClient.js";
+import { PlanKey } from "@cranetrack/core/mark/planKey.js";
+import type { StoreClient } from "@cranetrack/core/process/storeClient.js";
 import type { TopicFault } from "../mark/topicFault.js";
 
 /**
--- a/packages/vise/src/process/replicaFollow.ts
+++ b/packages/edge/src/process/replicaFollow.ts
@@ -1,6 +1,6 @@
-import type { Push } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
+import type { Push } from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
 import { fetchMessages, type Fetched } from "../request/fetchMessages.js";
 import type { FollowInit, ShardFollow } from "./shardFollow.js";
 import type { StreamTail } from "./streamTail.js";
--- a/packages/vise/src/process/sessions.ts
+++ b/packages/edge/src/process/sessions.ts
@@ -1,8 +1,8 @@
 import { EventEmitter } from "node:events";
-import type { Kv, Pull, PullReceipt } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import type { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
-import type { Body, BodyInit } from "@cranetrack/chest/process/wire.js";
+import type { Kv, Pull, PullReceipt } from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import type { LeaseKeeper } from "@cranetrack/core/process/leaseKeeper.js";
+import type { Body, BodyInit } from "@cranetrack/core/process/wire.js";
 import { OwnerKey } from "../mark/ownerKey.js";
 import { SubscriptionKey } from "../mark/subscriptionKey.js";
 import { readOwner, type Owner } from "../request/readOwner.js";
--- a/packages/vise/src/process/shardFollow.test.ts
+++ b/packages/edge/src/process/shardFollow.test.ts
@@ -6,9 +6,9 @@
   StreamMessageSchema,
   type Push,
   type StreamMessage,
-} from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import type { Body, BodyInit } from "@cranetrack/chest/process/wire.js";
+} from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import type { Body, BodyInit } from "@cranetrack/core/process/wire.js";
 import { expect } from "earl";
 import { ShardFollow } from "./shardFollow.js";
 import { StreamTail } from "./streamTail.js";
--- a/packages/vise/src/process/shardFollow.ts
+++ b/packages/edge/src/process/shardFollow.ts
@@ -5,8 +5,8 @@
   StreamAtSchema,
   StreamHead,
   TopicCountSchema,
-} from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+} from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
 import { fetchMessages, type Fetched } from "../request/fetchMessages.js";
 import type { StreamTail } from "./streamTail.js";
 
--- a/packages/vise/src/process/streamTable.ts
+++ b/packages/edge/src/process/streamTable.ts
@@ -1,9 +1,9 @@
-import type { Push } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { Grouped } from "@cranetrack/chest/process/grouped.js";
-import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import type { StreamRoute } from "@cranetrack/chest/mark/streams.js";
-import { keepsNothing } from "@cranetrack/chest/mark/keepsNothing.js";
+import type { Push } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { Grouped } from "@cranetrack/core/process/grouped.js";
+import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import type { StreamRoute } from "@cranetrack/core/mark/streams.js";
+import { keepsNothing } from "@cranetrack/core/mark/keepsNothing.js";
 import type { Fetched } from "../request/fetchMessages.js";
 import { ReplicaFollow } from "./replicaFollow.js";
 import { ShardFollow, type CountsOf, type FollowInit } from "./shardFollow.js";
--- a/packages/vise/src/process/streamTail.test.ts
+++ b/packages/edge/src/process/streamTail.test.ts
@@ -1,6 +1,6 @@
 import { test } from "node:test";
 import { create } from "@bufbuild/protobuf";
-import { StreamMessageSchema, type StreamMessage } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { StreamMessageSchema, type StreamMessage } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { expect } from "earl";
 import { StreamTail } from "./streamTail.js";
 
--- a/packages/vise/src/process/streamTail.ts
+++ b/packages/edge/src/process/streamTail.ts
@@ -1,6 +1,6 @@
 import { EventEmitter } from "node:events";
-import type { StreamMessage } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { Streams, type StreamRoute } from "@cranetrack/chest/mark/streams.js";
+import type { StreamMessage } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { Streams, type StreamRoute } from "@cranetrack/core/mark/streams.js";
 import { LastNumbers } from "../mark/lastNumbers.js";
 
 /**
--- a/packages/vise/src/process/vise.ts
+++ b/packages/edge/src/process/vise.ts
@@ -1,7 +1,7 @@
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
-import { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
-import type { Router } from "@cranetrack/chest/process/router.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
+import { LeaseKeeper } from "@cranetrack/core/process/leaseKeeper.js";
+import type { Router } from "@cranetrack/core/process/router.js";
 import type { ClientLink } from "../link/clientLink.js";
 import { SubscriptionKey } from "../mark/subscriptionKey.js";
 import type { Session } from "./session.js";
--- a/packages/vise/src/process/viseCalls.ts
+++ b/packages/edge/src/process/viseCalls.ts
@@ -1,8 +1,8 @@
 import { type } from "arktype";
-import { Plans } from "@cranetrack/chest/mark/plan.js";
-import type { ApiCall, Router } from "@cranetrack/chest/process/router.js";
-import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
-import { BodyReader } from "@cranetrack/chest/request/bodyReader.js";
+import { Plans } from "@cranetrack/core/mark/plan.js";
+import type { ApiCall, Router } from "@cranetrack/core/process/router.js";
+import { ApiReceipts, type ApiReceipt } from "@cranetrack/core/request/apiReceipt.js";
+import { BodyReader } from "@cranetrack/core/request/bodyReader.js";
 import type { ClientLink } from "../link/clientLink.js";
 import { enrolLink } from "../request/enrolLink.js";
 import { publishCall } from "../request/publishCall.js";
--- a/packages/vise/src/process/viseParts.ts
+++ b/packages/edge/src/process/viseParts.ts
@@ -1,6 +1,6 @@
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import type { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
-import type { Router } from "@cranetrack/chest/process/router.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import type { LeaseKeeper } from "@cranetrack/core/process/leaseKeeper.js";
+import type { Router } from "@cranetrack/core/process/router.js";
 import type { ClientLink } from "../link/clientLink.js";
 import type { Session } from "./session.js";
 import type { Sessions } from "./sessions.js";
--- a/packages/vise/src/request/askStarts.ts
+++ b/packages/edge/src/request/askStarts.ts
@@ -1,5 +1,5 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
-import type { TopicPlaceSchema, TopicStart } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import type { TopicPlaceSchema, TopicStart } from "@cranetrack/core/gen/cranetrack_pb.js";
 import type { ViseParts } from "../process/viseParts.js";
 
 const mostMs = 1500;
--- a/packages/vise/src/request/enrolLink.ts
+++ b/packages/edge/src/request/enrolLink.ts
@@ -1,7 +1,7 @@
 import { type } from "arktype";
-import { Plans } from "@cranetrack/chest/mark/plan.js";
-import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
-import { BodyReader } from "@cranetrack/chest/request/bodyReader.js";
+import { Plans } from "@cranetrack/core/mark/plan.js";
+import { ApiReceipts, type ApiReceipt } from "@cranetrack/core/request/apiReceipt.js";
+import { BodyReader } from "@cranetrack/core/request/bodyReader.js";
 import type { ClientLink } from "../link/clientLink.js";
 import { Places } from "../mark/place.js";
 import type { Session } from "../process/session.js";
--- a/packages/vise/src/request/findStarts.ts
+++ b/packages/edge/src/request/findStarts.ts
@@ -1,7 +1,7 @@
-import { Grouped } from "@cranetrack/chest/process/grouped.js";
-import type { TopicStart } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { Plans } from "@cranetrack/chest/mark/plan.js";
-import type { StreamRoute } from "@cranetrack/chest/mark/streams.js";
+import { Grouped } from "@cranetrack/core/process/grouped.js";
+import type { TopicStart } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { Plans } from "@cranetrack/core/mark/plan.js";
+import type { StreamRoute } from "@cranetrack/core/mark/streams.js";
 import { Places, type Place } from "../mark/place.js";
 import type { TopicFault } from "../mark/topicFault.js";
 import type { Session } from "../process/session.js";
--- a/packages/vise/src/request/joinStreams.ts
+++ b/packages/edge/src/request/joinStreams.ts
@@ -1,4 +1,4 @@
-import { Grouped } from "@cranetrack/chest/process/grouped.js";
+import { Grouped } from "@cranetrack/core/process/grouped.js";
 import type { ClientLink } from "../link/clientLink.js";
 import { StreamCursor } from "../link/streamCursor.js";
 import type { Session } from "../process/session.js";
--- a/packages/vise/src/request/publishMessage.ts
+++ b/packages/edge/src/request/publishMessage.ts
@@ -1,6 +1,6 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
-import { Plans } from "@cranetrack/chest/mark/plan.js";
-import type { PublishReceipt, PublishSchema } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { Plans } from "@cranetrack/core/mark/plan.js";
+import type { PublishReceipt, PublishSchema } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { Places } from "../mark/place.js";
 import type { Session } from "../process/session.js";
 import type { ViseParts } from "../process/viseParts.js";
--- a/packages/vise/src/request/readOwner.ts
+++ b/packages/edge/src/request/readOwner.ts
@@ -1,5 +1,5 @@
-import type { Kv } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { StoreClient } from "@cranetrack/chest/process/storeClient.js";
+import type { Kv } from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { StoreClient } from "@cranetrack/core/process/storeClient.js";
 import { OwnerKey, type OwnerRecord } from "../mark/ownerKey.js";
 
 export type Owner = OwnerRecord & { revision: number; leaseLeft: number };
--- a/packages/vise/src/request/subscribeTopics.ts
+++ b/packages/edge/src/request/subscribeTopics.ts
@@ -1,4 +1,4 @@
-import { Plans } from "@cranetrack/chest/mark/plan.js";
+import { Plans } from "@cranetrack/core/mark/plan.js";
 import type { ClientLink } from "../link/clientLink.js";
 import type { StreamCursor } from "../link/streamCursor.js";
 import { OwnerKey } from "../mark/ownerKey.js";
--- a/packages/vise/src/request/unsubscribeTopic.ts
+++ b/packages/edge/src/request/unsubscribeTopic.ts
@@ -1,4 +1,4 @@
-import { ApiReceipts, type ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
+import { ApiReceipts, type ApiReceipt } from "@cranetrack/core/request/apiReceipt.js";
 import { OwnerKey } from "../mark/ownerKey.js";
 import { SubscriptionKey } from "../mark/subscriptionKey.js";
 import type { Session } from "../process/session.js";
--- a/packages/vise/src/vise.ts
+++ b/packages/edge/src/vise.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-import { Program } from "@cranetrack/chest/process/program.js";
+import { Program } from "@cranetrack/core/process/program.js";
 import { HttpLink } from "./link/httpLink.js";
 import { Vise } from "./process/vise.js";
 import { ViseCalls } from "./process/viseCalls.js";
--- a/packages/anvil/src/anvil.ts
+++ b/packages/log-storage/src/anvil.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-import { Program } from "@cranetrack/chest/process/program.js";
+import { Program } from "@cranetrack/core/process/program.js";
 import { Anvil } from "./process/anvil.js";
 
 await new Program("anvil", ["plan", "shards/", "machines/"], ({ node, disk }) => {
--- a/packages/anvil/src/mark/shardState.ts
+++ b/packages/log-storage/src/mark/shardState.ts
@@ -6,8 +6,8 @@
   type Birth,
   type ShardCommand,
   type Trim,
-} from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { Streams } from "@cranetrack/chest/mark/streams.js";
+} from "@cranetrack/core/gen/cranetrack_pb.js";
+import { Streams } from "@cranetrack/core/mark/streams.js";
 import { StreamLog, type Verdict } from "./streamLog.js";
 
 /**
--- a/packages/anvil/src/mark/streamLog.ts
+++ b/packages/log-storage/src/mark/streamLog.ts
@@ -4,8 +4,8 @@
   type Accept,
   type StreamMessage,
   type StreamPicture,
-} from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { Streams } from "@cranetrack/chest/mark/streams.js";
+} from "@cranetrack/core/gen/cranetrack_pb.js";
+import { Streams } from "@cranetrack/core/mark/streams.js";
 
 interface Known {
   at: number;
--- a/packages/anvil/src/process/anvil.ts
+++ b/packages/log-storage/src/process/anvil.ts
@@ -1,9 +1,9 @@
-import { ReplicasKey } from "@cranetrack/chest/mark/replicasKey.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import type { Disk } from "@cranetrack/chest/process/disk.js";
-import { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
-import type { BodyInit } from "@cranetrack/chest/process/wire.js";
-import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
+import { ReplicasKey } from "@cranetrack/core/mark/replicasKey.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import type { Disk } from "@cranetrack/core/process/disk.js";
+import { LeaseKeeper } from "@cranetrack/core/process/leaseKeeper.js";
+import type { BodyInit } from "@cranetrack/core/process/wire.js";
+import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
 import type { Bench } from "./bench.js";
 import { Claims } from "./claims.js";
 import { FollowerReads } from "./followerReads.js";
--- a/packages/anvil/src/process/bench.ts
+++ b/packages/log-storage/src/process/bench.ts
@@ -11,12 +11,12 @@
   type Publish,
   type StartAsk,
   type TrimStreamSchema,
-} from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { Plans, type Owe, type Plan } from "@cranetrack/chest/mark/plan.js";
-import { Streams } from "@cranetrack/chest/mark/streams.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
-import type { BodyInit } from "@cranetrack/chest/process/wire.js";
+} from "@cranetrack/core/gen/cranetrack_pb.js";
+import { Plans, type Owe, type Plan } from "@cranetrack/core/mark/plan.js";
+import { Streams } from "@cranetrack/core/mark/streams.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
+import type { BodyInit } from "@cranetrack/core/process/wire.js";
 import { HeldBack } from "../mark/heldBack.js";
 import { PublishOutcomes, type PublishOutcome } from "../mark/publishOutcomes.js";
 import { startInMemory, startOf } from "../mark/startOf.js";
--- a/packages/anvil/src/process/claims.ts
+++ b/packages/log-storage/src/process/claims.ts
@@ -1,9 +1,9 @@
-import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import { HolderKey } from "@cranetrack/chest/mark/holderKey.js";
-import { ReplicasKey } from "@cranetrack/chest/mark/replicasKey.js";
-import type { ShardSet } from "@cranetrack/chest/mark/shardSet.js";
-import type { LeaseKeeper } from "@cranetrack/chest/process/leaseKeeper.js";
+import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import { HolderKey } from "@cranetrack/core/mark/holderKey.js";
+import { ReplicasKey } from "@cranetrack/core/mark/replicasKey.js";
+import type { ShardSet } from "@cranetrack/core/mark/shardSet.js";
+import type { LeaseKeeper } from "@cranetrack/core/process/leaseKeeper.js";
 import { Bench } from "./bench.js";
 import { Holder } from "./holder.js";
 import { Mender } from "./mender.js";
--- a/packages/anvil/src/process/fetchFrom.ts
+++ b/packages/log-storage/src/process/fetchFrom.ts
@@ -1,5 +1,5 @@
-import type { Fetch } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { BodyInit } from "@cranetrack/chest/process/wire.js";
+import type { Fetch } from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { BodyInit } from "@cranetrack/core/process/wire.js";
 import type { StreamLog } from "../mark/streamLog.js";
 import { Follows } from "./follows.js";
 
--- a/packages/anvil/src/process/followerReads.ts
+++ b/packages/log-storage/src/process/followerReads.ts
@@ -1,7 +1,7 @@
 import { create } from "@bufbuild/protobuf";
-import { StreamHeadSchema, type Fetch, type Follow, type StreamAt } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import type { BodyInit } from "@cranetrack/chest/process/wire.js";
+import { StreamHeadSchema, type Fetch, type Follow, type StreamAt } from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import type { BodyInit } from "@cranetrack/core/process/wire.js";
 import type { StreamLog } from "../mark/streamLog.js";
 import { fetchFrom } from "./fetchFrom.js";
 import { Follows } from "./follows.js";
--- a/packages/anvil/src/process/follows.test.ts
+++ b/packages/log-storage/src/process/follows.test.ts
@@ -1,7 +1,7 @@
 import { test } from "node:test";
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
-import { FollowSchema, StreamMessageSchema, type Push } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import { FollowSchema, StreamMessageSchema, type Push } from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
 import { expect } from "earl";
 import { StreamLog } from "../mark/streamLog.js";
 import { Follows } from "./follows.js";
--- a/packages/anvil/src/process/follows.ts
+++ b/packages/log-storage/src/process/follows.ts
@@ -7,8 +7,8 @@
   type StreamBatch,
   type StreamHead,
   type StreamMessage,
-} from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+} from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
 import type { StreamLog } from "../mark/streamLog.js";
 import type { PushTurn } from "./pushTurn.js";
 
--- a/packages/anvil/src/process/holder.ts
+++ b/packages/log-storage/src/process/holder.ts
@@ -1,9 +1,9 @@
 import { EventEmitter } from "node:events";
 import { create, toBinary, type MessageInitShape } from "@bufbuild/protobuf";
-import { EntrySchema, ShardCommandSchema } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { Spread } from "@cranetrack/chest/mark/spread.js";
-import type { ShardSet } from "@cranetrack/chest/mark/shardSet.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import { EntrySchema, ShardCommandSchema } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { Spread } from "@cranetrack/core/mark/spread.js";
+import type { ShardSet } from "@cranetrack/core/mark/shardSet.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
 import type { Verdict } from "../mark/streamLog.js";
 import type { CommitTurn } from "./commitTurn.js";
 import type { AppliedEntry, Replica } from "./replica.js";
--- a/packages/anvil/src/process/memoryStreams.test.ts
+++ b/packages/log-storage/src/process/memoryStreams.test.ts
@@ -1,6 +1,6 @@
 import { test } from "node:test";
 import { create } from "@bufbuild/protobuf";
-import { AcceptSchema, TopicPlaceSchema } from "@cranetrack/chest/gen/cranetrack_pb.js";
+import { AcceptSchema, TopicPlaceSchema } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { expect } from "earl";
 import { startInMemory } from "../mark/startOf.js";
 import { MemoryStreams } from "./memoryStreams.js";
--- a/packages/anvil/src/process/memoryStreams.ts
+++ b/packages/log-storage/src/process/memoryStreams.ts
@@ -1,5 +1,5 @@
-import type { Accept } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { Streams } from "@cranetrack/chest/mark/streams.js";
+import type { Accept } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { Streams } from "@cranetrack/core/mark/streams.js";
 import { StreamLog, type Verdict } from "../mark/streamLog.js";
 
 interface Kept {
--- a/packages/anvil/src/process/mender.ts
+++ b/packages/log-storage/src/process/mender.ts
@@ -1,9 +1,9 @@
-import type { Member } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { HolderKey } from "@cranetrack/chest/mark/holderKey.js";
-import { ReplicasKey } from "@cranetrack/chest/mark/replicasKey.js";
-import type { ShardSet } from "@cranetrack/chest/mark/shardSet.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
+import type { Member } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { HolderKey } from "@cranetrack/core/mark/holderKey.js";
+import { ReplicasKey } from "@cranetrack/core/mark/replicasKey.js";
+import type { ShardSet } from "@cranetrack/core/mark/shardSet.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
 import type { Holder } from "./holder.js";
 import type { Replica } from "./replica.js";
 
--- a/packages/anvil/src/process/pushTurn.ts
+++ b/packages/log-storage/src/process/pushTurn.ts
@@ -1,6 +1,6 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
-import type { PushSchema } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
+import type { PushSchema } from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
 
 type PushInit = MessageInitShape<typeof PushSchema>;
 
--- a/packages/anvil/src/process/replica.ts
+++ b/packages/log-storage/src/process/replica.ts
@@ -1,11 +1,11 @@
 import { EventEmitter } from "node:events";
-import type { Entry, Pledge, ShardPull } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { Intake } from "@cranetrack/chest/mark/intake.js";
-import { ReplicaLog } from "@cranetrack/chest/mark/replicaLog.js";
-import type { Spread } from "@cranetrack/chest/mark/spread.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import type { Disk } from "@cranetrack/chest/process/disk.js";
-import type { BodyInit } from "@cranetrack/chest/process/wire.js";
+import type { Entry, Pledge, ShardPull } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { Intake } from "@cranetrack/core/mark/intake.js";
+import { ReplicaLog } from "@cranetrack/core/mark/replicaLog.js";
+import type { Spread } from "@cranetrack/core/mark/spread.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import type { Disk } from "@cranetrack/core/process/disk.js";
+import type { BodyInit } from "@cranetrack/core/process/wire.js";
 import { ShardState } from "../mark/shardState.js";
 import type { Verdict } from "../mark/streamLog.js";
 
--- a/packages/jig/src/mark/planHistory.ts
+++ b/packages/testkit/src/mark/planHistory.ts
@@ -1,6 +1,6 @@
-import { Plans, type Owe, type Plan } from "@cranetrack/chest/mark/plan.js";
-import { PlanSchema } from "@cranetrack/chest/mark/planSchema.js";
-import { Streams } from "@cranetrack/chest/mark/streams.js";
+import { Plans, type Owe, type Plan } from "@cranetrack/core/mark/plan.js";
+import { PlanSchema } from "@cranetrack/core/mark/planSchema.js";
+import { Streams } from "@cranetrack/core/mark/streams.js";
 import type { Seen } from "./history.js";
 
 interface Put {
--- a/packages/jig/src/process/caller.ts
+++ b/packages/testkit/src/process/caller.ts
@@ -1,4 +1,4 @@
-import type { Beat, Clock } from "@cranetrack/chest/process/clock.js";
+import type { Beat, Clock } from "@cranetrack/core/process/clock.js";
 import type { CallerPort, PortLink, PortReceipt } from "../link/callerPort.js";
 import type { History } from "../mark/history.js";
 
--- a/packages/jig/src/process/cost.ts
+++ b/packages/testkit/src/process/cost.ts
@@ -1,10 +1,10 @@
 import { once } from "node:events";
 import { createServer } from "node:net";
-import { Exchange } from "@cranetrack/chest/process/exchange.js";
-import { HostClock } from "@cranetrack/chest/process/hostClock.js";
-import { LogRing } from "@cranetrack/chest/process/logRing.js";
-import { TcpNet } from "@cranetrack/chest/process/tcpNet.js";
-import { Wire } from "@cranetrack/chest/process/wire.js";
+import { Exchange } from "@cranetrack/core/process/exchange.js";
+import { HostClock } from "@cranetrack/core/process/hostClock.js";
+import { LogRing } from "@cranetrack/core/process/logRing.js";
+import { TcpNet } from "@cranetrack/core/process/tcpNet.js";
+import { Wire } from "@cranetrack/core/process/wire.js";
 import { Scenario } from "./sim/scenario.js";
 import { SimFleet } from "./sim/simFleet.js";
 
--- a/packages/jig/src/process/load.ts
+++ b/packages/testkit/src/process/load.ts
@@ -1,5 +1,5 @@
-import { HostChance } from "@cranetrack/chest/process/hostChance.js";
-import { HostClock } from "@cranetrack/chest/process/hostClock.js";
+import { HostChance } from "@cranetrack/core/process/hostChance.js";
+import { HostClock } from "@cranetrack/core/process/hostClock.js";
 import { Checker, type Breach } from "../mark/checker.js";
 import { Lateness } from "../mark/lateness.js";
 import { History } from "../mark/history.js";
--- a/packages/jig/src/process/sim/bounds.test.ts
+++ b/packages/testkit/src/process/sim/bounds.test.ts
@@ -1,12 +1,12 @@
 import { test } from "node:test";
 import { create } from "@bufbuild/protobuf";
-import { StreamLog } from "@cranetrack/anvil/mark/streamLog.js";
-import { AcceptSchema, StreamMessageSchema } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { Journal } from "@cranetrack/chest/process/journal.js";
-import { LogRing } from "@cranetrack/chest/process/logRing.js";
-import { Sessions } from "@cranetrack/vise/process/sessions.js";
-import { StreamTail } from "@cranetrack/vise/process/streamTail.js";
-import { OwnerKey } from "@cranetrack/vise/mark/ownerKey.js";
+import { StreamLog } from "@cranetrack/log-storage/mark/streamLog.js";
+import { AcceptSchema, StreamMessageSchema } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { Journal } from "@cranetrack/core/process/journal.js";
+import { LogRing } from "@cranetrack/core/process/logRing.js";
+import { Sessions } from "@cranetrack/edge/process/sessions.js";
+import { StreamTail } from "@cranetrack/edge/process/streamTail.js";
+import { OwnerKey } from "@cranetrack/edge/mark/ownerKey.js";
 import { expect } from "earl";
 import { Hand, served } from "./hand.js";
 
--- a/packages/jig/src/process/sim/connections.test.ts
+++ b/packages/testkit/src/process/sim/connections.test.ts
@@ -1,7 +1,7 @@
 import { test } from "node:test";
-import type { ClientLink } from "@cranetrack/vise/link/clientLink.js";
-import type { Connection } from "@cranetrack/vise/process/connections.js";
-import { ViseConnections } from "@cranetrack/vise/process/viseConnections.js";
+import type { ClientLink } from "@cranetrack/edge/link/clientLink.js";
+import type { Connection } from "@cranetrack/edge/process/connections.js";
+import { ViseConnections } from "@cranetrack/edge/process/viseConnections.js";
 import { expect } from "earl";
 import { served } from "./hand.js";
 import type { SimFleet } from "./simFleet.js";
--- a/packages/jig/src/process/sim/followerReads.test.ts
+++ b/packages/testkit/src/process/sim/followerReads.test.ts
@@ -1,7 +1,7 @@
 import { test } from "node:test";
-import { FollowerReads } from "@cranetrack/anvil/process/followerReads.js";
-import type { Frame } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { Wire } from "@cranetrack/chest/process/wire.js";
+import { FollowerReads } from "@cranetrack/log-storage/process/followerReads.js";
+import type { Frame } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { Wire } from "@cranetrack/core/process/wire.js";
 import { expect } from "earl";
 import { Hand, served, type Served } from "./hand.js";
 import type { SimFleet } from "./simFleet.js";
--- a/packages/jig/src/process/sim/hostile.test.ts
+++ b/packages/testkit/src/process/sim/hostile.test.ts
@@ -1,8 +1,8 @@
 import { test } from "node:test";
 import { create, ScalarType, type DescMessage, type Message, type MessageInitShape } from "@bufbuild/protobuf";
-import { FrameSchema } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { Seal } from "@cranetrack/chest/process/seal.js";
-import { Wire, type BodyInit } from "@cranetrack/chest/process/wire.js";
+import { FrameSchema } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { Seal } from "@cranetrack/core/process/seal.js";
+import { Wire, type BodyInit } from "@cranetrack/core/process/wire.js";
 import { expect } from "earl";
 import { Checker } from "../../mark/checker.js";
 import { Scenario } from "./scenario.js";
--- a/packages/jig/src/process/sim/limits.test.ts
+++ b/packages/testkit/src/process/sim/limits.test.ts
@@ -1,6 +1,6 @@
 import { test } from "node:test";
-import type { Connection, Published } from "@cranetrack/vise/process/connections.js";
-import { ViseConnections } from "@cranetrack/vise/process/viseConnections.js";
+import type { Connection, Published } from "@cranetrack/edge/process/connections.js";
+import { ViseConnections } from "@cranetrack/edge/process/viseConnections.js";
 import { expect } from "earl";
 import { Hand, served, type Served } from "./hand.js";
 import type { SimFleet } from "./simFleet.js";
--- a/packages/jig/src/process/sim/memory.test.ts
+++ b/packages/testkit/src/process/sim/memory.test.ts
@@ -1,9 +1,9 @@
 import { test } from "node:test";
-import type { Bench } from "@cranetrack/anvil/process/bench.js";
-import type { Holder } from "@cranetrack/anvil/process/holder.js";
-import type { PublishReceipt } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { Body } from "@cranetrack/chest/process/wire.js";
-import { countTopic, type Count } from "@cranetrack/vise/request/countTopic.js";
+import type { Bench } from "@cranetrack/log-storage/process/bench.js";
+import type { Holder } from "@cranetrack/log-storage/process/holder.js";
+import type { PublishReceipt } from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { Body } from "@cranetrack/core/process/wire.js";
+import { countTopic, type Count } from "@cranetrack/edge/request/countTopic.js";
 import { expect } from "earl";
 import { Hand, served, type Served } from "./hand.js";
 
--- a/packages/jig/src/process/sim/planCapacity.test.ts
+++ b/packages/testkit/src/process/sim/planCapacity.test.ts
@@ -1,5 +1,5 @@
 import { test } from "node:test";
-import { Membership } from "@cranetrack/chest/process/membership.js";
+import { Membership } from "@cranetrack/core/process/membership.js";
 import { expect } from "earl";
 import type { Machine } from "../../mark/deployments.js";
 import { served } from "./hand.js";
--- a/packages/jig/src/process/sim/simChance.ts
+++ b/packages/testkit/src/process/sim/simChance.ts
@@ -1,4 +1,4 @@
-import type { Chance } from "@cranetrack/chest/process/chance.js";
+import type { Chance } from "@cranetrack/core/process/chance.js";
 
 /** A seeded generator (a 32-bit mixing counter): the same seed, the same draws. */
 export class SimChance implements Chance {
--- a/packages/jig/src/process/sim/simFleet.ts
+++ b/packages/testkit/src/process/sim/simFleet.ts
@@ -1,4 +1,4 @@
-import { SettingsReader, type Settings } from "@cranetrack/chest/process/settings.js";
+import { SettingsReader, type Settings } from "@cranetrack/core/process/settings.js";
 import type { Machine } from "../../mark/deployments.js";
 import { SimDisk } from "./simDisk.js";
 import { SimNode } from "./simNode.js";
--- a/packages/jig/src/process/sim/simLoad.ts
+++ b/packages/testkit/src/process/sim/simLoad.ts
@@ -1,5 +1,5 @@
-import { Plans, type Plan } from "@cranetrack/chest/mark/plan.js";
-import { PlanSchema } from "@cranetrack/chest/mark/planSchema.js";
+import { Plans, type Plan } from "@cranetrack/core/mark/plan.js";
+import { PlanSchema } from "@cranetrack/core/mark/planSchema.js";
 import { SimClock } from "./simClock.js";
 import type { SimFleet } from "./simFleet.js";
 import type { SimChance } from "./simChance.js";
--- a/packages/jig/src/process/sim/simNet.ts
+++ b/packages/testkit/src/process/sim/simNet.ts
@@ -1,6 +1,6 @@
-import type { Frame } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { Net } from "@cranetrack/chest/process/net.js";
-import { Wire } from "@cranetrack/chest/process/wire.js";
+import type { Frame } from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { Net } from "@cranetrack/core/process/net.js";
+import { Wire } from "@cranetrack/core/process/wire.js";
 import type { SimBody } from "./simClock.js";
 import type { SimWorld } from "./simWorld.js";
 
--- a/packages/jig/src/process/sim/simNode.ts
+++ b/packages/testkit/src/process/sim/simNode.ts
@@ -1,15 +1,15 @@
 // Loaded before the world runs: what a node loads late would take real time there.
-import "@cranetrack/chest/mark/planSchema.js";
-import { Anvil } from "@cranetrack/anvil/process/anvil.js";
-import { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import { LogRing } from "@cranetrack/chest/process/logRing.js";
-import { NodeStatus } from "@cranetrack/chest/process/nodeStatus.js";
-import { Router } from "@cranetrack/chest/process/router.js";
-import { SealedDisk } from "@cranetrack/chest/process/sealedDisk.js";
-import type { Settings } from "@cranetrack/chest/process/settings.js";
-import { Lathe } from "@cranetrack/lathe/process/lathe.js";
-import { Vise } from "@cranetrack/vise/process/vise.js";
-import { ViseCalls } from "@cranetrack/vise/process/viseCalls.js";
+import "@cranetrack/core/mark/planSchema.js";
+import { Anvil } from "@cranetrack/log-storage/process/anvil.js";
+import { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import { LogRing } from "@cranetrack/core/process/logRing.js";
+import { NodeStatus } from "@cranetrack/core/process/nodeStatus.js";
+import { Router } from "@cranetrack/core/process/router.js";
+import { SealedDisk } from "@cranetrack/core/process/sealedDisk.js";
+import type { Settings } from "@cranetrack/core/process/settings.js";
+import { Lathe } from "@cranetrack/control/process/lathe.js";
+import { Vise } from "@cranetrack/edge/process/vise.js";
+import { ViseCalls } from "@cranetrack/edge/process/viseCalls.js";
 import { SimClock, type SimBody } from "./simClock.js";
 import type { SimDisk } from "./simDisk.js";
 import type { SimWires } from "./simNet.js";
--- a/packages/jig/src/process/sim/simPort.ts
+++ b/packages/testkit/src/process/sim/simPort.ts
@@ -1,9 +1,9 @@
-import type { ClientLink } from "@cranetrack/vise/link/clientLink.js";
+import type { ClientLink } from "@cranetrack/edge/link/clientLink.js";
 import type { CallerPort, PortLink, PortReceipt } from "../../link/callerPort.js";
 import type { SimFleet } from "./simFleet.js";
 import type { SimNode } from "./simNode.js";
-import { Router } from "@cranetrack/chest/process/router.js";
-import type { ApiReceipt } from "@cranetrack/chest/request/apiReceipt.js";
+import { Router } from "@cranetrack/core/process/router.js";
+import type { ApiReceipt } from "@cranetrack/core/request/apiReceipt.js";
 
 const away: PortReceipt = { status: 503, body: { error: { code: "unreachable" } }, comeBack: 0.3 };
 
--- a/packages/jig/src/process/sim/store.test.ts
+++ b/packages/testkit/src/process/sim/store.test.ts
@@ -1,7 +1,7 @@
 import { test } from "node:test";
-import { Wire } from "@cranetrack/chest/process/wire.js";
-import { putPlan } from "@cranetrack/lathe/request/putPlan.js";
-import { readDocument } from "@cranetrack/lathe/request/readDocument.js";
+import { Wire } from "@cranetrack/core/process/wire.js";
+import { putPlan } from "@cranetrack/control/request/putPlan.js";
+import { readDocument } from "@cranetrack/control/request/readDocument.js";
 import { expect } from "earl";
 import { Scenario } from "./scenario.js";
 import { SimFleet } from "./simFleet.js";
--- a/packages/jig/src/process/sim/streams.test.ts
+++ b/packages/testkit/src/process/sim/streams.test.ts
@@ -1,5 +1,5 @@
 import { test } from "node:test";
-import { Wire } from "@cranetrack/chest/process/wire.js";
+import { Wire } from "@cranetrack/core/process/wire.js";
 import { expect } from "earl";
 import { Checker } from "../../mark/checker.js";
 import { Hand, served, type Line, type Served } from "./hand.js";
--- a/packages/jig/src/process/slopes/nodeSlopes.ts
+++ b/packages/testkit/src/process/slopes/nodeSlopes.ts
@@ -1,13 +1,13 @@
 import { create, toBinary } from "@bufbuild/protobuf";
-import { KvSchema, MemberSchema, type Member } from "@cranetrack/chest/gen/cranetrack_pb.js";
-import { HolderKey } from "@cranetrack/chest/mark/holderKey.js";
-import { PlanReader } from "@cranetrack/chest/mark/planReader.js";
-import { ReplicasKey } from "@cranetrack/chest/mark/replicasKey.js";
-import { ShardsView } from "@cranetrack/chest/mark/shardsView.js";
-import type { Change } from "@cranetrack/chest/process/feedFollower.js";
-import { Journal } from "@cranetrack/chest/process/journal.js";
-import { MemberTable } from "@cranetrack/chest/process/memberTable.js";
-import { Rendezvous } from "@cranetrack/chest/process/rendezvous.js";
+import { KvSchema, MemberSchema, type Member } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { HolderKey } from "@cranetrack/core/mark/holderKey.js";
+import { PlanReader } from "@cranetrack/core/mark/planReader.js";
+import { ReplicasKey } from "@cranetrack/core/mark/replicasKey.js";
+import { ShardsView } from "@cranetrack/core/mark/shardsView.js";
+import type { Change } from "@cranetrack/core/process/feedFollower.js";
+import { Journal } from "@cranetrack/core/process/journal.js";
+import { MemberTable } from "@cranetrack/core/process/memberTable.js";
+import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
 import { Cost } from "../cost.js";
 import { Meter } from "./meter.js";
 
--- a/packages/jig/src/process/slopes/storeSlopes.ts
+++ b/packages/testkit/src/process/slopes/storeSlopes.ts
@@ -5,15 +5,15 @@
   StoreCommandSchema,
   type FeedOpen,
   type FeedStateSchema as FeedStateType,
-} from "@cranetrack/chest/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/chest/process/clusterNode.js";
-import { HostClock } from "@cranetrack/chest/process/hostClock.js";
-import { Wire, type BodyInit } from "@cranetrack/chest/process/wire.js";
-import { Feeds } from "@cranetrack/lathe/process/feeds.js";
-import { Leases } from "@cranetrack/lathe/process/leases.js";
-import type { Ledger } from "@cranetrack/lathe/process/ledger.js";
-import { Metadata } from "@cranetrack/lathe/mark/metadata.js";
-import { OwnerKey } from "@cranetrack/vise/mark/ownerKey.js";
+} from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import { HostClock } from "@cranetrack/core/process/hostClock.js";
+import { Wire, type BodyInit } from "@cranetrack/core/process/wire.js";
+import { Feeds } from "@cranetrack/control/process/feeds.js";
+import { Leases } from "@cranetrack/control/process/leases.js";
+import type { Ledger } from "@cranetrack/control/process/ledger.js";
+import { Metadata } from "@cranetrack/control/mark/metadata.js";
+import { OwnerKey } from "@cranetrack/edge/mark/ownerKey.js";
 import { Meter } from "./meter.js";
 
 type Command = Parameters<typeof create<typeof StoreCommandSchema>>[1];
