--- a/packages/cli/src/process/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -1,7 +1,7 @@
 import { cac, type CAC } from "cac";
-import { runbooks } from "../mark/runbooks.js";
+import { runbooks } from "./runbooks/runbooks.js";
 import { FleetClient, type FleetReceipt } from "./fleetClient.js";
-import { RunbookRunner } from "./runbookRunner.js";
+import { RunbookRunner } from "./runbooks/runbookRunner.js";
 import { StatusText } from "./statusText.js";
 
 interface Options {
--- a/packages/cli/src/process/fleetChecks.ts
+++ b/packages/cli/src/fleetChecks.ts
@@ -1,4 +1,4 @@
-import type { Check, RunbookContext } from "../mark/runbook.js";
+import type { Check, RunbookContext } from "./runbooks/runbook.js";
 
 interface MemberState {
   name: string;
@@ -68,8 +68,8 @@
     for (const lathe of lathes) {
       const own = await context.client.call("GET", "/v1/status", undefined, [lathe.http]);
       const ledger = own.body["ledger"] as
-        { voters: string[]; learners: string[]; isProposer: boolean } | null | undefined;
-      if (ledger?.isProposer !== true) continue;
+        { voters: string[]; learners: string[]; isLeader: boolean } | null | undefined;
+      if (ledger?.isLeader !== true) continue;
       const outside = lathes.filter((one) => !ledger.voters.includes(one.name)).map((one) => one.name);
       return outside.length === 0 ? undefined : `${outside.join(", ")} not a voter yet`;
     }
--- a/packages/cli/src/mark/runbook.ts
+++ b/packages/cli/src/runbooks/runbook.ts
@@ -1,4 +1,4 @@
-import type { FleetClient } from "../process/fleetClient.js";
+import type { FleetClient } from "../fleetClient.js";
 
 export interface RunbookContext {
   client: FleetClient;
--- a/packages/cli/src/process/runbookRunner.ts
+++ b/packages/cli/src/runbooks/runbookRunner.ts
@@ -1,4 +1,4 @@
-import type { Runbook, RunbookContext, Step } from "../mark/runbook.js";
+import type { Runbook, RunbookContext, Step } from "./runbook.js";
 
 export interface StepReport {
   step: string;
--- a/packages/cli/src/mark/runbooks.ts
+++ b/packages/cli/src/runbooks/runbooks.ts
@@ -1,5 +1,5 @@
-import { FleetChecks } from "../process/fleetChecks.js";
-import { FleetClient } from "../process/fleetClient.js";
+import { FleetChecks } from "../fleetChecks.js";
+import { FleetClient } from "../fleetClient.js";
 import type { Check, Runbook, RunbookContext } from "./runbook.js";
 
 const whole = FleetChecks.all(FleetChecks.allAlive, FleetChecks.allHeld, FleetChecks.fullStrength);
--- a/packages/cli/src/spanner.ts
+++ b/packages/cli/src/spanner.ts
@@ -1,4 +1,4 @@
 #!/usr/bin/env node
-import { Cli } from "./process/cli.js";
+import { Cli } from "./cli.js";
 
 process.exitCode = await new Cli(process.stdout, process.stderr).run(process.argv);
--- a/packages/control/src/request/getRollout.ts
+++ b/packages/control/src/configuration/getRollout.ts
@@ -1,14 +1,14 @@
 import type { FeedState } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { PlanKey } from "@cranetrack/core/mark/planKey.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import { ApiReceipts, type ApiReceipt } from "@cranetrack/core/request/apiReceipt.js";
+import { PlanKey } from "@cranetrack/core/keys/configurationKey.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { ApiReplies, type ApiReply } from "@cranetrack/core/http/apiReply.js";
 
 /** How far the plan in force has got: the acknowledgements of all lathes' feeds, counted by node. */
-export async function getRollout(node: ClusterNode): Promise<ApiReceipt> {
+export async function getRollout(node: ClusterNode): Promise<ApiReply> {
   const present = await node.store.read([PlanKey.name]);
-  if (present.outcome !== "done") return ApiReceipts.away("no majority of the lathes answers");
+  if (present.outcome !== "done") return ApiReplies.away("no majority of the lathes answers");
   const inForce = present.kvs![0];
-  if (inForce === undefined) return ApiReceipts.fault(404, "no-plan", "no plan was ever accepted");
+  if (inForce === undefined) return ApiReplies.fault(404, "no-plan", "no plan was ever accepted");
   const mark = PlanKey.markOf(inForce.value);
   const lathes = node.membership
     .alive("lathe")
@@ -49,5 +49,5 @@
       };
     });
   const taken = nodes.filter((one) => one.hasTakenUp).length;
-  return ApiReceipts.done({ mark, taken, of: nodes.length, nodes });
+  return ApiReplies.done({ mark, taken, of: nodes.length, nodes });
 }
--- a/packages/control/src/process/planArchive.test.ts
+++ b/packages/control/src/configuration/planArchive.test.ts
@@ -3,11 +3,11 @@
 import { join } from "node:path";
 import { test } from "node:test";
 import { expect } from "earl";
-import { BirthsKey } from "@cranetrack/core/mark/birthsKey.js";
-import { PlanView } from "@cranetrack/core/mark/planView.js";
-import type { Change } from "@cranetrack/core/process/feedFollower.js";
-import { Journal } from "@cranetrack/core/process/journal.js";
-import { LogRing } from "@cranetrack/core/process/logRing.js";
+import { BirthsKey } from "@cranetrack/core/keys/birthsKey.js";
+import { PlanView } from "@cranetrack/core/configuration/planView.js";
+import type { Change } from "@cranetrack/core/feeds/feedFollower.js";
+import { ChangeJournal } from "@cranetrack/core/feeds/changeJournal.js";
+import { LogBuffer } from "@cranetrack/core/runtime/logBuffer.js";
 import { PlanArchive } from "./planArchive.js";
 
 const textOf = (mark: number): string => JSON.stringify({ mark, spaces: [] });
@@ -16,8 +16,8 @@
   "accepted plans become commits in order; a lost or damaged archive is made again from the " + "store's plan",
   async () => {
     const folder = join(mkdtempSync(join(tmpdir(), "cranetrack-plans-")), "plans");
-    const journal = new Journal<Change>();
-    const log = new LogRing("test", () => undefined);
+    const journal = new ChangeJournal<Change>();
+    const log = new LogBuffer("test", () => undefined);
     const archive = new PlanArchive(folder, new PlanView(journal), log);
     const accept = (mark: number, text = textOf(mark)): void => {
       journal.append({ key: BirthsKey.name, value: BirthsKey.write({ mark, spaces: {} }), revision: mark });
--- a/packages/control/src/process/planArchive.ts
+++ b/packages/control/src/configuration/planArchive.ts
@@ -3,8 +3,8 @@
 import { join } from "node:path";
 import git from "isomorphic-git";
 import PQueue from "p-queue";
-import type { PlanView } from "@cranetrack/core/mark/planView.js";
-import type { LogRing } from "@cranetrack/core/process/logRing.js";
+import type { PlanView } from "@cranetrack/core/configuration/planView.js";
+import type { LogBuffer } from "@cranetrack/core/runtime/logBuffer.js";
 
 /**
  * Accepted plans as commits in a Git object store beside the lathe's data. Only a copy: it follows what the
@@ -16,11 +16,11 @@
   static readonly file = "plan.json";
 
   readonly #folder: string;
-  readonly #log: LogRing;
+  readonly #log: LogBuffer;
   readonly #queue = new PQueue({ concurrency: 1 });
   #kept = 0;
 
-  constructor(folder: string, plan: PlanView, log: LogRing) {
+  constructor(folder: string, plan: PlanView, log: LogBuffer) {
     this.#folder = folder;
     this.#log = log;
     plan.on("changed", () => this.#follow(plan.mark, plan.text));
--- a/packages/control/src/request/planCapacity.ts
+++ b/packages/control/src/configuration/planCapacity.ts
@@ -1,5 +1,5 @@
-import type { Plan, PlanFault } from "@cranetrack/core/mark/plan.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import type { Plan, PlanFault } from "@cranetrack/core/configuration/plan.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 
 /** What the capacity is judged by. */
 export type CapacityParts = Pick<ClusterNode, "membership" | "machines" | "shards" | "plan">;
@@ -36,7 +36,7 @@
  */
 function disksOf({ membership, machines, shards }: CapacityParts): Map<string, string> {
   const disks = new Map<string, string>();
-  const isGone = (name: string): boolean => machines.isEmptying(name) && membership.find(name)?.state !== "up";
+  const isGone = (name: string): boolean => machines.isDraining(name) && membership.find(name)?.state !== "up";
   for (const [, { set }] of shards.all())
     for (const { name, zone } of set?.members ?? []) if (!isGone(name)) disks.set(name, zone);
   for (const { name, zone, shelf } of membership.all()) if (shelf !== "" && !isGone(name)) disks.set(name, zone);
--- a/packages/control/src/request/putPlan.ts
+++ b/packages/control/src/configuration/putPlan.ts
@@ -1,10 +1,10 @@
 import type { Kv } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { DocumentKey } from "@cranetrack/core/mark/documentKey.js";
-import { Plans, type Plan, type PlanFault } from "@cranetrack/core/mark/plan.js";
-import { PlanKey } from "@cranetrack/core/mark/planKey.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import { ApiReceipts, type ApiReceipt } from "@cranetrack/core/request/apiReceipt.js";
-import { JsonBody } from "@cranetrack/core/request/jsonBody.js";
+import { DocumentKey } from "@cranetrack/core/keys/documentKey.js";
+import { Plans, type Plan, type PlanFault } from "@cranetrack/core/configuration/plan.js";
+import { PlanKey } from "@cranetrack/core/keys/configurationKey.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { ApiReplies, type ApiReply } from "@cranetrack/core/http/apiReply.js";
+import { JsonBody } from "@cranetrack/core/http/jsonBody.js";
 import { planCapacity } from "./planCapacity.js";
 
 interface InForce {
@@ -16,23 +16,23 @@
  * A whole plan under a rising mark, with the operators' own document about it: accepted once a majority of the
  * lathes has both on disk. A plan without a document leaves none.
  */
-export async function putPlan(node: ClusterNode, body: Uint8Array, document?: Uint8Array): Promise<ApiReceipt> {
+export async function putPlan(node: ClusterNode, body: Uint8Array, document?: Uint8Array): Promise<ApiReply> {
   if (Math.max(body.length, document?.length ?? 0) > Plans.mostBytes)
-    return ApiReceipts.fault(413, "too-large", `a plan and its document may have ${Plans.mostBytes} bytes each`);
+    return ApiReplies.fault(413, "too-large", `a plan and its document may have ${Plans.mostBytes} bytes each`);
   const json = JsonBody.read(body);
   if ("receipt" in json) return json.receipt;
-  const { PlanSchema } = await import("@cranetrack/core/mark/planSchema.js");
+  const { PlanSchema } = await import("@cranetrack/core/configuration/planSchema.js");
   const read = PlanSchema.read(json.value);
   const problems = "faults" in read ? read.faults : planCapacity(node, read.plan);
   if (problems.length > 0 || "faults" in read) return invalid(problems);
 
   const { mark } = read.plan;
   const inForce = await readInForce(node);
-  if (inForce === undefined) return ApiReceipts.away("no majority of the lathes answers");
+  if (inForce === undefined) return ApiReplies.away("no majority of the lathes answers");
   if (inForce.plan !== undefined) {
     const markInForce = PlanKey.markOf(inForce.plan.value);
     if (isSame(inForce, body, document))
-      return ApiReceipts.done({ receipt: "accepted", mark, revision: inForce.plan.revision });
+      return ApiReplies.done({ receipt: "accepted", mark, revision: inForce.plan.revision });
     if (markInForce >= mark) return stale(mark, markInForce);
     const turned = turnedOrders(inForce.plan.value, read.plan);
     if (turned.length > 0) return invalid(turned);
@@ -45,11 +45,11 @@
     ],
     deletes: document === undefined ? [DocumentKey.name] : [],
   });
-  if (written.outcome === "done") return ApiReceipts.done({ receipt: "accepted", mark, revision: written.revision });
+  if (written.outcome === "done") return ApiReplies.done({ receipt: "accepted", mark, revision: written.revision });
   if (written.outcome === "conflict") return settleRace(node, { mark, body, document });
   if (written.outcome === "unsure")
-    return ApiReceipts.unsure("the lathes did not answer in time; the same plan again settles it");
-  return ApiReceipts.away("no majority of the lathes answers");
+    return ApiReplies.unsure("the lathes did not answer in time; the same plan again settles it");
+  return ApiReplies.away("no majority of the lathes answers");
 }
 
 async function readInForce(node: ClusterNode): Promise<InForce | undefined> {
@@ -70,13 +70,13 @@
 async function settleRace(
   node: ClusterNode,
   { mark, body, document }: { mark: number; body: Uint8Array; document: Uint8Array | undefined },
-): Promise<ApiReceipt> {
+): Promise<ApiReply> {
   const inForce = await readInForce(node);
-  if (inForce?.plan === undefined) return ApiReceipts.unsure("another plan came between");
+  if (inForce?.plan === undefined) return ApiReplies.unsure("another plan came between");
   const markInForce = PlanKey.markOf(inForce.plan.value);
   if (markInForce < mark) return putPlan(node, body, document);
   if (isSame(inForce, body, document))
-    return ApiReceipts.done({ receipt: "accepted", mark, revision: inForce.plan.revision });
+    return ApiReplies.done({ receipt: "accepted", mark, revision: inForce.plan.revision });
   return stale(mark, markInForce);
 }
 
@@ -93,15 +93,15 @@
   });
 }
 
-function invalid(problems: PlanFault[]): ApiReceipt {
+function invalid(problems: PlanFault[]): ApiReply {
   const message = `the plan has ${problems.length} problem(s); nothing was changed`;
-  return ApiReceipts.fault(422, "invalid-plan", message, { problems });
+  return ApiReplies.fault(422, "invalid-plan", message, { problems });
 }
 
-function stale(mark: number, markInForce: number): ApiReceipt {
+function stale(mark: number, markInForce: number): ApiReply {
   const why =
     mark === markInForce
       ? `mark ${mark} is in force with other content`
       : `mark ${mark} is not above mark ${markInForce}, which is in force`;
-  return ApiReceipts.fault(409, "stale-mark", why, { details: { markInForce } });
+  return ApiReplies.fault(409, "stale-mark", why, { details: { markInForce } });
 }
--- a/packages/control/src/request/readDocument.ts
+++ b/packages/control/src/configuration/readDocument.ts
@@ -1,5 +1,5 @@
-import { DocumentKey } from "@cranetrack/core/mark/documentKey.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import { DocumentKey } from "@cranetrack/core/keys/documentKey.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 
 export type DocumentRead = { outcome: "done"; document: Uint8Array } | { outcome: "none" } | { outcome: "away" };
 
--- a/packages/control/src/request/startUp.test.ts
+++ b/packages/control/src/configuration/startUp.test.ts
@@ -16,7 +16,7 @@
 }
 
 test("a lathe with its anvil and its calls is loaded without arktype; only the check of a plan needs it", () => {
-  expect(load("../process/lathe.js")).toEqual("");
+  expect(load("../controlNode.js")).toEqual("");
   expect(load("readDocument.js")).toEqual("");
-  expect(load("../../../core/dist/mark/planSchema.js")).toEqual("arktype is loaded");
+  expect(load("../../../core/dist/configuration/planSchema.js")).toEqual("arktype is loaded");
 });
--- a/packages/control/src/process/founding.ts
+++ b/packages/control/src/consensus/founding.ts
@@ -5,15 +5,15 @@
   MembersSchema,
   type Founded,
   type FoundingAsk,
-  type LatheMember,
+  type StoreMember,
   type Member,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { ReplicaLog } from "@cranetrack/core/mark/replicaLog.js";
-import type { Disk } from "@cranetrack/core/process/disk.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import type { BodyInit } from "@cranetrack/core/process/wire.js";
-import { entryKind } from "../mark/entryKind.js";
-import { Standing } from "./standing.js";
+import { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
+import type { Disk } from "@cranetrack/core/storage/disk.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
+import { entryKind } from "./entryKind.js";
+import { MembershipStatus } from "../membership/membershipStatus.js";
 
 interface Identity {
   id: string;
@@ -119,7 +119,7 @@
         ? this.#identity.agreed
         : this.#node.parts.chance.identity();
     const ask: BodyInit = { case: "foundingAsk", value: { founding, members } };
-    const own = await this.#agree({ founding, members: members as LatheMember[] } as FoundingAsk);
+    const own = await this.#agree({ founding, members: members as StoreMember[] } as FoundingAsk);
     const others = members.filter((member) => member.id !== this.id);
     const receipts = await Promise.all(others.map((member) => this.#node.exchange.call(member.name, ask, 1000)));
     const refused = others.filter((_, i) => !(receipts[i]?.case === "foundingReceipt" && receipts[i].value.isAgreed));
@@ -164,7 +164,7 @@
   async #found(founding: string, members: ReadonlyArray<{ id: string; name: string }>): Promise<void> {
     const log = new ReplicaLog(this.#disk, "store");
     if (log.lastIndex === 0) {
-      const data = toBinary(MembersSchema, create(MembersSchema, { voters: [...members] as LatheMember[] }));
+      const data = toBinary(MembersSchema, create(MembersSchema, { voters: [...members] as StoreMember[] }));
       await log.append([create(EntrySchema, { index: 1, term: 1, kind: entryKind.members, data })]);
     }
     await this.#settle(founding);
@@ -185,11 +185,11 @@
     if (this.#identity.agreed === founded.founding) return this.#found(founded.founding, this.#identity.members);
     const { clock } = this.#node.parts;
     if (clock.now() < this.#restUntil) return;
-    const outcome = await Standing.ask(this.#node, founded.name, this.id);
+    const outcome = await MembershipStatus.ask(this.#node, founded.name, this.id);
     if (outcome === "done") return this.#settle(founded.founding);
     this.isStandingBy = outcome === "standby" || (outcome === "away" && this.isStandingBy);
     if (!this.isStandingBy) return;
     this.missing = "stands by: enough lathes vote";
-    this.#restUntil = clock.now() + Standing.beatMs;
+    this.#restUntil = clock.now() + MembershipStatus.beatMs;
   }
 }
--- a/packages/control/src/mark/judgeVote.ts
+++ b/packages/control/src/consensus/judgeVote.ts
@@ -1,5 +1,5 @@
 import type { Vote } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { ReplicaLog } from "@cranetrack/core/mark/replicaLog.js";
+import type { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
 
 /** Whether a vote may be given, by Raft's rules: to a log at least as new, once a term, and to nobody while led. */
 export function judgeVote(vote: Vote, log: ReplicaLog, isLed: boolean): boolean {
--- a/packages/control/src/mark/memberLog.ts
+++ b/packages/control/src/consensus/memberLog.ts
@@ -1,15 +1,15 @@
 import { create, fromBinary } from "@bufbuild/protobuf";
 import { MembersSchema, type Members } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { ReplicaLog } from "@cranetrack/core/mark/replicaLog.js";
+import type { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
 import { entryKind } from "./entryKind.js";
 
 /**
  * Who the members of the replicated log are, as the log itself says.
- * Invariant: the members in force are the newest in the log, committed or not; without any, the picture's.
+ * Invariant: the members in force are the newest in the log, committed or not; without any, the snapshot's.
  */
 export class MemberLog {
   readonly #log: ReplicaLog;
-  #pictured: Members | undefined;
+  #snapshotd: Members | undefined;
   #members: Members = create(MembersSchema, {});
   #index = 0;
   #term = -1;
@@ -35,14 +35,14 @@
     return isChanged;
   }
 
-  /** The members named up to an index, to be kept in a picture that ends there. */
-  picture(last: number): Members {
-    this.#pictured = this.#find(last)?.members ?? this.#pictured ?? create(MembersSchema, {});
-    return this.#pictured;
+  /** The members named up to an index, to be kept in a snapshot that ends there. */
+  snapshot(last: number): Members {
+    this.#snapshotd = this.#find(last)?.members ?? this.#snapshotd ?? create(MembersSchema, {});
+    return this.#snapshotd;
   }
 
   installed(members: Members | undefined): void {
-    this.#pictured = members;
+    this.#snapshotd = members;
     this.#term = -1;
   }
 
@@ -52,7 +52,7 @@
     const found = this.#find(this.#log.lastIndex);
     this.#index = found?.index ?? this.#log.baseIndex;
     this.#term = found?.term ?? this.#log.baseTerm;
-    return found?.members ?? this.#pictured ?? create(MembersSchema, {});
+    return found?.members ?? this.#snapshotd ?? create(MembersSchema, {});
   }
 
   /** The last entry about members up to an index, and after another. */
--- a/packages/control/src/process/proposals.test.ts
+++ b/packages/control/src/consensus/proposals.test.ts
@@ -1,11 +1,11 @@
 import { test } from "node:test";
 import { expect } from "earl";
-import { ReplicaLog } from "@cranetrack/core/mark/replicaLog.js";
-import { Spread } from "@cranetrack/core/mark/spread.js";
-import type { DiskChange } from "@cranetrack/core/process/disk.js";
-import type { BodyInit } from "@cranetrack/core/process/wire.js";
-import { entryKind } from "../mark/entryKind.js";
-import type { Applied } from "../mark/metadata.js";
+import { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
+import { LogReplicator } from "@cranetrack/core/replication/logReplicator.js";
+import type { DiskChange } from "@cranetrack/core/storage/disk.js";
+import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
+import { entryKind } from "./entryKind.js";
+import type { Applied } from "../store/metadata.js";
 import { Proposals } from "./proposals.js";
 
 const applied: Applied = { outcome: "done", revision: 1, kvs: [], changes: [] };
@@ -18,7 +18,7 @@
   log: ReplicaLog;
   writes: DiskChange[][];
   sent: Array<{ id: string; entries: number; round: number }>;
-  spread: Spread;
+  spread: LogReplicator;
   turn: () => void;
 } {
   const writes: DiskChange[][] = [];
@@ -35,7 +35,7 @@
   const send = (id: string, body: BodyInit): void => {
     if (body.case === "append") sent.push({ id, entries: body.value.entries!.length, round: body.value.round! });
   };
-  const spread = new Spread({ log, clock, self: "a", term: 3, commit: 0, send });
+  const spread = new LogReplicator({ log, clock, self: "a", term: 3, commit: 0, send });
   spread.enlist([["a", "b", "c"]], []);
   const proposals = new Proposals(log, clock);
   proposals.begin(spread);
--- a/packages/control/src/process/proposals.ts
+++ b/packages/control/src/consensus/proposals.ts
@@ -1,10 +1,10 @@
 import { create } from "@bufbuild/protobuf";
 import { EntrySchema, type Entry } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { ReplicaLog } from "@cranetrack/core/mark/replicaLog.js";
-import type { Spread } from "@cranetrack/core/mark/spread.js";
-import type { Clock } from "@cranetrack/core/process/clock.js";
-import { entryKind } from "../mark/entryKind.js";
-import type { Applied } from "../mark/metadata.js";
+import type { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
+import type { LogReplicator } from "@cranetrack/core/replication/logReplicator.js";
+import type { Clock } from "@cranetrack/core/runtime/clock.js";
+import { entryKind } from "./entryKind.js";
+import type { Applied } from "../store/metadata.js";
 
 type Settle = (applied: Applied | undefined) => void;
 
@@ -16,7 +16,7 @@
 export class Proposals {
   readonly #log: ReplicaLog;
   readonly #clock: Clock;
-  #spread: Spread | undefined;
+  #spread: LogReplicator | undefined;
   #asked: Array<{ data: Uint8Array; kind: number; settle: Settle }> = [];
   #confirming: Array<(isConfirmed: boolean) => void> = [];
   readonly #pending = new Map<number, { term: number; settle: Settle }>();
@@ -27,7 +27,7 @@
     this.#clock = clock;
   }
 
-  begin(spread: Spread): void {
+  begin(spread: LogReplicator): void {
     this.#spread = spread;
   }
 
--- a/packages/control/src/process/ledger.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -2,37 +2,37 @@
 import { create, toBinary } from "@bufbuild/protobuf";
 import {
   MembersSchema,
-  type LatheMember,
+  type StoreMember,
   type Members,
   type Vote,
   type VoteReceipt,
   type Yield,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Intake } from "@cranetrack/core/mark/intake.js";
-import type { ReplicaLog } from "@cranetrack/core/mark/replicaLog.js";
-import { Spread } from "@cranetrack/core/mark/spread.js";
-import type { Chance } from "@cranetrack/core/process/chance.js";
-import type { Clock } from "@cranetrack/core/process/clock.js";
-import type { Exchange } from "@cranetrack/core/process/exchange.js";
-import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
-import type { LogRing } from "@cranetrack/core/process/logRing.js";
-import type { BodyInit } from "@cranetrack/core/process/wire.js";
-import { entryKind } from "../mark/entryKind.js";
-import { MemberLog } from "../mark/memberLog.js";
-import { judgeVote } from "../mark/judgeVote.js";
-import { Metadata, type Applied } from "../mark/metadata.js";
-import type { LedgerParts } from "./ledgerParts.js";
+import { FollowerLog } from "@cranetrack/core/replication/followerLog.js";
+import type { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
+import { LogReplicator } from "@cranetrack/core/replication/logReplicator.js";
+import type { RandomSource } from "@cranetrack/core/runtime/random.js";
+import type { Clock } from "@cranetrack/core/runtime/clock.js";
+import type { RpcEndpoint } from "@cranetrack/core/rpc/rpcEndpoint.js";
+import { Rendezvous } from "@cranetrack/core/membership/rendezvous.js";
+import type { LogBuffer } from "@cranetrack/core/runtime/logBuffer.js";
+import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
+import { entryKind } from "./entryKind.js";
+import { MemberLog } from "./memberLog.js";
+import { judgeVote } from "./judgeVote.js";
+import { Metadata, type Applied } from "../store/metadata.js";
+import type { RaftNodeParts } from "./raftNodeParts.js";
 import { Proposals } from "./proposals.js";
-import { SlowWatch } from "./slowWatch.js";
+import { SlowMajorityWatch } from "./slowMajorityWatch.js";
 
 /**
  * One lathe's part in the replicated log, by Raft's rules. Which lathe proposes changes with every
  * election and has no lasting meaning.
  * Invariants: at most one vote a term, synced before it is answered; `applied` never passes the commit.
  */
-export class Ledger extends EventEmitter<{
+export class RaftNode extends EventEmitter<{
   applied: [applied: Applied];
-  pictured: [];
+  snapshotd: [];
   elected: [];
   deposed: [];
   led: [];
@@ -45,17 +45,17 @@
   readonly id: string;
   readonly founding: string;
   readonly #log: ReplicaLog;
-  readonly #exchange: Exchange;
+  readonly #exchange: RpcEndpoint;
   readonly #clock: Clock;
   readonly #electionMs: number;
   /** Without a majority, or a proposer, for longer than this, a lathe stops speaking for the store. */
   readonly #inTouchMs: number;
-  readonly #chance: Chance;
-  readonly #ring: LogRing;
-  readonly #intake: Intake;
+  readonly #chance: RandomSource;
+  readonly #ring: LogBuffer;
+  readonly #intake: FollowerLog;
   readonly #proposals: Proposals;
   readonly #memberLog: MemberLog;
-  #spread: Spread | undefined;
+  #spread: LogReplicator | undefined;
   #commit: number;
   #applied: number;
   #proposer = "";
@@ -69,11 +69,11 @@
   #isResigned = false;
   /** Taken out of the members: asks for no votes until a proposer speaks to it again. */
   #isStandingBy = false;
-  readonly #slowWatch = new SlowWatch();
+  readonly #slowWatch = new SlowMajorityWatch();
   /** The last term whose proposer gave up: whatever comes of it now was sent before. */
   #yieldedTerm = 0;
 
-  constructor(parts: LedgerParts) {
+  constructor(parts: RaftNodeParts) {
     super();
     this.setMaxListeners(0);
     this.id = parts.id;
@@ -89,8 +89,8 @@
     this.#commit = this.#applied = this.#log.baseIndex;
     this.#proposals = new Proposals(this.#log, this.#clock);
     this.#memberLog = new MemberLog(this.#log);
-    if (this.#log.baseIndex > 0) this.#memberLog.installed(this.metadata.install(this.#log.picture));
-    this.#intake = new Intake(
+    if (this.#log.baseIndex > 0) this.#memberLog.installed(this.metadata.install(this.#log.snapshot));
+    this.#intake = new FollowerLog(
       this.#log,
       this.id,
       (index) => this.#advance(index),
@@ -106,23 +106,23 @@
         append.receiver === this.id
           ? this.#take(append, from, () => this.#intake.take(append, this.#commit))
           : undefined,
-      picture: (picture, from) =>
-        picture.receiver === this.id
-          ? this.#take(picture, from, () => this.#intake.takePicture(picture, this.#commit))
+      snapshot: (snapshot, from) =>
+        snapshot.receiver === this.id
+          ? this.#take(snapshot, from, () => this.#intake.takeSnapshot(snapshot, this.#commit))
           : undefined,
       receipt: (receipt) => {
         if (receipt.receiver === this.id) this.#spread?.take(receipt);
       },
     });
     this.#rearm();
-    this.#clock.every(Ledger.beatMs, () => this.#beat());
+    this.#clock.every(RaftNode.beatMs, () => this.#beat());
   }
 
-  get isProposer(): boolean {
+  get isLeader(): boolean {
     return this.#spread !== undefined && this.#commit >= this.#noopIndex;
   }
 
-  get proposerName(): string {
+  get leaderName(): string {
     return this.#spread !== undefined
       ? this.#exchange.name
       : (this.members.voters.find((one) => one.id === this.#proposer)?.name ?? "");
@@ -142,7 +142,7 @@
 
   /** Whether a majority stands behind what this lathe tells its feeds. */
   get isInTouch(): boolean {
-    if (this.#spread !== undefined) return this.isProposer && this.#spread.majorityAgo() < this.#inTouchMs;
+    if (this.#spread !== undefined) return this.isLeader && this.#spread.majorityAgo() < this.#inTouchMs;
     return this.#proposer !== "" && this.#clock.now() - this.#heardAt < this.#inTouchMs;
   }
 
@@ -155,8 +155,8 @@
 
   /** True once this lathe is known to have proposed after the call began, and has applied all before it. */
   async confirm(): Promise<boolean> {
-    if (!this.isProposer) return false;
-    return (await this.#proposals.confirm()) && this.isProposer;
+    if (!this.isLeader) return false;
+    return (await this.#proposals.confirm()) && this.isLeader;
   }
 
   matchOf(id: string): { match: number; behind: number; heardAgo: number } {
@@ -166,8 +166,8 @@
   }
 
   /** One step of a change of members, where none is under way. */
-  changeMembers(voters: LatheMember[], learners: LatheMember[]): void {
-    if (!this.isProposer || this.#memberLog.index > this.#commit) return;
+  changeMembers(voters: StoreMember[], learners: StoreMember[]): void {
+    if (!this.isLeader || this.#memberLog.index > this.#commit) return;
     this.#ring.note("members change", {
       voters: voters.map((one) => one.name).join(),
       learners: learners.map((one) => one.name).join(),
@@ -294,7 +294,7 @@
     this.#proposer = this.id;
     const names = (): Map<string, string> =>
       new Map([...this.members.voters, ...this.members.learners].map((one) => [one.id, one.name]));
-    const spread = new Spread({
+    const spread = new LogReplicator({
       log: this.#log,
       clock: this.#clock,
       self: this.id,
@@ -334,7 +334,7 @@
     this.#yieldedTerm = term;
     this.#tellVoters({ case: "yield", value: { term, sender } }, sender);
     const ids = this.members.voters.map((one) => one.id).filter((id) => id !== sender);
-    this.#electionAt = this.#clock.now() + Rendezvous.rank(String(term), ids).indexOf(this.id) * Ledger.turnMs;
+    this.#electionAt = this.#clock.now() + Rendezvous.rank(String(term), ids).indexOf(this.id) * RaftNode.turnMs;
     return undefined;
   }
 
@@ -356,7 +356,7 @@
   }
 
   #advance(index: number): void {
-    const wasProposer = this.isProposer;
+    const wasProposer = this.isLeader;
     this.#commit = Math.max(this.#commit, Math.min(index, this.#log.lastIndex));
     while (this.#applied < this.#commit) {
       const entry = this.#log.at(this.#applied + 1)!;
@@ -369,21 +369,21 @@
       this.#proposals.applied(entry, applied);
       this.emit("applied", applied);
     }
-    if (!wasProposer && this.isProposer) this.emit("elected");
-    if (this.#log.length > Ledger.compactAt && this.#applied > this.#log.baseIndex + Ledger.compactAt / 2)
+    if (!wasProposer && this.isLeader) this.emit("elected");
+    if (this.#log.length > RaftNode.compactAt && this.#applied > this.#log.baseIndex + RaftNode.compactAt / 2)
       this.#compact();
   }
 
   #compact(): void {
-    const members = this.#memberLog.picture(this.#applied);
-    void this.#log.compact(this.#applied, this.metadata.picture(members));
+    const members = this.#memberLog.snapshot(this.#applied);
+    void this.#log.compact(this.#applied, this.metadata.snapshot(members));
   }
 
   #install(index: number, state: Uint8Array): void {
     this.#memberLog.installed(this.metadata.install(state));
     this.#commit = this.#applied = index;
     this.#findMembers();
-    this.emit("pictured");
+    this.emit("snapshotd");
   }
 
   #findMembers(): void {
--- /dev/null
+++ b/packages/control/src/consensus/raftNodeParts.ts
@@ -0,0 +1,19 @@
+import type { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
+import type { RandomSource } from "@cranetrack/core/runtime/random.js";
+import type { Clock } from "@cranetrack/core/runtime/clock.js";
+import type { RpcEndpoint } from "@cranetrack/core/rpc/rpcEndpoint.js";
+import type { LogGroups } from "@cranetrack/core/replication/logGroups.js";
+import type { LogBuffer } from "@cranetrack/core/runtime/logBuffer.js";
+
+/** What a ledger works with: this lathe's identity in the founded store, its log, and the seams. */
+export interface RaftNodeParts {
+  readonly id: string;
+  readonly founding: string;
+  readonly log: ReplicaLog;
+  readonly exchange: RpcEndpoint;
+  readonly groups: LogGroups;
+  readonly electionMs: number;
+  readonly clock: Clock;
+  readonly chance: RandomSource;
+  readonly ring: LogBuffer;
+}
--- a/packages/control/src/process/slowWatch.test.ts
+++ b/packages/control/src/consensus/slowMajorityWatch.test.ts
@@ -1,23 +1,23 @@
 import { test } from "node:test";
 import { expect } from "earl";
-import { SlowWatch } from "./slowWatch.js";
+import { SlowMajorityWatch } from "./slowMajorityWatch.js";
 
 /** Looks every 75 ms; when it was said to be slow, if it was. */
-function slowAt(watch: SlowWatch, from: number, to: number, answerMs: number): number | undefined {
+function slowAt(watch: SlowMajorityWatch, from: number, to: number, answerMs: number): number | undefined {
   for (let now = from; now <= to; now += 75) if (watch.isSlow(now, answerMs)) return now;
   return undefined;
 }
 
 test("slowness counts once it has lasted, and not again for a while", () => {
-  const watch = new SlowWatch();
+  const watch = new SlowMajorityWatch();
   watch.begin(0);
-  expect(slowAt(watch, 75, 600, SlowWatch.slowMs)).toEqual(undefined);
-  expect(slowAt(watch, 675, 2000, SlowWatch.slowMs + 1)).toEqual(975);
-  expect(slowAt(watch, 1050, 10_000, SlowWatch.slowMs + 1)).toEqual(undefined);
+  expect(slowAt(watch, 75, 600, SlowMajorityWatch.slowMs)).toEqual(undefined);
+  expect(slowAt(watch, 675, 2000, SlowMajorityWatch.slowMs + 1)).toEqual(975);
+  expect(slowAt(watch, 1050, 10_000, SlowMajorityWatch.slowMs + 1)).toEqual(undefined);
 });
 
 test("who slept itself says nothing of the others' slowness", () => {
-  const watch = new SlowWatch();
+  const watch = new SlowMajorityWatch();
   watch.begin(0);
   expect(watch.isSlow(75, 0)).toEqual(false);
   // Frozen for a while: the answers that came meanwhile are not read yet.
--- a/packages/control/src/process/slowWatch.ts
+++ b/packages/control/src/consensus/slowMajorityWatch.ts
@@ -4,7 +4,7 @@
  * Invariants: says so at most once in a while, for the slowness of all of them must not keep them electing; who did
  * not look for a while, because it slept itself, says nothing of the others' slowness.
  */
-export class SlowWatch {
+export class SlowMajorityWatch {
   static readonly slowMs = 150;
   static readonly forMs = 300;
   static readonly restMs = 20_000;
@@ -21,10 +21,11 @@
   }
 
   isSlow(now: number, answerMs: number): boolean {
-    const isAsleep = now - this.#lookedAt > SlowWatch.gapMs;
+    const isAsleep = now - this.#lookedAt > SlowMajorityWatch.gapMs;
     this.#lookedAt = now;
-    if (isAsleep || answerMs <= SlowWatch.slowMs) this.#quickAt = now;
-    if (now - this.#quickAt <= SlowWatch.forMs || now - this.#gaveWayAt <= SlowWatch.restMs) return false;
+    if (isAsleep || answerMs <= SlowMajorityWatch.slowMs) this.#quickAt = now;
+    if (now - this.#quickAt <= SlowMajorityWatch.forMs || now - this.#gaveWayAt <= SlowMajorityWatch.restMs)
+      return false;
     this.#gaveWayAt = now;
     return true;
   }
--- a/packages/control/src/process/lathe.ts
+++ b/packages/control/src/controlNode.ts
@@ -1,49 +1,49 @@
-import { Anvil } from "@cranetrack/log-storage/process/anvil.js";
-import { PlanKey } from "@cranetrack/core/mark/planKey.js";
-import { ReplicaLog } from "@cranetrack/core/mark/replicaLog.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import type { Disk } from "@cranetrack/core/process/disk.js";
-import type { Router } from "@cranetrack/core/process/router.js";
-import { ApiReceipts } from "@cranetrack/core/request/apiReceipt.js";
-import { EmptyMachine } from "../request/emptyMachine.js";
-import { getRollout } from "../request/getRollout.js";
-import { putPlan } from "../request/putPlan.js";
-import { Founding } from "./founding.js";
-import { Ledger } from "./ledger.js";
-import { Standing } from "./standing.js";
-import { StoreDesk } from "./storeDesk.js";
+import { StorageNode } from "@cranetrack/log-storage/storageNode.js";
+import { PlanKey } from "@cranetrack/core/keys/configurationKey.js";
+import { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { Disk } from "@cranetrack/core/storage/disk.js";
+import type { Router } from "@cranetrack/core/http/router.js";
+import { ApiReplies } from "@cranetrack/core/http/apiReply.js";
+import { DrainMachine } from "./drain/drainMachine.js";
+import { getRollout } from "./configuration/getRollout.js";
+import { putPlan } from "./configuration/putPlan.js";
+import { Founding } from "./consensus/founding.js";
+import { RaftNode } from "./consensus/raftNode.js";
+import { MembershipStatus } from "./membership/membershipStatus.js";
+import { StoreService } from "./store/storeService.js";
 
 /** A control node: the metadata store, and a place for topic logs, in full (`stores`) or as a spare. */
-export class Lathe {
+export class ControlNode {
   readonly node: ClusterNode;
   readonly founding: Founding;
-  readonly anvil: Anvil;
+  readonly anvil: StorageNode;
   readonly #disk: Disk;
-  #ledger: Ledger | undefined;
-  #desk: StoreDesk | undefined;
+  #ledger: RaftNode | undefined;
+  #desk: StoreService | undefined;
 
   constructor(node: ClusterNode, disk: Disk, router: Router) {
     this.node = node;
     this.#disk = disk;
     this.founding = new Founding(node, disk);
-    this.anvil = new Anvil(node, disk, !node.parts.settings.stores);
+    this.anvil = new StorageNode(node, disk, !node.parts.settings.stores);
     this.founding.on("founded", () => this.#begin());
     router.on("PUT", /^\/v1\/plan$/, (call) => putPlan(node, call.body));
     router.on("GET", /^\/v1\/plan$/, async () => {
       const read = await node.store.read([PlanKey.name]);
-      if (read.outcome !== "done") return ApiReceipts.away("no majority of the lathes answers");
+      if (read.outcome !== "done") return ApiReplies.away("no majority of the lathes answers");
       return read.kvs![0] === undefined
-        ? ApiReceipts.fault(404, "no-plan", "no plan was ever accepted")
-        : ApiReceipts.done(read.kvs![0].value);
+        ? ApiReplies.fault(404, "no-plan", "no plan was ever accepted")
+        : ApiReplies.done(read.kvs![0].value);
     });
     const emptying = /^\/v1\/machines\/([^/]+)\/emptying$/;
-    router.on("PUT", emptying, (call) => EmptyMachine.ask(node, call.params[0]!));
-    router.on("DELETE", emptying, (call) => EmptyMachine.undo(node, call.params[0]!));
-    router.on("GET", emptying, (call) => EmptyMachine.progress(node, call.params[0]!));
+    router.on("PUT", emptying, (call) => DrainMachine.ask(node, call.params[0]!));
+    router.on("DELETE", emptying, (call) => DrainMachine.undo(node, call.params[0]!));
+    router.on("GET", emptying, (call) => DrainMachine.progress(node, call.params[0]!));
     router.on("GET", /^\/v1\/plan\/rollout$/, () => getRollout(node));
   }
 
-  get ledger(): Ledger | undefined {
+  get ledger(): RaftNode | undefined {
     return this.#ledger;
   }
 
@@ -84,8 +84,8 @@
           : {
               term: ledger.term,
               commit: ledger.commit,
-              isProposer: ledger.isProposer,
-              proposer: ledger.proposerName,
+              isLeader: ledger.isLeader,
+              proposer: ledger.leaderName,
               isInTouch: ledger.isInTouch,
               voters: members!.voters.map((one) => one.name),
               learners: members!.learners.map((one) => one.name),
@@ -97,7 +97,7 @@
   #begin(): void {
     const { exchange, groups, membership, parts } = this.node;
     const log = new ReplicaLog(this.#disk, "store");
-    this.#ledger = new Ledger({
+    this.#ledger = new RaftNode({
       id: this.founding.id,
       founding: this.founding.founding,
       log,
@@ -108,10 +108,10 @@
       chance: parts.chance,
       ring: parts.log,
     });
-    this.#desk = new StoreDesk(this.node, this.#ledger);
+    this.#desk = new StoreService(this.node, this.#ledger);
     membership.self.isFounded = true;
     membership.self.founding = this.founding.founding;
-    new Standing(this.node, this.#ledger);
+    new MembershipStatus(this.node, this.#ledger);
     membership.tellNow();
   }
 }
--- a/packages/control/src/request/emptyMachine.ts
+++ b/packages/control/src/drain/drainMachine.ts
@@ -1,34 +1,34 @@
-import { EmptyingKey } from "@cranetrack/core/mark/emptyingKey.js";
-import { ReplicasKey } from "@cranetrack/core/mark/replicasKey.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import { ApiReceipts, type ApiReceipt } from "@cranetrack/core/request/apiReceipt.js";
+import { DrainKey } from "@cranetrack/core/keys/drainKey.js";
+import { ReplicasKey } from "@cranetrack/core/keys/replicasKey.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { ApiReplies, type ApiReply } from "@cranetrack/core/http/apiReply.js";
 
 /** The operators' wish to have a machine's topic logs moved off it: kept, repeatable, undone by asking. */
-export const EmptyMachine = {
+export const DrainMachine = {
   /** `rampSeconds`: how long the machine may take over it; kept with the wish. */
-  async ask(node: ClusterNode, name: string, rampSeconds?: number): Promise<ApiReceipt> {
+  async ask(node: ClusterNode, name: string, rampSeconds?: number): Promise<ApiReply> {
     const refusal = refuse(node, name);
     if (refusal !== undefined) return refusal;
     const written = await node.store.txn({
-      puts: [{ key: EmptyingKey.of(name), value: EmptyingKey.write(rampSeconds) }],
+      puts: [{ key: DrainKey.of(name), value: DrainKey.write(rampSeconds) }],
     });
     if (written.outcome === "unsure")
-      return ApiReceipts.unsure("the lathes did not answer in time; the same request again settles it");
-    if (written.outcome !== "done") return ApiReceipts.away("no majority of the lathes answers");
-    return EmptyMachine.progress(node, name);
+      return ApiReplies.unsure("the lathes did not answer in time; the same request again settles it");
+    if (written.outcome !== "done") return ApiReplies.away("no majority of the lathes answers");
+    return DrainMachine.progress(node, name);
   },
 
-  async undo(node: ClusterNode, name: string): Promise<ApiReceipt> {
-    const written = await node.store.txn({ deletes: [EmptyingKey.of(name)] });
+  async undo(node: ClusterNode, name: string): Promise<ApiReply> {
+    const written = await node.store.txn({ deletes: [DrainKey.of(name)] });
     if (written.outcome !== "done")
-      return ApiReceipts.unsure("the lathes did not answer in time; the same request again settles it");
-    return EmptyMachine.progress(node, name);
+      return ApiReplies.unsure("the lathes did not answer in time; the same request again settles it");
+    return DrainMachine.progress(node, name);
   },
 
-  async progress(node: ClusterNode, name: string): Promise<ApiReceipt> {
-    const read = await node.store.read([EmptyingKey.of(name)], ["shards/"]);
-    if (read.outcome !== "done") return ApiReceipts.away("no majority of the lathes answers");
-    const isAsked = read.kvs!.some((kv) => kv.key === EmptyingKey.of(name));
+  async progress(node: ClusterNode, name: string): Promise<ApiReply> {
+    const read = await node.store.read([DrainKey.of(name)], ["shards/"]);
+    if (read.outcome !== "done") return ApiReplies.away("no majority of the lathes answers");
+    const isAsked = read.kvs!.some((kv) => kv.key === DrainKey.of(name));
     const sets = read
       .kvs!.filter((kv) => kv.key.endsWith("/replicas"))
       .map((kv) => ({
@@ -39,7 +39,7 @@
       .filter((set) => set.members.some((member) => member.name === name))
       .map((set) => set.shard)
       .sort((a, b) => a - b);
-    return ApiReceipts.done({
+    return ApiReplies.done({
       machine: name,
       isAsked,
       isEmpty: left.length === 0,
@@ -51,16 +51,16 @@
 };
 
 /** Why the contracts could not be kept without the machine; undefined where they could. */
-function refuse(node: ClusterNode, name: string): ApiReceipt | undefined {
+function refuse(node: ClusterNode, name: string): ApiReply | undefined {
   const { membership, machines } = node;
   const member = membership.find(name);
   if (member === undefined || member.shelf === "")
-    return ApiReceipts.fault(404, "unknown-machine", `no machine called ${name} has a disk for topic logs`);
+    return ApiReplies.fault(404, "unknown-machine", `no machine called ${name} has a disk for topic logs`);
   const left = membership
     .alive()
-    .filter((one) => one.shelf !== "" && one.name !== name && !machines.isEmptying(one.name));
+    .filter((one) => one.shelf !== "" && one.name !== name && !machines.isDraining(one.name));
   if (left.length < 3)
-    return ApiReceipts.fault(
+    return ApiReplies.fault(
       409,
       "contract-at-risk",
       `only ${left.length} machines with a disk would be left, and each shard needs three`,
@@ -70,7 +70,7 @@
     node.plan.plan?.spaces.flatMap((space) => space.program.map((rule) => ({ space: space.name, rule }))) ?? [];
   const bound = program.find(({ rule }) => rule.owe.keep > 0 && (rule.owe.fault_budget.zones ?? 0) > 0);
   if (bound !== undefined && zones < 3)
-    return ApiReceipts.fault(
+    return ApiReplies.fault(
       409,
       "contract-at-risk",
       `space ${bound.space} must survive the loss of a zone, and machines would be left in only ${zones}`,
--- a/packages/control/src/lathe.ts
+++ b/packages/control/src/lathe.ts
@@ -1,11 +1,11 @@
 #!/usr/bin/env node
 import { join } from "node:path";
-import { Program } from "@cranetrack/core/process/program.js";
-import { PlanArchive } from "./process/planArchive.js";
-import { Lathe } from "./process/lathe.js";
+import { Program } from "@cranetrack/core/runtime/program.js";
+import { PlanArchive } from "./configuration/planArchive.js";
+import { ControlNode } from "./controlNode.js";
 
 await new Program("lathe", ["plan", "shards/", "machines/"], ({ node, disk, router }) => {
-  const lathe = new Lathe(node, disk!, router);
+  const lathe = new ControlNode(node, disk!, router);
   const archive = new PlanArchive(join(node.parts.settings.data!, "plans"), node.plan, node.parts.log);
   return {
     load: () => lathe.load(),
--- a/packages/control/src/process/memberChanges.ts
+++ b/packages/control/src/membership/memberChanges.ts
@@ -1,8 +1,8 @@
-import type { Join, LatheMember } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
-import type { Outcome } from "@cranetrack/core/process/storeClient.js";
-import type { Ledger } from "./ledger.js";
+import type { Join, StoreMember } from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { Rendezvous } from "@cranetrack/core/membership/rendezvous.js";
+import type { Outcome } from "@cranetrack/core/store/storeClient.js";
+import type { RaftNode } from "../consensus/raftNode.js";
 
 /**
  * Who is taken into the store and who is taken out, as long as this lathe proposes.
@@ -16,11 +16,11 @@
   static readonly aliveMs = 1000;
 
   readonly #node: ClusterNode;
-  readonly #ledger: Ledger;
+  readonly #ledger: RaftNode;
   /** Lathes that asked to join, by name, and when they last did. */
   readonly #joining = new Map<string, { id: string; at: number }>();
 
-  constructor(node: ClusterNode, ledger: Ledger) {
+  constructor(node: ClusterNode, ledger: RaftNode) {
     this.#node = node;
     this.#ledger = ledger;
     node.parts.clock.every(MemberChanges.beatMs, () => this.#tend());
@@ -40,12 +40,12 @@
   }
 
   #tend(): void {
-    if (!this.#ledger.isProposer) return;
+    if (!this.#ledger.isLeader) return;
     const { voters, learners } = this.#ledger.members;
     const grown = learners.find((one) => this.#isReady(one));
     const gone = learners.find((one) => this.#isLost(one));
     const back = this.#comeBack([...voters, ...learners]);
-    const without = (list: LatheMember[], out: LatheMember): LatheMember[] => list.filter((one) => one !== out);
+    const without = (list: StoreMember[], out: StoreMember): StoreMember[] => list.filter((one) => one !== out);
     if (grown !== undefined) this.#ledger.changeMembers([...voters, grown], without(learners, grown));
     else if (gone !== undefined) this.#ledger.changeMembers(voters, without(learners, gone));
     else if (back !== undefined) this.#ledger.changeMembers(without(voters, back), without(learners, back));
@@ -55,7 +55,7 @@
   }
 
   /** A member whose lathe came back under its name with another disk. */
-  #comeBack(members: LatheMember[]): LatheMember | undefined {
+  #comeBack(members: StoreMember[]): StoreMember | undefined {
     for (const [name, { id, at }] of this.#joining) {
       const isOver = this.#node.parts.clock.now() - at > MemberChanges.askedMs;
       if (isOver || members.some((one) => one.id === id)) this.#joining.delete(name);
@@ -63,19 +63,19 @@
     return members.find((one) => this.#joining.has(one.name));
   }
 
-  #takeIn(voters: LatheMember[]): void {
+  #takeIn(voters: StoreMember[]): void {
     const zones = new Set(voters.filter((one) => !this.#isLost(one)).map((one) => this.#zoneOf(one.name)));
     const ranked = Rendezvous.rank("voter", [...this.#joining.keys()]);
     const name = ranked.find((one) => !zones.has(this.#zoneOf(one))) ?? ranked[0];
     if (name === undefined) return;
-    this.#ledger.changeMembers(voters, [{ id: this.#joining.get(name)!.id, name } as LatheMember]);
+    this.#ledger.changeMembers(voters, [{ id: this.#joining.get(name)!.id, name } as StoreMember]);
   }
 
   /** Whoever is lost goes first; else one whose zone has another voter; never this lathe itself. */
-  #reduce(voters: LatheMember[], learners: LatheMember[]): void {
+  #reduce(voters: StoreMember[], learners: StoreMember[]): void {
     const others = voters.filter((one) => one.id !== this.#ledger.id).reverse();
     const zones = voters.map((one) => this.#zoneOf(one.name));
-    const isDouble = (one: LatheMember): boolean => zones.filter((zone) => zone === this.#zoneOf(one.name)).length > 1;
+    const isDouble = (one: StoreMember): boolean => zones.filter((zone) => zone === this.#zoneOf(one.name)).length > 1;
     const out = others.find((one) => this.#isLost(one)) ?? others.find(isDouble) ?? others[0];
     const rest = voters.filter((one) => one !== out);
     const alive = rest.filter((one) => this.#ledger.matchOf(one.id).heardAgo < MemberChanges.aliveMs);
@@ -83,12 +83,12 @@
   }
 
   /** It has answered: whoever never did counts as heard from when it was enlisted. */
-  #isReady(one: LatheMember): boolean {
+  #isReady(one: StoreMember): boolean {
     const { match, behind, heardAgo } = this.#ledger.matchOf(one.id);
     return match > 0 && behind < 50 && heardAgo < 500;
   }
 
-  #isLost(one: LatheMember): boolean {
+  #isLost(one: StoreMember): boolean {
     return this.#ledger.matchOf(one.id).heardAgo > this.#node.parts.settings.replaceVoterMs;
   }
 
--- a/packages/control/src/process/standing.ts
+++ b/packages/control/src/membership/membershipStatus.ts
@@ -1,25 +1,25 @@
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import type { Ledger } from "./ledger.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { RaftNode } from "../consensus/raftNode.js";
 
 /**
  * Whether this lathe, which has a log of the store, is a member of it. One that was taken out, perhaps while it was
  * away, hears of it from the others, stands by, and is in the store again once a proposer speaks to it.
  */
-export class Standing {
+export class MembershipStatus {
   static readonly beatMs = 1000;
   static readonly silentMs = 1500;
 
   readonly #node: ClusterNode;
-  readonly #ledger: Ledger;
+  readonly #ledger: RaftNode;
   #inTouchAt: number;
   #isAsking = false;
 
-  constructor(node: ClusterNode, ledger: Ledger) {
+  constructor(node: ClusterNode, ledger: RaftNode) {
     this.#node = node;
     this.#ledger = ledger;
     this.#inTouchAt = node.parts.clock.now();
     this.#set(true);
-    node.parts.clock.every(Standing.beatMs, () => void this.#beat());
+    node.parts.clock.every(MembershipStatus.beatMs, () => void this.#beat());
   }
 
   /** Asks to be taken in, or kept in mind; returns what the store says. */
@@ -36,14 +36,14 @@
       this.#inTouchAt = clock.now();
       return this.#set(true);
     }
-    if (this.#isAsking || clock.now() - this.#inTouchAt < Standing.silentMs) return;
+    if (this.#isAsking || clock.now() - this.#inTouchAt < MembershipStatus.silentMs) return;
     const { exchange, membership } = this.#node;
     const other = membership
       .alive("lathe")
       .find((one) => one.isInStore && one.name !== exchange.name && !exchange.isMute(one.name));
     if (other === undefined) return;
     this.#isAsking = true;
-    const outcome = await Standing.ask(this.#node, other.name, this.#ledger.id);
+    const outcome = await MembershipStatus.ask(this.#node, other.name, this.#ledger.id);
     this.#isAsking = false;
     if (outcome !== "standby" || this.#ledger.isInTouch) return;
     this.#ledger.standBy();
--- a/packages/control/src/process/feeds.ts
+++ b/packages/control/src/store/feeds.ts
@@ -6,8 +6,8 @@
   type FeedState,
   type Kv,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import type { Ledger } from "./ledger.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { RaftNode } from "../consensus/raftNode.js";
 
 interface Feed {
   readonly feed: string;
@@ -36,7 +36,7 @@
   static readonly beatMs = 500;
 
   readonly #node: ClusterNode;
-  readonly #ledger: Ledger;
+  readonly #ledger: RaftNode;
   readonly #feeds = new Map<string, Feed>();
   readonly #isConfirmed: () => Promise<boolean>;
   /** Invariant: every change after `#since`, in order. */
@@ -44,13 +44,13 @@
   #since: number;
   #isTurnDue = false;
 
-  constructor(node: ClusterNode, ledger: Ledger, isConfirmed: () => Promise<boolean>) {
+  constructor(node: ClusterNode, ledger: RaftNode, isConfirmed: () => Promise<boolean>) {
     this.#node = node;
     this.#ledger = ledger;
     this.#isConfirmed = isConfirmed;
     this.#since = ledger.metadata.revision;
     ledger.on("applied", ({ changes }) => this.#keep(changes));
-    ledger.on("pictured", () => {
+    ledger.on("snapshotd", () => {
       this.#changes = [];
       this.#since = ledger.metadata.revision;
     });
@@ -159,14 +159,14 @@
     feed.number += 1;
     feed.toldAt = this.#node.parts.clock.now();
     const from = feed.told;
-    const isPicture = from === 0 || from < this.#since;
-    const kvs = isPicture
+    const isSnapshot = from === 0 || from < this.#since;
+    const kvs = isSnapshot
       ? feed.prefixes.flatMap((prefix) => this.#ledger.metadata.range(prefix))
       : this.#after(from).filter((kv) => Feeds.#isFollowed(feed, kv));
     feed.told = this.#ledger.metadata.revision;
     this.#node.exchange.tell(feed.name, {
       case: "feedPush",
-      value: { feed: feed.feed, number: feed.number, isPicture, kvs, fromRevision: from, revision: feed.told },
+      value: { feed: feed.feed, number: feed.number, isSnapshot, kvs, fromRevision: from, revision: feed.told },
     });
   }
 
--- a/packages/control/src/process/leases.ts
+++ b/packages/control/src/store/leases.ts
@@ -1,5 +1,5 @@
-import type { Clock } from "@cranetrack/core/process/clock.js";
-import type { Ledger } from "./ledger.js";
+import type { Clock } from "@cranetrack/core/runtime/clock.js";
+import type { RaftNode } from "../consensus/raftNode.js";
 
 /**
  * When each lease ends, as the present proposer counts it. Expiry itself is a log entry.
@@ -9,14 +9,14 @@
 export class Leases {
   static readonly beatMs = 25;
 
-  readonly #ledger: Ledger;
+  readonly #ledger: RaftNode;
   readonly #clock: Clock;
   readonly #revoke: (lease: string) => void;
   readonly #due = new Map<string, number>();
   /** Leases whose expiry is proposed; a renewal can't save them. */
   readonly #ending = new Set<string>();
 
-  constructor(ledger: Ledger, clock: Clock, revoke: (lease: string) => void) {
+  constructor(ledger: RaftNode, clock: Clock, revoke: (lease: string) => void) {
     this.#ledger = ledger;
     this.#clock = clock;
     this.#revoke = revoke;
@@ -47,7 +47,7 @@
 
   #follow(): void {
     const { leases } = this.#ledger.metadata;
-    if (!this.#ledger.isProposer || (leases.size === this.#due.size && this.#ending.size === 0)) return;
+    if (!this.#ledger.isLeader || (leases.size === this.#due.size && this.#ending.size === 0)) return;
     for (const [lease, { length }] of leases)
       if (!this.#due.has(lease)) this.#due.set(lease, this.#clock.now() + length);
     for (const lease of this.#due.keys()) if (!leases.has(lease)) this.#due.delete(lease);
@@ -55,7 +55,7 @@
   }
 
   #beat(): void {
-    if (!this.#ledger.isProposer) return;
+    if (!this.#ledger.isLeader) return;
     for (const [lease, due] of this.#due) {
       if (this.#clock.now() < due || this.#ending.has(lease)) continue;
       this.#ending.add(lease);
--- a/packages/control/src/mark/metadata.ts
+++ b/packages/control/src/store/metadata.ts
@@ -3,13 +3,13 @@
 import {
   KvSchema,
   StoreCommandSchema,
-  StorePictureSchema,
+  StoreSnapshotSchema,
   type Kv,
   type Members,
   type Txn,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { BirthsKey } from "@cranetrack/core/mark/birthsKey.js";
-import { PlanKey } from "@cranetrack/core/mark/planKey.js";
+import { BirthsKey } from "@cranetrack/core/keys/birthsKey.js";
+import { PlanKey } from "@cranetrack/core/keys/configurationKey.js";
 
 const BTree = BTreeModule.default;
 
@@ -63,25 +63,25 @@
     return { outcome: "done", revision: index, kvs: [], changes };
   }
 
-  picture(members: Members | undefined): Uint8Array {
+  snapshot(members: Members | undefined): Uint8Array {
     const leases = [...this.#leases].map(([lease, { length }]) => ({ lease, length }));
     return toBinary(
-      StorePictureSchema,
-      create(StorePictureSchema, { kvs: [...this.#keys.values()], leases, members, revision: this.revision }),
+      StoreSnapshotSchema,
+      create(StoreSnapshotSchema, { kvs: [...this.#keys.values()], leases, members, revision: this.revision }),
     );
   }
 
-  static isReadable(picture: Uint8Array): boolean {
+  static isReadable(snapshot: Uint8Array): boolean {
     try {
-      return fromBinary(StorePictureSchema, picture).revision >= 0;
+      return fromBinary(StoreSnapshotSchema, snapshot).revision >= 0;
     } catch {
       return false;
     }
   }
 
-  /** Takes a picture in place of everything and returns the members it names. */
-  install(picture: Uint8Array): Members | undefined {
-    const read = fromBinary(StorePictureSchema, picture);
+  /** Takes a snapshot in place of everything and returns the members it names. */
+  install(snapshot: Uint8Array): Members | undefined {
+    const read = fromBinary(StoreSnapshotSchema, snapshot);
     this.#keys.clear();
     this.#leases.clear();
     this.revision = read.revision;
--- a/packages/control/src/process/storeDesk.ts
+++ b/packages/control/src/store/storeService.ts
@@ -6,23 +6,23 @@
   type FeedState,
   type StoreCall,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import type { Outcome } from "@cranetrack/core/process/storeClient.js";
-import type { BodyInit } from "@cranetrack/core/process/wire.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { Outcome } from "@cranetrack/core/store/storeClient.js";
+import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
 import { Feeds } from "./feeds.js";
 import { Leases } from "./leases.js";
-import type { Ledger } from "./ledger.js";
-import { MemberChanges } from "./memberChanges.js";
+import type { RaftNode } from "../consensus/raftNode.js";
+import { MemberChanges } from "../membership/memberChanges.js";
 
 /** Takes every call on the store; what only the proposer can answer is passed on to it, once. */
-export class StoreDesk {
+export class StoreService {
   readonly #node: ClusterNode;
-  readonly #ledger: Ledger;
+  readonly #ledger: RaftNode;
   readonly #leases: Leases;
   readonly #feeds: Feeds;
   readonly #memberChanges: MemberChanges;
 
-  constructor(node: ClusterNode, ledger: Ledger) {
+  constructor(node: ClusterNode, ledger: RaftNode) {
     this.#node = node;
     this.#ledger = ledger;
     this.#leases = new Leases(
@@ -48,7 +48,7 @@
 
   async run(call: StoreCall): Promise<Outcome> {
     if (call.call.case === "feeds") return { outcome: "done", feeds: this.#feeds.states() };
-    if (!this.#ledger.isProposer) return (await this.#pass([call]))[0]!;
+    if (!this.#ledger.isLeader) return (await this.#pass([call]))[0]!;
     switch (call.call.case) {
       case "txn":
       case "grant":
@@ -78,7 +78,7 @@
 
   /** Calls of one kind, made in one turn somewhere: passed on in one frame. */
   #runAll(calls: StoreCall[]): Promise<Outcome[]> {
-    return this.#ledger.isProposer ? Promise.all(calls.map((call) => this.run(call))) : this.#pass(calls);
+    return this.#ledger.isLeader ? Promise.all(calls.map((call) => this.run(call))) : this.#pass(calls);
   }
 
   /** Their nodes go on at other lathes at once. */
@@ -106,7 +106,7 @@
 
   async #pass(calls: StoreCall[]): Promise<Outcome[]> {
     const all = (outcome: Outcome): Outcome[] => calls.map(() => outcome);
-    const proposer = this.#ledger.proposerName;
+    const proposer = this.#ledger.leaderName;
     if (calls.some((call) => call.isPassed) || proposer === "" || proposer === this.#node.exchange.name)
       return all({ outcome: "away", comeBack: 1, reason: "no proposer is known" });
     const kinds = new Set(calls.map((call) => call.call.case));
--- a/packages/core/src/process/contractRisks.ts
+++ b/packages/core/src/configuration/contractRisks.ts
@@ -1,4 +1,4 @@
-import type { ClusterNode } from "./clusterNode.js";
+import type { ClusterNode } from "../runtime/clusterNode.js";
 
 export interface ContractRisk {
   space: string;
--- a/packages/core/src/mark/plan.test.ts
+++ b/packages/core/src/configuration/plan.test.ts
@@ -1,8 +1,8 @@
 import { test } from "node:test";
 import { expect } from "earl";
-import type { Change } from "../process/feedFollower.js";
-import { Journal } from "../process/journal.js";
-import { BirthsKey } from "./birthsKey.js";
+import type { Change } from "../feeds/feedFollower.js";
+import { ChangeJournal } from "../feeds/changeJournal.js";
+import { BirthsKey } from "../keys/birthsKey.js";
 import { Plans, type Plan } from "./plan.js";
 import { PlanReader } from "./planReader.js";
 import { PlanSchema } from "./planSchema.js";
@@ -59,7 +59,7 @@
 });
 
 test("a plan that this node cannot read leaves the old one in force and is said; an older one changes nothing", () => {
-  const journal = new Journal<Change>();
+  const journal = new ChangeJournal<Change>();
   const view = new PlanView(journal);
   const put = (value: { mark: number; spaces: unknown[]; newer?: boolean }, revision: number): void => {
     const births = BirthsKey.write({ mark: value.mark, spaces: { "clips/": 3 } });
--- a/packages/core/src/mark/planView.ts
+++ b/packages/core/src/configuration/planView.ts
@@ -1,9 +1,9 @@
 import { EventEmitter } from "node:events";
-import type { Change } from "../process/feedFollower.js";
-import type { Journal } from "../process/journal.js";
-import { BirthsKey, type BirthsRecord } from "./birthsKey.js";
+import type { Change } from "../feeds/feedFollower.js";
+import type { ChangeJournal } from "../feeds/changeJournal.js";
+import { BirthsKey, type BirthsRecord } from "../keys/birthsKey.js";
 import type { Plan } from "./plan.js";
-import { PlanKey } from "./planKey.js";
+import { PlanKey } from "../keys/configurationKey.js";
 import { PlanReader } from "./planReader.js";
 import { Streams, type StreamRoute } from "./streams.js";
 
@@ -20,7 +20,7 @@
   #next: { plan: Plan; text: string } | undefined;
   #nextBirths: BirthsRecord | undefined;
 
-  constructor(journal: Journal<Change>) {
+  constructor(journal: ChangeJournal<Change>) {
     super();
     this.setMaxListeners(0);
     journal.fold((change) => this.#fold(change));
--- a/packages/core/src/mark/streams.test.ts
+++ b/packages/core/src/configuration/streams.test.ts
@@ -1,8 +1,8 @@
 import { test } from "node:test";
 import { expect } from "earl";
-import { BirthsKey, type BirthsRecord } from "./birthsKey.js";
+import { BirthsKey, type BirthsRecord } from "../keys/birthsKey.js";
 import type { Order, Plan } from "./plan.js";
-import { PlanKey } from "./planKey.js";
+import { PlanKey } from "../keys/configurationKey.js";
 import { PlanReader } from "./planReader.js";
 import { Streams, type StreamRoute } from "./streams.js";
 
--- a/packages/core/src/mark/streams.ts
+++ b/packages/core/src/configuration/streams.ts
@@ -1,4 +1,4 @@
-import type { BirthsRecord } from "./birthsKey.js";
+import type { BirthsRecord } from "../keys/birthsKey.js";
 import { Plans, type Order, type Plan } from "./plan.js";
 
 /** Where a topic's messages go: a pure function of its space, the space's order and its birth. */
--- a/packages/core/src/process/journal.ts
+++ b/packages/core/src/feeds/changeJournal.ts
@@ -4,7 +4,7 @@
  * Events in the order they happened, in memory; views are folded from them.
  * Invariant: an event is appended before any view sees it, and all views see the same order.
  */
-export class Journal<Event> extends EventEmitter<{ appended: [] }> {
+export class ChangeJournal<Event> extends EventEmitter<{ appended: [] }> {
   readonly #most: number;
   readonly #folds: Array<(event: Event) => void> = [];
   #events: Event[] = [];
--- a/packages/core/src/process/feedFollower.ts
+++ b/packages/core/src/feeds/feedFollower.ts
@@ -1,11 +1,11 @@
 import { EventEmitter } from "node:events";
 import type { FeedPush, Kv } from "../gen/cranetrack_pb.js";
-import type { Chance } from "./chance.js";
-import type { Clock } from "./clock.js";
-import type { Exchange } from "./exchange.js";
-import type { Journal } from "./journal.js";
-import type { Membership } from "./membership.js";
-import { Rendezvous } from "./rendezvous.js";
+import type { RandomSource } from "../runtime/random.js";
+import type { Clock } from "../runtime/clock.js";
+import type { RpcEndpoint } from "../rpc/rpcEndpoint.js";
+import type { ChangeJournal } from "./changeJournal.js";
+import type { Membership } from "../membership/membership.js";
+import { Rendezvous } from "../membership/rendezvous.js";
 
 export interface Change {
   key: string;
@@ -21,20 +21,20 @@
   static readonly staleMs = 1450;
   /** Two beats without a word: another lathe is asked before what this node knows is stale. */
   static readonly silentMs = 1000;
-  /** A first picture may take this long; asking elsewhere sooner only makes it later. What follows is short. */
+  /** A first snapshot may take this long; asking elsewhere sooner only makes it later. What follows is short. */
   static readonly openMs = 2500;
   /** After a lathe let go of the feed; it may have been told so at once. */
   static readonly closedMs = 200;
   static readonly reopenMs = 1000;
   static readonly livelyMs = 900;
 
-  readonly #exchange: Exchange;
+  readonly #exchange: RpcEndpoint;
   readonly #membership: Membership;
   readonly #clock: Clock;
-  readonly #chance: Chance;
+  readonly #chance: RandomSource;
   readonly #prefixes: string[];
-  readonly #journal: Journal<Change>;
-  /** The keys held, to tell from a picture what is gone. */
+  readonly #journal: ChangeJournal<Change>;
+  /** The keys held, to tell from a snapshot what is gone. */
   readonly #keys = new Map<string, number>();
   #feed = "";
   #lathe = "";
@@ -50,12 +50,12 @@
   fault: () => string = () => "";
 
   constructor(parts: {
-    exchange: Exchange;
+    exchange: RpcEndpoint;
     membership: Membership;
     clock: Clock;
-    chance: Chance;
+    chance: RandomSource;
     prefixes: string[];
-    journal: Journal<Change>;
+    journal: ChangeJournal<Change>;
   }) {
     super();
     this.setMaxListeners(0);
@@ -117,7 +117,7 @@
 
   #take(push: FeedPush, from: string): undefined {
     if (push.feed !== this.#feed || from !== this.#lathe) return undefined;
-    if (push.number === this.#number + 1 && (push.isPicture || push.fromRevision <= this.revision)) {
+    if (push.number === this.#number + 1 && (push.isSnapshot || push.fromRevision <= this.revision)) {
       if (push.revision < this.revision) return undefined;
       this.#number = push.number;
       this.#heardAt = this.#clock.now();
@@ -136,7 +136,7 @@
 
   #apply(push: FeedPush): void {
     const isFirst = this.revision === 0;
-    if (push.isPicture) this.#applyPicture(push.kvs);
+    if (push.isSnapshot) this.#applySnapshot(push.kvs);
     else
       for (const kv of push.kvs)
         if (kv.revision > this.revision) this.#change(kv.key, kv.isGone ? undefined : kv.value, kv.revision);
@@ -144,7 +144,7 @@
     if (isFirst && this.revision > 0) this.emit("first");
   }
 
-  #applyPicture(kvs: Kv[]): void {
+  #applySnapshot(kvs: Kv[]): void {
     const present = new Set(kvs.map((kv) => kv.key));
     for (const key of [...this.#keys.keys()]) if (!present.has(key)) this.#change(key, undefined, this.revision);
     for (const kv of kvs) if (this.#keys.get(kv.key) !== kv.revision) this.#change(kv.key, kv.value, kv.revision);
--- a/packages/core/src/mark/shardsView.ts
+++ b/packages/core/src/feeds/shardsView.ts
@@ -1,9 +1,9 @@
 import { EventEmitter } from "node:events";
-import type { Clock } from "../process/clock.js";
-import type { Change } from "../process/feedFollower.js";
-import type { Journal } from "../process/journal.js";
-import { HolderKey } from "./holderKey.js";
-import { ReplicasKey } from "./replicasKey.js";
+import type { Clock } from "../runtime/clock.js";
+import type { Change } from "./feedFollower.js";
+import type { ChangeJournal } from "./changeJournal.js";
+import { HolderKey } from "../keys/holderKey.js";
+import { ReplicasKey } from "../keys/replicasKey.js";
 import type { ShardSet } from "./shardSet.js";
 
 export interface ShardRoute {
@@ -18,7 +18,7 @@
 export class ShardsView extends EventEmitter<{ changed: [shard: number] }> {
   readonly #routes = new Map<number, ShardRoute>();
 
-  constructor(journal: Journal<Change>) {
+  constructor(journal: ChangeJournal<Change>) {
     super();
     this.setMaxListeners(0);
     journal.fold((change) => this.#fold(change));
--- a/packages/core/src/request/apiReceipt.ts
+++ b/packages/core/src/http/apiReply.ts
@@ -4,15 +4,15 @@
 }
 
 /** What a call over HTTP is answered with, wherever in the fleet it was carried out. */
-export interface ApiReceipt {
+export interface ApiReply {
   status: number;
   body: unknown;
   comeBack?: number | undefined;
 }
 
 /** The one error shape. */
-export const ApiReceipts = {
-  done(body: unknown, status = 200): ApiReceipt {
+export const ApiReplies = {
+  done(body: unknown, status = 200): ApiReply {
     return { status, body };
   },
 
@@ -21,7 +21,7 @@
     code: string,
     message: string,
     more: { problems?: ApiProblem[]; comeBack?: number | undefined; details?: object } = {},
-  ): ApiReceipt {
+  ): ApiReply {
     const { problems, comeBack, details } = more;
     return {
       status,
@@ -39,12 +39,12 @@
   },
 
   /** Given up on at once; nothing was changed. */
-  away(message: string, comeBack = 1, code = "unavailable"): ApiReceipt {
-    return ApiReceipts.fault(503, code, message, { comeBack });
+  away(message: string, comeBack = 1, code = "unavailable"): ApiReply {
+    return ApiReplies.fault(503, code, message, { comeBack });
   },
 
   /** It may or may not have been carried out; the same call again settles it. */
-  unsure(message: string, comeBack = 0.5): ApiReceipt {
-    return ApiReceipts.fault(504, "unsure", message, { comeBack });
+  unsure(message: string, comeBack = 0.5): ApiReply {
+    return ApiReplies.fault(504, "unsure", message, { comeBack });
   },
 };
--- a/packages/core/src/request/bodyReader.ts
+++ b/packages/core/src/http/bodyReader.ts
@@ -1,16 +1,16 @@
 import { type, type Type } from "arktype";
-import { ApiReceipts, type ApiReceipt } from "./apiReceipt.js";
+import { ApiReplies, type ApiReply } from "./apiReply.js";
 import { JsonBody } from "./jsonBody.js";
 
 export const BodyReader = {
   /** The checked body, or the receipt that says what is wrong with it and where. */
-  read<T>(body: Uint8Array, shape: Type<T>): { value: T } | { receipt: ApiReceipt } {
+  read<T>(body: Uint8Array, shape: Type<T>): { value: T } | { receipt: ApiReply } {
     const json = JsonBody.read(body);
     if ("receipt" in json) return json;
     const checked = shape(json.value) as unknown;
     if (checked instanceof type.errors) {
       const problems = [...checked].map((fault) => ({ path: fault.path.join("."), problem: fault.message }));
-      return { receipt: ApiReceipts.fault(400, "malformed", problems[0]!.problem, { problems }) };
+      return { receipt: ApiReplies.fault(400, "malformed", problems[0]!.problem, { problems }) };
     }
     return { value: checked as T };
   },
--- a/packages/core/src/link/httpFront.ts
+++ b/packages/core/src/http/httpServer.ts
@@ -1,12 +1,12 @@
 import fastify, { type FastifyInstance, type FastifyReply } from "fastify";
 
-import { ApiReceipts, type ApiReceipt } from "../request/apiReceipt.js";
-import { Router } from "../process/router.js";
+import { ApiReplies, type ApiReply } from "./apiReply.js";
+import { Router } from "./router.js";
 
-type Stream = (path: string, body: Uint8Array, reply: FastifyReply) => Promise<ApiReceipt | undefined>;
+type Stream = (path: string, body: Uint8Array, reply: FastifyReply) => Promise<ApiReply | undefined>;
 
 /** HTTP/1.1 towards callers and operators. All calls end in the router but long links, which stream. */
-export class HttpFront {
+export class HttpServer {
   readonly #app: FastifyInstance;
 
   constructor(router: Router, stream?: { pattern: RegExp; open: Stream }) {
@@ -15,9 +15,9 @@
     this.#app.addContentTypeParser("*", { parseAs: "buffer" }, (_request, body, done) => done(null, body));
     this.#app.setErrorHandler((fault: { statusCode?: number; message: string }, _request, reply) => {
       const status = fault.statusCode ?? 500;
-      return HttpFront.#answer(
+      return HttpServer.#answer(
         reply,
-        ApiReceipts.fault(status, status === 413 ? "too-large" : "malformed", fault.message),
+        ApiReplies.fault(status, status === 413 ? "too-large" : "malformed", fault.message),
       );
     });
     this.#app.all("/*", async (request, reply) => {
@@ -25,9 +25,9 @@
       const body = (request.body as Uint8Array | undefined) ?? new Uint8Array();
       if (stream !== undefined && request.method === "POST" && stream.pattern.test(path)) {
         const receipt = await stream.open(path, body, reply);
-        return receipt === undefined ? reply : HttpFront.#answer(reply, receipt);
+        return receipt === undefined ? reply : HttpServer.#answer(reply, receipt);
       }
-      return HttpFront.#answer(reply, await router.run(request.method, path, body));
+      return HttpServer.#answer(reply, await router.run(request.method, path, body));
     });
   }
 
@@ -39,7 +39,7 @@
   async close(): Promise<void> {
     await this.#app.close();
   }
-  static #answer(reply: FastifyReply, receipt: ApiReceipt): FastifyReply {
+  static #answer(reply: FastifyReply, receipt: ApiReply): FastifyReply {
     if (receipt.comeBack !== undefined)
       void reply.header("Retry-After", String(Math.max(1, Math.ceil(receipt.comeBack))));
     const type = typeof receipt.body === "string" ? "text/plain; charset=utf-8" : "application/json; charset=utf-8";
--- a/packages/core/src/process/router.ts
+++ b/packages/core/src/http/router.ts
@@ -1,7 +1,7 @@
-import { ApiReceipts, type ApiReceipt } from "../request/apiReceipt.js";
-import type { ClusterNode } from "./clusterNode.js";
-import { Rendezvous } from "./rendezvous.js";
-import type { BodyInit } from "./wire.js";
+import { ApiReplies, type ApiReply } from "./apiReply.js";
+import type { ClusterNode } from "../runtime/clusterNode.js";
+import { Rendezvous } from "../membership/rendezvous.js";
+import type { BodyInit } from "../rpc/wire.js";
 
 export interface ApiCall {
   method: string;
@@ -10,7 +10,7 @@
   body: Uint8Array;
   isPassed: boolean;
 }
-export type Operation = (call: ApiCall) => Promise<ApiReceipt> | ApiReceipt;
+export type Operation = (call: ApiCall) => Promise<ApiReply> | ApiReply;
 interface Route {
   method: string;
   pattern: RegExp;
@@ -51,23 +51,23 @@
     this.#routes.push({ method, pattern, run });
   }
 
-  async run(method: string, path: string, body: Uint8Array, isPassed = false): Promise<ApiReceipt> {
+  async run(method: string, path: string, body: Uint8Array, isPassed = false): Promise<ApiReply> {
     if (body.length > Router.mostBody)
-      return ApiReceipts.fault(413, "too-large", `a body may have ${Router.mostBody} bytes`);
+      return ApiReplies.fault(413, "too-large", `a body may have ${Router.mostBody} bytes`);
     const matching = this.#routes.filter((route) => route.pattern.test(path));
     const route = matching.find((one) => one.method === method);
     if (route !== undefined)
       return route.run({ method, path, body, isPassed, params: Router.#params(route.pattern, path) });
-    if (matching.length > 0) return ApiReceipts.fault(405, "method-not-allowed", `${method} is not for ${path}`);
+    if (matching.length > 0) return ApiReplies.fault(405, "method-not-allowed", `${method} is not for ${path}`);
     const role = this.#elsewhere.find((one) => one.pattern.test(path))?.role;
     if (role === undefined || role === this.#node.parts.settings.role || isPassed)
-      return ApiReceipts.fault(404, "unknown-path", `there is no ${path}`);
+      return ApiReplies.fault(404, "unknown-path", `there is no ${path}`);
     const alive = this.#node.membership.alive(role).map((member) => member.name);
     for (const name of Rendezvous.rank(this.#node.exchange.name, alive).slice(0, 2)) {
       const receipt = await this.passTo(name, method, path, body);
       if (receipt !== undefined) return receipt;
     }
-    return ApiReceipts.away(`no ${role} answers`);
+    return ApiReplies.away(`no ${role} answers`);
   }
 
   async passTo(
@@ -76,7 +76,7 @@
     path: string,
     body: Uint8Array,
     due = Router.passDue,
-  ): Promise<ApiReceipt | undefined> {
+  ): Promise<ApiReply | undefined> {
     const receipt = await this.#node.exchange.call(name, { case: "pass", value: { method, path, body } }, due);
     if (receipt?.case !== "passReceipt") return undefined;
     const { status, comeBack } = receipt.value;
--- a/packages/core/src/mark/birthsKey.ts
+++ b/packages/core/src/keys/birthsKey.ts
@@ -1,5 +1,5 @@
 import { JsonValue } from "./jsonValue.js";
-import type { PlanOutline, SpaceOutline } from "./planKey.js";
+import type { PlanOutline, SpaceOutline } from "./configurationKey.js";
 
 /** Marks of plans, by prefix. */
 export interface BirthsRecord {
--- a/packages/core/src/mark/emptyingKey.ts
+++ b/packages/core/src/keys/drainKey.ts
@@ -1,5 +1,5 @@
 /** The operators' wish to have a machine emptied. */
-export const EmptyingKey = {
+export const DrainKey = {
   of(machine: string): string {
     return `machines/${machine}/emptying`;
   },
--- a/packages/core/src/mark/replicasKey.ts
+++ b/packages/core/src/keys/replicasKey.ts
@@ -1,5 +1,5 @@
 import { JsonValue } from "./jsonValue.js";
-import type { ShardSet } from "./shardSet.js";
+import type { ShardSet } from "../feeds/shardSet.js";
 
 /** The key that names a shard's replica set. */
 export const ReplicasKey = {
--- a/packages/core/src/process/addressBook.ts
+++ b/packages/core/src/membership/addressBook.ts
@@ -1,5 +1,5 @@
-import type { Clock } from "./clock.js";
-import type { Disk } from "./disk.js";
+import type { Clock } from "../runtime/clock.js";
+import type { Disk } from "../storage/disk.js";
 import type { Membership } from "./membership.js";
 
 /**
--- a/packages/core/src/process/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -1,13 +1,13 @@
 import { EventEmitter } from "node:events";
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import { MemberSchema, type Gossip, type GossipSchema, type Member, type Ping } from "../gen/cranetrack_pb.js";
-import type { Chance } from "./chance.js";
-import type { Clock } from "./clock.js";
-import type { Exchange } from "./exchange.js";
+import type { RandomSource } from "../runtime/random.js";
+import type { Clock } from "../runtime/clock.js";
+import type { RpcEndpoint } from "../rpc/rpcEndpoint.js";
 import { MemberTable } from "./memberTable.js";
 import { Rendezvous } from "./rendezvous.js";
 import { Rumours } from "./rumours.js";
-import type { BodyInit } from "./wire.js";
+import type { BodyInit } from "../rpc/wire.js";
 
 /**
  * Who is there, after SWIM: a node sends beats to the few watchers that rendezvous hashing names for it, and at each
@@ -33,9 +33,9 @@
   /** How soon tables are compared again after a comparison that brought news. */
   static readonly compareAgainMs = 1000;
 
-  readonly #exchange: Exchange;
+  readonly #exchange: RpcEndpoint;
   readonly #clock: Clock;
-  readonly #chance: Chance;
+  readonly #chance: RandomSource;
   readonly #seeds: readonly string[];
   readonly #table = new MemberTable();
   readonly #rumours = new Rumours();
@@ -63,9 +63,9 @@
   constructor(
     self: Partial<Member> & { name: string },
     seeds: readonly string[],
-    exchange: Exchange,
+    exchange: RpcEndpoint,
     clock: Clock,
-    chance: Chance,
+    chance: RandomSource,
   ) {
     super();
     this.setMaxListeners(0);
--- a/packages/core/src/mark/intake.ts
+++ b/packages/core/src/replication/followerLog.ts
@@ -1,17 +1,17 @@
-import type { Append, Picture } from "../gen/cranetrack_pb.js";
-import type { BodyInit } from "../process/wire.js";
+import type { Append, Snapshot } from "../gen/cranetrack_pb.js";
+import type { BodyInit } from "../rpc/wire.js";
 import type { ReplicaLog } from "./replicaLog.js";
 
 /**
  * The taking side of a replicated log. Answers only after the disk has what it answers for.
  * Invariant: a lower term than the promised one is refused, whoever sends it.
  */
-export class Intake {
+export class FollowerLog {
   readonly #log: ReplicaLog;
   readonly #self: string;
   /** Called with how far the log may be applied, after the entries are in it. */
   readonly #onCommit: (index: number) => void;
-  readonly #onPicture: (index: number, state: Uint8Array) => void;
+  readonly #onSnapshot: (index: number, state: Uint8Array) => void;
   /** Up to where this log is known to be the one of the term's sender. */
   #agreed = { term: 0, index: 0 };
 
@@ -22,18 +22,18 @@
     log: ReplicaLog,
     self: string,
     onCommit: (index: number) => void,
-    onPicture: (index: number, state: Uint8Array) => void,
+    onSnapshot: (index: number, state: Uint8Array) => void,
     isReadable: (state: Uint8Array) => boolean = () => true,
   ) {
     this.#log = log;
     this.#self = self;
     this.#onCommit = onCommit;
-    this.#onPicture = onPicture;
+    this.#onSnapshot = onSnapshot;
     this.#isReadable = isReadable;
   }
 
   async take(append: Append, commit: number): Promise<BodyInit> {
-    if (append.term < this.#log.term || !Intake.#isSane(append)) return this.#receipt(append, false, 0);
+    if (append.term < this.#log.term || !FollowerLog.#isSane(append)) return this.#receipt(append, false, 0);
     const promised = append.term > this.#log.term ? this.#log.promise(append.term, "") : undefined;
     const isBehindBase = append.prevIndex < this.#log.baseIndex;
     if (!isBehindBase && this.#log.termAt(append.prevIndex) !== append.prevTerm) {
@@ -53,23 +53,23 @@
     return this.#receipt(append, append.term === this.#log.term, match);
   }
 
-  async takePicture(picture: Picture, commit: number): Promise<BodyInit> {
-    const isSane = [picture.term, picture.index, picture.indexTerm].every(Intake.#isCount);
-    if (picture.term < this.#log.term || !isSane || !this.#isReadable(picture.state))
-      return this.#receipt(picture, false, 0);
-    if (picture.term > this.#log.term) void this.#log.promise(picture.term, "");
-    this.#agree(picture.term, picture.index);
-    if (picture.index > commit) {
-      const installed = this.#log.install(picture.index, picture.indexTerm, picture.state);
-      this.#onPicture(picture.index, picture.state);
+  async takeSnapshot(snapshot: Snapshot, commit: number): Promise<BodyInit> {
+    const isSane = [snapshot.term, snapshot.index, snapshot.indexTerm].every(FollowerLog.#isCount);
+    if (snapshot.term < this.#log.term || !isSane || !this.#isReadable(snapshot.state))
+      return this.#receipt(snapshot, false, 0);
+    if (snapshot.term > this.#log.term) void this.#log.promise(snapshot.term, "");
+    this.#agree(snapshot.term, snapshot.index);
+    if (snapshot.index > commit) {
+      const installed = this.#log.install(snapshot.index, snapshot.indexTerm, snapshot.state);
+      this.#onSnapshot(snapshot.index, snapshot.state);
       await installed;
     }
-    return this.#receipt(picture, true, picture.index);
+    return this.#receipt(snapshot, true, snapshot.index);
   }
 
   /** The sender of a term has committed its log up to an index. */
   heed(term: number, index: number): void {
-    if (term === this.#log.term && term === this.#agreed.term && Intake.#isCount(index))
+    if (term === this.#log.term && term === this.#agreed.term && FollowerLog.#isCount(index))
       this.#onCommit(Math.min(index, this.#agreed.index));
   }
 
@@ -84,9 +84,9 @@
   /** Counts are counts, and entries follow one another from prevIndex on. */
   static #isSane({ term, prevIndex, prevTerm, commit, entries }: Append): boolean {
     return (
-      [term, prevIndex, prevTerm, commit].every(Intake.#isCount) &&
+      [term, prevIndex, prevTerm, commit].every(FollowerLog.#isCount) &&
       entries.every(
-        (entry, i) => entry.index === prevIndex + 1 + i && Intake.#isCount(entry.term) && entry.term <= term,
+        (entry, i) => entry.index === prevIndex + 1 + i && FollowerLog.#isCount(entry.term) && entry.term <= term,
       )
     );
   }
--- a/packages/core/src/process/groups.ts
+++ b/packages/core/src/replication/logGroups.ts
@@ -1,20 +1,20 @@
-import type { Append, AppendReceipt, Picture } from "../gen/cranetrack_pb.js";
-import type { Exchange } from "./exchange.js";
-import type { BodyInit } from "./wire.js";
+import type { Append, AppendReceipt, Snapshot } from "../gen/cranetrack_pb.js";
+import type { RpcEndpoint } from "../rpc/rpcEndpoint.js";
+import type { BodyInit } from "../rpc/wire.js";
 
 export interface Group {
   append(append: Append, from: string): Promise<BodyInit | undefined> | undefined;
-  picture(picture: Picture, from: string): Promise<BodyInit | undefined> | undefined;
+  snapshot(snapshot: Snapshot, from: string): Promise<BodyInit | undefined> | undefined;
   receipt(receipt: AppendReceipt, from: string): void;
 }
 
 /** Hands the messages of replicated logs to the log they are about. */
-export class Groups {
+export class LogGroups {
   readonly #groups = new Map<string, Group>();
 
-  constructor(exchange: Exchange) {
+  constructor(exchange: RpcEndpoint) {
     exchange.serve("append", (append, frame) => this.#groups.get(append.group)?.append(append, frame.from));
-    exchange.serve("picture", (picture, frame) => this.#groups.get(picture.group)?.picture(picture, frame.from));
+    exchange.serve("snapshot", (snapshot, frame) => this.#groups.get(snapshot.group)?.snapshot(snapshot, frame.from));
     exchange.serve("appendReceipt", (receipt, frame) => {
       this.#groups.get(receipt.group)?.receipt(receipt, frame.from);
       return undefined;
--- a/packages/core/src/mark/spread.ts
+++ b/packages/core/src/replication/logReplicator.ts
@@ -1,7 +1,7 @@
 import { EventEmitter } from "node:events";
 import type { AppendReceipt } from "../gen/cranetrack_pb.js";
-import type { Clock } from "../process/clock.js";
-import type { BodyInit } from "../process/wire.js";
+import type { Clock } from "../runtime/clock.js";
+import type { BodyInit } from "../rpc/wire.js";
 import type { ReplicaLog } from "./replicaLog.js";
 
 interface Peer {
@@ -23,7 +23,7 @@
  * Invariant: `commit` only rises, and passes an entry only when it is synced on a majority of every
  * voter set and an entry of this term is behind or at it.
  */
-export class Spread extends EventEmitter<{ committed: [index: number]; deposed: [term: number] }> {
+export class LogReplicator extends EventEmitter<{ committed: [index: number]; deposed: [term: number] }> {
   readonly #log: ReplicaLog;
   readonly #clock: Clock;
   readonly #self: string;
@@ -122,8 +122,8 @@
     for (const [id, peer] of this.#peers) {
       const isTold = !peer.isWaiting && peer.next > this.#log.lastIndex && peer.told === this.commit;
       if (isTold && this.#clock.now() - peer.sentAt < idleMs) continue;
-      const needsPicture = peer.next - 1 < this.#log.baseIndex;
-      if (peer.isWaiting && needsPicture && this.#clock.now() - peer.sentAt < 2000) continue;
+      const needsSnapshot = peer.next - 1 < this.#log.baseIndex;
+      if (peer.isWaiting && needsSnapshot && this.#clock.now() - peer.sentAt < 2000) continue;
       if (peer.isWaiting && this.#clock.now() - peer.sentAt > 400)
         peer.next = Math.max(peer.match + 1, this.#log.baseIndex);
       this.#sendTo(id, peer);
@@ -191,17 +191,17 @@
     peer.isWaiting = true;
     const prevTerm = peer.next - 1 < this.#log.baseIndex ? undefined : this.#log.termAt(peer.next - 1);
     if (prevTerm === undefined) {
-      const picture = {
+      const snapshot = {
         group: this.#log.group,
         term: this.#term,
         sender: this.#self,
         receiver: id,
         index: this.#log.baseIndex,
         indexTerm: this.#log.baseTerm,
-        state: this.#log.picture,
+        state: this.#log.snapshot,
         round: this.#round,
       };
-      return this.#send(id, { case: "picture", value: picture });
+      return this.#send(id, { case: "snapshot", value: snapshot });
     }
     const entries = this.#log.after(peer.next - 1);
     const append = {
--- a/packages/core/src/mark/replicaLog.ts
+++ b/packages/core/src/replication/replicaLog.ts
@@ -1,10 +1,10 @@
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import VError from "verror";
-import { EntrySchema, PictureSchema, type Entry } from "../gen/cranetrack_pb.js";
-import type { Disk, DiskChange } from "../process/disk.js";
+import { EntrySchema, SnapshotSchema, type Entry } from "../gen/cranetrack_pb.js";
+import type { Disk, DiskChange } from "../storage/disk.js";
 
 /**
- * One replica's copy of a replicated log on its disk: a picture up to `baseIndex`, then entries.
+ * One replica's copy of a replicated log on its disk: a snapshot up to `baseIndex`, then entries.
  * Invariants: entries are contiguous from baseIndex + 1; `syncedIndex` never passes what would
  * survive a loss of power; `term` and `vote` are synced before the promise that sets them resolves.
  */
@@ -14,7 +14,7 @@
   #entries: Entry[] = [];
   baseIndex = 0;
   baseTerm = 0;
-  picture: Uint8Array = new Uint8Array();
+  snapshot: Uint8Array = new Uint8Array();
   term = 0;
   vote = "";
   syncedIndex = 0;
@@ -88,19 +88,19 @@
     );
   }
 
-  /** Puts another's picture in place of everything. */
-  async install(index: number, term: number, picture: Uint8Array): Promise<void> {
+  /** Puts another's snapshot in place of everything. */
+  async install(index: number, term: number, snapshot: Uint8Array): Promise<void> {
     const changes = this.#cutAfter(this.baseIndex);
     this.baseIndex = index;
     this.baseTerm = term;
-    this.picture = picture;
+    this.snapshot = snapshot;
     this.syncedIndex = 0;
-    await this.#disk.write([...changes, this.#pictureChange()]);
+    await this.#disk.write([...changes, this.#snapshotChange()]);
     this.#synced(index, term);
   }
 
-  /** Drops the entries up to an index that the picture now stands for. */
-  compact(index: number, picture: Uint8Array): Promise<void> {
+  /** Drops the entries up to an index that the snapshot now stands for. */
+  compact(index: number, snapshot: Uint8Array): Promise<void> {
     const term = this.termAt(index);
     if (term === undefined || index <= this.baseIndex) return Promise.resolve();
     const changes: DiskChange[] = [];
@@ -108,8 +108,8 @@
     this.#entries = this.#entries.slice(index - this.baseIndex);
     this.baseIndex = index;
     this.baseTerm = term;
-    this.picture = picture;
-    return this.#disk.write([...changes, this.#pictureChange()]);
+    this.snapshot = snapshot;
+    return this.#disk.write([...changes, this.#snapshotChange()]);
   }
 
   /** Takes the whole log off the disk. */
@@ -119,7 +119,7 @@
       .map(({ key }) => ({ key, isRemoved: true as const }));
     this.#entries = [];
     this.baseIndex = this.baseTerm = this.syncedIndex = 0;
-    this.picture = new Uint8Array();
+    this.snapshot = new Uint8Array();
     return this.#disk.write([...changes, this.#meta()]);
   }
 
@@ -155,10 +155,10 @@
     return { key: `${this.group}/m`, value: Buffer.from(JSON.stringify({ term: this.term, vote: this.vote })) };
   }
 
-  #pictureChange(): DiskChange {
+  #snapshotChange(): DiskChange {
     const value = toBinary(
-      PictureSchema,
-      create(PictureSchema, { index: this.baseIndex, indexTerm: this.baseTerm, state: this.picture }),
+      SnapshotSchema,
+      create(SnapshotSchema, { index: this.baseIndex, indexTerm: this.baseTerm, state: this.snapshot }),
     );
     return { key: `${this.group}/p`, value };
   }
@@ -171,18 +171,18 @@
           term: number;
           vote: string;
         });
-      else if (part === "p") this.#loadPicture(value);
+      else if (part === "p") this.#loadSnapshot(value);
       else if (part.startsWith("e/")) this.#entries.push(fromBinary(EntrySchema, value));
     } catch (cause) {
       throw new VError({ name: "DataFolderFault", cause: cause as Error }, "the data folder is damaged at %s", key);
     }
   }
 
-  #loadPicture(value: Uint8Array): void {
-    const picture = fromBinary(PictureSchema, value);
-    this.baseIndex = picture.index;
-    this.baseTerm = picture.indexTerm;
-    this.picture = picture.state;
+  #loadSnapshot(value: Uint8Array): void {
+    const snapshot = fromBinary(SnapshotSchema, value);
+    this.baseIndex = snapshot.index;
+    this.baseTerm = snapshot.indexTerm;
+    this.snapshot = snapshot.state;
   }
 
   /** Says what is wrong with what was loaded, if anything is. */
--- a/packages/core/src/mark/replication.test.ts
+++ b/packages/core/src/replication/replication.test.ts
@@ -2,10 +2,10 @@
 import { create } from "@bufbuild/protobuf";
 import { expect } from "earl";
 import { AppendReceiptSchema, AppendSchema, EntrySchema, type Entry } from "../gen/cranetrack_pb.js";
-import type { Disk, DiskChange } from "../process/disk.js";
-import { Intake } from "./intake.js";
+import type { Disk, DiskChange } from "../storage/disk.js";
+import { FollowerLog } from "./followerLog.js";
 import { ReplicaLog } from "./replicaLog.js";
-import { Spread } from "./spread.js";
+import { LogReplicator } from "./logReplicator.js";
 
 /** A disk whose syncs happen only when told to. */
 class HeldDisk implements Disk {
@@ -42,8 +42,8 @@
 const receipt = (sender: string, match: number, term = 2): ReturnType<typeof create<typeof AppendReceiptSchema>> =>
   create(AppendReceiptSchema, { group: "g", sender, receiver: "a", term, isTaken: true, match, round: 0 });
 
-function spreadOver(log: ReplicaLog, term: number): Spread {
-  return new Spread({ log, clock, self: "a", term, commit: 0, send: () => undefined });
+function spreadOver(log: ReplicaLog, term: number): LogReplicator {
+  return new LogReplicator({ log, clock, self: "a", term, commit: 0, send: () => undefined });
 }
 
 test("an entry counts for its own replica only once it is synced, and commits only on a majority", async () => {
@@ -96,7 +96,7 @@
 test("a replica answers after its disk, refuses lower terms, and cuts off what conflicts", async () => {
   const disk = new HeldDisk();
   const log = new ReplicaLog(disk, "g");
-  const intake = new Intake(
+  const intake = new FollowerLog(
     log,
     "b",
     () => undefined,
@@ -130,7 +130,7 @@
   "entries that do not follow one another, or count in no numbers, are refused and leave the " + "log as it was",
   async () => {
     const log = new ReplicaLog(new HeldDisk(), "g");
-    const intake = new Intake(
+    const intake = new FollowerLog(
       log,
       "b",
       () => undefined,
@@ -159,7 +159,7 @@
 test("within a term, too, a replica answers only after its disk", async () => {
   const disk = new HeldDisk();
   const log = new ReplicaLog(disk, "g");
-  const intake = new Intake(
+  const intake = new FollowerLog(
     log,
     "b",
     () => undefined,
@@ -183,7 +183,7 @@
   const disk = new HeldDisk();
   const log = new ReplicaLog(disk, "g");
   const send = (id: string): void => void sent.push(id);
-  const spread = new Spread({ log, clock: { ...clock, now: () => now }, self: "a", term: 2, commit: 0, send });
+  const spread = new LogReplicator({ log, clock: { ...clock, now: () => now }, self: "a", term: 2, commit: 0, send });
   const beatAt = (time: number): string => {
     now = time;
     sent.length = 0;
@@ -211,7 +211,7 @@
   let now = 0;
   const log = new ReplicaLog(new HeldDisk(), "g");
   const ticking = { ...clock, now: () => now };
-  const spread = new Spread({ log, clock: ticking, self: "a", term: 2, commit: 0, send: () => undefined });
+  const spread = new LogReplicator({ log, clock: ticking, self: "a", term: 2, commit: 0, send: () => undefined });
   spread.enlist([["a", "b", "c"]], []);
   spread.beat();
   now = 400;
@@ -227,7 +227,7 @@
 test("a commit notice commits no more than what this log shares with its term's sender", async () => {
   const commits: number[] = [];
   const log = new ReplicaLog(new HeldDisk(), "g");
-  const intake = new Intake(
+  const intake = new FollowerLog(
     log,
     "b",
     (index) => commits.push(index),
@@ -256,7 +256,7 @@
 test("who has all that is committed is told so once, by an append where one goes out anyway", async () => {
   const disk = new HeldDisk();
   const log = new ReplicaLog(disk, "g");
-  const spread = new Spread({ log, clock, self: "a", term: 2, commit: 0, send: () => undefined });
+  const spread = new LogReplicator({ log, clock, self: "a", term: 2, commit: 0, send: () => undefined });
   spread.enlist([["a", "b", "c"]], []);
   void log.append([entry(1, 2)]).then(() => spread.kick());
   await disk.sync();
--- a/packages/core/src/process/exchange.ts
+++ b/packages/core/src/rpc/rpcEndpoint.ts
@@ -1,7 +1,7 @@
 import { EventEmitter } from "node:events";
 import type { Frame } from "../gen/cranetrack_pb.js";
-import type { Clock, Beat } from "./clock.js";
-import type { Net } from "./net.js";
+import type { Clock, Beat } from "../runtime/clock.js";
+import type { Transport } from "../transport/transport.js";
 import { Wire, type Body, type BodyInit } from "./wire.js";
 
 type Known = Exclude<Body, { case: undefined }>;
@@ -19,13 +19,13 @@
  * Calls and tellings between named processes. A call that is not answered by its due settles
  * with undefined: it may or may not have been carried out.
  */
-export class Exchange extends EventEmitter<{ heard: [name: string]; mute: [name: string] }> {
+export class RpcEndpoint extends EventEmitter<{ heard: [name: string]; mute: [name: string] }> {
   /** How often a mute peer is asked directly, and for how long its answer stands against frames that came round. */
   static readonly probeMs = 400;
   static readonly provenMs = 1500;
 
   readonly name: string;
-  readonly #net: Net;
+  readonly #net: Transport;
   readonly #clock: Clock;
   readonly #served = new Map<string, (body: Body, frame: Frame) => Served>();
   readonly #waiting = new Map<number, Waiting>();
@@ -40,7 +40,7 @@
   addressOf: (name: string) => string | undefined = () => undefined;
   relaysFor: (name: string) => string[] = () => [];
 
-  constructor(name: string, net: Net, clock: Clock) {
+  constructor(name: string, net: Transport, clock: Clock) {
     super();
     this.setMaxListeners(0);
     this.name = name;
@@ -102,12 +102,12 @@
   }
 
   async #probe(name: string): Promise<void> {
-    const answer = await this.call(name, { case: "ping", value: {} }, Exchange.probeMs);
+    const answer = await this.call(name, { case: "ping", value: {} }, RpcEndpoint.probeMs);
     if (answer !== undefined) {
       this.#mute.delete(name);
       this.#proven.set(name, this.#clock.now());
     } else if (this.addressOf(name) === undefined) this.#mute.delete(name);
-    else this.#clock.once(Exchange.probeMs, () => void this.#probe(name));
+    else this.#clock.once(RpcEndpoint.probeMs, () => void this.#probe(name));
   }
 
   #encode(to: string, part: { id: number; isReceipt: boolean; body: BodyInit }): Uint8Array {
@@ -132,7 +132,7 @@
   async #take(frame: Frame): Promise<void> {
     if (frame.to !== "" && frame.to !== this.name) return;
     if (frame.hops === 0) this.emit("heard", frame.from);
-    else if (this.#clock.now() - (this.#proven.get(frame.from) ?? -Infinity) > Exchange.provenMs)
+    else if (this.#clock.now() - (this.#proven.get(frame.from) ?? -Infinity) > RpcEndpoint.provenMs)
       this.#unanswered(frame.from);
     if (frame.body.case === "relay") return this.#carry(frame.body.value.to, frame.body.value.frame);
     if (frame.isReceipt) return this.#waiting.get(frame.id)?.settle(frame.body);
--- a/packages/core/src/process/clusterNode.ts
+++ b/packages/core/src/runtime/clusterNode.ts
@@ -1,23 +1,23 @@
-import { AddressBook } from "./addressBook.js";
-import { Exchange } from "./exchange.js";
-import { FeedFollower, type Change } from "./feedFollower.js";
-import { Groups } from "./groups.js";
-import { Journal } from "./journal.js";
-import { Membership } from "./membership.js";
+import { AddressBook } from "../membership/addressBook.js";
+import { RpcEndpoint } from "../rpc/rpcEndpoint.js";
+import { FeedFollower, type Change } from "../feeds/feedFollower.js";
+import { LogGroups } from "../replication/logGroups.js";
+import { ChangeJournal } from "../feeds/changeJournal.js";
+import { Membership } from "../membership/membership.js";
 import type { NodeParts } from "./nodeParts.js";
-import { MachinesView } from "../mark/machinesView.js";
-import { PlanView } from "../mark/planView.js";
-import { ShardsView } from "../mark/shardsView.js";
-import { StoreClient } from "./storeClient.js";
+import { MachinesView } from "../feeds/machinesView.js";
+import { PlanView } from "../configuration/planView.js";
+import { ShardsView } from "../feeds/shardsView.js";
+import { StoreClient } from "../store/storeClient.js";
 
 /** What every process of the fleet is made of, whatever its role. */
 export class ClusterNode {
   readonly parts: NodeParts;
-  readonly exchange: Exchange;
-  readonly groups: Groups;
+  readonly exchange: RpcEndpoint;
+  readonly groups: LogGroups;
   readonly membership: Membership;
   readonly store: StoreClient;
-  readonly journal = new Journal<Change>();
+  readonly journal = new ChangeJournal<Change>();
   readonly feed: FeedFollower;
   readonly machines: MachinesView;
   readonly plan: PlanView;
@@ -27,8 +27,8 @@
   constructor(parts: NodeParts, prefixes: string[], disk = "") {
     const { settings, clock, net, chance } = parts;
     this.parts = parts;
-    this.exchange = new Exchange(settings.name, net, clock);
-    this.groups = new Groups(this.exchange);
+    this.exchange = new RpcEndpoint(settings.name, net, clock);
+    this.groups = new LogGroups(this.exchange);
     const self = {
       name: settings.name,
       role: settings.role,
--- a/packages/core/src/process/hostChance.ts
+++ b/packages/core/src/runtime/hostRandom.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from "node:crypto";
-import type { Chance } from "./chance.js";
+import type { RandomSource } from "./random.js";
 
-export class HostChance implements Chance {
+export class HostRandom implements RandomSource {
   draw(): number {
     return randomBytes(6).readUIntBE(0, 6) / 2 ** 48;
   }
--- a/packages/core/src/process/logRing.ts
+++ b/packages/core/src/runtime/logBuffer.ts
@@ -7,7 +7,7 @@
  * The last few hundred log lines in memory. They are written out when something goes wrong
  * (`fault`) and otherwise only kept.
  */
-export class LogRing {
+export class LogBuffer {
   readonly #name: string;
   readonly #most: number;
   readonly #write: (text: string) => void;
@@ -24,9 +24,9 @@
     this.#log = Roarr.child({ program: name });
   }
 
-  static toFile(name: string, path: string | undefined): LogRing {
-    if (path === undefined) return new LogRing(name);
-    return new LogRing(name, (text) => appendFileSync(path, text));
+  static toFile(name: string, path: string | undefined): LogBuffer {
+    if (path === undefined) return new LogBuffer(name);
+    return new LogBuffer(name, (text) => appendFileSync(path, text));
   }
 
   note(text: string, context: Context = {}): void {
--- a/packages/core/src/process/nodeParts.ts
+++ b/packages/core/src/runtime/nodeParts.ts
@@ -1,18 +1,18 @@
-import type { Chance } from "./chance.js";
+import type { RandomSource } from "./random.js";
 import type { Clock } from "./clock.js";
-import type { Disk } from "./disk.js";
-import type { LogRing } from "./logRing.js";
-import type { Net } from "./net.js";
+import type { Disk } from "../storage/disk.js";
+import type { LogBuffer } from "./logBuffer.js";
+import type { Transport } from "../transport/transport.js";
 import type { Settings } from "./settings.js";
 
 /** What a program hands its node: the four seams, the settings and the log. */
 export interface NodeParts {
   readonly settings: Settings;
   readonly clock: Clock;
-  readonly net: Net;
+  readonly net: Transport;
   readonly disk: Disk | undefined;
-  readonly chance: Chance;
-  readonly log: LogRing;
+  readonly chance: RandomSource;
+  readonly log: LogBuffer;
   /** Rises with every start of the process under the same name. */
   readonly incarnation: number;
 }
--- a/packages/core/src/process/nodeStatus.ts
+++ b/packages/core/src/runtime/nodeStatus.ts
@@ -1,7 +1,7 @@
-import { ApiReceipts } from "../request/apiReceipt.js";
-import { contractRisks } from "./contractRisks.js";
+import { ApiReplies } from "../http/apiReply.js";
+import { contractRisks } from "../configuration/contractRisks.js";
 import type { ClusterNode } from "./clusterNode.js";
-import type { Router } from "./router.js";
+import type { Router } from "../http/router.js";
 
 interface StatusParts {
   garbled: () => number;
@@ -18,10 +18,10 @@
   constructor(node: ClusterNode, router: Router, parts: StatusParts) {
     this.#node = node;
     this.#parts = parts;
-    router.on("GET", /^\/v1\/status$/, () => ApiReceipts.done(this.status()));
-    router.on("GET", /^\/healthz$/, () => ApiReceipts.done({ health: "alive" }));
+    router.on("GET", /^\/v1\/status$/, () => ApiReplies.done(this.status()));
+    router.on("GET", /^\/healthz$/, () => ApiReplies.done({ health: "alive" }));
     router.on("GET", /^\/readyz$/, () =>
-      parts.isReady() ? ApiReceipts.done({ ready: true }) : ApiReceipts.away("this node does not serve yet", 1),
+      parts.isReady() ? ApiReplies.done({ ready: true }) : ApiReplies.away("this node does not serve yet", 1),
     );
     router.on("GET", /^\/metrics$/, () => ({ status: 200, body: this.#metrics() }));
   }
--- a/packages/core/src/process/programHost.ts
+++ b/packages/core/src/runtime/programHost.ts
@@ -1,15 +1,15 @@
-import type { HttpFront } from "../link/httpFront.js";
+import type { HttpServer } from "../http/httpServer.js";
 import { ClusterNode } from "./clusterNode.js";
-import type { Disk } from "./disk.js";
-import { HostChance } from "./hostChance.js";
+import type { Disk } from "../storage/disk.js";
+import { HostRandom } from "./hostRandom.js";
 import { HostClock } from "./hostClock.js";
-import { LogRing } from "./logRing.js";
+import { LogBuffer } from "./logBuffer.js";
 import { NodeStatus } from "./nodeStatus.js";
-import { Router } from "./router.js";
-import { SealedDisk } from "./sealedDisk.js";
+import { Router } from "../http/router.js";
+import { SealedDisk } from "../storage/sealedDisk.js";
 import type { Settings, SettingsRead } from "./settings.js";
 import { SettingsWatch } from "./settingsWatch.js";
-import { TcpNet } from "./tcpNet.js";
+import { TcpTransport } from "../transport/tcpTransport.js";
 
 /** A server towards callers that a program opens besides the link to its fellows. */
 export interface Front {
@@ -24,7 +24,7 @@
   status(): object;
   isReady(): boolean;
   take?(settings: Settings): void;
-  stream?: ConstructorParameters<typeof HttpFront>[1];
+  stream?: ConstructorParameters<typeof HttpServer>[1];
   fronts?: readonly Front[];
 }
 export interface ProgramParts {
@@ -53,9 +53,9 @@
 
   /** Starts the program with settings that were checked; `watched` is the file that they came from. */
   async start(settings: Settings, watched?: WatchedSettings): Promise<void> {
-    const log = LogRing.toFile(settings.name, settings.log);
+    const log = LogBuffer.toFile(settings.name, settings.log);
     const clock = new HostClock();
-    const net = new TcpNet(settings.address, log, settings.listen);
+    const net = new TcpTransport(settings.address, log, settings.listen);
     const quit = (code: number, text: string): never => {
       log.fault(text);
       process.stderr.write(`${text}\n`);
@@ -69,7 +69,7 @@
       disk = await ProgramHost.#openDisk(settings, log);
       const sealed = disk === undefined ? undefined : new SealedDisk(disk);
       node = new ClusterNode(
-        { settings, clock, net, disk: sealed, chance: new HostChance(), log, incarnation: Date.now() },
+        { settings, clock, net, disk: sealed, chance: new HostRandom(), log, incarnation: Date.now() },
         this.#prefixes,
       );
       router = new Router(node);
@@ -125,20 +125,20 @@
     process.on("SIGINT", () => void stop());
   }
 
-  static async #openDisk({ data, disk, diskMb }: Settings, log: LogRing): Promise<OpenDisk | undefined> {
+  static async #openDisk({ data, disk, diskMb }: Settings, log: LogBuffer): Promise<OpenDisk | undefined> {
     if (data === undefined) return undefined;
     if (disk === "journal") {
-      const { JournalDisk } = await import("./journalDisk.js");
+      const { JournalDisk } = await import("../storage/journalDisk.js");
       const mostBytes = diskMb === undefined ? undefined : diskMb * 1_000_000;
       return JournalDisk.open(data, { mostBytes, onFull: (text) => log.fault(text) });
     }
-    const { LmdbDisk } = await import("./lmdbDisk.js");
+    const { LmdbDisk } = await import("../storage/lmdbDisk.js");
     return new LmdbDisk(data);
   }
 
   static async #httpFront(address: string, router: Router, built: Built): Promise<Front> {
-    const { HttpFront } = await import("../link/httpFront.js");
-    const front = new HttpFront(router, built.stream);
+    const { HttpServer } = await import("../http/httpServer.js");
+    const front = new HttpServer(router, built.stream);
     return { listen: () => front.listen(address), close: () => front.close() };
   }
 }
--- a/packages/core/src/process/sealedDisk.ts
+++ b/packages/core/src/storage/sealedDisk.ts
@@ -1,6 +1,6 @@
 import VError from "verror";
 import type { Disk, DiskChange } from "./disk.js";
-import { Seal } from "./seal.js";
+import { Seal } from "../rpc/seal.js";
 
 /** A disk whose values carry checksums; a damaged one stops the process rather than be believed. */
 export class SealedDisk implements Disk {
--- a/packages/core/src/process/leaseKeeper.ts
+++ b/packages/core/src/store/leaseKeeper.ts
@@ -1,6 +1,6 @@
 import { EventEmitter } from "node:events";
-import type { Chance } from "./chance.js";
-import type { Beat, Clock } from "./clock.js";
+import type { RandomSource } from "../runtime/random.js";
+import type { Beat, Clock } from "../runtime/clock.js";
 import type { StoreChange, StoreClient } from "./storeClient.js";
 
 /**
@@ -14,7 +14,7 @@
 
   readonly #store: Pick<StoreClient, "call">;
   readonly #clock: Clock;
-  readonly #chance: Chance;
+  readonly #chance: RandomSource;
   readonly #name: string;
   readonly #length: number;
   /** Invariant: claims made under `lease` hold only while now() < #until. */
@@ -27,7 +27,7 @@
   /** Leases lost since the start, however it came. */
   losses = 0;
 
-  constructor(name: string, length: number, store: Pick<StoreClient, "call">, clock: Clock, chance: Chance) {
+  constructor(name: string, length: number, store: Pick<StoreClient, "call">, clock: Clock, chance: RandomSource) {
     super();
     this.setMaxListeners(0);
     this.#name = name;
--- a/packages/core/src/process/storeClient.test.ts
+++ b/packages/core/src/store/storeClient.test.ts
@@ -2,10 +2,10 @@
 import { create } from "@bufbuild/protobuf";
 import { expect } from "earl";
 import { GossipSchema, StoreBatchReceiptSchema, StoreReceiptSchema, type Frame } from "../gen/cranetrack_pb.js";
-import { Exchange } from "./exchange.js";
-import { Membership } from "./membership.js";
+import { RpcEndpoint } from "../rpc/rpcEndpoint.js";
+import { Membership } from "../membership/membership.js";
 import { StoreClient } from "./storeClient.js";
-import { Wire, type BodyInit } from "./wire.js";
+import { Wire, type BodyInit } from "../rpc/wire.js";
 
 /** A client of one lathe, the frames that it sent, and the lathe's answers. */
 function client(): {
@@ -30,7 +30,7 @@
     once: (ms: number, ring: () => void) => (ms === 0 && turns.push(ring), { stop: () => undefined }),
     every: () => ({ stop: () => undefined }),
   };
-  const exchange = new Exchange("vise-1", net, clock);
+  const exchange = new RpcEndpoint("vise-1", net, clock);
   const chance = { draw: () => 0, identity: () => "0123456789abcdef" };
   const membership = new Membership({ name: "vise-1" }, [], exchange, clock, chance);
   const lathe = (name: string, address: string, isInStore: boolean): object => ({
--- a/packages/core/src/process/storeClient.ts
+++ b/packages/core/src/store/storeClient.ts
@@ -1,10 +1,10 @@
 import type { StoreReceipt } from "../gen/cranetrack_pb.js";
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import type { StoreCallSchema, TxnSchema } from "../gen/cranetrack_pb.js";
-import type { Clock } from "./clock.js";
-import type { Exchange } from "./exchange.js";
-import type { Membership } from "./membership.js";
-import { Rendezvous } from "./rendezvous.js";
+import type { Clock } from "../runtime/clock.js";
+import type { RpcEndpoint } from "../rpc/rpcEndpoint.js";
+import type { Membership } from "../membership/membership.js";
+import { Rendezvous } from "../membership/rendezvous.js";
 
 export type StoreChange = NonNullable<MessageInitShape<typeof StoreCallSchema>["call"]>;
 export type Outcome = { outcome: string } & Partial<
@@ -24,7 +24,7 @@
   static readonly waitMs = 200;
   static readonly tryMs: Readonly<Record<string, number>> = { txn: 700, renew: 800 };
 
-  readonly #exchange: Exchange;
+  readonly #exchange: RpcEndpoint;
   readonly #membership: Membership;
   readonly #clock: Clock;
   /** The lathe that answered last; only a hint. */
@@ -35,7 +35,7 @@
   /** What is to be asked of a lathe at the end of this turn: one frame for all calls of a kind. */
   readonly #batches = new Map<string, Asked[]>();
 
-  constructor(exchange: Exchange, membership: Membership, clock: Clock) {
+  constructor(exchange: RpcEndpoint, membership: Membership, clock: Clock) {
     this.#exchange = exchange;
     this.#membership = membership;
     this.#clock = clock;
--- a/packages/core/src/link/tcpLink.ts
+++ b/packages/core/src/transport/tcpConnection.ts
@@ -1,13 +1,13 @@
 import type { Socket } from "node:net";
 import type { Frame } from "../gen/cranetrack_pb.js";
-import { Wire, type Envelope } from "../process/wire.js";
+import { Wire, type Envelope } from "../rpc/wire.js";
 
 /**
  * One TCP connection carrying frames, each behind its length in four bytes. Only the first frame and those of other
  * nodes say who sends to whom; the others have the length's highest bit set and the envelope left out. A length of
  * nothing is a ping, and is answered with the same.
  */
-export class TcpLink {
+export class TcpConnection {
   /** Bytes that may wait for a peer that does not read; what comes beyond is dropped, frame by frame. */
   static readonly mostWaiting = 8 * 1024 * 1024;
   /** How often a connection in use is pinged, and how long it may stay silent then. */
@@ -59,11 +59,11 @@
   send(bytes: Uint8Array): void {
     if (this.#isClosed) return;
     // A longer frame than may wait goes out alone.
-    if (this.waiting > 0 && this.waiting + bytes.length > TcpLink.mostWaiting) return void (this.dropped += 1);
+    if (this.waiting > 0 && this.waiting + bytes.length > TcpConnection.mostWaiting) return void (this.dropped += 1);
     const place = Wire.envelopeIn(bytes);
     const envelope = place === undefined ? undefined : bytes.subarray(...place);
     if (envelope !== undefined && this.#sent !== undefined && Buffer.compare(this.#sent, envelope) === 0)
-      this.#put(Wire.shorten(bytes, place!), TcpLink.#short);
+      this.#put(Wire.shorten(bytes, place!), TcpConnection.#short);
     else {
       this.#sent = envelope === undefined ? undefined : Buffer.from(envelope);
       this.#put(bytes, 0);
@@ -97,7 +97,7 @@
 
   #ping(): void {
     const now = performance.now();
-    if (this.#deadline !== undefined || now - this.#pingedAt < TcpLink.pingMs) return;
+    if (this.#deadline !== undefined || now - this.#pingedAt < TcpConnection.pingMs) return;
     this.#pingedAt = now;
     this.#put(new Uint8Array(), 0);
     this.#expect();
@@ -117,7 +117,7 @@
           this.close();
         }
       });
-    }, TcpLink.silentMs);
+    }, TcpConnection.silentMs);
     this.#deadline.unref();
   }
 
@@ -137,8 +137,8 @@
     while (this.#size >= 4 && !this.#isClosed) {
       if (this.#chunks[0]!.length < 4) this.#chunks = [Buffer.concat(this.#chunks)];
       const head = this.#chunks[0]!.readUInt32BE(0);
-      const isShort = head >= TcpLink.#short;
-      const length = isShort ? head - TcpLink.#short : head;
+      const isShort = head >= TcpConnection.#short;
+      const length = isShort ? head - TcpConnection.#short : head;
       if (length > Wire.most || (isShort && this.#read === undefined)) return this.#garble();
       if (this.#size < 4 + length) return;
       const whole = this.#chunks.length === 1 ? this.#chunks[0]! : Buffer.concat(this.#chunks);
--- a/packages/core/src/process/tcpNet.test.ts
+++ b/packages/core/src/transport/tcpTransport.test.ts
@@ -3,10 +3,10 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import type { Frame } from "../gen/cranetrack_pb.js";
-import { LogRing } from "./logRing.js";
-import { TcpNet } from "./tcpNet.js";
-import { TcpLink } from "../link/tcpLink.js";
-import { Wire } from "./wire.js";
+import { LogBuffer } from "../runtime/logBuffer.js";
+import { TcpTransport } from "./tcpTransport.js";
+import { TcpConnection } from "./tcpConnection.js";
+import { Wire } from "../rpc/wire.js";
 
 async function freeAddress(): Promise<string> {
   const server = createServer().listen(0, "127.0.0.1");
@@ -21,9 +21,9 @@
   "a garbled, an oversized and a foreign connection are each closed and counted, and good " + "frames still come",
   async () => {
     const address = await freeAddress();
-    const net = new TcpNet(address, new LogRing("test", () => undefined));
+    const net = new TcpTransport(address, new LogBuffer("test", () => undefined));
     await net.listen();
-    const [host, port] = TcpNet.split(address);
+    const [host, port] = TcpTransport.split(address);
     const wrongs = [
       Buffer.from("GET / HTTP/1.1\r\n\r\n"),
       Buffer.from([0, 0, 0, 5, 1, 2, 3, 4, 5]),
@@ -37,7 +37,7 @@
     }
     expect(net.garbled).toEqual(wrongs.length);
 
-    const sender = new TcpNet(await freeAddress(), new LogRing("test", () => undefined));
+    const sender = new TcpTransport(await freeAddress(), new LogBuffer("test", () => undefined));
     const came = new Promise<Frame>((resolve) => net.onFrame(resolve));
     sender.send(address, Wire.encode({ id: 1, from: "a", body: { case: "ping", value: { about: "hello" } } }));
     expect((await came).from).toEqual("a");
@@ -46,9 +46,9 @@
   },
 );
 
-const pair = async (): Promise<{ sender: TcpNet; receiver: TcpNet; frames: Frame[] }> => {
+const pair = async (): Promise<{ sender: TcpTransport; receiver: TcpTransport; frames: Frame[] }> => {
   const [sender, receiver] = await Promise.all(
-    [0, 1].map(async () => new TcpNet(await freeAddress(), new LogRing("test", () => undefined))),
+    [0, 1].map(async () => new TcpTransport(await freeAddress(), new LogBuffer("test", () => undefined))),
   );
   await receiver!.listen();
   const frames: Frame[] = [];
@@ -93,11 +93,11 @@
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
   const address = `127.0.0.1:${(server.address() as { port: number }).port}`;
-  const sender = new TcpNet(await freeAddress(), new LogRing("test", () => undefined));
+  const sender = new TcpTransport(await freeAddress(), new LogBuffer("test", () => undefined));
   const lost = new Promise<string>((resolve) => sender.onLost(resolve));
   const startedAt = performance.now();
   for (let i = 0; i < 100; i += 1) sender.send(address, ping("x".repeat(1024 * 1024)));
-  expect(sender.waiting(address) <= TcpLink.mostWaiting).toEqual(true);
+  expect(sender.waiting(address) <= TcpConnection.mostWaiting).toEqual(true);
   expect(await lost).toEqual(address);
   const tookMs = performance.now() - startedAt;
   expect([tookMs > 1500, tookMs < 4000, sender.isReachable(address)]).toEqual([true, true, false]);
@@ -107,7 +107,7 @@
 
 test("an address that nobody listens at is lost at once, and tried again after a pause", async () => {
   const address = await freeAddress();
-  const sender = new TcpNet(await freeAddress(), new LogRing("test", () => undefined));
+  const sender = new TcpTransport(await freeAddress(), new LogBuffer("test", () => undefined));
   const lost = (): Promise<string> => new Promise((resolve) => sender.onLost(resolve));
   for (let i = 0; i < 3; i += 1) {
     const heard = lost();
@@ -120,10 +120,10 @@
 
 test("a connection that is reset leaves its address reachable: the next frame opens another", async () => {
   const address = await freeAddress();
-  const [host, port] = TcpNet.split(address);
+  const [host, port] = TcpTransport.split(address);
   const server = createServer().listen(port, host);
   await once(server, "listening");
-  const net = new TcpNet(await freeAddress(), new LogRing("test", () => undefined));
+  const net = new TcpTransport(await freeAddress(), new LogBuffer("test", () => undefined));
   const lost = new Promise<string>((resolve) => net.onLost(resolve));
   net.send(address, ping("one"));
   const [first] = (await once(server, "connection")) as [Socket];
--- a/packages/core/src/process/tcpNet.ts
+++ b/packages/core/src/transport/tcpTransport.ts
@@ -1,11 +1,11 @@
 import { createServer, connect, type Server, type Socket } from "node:net";
 import type { Frame } from "../gen/cranetrack_pb.js";
-import type { LogRing } from "./logRing.js";
-import type { Net } from "./net.js";
-import { TcpLink } from "../link/tcpLink.js";
+import type { LogBuffer } from "../runtime/logBuffer.js";
+import type { Transport } from "./transport.js";
+import { TcpConnection } from "./tcpConnection.js";
 
 /** Frames over held TCP connections: one outward link an address, as many inward as come. */
-export class TcpNet implements Net {
+export class TcpTransport implements Transport {
   static readonly connectDue = 1000;
   /** Pauses between tries to reach an address: the first, doubled with every failure, up to the longest. */
   static readonly pauseMs = 40;
@@ -14,9 +14,9 @@
   readonly address: string;
   readonly #listen: string;
   readonly #server: Server;
-  readonly #log: LogRing;
-  readonly #outward = new Map<string, TcpLink>();
-  readonly #inward = new Set<TcpLink>();
+  readonly #log: LogBuffer;
+  readonly #outward = new Map<string, TcpConnection>();
+  readonly #inward = new Set<TcpConnection>();
   /** Invariant: an address is in here only while the latest try to reach it failed. */
   readonly #unreachable = new Map<string, { tries: number; againAt: number }>();
   #take: (frame: Frame) => void = () => undefined;
@@ -24,7 +24,7 @@
   /** Garbled connections closed since the start. */
   garbled = 0;
 
-  constructor(address: string, log: LogRing, listen = address) {
+  constructor(address: string, log: LogBuffer, listen = address) {
     this.address = address;
     this.#listen = listen;
     this.#log = log;
@@ -33,7 +33,7 @@
   }
 
   listen(): Promise<void> {
-    const [host, port] = TcpNet.split(this.#listen);
+    const [host, port] = TcpTransport.split(this.#listen);
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
       this.#server.listen(port, host, () => resolve());
@@ -84,12 +84,12 @@
     return [address.slice(0, cut), Number(address.slice(cut + 1))];
   }
 
-  #open(address: string): TcpLink {
-    const [host, port] = TcpNet.split(address);
+  #open(address: string): TcpConnection {
+    const [host, port] = TcpTransport.split(address);
     const socket = connect({ host, port, noDelay: true });
-    const link = new TcpLink(socket, (frame) => this.#take(frame), true);
+    const link = new TcpConnection(socket, (frame) => this.#take(frame), true);
     this.#outward.set(address, link);
-    const giveUp = setTimeout(() => link.close(), TcpNet.connectDue);
+    const giveUp = setTimeout(() => link.close(), TcpTransport.connectDue);
     let isConnected = false;
     socket.once("connect", () => {
       clearTimeout(giveUp);
@@ -104,7 +104,7 @@
       // A connection that was there and is reset says nothing of the next one.
       if (isConnected && !link.isSilent) return this.#lost(address);
       const tries = (this.#unreachable.get(address)?.tries ?? 0) + 1;
-      const pause = Math.min(TcpNet.pauseMs * 2 ** (tries - 1), TcpNet.mostPauseMs) * (0.5 + Math.random());
+      const pause = Math.min(TcpTransport.pauseMs * 2 ** (tries - 1), TcpTransport.mostPauseMs) * (0.5 + Math.random());
       this.#unreachable.set(address, { tries, againAt: performance.now() + pause });
       this.#lost(address);
     });
@@ -115,7 +115,7 @@
     socket.setNoDelay(true);
     // An end that is gone without a word is noticed by the machine, sooner or later.
     socket.setKeepAlive(true, 10_000);
-    const link = new TcpLink(socket, (frame) => this.#take(frame), false);
+    const link = new TcpConnection(socket, (frame) => this.#take(frame), false);
     this.#inward.add(link);
     link.onClose((isGarbled) => {
       this.#inward.delete(link);
--- a/packages/core/src/process/net.ts
+++ b/packages/core/src/transport/transport.ts
@@ -4,7 +4,7 @@
  * The net seam: whole frames between addresses, with the manners of a datagram.
  * A frame may be lost, late or doubled; nothing above may rest on its arrival.
  */
-export interface Net {
+export interface Transport {
   readonly address: string;
   send(address: string, bytes: Uint8Array): void;
   /** False while the last tries to reach the address failed. */
--- a/packages/edge/src/process/viseConnections.ts
+++ b/packages/edge/src/connections/edgeConnections.ts
@@ -1,24 +1,24 @@
-import { SessionConnection } from "../connection/sessionConnection.js";
-import type { ClientLink } from "../link/clientLink.js";
-import { countTopic } from "../request/countTopic.js";
-import { AdmitSession } from "../request/admitSession.js";
+import { SessionConnection } from "../sessions/sessionConnection.js";
+import type { ClientLink } from "./clientLink.js";
+import { countTopic } from "../fanout/countTopic.js";
+import { AdmitSession } from "../sessions/admitSession.js";
 import type { Connected, Connections, Counted } from "./connections.js";
-import type { ViseParts } from "./viseParts.js";
+import type { EdgeParts } from "../edgeParts.js";
 
 /** The in-process interface of an edge for fronts that clients connect to. */
-export class ViseConnections implements Connections {
+export class EdgeConnections implements Connections {
   /** How long a connection waits for its session's old owner before it is told when to come back. */
   static readonly patienceMs = 800;
 
-  readonly #vise: ViseParts;
+  readonly #vise: EdgeParts;
 
-  constructor(vise: ViseParts) {
+  constructor(vise: EdgeParts) {
     this.#vise = vise;
   }
 
   async connect(id: string, link: ClientLink): Promise<Connected> {
     if (!AdmitSession.isName(id)) return { outcome: "malformed", reason: "a session's name is malformed" };
-    const admitted = await AdmitSession.run(this.#vise, id, ViseConnections.patienceMs);
+    const admitted = await AdmitSession.run(this.#vise, id, EdgeConnections.patienceMs);
     if (!("session" in admitted)) return { outcome: "away", reason: admitted.reason, comeBack: admitted.comeBack };
     const { session } = admitted;
     if (link.isClosed) return { outcome: "away", reason: "the client is gone", comeBack: 0 };
--- a/packages/edge/src/process/viseCalls.ts
+++ b/packages/edge/src/edgeCalls.ts
@@ -1,26 +1,26 @@
 import { type } from "arktype";
-import { Plans } from "@cranetrack/core/mark/plan.js";
-import type { ApiCall, Router } from "@cranetrack/core/process/router.js";
-import { ApiReceipts, type ApiReceipt } from "@cranetrack/core/request/apiReceipt.js";
-import { BodyReader } from "@cranetrack/core/request/bodyReader.js";
-import type { ClientLink } from "../link/clientLink.js";
-import { enrolLink } from "../request/enrolLink.js";
-import { publishCall } from "../request/publishCall.js";
-import { readOwner } from "../request/readOwner.js";
-import { subscribeTopics } from "../request/subscribeTopics.js";
-import { unsubscribeTopic } from "../request/unsubscribeTopic.js";
-import type { Session } from "./session.js";
-import type { ViseParts } from "./viseParts.js";
+import { Plans } from "@cranetrack/core/configuration/plan.js";
+import type { ApiCall, Router } from "@cranetrack/core/http/router.js";
+import { ApiReplies, type ApiReply } from "@cranetrack/core/http/apiReply.js";
+import { BodyReader } from "@cranetrack/core/http/bodyReader.js";
+import type { ClientLink } from "./connections/clientLink.js";
+import { enrolLink } from "./sessions/enrolLink.js";
+import { publishCall } from "./publishing/publishCall.js";
+import { readOwner } from "./sessions/readOwner.js";
+import { subscribeTopics } from "./subscriptions/subscribeTopics.js";
+import { unsubscribeTopic } from "./subscriptions/unsubscribeTopic.js";
+import type { Session } from "./sessions/session.js";
+import type { EdgeParts } from "./edgeParts.js";
 
 const subscriptionsBody = type({ "+": "reject", topic: "string", "after?": "string" });
 
 /** The calls of an edge's HTTP interface. An edge with fronts of another kind does without them. */
-export class ViseCalls {
+export class EdgeCalls {
   static readonly linkPath = /^\/v1\/sessions\/([^/]+)\/link$/;
 
-  readonly #vise: ViseParts;
+  readonly #vise: EdgeParts;
 
-  constructor(vise: ViseParts, router: Router) {
+  constructor(vise: EdgeParts, router: Router) {
     this.#vise = vise;
     router.on("POST", /^\/v1\/sessions\/([^/]+)\/messages$/, (call) => publishCall(vise, call));
     router.on("POST", /^\/v1\/sessions\/([^/]+)\/subscriptions$/, (call) =>
@@ -31,37 +31,37 @@
     );
   }
 
-  link(id: string, body: Uint8Array, open: () => ClientLink): Promise<ApiReceipt | undefined> {
+  link(id: string, body: Uint8Array, open: () => ClientLink): Promise<ApiReply | undefined> {
     return enrolLink(this.#vise, id, body, open);
   }
 
-  async #subscribe(session: Session, body: Uint8Array): Promise<ApiReceipt> {
+  async #subscribe(session: Session, body: Uint8Array): Promise<ApiReply> {
     const read = BodyReader.read(body, subscriptionsBody);
     if ("receipt" in read) return read.receipt;
     if (!Plans.isTopic(read.value.topic))
-      return ApiReceipts.fault(400, "malformed", "a topic is space/name", {
+      return ApiReplies.fault(400, "malformed", "a topic is space/name", {
         problems: [{ path: "topic", problem: "must be space/name" }],
       });
     if (session.link === undefined)
-      return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
+      return ApiReplies.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
     const faults = await subscribeTopics(this.#vise, session, session.link, [read.value]);
     const fault = faults?.[0];
-    if (faults === undefined) return ApiReceipts.away("the subscriptions could not be kept", 0.5);
-    if (fault === undefined) return ApiReceipts.done({ receipt: "subscribed", topic: read.value.topic });
-    if (fault.comeBack !== undefined) return ApiReceipts.away(fault.reason, fault.comeBack);
+    if (faults === undefined) return ApiReplies.away("the subscriptions could not be kept", 0.5);
+    if (fault === undefined) return ApiReplies.done({ receipt: "subscribed", topic: read.value.topic });
+    if (fault.comeBack !== undefined) return ApiReplies.away(fault.reason, fault.comeBack);
     const status = fault.code === "unknown-topic" ? 404 : fault.code === "malformed-place" ? 400 : 409;
-    return ApiReceipts.fault(status, fault.code, fault.reason);
+    return ApiReplies.fault(status, fault.code, fault.reason);
   }
 
-  async #onOwner(call: ApiCall, act: (session: Session) => Promise<ApiReceipt>): Promise<ApiReceipt> {
+  async #onOwner(call: ApiCall, act: (session: Session) => Promise<ApiReply>): Promise<ApiReply> {
     const session = this.#vise.sessions.find(call.params[0]!);
     if (session !== undefined) return act(session);
     const owner = call.isPassed ? undefined : (await readOwner(this.#vise.node.store, call.params[0]!))?.owner;
     if (owner === undefined || owner.node === "" || owner.node === this.#vise.node.exchange.name)
-      return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
+      return ApiReplies.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
     return (
       (await this.#vise.router.passTo(owner.node, call.method, call.path, call.body)) ??
-      ApiReceipts.unsure("the session's owner did not answer")
+      ApiReplies.unsure("the session's owner did not answer")
     );
   }
 }
--- a/packages/edge/src/process/vise.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -1,17 +1,17 @@
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
-import { LeaseKeeper } from "@cranetrack/core/process/leaseKeeper.js";
-import type { Router } from "@cranetrack/core/process/router.js";
-import type { ClientLink } from "../link/clientLink.js";
-import { SubscriptionKey } from "../mark/subscriptionKey.js";
-import type { Session } from "./session.js";
-import { Sessions } from "./sessions.js";
-import { PlanCheck } from "./planCheck.js";
-import { StreamTable } from "./streamTable.js";
-import type { ViseParts } from "./viseParts.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { Rendezvous } from "@cranetrack/core/membership/rendezvous.js";
+import { LeaseKeeper } from "@cranetrack/core/store/leaseKeeper.js";
+import type { Router } from "@cranetrack/core/http/router.js";
+import type { ClientLink } from "./connections/clientLink.js";
+import { SubscriptionKey } from "./sessions/subscriptionKey.js";
+import type { Session } from "./sessions/session.js";
+import { Sessions } from "./sessions/sessions.js";
+import { PlanCheck } from "./publishing/planCheck.js";
+import { StreamTable } from "./fanout/streamTable.js";
+import type { EdgeParts } from "./edgeParts.js";
 
 /** An edge: clients' links, their sessions, and the topics these need. Keeps nothing on disk. */
-export class Vise implements ViseParts {
+export class EdgeNode implements EdgeParts {
   static readonly outOfTouchMs = 3000;
 
   readonly node: ClusterNode;
@@ -103,7 +103,7 @@
   }
 
   #beat(): void {
-    const isLost = this.node.feed.age > Vise.outOfTouchMs;
+    const isLost = this.node.feed.age > EdgeNode.outOfTouchMs;
     for (const session of this.sessions.table.values()) {
       const { link } = session;
       if (link === undefined) continue;
--- a/packages/edge/src/process/viseParts.ts
+++ b/packages/edge/src/edgeParts.ts
@@ -1,14 +1,14 @@
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import type { LeaseKeeper } from "@cranetrack/core/process/leaseKeeper.js";
-import type { Router } from "@cranetrack/core/process/router.js";
-import type { ClientLink } from "../link/clientLink.js";
-import type { Session } from "./session.js";
-import type { Sessions } from "./sessions.js";
-import type { PlanCheck } from "./planCheck.js";
-import type { StreamTable } from "./streamTable.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { LeaseKeeper } from "@cranetrack/core/store/leaseKeeper.js";
+import type { Router } from "@cranetrack/core/http/router.js";
+import type { ClientLink } from "./connections/clientLink.js";
+import type { Session } from "./sessions/session.js";
+import type { Sessions } from "./sessions/sessions.js";
+import type { PlanCheck } from "./publishing/planCheck.js";
+import type { StreamTable } from "./fanout/streamTable.js";
 
 /** What the requests of an edge work with. */
-export interface ViseParts {
+export interface EdgeParts {
   readonly node: ClusterNode;
   readonly lease: LeaseKeeper;
   readonly sessions: Sessions;
--- a/packages/edge/src/request/countTopic.ts
+++ b/packages/edge/src/fanout/countTopic.ts
@@ -1,4 +1,4 @@
-import type { ViseParts } from "../process/viseParts.js";
+import type { EdgeParts } from "../edgeParts.js";
 
 const mostMs = 1500;
 const callMs = 500;
@@ -9,7 +9,7 @@
   { outcome: "counted"; count: number } | { outcome: "unknown-topic" } | { outcome: "away"; comeBack: number };
 
 /** Subscribers of a topic at all edges, told by the shard's holder, and by the next one while it changes hands. */
-export async function countTopic(vise: ViseParts, topic: string): Promise<Count> {
+export async function countTopic(vise: EdgeParts, topic: string): Promise<Count> {
   const { exchange, shards, parts, plan } = vise.node;
   const end = parts.clock.now() + mostMs;
   for (let left = mostMs; left > 0; left = end - parts.clock.now()) {
--- a/packages/edge/src/request/fetchMessages.ts
+++ b/packages/edge/src/fanout/fetchMessages.ts
@@ -1,6 +1,6 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import type { FetchSchema, StreamMessage } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 
 export interface Fetched {
   outcome: "done" | "trimmed";
--- a/packages/edge/src/process/replicaFollow.ts
+++ b/packages/edge/src/fanout/replicaFollow.ts
@@ -1,7 +1,7 @@
 import type { Push } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
-import { fetchMessages, type Fetched } from "../request/fetchMessages.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { Rendezvous } from "@cranetrack/core/membership/rendezvous.js";
+import { fetchMessages, type Fetched } from "./fetchMessages.js";
 import type { FollowInit, ShardFollow } from "./shardFollow.js";
 import type { StreamTail } from "./streamTail.js";
 
--- a/packages/edge/src/process/shardFollow.test.ts
+++ b/packages/edge/src/fanout/shardFollow.test.ts
@@ -7,8 +7,8 @@
   type Push,
   type StreamMessage,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import type { Body, BodyInit } from "@cranetrack/core/process/wire.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { Body, BodyInit } from "@cranetrack/core/rpc/wire.js";
 import { expect } from "earl";
 import { ShardFollow } from "./shardFollow.js";
 import { StreamTail } from "./streamTail.js";
--- a/packages/edge/src/process/shardFollow.ts
+++ b/packages/edge/src/fanout/shardFollow.ts
@@ -6,8 +6,8 @@
   StreamHead,
   TopicCountSchema,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import { fetchMessages, type Fetched } from "../request/fetchMessages.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { fetchMessages, type Fetched } from "./fetchMessages.js";
 import type { StreamTail } from "./streamTail.js";
 
 export type FollowInit = MessageInitShape<typeof FollowSchema>;
--- a/packages/edge/src/process/streamTable.ts
+++ b/packages/edge/src/fanout/streamTable.ts
@@ -1,10 +1,10 @@
 import type { Push } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Grouped } from "@cranetrack/core/process/grouped.js";
-import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import type { StreamRoute } from "@cranetrack/core/mark/streams.js";
-import { keepsNothing } from "@cranetrack/core/mark/keepsNothing.js";
-import type { Fetched } from "../request/fetchMessages.js";
+import { Grouped } from "@cranetrack/core/store/grouped.js";
+import { Rendezvous } from "@cranetrack/core/membership/rendezvous.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { StreamRoute } from "@cranetrack/core/configuration/streams.js";
+import { keepsNothing } from "@cranetrack/core/configuration/keepsNothing.js";
+import type { Fetched } from "./fetchMessages.js";
 import { ReplicaFollow } from "./replicaFollow.js";
 import { ShardFollow, type CountsOf, type FollowInit } from "./shardFollow.js";
 import { StreamTail } from "./streamTail.js";
--- a/packages/edge/src/process/streamTail.ts
+++ b/packages/edge/src/fanout/streamTail.ts
@@ -1,7 +1,7 @@
 import { EventEmitter } from "node:events";
 import type { StreamMessage } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Streams, type StreamRoute } from "@cranetrack/core/mark/streams.js";
-import { LastNumbers } from "../mark/lastNumbers.js";
+import { Streams, type StreamRoute } from "@cranetrack/core/configuration/streams.js";
+import { LastNumbers } from "./lastNumbers.js";
 
 /**
  * The newest messages of a stream that this edge has heard of, shared by all its links.
--- a/packages/edge/src/process/planCheck.ts
+++ b/packages/edge/src/publishing/planCheck.ts
@@ -1,6 +1,6 @@
-import { PlanKey } from "@cranetrack/core/mark/planKey.js";
-import type { StoreClient } from "@cranetrack/core/process/storeClient.js";
-import type { TopicFault } from "../mark/topicFault.js";
+import { PlanKey } from "@cranetrack/core/keys/configurationKey.js";
+import type { StoreClient } from "@cranetrack/core/store/storeClient.js";
+import type { TopicFault } from "./topicFault.js";
 
 /**
  * Whether a space that this edge has not heard of is unknown: the store is asked, for an edge refuses nothing
--- a/packages/edge/src/request/publishCall.ts
+++ b/packages/edge/src/publishing/publishCall.ts
@@ -1,11 +1,11 @@
 import { type } from "arktype";
-import { Plans } from "@cranetrack/core/mark/plan.js";
-import type { ApiCall } from "@cranetrack/core/process/router.js";
-import { ApiReceipts, type ApiReceipt } from "@cranetrack/core/request/apiReceipt.js";
-import { BodyReader } from "@cranetrack/core/request/bodyReader.js";
-import type { ViseParts } from "../process/viseParts.js";
+import { Plans } from "@cranetrack/core/configuration/plan.js";
+import type { ApiCall } from "@cranetrack/core/http/router.js";
+import { ApiReplies, type ApiReply } from "@cranetrack/core/http/apiReply.js";
+import { BodyReader } from "@cranetrack/core/http/bodyReader.js";
+import type { EdgeParts } from "../edgeParts.js";
 import { publishDue, publishMessage } from "./publishMessage.js";
-import { readOwner } from "./readOwner.js";
+import { readOwner } from "../sessions/readOwner.js";
 
 const messageBody = type({
   "+": "reject",
@@ -21,12 +21,12 @@
 };
 
 /** A publish over HTTP, from its body to its receipt. */
-export async function publishCall(vise: ViseParts, call: ApiCall): Promise<ApiReceipt> {
+export async function publishCall(vise: EdgeParts, call: ApiCall): Promise<ApiReply> {
   const read = BodyReader.read(call.body, messageBody);
   if ("receipt" in read) return read.receipt;
   const { topic, number, payload } = read.value;
   if (!Plans.isTopic(topic))
-    return ApiReceipts.fault(400, "malformed", "a topic is space/name", {
+    return ApiReplies.fault(400, "malformed", "a topic is space/name", {
       problems: [{ path: "topic", problem: "must be space/name" }],
     });
   const session = vise.sessions.find(call.params[0]!);
@@ -34,24 +34,24 @@
   const answer = await publishMessage(vise, session, topic, number, payload);
   switch (answer.outcome) {
     case "accepted":
-      return ApiReceipts.done({ receipt: "accepted", topic, number, place: answer.place });
+      return ApiReplies.done({ receipt: "accepted", topic, number, place: answer.place });
     case "refused":
-      return ApiReceipts.fault(statuses[answer.code] ?? 409, answer.code, answer.reason, {
+      return ApiReplies.fault(statuses[answer.code] ?? 409, answer.code, answer.reason, {
         details: { receipt: "refused" },
       });
     case "unsure":
-      return ApiReceipts.unsure(answer.reason, answer.comeBack);
+      return ApiReplies.unsure(answer.reason, answer.comeBack);
     default:
-      return ApiReceipts.away(answer.reason, answer.comeBack, answer.code ?? "unavailable");
+      return ApiReplies.away(answer.reason, answer.comeBack, answer.code ?? "unavailable");
   }
 }
 
 /** The call came in at a node that does not own the session. */
-async function passOn(vise: ViseParts, id: string, topic: string, call: ApiCall): Promise<ApiReceipt> {
+async function passOn(vise: EdgeParts, id: string, topic: string, call: ApiCall): Promise<ApiReply> {
   const owner = call.isPassed ? undefined : (await readOwner(vise.node.store, id))?.owner;
   if (owner === undefined || owner.node === "" || owner.node === vise.node.exchange.name)
-    return ApiReceipts.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
+    return ApiReplies.fault(409, "no-link", "this session has no link; open one first", { comeBack: 0.3 });
   const due = 1.4 * publishDue(vise, topic);
   const receipt = await vise.router.passTo(owner.node, "POST", call.path, call.body, due);
-  return receipt ?? ApiReceipts.unsure("the session's owner did not answer; the same number again settles it");
+  return receipt ?? ApiReplies.unsure("the session's owner did not answer; the same number again settles it");
 }
--- a/packages/edge/src/request/publishMessage.ts
+++ b/packages/edge/src/publishing/publishMessage.ts
@@ -1,9 +1,9 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
-import { Plans } from "@cranetrack/core/mark/plan.js";
+import { Plans } from "@cranetrack/core/configuration/plan.js";
 import type { PublishReceipt, PublishSchema } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Places } from "../mark/place.js";
-import type { Session } from "../process/session.js";
-import type { ViseParts } from "../process/viseParts.js";
+import { Places } from "../subscriptions/place.js";
+import type { Session } from "../sessions/session.js";
+import type { EdgeParts } from "../edgeParts.js";
 
 /** How long a free shard is waited for, and a holder that does not serve yet. */
 const claimMs = 300;
@@ -18,7 +18,7 @@
 
 /** One publish of an owned session, to its final answer. The shard's holder alone judges it. */
 export async function publishMessage(
-  vise: ViseParts,
+  vise: EdgeParts,
   session: Session,
   topic: string,
   number: number,
@@ -56,13 +56,13 @@
 }
 
 /** How long a publish may take: its space's deadline is its callers', who must hear the answer well before it. */
-export function publishDue(vise: ViseParts, topic: string): number {
+export function publishDue(vise: EdgeParts, topic: string): number {
   const { deadlineMs = Infinity } = Plans.spaceOf(vise.node.plan.plan, topic) ?? {};
   return Math.min(vise.publishDue, deadlineMs / 2);
 }
 
 /** A shard that has just become free is claimed in a moment. */
-async function isHeld(vise: ViseParts, shard: number, end: number): Promise<boolean> {
+async function isHeld(vise: EdgeParts, shard: number, end: number): Promise<boolean> {
   const { shards, parts } = vise.node;
   const left = Math.max(0, end - parts.clock.now());
   if (shards.find(shard).holder === "") await shards.moved(shard, "", parts.clock, Math.min(claimMs, left));
@@ -74,7 +74,7 @@
  * makes it the same message to both. Undefined where nobody answered; "mute" where nothing was handed over.
  */
 async function atHolder(
-  vise: ViseParts,
+  vise: EdgeParts,
   shard: number,
   end: number,
   publish: MessageInitShape<typeof PublishSchema>,
--- a/packages/edge/src/request/admitSession.ts
+++ b/packages/edge/src/sessions/admitSession.ts
@@ -1,6 +1,6 @@
-import type { ClientLink } from "../link/clientLink.js";
-import type { Session } from "../process/session.js";
-import type { ViseParts } from "../process/viseParts.js";
+import type { ClientLink } from "../connections/clientLink.js";
+import type { Session } from "./session.js";
+import type { EdgeParts } from "../edgeParts.js";
 
 export type Admitted = { session: Session } | { reason: string; comeBack: number; code: string };
 
@@ -15,7 +15,7 @@
   },
 
   /** Makes this node the session's owner, or says when to come back; waits up to `patience` ms for what it lacks. */
-  async run(vise: ViseParts, id: string, patience = 0): Promise<Admitted> {
+  async run(vise: EdgeParts, id: string, patience = 0): Promise<Admitted> {
     const { sessions, node, lease } = vise;
     if (vise.isDraining) return { reason: "this node is stopping", comeBack: 0.2, code: "stopping" };
     const end = node.parts.clock.now() + patience;
@@ -38,7 +38,7 @@
   },
 
   /** Ties a connection to its session in place of an older one. */
-  tie(vise: ViseParts, session: Session, link: ClientLink): void {
+  tie(vise: EdgeParts, session: Session, link: ClientLink): void {
     const { clock } = vise.node.parts;
     session.unlink("replaced by a newer link", 0, clock.now());
     session.link = link;
--- a/packages/edge/src/request/enrolLink.ts
+++ b/packages/edge/src/sessions/enrolLink.ts
@@ -1,14 +1,14 @@
 import { type } from "arktype";
-import { Plans } from "@cranetrack/core/mark/plan.js";
-import { ApiReceipts, type ApiReceipt } from "@cranetrack/core/request/apiReceipt.js";
-import { BodyReader } from "@cranetrack/core/request/bodyReader.js";
-import type { ClientLink } from "../link/clientLink.js";
-import { Places } from "../mark/place.js";
-import type { Session } from "../process/session.js";
-import type { ViseParts } from "../process/viseParts.js";
+import { Plans } from "@cranetrack/core/configuration/plan.js";
+import { ApiReplies, type ApiReply } from "@cranetrack/core/http/apiReply.js";
+import { BodyReader } from "@cranetrack/core/http/bodyReader.js";
+import type { ClientLink } from "../connections/clientLink.js";
+import { Places } from "../subscriptions/place.js";
+import type { Session } from "./session.js";
+import type { EdgeParts } from "../edgeParts.js";
 import { AdmitSession } from "./admitSession.js";
-import type { Wish } from "./findStarts.js";
-import { subscribeTopics } from "./subscribeTopics.js";
+import type { Wish } from "../subscriptions/findStarts.js";
+import { subscribeTopics } from "../subscriptions/subscribeTopics.js";
 
 const linkBody = type({
   "+": "reject",
@@ -17,13 +17,13 @@
 
 /** A client's long connection, new or resumed, from its request to its confirmed subscriptions. */
 export async function enrolLink(
-  vise: ViseParts,
+  vise: EdgeParts,
   id: string,
   body: Uint8Array,
   open: () => ClientLink,
-): Promise<ApiReceipt | undefined> {
+): Promise<ApiReply | undefined> {
   if (!AdmitSession.isName(id))
-    return ApiReceipts.fault(
+    return ApiReplies.fault(
       400,
       "malformed",
       "a session is named by 1 to 64 letters, digits, dots, dashes and underscores",
@@ -33,11 +33,11 @@
   if ("receipt" in read) return read.receipt;
   const faulty = (read.value.subscriptions ?? []).findIndex((wish) => !Plans.isTopic(wish.topic));
   if (faulty !== -1)
-    return ApiReceipts.fault(400, "malformed", "a topic is space/name", {
+    return ApiReplies.fault(400, "malformed", "a topic is space/name", {
       problems: [{ path: `subscriptions.${faulty}.topic`, problem: "must be space/name" }],
     });
   const admitted = await AdmitSession.run(vise, id);
-  if (!("session" in admitted)) return ApiReceipts.away(admitted.reason, admitted.comeBack, admitted.code);
+  if (!("session" in admitted)) return ApiReplies.away(admitted.reason, admitted.comeBack, admitted.code);
   const { session } = admitted;
   const link = open();
   AdmitSession.tie(vise, session, link);
--- a/packages/edge/src/mark/ownerKey.ts
+++ b/packages/edge/src/sessions/ownerKey.ts
@@ -1,4 +1,4 @@
-import { JsonValue } from "@cranetrack/core/mark/jsonValue.js";
+import { JsonValue } from "@cranetrack/core/keys/jsonValue.js";
 
 export interface OwnerRecord {
   node: string;
--- a/packages/edge/src/request/readOwner.ts
+++ b/packages/edge/src/sessions/readOwner.ts
@@ -1,6 +1,6 @@
 import type { Kv } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { StoreClient } from "@cranetrack/core/process/storeClient.js";
-import { OwnerKey, type OwnerRecord } from "../mark/ownerKey.js";
+import type { StoreClient } from "@cranetrack/core/store/storeClient.js";
+import { OwnerKey, type OwnerRecord } from "./ownerKey.js";
 
 export type Owner = OwnerRecord & { revision: number; leaseLeft: number };
 
--- a/packages/edge/src/process/session.ts
+++ b/packages/edge/src/sessions/session.ts
@@ -1,7 +1,7 @@
-import type { ClientLink } from "../link/clientLink.js";
-import type { StreamCursor } from "../link/streamCursor.js";
-import type { Place } from "../mark/place.js";
-import { PublishNumbers } from "../mark/publishNumbers.js";
+import type { ClientLink } from "../connections/clientLink.js";
+import type { StreamCursor } from "../subscriptions/streamCursor.js";
+import type { Place } from "../subscriptions/place.js";
+import { PublishNumbers } from "../publishing/publishNumbers.js";
 
 /**
  * What the owner of a client's session holds: the publish numbers accepted, the publishes not yet
--- a/packages/edge/src/connection/sessionConnection.ts
+++ b/packages/edge/src/sessions/sessionConnection.ts
@@ -1,13 +1,13 @@
-import { Plans } from "@cranetrack/core/mark/plan.js";
-import type { ClientLink } from "../link/clientLink.js";
-import { Places } from "../mark/place.js";
-import type { TopicFault } from "../mark/topicFault.js";
-import type { Connection, Subscribed } from "../process/connections.js";
-import type { Session } from "../process/session.js";
-import type { ViseParts } from "../process/viseParts.js";
-import { findStarts, type Start } from "../request/findStarts.js";
-import { joinStreams } from "../request/joinStreams.js";
-import { publishMessage, type PublishOutcome } from "../request/publishMessage.js";
+import { Plans } from "@cranetrack/core/configuration/plan.js";
+import type { ClientLink } from "../connections/clientLink.js";
+import { Places } from "../subscriptions/place.js";
+import type { TopicFault } from "../publishing/topicFault.js";
+import type { Connection, Subscribed } from "../connections/connections.js";
+import type { Session } from "./session.js";
+import type { EdgeParts } from "../edgeParts.js";
+import { findStarts, type Start } from "../subscriptions/findStarts.js";
+import { joinStreams } from "../subscriptions/joinStreams.js";
+import { publishMessage, type PublishOutcome } from "../publishing/publishMessage.js";
 
 interface Asked {
   topic: string;
@@ -22,13 +22,13 @@
  * looked up together; nothing of a topic is delivered in the turn in which its subscription is confirmed.
  */
 export class SessionConnection implements Connection {
-  readonly #vise: ViseParts;
+  readonly #vise: EdgeParts;
   readonly #session: Session;
   readonly #link: ClientLink;
   readonly #pending = new Map<string, Promise<Subscribed>>();
   #asked: Asked[] = [];
 
-  constructor(vise: ViseParts, session: Session, link: ClientLink) {
+  constructor(vise: EdgeParts, session: Session, link: ClientLink) {
     this.#vise = vise;
     this.#session = session;
     this.#link = link;
--- a/packages/edge/src/process/sessions.ts
+++ b/packages/edge/src/sessions/sessions.ts
@@ -1,11 +1,11 @@
 import { EventEmitter } from "node:events";
 import type { Kv, Pull, PullReceipt } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import type { LeaseKeeper } from "@cranetrack/core/process/leaseKeeper.js";
-import type { Body, BodyInit } from "@cranetrack/core/process/wire.js";
-import { OwnerKey } from "../mark/ownerKey.js";
-import { SubscriptionKey } from "../mark/subscriptionKey.js";
-import { readOwner, type Owner } from "../request/readOwner.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { LeaseKeeper } from "@cranetrack/core/store/leaseKeeper.js";
+import type { Body, BodyInit } from "@cranetrack/core/rpc/wire.js";
+import { OwnerKey } from "./ownerKey.js";
+import { SubscriptionKey } from "./subscriptionKey.js";
+import { readOwner, type Owner } from "./readOwner.js";
 import { Session } from "./session.js";
 
 export type Claimed = { session: Session } | { comeBack: number; reason: string };
--- a/packages/edge/src/mark/subscriptionKey.ts
+++ b/packages/edge/src/sessions/subscriptionKey.ts
@@ -1,4 +1,4 @@
-import { Places, type Place } from "./place.js";
+import { Places, type Place } from "../subscriptions/place.js";
 
 /** The keys of a session's subscriptions: each topic with the place from which it is owed. */
 export const SubscriptionKey = {
--- a/packages/edge/src/request/askStarts.ts
+++ b/packages/edge/src/subscriptions/askStarts.ts
@@ -1,6 +1,6 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import type { TopicPlaceSchema, TopicStart } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { ViseParts } from "../process/viseParts.js";
+import type { EdgeParts } from "../edgeParts.js";
 
 const mostMs = 1500;
 const callMs = 700;
@@ -8,7 +8,7 @@
 
 /** Asks a shard's holder for starts, and whoever holds it next while it changes hands; undefined where none can. */
 export async function askStarts(
-  vise: ViseParts,
+  vise: EdgeParts,
   shard: number,
   places: Array<MessageInitShape<typeof TopicPlaceSchema>>,
 ): Promise<Map<string, TopicStart> | undefined> {
--- a/packages/edge/src/request/findStarts.ts
+++ b/packages/edge/src/subscriptions/findStarts.ts
@@ -1,12 +1,12 @@
-import { Grouped } from "@cranetrack/core/process/grouped.js";
+import { Grouped } from "@cranetrack/core/store/grouped.js";
 import type { TopicStart } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Plans } from "@cranetrack/core/mark/plan.js";
-import type { StreamRoute } from "@cranetrack/core/mark/streams.js";
-import { Places, type Place } from "../mark/place.js";
-import type { TopicFault } from "../mark/topicFault.js";
-import type { Session } from "../process/session.js";
-import type { StreamTail } from "../process/streamTail.js";
-import type { ViseParts } from "../process/viseParts.js";
+import { Plans } from "@cranetrack/core/configuration/plan.js";
+import type { StreamRoute } from "@cranetrack/core/configuration/streams.js";
+import { Places, type Place } from "./place.js";
+import type { TopicFault } from "../publishing/topicFault.js";
+import type { Session } from "../sessions/session.js";
+import type { StreamTail } from "../fanout/streamTail.js";
+import type { EdgeParts } from "../edgeParts.js";
 import { askStarts } from "./askStarts.js";
 
 const knownMs = 600;
@@ -36,7 +36,7 @@
  * stream's holder, never by what this edge has cached. Each start comes with a taken tail, to be left again.
  */
 export async function findStarts(
-  vise: ViseParts,
+  vise: EdgeParts,
   session: Session,
   wishes: readonly Wish[],
 ): Promise<{ starts: Start[]; faults: TopicFault[] }> {
@@ -75,14 +75,14 @@
 }
 
 /** What the tail shows by itself: a place it has passed in the same birth, of a topic that the plan owes. */
-function heardStart(vise: ViseParts, { topic, tail, place }: Routed): Start | undefined {
+function heardStart(vise: EdgeParts, { topic, tail, place }: Routed): Start | undefined {
   if (!tail.isKnown || Plans.owed(vise.node.plan.plan, topic) === undefined) return undefined;
   if (place === undefined) return { topic, tail, place: { birth: tail.birth, seq: tail.head }, expired: "" };
   const isHeard = place.birth === tail.birth && place.seq >= tail.low && place.seq <= tail.head;
   return isHeard ? { topic, tail, place, expired: "" } : undefined;
 }
 
-async function judge(vise: ViseParts, unsure: readonly Routed[]): Promise<Array<Start | TopicFault>> {
+async function judge(vise: EdgeParts, unsure: readonly Routed[]): Promise<Array<Start | TopicFault>> {
   const shards = Grouped.by(unsure, ({ tail }) => tail.shard);
   const judged = await Promise.all(
     [...shards].map(async ([shard, list]) => {
--- a/packages/edge/src/request/joinStreams.ts
+++ b/packages/edge/src/subscriptions/joinStreams.ts
@@ -1,8 +1,8 @@
-import { Grouped } from "@cranetrack/core/process/grouped.js";
-import type { ClientLink } from "../link/clientLink.js";
-import { StreamCursor } from "../link/streamCursor.js";
-import type { Session } from "../process/session.js";
-import type { ViseParts } from "../process/viseParts.js";
+import { Grouped } from "@cranetrack/core/store/grouped.js";
+import type { ClientLink } from "../connections/clientLink.js";
+import { StreamCursor } from "./streamCursor.js";
+import type { Session } from "../sessions/session.js";
+import type { EdgeParts } from "../edgeParts.js";
 import type { Start } from "./findStarts.js";
 
 /**
@@ -10,7 +10,7 @@
  * that what they missed comes in the stream's order. Tells of each topic before anything of it is delivered.
  */
 export function joinStreams(
-  vise: ViseParts,
+  vise: EdgeParts,
   session: Session,
   link: ClientLink,
   starts: readonly Start[],
--- a/packages/edge/src/link/streamCursor.ts
+++ b/packages/edge/src/subscriptions/streamCursor.ts
@@ -1,10 +1,10 @@
 import type { StreamMessage } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Plans, type Plan } from "@cranetrack/core/mark/plan.js";
-import type { Beat, Clock } from "@cranetrack/core/process/clock.js";
-import { Places, type Place } from "../mark/place.js";
-import type { StreamTable } from "../process/streamTable.js";
-import type { StreamTail } from "../process/streamTail.js";
-import type { ClientLink } from "./clientLink.js";
+import { Plans, type Plan } from "@cranetrack/core/configuration/plan.js";
+import type { Beat, Clock } from "@cranetrack/core/runtime/clock.js";
+import { Places, type Place } from "./place.js";
+import type { StreamTable } from "../fanout/streamTable.js";
+import type { StreamTail } from "../fanout/streamTail.js";
+import type { ClientLink } from "../connections/clientLink.js";
 
 interface CursorParts {
   table: StreamTable;
--- a/packages/edge/src/request/subscribeTopics.ts
+++ b/packages/edge/src/subscriptions/subscribeTopics.ts
@@ -1,12 +1,12 @@
-import { Plans } from "@cranetrack/core/mark/plan.js";
-import type { ClientLink } from "../link/clientLink.js";
-import type { StreamCursor } from "../link/streamCursor.js";
-import { OwnerKey } from "../mark/ownerKey.js";
-import { Places } from "../mark/place.js";
-import { SubscriptionKey } from "../mark/subscriptionKey.js";
-import type { TopicFault } from "../mark/topicFault.js";
-import type { Session } from "../process/session.js";
-import type { ViseParts } from "../process/viseParts.js";
+import { Plans } from "@cranetrack/core/configuration/plan.js";
+import type { ClientLink } from "../connections/clientLink.js";
+import type { StreamCursor } from "./streamCursor.js";
+import { OwnerKey } from "../sessions/ownerKey.js";
+import { Places } from "./place.js";
+import { SubscriptionKey } from "../sessions/subscriptionKey.js";
+import type { TopicFault } from "../publishing/topicFault.js";
+import type { Session } from "../sessions/session.js";
+import type { EdgeParts } from "../edgeParts.js";
 import { findStarts, type Start, type Wish } from "./findStarts.js";
 import { joinStreams } from "./joinStreams.js";
 
@@ -16,7 +16,7 @@
  * topic alone; undefined where the link had to be closed.
  */
 export async function subscribeTopics(
-  vise: ViseParts,
+  vise: EdgeParts,
   session: Session,
   link: ClientLink,
   wishes: readonly Wish[],
@@ -50,7 +50,7 @@
 }
 
 /** The keys, which only the session's owner may write. */
-async function keep(vise: ViseParts, session: Session, starts: readonly Start[]): Promise<boolean> {
+async function keep(vise: EdgeParts, session: Session, starts: readonly Start[]): Promise<boolean> {
   const lease = SubscriptionKey.leaseOf(session.id);
   const checks = [{ key: OwnerKey.of(session.id), revision: session.epoch }];
   const puts = starts.map(({ topic, place }) => {
--- a/packages/edge/src/vise.ts
+++ b/packages/edge/src/vise.ts
@@ -1,12 +1,12 @@
 #!/usr/bin/env node
-import { Program } from "@cranetrack/core/process/program.js";
-import { HttpLink } from "./link/httpLink.js";
-import { Vise } from "./process/vise.js";
-import { ViseCalls } from "./process/viseCalls.js";
+import { Program } from "@cranetrack/core/runtime/program.js";
+import { HttpLink } from "./connections/httpLink.js";
+import { EdgeNode } from "./edgeNode.js";
+import { EdgeCalls } from "./edgeCalls.js";
 
 await new Program("vise", ["plan", "shards/"], ({ node, router }) => {
-  const vise = new Vise(node, router);
-  const calls = new ViseCalls(vise, router);
+  const vise = new EdgeNode(node, router);
+  const calls = new EdgeCalls(vise, router);
   return {
     load: () => undefined,
     start: () => vise.start(),
@@ -15,9 +15,9 @@
     status: () => vise.status(),
     take: ({ mostLinks, bufferBytes }) => Object.assign(vise.live, { mostLinks, bufferBytes }),
     stream: {
-      pattern: ViseCalls.linkPath,
+      pattern: EdgeCalls.linkPath,
       open: (path, body, reply) =>
-        calls.link(decodeURIComponent(ViseCalls.linkPath.exec(path)![1]!), body, () => {
+        calls.link(decodeURIComponent(EdgeCalls.linkPath.exec(path)![1]!), body, () => {
           reply.hijack();
           return new HttpLink(reply.raw);
         }),
--- a/packages/log-storage/src/anvil.ts
+++ b/packages/log-storage/src/anvil.ts
@@ -1,9 +1,9 @@
 #!/usr/bin/env node
-import { Program } from "@cranetrack/core/process/program.js";
-import { Anvil } from "./process/anvil.js";
+import { Program } from "@cranetrack/core/runtime/program.js";
+import { StorageNode } from "./storageNode.js";
 
 await new Program("anvil", ["plan", "shards/", "machines/"], ({ node, disk }) => {
-  const anvil = new Anvil(node, disk!, false);
+  const anvil = new StorageNode(node, disk!, false);
   return {
     load: () => anvil.load(),
     start: () => anvil.start(),
--- a/packages/log-storage/src/process/fetchFrom.ts
+++ b/packages/log-storage/src/follows/fetchFrom.ts
@@ -1,6 +1,6 @@
 import type { Fetch } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { BodyInit } from "@cranetrack/core/process/wire.js";
-import type { StreamLog } from "../mark/streamLog.js";
+import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
+import type { StreamLog } from "../shards/streamLog.js";
 import { Follows } from "./follows.js";
 
 /** Messages of a committed log after a place, or what was trimmed after it. */
--- a/packages/log-storage/src/process/followerReads.ts
+++ b/packages/log-storage/src/follows/followerReads.ts
@@ -1,13 +1,13 @@
 import { create } from "@bufbuild/protobuf";
 import { StreamHeadSchema, type Fetch, type Follow, type StreamAt } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import type { BodyInit } from "@cranetrack/core/process/wire.js";
-import type { StreamLog } from "../mark/streamLog.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
+import type { StreamLog } from "../shards/streamLog.js";
 import { fetchFrom } from "./fetchFrom.js";
 import { Follows } from "./follows.js";
 import type { PushTurn } from "./pushTurn.js";
-import type { Replica } from "./replica.js";
-import { StreamStandings } from "./streamStandings.js";
+import type { Replica } from "../replication/replica.js";
+import { StreamStandings } from "../shards/streamStandings.js";
 
 /**
  * Follower reads: a replica that does not hold its shard pushes what is committed to edges that are near it.
--- a/packages/log-storage/src/process/follows.test.ts
+++ b/packages/log-storage/src/follows/follows.test.ts
@@ -1,9 +1,9 @@
 import { test } from "node:test";
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import { FollowSchema, StreamMessageSchema, type Push } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import { expect } from "earl";
-import { StreamLog } from "../mark/streamLog.js";
+import { StreamLog } from "../shards/streamLog.js";
 import { Follows } from "./follows.js";
 import type { PushTurn } from "./pushTurn.js";
 
--- a/packages/log-storage/src/process/follows.ts
+++ b/packages/log-storage/src/follows/follows.ts
@@ -8,8 +8,8 @@
   type StreamHead,
   type StreamMessage,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import type { StreamLog } from "../mark/streamLog.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { StreamLog } from "../shards/streamLog.js";
 import type { PushTurn } from "./pushTurn.js";
 
 interface FollowedStream {
--- a/packages/log-storage/src/process/pushTurn.ts
+++ b/packages/log-storage/src/follows/pushTurn.ts
@@ -1,6 +1,6 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import type { PushSchema } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 
 type PushInit = MessageInitShape<typeof PushSchema>;
 
--- a/packages/log-storage/src/process/mender.ts
+++ b/packages/log-storage/src/repair/replicaRepair.ts
@@ -1,11 +1,11 @@
 import type { Member } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { HolderKey } from "@cranetrack/core/mark/holderKey.js";
-import { ReplicasKey } from "@cranetrack/core/mark/replicasKey.js";
-import type { ShardSet } from "@cranetrack/core/mark/shardSet.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
-import type { Holder } from "./holder.js";
-import type { Replica } from "./replica.js";
+import { HolderKey } from "@cranetrack/core/keys/holderKey.js";
+import { ReplicasKey } from "@cranetrack/core/keys/replicasKey.js";
+import type { ShardSet } from "@cranetrack/core/feeds/shardSet.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { Rendezvous } from "@cranetrack/core/membership/rendezvous.js";
+import type { Holder } from "../shards/holder.js";
+import type { Replica } from "../replication/replica.js";
 
 type Place = ShardSet["members"][number];
 interface Move {
@@ -29,7 +29,7 @@
  * Invariants: one member is swapped at a time; the newcomer has everything before it counts; from the
  * moment it may count until the swap is decided, commits need a majority of the old set and of the new.
  */
-export class Mender {
+export class ReplicaRepair {
   static readonly goneMs = 10_000;
   static readonly giveUpMs = 60_000;
   static readonly nearly = 20;
@@ -65,10 +65,10 @@
     const { spread } = this.#holder;
     const { clock } = this.#node.parts;
     if (spread === undefined) return undefined;
-    const isLost = spread.heardAgo(move.in.id) > 3000 || clock.now() - move.startedAt > Mender.giveUpMs;
+    const isLost = spread.heardAgo(move.in.id) > 3000 || clock.now() - move.startedAt > ReplicaRepair.giveUpMs;
     if (isLost && move.step === "copying") return this.#drop();
     if (move.step === "copying") {
-      if (this.#replica.log.lastIndex - spread.matchOf(move.in.id) > Mender.nearly) return undefined;
+      if (this.#replica.log.lastIndex - spread.matchOf(move.in.id) > ReplicaRepair.nearly) return undefined;
       move.step = "joining";
       move.joinedAt = this.#replica.log.lastIndex;
       this.#holder.enlist([this.#holder.set, move.set], []);
@@ -112,7 +112,7 @@
   #leaving(): { place: Place; why: string; mustBeStorage: boolean } | undefined {
     const { members } = this.#holder.set;
     const { membership, machines } = this.#node;
-    const emptied = members.find((member) => machines.isEmptying(member.name));
+    const emptied = members.find((member) => machines.isDraining(member.name));
     if (emptied !== undefined) return { place: emptied, why: "the machine is being emptied", mustBeStorage: false };
     const blank = members.find((member) => {
       const present = membership.find(member.name);
@@ -122,7 +122,7 @@
     });
     if (blank !== undefined)
       return { place: blank, why: "the machine came back with a blank disk", mustBeStorage: false };
-    const gone = members.find((member) => (this.#holder.spread?.heardAgo(member.id) ?? 0) > Mender.goneMs);
+    const gone = members.find((member) => (this.#holder.spread?.heardAgo(member.id) ?? 0) > ReplicaRepair.goneMs);
     if (gone !== undefined) return { place: gone, why: "the replica is gone", mustBeStorage: false };
     const spare = members.find((member) => membership.find(member.name)?.isStorage === false);
     return spare === undefined
@@ -139,7 +139,7 @@
     const free = disks.filter(
       (member) =>
         membership.isAlive(member.name) &&
-        !machines.isEmptying(member.name) &&
+        !machines.isDraining(member.name) &&
         member.shelf !== out.id &&
         !rest.some((one) => one.id === member.shelf || one.name === member.name) &&
         !(hasZones && taken.has(member.zone)),
--- a/packages/log-storage/src/process/commitTurn.ts
+++ b/packages/log-storage/src/replication/commitTurn.ts
@@ -1,7 +1,7 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import type { CommitSchema } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import type { Holder } from "./holder.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { Holder } from "../shards/holder.js";
 
 /**
  * Tells replicas what was committed, without waiting for the next entry: all shards held here, one frame to each
--- a/packages/log-storage/src/process/replica.ts
+++ b/packages/log-storage/src/replication/replica.ts
@@ -1,13 +1,13 @@
 import { EventEmitter } from "node:events";
 import type { Entry, Pledge, ShardPull } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Intake } from "@cranetrack/core/mark/intake.js";
-import { ReplicaLog } from "@cranetrack/core/mark/replicaLog.js";
-import type { Spread } from "@cranetrack/core/mark/spread.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import type { Disk } from "@cranetrack/core/process/disk.js";
-import type { BodyInit } from "@cranetrack/core/process/wire.js";
-import { ShardState } from "../mark/shardState.js";
-import type { Verdict } from "../mark/streamLog.js";
+import { FollowerLog } from "@cranetrack/core/replication/followerLog.js";
+import { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
+import type { LogReplicator } from "@cranetrack/core/replication/logReplicator.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { Disk } from "@cranetrack/core/storage/disk.js";
+import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
+import { ShardState } from "../shards/shardState.js";
+import type { Verdict } from "../shards/streamLog.js";
 
 export interface AppliedEntry {
   entry: Entry;
@@ -31,7 +31,7 @@
   readonly id: string;
   readonly log: ReplicaLog;
   readonly state = new ShardState();
-  readonly #intake: Intake;
+  readonly #intake: FollowerLog;
   readonly #node: ClusterNode;
   applied = 0;
   /** When a holder was last heard, of which epoch, and how far it said the log is committed. */
@@ -39,7 +39,7 @@
   /** Since when something is committed that is not applied here; 0 while all is. */
   #behindSince = 0;
   /** Set while this replica spreads its own log. */
-  spread: Spread | undefined;
+  spread: LogReplicator | undefined;
 
   constructor(shard: number, id: string, disk: Disk, node: ClusterNode) {
     super();
@@ -48,22 +48,22 @@
     this.id = id;
     this.#node = node;
     this.log = new ReplicaLog(disk, `shard${String(shard).padStart(3, "0")}`);
-    this.#intake = new Intake(
+    this.#intake = new FollowerLog(
       this.log,
       id,
       (index) => this.advance(index),
       (index, state) => this.#install(index, state),
       (state) => ShardState.isReadable(state),
     );
-    if (this.log.baseIndex > 0) this.#install(this.log.baseIndex, this.log.picture);
+    if (this.log.baseIndex > 0) this.#install(this.log.baseIndex, this.log.snapshot);
     node.groups.enlist(this.log.group, {
       append: (append, from) =>
         append.receiver === this.id
           ? this.#take(append.term, append.commit, from, () => this.#intake.take(append, this.applied))
           : undefined,
-      picture: (picture, from) =>
-        picture.receiver === this.id
-          ? this.#take(picture.term, picture.index, from, () => this.#intake.takePicture(picture, this.applied))
+      snapshot: (snapshot, from) =>
+        snapshot.receiver === this.id
+          ? this.#take(snapshot.term, snapshot.index, from, () => this.#intake.takeSnapshot(snapshot, this.applied))
           : undefined,
       receipt: (receipt) => {
         if (receipt.receiver === this.id) this.spread?.take(receipt);
@@ -81,7 +81,7 @@
       this.emit("applied", { entry, verdict });
     }
     if (this.log.length > Replica.compactAt && this.applied - this.log.baseIndex > Replica.compactAt / 2)
-      void this.log.compact(this.applied, this.state.picture());
+      void this.log.compact(this.applied, this.state.snapshot());
   }
 
   /** The holder of an epoch says how far the log is committed. */
@@ -124,14 +124,14 @@
     if (pull.epoch !== this.log.term) return undefined;
     const isWhole = pull.after < this.log.baseIndex || this.log.termAt(pull.after) === undefined;
     const after = isWhole ? this.log.baseIndex : pull.after;
-    const picture = isWhole ? this.log.picture : new Uint8Array();
+    const snapshot = isWhole ? this.log.snapshot : new Uint8Array();
     return {
       case: "shardPullReceipt",
       value: {
         isWhole,
         baseIndex: this.log.baseIndex,
         baseTerm: this.log.baseTerm,
-        picture,
+        snapshot,
         entries: this.log.after(after, 16 * 1024 * 1024),
       },
     };
@@ -140,12 +140,12 @@
   /** Takes a better log in place of what this one has after its applied part. */
   async replace(
     isWhole: boolean,
-    base: { index: number; term: number; picture: Uint8Array },
+    base: { index: number; term: number; snapshot: Uint8Array },
     entries: readonly Entry[],
   ): Promise<void> {
     if (isWhole && base.index > this.applied) {
-      const installed = this.log.install(base.index, base.term, base.picture);
-      this.#install(base.index, base.picture);
+      const installed = this.log.install(base.index, base.term, base.snapshot);
+      this.#install(base.index, base.snapshot);
       await installed;
     }
     await this.log.agree((entries[0]?.index ?? this.applied + 1) - 1, entries);
--- a/packages/log-storage/src/process/claims.ts
+++ b/packages/log-storage/src/shards/claims.ts
@@ -1,22 +1,22 @@
-import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import { HolderKey } from "@cranetrack/core/mark/holderKey.js";
-import { ReplicasKey } from "@cranetrack/core/mark/replicasKey.js";
-import type { ShardSet } from "@cranetrack/core/mark/shardSet.js";
-import type { LeaseKeeper } from "@cranetrack/core/process/leaseKeeper.js";
-import { Bench } from "./bench.js";
+import { Rendezvous } from "@cranetrack/core/membership/rendezvous.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { HolderKey } from "@cranetrack/core/keys/holderKey.js";
+import { ReplicasKey } from "@cranetrack/core/keys/replicasKey.js";
+import type { ShardSet } from "@cranetrack/core/feeds/shardSet.js";
+import type { LeaseKeeper } from "@cranetrack/core/store/leaseKeeper.js";
+import { ShardService } from "./shardService.js";
 import { Holder } from "./holder.js";
-import { Mender } from "./mender.js";
-import { CommitTurn } from "./commitTurn.js";
-import type { PushTurn } from "./pushTurn.js";
-import type { Replica } from "./replica.js";
+import { ReplicaRepair } from "../repair/replicaRepair.js";
+import { CommitTurn } from "../replication/commitTurn.js";
+import type { PushTurn } from "../follows/pushTurn.js";
+import type { Replica } from "../replication/replica.js";
 
 interface Claim {
   replica: Replica;
   lease: string;
   holder: Holder;
-  bench: Bench;
-  mender: Mender;
+  bench: ShardService;
+  mender: ReplicaRepair;
 }
 
 /**
@@ -38,7 +38,7 @@
   readonly #mending = new Set<number>();
   readonly #turn: PushTurn;
   readonly #commits: CommitTurn;
-  isEmptying = false;
+  isDraining = false;
 
   constructor(node: ClusterNode, lease: LeaseKeeper, replicas: readonly Replica[], id: string, turn: PushTurn) {
     this.#node = node;
@@ -113,8 +113,8 @@
     if (
       route.holder !== "" ||
       rank === -1 ||
-      this.isEmptying ||
-      this.#node.machines.isEmptying(this.#node.exchange.name)
+      this.isDraining ||
+      this.#node.machines.isDraining(this.#node.exchange.name)
     )
       return void this.#freeSince.delete(shard);
     const now = this.#node.parts.clock.now();
@@ -164,14 +164,20 @@
   async #hold(replica: Replica, set: ShardSet, epoch: number, lease: string): Promise<void> {
     const { shard } = replica;
     const holder = new Holder(replica, set, epoch, this.#node, this.#commits);
-    const bench = new Bench(
+    const bench = new ShardService(
       this.#node,
       replica,
       holder,
       this.#turn,
       () => this.#lease.isHeld && this.#lease.lease === lease,
     );
-    const claim: Claim = { replica, lease, holder, bench, mender: new Mender(this.#node, replica, holder, lease) };
+    const claim: Claim = {
+      replica,
+      lease,
+      holder,
+      bench,
+      mender: new ReplicaRepair(this.#node, replica, holder, lease),
+    };
     this.#claims.set(shard, claim);
     holder.on("over", (why) => void this.#over(shard, claim, why));
     holder.on("serving", () => claim.bench.planChanged());
--- a/packages/log-storage/src/process/holder.ts
+++ b/packages/log-storage/src/shards/holder.ts
@@ -1,12 +1,12 @@
 import { EventEmitter } from "node:events";
 import { create, toBinary, type MessageInitShape } from "@bufbuild/protobuf";
 import { EntrySchema, ShardCommandSchema } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Spread } from "@cranetrack/core/mark/spread.js";
-import type { ShardSet } from "@cranetrack/core/mark/shardSet.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import type { Verdict } from "../mark/streamLog.js";
-import type { CommitTurn } from "./commitTurn.js";
-import type { AppliedEntry, Replica } from "./replica.js";
+import { LogReplicator } from "@cranetrack/core/replication/logReplicator.js";
+import type { ShardSet } from "@cranetrack/core/feeds/shardSet.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { Verdict } from "./streamLog.js";
+import type { CommitTurn } from "../replication/commitTurn.js";
+import type { AppliedEntry, Replica } from "../replication/replica.js";
 
 type CommandInit = NonNullable<MessageInitShape<typeof ShardCommandSchema>["command"]>;
 
@@ -28,7 +28,7 @@
   readonly #startedAt: number;
   #timeBase = 0;
   #set: ShardSet;
-  #spread: Spread | undefined;
+  #spread: LogReplicator | undefined;
   #isServing = false;
   #isOver = false;
   readonly #heed = (applied: AppliedEntry): void => this.#applied(applied);
@@ -61,7 +61,7 @@
     return this.#set;
   }
 
-  get spread(): Spread | undefined {
+  get spread(): LogReplicator | undefined {
     return this.#spread;
   }
 
@@ -149,7 +149,7 @@
   #begin(): void {
     const replica = this.#replica;
     this.#timeBase = replica.state.at;
-    const spread = new Spread({
+    const spread = new LogReplicator({
       log: replica.log,
       clock: this.#node.parts.clock,
       self: replica.id,
@@ -207,8 +207,8 @@
         1500,
       );
       if (body?.case !== "shardPullReceipt" || this.#isOver) return false;
-      const { isWhole, baseIndex, baseTerm, picture, entries } = body.value;
-      await replica.replace(isWhole, { index: baseIndex, term: baseTerm, picture }, entries);
+      const { isWhole, baseIndex, baseTerm, snapshot, entries } = body.value;
+      await replica.replace(isWhole, { index: baseIndex, term: baseTerm, snapshot }, entries);
       if (entries.length === 0 && replica.log.lastIndex < lastIndex) return false;
       after = entries.at(-1)?.index ?? replica.log.lastIndex;
     } while (after < lastIndex);
--- a/packages/log-storage/src/process/memoryStreams.ts
+++ b/packages/log-storage/src/shards/memoryStreams.ts
@@ -1,6 +1,6 @@
 import type { Accept } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Streams } from "@cranetrack/core/mark/streams.js";
-import { StreamLog, type Verdict } from "../mark/streamLog.js";
+import { Streams } from "@cranetrack/core/configuration/streams.js";
+import { StreamLog, type Verdict } from "./streamLog.js";
 
 interface Kept {
   log: StreamLog;
--- a/packages/log-storage/src/mark/publishOutcomes.ts
+++ b/packages/log-storage/src/shards/publishOutcomes.ts
@@ -1,4 +1,4 @@
-import type { BodyInit } from "@cranetrack/core/process/wire.js";
+import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
 import type { Verdict } from "./streamLog.js";
 
 export type PublishOutcome = Extract<BodyInit, { case: "publishReceipt" }>;
--- a/packages/log-storage/src/process/bench.ts
+++ b/packages/log-storage/src/shards/shardService.ts
@@ -12,28 +12,28 @@
   type StartAsk,
   type TrimStreamSchema,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Plans, type Owe, type Plan } from "@cranetrack/core/mark/plan.js";
-import { Streams } from "@cranetrack/core/mark/streams.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
-import type { BodyInit } from "@cranetrack/core/process/wire.js";
-import { HeldBack } from "../mark/heldBack.js";
-import { PublishOutcomes, type PublishOutcome } from "../mark/publishOutcomes.js";
-import { startInMemory, startOf } from "../mark/startOf.js";
-import type { StreamLog, Verdict } from "../mark/streamLog.js";
-import { fetchFrom } from "./fetchFrom.js";
-import { Follows } from "./follows.js";
+import { Plans, type Owe, type Plan } from "@cranetrack/core/configuration/plan.js";
+import { Streams } from "@cranetrack/core/configuration/streams.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { Rendezvous } from "@cranetrack/core/membership/rendezvous.js";
+import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
+import { HeldBack } from "./heldBack.js";
+import { PublishOutcomes, type PublishOutcome } from "./publishOutcomes.js";
+import { startInMemory, startOf } from "./startOf.js";
+import type { StreamLog, Verdict } from "./streamLog.js";
+import { fetchFrom } from "../follows/fetchFrom.js";
+import { Follows } from "../follows/follows.js";
 import type { Holder } from "./holder.js";
 import { MemoryStreams } from "./memoryStreams.js";
-import type { PushTurn } from "./pushTurn.js";
-import type { Replica } from "./replica.js";
+import type { PushTurn } from "../follows/pushTurn.js";
+import type { Replica } from "../replication/replica.js";
 import { StreamStandings } from "./streamStandings.js";
 
 /**
  * What a shard's holder does for edges: judges publishes against the plan, births streams, answers
  * starts, follows and fetches, and trims.
  */
-export class Bench {
+export class ShardService {
   static readonly leastKeepMs = 45_000;
   /** Numbers sent before are known for this long after their session's last one in the topic. */
   static readonly forgetMs = 600_000;
@@ -115,12 +115,12 @@
     const known = this.#knownNow(stream, spaceBirth, publish);
     if (known !== undefined)
       return this.#standings.isInMemory(stream) ? this.#inMemory(stream, known) : PublishOutcomes.of(known);
-    if (this.#holder.occupancy > Bench.mostPending)
+    if (this.#holder.occupancy > ShardService.mostPending)
       return {
         case: "publishReceipt",
         value: { outcome: "busy", code: "busy", reason: "too many publishes are waiting for the disk", comeBack: 0.5 },
       };
-    const refusal = Bench.#refusal(plan, owed, publish);
+    const refusal = ShardService.#refusal(plan, owed, publish);
     const birth = await this.#birthOf(stream, spaceBirth);
     if (birth === undefined || !this.isOpen) return this.#away();
     const accept = create(AcceptSchema, {
@@ -164,7 +164,7 @@
   }
 
   count({ topics }: CountAsk): BodyInit {
-    const isEarly = this.#node.parts.clock.now() - this.#servesSince < Bench.countMs;
+    const isEarly = this.#node.parts.clock.now() - this.#servesSince < ShardService.countMs;
     if (!this.isOpen || isEarly) return { case: "countReceipt", value: { outcome: "away" } };
     const counts = topics.map((topic) => {
       const route = this.#node.plan.route(topic);
@@ -254,7 +254,7 @@
     const now = this.#node.parts.clock.now();
     if (now - this.#tendedAt >= 1000) {
       this.#tendedAt = now;
-      this.#memory.tend(this.#holder.at, Bench.forgetMs, (stream) => this.#follows.isFollowed(stream));
+      this.#memory.tend(this.#holder.at, ShardService.forgetMs, (stream) => this.#follows.isFollowed(stream));
     }
     if (now - this.#trimmedAt < 5000) return;
     this.#trimmedAt = now;
@@ -275,7 +275,7 @@
       const low = old === -1 ? log.head : log.messages[old]!.seq - 1;
       return low > log.low ? [{ stream, birth, low }] : [];
     });
-    const forgetBefore = Math.max(0, at - Bench.forgetMs);
+    const forgetBefore = Math.max(0, at - ShardService.forgetMs);
     if (streams.length === 0 && !state.hasOlder(forgetBefore)) return;
     this.#isTrimming = true;
     await this.#holder.propose({ case: "trim", value: { streams, at, forgetBefore } });
@@ -284,7 +284,7 @@
 
   #keepMs(topic: string): number {
     const owed = Plans.owed(this.#node.plan.plan, topic);
-    return Math.max((owed?.keep ?? 0) * 1000, Bench.leastKeepMs);
+    return Math.max((owed?.keep ?? 0) * 1000, ShardService.leastKeepMs);
   }
 
   #find(stream: string): StreamLog | undefined {
--- a/packages/log-storage/src/mark/shardState.ts
+++ b/packages/log-storage/src/shards/shardState.ts
@@ -1,13 +1,13 @@
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import {
   ShardCommandSchema,
-  ShardPictureSchema,
+  ShardSnapshotSchema,
   type Accept,
   type Birth,
   type ShardCommand,
   type Trim,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Streams } from "@cranetrack/core/mark/streams.js";
+import { Streams } from "@cranetrack/core/configuration/streams.js";
 import { StreamLog, type Verdict } from "./streamLog.js";
 
 /**
@@ -29,21 +29,21 @@
     return this.#apply(command);
   }
 
-  picture(): Uint8Array {
-    const streams = [...this.streams.values()].map((log) => log.picture());
-    return toBinary(ShardPictureSchema, create(ShardPictureSchema, { streams, at: this.at }));
+  snapshot(): Uint8Array {
+    const streams = [...this.streams.values()].map((log) => log.snapshot());
+    return toBinary(ShardSnapshotSchema, create(ShardSnapshotSchema, { streams, at: this.at }));
   }
 
-  static isReadable(picture: Uint8Array): boolean {
+  static isReadable(snapshot: Uint8Array): boolean {
     try {
-      return fromBinary(ShardPictureSchema, picture).at >= 0;
+      return fromBinary(ShardSnapshotSchema, snapshot).at >= 0;
     } catch {
       return false;
     }
   }
 
-  install(picture: Uint8Array): void {
-    const read = fromBinary(ShardPictureSchema, picture);
+  install(snapshot: Uint8Array): void {
+    const read = fromBinary(ShardSnapshotSchema, snapshot);
     this.streams.clear();
     this.at = read.at;
     for (const one of read.streams) this.streams.set(one.stream, StreamLog.from(one));
--- a/packages/log-storage/src/mark/startOf.ts
+++ b/packages/log-storage/src/shards/startOf.ts
@@ -1,6 +1,6 @@
 import { create } from "@bufbuild/protobuf";
 import { TopicStartSchema, type TopicPlace, type TopicStart } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Streams } from "@cranetrack/core/mark/streams.js";
+import { Streams } from "@cranetrack/core/configuration/streams.js";
 import type { StreamLog } from "./streamLog.js";
 
 /** Where a topic's subscription starts, judged by the committed log. Without a place it is the head. */
