--- a/packages/log-storage/src/mark/streamLog.ts
+++ b/packages/log-storage/src/shards/streamLog.ts
@@ -3,9 +3,9 @@
   StreamMessageSchema,
   type Accept,
   type StreamMessage,
-  type StreamPicture,
+  type StreamSnapshot,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Streams } from "@cranetrack/core/mark/streams.js";
+import { Streams } from "@cranetrack/core/configuration/streams.js";
 
 interface Known {
   at: number;
@@ -112,7 +112,7 @@
     }
   }
 
-  picture(): object {
+  snapshot(): object {
     const { stream, birth, head, low, messages } = this;
     const trims = [...this.trims].map(([topic, seq]) => ({ topic, seq }));
     const dedups = [...this.#known].flatMap(([topic, sessions]) =>
@@ -121,13 +121,13 @@
     return { stream, birth, head, low, messages, trims, dedups };
   }
 
-  static from(picture: StreamPicture): StreamLog {
-    const log = new StreamLog(picture.stream, picture.birth);
-    log.head = picture.head;
-    log.low = picture.low;
-    log.messages = picture.messages;
-    for (const { topic, seq } of picture.trims) log.trims.set(topic, seq);
-    for (const { topic, session, at, ownerEpoch, numbers, seqs } of picture.dedups)
+  static from(snapshot: StreamSnapshot): StreamLog {
+    const log = new StreamLog(snapshot.stream, snapshot.birth);
+    log.head = snapshot.head;
+    log.low = snapshot.low;
+    log.messages = snapshot.messages;
+    for (const { topic, seq } of snapshot.trims) log.trims.set(topic, seq);
+    for (const { topic, session, at, ownerEpoch, numbers, seqs } of snapshot.dedups)
       log.#sessions(topic).set(session, { at, ownerEpoch, numbers, seqs });
     return log;
   }
--- a/packages/log-storage/src/process/streamStandings.ts
+++ b/packages/log-storage/src/shards/streamStandings.ts
@@ -1,7 +1,7 @@
-import { keepsNothing } from "@cranetrack/core/mark/keepsNothing.js";
-import { Plans } from "@cranetrack/core/mark/plan.js";
-import { Streams } from "@cranetrack/core/mark/streams.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
+import { keepsNothing } from "@cranetrack/core/configuration/keepsNothing.js";
+import { Plans } from "@cranetrack/core/configuration/plan.js";
+import { Streams } from "@cranetrack/core/configuration/streams.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 
 /** What the plan that this node has taken up says of streams and of births of their spaces. */
 export class StreamStandings {
--- a/packages/log-storage/src/process/anvil.ts
+++ b/packages/log-storage/src/storageNode.ts
@@ -1,17 +1,17 @@
-import { ReplicasKey } from "@cranetrack/core/mark/replicasKey.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import type { Disk } from "@cranetrack/core/process/disk.js";
-import { LeaseKeeper } from "@cranetrack/core/process/leaseKeeper.js";
-import type { BodyInit } from "@cranetrack/core/process/wire.js";
-import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
-import type { Bench } from "./bench.js";
-import { Claims } from "./claims.js";
-import { FollowerReads } from "./followerReads.js";
-import { PushTurn } from "./pushTurn.js";
-import { Replica } from "./replica.js";
+import { ReplicasKey } from "@cranetrack/core/keys/replicasKey.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { Disk } from "@cranetrack/core/storage/disk.js";
+import { LeaseKeeper } from "@cranetrack/core/store/leaseKeeper.js";
+import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
+import { Rendezvous } from "@cranetrack/core/membership/rendezvous.js";
+import type { ShardService } from "./shards/shardService.js";
+import { Claims } from "./shards/claims.js";
+import { FollowerReads } from "./follows/followerReads.js";
+import { PushTurn } from "./follows/pushTurn.js";
+import { Replica } from "./replication/replica.js";
 
 /** The topic logs on one machine's disk. Runs on storage machines, also as a part of lathes. */
-export class Anvil {
+export class StorageNode {
   readonly #node: ClusterNode;
   readonly #disk: Disk;
   readonly #isSpare: boolean;
@@ -123,7 +123,7 @@
   }
 
   async stop(): Promise<void> {
-    if (this.#claims !== undefined) this.#claims.isEmptying = true;
+    if (this.#claims !== undefined) this.#claims.isDraining = true;
     await this.#claims?.releaseAll();
     await this.#lease.end();
   }
@@ -143,7 +143,7 @@
     return { hasLease: this.#lease.isHeld, leasesLost: this.#lease.losses, shelf: this.#id, held };
   }
 
-  #bench(shard: number): Bench | undefined {
+  #bench(shard: number): ShardService | undefined {
     return this.#claims?.find(shard)?.bench;
   }
 
--- a/packages/testkit/src/process/caller.ts
+++ b/packages/testkit/src/callers/caller.ts
@@ -1,6 +1,6 @@
-import type { Beat, Clock } from "@cranetrack/core/process/clock.js";
-import type { CallerPort, PortLink, PortReceipt } from "../link/callerPort.js";
-import type { History } from "../mark/history.js";
+import type { Beat, Clock } from "@cranetrack/core/runtime/clock.js";
+import type { CallerPort, PortLink, PortReceipt } from "./callerPort.js";
+import type { History } from "../checker/history.js";
 
 interface CallerParts {
   session: string;
--- a/packages/testkit/src/mark/capacity.test.ts
+++ b/packages/testkit/src/capacity/capacity.test.ts
@@ -1,8 +1,8 @@
 import { readFileSync } from "node:fs";
 import { test } from "node:test";
 import { expect } from "earl";
-import { SlopeRecord } from "../process/slopes/slopeRecord.js";
-import { slopeRuns } from "../process/slopes/slopeRuns.js";
+import { SlopeRecord } from "../slopes/slopeRecord.js";
+import { slopeRuns } from "../slopes/slopeRuns.js";
 import { Capacity } from "./capacity.js";
 import { targetSize } from "./capacitySize.js";
 import { Slopes } from "./slopes.js";
--- a/packages/testkit/src/mark/checker.ts
+++ b/packages/testkit/src/checker/checker.ts
@@ -1,4 +1,4 @@
-import { Plans, type Owe } from "@cranetrack/core/mark/plan.js";
+import { Plans, type Owe } from "@cranetrack/core/configuration/plan.js";
 import type { Seen } from "./history.js";
 import { OrderGraph } from "./orderGraph.js";
 import { PlanHistory } from "./planHistory.js";
--- a/packages/testkit/src/mark/planHistory.ts
+++ b/packages/testkit/src/checker/planHistory.ts
@@ -1,6 +1,6 @@
-import { Plans, type Owe, type Plan } from "@cranetrack/core/mark/plan.js";
-import { PlanSchema } from "@cranetrack/core/mark/planSchema.js";
-import { Streams } from "@cranetrack/core/mark/streams.js";
+import { Plans, type Owe, type Plan } from "@cranetrack/core/configuration/plan.js";
+import { PlanSchema } from "@cranetrack/core/configuration/planSchema.js";
+import { Streams } from "@cranetrack/core/configuration/streams.js";
 import type { Seen } from "./history.js";
 
 interface Put {
--- a/packages/testkit/src/mark/deployments.ts
+++ b/packages/testkit/src/fleet/deployments.ts
@@ -1,5 +1,5 @@
-import type { Settings } from "@cranetrack/core/process/settings.js";
-import type { Plan } from "@cranetrack/core/mark/plan.js";
+import type { Settings } from "@cranetrack/core/runtime/settings.js";
+import type { Plan } from "@cranetrack/core/configuration/plan.js";
 
 export interface Machine {
   name: string;
--- a/packages/testkit/src/process/drill.ts
+++ b/packages/testkit/src/fleet/drill.ts
@@ -1,5 +1,5 @@
-import { Lateness } from "../mark/lateness.js";
-import type { Seen } from "../mark/history.js";
+import { Lateness } from "../checker/lateness.js";
+import type { Seen } from "../checker/history.js";
 import type { Fleet } from "./fleet.js";
 import type { Load } from "./load.js";
 import type { Probe } from "./probe.js";
@@ -177,7 +177,7 @@
     for (;;) {
       for (const name of this.#fleet.withRole("lathe")) {
         const { body } = await this.#fleet.call(name, "GET", "/v1/status");
-        if ((body["ledger"] as { isProposer?: boolean } | null | undefined)?.isProposer === true) return name;
+        if ((body["ledger"] as { isLeader?: boolean } | null | undefined)?.isLeader === true) return name;
       }
       await this.#wait(50);
     }
--- a/packages/testkit/src/process/fleet.test.ts
+++ b/packages/testkit/src/fleet/fleet.test.ts
@@ -3,13 +3,13 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { after, before, test } from "node:test";
-import { fileURLToPath } from "node:url";
 import { expect } from "earl";
-import { Deployments } from "../mark/deployments.js";
-import type { PortReceipt } from "../link/callerPort.js";
+import { Deployments } from "./deployments.js";
+import type { PortReceipt } from "../callers/callerPort.js";
 import { Drill } from "./drill.js";
 import { Fleet } from "./fleet.js";
 import { Load } from "./load.js";
+import { programOf } from "./programOf.js";
 
 const folder = mkdtempSync(join(tmpdir(), "cranetrack-fleet-"));
 const fleet = new Fleet(
@@ -17,7 +17,6 @@
   folder,
   Deployments.machines(Deployments.find("small")).map((machine) => machine.name),
 );
-const programOf = (role: string): string => fileURLToPath(import.meta.resolve(`@cranetrack/${role}/${role}.js`));
 const codeOf = (receipt: PortReceipt): unknown => (receipt.body["error"] as { code?: unknown } | undefined)?.code;
 interface Ran {
   status: number | null;
--- a/packages/testkit/src/process/fleet.ts
+++ b/packages/testkit/src/fleet/fleet.ts
@@ -3,11 +3,11 @@
 import { mkdirSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
 import { join } from "node:path";
-import { fileURLToPath } from "node:url";
-import { HttpPort } from "../link/httpPort.js";
-import type { PortReceipt } from "../link/callerPort.js";
+import { HttpPort } from "../callers/httpPort.js";
+import type { PortReceipt } from "../callers/callerPort.js";
 import { TcpRelay } from "./tcpRelay.js";
-import { Deployments, type Deployment, type Machine } from "../mark/deployments.js";
+import { Deployments, type Deployment, type Machine } from "./deployments.js";
+import { programOf } from "./programOf.js";
 
 interface Member {
   machine: Machine;
@@ -119,7 +119,7 @@
   launch(name: string): void {
     const member = this.#members.get(name)!;
     const { role } = member.machine;
-    const program = fileURLToPath(import.meta.resolve(`@cranetrack/${role}/${role}.js`));
+    const program = programOf(role);
     const errors = openSync(join(this.#folder, `${name}.err`), "a");
     const child = spawn(process.execPath, [program, "--settings", member.settings], {
       stdio: ["ignore", errors, errors],
--- a/packages/testkit/src/process/load.ts
+++ b/packages/testkit/src/fleet/load.ts
@@ -1,10 +1,10 @@
-import { HostChance } from "@cranetrack/core/process/hostChance.js";
-import { HostClock } from "@cranetrack/core/process/hostClock.js";
-import { Checker, type Breach } from "../mark/checker.js";
-import { Lateness } from "../mark/lateness.js";
-import { History } from "../mark/history.js";
-import { Deployments } from "../mark/deployments.js";
-import { Caller } from "./caller.js";
+import { HostRandom } from "@cranetrack/core/runtime/hostRandom.js";
+import { HostClock } from "@cranetrack/core/runtime/hostClock.js";
+import { Checker, type Breach } from "../checker/checker.js";
+import { Lateness } from "../checker/lateness.js";
+import { History } from "../checker/history.js";
+import { Deployments } from "./deployments.js";
+import { Caller } from "../callers/caller.js";
 import { Probe } from "./probe.js";
 import type { Fleet } from "./fleet.js";
 
@@ -26,7 +26,7 @@
 export class Load {
   readonly #fleet: Fleet;
   readonly #clock = new HostClock();
-  readonly #chance = new HostChance();
+  readonly #chance = new HostRandom();
   readonly history = new History();
   readonly callers: Caller[] = [];
   readonly #zoneOf = new Map<string, string>();
--- a/packages/testkit/src/process/probe.ts
+++ b/packages/testkit/src/fleet/probe.ts
@@ -1,5 +1,5 @@
-import type { History, Seen } from "../mark/history.js";
-import type { Caller } from "./caller.js";
+import type { History, Seen } from "../checker/history.js";
+import type { Caller } from "../callers/caller.js";
 
 interface ProbeParts {
   history: History;
--- a/packages/testkit/src/process/sim/bounds.test.ts
+++ b/packages/testkit/src/sim/bounds.test.ts
@@ -1,12 +1,12 @@
 import { test } from "node:test";
 import { create } from "@bufbuild/protobuf";
-import { StreamLog } from "@cranetrack/log-storage/mark/streamLog.js";
+import { StreamLog } from "@cranetrack/log-storage/shards/streamLog.js";
 import { AcceptSchema, StreamMessageSchema } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Journal } from "@cranetrack/core/process/journal.js";
-import { LogRing } from "@cranetrack/core/process/logRing.js";
-import { Sessions } from "@cranetrack/edge/process/sessions.js";
-import { StreamTail } from "@cranetrack/edge/process/streamTail.js";
-import { OwnerKey } from "@cranetrack/edge/mark/ownerKey.js";
+import { ChangeJournal } from "@cranetrack/core/feeds/changeJournal.js";
+import { LogBuffer } from "@cranetrack/core/runtime/logBuffer.js";
+import { Sessions } from "@cranetrack/edge/sessions/sessions.js";
+import { StreamTail } from "@cranetrack/edge/fanout/streamTail.js";
+import { OwnerKey } from "@cranetrack/edge/sessions/ownerKey.js";
 import { expect } from "earl";
 import { Hand, served } from "./hand.js";
 
@@ -38,13 +38,13 @@
     expect(tail.messages.length <= StreamTail.most && sizeOf() <= StreamTail.mostBytes).toEqual(true);
   }
   expect(tail.messages.at(-1)!.seq).toEqual(3000);
-  const journal = new Journal<number>(50);
+  const journal = new ChangeJournal<number>(50);
   for (let i = 0; i < 1000; i += 1) {
     journal.append(i);
     expect(journal.recent.length <= 100).toEqual(true);
   }
   expect(journal.recent.at(-1)).toEqual(999);
-  const ring = new LogRing("test", () => undefined, 20);
+  const ring = new LogBuffer("test", () => undefined, 20);
   for (let i = 0; i < 1000; i += 1) ring.note(`line ${i}`);
   expect([ring.lines.length, ring.lines.at(-1)!.includes("line 999")]).toEqual([20, true]);
 });
--- a/packages/testkit/src/process/sim/connections.test.ts
+++ b/packages/testkit/src/sim/connections.test.ts
@@ -1,7 +1,7 @@
 import { test } from "node:test";
-import type { ClientLink } from "@cranetrack/edge/link/clientLink.js";
-import type { Connection } from "@cranetrack/edge/process/connections.js";
-import { ViseConnections } from "@cranetrack/edge/process/viseConnections.js";
+import type { ClientLink } from "@cranetrack/edge/connections/clientLink.js";
+import type { Connection } from "@cranetrack/edge/connections/connections.js";
+import { EdgeConnections } from "@cranetrack/edge/connections/edgeConnections.js";
 import { expect } from "earl";
 import { served } from "./hand.js";
 import type { SimFleet } from "./simFleet.js";
@@ -43,7 +43,7 @@
 
 async function open(fleet: SimFleet, edge: string, session: string): Promise<{ wire: Wire; connection: Connection }> {
   const wire = new Wire();
-  const answer = await settled(fleet, new ViseConnections(fleet.find(edge)!.vise!).connect(session, wire));
+  const answer = await settled(fleet, new EdgeConnections(fleet.find(edge)!.vise!).connect(session, wire));
   if (answer.outcome !== "open") throw new Error(`not connected: ${JSON.stringify(answer)}`);
   return { wire, connection: answer.connection };
 }
@@ -117,6 +117,6 @@
   await fleet.run(100);
   const { vise } = fleet.start("vise-1");
   expect(vise!.lease.isHeld).toEqual(false);
-  const answer = await settled(fleet, new ViseConnections(vise!).connect("desk", new Wire()));
+  const answer = await settled(fleet, new EdgeConnections(vise!).connect("desk", new Wire()));
   expect(answer.outcome).toEqual("open");
 });
--- a/packages/testkit/src/process/sim/faultActs.ts
+++ b/packages/testkit/src/sim/faultActs.ts
@@ -1,4 +1,4 @@
-import type { SimChance } from "./simChance.js";
+import type { SimRandom } from "./simRandom.js";
 import type { SimFleet } from "./simFleet.js";
 import { SimLoad } from "./simLoad.js";
 import { SimPlans } from "./simPlans.js";
@@ -12,9 +12,9 @@
 export class FaultActs {
   readonly #fleet: SimFleet;
   readonly #load: SimLoad;
-  readonly #chance: SimChance;
+  readonly #chance: SimRandom;
 
-  constructor(fleet: SimFleet, load: SimLoad, chance: SimChance) {
+  constructor(fleet: SimFleet, load: SimLoad, chance: SimRandom) {
     this.#fleet = fleet;
     this.#load = load;
     this.#chance = chance;
--- a/packages/testkit/src/process/sim/faults.ts
+++ b/packages/testkit/src/sim/faults.ts
@@ -1,5 +1,5 @@
 import { FaultActs } from "./faultActs.js";
-import type { SimChance } from "./simChance.js";
+import type { SimRandom } from "./simRandom.js";
 import type { SimFleet } from "./simFleet.js";
 import type { SimLoad } from "./simLoad.js";
 
@@ -48,7 +48,7 @@
   readonly #fleet: SimFleet;
   readonly #load: SimLoad;
   readonly #names: readonly FaultName[];
-  readonly #chance: SimChance;
+  readonly #chance: SimRandom;
   readonly #acts: FaultActs;
   readonly spans: FaultSpan[] = [];
 
--- a/packages/testkit/src/process/sim/followerReads.test.ts
+++ b/packages/testkit/src/sim/followerReads.test.ts
@@ -1,7 +1,7 @@
 import { test } from "node:test";
-import { FollowerReads } from "@cranetrack/log-storage/process/followerReads.js";
+import { FollowerReads } from "@cranetrack/log-storage/follows/followerReads.js";
 import type { Frame } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Wire } from "@cranetrack/core/process/wire.js";
+import { Wire } from "@cranetrack/core/rpc/wire.js";
 import { expect } from "earl";
 import { Hand, served, type Served } from "./hand.js";
 import type { SimFleet } from "./simFleet.js";
@@ -98,7 +98,7 @@
 /** What a holder says of a shard's log, to one of its replicas; also where it comes through another node. */
 const isOfLog = (frame: Frame | undefined): boolean => {
   if (frame?.body.case === "relay") return isOfLog(Wire.decode(frame.body.value.frame));
-  return frame !== undefined && ["append", "picture", "commits"].includes(frame.body.case ?? "");
+  return frame !== undefined && ["append", "snapshot", "commits"].includes(frame.body.case ?? "");
 };
 
 test("an edge is fed by its region's replica: the holder pushes it nothing, and counts its subscribers", async () => {
--- a/packages/testkit/src/process/sim/founding.test.ts
+++ b/packages/testkit/src/sim/founding.test.ts
@@ -1,6 +1,6 @@
 import { test } from "node:test";
 import { expect } from "earl";
-import type { Machine } from "../../mark/deployments.js";
+import type { Machine } from "../fleet/deployments.js";
 import { Hand, served } from "./hand.js";
 import { Scenario } from "./scenario.js";
 import { SimFleet } from "./simFleet.js";
--- a/packages/testkit/src/process/sim/hostile.test.ts
+++ b/packages/testkit/src/sim/hostile.test.ts
@@ -1,17 +1,17 @@
 import { test } from "node:test";
 import { create, ScalarType, type DescMessage, type Message, type MessageInitShape } from "@bufbuild/protobuf";
 import { FrameSchema } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Seal } from "@cranetrack/core/process/seal.js";
-import { Wire, type BodyInit } from "@cranetrack/core/process/wire.js";
+import { Seal } from "@cranetrack/core/rpc/seal.js";
+import { Wire, type BodyInit } from "@cranetrack/core/rpc/wire.js";
 import { expect } from "earl";
-import { Checker } from "../../mark/checker.js";
+import { Checker } from "../checker/checker.js";
 import { Scenario } from "./scenario.js";
-import type { SimChance } from "./simChance.js";
+import type { SimRandom } from "./simRandom.js";
 import { SimFleet } from "./simFleet.js";
 import { SimLoad } from "./simLoad.js";
 
 /** A well-formed message of a kind with values that nobody sane would send. */
-function wild(schema: DescMessage, chance: SimChance, depth = 0): Message {
+function wild(schema: DescMessage, chance: SimRandom, depth = 0): Message {
   const scalar = (type: ScalarType): unknown => {
     if (type === ScalarType.STRING)
       return chance.pick([
@@ -58,7 +58,7 @@
 const memberKinds = new Set([
   "gossip",
   "append",
-  "picture",
+  "snapshot",
   "vote",
   "storeCall",
   "pledge",
--- a/packages/testkit/src/process/sim/limits.test.ts
+++ b/packages/testkit/src/sim/limits.test.ts
@@ -1,6 +1,6 @@
 import { test } from "node:test";
-import type { Connection, Published } from "@cranetrack/edge/process/connections.js";
-import { ViseConnections } from "@cranetrack/edge/process/viseConnections.js";
+import type { Connection, Published } from "@cranetrack/edge/connections/connections.js";
+import { EdgeConnections } from "@cranetrack/edge/connections/edgeConnections.js";
 import { expect } from "earl";
 import { Hand, served, type Served } from "./hand.js";
 import type { SimFleet } from "./simFleet.js";
@@ -15,7 +15,7 @@
 
 async function open(fleet: SimFleet): Promise<Connection> {
   const link = { waitingBytes: 0, isClosed: false, send: () => undefined, close: () => undefined };
-  const connections = new ViseConnections(fleet.find("vise-1")!.vise!);
+  const connections = new EdgeConnections(fleet.find("vise-1")!.vise!);
   const answer = await settled(fleet, connections.connect("desk", { ...link, onClose: () => undefined }));
   if (answer.outcome !== "open") throw new Error(`not connected: ${JSON.stringify(answer)}`);
   return answer.connection;
--- a/packages/testkit/src/process/sim/membership.test.ts
+++ b/packages/testkit/src/sim/membership.test.ts
@@ -1,6 +1,6 @@
 import { test } from "node:test";
-import { Membership } from "@cranetrack/core/process/membership.js";
-import { Wire } from "@cranetrack/core/process/wire.js";
+import { Membership } from "@cranetrack/core/membership/membership.js";
+import { Wire } from "@cranetrack/core/rpc/wire.js";
 import { expect } from "earl";
 import { Scenario } from "./scenario.js";
 import { SimFleet } from "./simFleet.js";
--- a/packages/testkit/src/process/sim/memory.test.ts
+++ b/packages/testkit/src/sim/memory.test.ts
@@ -1,9 +1,9 @@
 import { test } from "node:test";
-import type { Bench } from "@cranetrack/log-storage/process/bench.js";
-import type { Holder } from "@cranetrack/log-storage/process/holder.js";
+import type { ShardService } from "@cranetrack/log-storage/shards/shardService.js";
+import type { Holder } from "@cranetrack/log-storage/shards/holder.js";
 import type { PublishReceipt } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { Body } from "@cranetrack/core/process/wire.js";
-import { countTopic, type Count } from "@cranetrack/edge/request/countTopic.js";
+import type { Body } from "@cranetrack/core/rpc/wire.js";
+import { countTopic, type Count } from "@cranetrack/edge/fanout/countTopic.js";
 import { expect } from "earl";
 import { Hand, served, type Served } from "./hand.js";
 
@@ -26,7 +26,10 @@
   return hand;
 }
 
-function holderOf({ fleet }: Served, topic: string): { name: string; shard: number; holder: Holder; bench: Bench } {
+function holderOf(
+  { fleet }: Served,
+  topic: string,
+): { name: string; shard: number; holder: Holder; bench: ShardService } {
   const { node, vise } = fleet.find("vise-2")!;
   const shard = vise!.streams.shardOf(node.plan.route(topic)!.stream);
   const name = node.shards.find(shard).holder;
--- a/packages/testkit/src/process/sim/planCapacity.test.ts
+++ b/packages/testkit/src/sim/planCapacity.test.ts
@@ -1,7 +1,7 @@
 import { test } from "node:test";
-import { Membership } from "@cranetrack/core/process/membership.js";
+import { Membership } from "@cranetrack/core/membership/membership.js";
 import { expect } from "earl";
-import type { Machine } from "../../mark/deployments.js";
+import type { Machine } from "../fleet/deployments.js";
 import { served } from "./hand.js";
 import { Scenario } from "./scenario.js";
 import { SimFleet } from "./simFleet.js";
--- a/packages/testkit/src/process/sim/scenario.ts
+++ b/packages/testkit/src/sim/scenario.ts
@@ -1,7 +1,7 @@
-import { Checker, type Breach } from "../../mark/checker.js";
-import type { Machine } from "../../mark/deployments.js";
-import { Lateness } from "../../mark/lateness.js";
-import type { Probe } from "../probe.js";
+import { Checker, type Breach } from "../checker/checker.js";
+import type { Machine } from "../fleet/deployments.js";
+import { Lateness } from "../checker/lateness.js";
+import type { Probe } from "../fleet/probe.js";
 import { Faults, type FaultName } from "./faults.js";
 import { SimFleet } from "./simFleet.js";
 import { SimLoad } from "./simLoad.js";
--- a/packages/testkit/src/process/sim/sessions.test.ts
+++ b/packages/testkit/src/sim/sessions.test.ts
@@ -1,5 +1,5 @@
 import { test } from "node:test";
-import { OwnerKey } from "@cranetrack/edge/mark/ownerKey.js";
+import { OwnerKey } from "@cranetrack/edge/sessions/ownerKey.js";
 import { expect } from "earl";
 import { Hand, served, type Line } from "./hand.js";
 import type { SimFleet } from "./simFleet.js";
--- a/packages/testkit/src/process/sim/shards.test.ts
+++ b/packages/testkit/src/sim/shards.test.ts
@@ -1,8 +1,8 @@
 import { test } from "node:test";
-import { Wire } from "@cranetrack/core/process/wire.js";
+import { Wire } from "@cranetrack/core/rpc/wire.js";
 import { expect } from "earl";
-import { Checker } from "../../mark/checker.js";
-import type { Machine } from "../../mark/deployments.js";
+import { Checker } from "../checker/checker.js";
+import type { Machine } from "../fleet/deployments.js";
 import { served } from "./hand.js";
 import { Scenario } from "./scenario.js";
 import { SimFleet } from "./simFleet.js";
--- a/packages/testkit/src/process/sim/simClock.ts
+++ b/packages/testkit/src/sim/simClock.ts
@@ -1,4 +1,4 @@
-import type { Beat, Clock } from "@cranetrack/core/process/clock.js";
+import type { Beat, Clock } from "@cranetrack/core/runtime/clock.js";
 import type { SimWorld } from "./simWorld.js";
 
 /** What a machine's state does to whatever happens on it. */
--- a/packages/testkit/src/process/sim/simDisk.ts
+++ b/packages/testkit/src/sim/simDisk.ts
@@ -1,4 +1,4 @@
-import type { Disk, DiskChange } from "@cranetrack/core/process/disk.js";
+import type { Disk, DiskChange } from "@cranetrack/core/storage/disk.js";
 import type { SimBody } from "./simClock.js";
 import type { SimWorld } from "./simWorld.js";
 
--- a/packages/testkit/src/process/sim/simFleet.ts
+++ b/packages/testkit/src/sim/simFleet.ts
@@ -1,9 +1,9 @@
-import { SettingsReader, type Settings } from "@cranetrack/core/process/settings.js";
-import type { Machine } from "../../mark/deployments.js";
+import { SettingsReader, type Settings } from "@cranetrack/core/runtime/settings.js";
+import type { Machine } from "../fleet/deployments.js";
 import { SimDisk } from "./simDisk.js";
 import { SimNode } from "./simNode.js";
 import { SimPort } from "./simPort.js";
-import { SimWires } from "./simNet.js";
+import { SimWires } from "./simTransport.js";
 import { SimWorld } from "./simWorld.js";
 
 interface Slot {
@@ -128,7 +128,7 @@
   get proposer(): string | undefined {
     return this.withRole("lathe").find((name) => {
       const life = this.find(name);
-      return life?.lathe?.ledger?.isProposer === true && life.body.pausedUntil <= this.world.now;
+      return life?.lathe?.ledger?.isLeader === true && life.body.pausedUntil <= this.world.now;
     });
   }
 
--- a/packages/testkit/src/process/sim/simLoad.ts
+++ b/packages/testkit/src/sim/simLoad.ts
@@ -1,19 +1,19 @@
-import { Plans, type Plan } from "@cranetrack/core/mark/plan.js";
-import { PlanSchema } from "@cranetrack/core/mark/planSchema.js";
+import { Plans, type Plan } from "@cranetrack/core/configuration/plan.js";
+import { PlanSchema } from "@cranetrack/core/configuration/planSchema.js";
 import { SimClock } from "./simClock.js";
 import type { SimFleet } from "./simFleet.js";
-import type { SimChance } from "./simChance.js";
-import { Caller } from "../caller.js";
-import { Probe } from "../probe.js";
+import type { SimRandom } from "./simRandom.js";
+import { Caller } from "../callers/caller.js";
+import { Probe } from "../fleet/probe.js";
 import { SimPlans } from "./simPlans.js";
-import { History } from "../../mark/history.js";
+import { History } from "../checker/history.js";
 
 /** Callers and operators against a simulated fleet. */
 export class SimLoad {
   readonly history = new History();
   readonly callers: Caller[] = [];
   readonly #fleet: SimFleet;
-  readonly #chance: SimChance;
+  readonly #chance: SimRandom;
   readonly #clock: SimClock;
   readonly #zones = new Map<string, string>();
   #isPlaying = false;
--- a/packages/testkit/src/process/sim/simNode.ts
+++ b/packages/testkit/src/sim/simNode.ts
@@ -1,18 +1,18 @@
 // Loaded before the world runs: what a node loads late would take real time there.
-import "@cranetrack/core/mark/planSchema.js";
-import { Anvil } from "@cranetrack/log-storage/process/anvil.js";
-import { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import { LogRing } from "@cranetrack/core/process/logRing.js";
-import { NodeStatus } from "@cranetrack/core/process/nodeStatus.js";
-import { Router } from "@cranetrack/core/process/router.js";
-import { SealedDisk } from "@cranetrack/core/process/sealedDisk.js";
-import type { Settings } from "@cranetrack/core/process/settings.js";
-import { Lathe } from "@cranetrack/control/process/lathe.js";
-import { Vise } from "@cranetrack/edge/process/vise.js";
-import { ViseCalls } from "@cranetrack/edge/process/viseCalls.js";
+import "@cranetrack/core/configuration/planSchema.js";
+import { StorageNode } from "@cranetrack/log-storage/storageNode.js";
+import { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { LogBuffer } from "@cranetrack/core/runtime/logBuffer.js";
+import { NodeStatus } from "@cranetrack/core/runtime/nodeStatus.js";
+import { Router } from "@cranetrack/core/http/router.js";
+import { SealedDisk } from "@cranetrack/core/storage/sealedDisk.js";
+import type { Settings } from "@cranetrack/core/runtime/settings.js";
+import { ControlNode } from "@cranetrack/control/controlNode.js";
+import { EdgeNode } from "@cranetrack/edge/edgeNode.js";
+import { EdgeCalls } from "@cranetrack/edge/edgeCalls.js";
 import { SimClock, type SimBody } from "./simClock.js";
 import type { SimDisk } from "./simDisk.js";
-import type { SimWires } from "./simNet.js";
+import type { SimWires } from "./simTransport.js";
 import type { SimWorld } from "./simWorld.js";
 
 /** One process's life in the simulator: the production classes over simulated seams. */
@@ -21,11 +21,11 @@
   readonly clock: SimClock;
   readonly node: ClusterNode;
   readonly router: Router;
-  readonly log: LogRing;
-  readonly lathe: Lathe | undefined;
-  readonly anvil: Anvil | undefined;
-  readonly vise: Vise | undefined;
-  readonly viseCalls: ViseCalls | undefined;
+  readonly log: LogBuffer;
+  readonly lathe: ControlNode | undefined;
+  readonly anvil: StorageNode | undefined;
+  readonly vise: EdgeNode | undefined;
+  readonly viseCalls: EdgeCalls | undefined;
   readonly #closings = new Set<() => void>();
   /** Why it would not start, as a process would exit. */
   readonly fault: string | undefined;
@@ -33,7 +33,7 @@
   constructor(world: SimWorld, wires: SimWires, disk: SimDisk, settings: Settings, incarnation: number, rate: number) {
     this.body = { isDead: false, pausedUntil: 0, rate };
     this.clock = new SimClock(world, this.body);
-    this.log = new LogRing(settings.name, () => undefined);
+    this.log = new LogBuffer(settings.name, () => undefined);
     const chance = world.chance.fork();
     const mounted = settings.role === "vise" ? undefined : new SealedDisk(disk.mount(this.body));
     const net = wires.attach(settings.address, this.body);
@@ -44,10 +44,10 @@
     );
     this.router = new Router(this.node);
     try {
-      if (settings.role === "lathe") this.lathe = new Lathe(this.node, mounted!, this.router);
-      else if (settings.role === "anvil") this.anvil = new Anvil(this.node, mounted!, false);
-      else this.vise = new Vise(this.node, this.router);
-      if (this.vise !== undefined) this.viseCalls = new ViseCalls(this.vise, this.router);
+      if (settings.role === "lathe") this.lathe = new ControlNode(this.node, mounted!, this.router);
+      else if (settings.role === "anvil") this.anvil = new StorageNode(this.node, mounted!, false);
+      else this.vise = new EdgeNode(this.node, this.router);
+      if (this.vise !== undefined) this.viseCalls = new EdgeCalls(this.vise, this.router);
       this.fault = this.lathe?.load() ?? this.anvil?.load();
     } catch (cause) {
       this.fault = (cause as Error).message;
--- a/packages/testkit/src/process/sim/simPlans.ts
+++ b/packages/testkit/src/sim/simPlans.ts
@@ -1,4 +1,4 @@
-import type { SimChance } from "./simChance.js";
+import type { SimRandom } from "./simRandom.js";
 
 type Rule = { when: object; owe: Record<string, unknown> };
 export type SimSpaces = Record<string, Rule[]>;
@@ -25,7 +25,7 @@
   },
 
   /** The usual spaces with a contract or two changed. */
-  changed(chance: SimChance): SimSpaces {
+  changed(chance: SimRandom): SimSpaces {
     const spaces = SimPlans.usual();
     if (chance.draw() < 0.4)
       spaces["notes"]!.unshift({ when: { topic: "t1" }, owe: { ...spaces["notes"]![0]!.owe, maxBytes: 8 } });
--- a/packages/testkit/src/process/sim/simPort.ts
+++ b/packages/testkit/src/sim/simPort.ts
@@ -1,9 +1,9 @@
-import type { ClientLink } from "@cranetrack/edge/link/clientLink.js";
-import type { CallerPort, PortLink, PortReceipt } from "../../link/callerPort.js";
+import type { ClientLink } from "@cranetrack/edge/connections/clientLink.js";
+import type { CallerPort, PortLink, PortReceipt } from "../callers/callerPort.js";
 import type { SimFleet } from "./simFleet.js";
 import type { SimNode } from "./simNode.js";
-import { Router } from "@cranetrack/core/process/router.js";
-import type { ApiReceipt } from "@cranetrack/core/request/apiReceipt.js";
+import { Router } from "@cranetrack/core/http/router.js";
+import type { ApiReply } from "@cranetrack/core/http/apiReply.js";
 
 const away: PortReceipt = { status: 503, body: { error: { code: "unreachable" } }, comeBack: 0.3 };
 
@@ -102,7 +102,7 @@
     );
   }
 
-  static #read(receipt: ApiReceipt): PortReceipt {
+  static #read(receipt: ApiReply): PortReceipt {
     const raw = typeof receipt.body === "string" ? receipt.body : Buffer.from(Router.encode(receipt.body)).toString();
     let body: Record<string, unknown> = {};
     try {
--- a/packages/testkit/src/process/sim/simChance.ts
+++ b/packages/testkit/src/sim/simRandom.ts
@@ -1,7 +1,7 @@
-import type { Chance } from "@cranetrack/core/process/chance.js";
+import type { RandomSource } from "@cranetrack/core/runtime/random.js";
 
 /** A seeded generator (a 32-bit mixing counter): the same seed, the same draws. */
-export class SimChance implements Chance {
+export class SimRandom implements RandomSource {
   #state: number;
 
   constructor(seed: number) {
@@ -29,7 +29,7 @@
   }
 
   /** Another generator that goes its own way. */
-  fork(): SimChance {
-    return new SimChance(Math.floor(this.draw() * 2 ** 31));
+  fork(): SimRandom {
+    return new SimRandom(Math.floor(this.draw() * 2 ** 31));
   }
 }
--- a/packages/testkit/src/process/sim/simNet.ts
+++ b/packages/testkit/src/sim/simTransport.ts
@@ -1,6 +1,6 @@
 import type { Frame } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { Net } from "@cranetrack/core/process/net.js";
-import { Wire } from "@cranetrack/core/process/wire.js";
+import type { Transport } from "@cranetrack/core/transport/transport.js";
+import { Wire } from "@cranetrack/core/rpc/wire.js";
 import type { SimBody } from "./simClock.js";
 import type { SimWorld } from "./simWorld.js";
 
@@ -32,7 +32,7 @@
     this.#world = world;
   }
 
-  attach(address: string, body: SimBody): Net {
+  attach(address: string, body: SimBody): Transport {
     const port: Port = { body, take: () => undefined, lost: () => undefined, unreachable: new Set() };
     this.#ports.set(address, port);
     return {
--- a/packages/testkit/src/process/sim/simWorld.ts
+++ b/packages/testkit/src/sim/simWorld.ts
@@ -1,5 +1,5 @@
 import { createHash } from "node:crypto";
-import { SimChance } from "./simChance.js";
+import { SimRandom } from "./simRandom.js";
 
 interface Event {
   at: number;
@@ -14,7 +14,7 @@
  * a seed gives one trace, byte for byte.
  */
 export class SimWorld {
-  readonly chance: SimChance;
+  readonly chance: SimRandom;
   readonly #trace = createHash("sha1");
   /** A binary heap: no event is before its parent. */
   readonly #heap: Event[] = [];
@@ -23,7 +23,7 @@
   events = 0;
 
   constructor(seed: number) {
-    this.chance = new SimChance(seed);
+    this.chance = new SimRandom(seed);
   }
 
   at(time: number, act: () => void): Event {
--- a/packages/testkit/src/process/sim/store.test.ts
+++ b/packages/testkit/src/sim/store.test.ts
@@ -1,7 +1,7 @@
 import { test } from "node:test";
-import { Wire } from "@cranetrack/core/process/wire.js";
-import { putPlan } from "@cranetrack/control/request/putPlan.js";
-import { readDocument } from "@cranetrack/control/request/readDocument.js";
+import { Wire } from "@cranetrack/core/rpc/wire.js";
+import { putPlan } from "@cranetrack/control/configuration/putPlan.js";
+import { readDocument } from "@cranetrack/control/configuration/readDocument.js";
 import { expect } from "earl";
 import { Scenario } from "./scenario.js";
 import { SimFleet } from "./simFleet.js";
@@ -13,7 +13,7 @@
 const proposer = (fleet: SimFleet): string | undefined =>
   lathes(fleet).find(
     (name) =>
-      fleet.find(name)?.lathe?.ledger?.isProposer === true && fleet.find(name)!.body.pausedUntil <= fleet.world.now,
+      fleet.find(name)?.lathe?.ledger?.isLeader === true && fleet.find(name)!.body.pausedUntil <= fleet.world.now,
   );
 
 async function founded(seed: number, machines = Scenario.machines(5)): Promise<{ fleet: SimFleet; load: SimLoad }> {
@@ -87,7 +87,7 @@
     expect([503, 504].includes(answer.status)).toEqual(true);
     expect(
       await fleet.until(
-        () => lathes(fleet).some((name) => name !== old && fleet.find(name)!.lathe!.ledger!.isProposer),
+        () => lathes(fleet).some((name) => name !== old && fleet.find(name)!.lathe!.ledger!.isLeader),
         6000,
       ),
     ).toEqual(true);
@@ -204,7 +204,7 @@
   expect(proposer(fleet) !== undefined).toEqual(true);
 });
 
-test("a first picture that takes longer than the looks at the feed still arrives", async () => {
+test("a first snapshot that takes longer than the looks at the feed still arrives", async () => {
   const { fleet } = await founded(29, Scenario.machines());
   fleet.kill("vise-1");
   fleet.wires.slow.set(fleet.addressOf("vise-1"), 1500);
@@ -219,7 +219,7 @@
   fleet.isolate(old, fleet.names, "both");
   await fleet.run(50);
   const { ledger } = fleet.find(old)!.lathe!;
-  expect(ledger!.isProposer).toEqual(true);
+  expect(ledger!.isLeader).toEqual(true);
   expect(await settled(fleet, ledger!.confirm())).toEqual(false);
   expect((await settled(fleet, fleet.port.call(old, "GET", "/v1/plan", undefined))).status).toEqual(503);
 });
--- a/packages/testkit/src/process/sim/streams.test.ts
+++ b/packages/testkit/src/sim/streams.test.ts
@@ -1,7 +1,7 @@
 import { test } from "node:test";
-import { Wire } from "@cranetrack/core/process/wire.js";
+import { Wire } from "@cranetrack/core/rpc/wire.js";
 import { expect } from "earl";
-import { Checker } from "../../mark/checker.js";
+import { Checker } from "../checker/checker.js";
 import { Hand, served, type Line, type Served } from "./hand.js";
 import { Scenario } from "./scenario.js";
 import { SimFleet } from "./simFleet.js";
--- a/packages/testkit/src/process/cost.ts
+++ b/packages/testkit/src/slopes/cost.ts
@@ -1,12 +1,12 @@
 import { once } from "node:events";
 import { createServer } from "node:net";
-import { Exchange } from "@cranetrack/core/process/exchange.js";
-import { HostClock } from "@cranetrack/core/process/hostClock.js";
-import { LogRing } from "@cranetrack/core/process/logRing.js";
-import { TcpNet } from "@cranetrack/core/process/tcpNet.js";
-import { Wire } from "@cranetrack/core/process/wire.js";
-import { Scenario } from "./sim/scenario.js";
-import { SimFleet } from "./sim/simFleet.js";
+import { RpcEndpoint } from "@cranetrack/core/rpc/rpcEndpoint.js";
+import { HostClock } from "@cranetrack/core/runtime/hostClock.js";
+import { LogBuffer } from "@cranetrack/core/runtime/logBuffer.js";
+import { TcpTransport } from "@cranetrack/core/transport/tcpTransport.js";
+import { Wire } from "@cranetrack/core/rpc/wire.js";
+import { Scenario } from "../sim/scenario.js";
+import { SimFleet } from "../sim/simFleet.js";
 
 export interface IdleCost {
   nodes: number;
@@ -53,13 +53,13 @@
 
   /** Small calls over loopback, with both ends in this process. */
   async calls(calls: number, atOnce: number): Promise<CallCost> {
-    const log = new LogRing("cost", () => undefined);
-    const nets = [new TcpNet(await freeAddress(), log), new TcpNet(await freeAddress(), log)] as const;
+    const log = new LogBuffer("cost", () => undefined);
+    const nets = [new TcpTransport(await freeAddress(), log), new TcpTransport(await freeAddress(), log)] as const;
     const [asking, answering] = nets.map((net, i) => {
-      const exchange = new Exchange(`vise-${i + 1}`, net, new HostClock());
+      const exchange = new RpcEndpoint(`vise-${i + 1}`, net, new HostClock());
       exchange.addressOf = (name) => nets[Number(name.slice(5)) - 1]!.address;
       return exchange;
-    }) as [Exchange, Exchange];
+    }) as [RpcEndpoint, RpcEndpoint];
     answering.serve("ping", () => ({ case: "done", value: {} }));
     await Promise.all(nets.map((net) => net.listen()));
     const play = async (count: number): Promise<void> => {
--- a/packages/testkit/src/process/slopes/nodeSlopes.ts
+++ b/packages/testkit/src/slopes/nodeSlopes.ts
@@ -1,14 +1,14 @@
 import { create, toBinary } from "@bufbuild/protobuf";
 import { KvSchema, MemberSchema, type Member } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { HolderKey } from "@cranetrack/core/mark/holderKey.js";
-import { PlanReader } from "@cranetrack/core/mark/planReader.js";
-import { ReplicasKey } from "@cranetrack/core/mark/replicasKey.js";
-import { ShardsView } from "@cranetrack/core/mark/shardsView.js";
-import type { Change } from "@cranetrack/core/process/feedFollower.js";
-import { Journal } from "@cranetrack/core/process/journal.js";
-import { MemberTable } from "@cranetrack/core/process/memberTable.js";
-import { Rendezvous } from "@cranetrack/core/process/rendezvous.js";
-import { Cost } from "../cost.js";
+import { HolderKey } from "@cranetrack/core/keys/holderKey.js";
+import { PlanReader } from "@cranetrack/core/configuration/planReader.js";
+import { ReplicasKey } from "@cranetrack/core/keys/replicasKey.js";
+import { ShardsView } from "@cranetrack/core/feeds/shardsView.js";
+import type { Change } from "@cranetrack/core/feeds/feedFollower.js";
+import { ChangeJournal } from "@cranetrack/core/feeds/changeJournal.js";
+import { MemberTable } from "@cranetrack/core/membership/memberTable.js";
+import { Rendezvous } from "@cranetrack/core/membership/rendezvous.js";
+import { Cost } from "./cost.js";
 import { Meter } from "./meter.js";
 
 const disk = (node: number): string => `${node}`.padStart(32, "0123456789abcdef");
@@ -57,7 +57,7 @@
 
 export const NodeSlopes = {
   shardRouteBytes(count: number): number {
-    const journal = new Journal<Change>(1);
+    const journal = new ChangeJournal<Change>(1);
     const view = new ShardsView(journal);
     return Meter.heldBy(() => {
       for (let shard = 0; shard < count; shard += 1) for (const change of shardKeys(shard)) journal.append(change);
--- a/packages/testkit/src/process/slopes/slopeRecord.ts
+++ b/packages/testkit/src/slopes/slopeRecord.ts
@@ -1,11 +1,11 @@
 import { execFileSync } from "node:child_process";
 import { readFileSync, writeFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
-import type { MeasuredSlope } from "../../mark/slopes.js";
+import type { MeasuredSlope } from "../capacity/slopes.js";
 import { slopeRuns, type SlopeRun } from "./slopeRuns.js";
 
-const path = fileURLToPath(new URL("../../../slopes.json", import.meta.url));
-const jig = fileURLToPath(new URL("../../jig.js", import.meta.url));
+const path = fileURLToPath(new URL("../../slopes.json", import.meta.url));
+const jig = fileURLToPath(new URL("../jig.js", import.meta.url));
 
 /** The one file that the capacity page's figures come from. */
 export const SlopeRecord = {
--- a/packages/testkit/src/process/slopes/storeSlopes.ts
+++ b/packages/testkit/src/slopes/storeSlopes.ts
@@ -6,14 +6,14 @@
   type FeedOpen,
   type FeedStateSchema as FeedStateType,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { ClusterNode } from "@cranetrack/core/process/clusterNode.js";
-import { HostClock } from "@cranetrack/core/process/hostClock.js";
-import { Wire, type BodyInit } from "@cranetrack/core/process/wire.js";
-import { Feeds } from "@cranetrack/control/process/feeds.js";
-import { Leases } from "@cranetrack/control/process/leases.js";
-import type { Ledger } from "@cranetrack/control/process/ledger.js";
-import { Metadata } from "@cranetrack/control/mark/metadata.js";
-import { OwnerKey } from "@cranetrack/edge/mark/ownerKey.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { HostClock } from "@cranetrack/core/runtime/hostClock.js";
+import { Wire, type BodyInit } from "@cranetrack/core/rpc/wire.js";
+import { Feeds } from "@cranetrack/control/store/feeds.js";
+import { Leases } from "@cranetrack/control/store/leases.js";
+import type { RaftNode } from "@cranetrack/control/consensus/raftNode.js";
+import { Metadata } from "@cranetrack/control/store/metadata.js";
+import { OwnerKey } from "@cranetrack/edge/sessions/ownerKey.js";
 import { Meter } from "./meter.js";
 
 type Command = Parameters<typeof create<typeof StoreCommandSchema>>[1];
@@ -68,7 +68,7 @@
       },
     },
   };
-  const feeds = new Feeds(node as object as ClusterNode, ledger as object as Ledger, () => Promise.resolve(true));
+  const feeds = new Feeds(node as object as ClusterNode, ledger as object as RaftNode, () => Promise.resolve(true));
   for (let i = 0; i < count; i += 1) {
     const open = { feed: `vise-${i}/01234567`, name: `vise-${i}`, prefixes: ["plan", "shards/"], revision: 1 };
     void serve.get("feedOpen")!(open as object as FeedOpen);
@@ -98,18 +98,18 @@
 export const StoreSlopes = {
   ownerKeyBytes: (count: number): number => Meter.heldBy(() => withOwners(count)),
   ownerKeyProcessor: (count: number): Promise<number> => Meter.processor(() => withOwners(count)),
-  ownerSnapshotBytes: (count: number): number => withOwners(count).picture(undefined).length,
+  ownerSnapshotBytes: (count: number): number => withOwners(count).snapshot(undefined).length,
   leaseBytes: (count: number): number => Meter.heldBy(() => withLeases(count)),
 
   /** The proposer's look over all leases, a second of it. */
   leaseProcessor(count: number): Promise<number> {
     const metadata = withLeases(count);
-    const ledger = Object.assign(new EventEmitter(), { metadata, isProposer: true });
+    const ledger = Object.assign(new EventEmitter(), { metadata, isLeader: true });
     let look = (): void => undefined;
     const clock = Object.assign(new HostClock(), {
       every: (_ms: number, ring: () => void) => ((look = ring), { stop: () => undefined }),
     });
-    new Leases(ledger as object as Ledger, clock, () => undefined);
+    new Leases(ledger as object as RaftNode, clock, () => undefined);
     ledger.emit("elected");
     const looks = 1000 / Leases.beatMs;
     const rounds = 10;
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -16,7 +16,7 @@
 rmSync(join(root, "target"), { recursive: true, force: true });
 await build({
   absWorkingDir: root,
-  entryPoints: { edge: "platform/src/process/edge.ts", storage: "platform/src/process/storage.ts" },
+  entryPoints: { edge: "platform/src/edge.ts", storage: "platform/src/storage.ts" },
   outdir: "target",
   bundle: true,
   splitting: true,
