--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -1,13 +1,13 @@
 import { EventEmitter } from "node:events";
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
-import { MemberSchema, type Gossip, type GossipSchema, type Member, type Ping } from "../gen/cranetrack_pb.js";
+import { MemberSchema, type Gossip, type GossipSchema, type Member } from "../gen/cranetrack_pb.js";
 import type { RandomSource } from "../runtime/random.js";
 import type { Clock } from "../runtime/clock.js";
 import type { RpcEndpoint } from "../rpc/rpcEndpoint.js";
+import { FailureDetector } from "./failureDetector.js";
 import { MemberTable } from "./memberTable.js";
 import { Rendezvous } from "./rendezvous.js";
 import { Rumours } from "./rumours.js";
-import type { BodyInit } from "../rpc/wire.js";
 
 /**
  * Who is there, after SWIM: a node sends beats to the few watchers that rendezvous hashing names for it, and at each
@@ -39,13 +39,7 @@
   readonly #seeds: readonly string[];
   readonly #table = new MemberTable();
   readonly #rumours = new Rumours();
-  /** Who calls this node its watcher. */
-  readonly #watched = new Set<string>();
-  /** Since when a sign of life is due, of those that are watched, were asked, or left a call unanswered. */
-  readonly #awaited = new Map<string, number>();
-  readonly #probing = new Set<string>();
-  /** When another said that it could not reach the member either. */
-  readonly #deniedAt = new Map<string, number>();
+  readonly #detector: FailureDetector;
   #peersOf: readonly Member[] | undefined;
   #peers: Member[] = [];
   #ownWatchers: Member[] = [];
@@ -80,9 +74,9 @@
     exchange.addressOf = (name) => this.find(name)?.address;
     exchange.relaysFor = () => this.alive().map((member) => member.name);
     exchange.serve("gossip", (gossip, frame) => this.#hear(gossip, frame.from, frame.fromAddress));
-    exchange.serve("ping", (ping) => this.#answer(ping));
     exchange.on("heard", (name) => this.#risen(name));
-    exchange.on("mute", (name) => this.#await(name));
+    exchange.on("mute", (name) => this.#detector.expect(name));
+    this.#detector = this.#makeDetector();
   }
 
   start(): void {
@@ -116,7 +110,7 @@
     const known = this.#table.find(name);
     if (known === undefined) return Infinity;
     if (!this.isAlive(name)) return this.#clock.now() - known.heardAt;
-    const since = this.#awaited.get(name);
+    const since = this.#detector.awaitedSince(name);
     return since === undefined ? 0 : this.#clock.now() - since;
   }
 
@@ -144,18 +138,17 @@
   #beat(): void {
     const now = this.#clock.now();
     // Who slept itself knows nothing of the others' silence.
-    if (now - this.#beatAt > 2 * Membership.beatMs)
-      for (const name of this.#awaited.keys()) this.#awaited.set(name, now);
+    if (now - this.#beatAt > 2 * Membership.beatMs) this.#detector.restart();
     this.#beatAt = now;
     this.#notice();
-    this.#judge();
+    this.#detector.judge();
     this.#forget();
     const watchers = this.#watchers();
     for (const member of watchers) this.#tell(member.address, member.name);
     const peers = this.#upPeers();
     const drawn = peers[Math.floor(this.#chance.draw() * peers.length)];
     if (drawn !== undefined && !watchers.includes(drawn)) {
-      this.#await(drawn.name);
+      this.#detector.expect(drawn.name);
       this.#tell(drawn.address, drawn.name, { isAsking: true });
     }
     this.#introduce();
@@ -206,9 +199,7 @@
     const { isAsking, wantsAll, wantsSender, digests } = gossip;
     if (gossip.isAll) this.#isIntroduced = true;
     if (isNews && digests.length > 0) this.#compareAt = this.#clock.now() + Membership.compareAgainMs;
-    if (gossip.isWatched) this.#watched.add(from);
-    else if (this.#watched.delete(from)) this.#awaited.delete(from);
-    if (gossip.isWatched) this.#awaited.set(from, this.#clock.now());
+    this.#detector.watch(from, gossip.isWatched);
     if (address === "") return undefined;
 
     const answer = new Set<Member>();
@@ -294,7 +285,7 @@
     this.#heardAt = now;
     const known = this.#table.find(name);
     if (known !== undefined) known.heardAt = now;
-    this.#sign(name);
+    this.#detector.heard(name);
     // Whoever is heard though it is suspected is told so, and refutes it.
     if (
       known?.member.isSuspected !== true ||
@@ -306,66 +297,30 @@
     this.#tell(known.member.address, name, { members: [known.member] });
   }
 
-  #sign(name: string): void {
-    this.#deniedAt.delete(name);
-    if (this.#watched.has(name)) this.#awaited.set(name, this.#clock.now());
-    else this.#awaited.delete(name);
-  }
-
-  #await(name: string): void {
-    const member = this.find(name);
-    if (member !== undefined && MemberTable.isUp(member) && !this.#awaited.has(name))
-      this.#awaited.set(name, this.#clock.now());
-  }
-
-  #judge(): void {
-    const now = this.#clock.now();
-    for (const [name, since] of this.#awaited) {
-      const member = this.find(name);
-      if (member === undefined || !MemberTable.isUp(member)) this.#awaited.delete(name);
-      else if (now - since >= Membership.suspectMs && (this.#deniedAt.get(name) ?? -Infinity) > since)
-        this.#suspect(member);
-      else if (now - since >= Membership.probeMs) void this.#probe(member);
-    }
+  #makeDetector(): FailureDetector {
+    const { probeMs, suspectMs, pingDue, helpDue, helpers } = Membership;
+    return new FailureDetector({
+      self: this.self.name,
+      rpc: this.#exchange,
+      clock: this.#clock,
+      times: { probeMs, suspectMs, pingMs: pingDue, helpMs: helpDue, helpers },
+      find: (name) => this.find(name),
+      draw: (count, except) => this.#draw(count, except),
+      ask: ({ address, name }) => this.#tell(address, name, { isAsking: true }),
+      suspect: (member) => this.#suspect(member),
+    });
   }
 
   #suspect(member: Member): void {
-    this.#awaited.delete(member.name);
-    this.#deniedAt.delete(member.name);
     this.#put(create(MemberSchema, { ...member, isSuspected: true }));
     this.emit("suspected", member.name);
   }
 
-  /** Asks a silent member for a sign of life, and others whether they can reach it. */
-  async #probe({ name, address }: Member): Promise<void> {
-    if (this.#probing.has(name)) return;
-    this.#probing.add(name);
-    this.#tell(address, name, { isAsking: true });
-    const helpers = this.#draw(Membership.helpers, name);
-    await Promise.all(
-      helpers.map(async (helper) => {
-        const ping: BodyInit = { case: "ping", value: { about: name } };
-        const answer = await this.#exchange.call(helper.name, ping, Membership.helpDue);
-        if (answer?.case === "done") this.#sign(name);
-        else if (answer?.case === "fault") this.#deniedAt.set(name, this.#clock.now());
-      }),
-    );
-    this.#probing.delete(name);
-  }
-
-  async #answer({ about }: Ping): Promise<BodyInit> {
-    if (about === "" || about === this.self.name) return { case: "done", value: {} };
-    const answer = await this.#exchange.call(about, { case: "ping", value: {} }, Membership.pingDue);
-    return answer === undefined
-      ? { case: "fault", value: { code: "unanswered", message: `${about} does not answer` } }
-      : { case: "done", value: {} };
-  }
-
   #forget(): void {
     for (const [name, { member, changedAt }] of this.#table.entries())
       if (!MemberTable.isUp(member) && name !== this.self.name && this.#clock.now() - changedAt > Membership.forgetMs) {
         this.#table.remove(name);
-        this.#watched.delete(name);
+        this.#detector.forget(name);
         this.emit("changed");
       }
   }
