Edge: one piece of code for the numbered pushes of a follow

ShardFollow and ReplicaFollow kept early pushes and numbers by two like pieces. Behaviour stays as it was: 44 tests of fan-out, streams, follower reads and shards pass; the sabotage moved with its line and is caught.

--- a/packages/edge/src/fanout/replicaFollow.ts
+++ b/packages/edge/src/fanout/replicaFollow.ts
@@ -2,6 +2,7 @@
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import { Rendezvous } from "@cranetrack/core/membership/rendezvous.js";
 import { fetchMessages, type Fetched } from "./fetchMessages.js";
+import { NumberedPushes } from "./numberedPushes.js";
 import type { FollowInit, ShardFollow } from "./shardFollow.js";
 import type { StreamTail } from "./streamTail.js";
 
@@ -26,12 +27,9 @@
   readonly #lacked = new Map<StreamTail, number>();
   readonly #left = new Set<string>();
   #server = "";
-  #follow = "";
-  #seen = 0;
+  readonly #pushes = new NumberedPushes();
   #serial = 0;
   #isAsking = false;
-  /** Pushes of a follow whose receipt has not been read yet. */
-  #early: Push[] | undefined;
   #since = 0;
   #againAt = 0;
   #waitMs = ReplicaFollow.againMs;
@@ -79,11 +77,10 @@
     if (this.#isAsking || near === "" || now < this.#againAt) return;
     const wanted = [...this.#tails.values()].filter((tail) => this.#isWanted(tail, now));
     if (wanted.length === 0) return;
-    const isFull = this.#follow === "";
+    const isFull = this.#pushes.follow === "";
     if (isFull) {
       this.#server = near;
-      this.#follow = `${this.#node.exchange.name}/${this.#node.parts.chance.identity().slice(0, 8)}`;
-      this.#early = [];
+      this.#pushes.begin(`${this.#node.exchange.name}/${this.#node.parts.chance.identity().slice(0, 8)}`);
       this.#since = now;
     }
     this.#isAsking = true;
@@ -94,8 +91,8 @@
     });
     const value = {
       shard: this.#shard,
-      follow: this.#follow,
-      seen: this.#seen,
+      follow: this.#pushes.follow,
+      seen: this.#pushes.seen,
       isFull,
       streams,
       isAtReplica: true,
@@ -117,9 +114,7 @@
         this.#atHolder.quieten(tail);
       }
     }
-    if (isFull) this.#seen = receipt.value.number;
-    const early = this.#early ?? [];
-    this.#early = undefined;
+    const early = this.#pushes.opened(isFull ? receipt.value.number : undefined);
     for (const push of early) this.take(push);
     void this.tend();
   }
@@ -127,28 +122,27 @@
   /** What asks whether all pushes were seen; undefined where nothing is followed here. */
   beat(): FollowInit | undefined {
     void this.tend();
-    if (this.#follow === "" || this.#isAsking) return undefined;
+    const { follow, seen } = this.#pushes;
+    if (follow === "" || this.#isAsking) return undefined;
     if (this.#tails.size === 0 && this.#left.size === 0) return void this.#leave();
     const left = [...this.#left];
     this.#left.clear();
     const serial = ++this.#serial;
-    const follow = this.#follow;
-    return { shard: this.#shard, follow, seen: this.#seen, isFull: false, left, isAtReplica: true, serial };
+    return { shard: this.#shard, follow, seen, isFull: false, left, isAtReplica: true, serial };
   }
 
   /** The replica's answer to a beat, if it gave one; and what the holder had applied before the beat was sent. */
   beaten(beat: FollowInit, outcome: string | undefined, applied: number, appliedAtHolder: number): void {
-    if (beat.follow !== this.#follow || (outcome === "resync" && this.#seen !== beat.seen)) return;
+    const { follow, seen } = this.#pushes;
+    if (beat.follow !== follow || (outcome === "resync" && seen !== beat.seen)) return;
     if (outcome !== "done" || applied < appliedAtHolder) this.fail();
   }
 
   take(push: Push): void {
-    if (push.follow !== this.#follow) return;
-    if (push.isAway) return this.fail();
-    if (this.#early !== undefined) return void this.#early.push(push);
-    if (push.number <= this.#seen) return;
-    if (push.number !== this.#seen + 1) return this.fail();
-    this.#seen = push.number;
+    if (push.follow === this.#pushes.follow && push.isAway) return this.fail();
+    const order = this.#pushes.take(push);
+    if (order === "gap") return this.fail();
+    if (order !== "next") return;
     for (const batch of push.batches) {
       const tail = this.#tails.get(batch.stream);
       if (tail === undefined) continue;
@@ -173,10 +167,9 @@
 
   #leave(): void {
     this.#turn += 1;
-    this.#server = this.#follow = "";
-    this.#seen = 0;
+    this.#server = "";
+    this.#pushes.end();
     this.#isAsking = false;
-    this.#early = undefined;
     for (const tail of this.#tails.values()) this.giveBack(tail);
     this.#left.clear();
   }
--- a/packages/edge/src/fanout/shardFollow.ts
+++ b/packages/edge/src/fanout/shardFollow.ts
@@ -8,6 +8,7 @@
 } from "@cranetrack/core/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import { fetchMessages, type Fetched } from "./fetchMessages.js";
+import { NumberedPushes } from "./numberedPushes.js";
 import type { StreamTail } from "./streamTail.js";
 
 export type FollowInit = MessageInitShape<typeof FollowSchema>;
@@ -16,7 +17,7 @@
 
 /**
  * This edge's following of one shard's streams at whoever holds the shard.
- * Invariants: a push counts only in its number's turn; `#seen` is the last number counted; anything else
+ * Invariants: a push counts only in its number's turn (`NumberedPushes`); anything else
  * makes the edge follow again, in full, from what it has.
  */
 export class ShardFollow {
@@ -37,14 +38,11 @@
   /** Up to which index the holder had applied the shard's log when it last answered a beat. */
   applied = 0;
   #isTelling = false;
-  #follow = "";
+  readonly #pushes = new NumberedPushes();
   #epoch = 0;
-  #seen = 0;
   #serial = 0;
   #isAsking = false;
   #isStale = true;
-  /** Pushes of a full follow whose receipt has not been read yet: both may come in one piece. */
-  #early: Push[] | undefined;
   /** Rises when the holder changes; a receipt of an earlier turn is not heeded. */
   #turn = 0;
 
@@ -114,29 +112,28 @@
     this.#isAsking = true;
     const isFull = this.#isStale;
     const wanted = isFull ? [...this.#streams.values()] : [...this.#asked];
-    if (isFull) this.#follow = `${this.#node.exchange.name}/${this.#node.parts.chance.identity().slice(0, 8)}`;
     const streams = wanted.map((tail) => this.#at(tail));
     if (isFull) {
       this.#left.clear();
-      this.#early = [];
+      this.#pushes.begin(`${this.#node.exchange.name}/${this.#node.parts.chance.identity().slice(0, 8)}`);
     }
     // What is asked for again while this is under way stays asked for.
     for (const tail of wanted) this.#asked.delete(tail);
-    const follow = this.#follow;
+    const { follow, seen } = this.#pushes;
     const turn = this.#turn;
     const receipt = await this.#node.exchange.call(
       this.holder,
       {
         case: "follow",
-        value: { shard: this.#shard, follow, seen: this.#seen, isFull, streams, serial: ++this.#serial },
+        value: { shard: this.#shard, follow, seen, isFull, streams, serial: ++this.#serial },
       },
       800,
     );
     if (turn !== this.#turn) return;
     this.#isAsking = false;
-    const early = this.#early ?? [];
-    this.#early = undefined;
-    if (receipt?.case !== "followReceipt" || receipt.value.outcome !== "done") {
+    const isDone = receipt?.case === "followReceipt" && receipt.value.outcome === "done";
+    const early = this.#pushes.opened(isFull && isDone ? receipt.value.number : undefined);
+    if (!isDone) {
       this.#isStale = true;
       for (const tail of wanted) if (this.#streams.has(tail.stream)) this.#asked.add(tail);
       // Whoever has just claimed the shard serves in a moment; the next beat would be late.
@@ -146,7 +143,6 @@
     if (isFull) {
       this.#isStale = false;
       this.#epoch = receipt.value.epoch;
-      this.#seen = receipt.value.number;
     }
     for (const head of receipt.value.heads) this.#learn(head);
     this.#learned();
@@ -182,27 +178,25 @@
     this.#counted.clear();
     this.#left.clear();
     const serial = ++this.#serial;
-    return { shard: this.#shard, follow: this.#follow, seen: this.#seen, isFull: false, counts, left, quiet, serial };
+    const { follow, seen } = this.#pushes;
+    return { shard: this.#shard, follow, seen, isFull: false, counts, left, quiet, serial };
   }
 
   /** The holder's answer to a beat, if it gave one. */
   async beaten(beat: FollowInit, outcome: string | undefined): Promise<void> {
-    if (outcome === "done" || beat.follow !== this.#follow || (outcome === "resync" && this.#seen !== beat.seen))
-      return;
+    const { follow, seen } = this.#pushes;
+    if (outcome === "done" || beat.follow !== follow || (outcome === "resync" && seen !== beat.seen)) return;
     this.#isStale = true;
     await this.tend();
   }
 
   take(push: Push): void {
-    if (push.follow !== this.#follow) return;
-    if (this.#early !== undefined) return void this.#early.push(push);
-    if (this.#isStale) return;
-    if (push.number !== this.#seen + 1) {
-      if (push.number <= this.#seen) return;
+    const order = this.#pushes.take(push);
+    if (order === "gap" && !this.#isStale) {
       this.#isStale = true;
       return void this.tend();
     }
-    this.#seen = push.number;
+    if (order !== "next" || this.#isStale) return;
     for (const batch of push.batches) {
       const tail = this.#streams.get(batch.stream);
       if (tail === undefined) continue;
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -252,9 +252,9 @@
   },
   {
     name: "pushes before their follow's receipt are let go",
-    file: "edge/dist/fanout/shardFollow.js",
-    find: "return void this.#early.push(push);",
-    put: "return;",
+    file: "edge/dist/fanout/numberedPushes.js",
+    find: "this.#early.push(push);",
+    put: "",
     test: "edge/dist/fanout/shardFollow.test.js",
   },
   {
