--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -262,6 +262,7 @@
       }
     }
     if (name === undefined) return undefined;
+    await this.#log.termSynced();
     this.#exchange.tell(name, {
       case: "voteReceipt",
       value: { term: isGranted ? vote.term : this.#log.term, isGranted, voter: this.id, isPre: vote.isPre },
--- a/packages/core/src/replication/followerLog.ts
+++ b/packages/core/src/replication/followerLog.ts
@@ -34,37 +34,38 @@
 
   async take(append: Append, commit: number): Promise<BodyInit> {
     if (append.term < this.#log.term || !FollowerLog.#isSane(append)) return this.#receipt(append, false, 0);
-    const promised = append.term > this.#log.term ? this.#log.promise(append.term, "") : undefined;
-    const isBehindBase = append.prevIndex < this.#log.baseIndex;
-    if (!isBehindBase && this.#log.termAt(append.prevIndex) !== append.prevTerm) {
-      await promised;
-      return this.#receipt(
-        append,
-        false,
-        Math.min(append.prevIndex - 1, Math.max(commit, this.#log.baseIndex), this.#log.lastIndex),
-      );
-    }
+    this.#promise(append.term);
+    if (this.#isConflicting(append, commit))
+      return this.#receipt(append, false, this.#conflictHint(append.prevIndex, commit));
     const match = append.prevIndex + append.entries.length;
     this.#agree(append.term, match);
     const synced = this.#log.agree(append.prevIndex, append.entries);
     this.#onCommit(Math.min(append.commit, match));
-    await promised;
     await synced;
-    return this.#receipt(append, append.term === this.#log.term, match);
+    return this.#receipt(append, true, match);
   }
 
+  /**
+   * A snapshot stands for committed entries. Where the log has its last entry, it has all of them, and what follows
+   * stays (Raft, section 7, rule 6); else the snapshot takes the place of the whole log.
+   */
   async takeSnapshot(snapshot: Snapshot, commit: number): Promise<BodyInit> {
-    const isSane = [snapshot.term, snapshot.index, snapshot.indexTerm].every(FollowerLog.#isCount);
-    if (snapshot.term < this.#log.term || !isSane || !this.#isReadable(snapshot.state))
-      return this.#receipt(snapshot, false, 0);
-    if (snapshot.term > this.#log.term) void this.#log.promise(snapshot.term, "");
-    this.#agree(snapshot.term, snapshot.index);
-    if (snapshot.index > commit) {
-      const installed = this.#log.install(snapshot.index, snapshot.indexTerm, snapshot.state);
-      this.#onSnapshot(snapshot.index, snapshot.state);
+    const { term, index, indexTerm } = snapshot;
+    const isSane = [term, index, indexTerm].every(FollowerLog.#isCount);
+    if (term < this.#log.term || !isSane) return this.#receipt(snapshot, false, 0);
+    this.#promise(term);
+    const isHeld = index <= commit || this.#log.termAt(index) === indexTerm;
+    if (!isHeld && !this.#isReadable(snapshot.state)) return this.#receipt(snapshot, false, 0);
+    this.#agree(term, index);
+    if (isHeld) {
+      this.#onCommit(index);
+      await this.#log.syncedUpTo(index);
+    } else {
+      const installed = this.#log.install(index, indexTerm, snapshot.state);
+      this.#onSnapshot(index, snapshot.state);
       await installed;
     }
-    return this.#receipt(snapshot, true, snapshot.index);
+    return this.#receipt(snapshot, true, index);
   }
 
   /** The sender of a term has committed its log up to an index. */
@@ -77,6 +78,30 @@
     this.#agreed = { term, index: this.#agreed.term === term ? Math.max(this.#agreed.index, index) : index };
   }
 
+  /** No answer leaves before the term is synced: each waits for it in `#receipt`. */
+  #promise(term: number): void {
+    if (term > this.#log.term) void this.#log.promise(term, "");
+  }
+
+  /** Whether the log differs at prevIndex, or would lose what is committed. */
+  #isConflicting({ prevIndex, prevTerm, entries }: Append, commit: number): boolean {
+    const isBehindBase = prevIndex < this.#log.baseIndex;
+    if (!isBehindBase && this.#log.termAt(prevIndex) !== prevTerm) return true;
+    return entries.some(
+      ({ index, term }) => index > this.#log.baseIndex && index <= commit && this.#log.termAt(index) !== term,
+    );
+  }
+
+  /**
+   * Where the sender may try next: before the whole run of a term that conflicts (Raft, section 5.3), not before
+   * what is committed. It only says where to ask; what is agreed on is judged by the append that follows.
+   */
+  #conflictHint(prevIndex: number, commit: number): number {
+    const { lastIndex, baseIndex } = this.#log;
+    const shared = prevIndex > lastIndex ? lastIndex : this.#log.beforeTermOf(prevIndex);
+    return Math.min(prevIndex - 1, Math.max(shared, commit, baseIndex));
+  }
+
   static #isCount(value: number): boolean {
     return Number.isSafeInteger(value) && value >= 0;
   }
@@ -91,7 +116,13 @@
     );
   }
 
-  #receipt(to: { group: string; round: number; sender: string }, isTaken: boolean, match: number): BodyInit {
+  /** Resolves once the term it names is synced; what was taken in an earlier term is not taken in that one. */
+  async #receipt(
+    to: { group: string; term: number; round: number; sender: string },
+    isTaken: boolean,
+    match: number,
+  ): Promise<BodyInit> {
+    await this.#log.termSynced();
     return {
       case: "appendReceipt",
       value: {
@@ -99,7 +130,7 @@
         term: this.#log.term,
         sender: this.#self,
         receiver: to.sender,
-        isTaken,
+        isTaken: isTaken && to.term === this.#log.term,
         match,
         round: to.round,
       },
--- a/packages/core/src/replication/logReplicator.ts
+++ b/packages/core/src/replication/logReplicator.ts
@@ -115,8 +115,9 @@
   }
 
   /**
-   * Keeps every replica told, and sends again what stayed unanswered. A replica that has heard everything is sent
-   * nothing until `idleMs` after the last time.
+   * Keeps every replica told. What got lost on the way is found out by the refusal of the next append, whose hint says
+   * what to send again; an answer that is late changes nothing in what is known. A replica that has heard everything
+   * is sent nothing until `idleMs` after the last time.
    */
   beat(idleMs = 0): void {
     for (const [id, peer] of this.#peers) {
@@ -124,8 +125,6 @@
       if (isTold && this.#clock.now() - peer.sentAt < idleMs) continue;
       const needsSnapshot = peer.next - 1 < this.#log.baseIndex;
       if (peer.isWaiting && needsSnapshot && this.#clock.now() - peer.sentAt < 2000) continue;
-      if (peer.isWaiting && this.#clock.now() - peer.sentAt > 400)
-        peer.next = Math.max(peer.match + 1, this.#log.baseIndex);
       this.#sendTo(id, peer);
     }
   }
--- a/packages/core/src/replication/replicaLog.ts
+++ b/packages/core/src/replication/replicaLog.ts
@@ -18,6 +18,8 @@
   term = 0;
   vote = "";
   syncedIndex = 0;
+  /** The write of the newest promise. */
+  #promised: Promise<void> = Promise.resolve();
 
   constructor(disk: Disk, group: string) {
     this.group = group;
@@ -61,7 +63,32 @@
   promise(term: number, vote: string): Promise<void> {
     this.term = term;
     this.vote = vote;
-    return this.#disk.write([this.#meta()]);
+    this.#promised = this.#disk.write([this.#meta()]);
+    return this.#promised;
+  }
+
+  /** Resolves once the term in force is synced; a term that rises meanwhile is waited for as well. */
+  async termSynced(): Promise<void> {
+    let awaited: Promise<void>;
+    do {
+      awaited = this.#promised;
+      await awaited;
+    } while (awaited !== this.#promised);
+  }
+
+  /** Resolves once what the log holds up to an index is synced. */
+  syncedUpTo(index: number): Promise<void> {
+    if (this.syncedIndex >= index) return Promise.resolve();
+    const term = this.termAt(index);
+    return this.#disk.write([]).then(() => this.#synced(index, term));
+  }
+
+  /** The index before the run of entries that have the term of the entry at `index`. */
+  beforeTermOf(index: number): number {
+    const term = this.termAt(index);
+    let first = index;
+    while (first > this.baseIndex && this.termAt(first - 1) === term) first -= 1;
+    return first - 1;
   }
 
   /** Appends behind the last entry. */
@@ -76,12 +103,7 @@
   agree(prevIndex: number, entries: readonly Entry[]): Promise<void> {
     const fresh = entries.filter((entry) => entry.index > this.baseIndex && this.termAt(entry.index) !== entry.term);
     const first = fresh[0];
-    if (first === undefined)
-      return this.syncedIndex >= prevIndex + entries.length
-        ? Promise.resolve()
-        : this.#disk
-            .write([])
-            .then(() => this.#synced(prevIndex + entries.length, this.termAt(prevIndex + entries.length)));
+    if (first === undefined) return this.syncedUpTo(prevIndex + entries.length);
     return this.#write(
       entries.filter((entry) => entry.index >= first.index),
       this.#cutAfter(first.index - 1),
--- a/packages/log-storage/src/replication/replica.ts
+++ b/packages/log-storage/src/replication/replica.ts
@@ -4,11 +4,15 @@
 import { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
 import type { LogReplicator } from "@cranetrack/core/replication/logReplicator.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { Clock } from "@cranetrack/core/runtime/clock.js";
 import type { Disk } from "@cranetrack/core/storage/disk.js";
 import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
 import { ShardState } from "../shards/shardState.js";
 import type { Verdict } from "../shards/streamLog.js";
 
+/** What a replica needs of its node. */
+export type ReplicaNode = Pick<ClusterNode, "groups" | "exchange"> & { readonly parts: { readonly clock: Clock } };
+
 export interface AppliedEntry {
   entry: Entry;
   verdict: Verdict | undefined;
@@ -32,7 +36,7 @@
   readonly log: ReplicaLog;
   readonly state = new ShardState();
   readonly #intake: FollowerLog;
-  readonly #node: ClusterNode;
+  readonly #node: ReplicaNode;
   applied = 0;
   /** When a holder was last heard, of which epoch, and how far it said the log is committed. */
   #heard = { term: 0, at: -Infinity, commit: 0 };
@@ -41,7 +45,7 @@
   /** Set while this replica spreads its own log. */
   spread: LogReplicator | undefined;
 
-  constructor(shard: number, id: string, disk: Disk, node: ClusterNode) {
+  constructor(shard: number, id: string, disk: Disk, node: ReplicaNode) {
     super();
     this.setMaxListeners(0);
     this.shard = shard;
@@ -137,12 +141,16 @@
     };
   }
 
-  /** Takes a better log in place of what this one has after its applied part. */
+  /**
+   * Takes a better log in place of what this one has after its applied part. Entries that both have stay where they
+   * are: this replica has answered for them.
+   */
   async replace(
     isWhole: boolean,
     base: { index: number; term: number; snapshot: Uint8Array },
     entries: readonly Entry[],
   ): Promise<void> {
+    if (isWhole && base.index > this.applied && this.log.termAt(base.index) === base.term) this.advance(base.index);
     if (isWhole && base.index > this.applied) {
       const installed = this.log.install(base.index, base.term, base.snapshot);
       this.#install(base.index, base.snapshot);
