--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -9,6 +9,7 @@
   type Yield,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { FollowerLog } from "@cranetrack/core/replication/followerLog.js";
+import { LogCompaction } from "@cranetrack/core/replication/logCompaction.js";
 import type { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
 import { LogReplicator } from "@cranetrack/core/replication/logReplicator.js";
 import type { RandomSource } from "@cranetrack/core/runtime/random.js";
@@ -23,6 +24,7 @@
 import { Metadata, type Applied } from "../store/metadata.js";
 import type { RaftNodeParts } from "./raftNodeParts.js";
 import { Proposals } from "./proposals.js";
+import { storeCompaction } from "./storeCompaction.js";
 import { SlowMajorityWatch } from "./slowMajorityWatch.js";
 
 /**
@@ -39,7 +41,6 @@
 }> {
   static readonly beatMs = 75;
   static readonly turnMs = 80;
-  static readonly compactAt = 4000;
 
   readonly metadata = new Metadata();
   readonly id: string;
@@ -55,6 +56,7 @@
   readonly #intake: FollowerLog;
   readonly #proposals: Proposals;
   readonly #memberLog: MemberLog;
+  readonly #compaction: LogCompaction;
   #spread: LogReplicator | undefined;
   #commit: number;
   #applied: number;
@@ -86,10 +88,11 @@
     this.#chance = parts.chance;
     this.#ring = parts.ring;
     this.#heardAt = parts.clock.now();
-    this.#commit = this.#applied = this.#log.baseIndex;
+    this.#commit = this.#applied = this.#log.snapshotIndex;
+    this.#compaction = new LogCompaction(this.#log, storeCompaction);
     this.#proposals = new Proposals(this.#log, this.#clock);
     this.#memberLog = new MemberLog(this.#log);
-    if (this.#log.baseIndex > 0) this.#memberLog.installed(this.metadata.install(this.#log.snapshot));
+    if (this.#log.snapshotIndex > 0) this.#memberLog.installed(this.metadata.install(this.#log.snapshot));
     this.#intake = new FollowerLog(
       this.#log,
       this.id,
@@ -362,6 +365,7 @@
     while (this.#applied < this.#commit) {
       const entry = this.#log.at(this.#applied + 1)!;
       this.#applied += 1;
+      this.#compaction.applied(entry);
       const isCommand = entry.kind === entryKind.command;
       const applied: Applied = isCommand
         ? this.metadata.apply(entry.index, entry.data)
@@ -371,13 +375,9 @@
       this.emit("applied", applied);
     }
     if (!wasProposer && this.isLeader) this.emit("elected");
-    if (this.#log.length > RaftNode.compactAt && this.#applied > this.#log.baseIndex + RaftNode.compactAt / 2)
-      this.#compact();
-  }
-
-  #compact(): void {
+    if (!this.#compaction.isDue) return;
     const members = this.#memberLog.snapshot(this.#applied);
-    void this.#log.compact(this.#applied, this.metadata.snapshot(members));
+    void this.#compaction.compact(this.#applied, this.metadata.snapshot(members));
   }
 
   #install(index: number, state: Uint8Array): void {
--- a/packages/core/src/replication/logReplicator.ts
+++ b/packages/core/src/replication/logReplicator.ts
@@ -195,8 +195,8 @@
         term: this.#term,
         sender: this.#self,
         receiver: id,
-        index: this.#log.baseIndex,
-        indexTerm: this.#log.baseTerm,
+        index: this.#log.snapshotIndex,
+        indexTerm: this.#log.snapshotTerm,
         state: this.#log.snapshot,
         round: this.#round,
       };
--- a/packages/core/src/replication/replicaLog.ts
+++ b/packages/core/src/replication/replicaLog.ts
@@ -3,10 +3,18 @@
 import { EntrySchema, SnapshotSchema, type Entry } from "../gen/cranetrack_pb.js";
 import type { Disk, DiskChange } from "../storage/disk.js";
 
+/** How much of a log stays in front of a snapshot's end, for followers that nearly have it. */
+export interface KeptTail {
+  readonly entries: number;
+  readonly bytes: number;
+}
+
 /**
- * One replica's copy of a replicated log on its disk: a snapshot up to `baseIndex`, then entries.
- * Invariants: entries are contiguous from baseIndex + 1; `syncedIndex` never passes what would
- * survive a loss of power; `term` and `vote` are synced before the promise that sets them resolves.
+ * One replica's copy of a replicated log on its disk: a snapshot up to `snapshotIndex`, and entries from
+ * `baseIndex + 1` on, some of which the snapshot covers as well. On the disk the entry at `baseIndex` stays where
+ * such entries are kept: it says the term of the base.
+ * Invariants: baseIndex <= snapshotIndex <= lastIndex; entries are contiguous from baseIndex + 1; `syncedIndex` never
+ * passes what would survive a loss of power; `term` and `vote` are synced before the promise that sets them resolves.
  */
 export class ReplicaLog {
   readonly group: string;
@@ -14,7 +22,11 @@
   #entries: Entry[] = [];
   baseIndex = 0;
   baseTerm = 0;
+  snapshotIndex = 0;
+  snapshotTerm = 0;
   snapshot: Uint8Array = new Uint8Array();
+  /** The lowest entry that may be on the disk. */
+  #firstOnDisk = 1;
   term = 0;
   vote = "";
   syncedIndex = 0;
@@ -25,6 +37,7 @@
     this.group = group;
     this.#disk = disk;
     for (const { key, value } of disk.read(`${group}/`)) this.#load(key, value);
+    this.#findBase();
     this.syncedIndex = this.lastIndex;
   }
 
@@ -112,24 +125,28 @@
 
   /** Puts another's snapshot in place of everything. */
   async install(index: number, term: number, snapshot: Uint8Array): Promise<void> {
-    const changes = this.#cutAfter(this.baseIndex);
-    this.baseIndex = index;
-    this.baseTerm = term;
+    const changes = [...this.#dropFromDisk(this.baseIndex), ...this.#cutAfter(this.baseIndex)];
+    this.baseIndex = this.snapshotIndex = index;
+    this.baseTerm = this.snapshotTerm = term;
     this.snapshot = snapshot;
+    this.#firstOnDisk = index + 1;
     this.syncedIndex = 0;
     await this.#disk.write([...changes, this.#snapshotChange()]);
     this.#synced(index, term);
   }
 
-  /** Drops the entries up to an index that the snapshot now stands for. */
-  compact(index: number, snapshot: Uint8Array): Promise<void> {
+  /** Lets a snapshot stand for the entries up to an index, and drops them but for a tail. */
+  compact(index: number, snapshot: Uint8Array, kept: KeptTail = { entries: 0, bytes: 0 }): Promise<void> {
     const term = this.termAt(index);
-    if (term === undefined || index <= this.baseIndex) return Promise.resolve();
-    const changes: DiskChange[] = [];
-    for (let i = this.baseIndex + 1; i <= index; i += 1) changes.push({ key: this.#key(i), isRemoved: true });
-    this.#entries = this.#entries.slice(index - this.baseIndex);
-    this.baseIndex = index;
-    this.baseTerm = term;
+    if (term === undefined || index <= this.snapshotIndex) return Promise.resolve();
+    const base = this.#tailBase(index, kept);
+    const baseTerm = this.termAt(base)!;
+    const changes = this.#dropFromDisk(base === index ? base : base - 1);
+    this.#entries = this.#entries.slice(base - this.baseIndex);
+    this.baseIndex = base;
+    this.baseTerm = baseTerm;
+    this.snapshotIndex = index;
+    this.snapshotTerm = term;
     this.snapshot = snapshot;
     return this.#disk.write([...changes, this.#snapshotChange()]);
   }
@@ -140,11 +157,31 @@
       .read(`${this.group}/`)
       .map(({ key }) => ({ key, isRemoved: true as const }));
     this.#entries = [];
-    this.baseIndex = this.baseTerm = this.syncedIndex = 0;
+    this.baseIndex = this.baseTerm = this.snapshotIndex = this.snapshotTerm = this.syncedIndex = 0;
+    this.#firstOnDisk = 1;
     this.snapshot = new Uint8Array();
     return this.#disk.write([...changes, this.#meta()]);
   }
 
+  /** The lowest base with which the entries up to an index are no more than a tail may be. */
+  #tailBase(index: number, kept: KeptTail): number {
+    let base = index;
+    let bytes = 0;
+    while (base > this.baseIndex && index - base < kept.entries) {
+      bytes += this.at(base)!.data.length;
+      if (bytes > kept.bytes) break;
+      base -= 1;
+    }
+    return base;
+  }
+
+  #dropFromDisk(last: number): DiskChange[] {
+    const changes: DiskChange[] = [];
+    for (let i = this.#firstOnDisk; i <= last; i += 1) changes.push({ key: this.#key(i), isRemoved: true });
+    this.#firstOnDisk = Math.max(this.#firstOnDisk, last + 1);
+    return changes;
+  }
+
   #write(entries: readonly Entry[], changes: DiskChange[]): Promise<void> {
     for (const entry of entries) {
       if (entry.index !== this.lastIndex + 1)
@@ -180,7 +217,7 @@
   #snapshotChange(): DiskChange {
     const value = toBinary(
       SnapshotSchema,
-      create(SnapshotSchema, { index: this.baseIndex, indexTerm: this.baseTerm, state: this.snapshot }),
+      create(SnapshotSchema, { index: this.snapshotIndex, indexTerm: this.snapshotTerm, state: this.snapshot }),
     );
     return { key: `${this.group}/p`, value };
   }
@@ -202,16 +239,27 @@
 
   #loadSnapshot(value: Uint8Array): void {
     const snapshot = fromBinary(SnapshotSchema, value);
-    this.baseIndex = snapshot.index;
-    this.baseTerm = snapshot.indexTerm;
+    this.snapshotIndex = snapshot.index;
+    this.snapshotTerm = snapshot.indexTerm;
     this.snapshot = snapshot.state;
   }
 
+  /** Entries that the snapshot covers begin with the one that says the base's term; without any, it is the base. */
+  #findBase(): void {
+    const first = this.#entries[0];
+    this.#firstOnDisk = first?.index ?? this.snapshotIndex + 1;
+    const hasTail = first !== undefined && first.index <= this.snapshotIndex;
+    if (hasTail) this.#entries.shift();
+    this.baseIndex = hasTail ? first.index : this.snapshotIndex;
+    this.baseTerm = hasTail ? first.term : this.snapshotTerm;
+  }
+
   /** Says what is wrong with what was loaded, if anything is. */
   fault(): string | undefined {
     const broken = this.#entries.findIndex((entry, i) => entry.index !== this.baseIndex + 1 + i);
-    return broken === -1
-      ? undefined
-      : `the data folder is damaged: ${this.group} misses entry ${this.baseIndex + 1 + broken}`;
+    const isShort = this.lastIndex < this.snapshotIndex;
+    if (broken === -1 && !isShort) return undefined;
+    const missing = broken === -1 ? this.lastIndex + 1 : this.baseIndex + 1 + broken;
+    return `the data folder is damaged: ${this.group} misses entry ${missing}`;
   }
 }
--- a/packages/log-storage/src/replication/replica.ts
+++ b/packages/log-storage/src/replication/replica.ts
@@ -1,6 +1,7 @@
 import { EventEmitter } from "node:events";
 import type { Entry, Pledge, ShardPull } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { FollowerLog } from "@cranetrack/core/replication/followerLog.js";
+import { LogCompaction, type CompactionBounds } from "@cranetrack/core/replication/logCompaction.js";
 import { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
 import type { LogReplicator } from "@cranetrack/core/replication/logReplicator.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
@@ -29,13 +30,19 @@
   appended: [];
   installed: [];
 }> {
-  static readonly compactAt = 3000;
+  /** A machine holds replicas of many shards, so each keeps little. */
+  static readonly compaction: CompactionBounds = {
+    entries: 3000,
+    bytes: 4 * 1024 * 1024,
+    kept: { entries: 500, bytes: 1024 * 1024 },
+  };
 
   readonly shard: number;
   readonly id: string;
   readonly log: ReplicaLog;
   readonly state = new ShardState();
   readonly #intake: FollowerLog;
+  readonly #compaction: LogCompaction;
   readonly #node: ReplicaNode;
   applied = 0;
   /** When a holder was last heard, of which epoch, and how far it said the log is committed. */
@@ -52,6 +59,7 @@
     this.id = id;
     this.#node = node;
     this.log = new ReplicaLog(disk, `shard${String(shard).padStart(3, "0")}`);
+    this.#compaction = new LogCompaction(this.log, Replica.compaction);
     this.#intake = new FollowerLog(
       this.log,
       id,
@@ -59,7 +67,7 @@
       (index, state) => this.#install(index, state),
       (state) => ShardState.isReadable(state),
     );
-    if (this.log.baseIndex > 0) this.#install(this.log.baseIndex, this.log.snapshot);
+    if (this.log.snapshotIndex > 0) this.#install(this.log.snapshotIndex, this.log.snapshot);
     node.groups.enlist(this.log.group, {
       append: (append, from) =>
         append.receiver === this.id
@@ -81,11 +89,11 @@
     while (this.applied < end) {
       const entry = this.log.at(this.applied + 1)!;
       this.applied += 1;
+      this.#compaction.applied(entry);
       const verdict = entry.kind === 0 ? this.state.apply(entry.data) : undefined;
       this.emit("applied", { entry, verdict });
     }
-    if (this.log.length > Replica.compactAt && this.applied - this.log.baseIndex > Replica.compactAt / 2)
-      void this.log.compact(this.applied, this.state.snapshot());
+    if (this.#compaction.isDue) void this.#compaction.compact(this.applied, this.state.snapshot());
   }
 
   /** The holder of an epoch says how far the log is committed. */
@@ -127,14 +135,14 @@
   pull(pull: ShardPull): BodyInit | undefined {
     if (pull.epoch !== this.log.term) return undefined;
     const isWhole = pull.after < this.log.baseIndex || this.log.termAt(pull.after) === undefined;
-    const after = isWhole ? this.log.baseIndex : pull.after;
+    const after = isWhole ? this.log.snapshotIndex : pull.after;
     const snapshot = isWhole ? this.log.snapshot : new Uint8Array();
     return {
       case: "shardPullReceipt",
       value: {
         isWhole,
-        baseIndex: this.log.baseIndex,
-        baseTerm: this.log.baseTerm,
+        baseIndex: this.log.snapshotIndex,
+        baseTerm: this.log.snapshotTerm,
         snapshot,
         entries: this.log.after(after, 16 * 1024 * 1024),
       },
--- a/packages/testkit/src/sabotage/logSabotages.ts
+++ b/packages/testkit/src/sabotage/logSabotages.ts
@@ -44,4 +44,25 @@
     put: "false",
     test: "log-storage/dist/replication/replica.test.js",
   },
+  {
+    name: "logs are compacted by number alone",
+    file: "core/dist/replication/logCompaction.js",
+    find: "this.#bytes >= Math.max(this.#bounds.bytes, this.#log.snapshot.length)",
+    put: "false",
+    test: "core/dist/replication/logCompaction.test.js",
+  },
+  {
+    name: "no tail stays behind a snapshot",
+    file: "core/dist/replication/replicaLog.js",
+    find: "let base = index;",
+    put: "let base = index; kept = { entries: 0, bytes: 0 };",
+    test: "core/dist/replication/logCompaction.test.js",
+  },
+  {
+    name: "a base of a tail is forgotten at a start",
+    file: "core/dist/replication/replicaLog.js",
+    find: "if (hasTail)",
+    put: "if (false)",
+    test: "core/dist/replication/logCompaction.test.js",
+  },
 ];
