Membership: lost voters are exchanged at once, by joint consensus, within the successor's time

Cause: a lost voter was replaced after a constant 6 s of silence, and by two single changes with the newcomer first. {A,B,X,N} with X dead needs A, B and N: N's loss before X was out left no majority. Several lost voters were replaced one after another, and a newcomer was enlisted before it listened.

Ruled out: removal first ({A,B} needs both while the newcomer learns, and any further loss stops it). The joint change {A,B,X} to {A,B,N} needs A and B, just what {A,B,X} needed, and afterwards any one may be lost.

Now: `Members.old_voters` makes a configuration joint; elections, commits, check-quorum and read confirmations count both sets (`VoterSets`), and any leader leaves a committed joint configuration (`MemberExchange`). Older entries read as before. Who votes next is decided by a pure function (`VoterPlan`): all lost voters together, those whose machine came back blank first and at once. A learner votes only after a catch-up round of 150 ms. A leader whose own removal is committed yields. A vote is answered also by who lacks the entry that names the candidate.

An older build would read a joint entry as its new set alone; versions are not to be mixed while voters are exchanged.

--- /dev/null
+++ b/packages/control/src/consensus/memberExchange.ts
@@ -0,0 +1,47 @@
+import { create, toBinary } from "@bufbuild/protobuf";
+import { MembersSchema, type StoreMember } from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { LogBuffer } from "@cranetrack/core/runtime/logBuffer.js";
+import type { MemberLog } from "./memberLog.js";
+import { VoterSets } from "./voterSets.js";
+
+/**
+ * Changes of the store's members by the leader's proposals (Raft, section 6).
+ * Invariants: a change begins only where the members in force are committed; other voters come by a joint
+ * configuration, which any leader ends once it is committed; nobody is in a set twice.
+ */
+export class MemberExchange {
+  readonly #memberLog: MemberLog;
+  readonly #ring: LogBuffer;
+  readonly #propose: (data: Uint8Array) => void;
+
+  constructor(memberLog: MemberLog, ring: LogBuffer, propose: (data: Uint8Array) => void) {
+    this.#memberLog = memberLog;
+    this.#ring = ring;
+    this.#propose = propose;
+  }
+
+  /** Whether the members in force are committed, and no exchange of voters is under way. */
+  isSettled(commit: number): boolean {
+    return this.#memberLog.index <= commit && !VoterSets.isJoint(this.#memberLog.members);
+  }
+
+  begin(commit: number, voters: StoreMember[], learners: StoreMember[]): void {
+    if (!this.isSettled(commit) || !VoterSets.isSound(voters)) return;
+    const before = this.#memberLog.members;
+    const isSame = voters.length === before.voters.length && voters.every((one) => VoterSets.isVoter(before, one.id));
+    this.#write(voters, learners, isSame ? [] : before.voters);
+  }
+
+  /** Once a joint configuration is committed, its new set goes on alone. */
+  end(commit: number): void {
+    const { members, index } = this.#memberLog;
+    if (index <= commit && VoterSets.isJoint(members)) this.#write(members.voters, members.learners, []);
+  }
+
+  #write(voters: StoreMember[], learners: StoreMember[], oldVoters: StoreMember[]): void {
+    const namesOf = (list: StoreMember[]): string => list.map((one) => one.name).join();
+    const note = { voters: namesOf(voters), learners: namesOf(learners), before: namesOf(oldVoters) };
+    this.#ring.note("members change", note);
+    this.#propose(toBinary(MembersSchema, create(MembersSchema, { voters, learners, oldVoters })));
+  }
+}
--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -1,13 +1,5 @@
 import { EventEmitter } from "node:events";
-import { create, toBinary } from "@bufbuild/protobuf";
-import {
-  MembersSchema,
-  type StoreMember,
-  type Members,
-  type Vote,
-  type VoteReceipt,
-  type Yield,
-} from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { StoreMember, Members, Vote, VoteReceipt, Yield } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { FollowerLog } from "@cranetrack/core/replication/followerLog.js";
 import type { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
 import { LogReplicator } from "@cranetrack/core/replication/logReplicator.js";
@@ -18,7 +10,9 @@
 import type { LogBuffer } from "@cranetrack/core/runtime/logBuffer.js";
 import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
 import { entryKind } from "./entryKind.js";
+import { MemberExchange } from "./memberExchange.js";
 import { MemberLog } from "./memberLog.js";
+import { VoterSets } from "./voterSets.js";
 import { judgeVote } from "./judgeVote.js";
 import { Metadata, type Applied } from "../store/metadata.js";
 import type { RaftNodeParts } from "./raftNodeParts.js";
@@ -55,6 +49,7 @@
   readonly #intake: FollowerLog;
   readonly #proposals: Proposals;
   readonly #memberLog: MemberLog;
+  readonly #memberExchange: MemberExchange;
   #spread: LogReplicator | undefined;
   #commit: number;
   #applied: number;
@@ -89,6 +84,8 @@
     this.#commit = this.#applied = this.#log.baseIndex;
     this.#proposals = new Proposals(this.#log, this.#clock);
     this.#memberLog = new MemberLog(this.#log);
+    const propose = (data: Uint8Array): void => void this.propose(data, entryKind.members);
+    this.#memberExchange = new MemberExchange(this.#memberLog, parts.ring, propose);
     if (this.#log.baseIndex > 0) this.#memberLog.installed(this.metadata.install(this.#log.snapshot));
     this.#intake = new FollowerLog(
       this.#log,
@@ -98,7 +95,7 @@
       (state) => Metadata.isReadable(state),
     );
     this.#findMembers();
-    this.#exchange.serve("vote", (vote) => this.#vote(vote));
+    this.#exchange.serve("vote", (vote, frame) => this.#vote(vote, frame.from));
     this.#exchange.serve("voteReceipt", (receipt) => this.#count(receipt));
     this.#exchange.serve("yield", (yielded) => this.#succeed(yielded));
     parts.groups.enlist(this.#log.group, {
@@ -125,7 +122,7 @@
   get leaderName(): string {
     return this.#spread !== undefined
       ? this.#exchange.name
-      : (this.members.voters.find((one) => one.id === this.#proposer)?.name ?? "");
+      : (VoterSets.all(this.members).find((one) => one.id === this.#proposer)?.name ?? "");
   }
 
   get members(): Members {
@@ -165,14 +162,14 @@
     return { match, behind: this.#log.lastIndex - match, heardAgo: this.#spread.heardAgo(id) };
   }
 
-  /** One step of a change of members, where none is under way. */
+  /** Whether the members in force are committed, and no exchange of voters is under way. */
+  get hasSettledMembers(): boolean {
+    return this.#memberExchange.isSettled(this.#commit);
+  }
+
+  /** Begins a change of members, where none is under way; other voters come by joint consensus. */
   changeMembers(voters: StoreMember[], learners: StoreMember[]): void {
-    if (!this.isLeader || this.#memberLog.index > this.#commit) return;
-    this.#ring.note("members change", {
-      voters: voters.map((one) => one.name).join(),
-      learners: learners.map((one) => one.name).join(),
-    });
-    void this.propose(toBinary(MembersSchema, create(MembersSchema, { voters, learners })), entryKind.members);
+    if (this.isLeader) this.#memberExchange.begin(this.#commit, voters, learners);
   }
 
   async #take(
@@ -207,7 +204,7 @@
       if (this.#slowWatch.isSlow(now, this.#spread.answerMs)) return this.#giveWay(now);
       return this.#spread.beat();
     }
-    const isVoter = this.members.voters.some((one) => one.id === this.id);
+    const isVoter = VoterSets.isVoter(this.members, this.id);
     if (isVoter && now >= this.#electionAt && !this.#isResigned && !this.#isStandingBy) this.#ask(true);
     // After a start of all, the first question may have reached nobody yet.
     else if (this.#asking !== 0 && this.#isPre) this.#sendVote();
@@ -249,9 +246,8 @@
     this.#tally();
   }
 
-  async #vote(vote: Vote): Promise<undefined> {
+  async #vote(vote: Vote, from: string): Promise<undefined> {
     if (vote.founding !== this.founding || !Number.isSafeInteger(vote.term)) return undefined;
-    const name = this.members.voters.find((one) => one.id === vote.candidate)?.name;
     const isLed =
       this.#spread !== undefined || (this.#proposer !== "" && this.#clock.now() - this.#heardAt < this.#electionMs);
     const isGranted = judgeVote(vote, this.#log, isLed);
@@ -261,8 +257,8 @@
         this.#rearm();
       }
     }
-    if (name === undefined) return undefined;
-    this.#exchange.tell(name, {
+    // Whoever lacks the entry that names the candidate answers it too: the candidate knows whose word counts.
+    this.#exchange.tell(from, {
       case: "voteReceipt",
       value: { term: isGranted ? vote.term : this.#log.term, isGranted, voter: this.id, isPre: vote.isPre },
     });
@@ -270,8 +266,7 @@
   }
 
   #count(receipt: VoteReceipt): undefined {
-    if (!Number.isSafeInteger(receipt.term) || !this.members.voters.some((one) => one.id === receipt.voter))
-      return undefined;
+    if (!Number.isSafeInteger(receipt.term) || !VoterSets.isVoter(this.members, receipt.voter)) return undefined;
     if (!receipt.isGranted && receipt.term > this.#log.term && this.#spread === undefined)
       void this.#log.promise(receipt.term, "");
     if (receipt.isGranted && this.#asking === receipt.term && receipt.isPre === this.#isPre) {
@@ -282,8 +277,7 @@
   }
 
   #tally(): void {
-    const granted = this.members.voters.filter((one) => this.#votes.has(one.id)).length;
-    if (this.#asking === 0 || granted * 2 <= this.members.voters.length) return;
+    if (this.#asking === 0 || !VoterSets.isMajority(this.members, this.#votes)) return;
     if (this.#isPre) return this.#ask(false);
     if (this.#log.term !== this.#asking || this.#log.vote !== this.id) return;
     this.#propose();
@@ -293,7 +287,7 @@
     this.#asking = 0;
     this.#proposer = this.id;
     const names = (): Map<string, string> =>
-      new Map([...this.members.voters, ...this.members.learners].map((one) => [one.id, one.name]));
+      new Map([...VoterSets.all(this.members), ...this.members.learners].map((one) => [one.id, one.name]));
     const spread = new LogReplicator({
       log: this.#log,
       clock: this.#clock,
@@ -333,7 +327,9 @@
     this.#proposer = "";
     this.#yieldedTerm = term;
     this.#tellVoters({ case: "yield", value: { term, sender } }, sender);
-    const ids = this.members.voters.map((one) => one.id).filter((id) => id !== sender);
+    const ids = VoterSets.all(this.members)
+      .map((one) => one.id)
+      .filter((id) => id !== sender);
     this.#electionAt = this.#clock.now() + Rendezvous.rank(String(term), ids).indexOf(this.id) * RaftNode.turnMs;
     return undefined;
   }
@@ -351,7 +347,7 @@
   }
 
   #tellVoters(body: BodyInit, except = ""): void {
-    for (const { id, name } of this.members.voters)
+    for (const { id, name } of VoterSets.all(this.members))
       if (id !== this.id && id !== except) this.#exchange.tell(name, body);
   }
 
@@ -370,6 +366,10 @@
       this.emit("applied", applied);
     }
     if (!wasProposer && this.isLeader) this.emit("elected");
+    if (this.isLeader) this.#memberExchange.end(this.#commit);
+    // Its removal is committed: the others elect at once.
+    if (this.isLeader && this.hasSettledMembers && !VoterSets.isVoter(this.members, this.id))
+      this.#stepDown("it is no voter any more");
     if (this.#log.length > RaftNode.compactAt && this.#applied > this.#log.baseIndex + RaftNode.compactAt / 2)
       this.#compact();
   }
@@ -392,7 +392,7 @@
 
   #enlist(): void {
     this.#spread?.enlist(
-      [this.members.voters.map((one) => one.id)],
+      VoterSets.of(this.members).map((set) => set.map((one) => one.id)),
       this.members.learners.map((one) => one.id),
     );
   }
--- a/packages/control/src/membership/memberChanges.ts
+++ b/packages/control/src/membership/memberChanges.ts
@@ -1,95 +1,172 @@
 import type { Join, StoreMember } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { DrainKey } from "@cranetrack/core/keys/drainKey.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import { Rendezvous } from "@cranetrack/core/membership/rendezvous.js";
 import type { Outcome } from "@cranetrack/core/store/storeClient.js";
 import type { RaftNode } from "../consensus/raftNode.js";
+import { VoterSets } from "../consensus/voterSets.js";
+import { VoterPlan, type VoterFacts } from "./voterPlan.js";
 
 /**
- * Who is taken into the store and who is taken out, as long as this lathe proposes.
- * Invariants: one change at a time; a newcomer learns before it votes; a voter is taken out only where those that
- * answer stay a majority of the rest.
+ * Who is taken into the store and who is taken out, as long as this control node leads it.
+ * Invariants: one change at a time; a newcomer learns before it votes, and votes only once it has caught up; no
+ * change of voters is begun whose new set has no majority that answers just now; a machine that operators want
+ * drained is never taken in.
  */
 export class MemberChanges {
-  static readonly beatMs = 300;
-  /** A lathe that asked to join longer ago than this may be gone. */
-  static readonly askedMs = 4000;
-  static readonly aliveMs = 1000;
+  /** Also the length of a catch-up round: a learner that has in it what the leader had before it is caught up. */
+  static readonly beatMs = 150;
+  /** A control node that asked to join longer ago than this may be gone. */
+  static readonly askedMs = 1500;
+  /** Who has answered within this is there. */
+  static readonly answeredMs = 500;
+  /** A newcomer starts its part of the store first, so it gets longer than a voter to be heard from. */
+  static readonly learnerMs = 3000;
 
   readonly #node: ClusterNode;
-  readonly #ledger: RaftNode;
-  /** Lathes that asked to join, by name, and when they last did. */
+  readonly #raft: RaftNode;
+  /** Control nodes that asked to join, by name, and when they last did. */
   readonly #joining = new Map<string, { id: string; at: number }>();
+  /** Where each learner would have to be by now to have caught up: the end of the log one round ago. */
+  readonly #rounds = new Map<string, number>();
 
-  constructor(node: ClusterNode, ledger: RaftNode) {
+  constructor(node: ClusterNode, raft: RaftNode) {
     this.#node = node;
-    this.#ledger = ledger;
+    this.#raft = raft;
     node.parts.clock.every(MemberChanges.beatMs, () => this.#tend());
   }
 
-  /** Done: it is a member. Standby: there are enough, and it is kept in mind for a loss. */
+  /**
+   * Done: it is a member. Standby: there are enough, and it is kept in mind for a loss. A newcomer is enlisted in
+   * answer to its own call, so that it is known to listen by the time it is sent anything.
+   */
   join({ id, name }: Join): Outcome {
-    this.#joining.set(name, { id, at: this.#node.parts.clock.now() });
-    const members = [...this.#ledger.members.voters, ...this.#ledger.members.learners];
-    if (members.some((one) => one.id === id)) return { outcome: "done" };
-    const isAwaited = members.some((one) => one.name === name) || members.length < this.#wanted;
-    return isAwaited ? { outcome: "away", reason: "joining" } : { outcome: "standby", reason: "enough lathes vote" };
+    this.#joining.set(name, { id, at: this.#now });
+    this.#takeIn(id);
+    const { learners } = this.#raft.members;
+    const isMember = [...VoterSets.all(this.#raft.members), ...learners].some((one) => one.id === id);
+    if (isMember) return { outcome: "done" };
+    return this.#places > 0 && !this.#isDraining(name)
+      ? { outcome: "away", reason: "joining" }
+      : { outcome: "standby", reason: "enough control nodes vote" };
   }
 
-  get #wanted(): number {
-    return this.#node.parts.settings.voters;
+  get #now(): number {
+    return this.#node.parts.clock.now();
+  }
+
+  get #facts(): VoterFacts {
+    const { voters, learners } = this.#raft.members;
+    return {
+      voters,
+      ready: learners.filter((one) => this.#isReady(one)),
+      wanted: this.#node.parts.settings.voters,
+      self: this.#raft.id,
+      isLost: (one) => this.#isLost(one) || this.#isBlank(one),
+      isDraining: (one) => this.#isDraining(one.name),
+      zoneOf: (one) => this.#zoneOf(one.name),
+    };
+  }
+
+  /** How many learners are wanted beyond those that there are. */
+  get #places(): number {
+    const facts = this.#facts;
+    const room = Math.max(0, facts.wanted - facts.voters.length);
+    const surplus = Math.max(0, facts.voters.length - facts.wanted);
+    const unfit = Math.max(0, VoterPlan.unfit(facts).length - surplus);
+    return unfit + room - this.#raft.members.learners.length;
   }
 
   #tend(): void {
-    if (!this.#ledger.isLeader) return;
-    const { voters, learners } = this.#ledger.members;
-    const grown = learners.find((one) => this.#isReady(one));
-    const gone = learners.find((one) => this.#isLost(one));
-    const back = this.#comeBack([...voters, ...learners]);
-    const without = (list: StoreMember[], out: StoreMember): StoreMember[] => list.filter((one) => one !== out);
-    if (grown !== undefined) this.#ledger.changeMembers([...voters, grown], without(learners, grown));
-    else if (gone !== undefined) this.#ledger.changeMembers(voters, without(learners, gone));
-    else if (back !== undefined) this.#ledger.changeMembers(without(voters, back), without(learners, back));
-    else if (voters.length > this.#wanted) this.#reduce(voters, learners);
-    else if (learners.length === 0 && (voters.length < this.#wanted || voters.some((one) => this.#isLost(one))))
-      this.#takeIn(voters);
-  }
-
-  /** A member whose lathe came back under its name with another disk. */
-  #comeBack(members: StoreMember[]): StoreMember | undefined {
-    for (const [name, { id, at }] of this.#joining) {
-      const isOver = this.#node.parts.clock.now() - at > MemberChanges.askedMs;
-      if (isOver || members.some((one) => one.id === id)) this.#joining.delete(name);
+    if (!this.#raft.isLeader || !this.#raft.hasSettledMembers) return;
+    this.#forget();
+    const { voters, learners } = this.#raft.members;
+    const next = VoterPlan.next(this.#facts);
+    const isOther = next.length !== voters.length || next.some((one) => !voters.includes(one));
+    if (isOther && this.#hasLiveMajority(next)) {
+      const rest = learners.filter((one) => !next.includes(one));
+      return this.#raft.changeMembers(next, rest);
     }
-    return members.find((one) => this.#joining.has(one.name));
+    const out = learners.find((one) => this.#isGoneLearner(one)) ?? (this.#places < 0 ? learners.at(-1) : undefined);
+    if (out !== undefined)
+      this.#raft.changeMembers(
+        voters,
+        learners.filter((one) => one !== out),
+      );
+    this.#mark();
+  }
+
+  /** A learner is caught up that has by the next round what the leader has now. */
+  #mark(): void {
+    const { learners } = this.#raft.members;
+    for (const id of this.#rounds.keys()) if (!learners.some((one) => one.id === id)) this.#rounds.delete(id);
+    for (const { id } of learners) {
+      const { match, behind } = this.#raft.matchOf(id);
+      this.#rounds.set(id, match + behind);
+    }
+  }
+
+  #forget(): void {
+    for (const [name, { at }] of this.#joining) if (this.#now - at > MemberChanges.askedMs) this.#joining.delete(name);
   }
 
-  #takeIn(voters: StoreMember[]): void {
-    const zones = new Set(voters.filter((one) => !this.#isLost(one)).map((one) => this.#zoneOf(one.name)));
-    const ranked = Rendezvous.rank("voter", [...this.#joining.keys()]);
-    const name = ranked.find((one) => !zones.has(this.#zoneOf(one))) ?? ranked[0];
-    if (name === undefined) return;
-    this.#ledger.changeMembers(voters, [{ id: this.#joining.get(name)!.id, name } as StoreMember]);
+  /** Enlists the one that asks, if it is among the best of those that ask for as many places as there are. */
+  #takeIn(id: string): void {
+    if (!this.#raft.isLeader || !this.#raft.hasSettledMembers) return;
+    const { voters, learners } = this.#raft.members;
+    const members = [...voters, ...learners];
+    const kept = voters.filter((one) => !this.#facts.isLost(one) && !this.#isDraining(one.name));
+    const zones = new Set([...kept, ...learners].map((one) => this.#zoneOf(one.name)));
+    const free = [...this.#joining.entries()]
+      .filter(([name, one]) => this.#isFree(name, one.id, members))
+      .map(([name]) => name);
+    const ranked = Rendezvous.rank("voter", free);
+    const first = [
+      ...ranked.filter((name) => !zones.has(this.#zoneOf(name))),
+      ...ranked.filter((name) => zones.has(this.#zoneOf(name))),
+    ];
+    const chosen = first.slice(0, Math.max(0, this.#places)).find((name) => this.#joining.get(name)!.id === id);
+    if (chosen === undefined) return;
+    this.#raft.changeMembers(voters, [...learners, { id, name: chosen } as StoreMember]);
   }
 
-  /** Whoever is lost goes first; else one whose zone has another voter; never this lathe itself. */
-  #reduce(voters: StoreMember[], learners: StoreMember[]): void {
-    const others = voters.filter((one) => one.id !== this.#ledger.id).reverse();
-    const zones = voters.map((one) => this.#zoneOf(one.name));
-    const isDouble = (one: StoreMember): boolean => zones.filter((zone) => zone === this.#zoneOf(one.name)).length > 1;
-    const out = others.find((one) => this.#isLost(one)) ?? others.find(isDouble) ?? others[0];
-    const rest = voters.filter((one) => one !== out);
-    const alive = rest.filter((one) => this.#ledger.matchOf(one.id).heardAgo < MemberChanges.aliveMs);
-    if (alive.length * 2 > rest.length) this.#ledger.changeMembers(rest, learners);
+  /** Whether a control node that asks may be enlisted: not the same machine as a member that is there. */
+  #isFree(name: string, id: string, members: readonly StoreMember[]): boolean {
+    if (this.#isDraining(name) || members.some((one) => one.id === id)) return false;
+    return members.every((one) => one.name !== name || this.#isBlank(one));
+  }
+
+  #hasLiveMajority(voters: readonly StoreMember[]): boolean {
+    const alive = voters.filter((one) => this.#raft.matchOf(one.id).heardAgo < 2 * MemberChanges.answeredMs);
+    return alive.length * 2 > voters.length;
   }
 
-  /** It has answered: whoever never did counts as heard from when it was enlisted. */
   #isReady(one: StoreMember): boolean {
-    const { match, behind, heardAgo } = this.#ledger.matchOf(one.id);
-    return match > 0 && behind < 50 && heardAgo < 500;
+    const { match, heardAgo } = this.#raft.matchOf(one.id);
+    const round = this.#rounds.get(one.id);
+    return round !== undefined && match >= round && heardAgo < MemberChanges.answeredMs && !this.#isDraining(one.name);
   }
 
   #isLost(one: StoreMember): boolean {
-    return this.#ledger.matchOf(one.id).heardAgo > this.#node.parts.settings.replaceVoterMs;
+    return this.#raft.matchOf(one.id).heardAgo > this.#node.parts.settings.replaceVoterMs;
+  }
+
+  /** Its machine came back under its name with another disk, and the disk that it voted by is not heard from. */
+  #isBlank(one: StoreMember): boolean {
+    const asked = this.#joining.get(one.name);
+    const isOther = asked !== undefined && asked.id !== one.id;
+    return isOther && this.#raft.matchOf(one.id).heardAgo > MemberChanges.answeredMs;
+  }
+
+  #isGoneLearner(one: StoreMember): boolean {
+    const { heardAgo } = this.#raft.matchOf(one.id);
+    const mostMs = Math.max(MemberChanges.learnerMs, this.#node.parts.settings.replaceVoterMs);
+    return heardAgo > mostMs || this.#isBlank(one) || this.#isDraining(one.name);
+  }
+
+  /** As the store itself says, not a feed of it. */
+  #isDraining(name: string): boolean {
+    return this.#raft.metadata.get(DrainKey.of(name)) !== undefined;
   }
 
   #zoneOf(name: string): string {
--- a/packages/control/src/membership/membershipStatus.ts
+++ b/packages/control/src/membership/membershipStatus.ts
@@ -6,7 +6,8 @@
  * away, hears of it from the others, stands by, and is in the store again once a proposer speaks to it.
  */
 export class MembershipStatus {
-  static readonly beatMs = 1000;
+  /** How often a control node that stands by asks again: it has to be known when a voter is lost. */
+  static readonly beatMs = 500;
   static readonly silentMs = 1500;
 
   readonly #node: ClusterNode;
--- a/packages/testkit/src/sim/founding.test.ts
+++ b/packages/testkit/src/sim/founding.test.ts
@@ -166,16 +166,27 @@
   expect(await written(fleet, "fourth")).toEqual("done");
 });
 
-test("a voter that is back before it is replaced for good leaves as many voters as there should be", async () => {
-  const fleet = await withStandbys(79);
-  fleet.kill("lathe-3");
-  expect(await fleet.until(() => voters(fleet).length === 4, 10_000)).toEqual(true);
-  fleet.start("lathe-3");
-  expect(await fleet.until(() => voters(fleet).length === 3, 6000)).toEqual(true);
-  await fleet.run(5000);
-  expect(voters(fleet).length).toEqual(3);
-  expect(await written(fleet, "later")).toEqual("done");
-});
+for (const step of ["learner", "joint"] as const)
+  test(`a voter that is back while it is replaced (${step}) leaves as many voters as there should be`, async () => {
+    const fleet = await withStandbys(79);
+    const members = () => fleet.find(fleet.proposer ?? "")?.lathe!.ledger!.members;
+    const isAt = (): boolean => {
+      const { learners = [], oldVoters = [] } = members() ?? {};
+      return (step === "learner" ? learners : oldVoters).length > 0;
+    };
+    fleet.kill("lathe-3");
+    for (let ms = 0; ms < 10_000 && !isAt(); ms += 1) await fleet.run(1);
+    expect(isAt()).toEqual(true);
+    fleet.start("lathe-3");
+    const isSettled = (): boolean => {
+      const { learners, oldVoters } = members() ?? {};
+      return voters(fleet).length === 3 && learners!.length === 0 && oldVoters!.length === 0;
+    };
+    expect(await fleet.until(isSettled, 6000)).toEqual(true);
+    await fleet.run(5000);
+    expect(isSettled()).toEqual(true);
+    expect(await written(fleet, "later")).toEqual("done");
+  });
 
 test("lathes that store serve publishes with no other storage machine, and go on without one of them", async () => {
   const { fleet, publish } = await served(
