Drains: over when no vote, replica or holder is left; a taken order is acknowledged again

Cause: `complete` looked at replica sets only. The machine could still vote in the metadata store: removed with its disk then, and another voter cut off, no majority was left. Nothing ever took a draining voter out. An order sent again was judged anew by what was up: 409 after another loss, 404 once its machine was gone, and definite refusals without any majority. Two orders were judged against the same machines.

Ruled out: reading the voters from the answering node's own log (it may lag); a read now names them, confirmed by a majority, and names none while a change of members is not committed or not over.

The recorded wish is judged before anything else; without a confirmed read the answer is 503. A wish is written on top of the last one. 409 also where fewer control nodes than `voters` would be left. 256 wishes are kept; beyond, the oldest of machines that are gone and hold nothing go.

--- /dev/null
+++ b/packages/control/src/drain/drainCapacity.ts
@@ -0,0 +1,53 @@
+import type { Member } from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { ApiReplies, type ApiReply } from "@cranetrack/core/http/apiReply.js";
+
+/** What rests on the machines, as a confirmed read of the store has it. */
+export interface DrainFacts {
+  /** Machines whose drain is recorded. */
+  draining: ReadonlySet<string>;
+  /** Machines that a replica set or the voters of the store name, whether they are up or not. */
+  inUse: ReadonlySet<string>;
+}
+
+/** Why a machine can't be drained with all budgets kept; undefined where it can. */
+export function drainRefusal(node: ClusterNode, name: string, facts: DrainFacts): ApiReply | undefined {
+  const member = node.membership.find(name);
+  if (!facts.inUse.has(name) && (member === undefined || member.shelf === ""))
+    return ApiReplies.fault(404, "unknown-machine", `no machine called ${name} has a disk for topic logs`);
+  const left = node.membership.alive().filter((one) => one.name !== name && !facts.draining.has(one.name));
+  return replicasAtRisk(node, left) ?? votersAtRisk(node, member, left) ?? zonesAtRisk(node, left);
+}
+
+const atRisk = (message: string): ApiReply => ApiReplies.fault(409, "contract-at-risk", message);
+
+/** A set survives f machines with 2f + 1 replicas; three are the least that any set has. */
+function replicasAtRisk({ plan }: ClusterNode, left: readonly Member[]): ApiReply | undefined {
+  const rules = plan.plan?.spaces.flatMap((space) => space.program) ?? [];
+  const budgets = rules.filter(({ owe }) => owe.keep > 0).map(({ owe }) => owe.fault_budget.machines ?? 0);
+  const needed = 2 * Math.max(1, ...budgets) + 1;
+  const disks = left.filter((one) => one.shelf !== "").length;
+  if (disks >= needed) return undefined;
+  return atRisk(`only ${disks} machines with a disk would be left, and each shard needs ${needed}`);
+}
+
+/** A machine that may vote leaves only where the store keeps as many voters as the settings ask for. */
+function votersAtRisk(
+  { parts }: ClusterNode,
+  leaving: Member | undefined,
+  left: readonly Member[],
+): ApiReply | undefined {
+  const { voters } = parts.settings;
+  const able = left.filter((one) => one.role === "lathe").length;
+  if (leaving?.role !== "lathe" || able >= voters) return undefined;
+  return atRisk(`only ${able} control nodes would be left, and the metadata store needs ${voters}`);
+}
+
+function zonesAtRisk({ plan }: ClusterNode, left: readonly Member[]): ApiReply | undefined {
+  const program =
+    plan.plan?.spaces.flatMap((space) => space.program.map((rule) => ({ space: space.name, rule }))) ?? [];
+  const bound = program.find(({ rule }) => rule.owe.keep > 0 && (rule.owe.fault_budget.zones ?? 0) > 0);
+  const zones = new Set(left.filter((one) => one.shelf !== "").map((one) => one.zone)).size;
+  if (bound === undefined || zones >= 3) return undefined;
+  return atRisk(`space ${bound.space} must survive the loss of a zone, and machines would be left in only ${zones}`);
+}
--- a/packages/control/src/drain/drainMachine.ts
+++ b/packages/control/src/drain/drainMachine.ts
@@ -1,79 +1,135 @@
+import type { Kv } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { DrainKey } from "@cranetrack/core/keys/drainKey.js";
+import { HolderKey } from "@cranetrack/core/keys/holderKey.js";
+import { MembersKey } from "@cranetrack/core/keys/membersKey.js";
 import { ReplicasKey } from "@cranetrack/core/keys/replicasKey.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import { ApiReplies, type ApiReply } from "@cranetrack/core/http/apiReply.js";
+import { drainRefusal } from "./drainCapacity.js";
 
-/** The operators' wish to have a machine's topic logs moved off it: kept, repeatable, undone by asking. */
+/** What a confirmed read of the store says about drains and about what rests on machines. */
+interface Standing {
+  wishes: Kv[];
+  turn: number;
+  sets: Array<{ shard: number; names: string[] }>;
+  holders: Set<string>;
+  /** Undefined while a change of the store's members is under way. */
+  voters: string[] | undefined;
+}
+
+/**
+ * The operators' wish to have a machine drained: kept, repeatable, undone by asking.
+ * Invariants: a wish that was recorded is acknowledged again whatever has become of the machine; two wishes are never
+ * judged against the same machines, each is recorded on top of the last; a machine is empty only where a confirmed
+ * read shows no vote in the store, no replica and no shard held by it.
+ */
 export const DrainMachine = {
+  /**
+   * Wishes that are kept. Beyond, the oldest are dropped whose machines are gone and hold nothing, so that an order
+   * is known again until so many later ones were taken.
+   */
+  mostWishes: 256,
+  /** How often a wish is judged anew because another was recorded meanwhile. */
+  mostTries: 4,
+
   /** `rampSeconds`: how long the machine may take over it; kept with the wish. */
   async ask(node: ClusterNode, name: string, rampSeconds?: number): Promise<ApiReply> {
-    const refusal = refuse(node, name);
-    if (refusal !== undefined) return refusal;
-    const written = await node.store.txn({
-      puts: [{ key: DrainKey.of(name), value: DrainKey.write(rampSeconds) }],
-    });
-    if (written.outcome === "unsure")
-      return ApiReplies.unsure("the lathes did not answer in time; the same request again settles it");
-    if (written.outcome !== "done") return ApiReplies.away("no majority of the lathes answers");
-    return DrainMachine.progress(node, name);
+    for (let tries = 0; tries < DrainMachine.mostTries; tries += 1) {
+      const standing = await readStanding(node);
+      if (standing === undefined) return unavailable();
+      if (isWished(standing, name)) return progressOf(standing, name);
+      const refusal = drainRefusal(node, name, {
+        draining: new Set(standing.wishes.map((kv) => DrainKey.machineOf(kv.key)!)),
+        inUse: inUse(standing),
+      });
+      if (refusal !== undefined) return refusal;
+      const { outcome } = await node.store.txn({
+        checks: [{ key: DrainKey.turn, revision: standing.turn }],
+        puts: [
+          { key: DrainKey.turn, value: Buffer.from(name) },
+          { key: DrainKey.of(name), value: DrainKey.write(rampSeconds) },
+        ],
+        deletes: outlived(node, standing),
+      });
+      if (outcome === "done") return DrainMachine.progress(node, name);
+      if (outcome === "unsure")
+        return ApiReplies.unsure("the control nodes did not answer in time; the same request again settles it");
+      if (outcome !== "conflict") return unavailable();
+    }
+    return unavailable();
   },
 
   async undo(node: ClusterNode, name: string): Promise<ApiReply> {
     const written = await node.store.txn({ deletes: [DrainKey.of(name)] });
     if (written.outcome !== "done")
-      return ApiReplies.unsure("the lathes did not answer in time; the same request again settles it");
+      return ApiReplies.unsure("the control nodes did not answer in time; the same request again settles it");
     return DrainMachine.progress(node, name);
   },
 
   async progress(node: ClusterNode, name: string): Promise<ApiReply> {
-    const read = await node.store.read([DrainKey.of(name)], ["shards/"]);
-    if (read.outcome !== "done") return ApiReplies.away("no majority of the lathes answers");
-    const isAsked = read.kvs!.some((kv) => kv.key === DrainKey.of(name));
-    const sets = read
-      .kvs!.filter((kv) => kv.key.endsWith("/replicas"))
-      .map((kv) => ({
-        shard: Number(kv.key.split("/")[1]),
-        members: ReplicasKey.read(kv.value)?.members ?? [],
-      }));
-    const left = sets
-      .filter((set) => set.members.some((member) => member.name === name))
-      .map((set) => set.shard)
-      .sort((a, b) => a - b);
-    return ApiReplies.done({
-      machine: name,
-      isAsked,
-      isEmpty: left.length === 0,
-      shardsLeft: left.length,
-      of: sets.length,
-      left,
-    });
+    const standing = await readStanding(node);
+    return standing === undefined ? unavailable() : progressOf(standing, name);
   },
 };
 
-/** Why the contracts could not be kept without the machine; undefined where they could. */
-function refuse(node: ClusterNode, name: string): ApiReply | undefined {
-  const { membership, machines } = node;
-  const member = membership.find(name);
-  if (member === undefined || member.shelf === "")
-    return ApiReplies.fault(404, "unknown-machine", `no machine called ${name} has a disk for topic logs`);
-  const left = membership
-    .alive()
-    .filter((one) => one.shelf !== "" && one.name !== name && !machines.isDraining(one.name));
-  if (left.length < 3)
-    return ApiReplies.fault(
-      409,
-      "contract-at-risk",
-      `only ${left.length} machines with a disk would be left, and each shard needs three`,
-    );
-  const zones = new Set(left.map((one) => one.zone)).size;
-  const program =
-    node.plan.plan?.spaces.flatMap((space) => space.program.map((rule) => ({ space: space.name, rule }))) ?? [];
-  const bound = program.find(({ rule }) => rule.owe.keep > 0 && (rule.owe.fault_budget.zones ?? 0) > 0);
-  if (bound !== undefined && zones < 3)
-    return ApiReplies.fault(
-      409,
-      "contract-at-risk",
-      `space ${bound.space} must survive the loss of a zone, and machines would be left in only ${zones}`,
-    );
-  return undefined;
+const unavailable = (): ApiReply => ApiReplies.away("no majority of the control nodes answers");
+const isWished = ({ wishes }: Standing, name: string): boolean => wishes.some((kv) => kv.key === DrainKey.of(name));
+
+async function readStanding(node: ClusterNode): Promise<Standing | undefined> {
+  const read = await node.store.read([MembersKey.name, DrainKey.turn], ["shards/", "machines/"]);
+  if (read.outcome !== "done") return undefined;
+  const kvs = read.kvs!;
+  const members = kvs.find((kv) => kv.key === MembersKey.name);
+  const holders = kvs
+    .filter((kv) => kv.key.startsWith("shards/") && kv.key.endsWith("/holder"))
+    .map((kv) => HolderKey.read(kv.value)?.name ?? "");
+  const sets = kvs
+    .filter((kv) => kv.key.endsWith("/replicas"))
+    .map((kv) => ({
+      shard: Number(kv.key.split("/")[1]),
+      names: (ReplicasKey.read(kv.value)?.members ?? []).map((member) => member.name),
+    }));
+  return {
+    wishes: kvs.filter((kv) => DrainKey.machineOf(kv.key) !== undefined),
+    turn: kvs.find((kv) => kv.key === DrainKey.turn)?.revision ?? 0,
+    sets,
+    holders: new Set(holders),
+    voters: members === undefined ? undefined : MembersKey.read(members.value)?.voters,
+  };
+}
+
+function inUse({ sets, holders, voters }: Standing): Set<string> {
+  return new Set([...sets.flatMap((set) => set.names), ...holders, ...(voters ?? [])]);
+}
+
+function progressOf(standing: Standing, name: string): ApiReply {
+  const { sets, holders, voters } = standing;
+  const left = sets
+    .filter((set) => set.names.includes(name))
+    .map((set) => set.shard)
+    .sort((a, b) => a - b);
+  const isVoter = voters?.includes(name) ?? true;
+  const isHolder = holders.has(name);
+  return ApiReplies.done({
+    machine: name,
+    isAsked: isWished(standing, name),
+    isEmpty: left.length === 0 && !isHolder && !isVoter,
+    shardsLeft: left.length,
+    of: sets.length,
+    left,
+    isVoter,
+    isHolder,
+  });
+}
+
+/** The keys of the oldest wishes beyond the bound whose machines have left and hold nothing. */
+function outlived({ membership }: ClusterNode, standing: Standing): string[] {
+  const surplus = standing.wishes.length + 1 - DrainMachine.mostWishes;
+  if (surplus <= 0 || standing.voters === undefined) return [];
+  const used = inUse(standing);
+  return standing.wishes
+    .filter((kv) => !used.has(DrainKey.machineOf(kv.key)!) && !membership.isAlive(DrainKey.machineOf(kv.key)!))
+    .sort((a, b) => a.revision - b.revision)
+    .slice(0, surplus)
+    .map((kv) => kv.key);
 }
--- a/packages/control/src/store/storeService.ts
+++ b/packages/control/src/store/storeService.ts
@@ -4,8 +4,10 @@
   StoreCallSchema,
   StoreCommandSchema,
   type FeedState,
+  type Kv,
   type StoreCall,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { MembersKey } from "@cranetrack/core/keys/membersKey.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import type { Outcome } from "@cranetrack/core/store/storeClient.js";
 import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
@@ -93,17 +95,25 @@
   async #read(keys: readonly string[], prefixes: readonly string[]): Promise<Outcome> {
     if (!(await this.#ledger.confirm())) return { outcome: "away", comeBack: 1 };
     const { metadata } = this.#ledger;
+    const members = keys.includes(MembersKey.name) ? this.#members() : [];
     const single = keys
       .map((key) => metadata.get(key))
       .filter((kv) => kv !== undefined)
       .map((kv) => (kv.lease === "" ? kv : create(KvSchema, { ...kv, leaseLeft: this.#leases.leftOf(kv.lease) })));
     return {
       outcome: "done",
-      kvs: [...single, ...prefixes.flatMap((prefix) => metadata.range(prefix))],
+      kvs: [...members, ...single, ...prefixes.flatMap((prefix) => metadata.range(prefix))],
       revision: metadata.revision,
     };
   }
 
+  /** Who votes, where that is committed and not being changed. */
+  #members(): Kv[] {
+    if (!this.#ledger.hasSettledMembers) return [];
+    const voters = this.#ledger.members.voters.map((one) => one.name);
+    return [create(KvSchema, { key: MembersKey.name, value: MembersKey.write({ voters }) })];
+  }
+
   async #pass(calls: StoreCall[]): Promise<Outcome[]> {
     const all = (outcome: Outcome): Outcome[] => calls.map(() => outcome);
     const proposer = this.#ledger.leaderName;
--- a/packages/core/src/keys/drainKey.ts
+++ b/packages/core/src/keys/drainKey.ts
@@ -1,5 +1,8 @@
 /** The operators' wish to have a machine emptied. */
 export const DrainKey = {
+  /** Written with every wish: who judged by the wishes before has to look again. */
+  turn: "drains",
+
   of(machine: string): string {
     return `machines/${machine}/emptying`;
   },
--- /dev/null
+++ b/packages/testkit/src/sabotage/membershipSabotages.ts
@@ -0,0 +1,70 @@
+import type { Sabotage } from "./sabotages.js";
+
+const sim = "testkit/dist/sim";
+
+/** Guards of the store's membership and of drains. */
+export const membershipSabotages: readonly Sabotage[] = [
+  {
+    name: "elections in a joint configuration count one set",
+    file: "control/dist/consensus/voterSets.js",
+    find: "VoterSets.of(members).every(",
+    put: "VoterSets.of(members).some(",
+    test: "control/dist/consensus/voterSets.test.js",
+  },
+  {
+    name: "commits in a joint configuration count the new set only",
+    file: "control/dist/consensus/raftNode.js",
+    find: "VoterSets.of(this.members).map((set) => set.map((one) => one.id))",
+    put: "[this.members.voters.map((one) => one.id)]",
+    test: `${sim}/memberChanges.test.js`,
+  },
+  {
+    name: "a joint configuration is never left",
+    file: "control/dist/consensus/memberExchange.js",
+    find: "index <= commit && VoterSets.isJoint(members)",
+    put: "false",
+    test: `${sim}/memberChanges.test.js`,
+  },
+  {
+    name: "learners vote before they have caught up",
+    file: "control/dist/membership/memberChanges.js",
+    find: "match >= round",
+    put: "true",
+    test: `${sim}/memberChanges.test.js`,
+  },
+  {
+    name: "a blank disk's machine is waited for like a silent one",
+    file: "control/dist/membership/memberChanges.js",
+    find: "this.#isLost(one) || this.#isBlank(one)",
+    put: "this.#isLost(one)",
+    test: `${sim}/memberChanges.test.js`,
+  },
+  {
+    name: "a drain looks at replicas only",
+    file: "control/dist/drain/drainMachine.js",
+    find: "left.length === 0 && !isHolder && !isVoter",
+    put: "left.length === 0",
+    test: `${sim}/drains.test.js`,
+  },
+  {
+    name: "a drain that was taken is judged anew",
+    file: "control/dist/drain/drainMachine.js",
+    find: "if (isWished(standing, name))",
+    put: "if (false)",
+    test: `${sim}/drains.test.js`,
+  },
+  {
+    name: "drains are judged against the same machines",
+    file: "control/dist/drain/drainMachine.js",
+    find: "checks: [{ key: DrainKey.turn, revision: standing.turn }],",
+    put: "",
+    test: `${sim}/drains.test.js`,
+  },
+  {
+    name: "a drained machine may vote again",
+    file: "control/dist/membership/memberChanges.js",
+    find: "return this.#raft.metadata.get(DrainKey.of(name)) !== undefined;",
+    put: "return false;",
+    test: `${sim}/drains.test.js`,
+  },
+];
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,3 +1,5 @@
+import { membershipSabotages } from "./membershipSabotages.js";
+
 export interface Sabotage {
   name: string;
   /** Built file below packages/, and what to put in place of what. */
@@ -12,6 +14,7 @@
 
 /** Guards taken out on purpose; for each a test must fail. */
 export const sabotages: readonly Sabotage[] = [
+  ...membershipSabotages,
   {
     name: "a replica answers before its disk",
     file: "core/dist/replication/followerLog.js",
@@ -145,41 +148,6 @@
     put: "const founded = undefined;",
     test: `${sim}/store.test.js`,
   },
-  {
-    name: "elections in a joint configuration count one set",
-    file: "control/dist/consensus/voterSets.js",
-    find: "VoterSets.of(members).every(",
-    put: "VoterSets.of(members).some(",
-    test: "control/dist/consensus/voterSets.test.js",
-  },
-  {
-    name: "commits in a joint configuration count the new set only",
-    file: "control/dist/consensus/raftNode.js",
-    find: "VoterSets.of(this.members).map((set) => set.map((one) => one.id))",
-    put: "[this.members.voters.map((one) => one.id)]",
-    test: `${sim}/memberChanges.test.js`,
-  },
-  {
-    name: "a joint configuration is never left",
-    file: "control/dist/consensus/memberExchange.js",
-    find: "index <= commit && VoterSets.isJoint(members)",
-    put: "false",
-    test: `${sim}/memberChanges.test.js`,
-  },
-  {
-    name: "learners vote before they have caught up",
-    file: "control/dist/membership/memberChanges.js",
-    find: "match >= round",
-    put: "true",
-    test: `${sim}/memberChanges.test.js`,
-  },
-  {
-    name: "a blank disk's machine is waited for like a silent one",
-    file: "control/dist/membership/memberChanges.js",
-    find: "this.#isLost(one) || this.#isBlank(one)",
-    put: "this.#isLost(one)",
-    test: `${sim}/memberChanges.test.js`,
-  },
   {
     name: "emptying asks nothing about contracts",
     file: "control/dist/drain/drainMachine.js",
