Stops: a process that stops hands its vote to one that stands by before it ends

Cause: a machine that is stopped for good beside a successor that is up long enough no longer counts as lost, so the next loss may come at once. Its vote went only after the silence of a loss: with it gone, one disk more left one voter of three.

It does not wait where nobody stands by, nor for others that stop too. One that is started again stands by in its turn.

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -10,6 +10,7 @@
 import { putPlan } from "./configuration/putPlan.js";
 import { Founding } from "./consensus/founding.js";
 import { RaftNode } from "./consensus/raftNode.js";
+import { handOverVote } from "./membership/handOverVote.js";
 import { MembershipStatus } from "./membership/membershipStatus.js";
 import { StoreService } from "./store/storeService.js";
 
@@ -58,8 +59,12 @@
   }
 
   async stop(): Promise<void> {
+    const { membership } = this.node;
+    membership.self.isLeaving = true;
+    membership.tellNow();
     await this.anvil.stop();
     this.#ledger?.resign();
+    if (membership.self.isInStore) await handOverVote(this.node);
     this.#desk?.closeFeeds("the process is stopping");
   }
 
--- a/packages/control/src/membership/memberChanges.ts
+++ b/packages/control/src/membership/memberChanges.ts
@@ -10,8 +10,8 @@
 /**
  * Who is taken into the store and who is taken out, as long as this control node leads it.
  * Invariants: one change at a time; a newcomer learns before it votes, and votes only once it has caught up; no
- * change of voters is begun whose new set has no majority that answers just now; a machine that operators want
- * drained is never taken in.
+ * change of voters is begun whose new set has no majority that answers just now; a machine that is
+ * to leave is never taken in.
  */
 export class MemberChanges {
   /** Also the length of a catch-up round: a learner that has in it what the leader had before it is caught up. */
@@ -46,7 +46,7 @@
     const { learners } = this.#raft.members;
     const isMember = [...VoterSets.all(this.#raft.members), ...learners].some((one) => one.id === id);
     if (isMember) return { outcome: "done" };
-    return this.#places > 0 && !this.#isDraining(name)
+    return this.#places > 0 && !this.#isToLeave(name)
       ? { outcome: "away", reason: "joining" }
       : { outcome: "standby", reason: "enough control nodes vote" };
   }
@@ -63,7 +63,7 @@
       wanted: this.#node.parts.settings.voters,
       self: this.#raft.id,
       isLost: (one) => this.#isLost(one) || this.#isBlank(one),
-      isDraining: (one) => this.#isDraining(one.name),
+      isToLeave: (one) => this.#isToLeave(one.name),
       zoneOf: (one) => this.#zoneOf(one.name),
     };
   }
@@ -115,7 +115,7 @@
     if (!this.#raft.isLeader || !this.#raft.hasSettledMembers) return;
     const { voters, learners } = this.#raft.members;
     const members = [...voters, ...learners];
-    const kept = voters.filter((one) => !this.#facts.isLost(one) && !this.#isDraining(one.name));
+    const kept = voters.filter((one) => !this.#facts.isLost(one) && !this.#isToLeave(one.name));
     const zones = new Set([...kept, ...learners].map((one) => this.#zoneOf(one.name)));
     const free = [...this.#joining.entries()]
       .filter(([name, one]) => this.#isFree(name, one.id, members))
@@ -132,7 +132,7 @@
 
   /** Whether a control node that asks may be enlisted: not the same machine as a member that is there. */
   #isFree(name: string, id: string, members: readonly StoreMember[]): boolean {
-    if (this.#isDraining(name) || members.some((one) => one.id === id)) return false;
+    if (this.#isToLeave(name) || members.some((one) => one.id === id)) return false;
     return members.every((one) => one.name !== name || this.#isBlank(one));
   }
 
@@ -144,7 +144,7 @@
   #isReady(one: StoreMember): boolean {
     const { match, heardAgo } = this.#raft.matchOf(one.id);
     const round = this.#rounds.get(one.id);
-    return round !== undefined && match >= round && heardAgo < MemberChanges.answeredMs && !this.#isDraining(one.name);
+    return round !== undefined && match >= round && heardAgo < MemberChanges.answeredMs && !this.#isToLeave(one.name);
   }
 
   #isLost(one: StoreMember): boolean {
@@ -161,12 +161,13 @@
   #isGoneLearner(one: StoreMember): boolean {
     const { heardAgo } = this.#raft.matchOf(one.id);
     const mostMs = Math.max(MemberChanges.learnerMs, this.#node.parts.settings.replaceVoterMs);
-    return heardAgo > mostMs || this.#isBlank(one) || this.#isDraining(one.name);
+    return heardAgo > mostMs || this.#isBlank(one) || this.#isToLeave(one.name);
   }
 
-  /** As the store itself says, not a feed of it. */
-  #isDraining(name: string): boolean {
-    return this.#raft.metadata.get(DrainKey.of(name)) !== undefined;
+  /** Its process is stopping, or operators want it drained, as the store itself says and not a feed of it. */
+  #isToLeave(name: string): boolean {
+    const isDraining = this.#raft.metadata.get(DrainKey.of(name)) !== undefined;
+    return isDraining || this.#node.membership.find(name)?.isLeaving === true;
   }
 
   #zoneOf(name: string): string {
--- a/packages/control/src/membership/voterPlan.test.ts
+++ b/packages/control/src/membership/voterPlan.test.ts
@@ -46,7 +46,7 @@
       wanted,
       self: "a",
       isLost: (one) => lost.includes(one.id),
-      isDraining: (one) => draining.includes(one.id),
+      isToLeave: (one) => draining.includes(one.id),
       zoneOf: (one) => (zones.includes(one.id) ? "shared" : one.name),
     });
     expect(planned.map((one) => one.id).join("")).toEqual(next);
--- a/packages/control/src/membership/voterPlan.ts
+++ b/packages/control/src/membership/voterPlan.ts
@@ -9,17 +9,17 @@
   /** The leader's own identity: it goes only where it has to. */
   readonly self: string;
   isLost(one: StoreMember): boolean;
-  isDraining(one: StoreMember): boolean;
+  isToLeave(one: StoreMember): boolean;
   zoneOf(one: StoreMember): string;
 }
 
 /**
  * The voters that there should be, from those that there are. Pure.
  *
- * A lost or draining voter is exchanged for a caught-up learner in one joint change, {A,B,X} to {A,B,N}. Two single
- * changes need more machines in between: with the newcomer first, {A,B,X,N} has X dead and needs all three others, so
- * that the loss of N stops the store; with the removal first, {A,B} needs both. The joint change needs A and B, just
- * what {A,B,X} needed, and once it is over any one of {A,B,N} may be lost.
+ * A voter that is lost or is to leave is exchanged for a caught-up learner in one joint change, {A,B,X} to {A,B,N}.
+ * Two single changes need more machines in between: with the newcomer first, {A,B,X,N} has X dead and needs all three
+ * others, so that the loss of N stops the store; with the removal first, {A,B} needs both. The joint change needs A and
+ * B, just what {A,B,X} needed, and once it is over any one of {A,B,N} may be lost.
  */
 export const VoterPlan = {
   next(facts: VoterFacts): StoreMember[] {
@@ -32,9 +32,9 @@
   },
 
   /** Voters that another should take the place of: first whose disk or machine is gone, then who is to leave. */
-  unfit({ voters, isLost, isDraining }: Pick<VoterFacts, "voters" | "isLost" | "isDraining">): StoreMember[] {
+  unfit({ voters, isLost, isToLeave }: Pick<VoterFacts, "voters" | "isLost" | "isToLeave">): StoreMember[] {
     const lost = voters.filter((one) => isLost(one));
-    return [...lost, ...voters.filter((one) => !lost.includes(one) && isDraining(one))];
+    return [...lost, ...voters.filter((one) => !lost.includes(one) && isToLeave(one))];
   },
 };
 
--- a/packages/testkit/src/sabotage/membershipSabotages.ts
+++ b/packages/testkit/src/sabotage/membershipSabotages.ts
@@ -63,8 +63,15 @@
   {
     name: "a drained machine may vote again",
     file: "control/dist/membership/memberChanges.js",
-    find: "return this.#raft.metadata.get(DrainKey.of(name)) !== undefined;",
-    put: "return false;",
+    find: "return isDraining || ",
+    put: "return ",
     test: `${sim}/drains.test.js`,
   },
+  {
+    name: "a process that stops keeps its vote",
+    file: "control/dist/controlNode.js",
+    find: "membership.self.isLeaving = true;",
+    put: "",
+    test: `${sim}/memberChanges.test.js`,
+  },
 ];
--- a/packages/testkit/src/sim/memberChanges.test.ts
+++ b/packages/testkit/src/sim/memberChanges.test.ts
@@ -223,3 +223,42 @@
   expect(await fleet.until(() => raft.isInTouch && raft.members.voters.length === 5, 4000)).toEqual(true);
   expect(isVoting(fleet, ...all)).toEqual(true);
 });
+
+for (const who of ["leader", "follower"] as const)
+  test(`a ${who} is stopped for good beside its successor, and the next disk is lost at once`, async () => {
+    const fleet = await founded(who === "leader" ? 117 : 118, 4, ["lathe-4"]);
+    const writer = new Writer(fleet);
+    fleet.start("lathe-4");
+    await fleet.run(syncMs);
+    const [first, second] = ["lathe-1", "lathe-2", "lathe-3"].filter((name) => name !== fleet.proposer);
+    const [leaving, lost] = who === "leader" ? [fleet.proposer!, first!] : [first!, second!];
+    fleet.cycle(leaving);
+    expect(await fleet.until(() => fleet.find(leaving) === undefined, 4500)).toEqual(true);
+    fleet.retire(leaving);
+    fleet.retire(lost);
+    const rest = fleet.withRole("lathe").filter((name) => fleet.find(name) !== undefined);
+    for (const name of rest) fleet.kill(name);
+    await fleet.run(300);
+    for (const name of rest) fleet.revive(name);
+    expect(await fleet.until(() => fleet.proposer !== undefined, 4000)).toEqual(true);
+    expect(await readsAll(fleet, writer)).toEqual(true);
+  });
+
+test("a stop waits for nobody where nobody stands by, and all that are stopped at once stop", async () => {
+  const fleet = await founded(119, 3);
+  const stopped = async (...names: string[]): Promise<number> => {
+    const at = fleet.world.now;
+    for (const name of names) fleet.cycle(name);
+    expect(await fleet.until(() => names.every((name) => fleet.find(name) === undefined), 5000)).toEqual(true);
+    return fleet.world.now - at;
+  };
+  expect((await stopped("lathe-1")) < 1000).toEqual(true);
+  fleet.revive("lathe-1");
+  await fleet.run(3000);
+  const larger = await founded(120, 5);
+  const at = larger.world.now;
+  for (const name of larger.withRole("lathe")) larger.cycle(name);
+  const isStill = (): boolean => larger.withRole("lathe").every((name) => larger.find(name) === undefined);
+  expect(await larger.until(isStill, 4500)).toEqual(true);
+  expect(larger.world.now - at < 4500).toEqual(true);
+});
