Drains: one that is over stays over while other voters are exchanged

Cause: while a change of members was not settled the read named no voters, so that a drain that had been over was shown as under way for that moment. Now the read names all who vote before, meanwhile or after the change.

Ruled out: naming only the newest configuration (a voter that it leaves out still counts until it is committed).

--- a/packages/control/src/consensus/memberExchange.ts
+++ b/packages/control/src/consensus/memberExchange.ts
@@ -25,6 +25,13 @@
     return this.#memberLog.index <= commit && !VoterSets.isJoint(this.#memberLog.members);
   }
 
+  /** Whose votes matter: by the newest configuration and, as long as that is not committed, by the one before. */
+  voting(commit: number): StoreMember[] {
+    const { members, index } = this.#memberLog;
+    const all = index <= commit ? [members] : [members, this.#memberLog.upTo(commit)];
+    return all.flatMap((one) => VoterSets.all(one));
+  }
+
   begin(commit: number, voters: StoreMember[], learners: StoreMember[]): void {
     if (!this.isSettled(commit) || !VoterSets.isSound(voters)) return;
     const before = this.#memberLog.members;
--- a/packages/control/src/consensus/memberLog.ts
+++ b/packages/control/src/consensus/memberLog.ts
@@ -35,9 +35,14 @@
     return isChanged;
   }
 
+  /** The members that are in force once the log up to an index is. */
+  upTo(index: number): Members {
+    return this.#find(index)?.members ?? this.#snapshotd ?? create(MembersSchema, {});
+  }
+
   /** The members named up to an index, to be kept in a snapshot that ends there. */
   snapshot(last: number): Members {
-    this.#snapshotd = this.#find(last)?.members ?? this.#snapshotd ?? create(MembersSchema, {});
+    this.#snapshotd = this.upTo(last);
     return this.#snapshotd;
   }
 
--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -49,7 +49,7 @@
   readonly #intake: FollowerLog;
   readonly #proposals: Proposals;
   readonly #memberLog: MemberLog;
-  readonly #memberExchange: MemberExchange;
+  readonly memberExchange: MemberExchange;
   #spread: LogReplicator | undefined;
   #commit: number;
   #applied: number;
@@ -85,7 +85,7 @@
     this.#proposals = new Proposals(this.#log, this.#clock);
     this.#memberLog = new MemberLog(this.#log);
     const propose = (data: Uint8Array): void => void this.propose(data, entryKind.members);
-    this.#memberExchange = new MemberExchange(this.#memberLog, parts.ring, propose);
+    this.memberExchange = new MemberExchange(this.#memberLog, parts.ring, propose);
     if (this.#log.baseIndex > 0) this.#memberLog.installed(this.metadata.install(this.#log.snapshot));
     this.#intake = new FollowerLog(
       this.#log,
@@ -164,12 +164,12 @@
 
   /** Whether the members in force are committed, and no exchange of voters is under way. */
   get hasSettledMembers(): boolean {
-    return this.#memberExchange.isSettled(this.#commit);
+    return this.memberExchange.isSettled(this.#commit);
   }
 
   /** Begins a change of members, where none is under way; other voters come by joint consensus. */
   changeMembers(voters: StoreMember[], learners: StoreMember[]): void {
-    if (this.isLeader) this.#memberExchange.begin(this.#commit, voters, learners);
+    if (this.isLeader) this.memberExchange.begin(this.#commit, voters, learners);
   }
 
   async #take(
@@ -366,7 +366,7 @@
       this.emit("applied", applied);
     }
     if (!wasProposer && this.isLeader) this.emit("elected");
-    if (this.isLeader) this.#memberExchange.end(this.#commit);
+    if (this.isLeader) this.memberExchange.end(this.#commit);
     // Its removal is committed: the others elect at once.
     if (this.isLeader && this.hasSettledMembers && !VoterSets.isVoter(this.members, this.id))
       this.#stepDown("it is no voter any more");
--- a/packages/control/src/drain/drainMachine.ts
+++ b/packages/control/src/drain/drainMachine.ts
@@ -13,7 +13,7 @@
   turn: number;
   sets: Array<{ shard: number; names: string[] }>;
   holders: Set<string>;
-  /** Undefined while a change of the store's members is under way. */
+  /** Undefined where the leader is of a build that does not tell. */
   voters: string[] | undefined;
 }
 
--- a/packages/control/src/store/storeService.ts
+++ b/packages/control/src/store/storeService.ts
@@ -107,10 +107,9 @@
     };
   }
 
-  /** Who votes, where that is committed and not being changed. */
   #members(): Kv[] {
-    if (!this.#ledger.hasSettledMembers) return [];
-    const voters = this.#ledger.members.voters.map((one) => one.name);
+    const voting = this.#ledger.memberExchange.voting(this.#ledger.commit);
+    const voters = [...new Set(voting.map((one) => one.name))];
     return [create(KvSchema, { key: MembersKey.name, value: MembersKey.write({ voters }) })];
   }
 
--- a/packages/core/src/keys/membersKey.ts
+++ b/packages/core/src/keys/membersKey.ts
@@ -6,8 +6,8 @@
 }
 
 /**
- * A key that is in no log: a read of it, confirmed like any other, is answered by the leader from the committed
- * configuration of the store's members. It is missing while a change of members is not committed or not over.
+ * A key that is in no log: a read of it, confirmed like any other, is answered by the leader from the configuration of
+ * the store's members. While that is being changed it names all who vote before, meanwhile or after.
  */
 export const MembersKey = {
   name: "members",
--- a/packages/testkit/src/sabotage/membershipSabotages.ts
+++ b/packages/testkit/src/sabotage/membershipSabotages.ts
@@ -74,4 +74,18 @@
     put: "",
     test: `${sim}/memberChanges.test.js`,
   },
+  {
+    name: "a voter that goes no longer counts before that is committed",
+    file: "control/dist/consensus/memberExchange.js",
+    find: "index <= commit ? [members] : ",
+    put: "index <= commit || true ? [members] : ",
+    test: "control/dist/consensus/memberExchange.test.js",
+  },
+  {
+    name: "changes of members overlap",
+    file: "control/dist/consensus/memberExchange.js",
+    find: "!this.isSettled(commit) || ",
+    put: "",
+    test: "control/dist/consensus/memberExchange.test.js",
+  },
 ];
--- a/packages/testkit/src/sim/drains.test.ts
+++ b/packages/testkit/src/sim/drains.test.ts
@@ -92,6 +92,22 @@
   expect(await fleet.until(() => voters(fleet).includes(leaving), 6000)).toEqual(true);
 });
 
+test("a drain that is over stays over while other voters are exchanged", async () => {
+  const all = await served(215, machines(6));
+  const { fleet, ask } = all;
+  const leaving = voters(fleet).find((one) => one !== fleet.proposer)!;
+  expect((await ask(others(fleet, leaving)[0]!, "PUT", path(leaving)))["status"]).toEqual(200);
+  expect(await emptied(all, leaving, others(fleet, leaving))).toEqual(true);
+  const before = voters(fleet);
+  const lost = before.find((one) => one !== fleet.proposer)!;
+  fleet.kill(lost);
+  const node = others(fleet, leaving, lost)[0]!;
+  while (voters(fleet).includes(lost) || voters(fleet).length < 3) {
+    const progress = await ask(node, "GET", path(leaving));
+    if (progress["status"] === 200) expect(progress["isEmpty"]).toEqual(true);
+  }
+});
+
 test("an order that was taken is acknowledged again: after another loss, and long after its machine left", async () => {
   const all = await served(205, machines(4));
   const { fleet, ask } = all;
