--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,10 +1,12 @@
 import { logSabotages } from "./logSabotages.js";
 import type { Sabotage } from "./sabotage.js";
+import { membershipSabotages } from "./membershipSabotages.js";
 
 const sim = "testkit/dist/sim";
 
 /** Guards taken out on purpose; for each a test must fail. */
 export const sabotages: readonly Sabotage[] = [
+  ...membershipSabotages,
   {
     name: "a replica answers before its disk",
     file: "core/dist/replication/followerLog.js",
