--- a/packages/control/src/configuration/planCapacity.ts
+++ b/packages/control/src/configuration/planCapacity.ts
@@ -2,7 +2,7 @@
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 
 /** What the capacity is judged by. */
-export type CapacityParts = Pick<ClusterNode, "membership" | "machines" | "shards" | "plan">;
+export type CapacityParts = Pick<ClusterNode, "membership" | "machines" | "shards" | "plan" | "parts">;
 
 /** What the fleet could not keep, said rather than promised more weakly. */
 export function planCapacity(node: CapacityParts, plan: Plan): PlanFault[] {
@@ -13,23 +13,28 @@
     space.program.forEach(({ owe }, j) => {
       if (owe.keep === 0) return;
       const path = `spaces.${i}.program.${j}.owe.fault_budget`;
-      if ((owe.fault_budget.machines ?? 0) > 1)
-        faults.push({
-          path: `${path}.machines`,
-          problem: "replica sets of three survive the loss of one machine, not of two",
-        });
-      if ((owe.fault_budget.machines ?? 0) > 0 && disks.size < 3 && !restsOn(node, "machines"))
-        faults.push({
-          path: `${path}.machines`,
-          problem: `needs three machines with a disk for topic logs; there are ${disks.size}`,
-        });
-      if ((owe.fault_budget.zones ?? 0) > 0 && zones < 3 && !restsOn(node, "zones"))
+      const lost = owe.fault_budget.machines ?? 0;
+      const problem = machinesProblem(node, lost, disks.size);
+      if (problem !== undefined) faults.push({ path: `${path}.machines`, problem });
+      if ((owe.fault_budget.zones ?? 0) > 0 && zones < 3 && !restsOn(node, "zones", 1))
         faults.push({ path: `${path}.zones`, problem: `needs such machines in three zones; there are ${zones}` });
     }),
   );
   return faults;
 }
 
+/** Why the loss of so many machines at once could not be survived: that takes a majority of 2f + 1 replicas. */
+function machinesProblem(node: CapacityParts, lost: number, disks: number): string | undefined {
+  const needed = 2 * lost + 1;
+  const { replicas } = node.parts.settings;
+  if (lost === 0) return undefined;
+  if (replicas < needed)
+    return `needs replica sets of ${needed}; this deployment's settings ask for sets of ${replicas}`;
+  if (disks < needed && !restsOn(node, "machines", lost))
+    return `needs ${needed} machines with a disk for topic logs; there are ${disks}`;
+  return undefined;
+}
+
 /**
  * The fleet's machines with a disk for topic logs, by name, each with its zone. One that is down belongs to it as
  * long as a member knows it or a replica set names it; one that was emptied and has left does not.
@@ -44,10 +49,10 @@
 }
 
 /** Whether the plan in force promises as much: it was accepted by what the fleet has, and no machine leaves that. */
-function restsOn({ plan }: CapacityParts, budget: "machines" | "zones"): boolean {
+function restsOn({ plan }: CapacityParts, budget: "machines" | "zones", lost: number): boolean {
   return (
     plan.plan?.spaces.some(({ program }) =>
-      program.some(({ owe }) => owe.keep > 0 && (owe.fault_budget[budget] ?? 0) > 0),
+      program.some(({ owe }) => owe.keep > 0 && (owe.fault_budget[budget] ?? 0) >= lost),
     ) ?? false
   );
 }
--- a/packages/core/src/runtime/settings.test.ts
+++ b/packages/core/src/runtime/settings.test.ts
@@ -23,6 +23,8 @@
 test("good settings pass with their defaults; every wrong one is named", () => {
   const read = SettingsReader.check(good) as { settings: Settings };
   expect(read.settings.edgeLeaseMs).toEqual(1500);
+  expect(read.settings.replicas).toEqual(3);
+  expect(problemsOf({ ...good, replicas: 4 })).toEqual(["replicas: must be odd; an even set survives no more losses"]);
   expect(problemsOf({ ...good, colour: "red" })[0]).toEqual("colour: colour must be removed");
   expect(problemsOf({ ...good, role: "lathe" })).toEqual(["data: a lathe needs a data folder"]);
   expect(problemsOf({ ...good, http: good.address })).toEqual(["http: must differ from address"]);
--- a/packages/core/src/runtime/settings.ts
+++ b/packages/core/src/runtime/settings.ts
@@ -27,6 +27,12 @@
   "voters?": "1 <= number.integer <= 9",
   /** A member gone for longer is replaced by a lathe that stands by. */
   replaceVoterMs: "1000 <= number.integer <= 3600000 = 10000",
+  /** How many replicas each topic log has: 2f + 1, where f machines with a disk may be lost at once. */
+  replicas: "1 <= number.integer <= 9 = 3",
+  /** A replica silent for longer is replaced by any free machine; a machine that restarts should be back before. */
+  replaceReplicaMs: "500 <= number.integer <= 3600000 = 10000",
+  /** A replica silent for longer is replaced by a machine that joined about when it fell silent, its successor. */
+  replaceByNewcomerMs: "300 <= number.integer <= 3600000 = 1000",
   /** A lathe that also keeps topic logs as a full storage machine. */
   stores: "boolean = false",
   shards: "1 <= number.integer <= 256 = 32",
@@ -56,6 +62,7 @@
     if (checked.role !== "vise" && checked.data === undefined)
       problems.push(`data: a ${checked.role} needs a data folder`);
     if (checked.stores && checked.role !== "lathe") problems.push("stores: is for lathes only");
+    if (checked.replicas % 2 === 0) problems.push("replicas: must be odd; an even set survives no more losses");
     for (const key of ["address", "http"] as const)
       if (Number(checked[key]?.split(":").at(-1) ?? 0) > 65535) problems.push(`${key}: the port is above 65535`);
     if (checked.address === checked.http) problems.push("http: must differ from address");
--- a/packages/log-storage/src/storageNode.ts
+++ b/packages/log-storage/src/storageNode.ts
@@ -1,3 +1,4 @@
+import type { Member } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { ReplicasKey } from "@cranetrack/core/keys/replicasKey.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import type { Disk } from "@cranetrack/core/storage/disk.js";
@@ -6,12 +7,19 @@
 import { Rendezvous } from "@cranetrack/core/membership/rendezvous.js";
 import type { ShardService } from "./shards/shardService.js";
 import { Claims } from "./shards/claims.js";
+import { Placement } from "./repair/placement.js";
 import { FollowerReads } from "./follows/followerReads.js";
 import { PushTurn } from "./follows/pushTurn.js";
 import { Replica } from "./replication/replica.js";
 
 /** The topic logs on one machine's disk. Runs on storage machines, also as a part of lathes. */
 export class StorageNode {
+  /** Storage machines may come one after the other: the first sets are named once all were there for so long. */
+  static readonly foundMs = 900;
+  /** Sets smaller than wanted are named after so long, and grow when more machines come; never below three disks. */
+  static readonly foundFewerMs = 5000;
+  static readonly fewestFounding = 3;
+
   readonly #node: ClusterNode;
   readonly #disk: Disk;
   readonly #isSpare: boolean;
@@ -149,24 +157,29 @@
 
   /** Names the first replica sets, each shard's by the storage machine that ranks first for it. */
   #foundSets(): void {
-    const { membership, feed, shards, store, parts } = this.#node;
+    const { membership, feed, shards, parts } = this.#node;
     const storage = membership.alive().filter((member) => member.isStorage && member.shelf !== "");
-    if (!feed.isFresh || storage.length < 3) return void (this.#foundAt = 0);
+    const { replicas } = parts.settings;
+    const least = Math.min(replicas, StorageNode.fewestFounding);
+    if (!feed.isFresh || storage.length < least) return void (this.#foundAt = 0);
     if (this.#foundAt === 0) this.#foundAt = parts.clock.now();
-    if (parts.clock.now() - this.#foundAt < 900) return;
+    const waitMs = storage.length < replicas ? StorageNode.foundFewerMs : StorageNode.foundMs;
+    if (parts.clock.now() - this.#foundAt < waitMs) return;
+    const names = storage.map((member) => member.name);
     for (let shard = 0; shard < parts.settings.shards; shard += 1) {
-      const names = storage.map((member) => member.name);
-      if (shards.find(shard).set !== undefined || Rendezvous.rank(`found ${shard}`, names)[0] !== parts.settings.name)
-        continue;
-      const picked = Rendezvous.spread(`replicas ${shard}`, storage, 3);
-      const members = picked
-        .map((name) => storage.find((member) => member.name === name)!)
-        .map(({ shelf, name, zone }) => ({ id: shelf, name, zone }));
-      const key = ReplicasKey.of(shard);
-      void store.txn({
-        checks: [{ key, revision: 0 }],
-        puts: [{ key, value: ReplicasKey.write({ members }) }],
-      });
+      const isOwnTurn = Rendezvous.rank(`found ${shard}`, names)[0] === parts.settings.name;
+      if (shards.find(shard).set === undefined && isOwnTurn) this.#foundSet(shard, storage);
     }
   }
+
+  #foundSet(shard: number, storage: readonly Member[]): void {
+    const { store, parts } = this.#node;
+    const picked = Placement.pick(`replicas ${shard}`, storage, parts.settings.replicas);
+    const members = picked.map(({ shelf, name, zone }) => ({ id: shelf, name, zone }));
+    const key = ReplicasKey.of(shard);
+    void store.txn({
+      checks: [{ key, revision: 0 }],
+      puts: [{ key, value: ReplicasKey.write({ members }) }],
+    });
+  }
 }
--- a/packages/testkit/src/sim/planCapacity.test.ts
+++ b/packages/testkit/src/sim/planCapacity.test.ts
@@ -8,8 +8,11 @@
 import { SimPlans } from "./simPlans.js";
 
 /** So many machines with a disk: lathes that store topic logs too. */
-const machines = (disks: number): Machine[] =>
-  Scenario.machines(disks, 0, 2).map((one) => (one.role === "lathe" ? { ...one, settings: { stores: true } } : one));
+const machines = (disks: number, replicas = 3): Machine[] =>
+  Scenario.machines(disks, 0, 2).map((one) => ({
+    ...one,
+    settings: one.role === "lathe" ? { stores: true, replicas } : { replicas },
+  }));
 
 type Receipt = { status: number; paths: string[] };
 
@@ -24,8 +27,8 @@
   return receipt!;
 }
 
-async function withDisks(seed: number, count: number): Promise<SimFleet> {
-  const fleet = new SimFleet(seed, machines(count));
+async function withDisks(seed: number, count: number, replicas = 3): Promise<SimFleet> {
+  const fleet = new SimFleet(seed, machines(count, replicas));
   fleet.startAll();
   expect(await fleet.until(() => fleet.proposer !== undefined, 10_000)).toEqual(true);
   await fleet.run(6000);
@@ -65,3 +68,38 @@
     paths: [...paths, "1.program.0.owe.fault_budget.zones"].map((path) => `spaces.${path}`),
   });
 });
+
+test("two losses take five machines, and settings that ask for five replicas", async () => {
+  const spaces = SimPlans.usual();
+  spaces["notes"]![0]!.owe["fault_budget"] = { machines: 2 };
+  const refused = { status: 422, paths: ["spaces.0.program.0.owe.fault_budget.machines"] };
+  for (const [seed, disks, replicas, receipt] of [
+    [95, 5, 5, { status: 200, paths: [] }],
+    [96, 4, 5, refused],
+    [97, 5, 3, refused],
+  ] as const) {
+    const fleet = await withDisks(seed, disks, replicas);
+    // Fewer machines than replicas are waited for a while, before smaller sets are named.
+    await fleet.run(4000);
+    expect(await put(fleet, 1, spaces)).toEqual({ ...receipt, paths: [...receipt.paths] });
+    expect(fleet.find("vise-1")!.node.shards.find(0).set!.members.length).toEqual(Math.min(disks, replicas));
+  }
+});
+
+test("status says that two more losses could not be survived once one of five replicas is gone", async () => {
+  const fleet = await withDisks(98, 5, 5);
+  const spaces = SimPlans.usual();
+  spaces["notes"]![0]!.owe["fault_budget"] = { machines: 2 };
+  expect((await put(fleet, 1, spaces)).status).toEqual(200);
+  const risks = async (): Promise<string[]> => {
+    let status: Record<string, unknown> | undefined;
+    void fleet.port.call("vise-1", "GET", "/v1/status", undefined).then((got) => (status = got.body));
+    expect(await fleet.until(() => status !== undefined, 6000)).toEqual(true);
+    return (status!["risks"] as Array<{ space: string; budget: string }>).map((one) => `${one.space} ${one.budget}`);
+  };
+  expect(await risks()).toEqual([]);
+  fleet.kill("lathe-5");
+  await fleet.run(3000);
+  // The other space allows for one machine, which the four outlive, and for one zone; two of the four share one.
+  expect(await risks()).toEqual(["notes machines", "notices zones"]);
+});
--- a/packages/testkit/src/sim/simFleet.ts
+++ b/packages/testkit/src/sim/simFleet.ts
@@ -150,7 +150,10 @@
     const sets = node.shards.all().map(([, route]) => route.set?.members ?? []);
     const voters = lathe!.ledger!.members.voters.map((one) => one.id);
     return (
-      sets.every((members) => members.length === 3 && members.every((member) => shelves.has(member.id))) &&
+      sets.every(
+        (members) =>
+          members.length === node.parts.settings.replicas && members.every((member) => shelves.has(member.id)),
+      ) &&
       voters.length === node.parts.settings.voters &&
       voters.every((id) => lathes.has(id))
     );
