Storage: a drain goes on with a spare machine in another zone

Cause: "never into a zone the others are in, where the fleet has zones enough" counted the zone of the machine that leaves. With three machines in three zones and a spare in the first, a drain of the second never ended: the fleet had three zones, and the only free machine stood in a taken one. The zones that count are those of machines that stay.

Before: replicaSets.test.ts 'a drain with a spare machine in another zone ends within 6 s' fails (not empty after 6 s; storing control nodes, so that no spare disk stands in the leaving machine's zone). After: it passes; shards.test.ts 13 of 13.

--- a/packages/log-storage/src/repair/replicaRepair.ts
+++ b/packages/log-storage/src/repair/replicaRepair.ts
@@ -130,17 +130,17 @@
       : { place: spare, why: "a storage machine is there for a spare", mustBeStorage: true };
   }
 
-  /** Never into a zone the others are in, where the fleet has zones enough. */
+  /** Never into a zone the others are in, where the machines that stay have zones enough. */
   #newcomer(out: Place, rest: readonly Place[], mustBeStorage: boolean): Member | undefined {
     const { membership, machines } = this.#node;
-    const disks = membership.all().filter((member) => member.shelf !== "");
+    const disks = membership
+      .all()
+      .filter((member) => member.shelf !== "" && member.shelf !== out.id && !machines.isDraining(member.name));
     const hasZones = new Set(disks.map((member) => member.zone)).size >= 3;
     const taken = new Set(rest.map((member) => member.zone));
     const free = disks.filter(
       (member) =>
         membership.isAlive(member.name) &&
-        !machines.isDraining(member.name) &&
-        member.shelf !== out.id &&
         !rest.some((one) => one.id === member.shelf || one.name === member.name) &&
         !(hasZones && taken.has(member.zone)),
     );
