Storage: a lost replica is repaired at once when its successor is there, all shards together

Cause: a silent replica was replaced after 10 s, whatever machine was free; shards were looked at every 300 ms, one after the other, each waiting for the store's answer to the one before; and a leader that had just claimed a shard counted the silence from its claim. Where a machine was replaced by an empty one, sets were not whole when the next loss came.

All shards go at once; changes that only make sets better go four at a time and wait for sets whose members all answer. Which change comes next (`ReplicaChoice`), which disks are new (`Newcomers`) and whether a set may be put in force (`isSafeToDecide`) are modules of their own. The last asserts that a majority of the new set, members that answer just now, has what was committed before both sets counted: in a set that shrinks, the member that leaves may have been needed for that majority, and one that fell silent may have lost its disk. Once the swap was sent, both sets count until its outcome is known; before, a change that was given up in between went back to the old set alone. Sets grow and shrink to `replicas`, and are spread better when they can be.

Ruled out: copying itself and the lease of the lost holder, which has run out by the time the successor starts.

--- a/packages/log-storage/src/repair/replicaRepair.ts
+++ b/packages/log-storage/src/repair/replicaRepair.ts
@@ -1,21 +1,20 @@
-import type { Member } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { HolderKey } from "@cranetrack/core/keys/holderKey.js";
 import { ReplicasKey } from "@cranetrack/core/keys/replicasKey.js";
 import type { ShardSet } from "@cranetrack/core/feeds/shardSet.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
-import { Rendezvous } from "@cranetrack/core/membership/rendezvous.js";
 import type { Holder } from "../shards/holder.js";
 import type { Replica } from "../replication/replica.js";
+import type { Newcomers } from "./newcomers.js";
+import { ReplicaChoice, type ReplicaChange } from "./replicaChoice.js";
+import { isSafeToDecide } from "./setChange.js";
 
-type Place = ShardSet["members"][number];
 interface Move {
-  out: Place;
-  in: Place;
-  set: ShardSet;
-  step: "copying" | "joining";
+  readonly change: ReplicaChange;
+  readonly set: ShardSet;
+  /** Once it is being decided, the store may have taken the new set, whatever this process has heard of it. */
+  step: "copying" | "joining" | "deciding";
   joinedAt: number;
-  startedAt: number;
-  why: string;
+  readonly startedAt: number;
 }
 /** The set that the store has taken, and the epoch under which this disk holds it; 0 where it is out. */
 export interface Swap {
@@ -24,139 +23,111 @@
 }
 
 /**
- * Keeps one held shard's replica set whole: replaces what is lost, moves off what is to be emptied, and
- * goes back to storage machines when there are some.
- * Invariants: one member is swapped at a time; the newcomer has everything before it counts; from the
- * moment it may count until the swap is decided, commits need a majority of the old set and of the new.
+ * Keeps one held shard's replica set whole, by one change at a time: a newcomer copies, then commits count the old
+ * set and the new one, then one transaction of the store swaps the set and moves the epoch.
+ * Invariants: a newcomer has everything before it counts; from the moment the new set may be in force until that is
+ * decided, commits need a majority of both; the store is asked to take a set only while a majority of it, members that
+ * answer just now, has everything that is committed.
  */
 export class ReplicaRepair {
-  static readonly goneMs = 10_000;
+  /** A change that has not come to its decision by then is dropped and chosen anew. */
   static readonly giveUpMs = 60_000;
+  /** A newcomer that has answered nothing for so long is gone. */
+  static readonly newcomerLostMs = 3000;
+  /** A newcomer that lacks no more than so many entries is near enough for commits to wait for it. */
   static readonly nearly = 20;
 
   readonly #node: ClusterNode;
   readonly #replica: Replica;
   readonly #holder: Holder;
   readonly #lease: string;
+  readonly #choice: ReplicaChoice;
   #move: Move | undefined;
   #isWriting = false;
 
-  constructor(node: ClusterNode, replica: Replica, holder: Holder, lease: string) {
+  constructor(node: ClusterNode, replica: Replica, holder: Holder, lease: string, newcomers: Newcomers) {
     this.#node = node;
     this.#replica = replica;
     this.#holder = holder;
     this.#lease = lease;
+    this.#choice = new ReplicaChoice(node, replica, holder, newcomers);
   }
 
   get progress(): { out: string; in: string; step: string; why: string } | undefined {
-    return this.#move === undefined
-      ? undefined
-      : { out: this.#move.out.name, in: this.#move.in.name, step: this.#move.step, why: this.#move.why };
+    if (this.#move === undefined) return undefined;
+    const { change, step } = this.#move;
+    return { out: change.out?.name ?? "", in: change.in?.name ?? "", step, why: change.why };
+  }
+
+  /** Whether a change is under way that could as well be made later. */
+  get isImproving(): boolean {
+    return this.#move?.change.isUrgent === false;
   }
 
   /** One step further; a set that the store has taken is handed back to be held under its new epoch. */
-  async beat(mayStart: boolean): Promise<Swap | undefined> {
+  async beat(isUrgentOnly: boolean): Promise<Swap | undefined> {
     if (!this.#holder.isServing || this.#isWriting) return undefined;
-    if (this.#move === undefined) {
-      if (mayStart) this.#begin();
-      return undefined;
-    }
+    if (this.#move === undefined) this.#begin(isUrgentOnly);
     const move = this.#move;
     const { spread } = this.#holder;
-    const { clock } = this.#node.parts;
-    if (spread === undefined) return undefined;
-    const isLost = spread.heardAgo(move.in.id) > 3000 || clock.now() - move.startedAt > ReplicaRepair.giveUpMs;
-    if (isLost && move.step === "copying") return this.#drop();
-    if (move.step === "copying") {
-      if (this.#replica.log.lastIndex - spread.matchOf(move.in.id) > ReplicaRepair.nearly) return undefined;
-      move.step = "joining";
-      move.joinedAt = this.#replica.log.lastIndex;
-      this.#holder.enlist([this.#holder.set, move.set], []);
-      return undefined;
-    }
-    if (spread.matchOf(move.in.id) < move.joinedAt || spread.commit < move.joinedAt)
-      return isLost ? this.#drop() : undefined;
-    return this.#swap(move);
-  }
-
-  #drop(): undefined {
-    this.#move = undefined;
-    this.#holder.enlist([this.#holder.set], []);
+    if (move === undefined || spread === undefined) return undefined;
+    if (move.step === "copying" && this.#isNear(move)) this.#joinIn(move);
+    const joined = { set: move.set, newcomer: move.change.in?.id, joinedAt: move.joinedAt };
+    if (move.step !== "copying" && isSafeToDecide(joined, spread)) return this.#decide(move);
+    if (move.step !== "deciding" && this.#isLost(move)) this.#drop();
+    return undefined;
   }
 
-  #begin(): void {
-    const out = this.#leaving();
-    if (out === undefined) return;
-    const rest = this.#holder.set.members.filter((member) => member.id !== out.place.id);
-    const chosen = this.#newcomer(out.place, rest, out.mustBeStorage);
-    if (chosen === undefined) return;
-    const place: Place = { id: chosen.shelf, name: chosen.name, zone: chosen.zone };
+  #begin(isUrgentOnly: boolean): void {
+    const change = this.#choice.next(isUrgentOnly);
+    if (change === undefined) return;
+    const staying = this.#holder.set.members.filter((member) => member.id !== change.out?.id);
+    const members = change.in === undefined ? staying : [...staying, change.in];
     this.#move = {
-      out: out.place,
-      in: place,
-      set: { members: [...rest, place] },
+      change,
+      set: { members },
       step: "copying",
       joinedAt: 0,
       startedAt: this.#node.parts.clock.now(),
-      why: out.why,
     };
-    this.#holder.enlist([this.#holder.set], [place.id]);
-    this.#node.parts.log.note("replaces a replica", {
+    this.#holder.enlist([this.#holder.set], change.in === undefined ? [] : [change.in.id]);
+    this.#holder.spread?.beat(Number.POSITIVE_INFINITY);
+    this.#node.parts.log.note("changes a replica set", {
       shard: this.#replica.shard,
-      out: out.place.name,
-      in: place.name,
-      why: out.why,
+      out: change.out?.name ?? "",
+      in: change.in?.name ?? "",
+      why: change.why,
     });
   }
 
-  #leaving(): { place: Place; why: string; mustBeStorage: boolean } | undefined {
-    const { members } = this.#holder.set;
-    const { membership, machines } = this.#node;
-    const emptied = members.find((member) => machines.isDraining(member.name));
-    if (emptied !== undefined) return { place: emptied, why: "the machine is being emptied", mustBeStorage: false };
-    const blank = members.find((member) => {
-      const present = membership.find(member.name);
-      return (
-        present !== undefined && present.shelf !== "" && present.shelf !== member.id && membership.isAlive(member.name)
-      );
-    });
-    if (blank !== undefined)
-      return { place: blank, why: "the machine came back with a blank disk", mustBeStorage: false };
-    const gone = members.find((member) => (this.#holder.spread?.heardAgo(member.id) ?? 0) > ReplicaRepair.goneMs);
-    if (gone !== undefined) return { place: gone, why: "the replica is gone", mustBeStorage: false };
-    const spare = members.find((member) => membership.find(member.name)?.isStorage === false);
-    return spare === undefined
-      ? undefined
-      : { place: spare, why: "a storage machine is there for a spare", mustBeStorage: true };
+  #isNear({ change }: Move): boolean {
+    if (change.in === undefined) return true;
+    const match = this.#holder.spread!.matchOf(change.in.id);
+    return match > 0 && this.#replica.log.lastIndex - match <= ReplicaRepair.nearly;
   }
 
-  /** Never into a zone the others are in, where the machines that stay have zones enough. */
-  #newcomer(out: Place, rest: readonly Place[], mustBeStorage: boolean): Member | undefined {
-    const { membership, machines } = this.#node;
-    const disks = membership
-      .all()
-      .filter((member) => member.shelf !== "" && member.shelf !== out.id && !machines.isDraining(member.name));
-    const hasZones = new Set(disks.map((member) => member.zone)).size >= 3;
-    const taken = new Set(rest.map((member) => member.zone));
-    const free = disks.filter(
-      (member) =>
-        membership.isAlive(member.name) &&
-        !rest.some((one) => one.id === member.shelf || one.name === member.name) &&
-        !(hasZones && taken.has(member.zone)),
-    );
-    const storage = free.filter((member) => member.isStorage);
-    const pool = storage.length > 0 || mustBeStorage ? storage : free;
-    const first = Rendezvous.rank(
-      `replicas ${this.#replica.shard}`,
-      pool.map((member) => member.name),
-    )[0];
-    return pool.find((member) => member.name === first);
+  #joinIn(move: Move): void {
+    move.step = "joining";
+    move.joinedAt = this.#replica.log.lastIndex;
+    this.#holder.enlist([this.#holder.set, move.set], []);
+  }
+
+  #isLost({ change, startedAt }: Move): boolean {
+    const isSilent =
+      change.in !== undefined && this.#holder.spread!.heardAgo(change.in.id) > ReplicaRepair.newcomerLostMs;
+    return isSilent || this.#node.parts.clock.now() - startedAt > ReplicaRepair.giveUpMs;
+  }
+
+  #drop(): void {
+    this.#move = undefined;
+    this.#holder.enlist([this.#holder.set], []);
   }
 
-  async #swap(move: Move): Promise<Swap | undefined> {
+  async #decide(move: Move): Promise<Swap | undefined> {
+    move.step = "deciding";
     this.#isWriting = true;
     const { shard, id } = this.#replica;
-    const isOut = move.out.id === id;
+    const isOut = move.change.out?.id === id;
     const holderKey = HolderKey.of(shard);
     const setKey = ReplicasKey.of(shard);
     const { setRevision } = this.#node.shards.find(shard);
--- /dev/null
+++ b/packages/log-storage/src/repair/setChange.ts
@@ -0,0 +1,29 @@
+import type { ShardSet } from "@cranetrack/core/feeds/shardSet.js";
+import type { LogReplicator } from "@cranetrack/core/replication/logReplicator.js";
+import { Placement } from "./placement.js";
+
+/** A new set that counts, beside the one in force, since the log had `joinedAt` entries. */
+export interface JoinedSet {
+  readonly set: ShardSet;
+  readonly newcomer: string | undefined;
+  readonly joinedAt: number;
+}
+
+/** Whoever has not answered for so long is not counted on when a set is put in force. */
+export const answeringMs = 700;
+
+/**
+ * Whether the new set may be put in force by itself. What was committed before it counted may stand on a majority of
+ * the old set only; so a majority of the new one, members that answer just now and so are not lost with their disks,
+ * must have all of that. Everything later is committed on a majority of both.
+ */
+export function isSafeToDecide(
+  { set, newcomer, joinedAt }: JoinedSet,
+  progress: Pick<LogReplicator, "commit" | "matchOf" | "heardAgo">,
+): boolean {
+  if (progress.commit < joinedAt) return false;
+  if (newcomer !== undefined && progress.matchOf(newcomer) < joinedAt) return false;
+  const isAnswering = (id: string): boolean => progress.heardAgo(id) < answeringMs;
+  const having = set.members.filter(({ id }) => isAnswering(id) && progress.matchOf(id) >= joinedAt);
+  return having.length >= Placement.majorityOf(set.members.length);
+}
--- a/packages/log-storage/src/shards/claims.ts
+++ b/packages/log-storage/src/shards/claims.ts
@@ -6,6 +6,7 @@
 import type { LeaseKeeper } from "@cranetrack/core/store/leaseKeeper.js";
 import { ShardService } from "./shardService.js";
 import { Holder } from "./holder.js";
+import { Newcomers } from "../repair/newcomers.js";
 import { ReplicaRepair } from "../repair/replicaRepair.js";
 import { CommitTurn } from "../replication/commitTurn.js";
 import type { PushTurn } from "../follows/pushTurn.js";
@@ -25,7 +26,10 @@
  */
 export class Claims {
   static readonly turnMs = 100;
-  static readonly mostMoves = 4;
+  /** How often each held shard's replica set is looked at, and a change of it taken one step further. */
+  static readonly repairMs = 100;
+  /** Changes that only make sets better, at a time, so that copying does not starve what is served. */
+  static readonly mostImprovements = 4;
 
   readonly #node: ClusterNode;
   readonly #lease: LeaseKeeper;
@@ -38,6 +42,7 @@
   readonly #mending = new Set<number>();
   readonly #turn: PushTurn;
   readonly #commits: CommitTurn;
+  readonly #newcomers: Newcomers;
   isDraining = false;
 
   constructor(node: ClusterNode, lease: LeaseKeeper, replicas: readonly Replica[], id: string, turn: PushTurn) {
@@ -47,6 +52,7 @@
     this.#id = id;
     this.#turn = turn;
     this.#commits = new CommitTurn(node);
+    this.#newcomers = new Newcomers(node.membership, node.parts.clock);
     lease.on("lost", () => {
       for (const claim of [...this.#claims.values()]) claim.holder.stop("the lease was lost");
     });
@@ -55,7 +61,7 @@
     });
     node.shards.on("changed", (shard) => this.#heed(shard));
     node.parts.clock.every(100, () => this.#beat());
-    node.parts.clock.every(300, () => void this.#mend());
+    node.parts.clock.every(Claims.repairMs, () => this.#repairAll());
   }
 
   find(shard: number): Claim | undefined {
@@ -85,23 +91,27 @@
     for (const replica of this.#replicas) this.#consider(replica);
   }
 
-  /** Few sets at a time, so that copying does not starve what is served. */
-  async #mend(): Promise<void> {
-    let moving = this.all().filter(([, { mender }]) => mender.progress !== undefined).length;
+  /** What was lost is repaired for all held shards at once; what is only better goes few at a time. */
+  #repairAll(): void {
+    let improving = this.all().filter(([, { mender }]) => mender.isImproving).length;
     for (const [shard, claim] of this.all()) {
-      const wasMoving = claim.mender.progress !== undefined;
-      this.#mending.add(shard);
-      const swap = await claim.mender.beat(moving < Claims.mostMoves);
-      this.#mending.delete(shard);
-      if (swap === undefined) this.#heed(shard);
-      if (!wasMoving && claim.mender.progress !== undefined) moving += 1;
-      if (swap === undefined) continue;
-      this.#claims.delete(shard);
-      claim.holder.stop("the replica set was swapped");
-      if (swap.epoch > 0) void this.#guard(shard, () => this.#hold(claim.replica, swap.set, swap.epoch, claim.lease));
+      if (this.#mending.has(shard)) continue;
+      const wasImproving = claim.mender.isImproving;
+      void this.#repair(shard, claim, improving >= Claims.mostImprovements);
+      if (!wasImproving && claim.mender.isImproving) improving += 1;
     }
   }
 
+  async #repair(shard: number, claim: Claim, isUrgentOnly: boolean): Promise<void> {
+    this.#mending.add(shard);
+    const swap = await claim.mender.beat(isUrgentOnly);
+    this.#mending.delete(shard);
+    if (swap === undefined) return this.#heed(shard);
+    if (this.#claims.get(shard) === claim) this.#claims.delete(shard);
+    claim.holder.stop("the replica set was swapped");
+    if (swap.epoch > 0) void this.#guard(shard, () => this.#hold(claim.replica, swap.set, swap.epoch, claim.lease));
+  }
+
   #consider(replica: Replica): void {
     const { shard } = replica;
     const route = this.#node.shards.find(shard);
@@ -176,7 +186,7 @@
       lease,
       holder,
       bench,
-      mender: new ReplicaRepair(this.#node, replica, holder, lease),
+      mender: new ReplicaRepair(this.#node, replica, holder, lease, this.#newcomers),
     };
     this.#claims.set(shard, claim);
     holder.on("over", (why) => void this.#over(shard, claim, why));
