--- /dev/null
+++ b/packages/testkit/src/sabotage/replicaSabotages.ts
@@ -0,0 +1,56 @@
+import type { Sabotage } from "./sabotage.js";
+
+const sim = "testkit/dist/sim";
+
+/** Guards of replica sets, their placement and their repair. */
+export const replicaSabotages: readonly Sabotage[] = [
+  {
+    name: "a set is put in force before its majority has everything",
+    file: "log-storage/dist/repair/setChange.js",
+    find: "having.length >= Placement.majorityOf(set.members.length)",
+    put: "having.length >= 1",
+    test: "log-storage/dist/repair/setChange.test.js",
+  },
+  {
+    name: "a replica that may have lost its disk is counted on",
+    file: "log-storage/dist/repair/setChange.js",
+    find: "progress.heardAgo(id) < answeringMs",
+    put: "true",
+    test: "log-storage/dist/repair/setChange.test.js",
+  },
+  {
+    name: "a successor is not told from any free machine",
+    file: "log-storage/dist/repair/newcomers.js",
+    find: "seenAt !== undefined && seenAt >",
+    put: "false && seenAt >",
+    test: `${sim}/replicaSets.test.js`,
+  },
+  {
+    name: "any free machine is taken for a successor",
+    file: "log-storage/dist/repair/newcomers.js",
+    find: "seenAt !== undefined && seenAt >",
+    put: "true || seenAt >",
+    test: `${sim}/replicaSets.test.js`,
+  },
+  {
+    name: "a drain does not look at what contracts ask of zones",
+    file: "log-storage/dist/repair/replicaChoice.js",
+    find: "vacancy.isVoluntary && this.#breaksContract(change, members)",
+    put: "false",
+    test: `${sim}/replicaSets.test.js`,
+  },
+  {
+    name: "sets are placed without a look at zones",
+    file: "log-storage/dist/repair/placement.js",
+    find: "one.zone < other.zone ||",
+    put: "false ||",
+    test: "log-storage/dist/repair/placement.test.js",
+  },
+  {
+    name: "a plan may ask for more losses than replicas survive",
+    file: "control/dist/configuration/planCapacity.js",
+    find: "if (replicas < needed)",
+    put: "if (false)",
+    test: `${sim}/planCapacity.test.js`,
+  },
+];
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,4 +1,5 @@
 import { logSabotages } from "./logSabotages.js";
+import { replicaSabotages } from "./replicaSabotages.js";
 import type { Sabotage } from "./sabotage.js";
 import { membershipSabotages } from "./membershipSabotages.js";
 
@@ -150,7 +151,7 @@
   {
     name: "lost replicas are never replaced",
     file: "log-storage/dist/repair/replicaRepair.js",
-    find: "if (out === undefined)",
+    find: "if (change === undefined)",
     put: "if (true)",
     test: `${sim}/shards.test.js`,
   },
@@ -337,4 +338,5 @@
     test: "edge/dist/fanout/streamTail.test.js",
   },
   ...logSabotages,
+  ...replicaSabotages,
 ];
