Feeds: a push is as old as the acknowledgement that it answers

Cause: a node took what it knew for fresh for 1.45 s from when it read a push. A node that stood still for 20 s has one or more pushes in its buffers, and served on what was in force 20 s ago once it woke, for up to 1.1 s; with the member that feeds it asleep as well, for longer.

Now a push counts from 0.7 s after the acknowledgement before it at the latest: the member sends it at its next beat, 0.5 s, and what comes later was on its way or in a buffer. A push told again under its number proves nothing new. Silence is counted from the arrival, as before, so nobody asks another member sooner.

After: 4 of 4 pass.

--- a/packages/core/src/feeds/feedFollower.ts
+++ b/packages/core/src/feeds/feedFollower.ts
@@ -19,6 +19,11 @@
  */
 export class FeedFollower extends EventEmitter<{ first: [] }> {
   static readonly staleMs = 1450;
+  /**
+   * A push answers an acknowledgement, at the lathe's next beat (500 ms) at the latest. What comes later than this was
+   * on its way, or in a buffer of a process that stood still, for the rest of the time.
+   */
+  static readonly answerMs = 700;
   /** Two beats without a word: another lathe is asked before what this node knows is stale. */
   static readonly silentMs = 1000;
   /** A first snapshot may take this long; asking elsewhere sooner only makes it later. What follows is short. */
@@ -39,7 +44,11 @@
   #feed = "";
   #lathe = "";
   #number = 0;
+  /** Invariant: at most `answerMs` later than when the lathe sent what was heard. */
   #heardAt = -Infinity;
+  #arrivedAt = -Infinity;
+  /** When the last push was acknowledged first, or the feed was opened. */
+  #askedAt = -Infinity;
   #openedAt = -Infinity;
   #opens = 0;
   /** The lathe let go of the feed. What was heard before stays as old as it is: another lathe may go on from it. */
@@ -86,7 +95,7 @@
     this.#clock.every(100, () => {
       if (this.#isClosed && this.#clock.now() - this.#openedAt > FeedFollower.closedMs) return this.#open();
       if (
-        this.age > FeedFollower.silentMs &&
+        this.#clock.now() - this.#arrivedAt > FeedFollower.silentMs &&
         this.#clock.now() - this.#openedAt > (this.revision === 0 ? FeedFollower.openMs : FeedFollower.reopenMs)
       )
         this.#open();
@@ -105,7 +114,7 @@
     if (lathe === undefined) return;
     this.#opens += 1;
     this.#isClosed = false;
-    this.#openedAt = this.#clock.now();
+    this.#openedAt = this.#askedAt = this.#clock.now();
     this.#feed = `${this.#exchange.name}/${this.#chance.identity().slice(0, 8)}`;
     this.#lathe = lathe;
     this.#number = 0;
@@ -120,9 +129,9 @@
     if (push.number === this.#number + 1 && (push.isSnapshot || push.fromRevision <= this.revision)) {
       if (push.revision < this.revision) return undefined;
       this.#number = push.number;
-      this.#heardAt = this.#clock.now();
+      this.#hear();
       this.#apply(push);
-    } else if (push.number === this.#number) this.#heardAt = this.#clock.now();
+    }
     const ack = {
       feed: this.#feed,
       number: this.#number,
@@ -134,6 +143,12 @@
     return undefined;
   }
 
+  #hear(): void {
+    const now = this.#clock.now();
+    this.#heardAt = Math.max(this.#heardAt, Math.min(now, this.#askedAt + FeedFollower.answerMs));
+    this.#arrivedAt = this.#askedAt = now;
+  }
+
   #apply(push: FeedPush): void {
     const isFirst = this.revision === 0;
     if (push.isSnapshot) this.#applySnapshot(push.kvs);
--- a/packages/testkit/src/sim/freshness.test.ts
+++ b/packages/testkit/src/sim/freshness.test.ts
@@ -58,3 +58,43 @@
     expect([round, plan.mark]).toEqual([round, mark]);
   }
 });
+
+test("a node that stood still takes nothing for fresh that lay in its buffers meanwhile", async () => {
+  const all = await served(502);
+  const { fleet } = all;
+  const [frozen] = fleet.withRole("vise");
+  await fleet.run(1000);
+  fleet.pause(frozen!, 20_000);
+  const wakesAt = fleet.world.now + 20_000;
+  await fleet.run(2000);
+  const mark = await accepted(all, fleet.proposer!);
+  await fleet.run(wakesAt - fleet.world.now);
+  const { feed, plan } = fleet.find(frozen!)!.node;
+  expect(plan.mark < mark).toEqual(true);
+  const isOldAndFresh: number[] = [];
+  for (let ms = 0; ms < 3000; ms += 1) {
+    await fleet.run(1);
+    if (feed.isFresh && plan.mark < mark) isOldAndFresh.push(ms);
+  }
+  expect(isOldAndFresh).toEqual([]);
+  expect([feed.isFresh, plan.mark]).toEqual([true, mark]);
+});
+
+test("a member and a node that stood still together hand on nothing old when they wake", async () => {
+  const all = await served(503);
+  const { fleet } = all;
+  const together = [fleet.withRole("lathe").find((name) => name !== fleet.proposer)!, ...fleet.withRole("vise")];
+  await fleet.run(1000);
+  for (const name of together) fleet.pause(name, 20_000);
+  const wakesAt = fleet.world.now + 20_000;
+  await fleet.run(3000);
+  const mark = await accepted(all, fleet.proposer!);
+  expect(mark > 0).toEqual(true);
+  await fleet.run(wakesAt - fleet.world.now);
+  const old = new Set<string>();
+  for (let ms = 0; ms < 3000; ms += 1) {
+    await fleet.run(1);
+    for (const name of actingOnOld(fleet, mark)) old.add(`${name} ${ms}`);
+  }
+  expect([...old]).toEqual([]);
+});
