Orders: nobody refuses for good what only its own view of the fleet speaks against

Cause: whether the fleet can keep a plan, and whether a machine may be emptied, was judged by the machines that the asked node knew, before the store was read. A member or edge that is cut off, or has restarted meanwhile, knows too few: valid orders got 422, 409 or 404 from it, all final.

Now a plan is judged so after the confirmed read, and a drain is refused only by a node whose feed is fresh and whose read of the store was confirmed; all else is 503.

--- a/packages/control/src/configuration/putPlan.ts
+++ b/packages/control/src/configuration/putPlan.ts
@@ -23,12 +23,14 @@
   if ("receipt" in json) return json.receipt;
   const { PlanSchema } = await import("@cranetrack/core/configuration/planSchema.js");
   const read = PlanSchema.read(json.value);
-  const problems = "faults" in read ? read.faults : planCapacity(node, read.plan);
-  if (problems.length > 0 || "faults" in read) return invalid(problems);
+  if ("faults" in read) return invalid(read.faults);
 
   const { mark } = read.plan;
+  // Whoever can't read the store may know too few machines: what the fleet lacks is judged after that.
   const inForce = await readInForce(node);
   if (inForce === undefined) return ApiReplies.away("no majority of the lathes answers");
+  const lacking = planCapacity(node, read.plan);
+  if (lacking.length > 0) return invalid(lacking);
   if (inForce.plan !== undefined) {
     const markInForce = PlanKey.markOf(inForce.plan.value);
     if (isSame(inForce, body, document))
--- a/packages/control/src/drain/drainMachine.ts
+++ b/packages/control/src/drain/drainMachine.ts
@@ -3,18 +3,20 @@
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import { ApiReplies, type ApiReply } from "@cranetrack/core/http/apiReply.js";
 
+const noMajority = "no majority of the lathes answers";
+
 /** The operators' wish to have a machine's topic logs moved off it: kept, repeatable, undone by asking. */
 export const DrainMachine = {
   /** `rampSeconds`: how long the machine may take over it; kept with the wish. */
   async ask(node: ClusterNode, name: string, rampSeconds?: number): Promise<ApiReply> {
     const refusal = refuse(node, name);
-    if (refusal !== undefined) return refusal;
+    if (refusal !== undefined) return (await isInTouch(node)) ? refusal : ApiReplies.away(noMajority);
     const written = await node.store.txn({
       puts: [{ key: DrainKey.of(name), value: DrainKey.write(rampSeconds) }],
     });
     if (written.outcome === "unsure")
       return ApiReplies.unsure("the lathes did not answer in time; the same request again settles it");
-    if (written.outcome !== "done") return ApiReplies.away("no majority of the lathes answers");
+    if (written.outcome !== "done") return ApiReplies.away(noMajority);
     return DrainMachine.progress(node, name);
   },
 
@@ -27,7 +29,7 @@
 
   async progress(node: ClusterNode, name: string): Promise<ApiReply> {
     const read = await node.store.read([DrainKey.of(name)], ["shards/"]);
-    if (read.outcome !== "done") return ApiReplies.away("no majority of the lathes answers");
+    if (read.outcome !== "done") return ApiReplies.away(noMajority);
     const isAsked = read.kvs!.some((kv) => kv.key === DrainKey.of(name));
     const sets = read
       .kvs!.filter((kv) => kv.key.endsWith("/replicas"))
@@ -50,6 +52,11 @@
   },
 };
 
+/** Whoever is cut off, or has just started, knows too few machines to refuse anything. */
+async function isInTouch(node: ClusterNode): Promise<boolean> {
+  return node.feed.isFresh && (await node.store.read([])).outcome === "done";
+}
+
 /** Why the contracts could not be kept without the machine; undefined where they could. */
 function refuse(node: ClusterNode, name: string): ApiReply | undefined {
   const { membership, machines } = node;
--- /dev/null
+++ b/packages/testkit/src/sabotage/cutOffSabotages.ts
@@ -0,0 +1,42 @@
+import type { Sabotage } from "./sabotage.js";
+
+const test = "testkit/dist/sim/freshness.test.js";
+
+/** Guards of members that are cut off, behind or just awake. */
+export const cutOffSabotages: readonly Sabotage[] = [
+  {
+    name: "whoever hears the leader counts as current",
+    file: "control/dist/consensus/raftNode.js",
+    find: "this.#applied >= (message.commit ?? Infinity)",
+    put: "true",
+    test,
+  },
+  {
+    name: "a feed begins with what its member has, whatever was committed",
+    file: "control/dist/store/feeds.js",
+    find: "this.#ledger.metadata.revision < feed.confirmed",
+    put: "false",
+    test,
+  },
+  {
+    name: "a push counts from when it was read",
+    file: "core/dist/feeds/feedFollower.js",
+    find: "Math.max(this.#heardAt, Math.min(now,",
+    put: "Math.max(this.#heardAt, now, Math.min(now,",
+    test,
+  },
+  {
+    name: "a member that stood still believes its buffers",
+    file: "control/dist/consensus/leaderContact.js",
+    find: "this.#resumedAt = this.#beatAt = this.#clock.now();",
+    put: "this.#beatAt = this.#clock.now();",
+    test: "control/dist/consensus/leaderContact.test.js",
+  },
+  {
+    name: "a drain is refused from the view of whoever is asked",
+    file: "control/dist/drain/drainMachine.js",
+    find: "(await isInTouch(node))",
+    put: "true",
+    test: "testkit/dist/sim/cutOff.test.js",
+  },
+];
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,12 +1,5 @@
-export interface Sabotage {
-  name: string;
-  /** Built file below packages/, and what to put in place of what. */
-  file: string;
-  find: string;
-  put: string;
-  /** The built test that must fail then. */
-  test: string;
-}
+import { cutOffSabotages } from "./cutOffSabotages.js";
+import type { Sabotage } from "./sabotage.js";
 
 const sim = "testkit/dist/sim";
 
@@ -341,4 +334,5 @@
     put: "this.head = from;",
     test: "edge/dist/fanout/streamTail.test.js",
   },
+  ...cutOffSabotages,
 ];
--- /dev/null
+++ b/packages/testkit/src/sim/cutOff.test.ts
@@ -0,0 +1,172 @@
+import { test } from "node:test";
+import type { Settings } from "@cranetrack/core/runtime/settings.js";
+import { expect } from "earl";
+import { served, type Served } from "./hand.js";
+import { Scenario } from "./scenario.js";
+import { SimLoad } from "./simLoad.js";
+import { accepted, actingOnOld, boundMs } from "./staleNodes.js";
+
+type Ways = "in" | "out" | "both";
+type Cut = { name: string; seed: number; lathes: number; ways: Ways; isLeaderCut: boolean; count: number };
+const cuts: readonly Cut[] = [
+  ...(["both", "in", "out"] as const).flatMap((ways, i) => [
+    { name: `a follower is cut off (${ways})`, seed: 510 + i, lathes: 3, ways, isLeaderCut: false, count: 1 },
+    { name: `the leader is cut off (${ways})`, seed: 520 + i, lathes: 3, ways, isLeaderCut: true, count: 1 },
+    {
+      name: `two of five, the leader too, are cut off (${ways})`,
+      seed: 530 + i,
+      lathes: 5,
+      ways,
+      isLeaderCut: true,
+      count: 2,
+    },
+  ]),
+];
+
+interface Told {
+  isCutOff: boolean;
+  what: string;
+  status: number;
+  /** Of an order, or of what was read. */
+  mark: number;
+  /** The highest mark that was acknowledged when it was asked. */
+  after: number;
+  at: number;
+}
+
+/** Operators on both sides of a cut, and what they and everybody else see. */
+class Sides {
+  readonly told: Told[] = [];
+  readonly wrong: string[] = [];
+  readonly #highest = new Map<string, number>();
+  readonly #all: Served;
+  readonly #first: number;
+
+  constructor(all: Served, first: number) {
+    this.#all = all;
+    this.#first = first;
+  }
+
+  acknowledgedBy(at: number): number {
+    const taken = this.told.filter((one) => one.what === "order" && one.status === 200 && one.at <= at);
+    return Math.max(this.#first, ...taken.map((one) => one.mark));
+  }
+
+  ask(isCutOff: boolean, node: string, method: string, path: string, order?: number): void {
+    const { fleet } = this.#all;
+    const after = this.acknowledgedBy(fleet.world.now);
+    const body = order === undefined ? undefined : JSON.stringify(SimLoad.plan(order));
+    void fleet.port.call(node, method, path, body).then(({ status, body: got }) => {
+      const isRead = method === "GET" && path === "/v1/plan" && status === 200;
+      const mark = isRead ? (JSON.parse(String(got["raw"])) as { mark: number }).mark : (order ?? 0);
+      const what = order === undefined ? `${method} ${path}` : "order";
+      this.told.push({ isCutOff, what, status, mark, after, at: fleet.world.now });
+      if (isRead && mark < after) this.wrong.push(`${node} read ${mark} after ${after} was acknowledged`);
+    });
+  }
+
+  /** Who acts on what is too old, or went back within one life. */
+  look(): void {
+    const { fleet } = this.#all;
+    const least = this.acknowledgedBy(fleet.world.now - boundMs);
+    for (const name of actingOnOld(fleet, least)) this.wrong.push(`${name} acts below ${least} at ${fleet.world.now}`);
+    for (const name of fleet.names) {
+      const node = fleet.find(name)?.node;
+      const before = this.#highest.get(name) ?? 0;
+      if (node === undefined) this.#highest.delete(name);
+      else if (node.plan.mark < before) this.wrong.push(`${name} went back from ${before} to ${node.plan.mark}`);
+      else this.#highest.set(name, node.plan.mark);
+    }
+  }
+
+  restart(names: readonly string[], seeds?: Settings["seeds"]): void {
+    const { fleet } = this.#all;
+    for (const name of names) {
+      fleet.kill(name);
+      this.#highest.delete(name);
+      if (seeds !== undefined) fleet.configure(name, { seeds: [...seeds] });
+      fleet.start(name);
+    }
+  }
+}
+
+type Meanwhile = "nothing" | "both" | "seeds" | "blank";
+
+/** Cuts members and an edge off from everybody else for 20 s, with operators on both sides. */
+async function played(cut: Cut, meanwhile: Meanwhile): Promise<{ all: Served; sides: Sides; off: string[] }> {
+  const all = await served(cut.seed, Scenario.machines(cut.lathes));
+  const { fleet, load } = all;
+  const sides = new Sides(all, await accepted(all, fleet.proposer!));
+  await fleet.run(1000);
+  const leader = fleet.proposer!;
+  const members = [leader, ...fleet.withRole("lathe").filter((name) => name !== leader)];
+  const lathes = cut.isLeaderCut ? members.slice(0, cut.count) : members.slice(1, 1 + cut.count);
+  const edge = fleet.withRole("vise").at(-1)!;
+  const off = [...lathes, edge];
+  const rest = fleet.names.filter((name) => !off.includes(name));
+  for (const name of off) fleet.isolate(name, rest, cut.ways);
+  const seeds = [...lathes, ...fleet.withRole("lathe").filter((name) => !lathes.includes(name))]
+    .slice(0, 3)
+    .map((name) => fleet.addressOf(name) as Settings["seeds"][number]);
+  for (let second = 0; second < 20; second += 1) {
+    if (meanwhile === "both" && second === 4) sides.restart(off);
+    if (meanwhile === "both" && second === 9) sides.restart(rest.filter((name) => name.startsWith("lathe")));
+    if (meanwhile === "seeds" && second === 5) sides.restart([edge, ...fleet.withRole("vise").slice(0, 1)], seeds);
+    if (meanwhile === "seeds" && second === 12) sides.restart(lathes.slice(0, 1), seeds);
+    if (meanwhile === "blank" && second === 4) {
+      fleet.wipe(lathes[0]!);
+      sides.restart([lathes[0]!, edge]);
+    }
+    for (const node of off) {
+      sides.ask(true, node, "PUT", "/v1/plan", load.nextMark);
+      sides.ask(true, node, "GET", "/v1/plan");
+      sides.ask(true, node, "PUT", "/v1/machines/anvil-1/emptying");
+      sides.ask(true, node, "GET", "/v1/plan/rollout");
+    }
+    // Two operators race, and one of them asks a node that is cut off.
+    const raced = load.nextMark;
+    sides.ask(false, rest[second % rest.length]!, "PUT", "/v1/plan", raced);
+    sides.ask(true, off[second % off.length]!, "PUT", "/v1/plan", raced);
+    for (let i = 0; i < 20; i += 1) {
+      await fleet.run(50);
+      sides.look();
+    }
+  }
+  fleet.wires.heal();
+  for (let i = 0; i < 160; i += 1) {
+    await fleet.run(50);
+    sides.look();
+  }
+  return { all, sides, off };
+}
+
+const meanwhiles: Record<Meanwhile, string> = {
+  nothing: "",
+  both: ", restarted, then the others",
+  seeds: ", and machines restart with seeds that begin with them",
+  blank: ", and its disk is lost",
+};
+
+for (const meanwhile of ["nothing", "both", "seeds", "blank"] as const)
+  for (const cut of cuts) {
+    // A disk that is lost is that of a member which nobody hears.
+    if (meanwhile === "blank" && cut.ways !== "both") continue;
+    test(`${cut.name} for 20 s${meanwhiles[meanwhile]}: nothing old, nothing confirmed or refused`, async () => {
+      const { all, sides } = await played(cut, meanwhile);
+      const { fleet } = all;
+      expect(sides.wrong).toEqual([]);
+      const ofCutOff = sides.told.filter((one) => one.isCutOff);
+      // One way only, others may carry it on; then an order may be taken, and be behind a later one.
+      const isOpen = cut.ways !== "both";
+      const isSettled = ({ what, status }: Told): boolean =>
+        status === 200 || (status >= 400 && status < 500 && !(isOpen && what === "order" && status === 409));
+      const during = ofCutOff.filter((one) => isSettled(one) && !(isOpen && one.status === 200));
+      expect(during).toEqual([]);
+      const best = sides.acknowledgedBy(fleet.world.now);
+      expect(sides.told.filter((one) => !one.isCutOff && one.status === 200).length > 5).toEqual(true);
+      for (const name of fleet.names) {
+        const { feed, plan } = fleet.find(name)!.node;
+        expect([name, feed.isFresh, plan.mark >= best]).toEqual([name, true, true]);
+      }
+    });
+  }
