Disks: the names of folders that are made outlast a loss of power

Cause: the data folder's own name was never synced in the folder above it; only the names in it were. A loss of power soon after the first start could take the folder with everything that was acknowledged in it. The folder of lmdb had its names synced by nobody.

Now every folder that is made has its name synced in the one above, and lmdb's folder is synced once its files are made.

--- a/packages/core/src/storage/journalDisk.ts
+++ b/packages/core/src/storage/journalDisk.ts
@@ -1,10 +1,11 @@
-import { closeSync, existsSync, fstatSync, fsyncSync, ftruncateSync, mkdirSync, openSync } from "node:fs";
+import { closeSync, existsSync, fstatSync, fsyncSync, ftruncateSync, openSync } from "node:fs";
 import { readSync, rmSync, writeSync } from "node:fs";
 import { open, rename, rm, type FileHandle } from "node:fs/promises";
 import { join } from "node:path";
 import VError from "verror";
 import type { Disk, DiskChange } from "./disk.js";
 import { JournalRecord, type ReadRecord } from "./journalRecord.js";
+import { NewFolder } from "./newFolder.js";
 
 interface Kept {
   at: number;
@@ -66,7 +67,7 @@
 
   static async open(folder: string, options: JournalOptions = {}): Promise<JournalDisk> {
     try {
-      mkdirSync(folder, { recursive: true });
+      NewFolder.make(folder);
       if (existsSync(join(folder, "data.mdb"))) throw new Error("it holds the data of another disk format");
       rmSync(join(folder, "journal.new"), { force: true });
       const path = join(folder, "journal");
@@ -75,7 +76,7 @@
       disk.#load();
       // A process that was killed left writes that no sync covers: what was read must stay from here on.
       await disk.#options.sync(disk.#file);
-      JournalDisk.#syncFolder(folder);
+      NewFolder.sync(folder);
       return disk;
     } catch (cause) {
       throw new VError({ name: "DataFolderFault", cause: cause as Error }, "the data folder %s cannot be used", folder);
@@ -213,7 +214,7 @@
     this.#end = end;
     this.#sequence = sequence;
     for (const [key, entry] of kept) this.#index.set(key, entry);
-    JournalDisk.#syncFolder(this.#folder);
+    NewFolder.sync(this.#folder);
     await old.close();
   }
 
@@ -282,12 +283,6 @@
     }
   }
 
-  static #syncFolder(folder: string): void {
-    const file = openSync(folder, "r");
-    fsyncSync(file);
-    closeSync(file);
-  }
-
   static async #writeAt(file: FileHandle, bytes: Uint8Array, place: number): Promise<void> {
     for (let done = 0; done < bytes.length;)
       done += (await file.write(bytes, done, bytes.length - done, place + done)).bytesWritten;
--- a/packages/core/src/storage/lmdbDisk.ts
+++ b/packages/core/src/storage/lmdbDisk.ts
@@ -1,8 +1,9 @@
-import { closeSync, existsSync, mkdirSync, openSync, readSync, statSync } from "node:fs";
+import { closeSync, existsSync, openSync, readSync, statSync } from "node:fs";
 import { join } from "node:path";
 import { open, type RootDatabase } from "lmdb";
 import VError from "verror";
 import type { Disk, DiskChange } from "./disk.js";
+import { NewFolder } from "./newFolder.js";
 
 /**
  * lmdb-js may resolve a commit before it is flushed (overlapping sync), so a write here
@@ -43,9 +44,10 @@
   }
 
   static #open(folder: string): RootDatabase<Uint8Array, string> {
-    mkdirSync(folder, { recursive: true });
+    NewFolder.make(folder);
     LmdbDisk.#look(join(folder, "data.mdb"));
     const db = open<Uint8Array, string>({ path: folder, encoding: "binary", overlappingSync: true, noSubdir: false });
+    NewFolder.sync(folder);
     const format = db.get("format");
     const isBlank = db.getKeysCount({ limit: 1 }) === 0;
     if (!isBlank && (format === undefined || Buffer.from(format).toString() !== "cranetrack 3"))
