--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,3 +1,4 @@
+import { cutOffSabotages } from "./cutOffSabotages.js";
 import { logSabotages } from "./logSabotages.js";
 import { replicaSabotages } from "./replicaSabotages.js";
 import type { Sabotage } from "./sabotage.js";
@@ -277,8 +278,8 @@
   {
     name: "what a proposer sent before it gave up brings it back",
     file: "control/dist/consensus/raftNode.js",
-    find: "if (message.term > this.#yieldedTerm)",
-    put: "if (true)",
+    find: " && message.term > this.#yieldedTerm",
+    put: "",
     test: `${sim}/store.test.js`,
   },
   {
@@ -339,4 +340,5 @@
   },
   ...logSabotages,
   ...replicaSabotages,
+  ...cutOffSabotages,
 ];
