Orders: the store records each taken version's content; only that is acknowledged again

Cause: whether an order had been taken was asked of the configuration in force alone. One that lost the race under its version got 409 while that version was in force and, through the platform, 200 as soon as a higher one was: two contents confirmed under one version. A taken one, sent again once another had followed, was refused by the product's own interface; and "the same" compared the plan that the answering node makes of a document, with the fault budget of its own settings, so that after a change of settings a taken order was refused.

The transaction that puts a version in force now writes the digest of what the operator sent (canonical JSON) beside it. A version below the one in force that was never seen is acknowledged without effect once its content is committed in the same way. The question whether an order was taken comes before all that rests on settings or fleet.

Ruled out: one list of versions in one key (each change would carry it whole); keeping it in each node's cache.

--- a/packages/control/src/configuration/putPlan.ts
+++ b/packages/control/src/configuration/putPlan.ts
@@ -1,20 +1,24 @@
 import type { Kv } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { Plans, type Plan, type PlanFault, type PlanRead } from "@cranetrack/core/configuration/plan.js";
+import { AcceptedOrderKey } from "@cranetrack/core/keys/acceptedOrderKey.js";
 import { DocumentKey } from "@cranetrack/core/keys/documentKey.js";
-import { Plans, type Plan, type PlanFault } from "@cranetrack/core/configuration/plan.js";
 import { PlanKey } from "@cranetrack/core/keys/configurationKey.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import { ApiReplies, type ApiReply } from "@cranetrack/core/http/apiReply.js";
 import { JsonBody } from "@cranetrack/core/http/jsonBody.js";
+import { digestOf, judgeOrder, OrderFactKeys, type Order, type OrderFacts } from "./judgeOrder.js";
 import { planCapacity } from "./planCapacity.js";
 
-interface InForce {
-  plan: Kv | undefined;
-  document: Kv | undefined;
-}
+/** Of an order that loses a race again and again, each time to another one that was taken. */
+const mostTries = 8;
 
 /**
  * A whole plan under a rising mark, with the operators' own document about it: accepted once a majority of the
- * lathes has both on disk. A plan without a document leaves none.
+ * lathes has both on disk, with a record of its content. A plan without a document leaves none.
+ *
+ * First comes the question whether it was taken already, by its content as it was sent; only what is new is held
+ * against the fleet and the plan in force. With a document, a mark below the one in force is acknowledged without
+ * effect, once its content is recorded; without one it is refused as stale.
  */
 export async function putPlan(node: ClusterNode, body: Uint8Array, document?: Uint8Array): Promise<ApiReply> {
   if (Math.max(body.length, document?.length ?? 0) > Plans.mostBytes)
@@ -23,61 +27,97 @@
   if ("receipt" in json) return json.receipt;
   const { PlanSchema } = await import("@cranetrack/core/configuration/planSchema.js");
   const read = PlanSchema.read(json.value);
-  const problems = "faults" in read ? read.faults : planCapacity(node, read.plan);
-  if (problems.length > 0 || "faults" in read) return invalid(problems);
+  const mark = "plan" in read ? read.plan.mark : PlanKey.markOf(body);
+  // With a document the body is this node's translation, and its faults may be those of this node's settings.
+  if ("faults" in read && (document === undefined || mark === 0)) return invalid(read.faults);
+  const order = { version: mark, body, document };
+  for (let tries = 0; tries < mostTries; tries += 1) {
+    const receipt = await tryOrder(node, order, read);
+    if (receipt !== "conflict") return receipt;
+  }
+  return ApiReplies.unsure("other plans came between; the same plan again settles it");
+}
 
-  const { mark } = read.plan;
-  const inForce = await readInForce(node);
-  if (inForce === undefined) return ApiReplies.away("no majority of the lathes answers");
-  if (inForce.plan !== undefined) {
-    const markInForce = PlanKey.markOf(inForce.plan.value);
-    if (isSame(inForce, body, document))
-      return ApiReplies.done({ receipt: "accepted", mark, revision: inForce.plan.revision });
-    if (markInForce >= mark) return stale(mark, markInForce);
-    const turned = turnedOrders(inForce.plan.value, read.plan);
-    if (turned.length > 0) return invalid(turned);
+async function tryOrder(node: ClusterNode, order: Order, read: PlanRead): Promise<ApiReply | "conflict"> {
+  const { version: mark, document } = order;
+  const facts = await readFacts(node, order);
+  if (facts === undefined) return noMajority();
+  const standing = judgeOrder(order, facts);
+  switch (standing.kind) {
+    case "taken":
+      return accepted(mark, standing.revision);
+    case "taken-by-other":
+      return stale(mark, standing.versionInForce, "was taken with other content");
+    case "forgotten":
+      return ApiReplies.away(`mark ${mark} is so old that its content is forgotten`);
+    case "superseded":
+      if (document === undefined) return stale(mark, standing.versionInForce, "is not above the one in force");
+      return "faults" in read ? invalid(read.faults) : record(node, order, facts);
+    case "newer":
+      return "faults" in read ? invalid(read.faults) : putNewer(node, order, read.plan, facts);
   }
+}
+
+/** A confirmed read. The document is as large as the plan, and needed only where its version has no record. */
+async function readFacts(node: ClusterNode, { version, document }: Order): Promise<OrderFacts | undefined> {
+  const read = async (keys: string[]): Promise<OrderFacts | undefined> => {
+    const present = await node.store.read(keys);
+    return present.outcome === "done" ? OrderFactKeys.read(version, present.kvs ?? []) : undefined;
+  };
+  const facts = await read(OrderFactKeys.of(version));
+  const isUnrecorded = facts?.plan !== undefined && facts.record === undefined;
+  if (document === undefined || !isUnrecorded || PlanKey.markOf(facts.plan!.value) !== version) return facts;
+  return read([...OrderFactKeys.of(version), DocumentKey.name]);
+}
+
+/** Above all marks so far: put in force, and recorded, in one step, if nothing else was put meanwhile. */
+async function putNewer(
+  node: ClusterNode,
+  order: Order,
+  plan: Plan,
+  facts: OrderFacts,
+): Promise<ApiReply | "conflict"> {
+  const { body, document } = order;
+  const turned = facts.plan === undefined ? [] : turnedOrders(facts.plan.value, plan);
+  if (turned.length > 0) return invalid(turned);
+  const lacking = planCapacity(node, plan);
+  if (lacking.length > 0) return invalid(lacking);
   const written = await node.store.txn({
-    checks: [{ key: PlanKey.name, revision: inForce.plan?.revision ?? 0 }],
+    checks: [{ key: PlanKey.name, revision: facts.plan?.revision ?? 0 }],
     puts: [
       { key: PlanKey.name, value: body },
+      recordOf(order),
       ...(document === undefined ? [] : [{ key: DocumentKey.name, value: document }]),
     ],
     deletes: document === undefined ? [DocumentKey.name] : [],
   });
-  if (written.outcome === "done") return ApiReplies.done({ receipt: "accepted", mark, revision: written.revision });
-  if (written.outcome === "conflict") return settleRace(node, { mark, body, document });
-  if (written.outcome === "unsure")
-    return ApiReplies.unsure("the lathes did not answer in time; the same plan again settles it");
-  return ApiReplies.away("no majority of the lathes answers");
+  return settled(order, written);
 }
 
-async function readInForce(node: ClusterNode): Promise<InForce | undefined> {
-  const present = await node.store.read([PlanKey.name, DocumentKey.name]);
-  if (present.outcome !== "done") return undefined;
-  const find = (key: string): Kv | undefined => present.kvs?.find((kv) => kv.key === key);
-  return { plan: find(PlanKey.name), document: find(DocumentKey.name) };
+/**
+ * Below the mark in force and never acknowledged so far. It changes nothing; but its content is committed before it
+ * is acknowledged, so that no other content under its mark can be.
+ */
+async function record(node: ClusterNode, order: Order, facts: OrderFacts): Promise<ApiReply | "conflict"> {
+  const check = { key: AcceptedOrderKey.of(order.version), revision: facts.record?.revision ?? 0 };
+  return settled(order, await node.store.txn({ checks: [check], puts: [recordOf(order)], deletes: [] }));
 }
 
-/** Whoever says nothing of a document asks for the plan alone. */
-function isSame(inForce: InForce, body: Uint8Array, document: Uint8Array | undefined): boolean {
-  const isKept = (kv: Kv | undefined, bytes: Uint8Array): boolean =>
-    kv !== undefined && Buffer.compare(kv.value, bytes) === 0;
-  return isKept(inForce.plan, body) && (document === undefined || isKept(inForce.document, document));
+function recordOf(order: Order): Pick<Kv, "key" | "value"> {
+  return { key: AcceptedOrderKey.of(order.version), value: digestOf(order) };
 }
 
-/** Another operator's plan came between: each mark has exactly one winner. */
-async function settleRace(
-  node: ClusterNode,
-  { mark, body, document }: { mark: number; body: Uint8Array; document: Uint8Array | undefined },
-): Promise<ApiReply> {
-  const inForce = await readInForce(node);
-  if (inForce?.plan === undefined) return ApiReplies.unsure("another plan came between");
-  const markInForce = PlanKey.markOf(inForce.plan.value);
-  if (markInForce < mark) return putPlan(node, body, document);
-  if (isSame(inForce, body, document))
-    return ApiReplies.done({ receipt: "accepted", mark, revision: inForce.plan.revision });
-  return stale(mark, markInForce);
+function settled(order: Order, written: { outcome: string; revision?: number }): ApiReply | "conflict" {
+  switch (written.outcome) {
+    case "done":
+      return accepted(order.version, written.revision);
+    case "conflict":
+      return "conflict";
+    case "unsure":
+      return ApiReplies.unsure("the lathes did not answer in time; the same plan again settles it");
+    default:
+      return noMajority();
+  }
 }
 
 /** A space is one stream, or a stream a topic, for its whole life: where its messages go follows from it. */
@@ -93,15 +133,20 @@
   });
 }
 
+function accepted(mark: number, revision: number | undefined): ApiReply {
+  return ApiReplies.done({ receipt: "accepted", mark, revision });
+}
+
+function noMajority(): ApiReply {
+  return ApiReplies.away("no majority of the lathes answers");
+}
+
 function invalid(problems: PlanFault[]): ApiReply {
   const message = `the plan has ${problems.length} problem(s); nothing was changed`;
   return ApiReplies.fault(422, "invalid-plan", message, { problems });
 }
 
-function stale(mark: number, markInForce: number): ApiReply {
-  const why =
-    mark === markInForce
-      ? `mark ${mark} is in force with other content`
-      : `mark ${mark} is not above mark ${markInForce}, which is in force`;
-  return ApiReplies.fault(409, "stale-mark", why, { details: { markInForce } });
+function stale(mark: number, markInForce: number, why: string): ApiReply {
+  const message = `mark ${mark} ${why}; mark ${markInForce} is in force`;
+  return ApiReplies.fault(409, "stale-mark", message, { details: { markInForce } });
 }
--- a/packages/control/src/store/metadata.ts
+++ b/packages/control/src/store/metadata.ts
@@ -10,6 +10,7 @@
 } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { BirthsKey } from "@cranetrack/core/keys/birthsKey.js";
 import { PlanKey } from "@cranetrack/core/keys/configurationKey.js";
+import { AcceptedOrders } from "./acceptedOrders.js";
 
 const BTree = BTreeModule.default;
 
@@ -102,8 +103,20 @@
     }
     if (txn.puts.some((kv) => kv.lease !== "" && !this.#leases.has(kv.lease)))
       return { outcome: "lost", revision: index, kvs: [], changes };
+    if (AcceptedOrders.isTooOld(this, txn.puts)) return { outcome: "conflict", revision: index, kvs: [], changes };
+    const puts = this.#withBirths(AcceptedOrders.withFloor(this, txn.puts));
     for (const key of txn.deletes) this.#remove(key, index, changes);
-    for (const kv of this.#withBirths(txn.puts)) {
+    this.#putAll(puts, index, changes);
+    const surplus = AcceptedOrders.surplus(this, puts);
+    if (surplus !== undefined) {
+      for (const key of surplus.dropped) this.#remove(key, index, changes);
+      this.#putAll([surplus.floor], index, changes);
+    }
+    return { outcome: "done", revision: index, kvs: [], changes };
+  }
+
+  #putAll(puts: readonly Kv[], index: number, changes: Kv[]): void {
+    for (const kv of puts) {
       this.#leases.get(this.#keys.get(kv.key)?.lease ?? "")?.keys.delete(kv.key);
       kv.revision = index;
       kv.isGone = false;
@@ -112,7 +125,6 @@
       this.#leases.get(kv.lease)?.keys.add(kv.key);
       changes.push(kv);
     }
-    return { outcome: "done", revision: index, kvs: [], changes };
   }
 
   /** A plan is kept with its spaces' births, which follow from the plan before it and from nothing else. */
--- /dev/null
+++ b/packages/core/src/configuration/contentDigest.ts
@@ -0,0 +1,25 @@
+import { createHash } from "node:crypto";
+
+/**
+ * SHA-256 over what an operator sent, in canonical form: equal for JSON texts that differ only in white space, the
+ * order of an object's keys and the spelling of numbers and strings. What is no JSON is taken byte for byte.
+ * A plan alone and a document about a plan never have the same digest.
+ */
+export function contentDigest(kind: "plan" | "document", bytes: Uint8Array): Uint8Array {
+  return createHash("sha256").update(`${kind}\n`).update(canonicalOf(bytes)).digest();
+}
+
+function canonicalOf(bytes: Uint8Array): Uint8Array | string {
+  try {
+    return canonical(JSON.parse(new TextDecoder("utf8", { fatal: true }).decode(bytes)));
+  } catch {
+    return bytes;
+  }
+}
+
+function canonical(value: unknown): string {
+  if (Array.isArray(value)) return `[${value.map(canonical).join()}]`;
+  if (typeof value !== "object" || value === null) return JSON.stringify(value);
+  const fields = Object.entries(value).sort(([a], [b]) => (a < b ? -1 : 1));
+  return `{${fields.map(([key, field]) => `${JSON.stringify(key)}:${canonical(field)}`).join()}}`;
+}
