Orders: machines missing for a configuration are "come again", not a refusal for good

Cause: the fleet as one node sees it decides whether a plan can be kept; a node that lags or was just started answered 422 to a valid plan. It is 503 `no-capacity` with the problems now, and it is asked after the question whether the order was taken.

Before: "a taken order is acknowledged again when machines are missing" got 422. After: passes; the sabotage is caught.

--- a/packages/control/src/configuration/putPlan.ts
+++ b/packages/control/src/configuration/putPlan.ts
@@ -81,7 +81,7 @@
   const turned = facts.plan === undefined ? [] : turnedOrders(facts.plan.value, plan);
   if (turned.length > 0) return invalid(turned);
   const lacking = planCapacity(node, plan);
-  if (lacking.length > 0) return invalid(lacking);
+  if (lacking.length > 0) return noCapacity(lacking);
   const written = await node.store.txn({
     checks: [{ key: PlanKey.name, revision: facts.plan?.revision ?? 0 }],
     puts: [
@@ -146,6 +146,12 @@
   return ApiReplies.fault(422, "invalid-plan", message, { problems });
 }
 
+/** What this node sees of the fleet may be incomplete, and may change: never a refusal for good. */
+function noCapacity(problems: PlanFault[]): ApiReply {
+  const message = "machines are missing for what the plan promises, as this node sees the fleet; nothing was changed";
+  return ApiReplies.fault(503, "no-capacity", message, { problems, comeBack: 1 });
+}
+
 function stale(mark: number, markInForce: number, why: string): ApiReply {
   const message = `mark ${mark} ${why}; mark ${markInForce} is in force`;
   return ApiReplies.fault(409, "stale-mark", message, { details: { markInForce } });
--- a/packages/testkit/src/sabotage/orderSabotages.ts
+++ b/packages/testkit/src/sabotage/orderSabotages.ts
@@ -39,6 +39,13 @@
     put: "node.store.txn({ checks: []",
     test: `${sim}/orders.test.js`,
   },
+  {
+    name: "what a node lacks is a refusal for good",
+    file: "control/dist/configuration/putPlan.js",
+    find: 'fault(503, "no-capacity"',
+    put: 'fault(422, "no-capacity"',
+    test: `${sim}/orders.test.js`,
+  },
   {
     name: "faults of a node's settings come before what was taken",
     file: "control/dist/configuration/putPlan.js",
--- a/packages/testkit/src/sim/orders.test.ts
+++ b/packages/testkit/src/sim/orders.test.ts
@@ -89,6 +89,14 @@
   expect(await orders.put("lathe-3", 10, "b", 0)).toEqual(409);
 });
 
+test("a taken order is acknowledged again when machines are missing; a new one is not refused for good", async () => {
+  const orders = await Orders.at(504);
+  expect(await orders.put("lathe-1", 10, "a")).toEqual(200);
+  expect(await orders.put("lathe-1", 11, "a", 0)).toEqual(200);
+  expect(await orders.put("lathe-2", 12, "a", 2)).toEqual(503);
+  expect(await orders.put("lathe-2", 10, "a", 2)).toEqual(200);
+});
+
 test("a node that is cut off confirms nothing and refuses nothing, whatever the order is", async () => {
   const orders = await Orders.at(505);
   const { fleet } = orders;
