--- a/packages/core/src/configuration/planSchema.ts
+++ b/packages/core/src/configuration/planSchema.ts
@@ -4,7 +4,7 @@
 
 const owe = type({
   "+": "reject",
-  keep: "0 <= number <= 86400",
+  keep: "0 <= number <= 315360000",
   order: "'sender' | 'topic' | 'space' | 'one'",
   fault_budget: type({ "+": "reject", "machines?": "0 <= number.integer <= 2", "zones?": "0 <= number.integer <= 1" }),
   "publishers?": "string[] <= 1000",
@@ -23,15 +23,15 @@
   spaces: type({
     "+": "reject",
     name: "/^[A-Za-z0-9._-]{1,64}$/",
-    "prefix?": "/^[\\x21-\\x7e]{1,200}$/",
+    "prefix?": "/^[\\x21-\\x7e]{0,200}$/",
     "deadlineMs?": "1 <= number.integer <= 600000",
     program: type({ "+": "reject", when, owe }).array().moreThanLength(0).atMostLength(64),
   })
     .array()
-    .atMostLength(4096),
+    .atMostLength(16384),
   "limits?": type({
     "+": "reject",
-    "subscriptions?": "1 <= number.integer <= 100000",
+    "subscriptions?": "0 <= number.integer <= 100000",
     "payloadBytes?": "1 <= number.integer <= 262144",
   }),
 });
--- a/packages/testkit/src/sim/streams.test.ts
+++ b/packages/testkit/src/sim/streams.test.ts
@@ -357,3 +357,22 @@
   expect((await publish("desk", 1, "vise-2", topic))["receipt"]).toEqual("accepted");
   expect(await fleet.until(() => again.got().length === 1, 2000)).toEqual(true);
 });
+
+test("a space with an empty prefix has the topics that no other space has", async () => {
+  const at = await served(77);
+  const { fleet, load, ask, publish } = at;
+  const owe = { keep: 60, order: "sender", fault_budget: { machines: 1 } };
+  const spaces = ["", "notes/"].map((prefix, i) => ({ name: `s${i}`, prefix, program: [{ when: {}, owe }] }));
+  const put = (of: object[]): Promise<Line> =>
+    ask("lathe-2", "PUT", "/v1/plan", JSON.stringify({ mark: load.nextMark, spaces: of }));
+  expect((await put(spaces))["status"]).toEqual(200);
+  await fleet.run(2000);
+  const reader = await linked(at, "vise-2", "reader", ["anything", "notes/t1"]);
+  await linked(at, "vise-1", "writer", []);
+  expect((await publish("writer", 1, "vise-1", "anything"))["status"]).toEqual(200);
+  expect((await publish("writer", 2, "vise-1", "notes/t1"))["status"]).toEqual(200);
+  expect(await fleet.until(() => reader.got().length === 2, 3000)).toEqual(true);
+  expect((await put(spaces.slice(1)))["status"]).toEqual(200);
+  await fleet.run(2000);
+  expect((await publish("writer", 3, "vise-1", "anything"))["status"]).toEqual(404);
+});
