Checker: operators' orders and the store's transactions are checked for linearizability

Operations without an outcome may take effect at any later moment or never. Simulated operators send colliding versions to any node in bursts, lose answers, send again, while control nodes are cut off (the leader of the moment among them), killed, frozen, slow; fast-check makes the plays up and shrinks them.

--- /dev/null
+++ b/packages/testkit/src/sim/simOperator.ts
@@ -0,0 +1,96 @@
+import { putPlan } from "@cranetrack/control/configuration/putPlan.js";
+import { readDocument } from "@cranetrack/control/configuration/readDocument.js";
+import { ApiReplies, type ApiReply } from "@cranetrack/core/http/apiReply.js";
+import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { PortReceipt } from "../callers/callerPort.js";
+import type { Operation } from "../checker/linearizability.js";
+import type { OrderInput, OrderOutput } from "../checker/versionedRegister.js";
+import type { SimFleet } from "./simFleet.js";
+import type { SimRandom } from "./simRandom.js";
+
+export type OrderOperation = Operation<OrderInput, OrderOutput>;
+
+/** Writes down each try of each operator. */
+export class OrderHistory {
+  readonly operations: OrderOperation[] = [];
+}
+
+/**
+ * An operator: sends an order to one control node after the other until it has a clear answer, and loses answers.
+ * Each try is an operation of the history: a try without a clear answer may take effect at any later moment.
+ */
+export class SimOperator {
+  static readonly silenceMs = 1000;
+  static readonly firstPauseMs = 50;
+  static readonly mostPauseMs = 1600;
+  static readonly mostTries = 12;
+
+  readonly #fleet: SimFleet;
+  readonly #random: SimRandom;
+  readonly #history: OrderHistory;
+  /** Of the answers that reach it, so many are lost. */
+  readonly #lossOfAnswers: number;
+
+  constructor(fleet: SimFleet, history: OrderHistory, lossOfAnswers: number) {
+    this.#fleet = fleet;
+    this.#random = fleet.world.chance.fork();
+    this.#history = history;
+    this.#lossOfAnswers = lossOfAnswers;
+  }
+
+  /** The last clear answer, or undefined where none came. */
+  async ask(input: OrderInput): Promise<OrderOutput | undefined> {
+    let pauseMs = SimOperator.firstPauseMs;
+    for (let tries = 0; tries < SimOperator.mostTries; tries += 1) {
+      const output = await this.try(this.#random.pick(this.#fleet.withRole("lathe")), input);
+      if (output !== undefined) return output;
+      await this.#pause(pauseMs);
+      pauseMs = Math.min(SimOperator.mostPauseMs, 2 * pauseMs);
+    }
+    return undefined;
+  }
+
+  /** One try at one node. */
+  async try(name: string, input: OrderInput): Promise<OrderOutput | undefined> {
+    const { world, port } = this.#fleet;
+    const operation: OrderOperation = { calledAt: world.now, returnedAt: Infinity, input, output: undefined };
+    this.#history.operations.push(operation);
+    const answered = port.run(name, ({ node }) => carryOut(node, input));
+    const receipt = await Promise.race([answered, this.#pause(SimOperator.silenceMs)]);
+    const isLost = this.#random.draw() < this.#lossOfAnswers;
+    const output = receipt === undefined || isLost ? undefined : outputOf(input, receipt);
+    if (output === undefined) return undefined;
+    operation.returnedAt = world.now;
+    operation.output = output;
+    return output;
+  }
+
+  #pause(ms: number): Promise<undefined> {
+    const { world } = this.#fleet;
+    return new Promise((resolve) => void world.at(world.now + ms, () => resolve(undefined)));
+  }
+}
+
+/** Nothing is kept, so that no order depends on what the fleet has. */
+function carryOut(node: ClusterNode, input: OrderInput): Promise<ApiReply> {
+  if (input.kind === "read") return readBack(node);
+  const { version, content, isValid } = input;
+  const owe = { keep: isValid ? 0 : -1, order: "sender", fault_budget: {} };
+  const plan = { mark: version, spaces: [{ name: "notes", program: [{ when: {}, owe }] }] };
+  const document = { version, content };
+  return putPlan(node, Buffer.from(JSON.stringify(plan)), Buffer.from(JSON.stringify(document)));
+}
+
+async function readBack(node: ClusterNode): Promise<ApiReply> {
+  const read = await readDocument(node);
+  if (read.outcome === "away") return ApiReplies.away("no majority");
+  return ApiReplies.done(read.outcome === "none" ? { version: 0, content: "" } : read.document);
+}
+
+function outputOf(input: OrderInput, { status, body }: PortReceipt): OrderOutput | undefined {
+  if (status === 0 || status >= 500) return undefined;
+  if (input.kind === "read")
+    return { kind: "content", version: Number(body["version"]), content: String(body["content"]) };
+  if (status === 200) return { kind: "acknowledged" };
+  return status === 409 ? { kind: "refused" } : { kind: "invalid" };
+}
--- a/packages/testkit/src/sim/simPort.ts
+++ b/packages/testkit/src/sim/simPort.ts
@@ -89,15 +89,16 @@
   }
 
   call(name: string, method: string, path: string, body: string | undefined): Promise<PortReceipt> {
+    return this.run(name, ({ router }) => router.run(method, path, Buffer.from(body ?? "")));
+  }
+
+  /** A call on what runs on a node, carried there and back as `call` is. */
+  run(name: string, act: (simNode: SimNode) => Promise<ApiReply>): Promise<PortReceipt> {
     const simNode = this.#fleet.find(name);
     if (simNode === undefined) return this.#later(away);
     return this.#ask<PortReceipt>(
       simNode,
-      (settle) => {
-        void simNode.router
-          .run(method, path, Buffer.from(body ?? ""))
-          .then((receipt) => settle(SimPort.#read(receipt)));
-      },
+      (settle) => void act(simNode).then((receipt) => settle(SimPort.#read(receipt))),
       () => ({ status: 0, body: { error: { code: "broken" } }, comeBack: 0.3 }),
     );
   }
--- /dev/null
+++ b/packages/testkit/src/sim/storeTroubles.ts
@@ -0,0 +1,67 @@
+import fc from "fast-check";
+import type { SimFleet } from "./simFleet.js";
+
+/** What happens to control nodes, from the start of a play. */
+export interface Trouble {
+  at: number;
+  ms: number;
+  what: "cut" | "cut one way" | "kill" | "freeze" | "slow" | "loss";
+  /** Which control nodes, by number: 0 is the leader of that moment. */
+  who: number[];
+}
+
+/** In bursts: races and losses in mid-order take moments that lie close together. */
+const burst = fc
+  .record({ burst: fc.integer({ min: 0, max: 5 }), offset: fc.integer({ min: 0, max: 30 }) })
+  .map(({ burst, offset }) => 1000 + burst * 2000 + offset);
+
+function cause(fleet: SimFleet, { what, who, ms }: Trouble): void {
+  const { world, wires } = fleet;
+  const names = fleet.withRole("lathe");
+  const all = names.toSorted((a, b) => Number(b === fleet.proposer) - Number(a === fleet.proposer));
+  const these = who.map((number) => all[number % all.length]!);
+  const others = all.filter((name) => !these.includes(name));
+  const later = (act: () => void): void => void world.at(world.now + ms, act);
+  switch (what) {
+    case "cut":
+    case "cut one way":
+      for (const name of these) fleet.isolate(name, others, what === "cut" ? "both" : "in");
+      return later(() => wires.heal());
+    case "kill":
+      for (const name of these) fleet.kill(name);
+      return later(() => these.forEach((name) => fleet.start(name)));
+    case "freeze":
+      return these.forEach((name) => fleet.pause(name, ms));
+    case "slow":
+      for (const name of these) wires.slow.set(fleet.addressOf(name), 400);
+      return later(() => wires.heal());
+    case "loss":
+      wires.loss = 0.2;
+      return later(() => wires.heal());
+  }
+}
+
+/** Troubles of the metadata store, for plays that fast-check makes up and shrinks. */
+export const Troubles = {
+  /** After a burst, while whoever led may not know that another does. */
+  afterBurst: fc.record({ at: burst, later: fc.integer({ min: 0, max: 1500 }) }).map(({ at, later }) => at + later),
+
+  /** All bursts lie within. */
+  lengthMs: 13_000,
+  burst,
+  arbitrary: fc.array(
+    fc.record({
+      at: burst,
+      ms: fc.oneof(fc.integer({ min: 100, max: 1200 }), fc.integer({ min: 1200, max: 5000 })),
+      what: fc.constantFrom("cut", "cut", "cut one way", "kill", "freeze", "slow", "loss"),
+      who: fc.uniqueArray(fc.integer({ min: 0, max: 4 }), { minLength: 1, maxLength: 2 }),
+    }),
+    { maxLength: 6 },
+  ),
+
+  /** Asks for all of them from now on; each is over by itself. */
+  cause(fleet: SimFleet, troubles: readonly Trouble[]): void {
+    const start = fleet.world.now;
+    for (const trouble of troubles) fleet.world.at(start + trouble.at, () => cause(fleet, trouble));
+  },
+};
