Disks: one of another machine is refused by name; an older copy or a clone of one counts nowhere

Cause: an identity was taken from whatever disk was there. A disk put into another machine, or an older copy of one, voted as the member that it once was, without the entries that the member had acknowledged.

Now: the identity keeps the machine's name (a folder of an older build takes the name of its next start) and counts its starts, synced before the members are told. `DiskWatch` compares what is told: fewer starts than were seen, as many by another process, or one disk at two live machines count for nothing in votes and commits.

Ruled out: a check by the leader alone (it does not know after an election what a disk had acknowledged). Not promised: what was seen is kept in memory only.

--- a/packages/control/src/consensus/founding.ts
+++ b/packages/control/src/consensus/founding.ts
@@ -22,6 +22,9 @@
   members: Array<{ id: string; name: string }>;
   /** What the settings said when this disk was blank. */
   mayFound: boolean;
+  /** The machine that the disk is of, and how often a process was started on it; disks of older builds lack both. */
+  name?: string;
+  starts?: number;
 }
 
 /**
@@ -73,8 +76,20 @@
     return this.founding === "" && this.#identity.mayFound && (this.#founders?.includes(address) ?? true);
   }
 
+  /** Why the disk is not this machine's: it would be in the place of another member. */
+  fault(): string | undefined {
+    const { name } = this.#node.parts.settings;
+    const owner = this.#identity.name ?? name;
+    return owner === name ? undefined : `the data folder is that of ${owner}, and this is ${name}`;
+  }
+
   async start(): Promise<void> {
+    const { incarnation, settings } = this.#node.parts;
+    this.#identity = { ...this.#identity, name: settings.name, starts: (this.#identity.starts ?? 0) + 1 };
     await this.#keep();
+    const { self } = this.#node.membership;
+    self.life = String(incarnation);
+    self.diskStarts = this.#identity.starts!;
     this.#isReady = true;
     if (this.founding !== "") return void this.emit("founded");
     this.#node.parts.clock.every(250, () => void this.#beat());
--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -95,8 +95,12 @@
       (state) => Metadata.isReadable(state),
     );
     this.#findMembers();
-    this.#exchange.serve("vote", (vote, frame) => this.#vote(vote, frame.from));
-    this.#exchange.serve("voteReceipt", (receipt) => this.#count(receipt));
+    this.#exchange.serve("vote", (vote, frame) =>
+      parts.isTrusted(vote.candidate) ? this.#vote(vote, frame.from) : undefined,
+    );
+    this.#exchange.serve("voteReceipt", (receipt) =>
+      parts.isTrusted(receipt.voter) ? this.#count(receipt) : undefined,
+    );
     this.#exchange.serve("yield", (yielded) => this.#succeed(yielded));
     parts.groups.enlist(this.#log.group, {
       append: (append, from) =>
@@ -108,7 +112,7 @@
           ? this.#take(snapshot, from, () => this.#intake.takeSnapshot(snapshot, this.#commit))
           : undefined,
       receipt: (receipt) => {
-        if (receipt.receiver === this.id) this.#spread?.take(receipt);
+        if (receipt.receiver === this.id && parts.isTrusted(receipt.sender)) this.#spread?.take(receipt);
       },
     });
     this.#rearm();
@@ -327,9 +331,7 @@
     this.#proposer = "";
     this.#yieldedTerm = term;
     this.#tellVoters({ case: "yield", value: { term, sender } }, sender);
-    const ids = VoterSets.all(this.members)
-      .map((one) => one.id)
-      .filter((id) => id !== sender);
+    const ids = VoterSets.ids(this.members).filter((id) => id !== sender);
     this.#electionAt = this.#clock.now() + Rendezvous.rank(String(term), ids).indexOf(this.id) * RaftNode.turnMs;
     return undefined;
   }
@@ -391,9 +393,7 @@
   }
 
   #enlist(): void {
-    this.#spread?.enlist(
-      VoterSets.of(this.members).map((set) => set.map((one) => one.id)),
-      this.members.learners.map((one) => one.id),
-    );
+    const learners = this.members.learners.map((one) => one.id);
+    this.#spread?.enlist(VoterSets.idSets(this.members), learners);
   }
 }
--- a/packages/control/src/consensus/raftNodeParts.ts
+++ b/packages/control/src/consensus/raftNodeParts.ts
@@ -16,4 +16,6 @@
   readonly clock: Clock;
   readonly chance: RandomSource;
   readonly ring: LogBuffer;
+  /** False for a disk that is there twice or is an older copy: it neither votes nor counts. */
+  readonly isTrusted: (id: string) => boolean;
 }
--- a/packages/control/src/consensus/voterSets.ts
+++ b/packages/control/src/consensus/voterSets.ts
@@ -19,6 +19,14 @@
     return [...byId.values()];
   },
 
+  ids(members: Members): string[] {
+    return VoterSets.all(members).map((one) => one.id);
+  },
+
+  idSets(members: Members): string[][] {
+    return VoterSets.of(members).map((set) => set.map((one) => one.id));
+  },
+
   isVoter(members: Members, id: string): boolean {
     return VoterSets.all(members).some((one) => one.id === id);
   },
--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -10,6 +10,7 @@
 import { putPlan } from "./configuration/putPlan.js";
 import { Founding } from "./consensus/founding.js";
 import { RaftNode } from "./consensus/raftNode.js";
+import { DiskWatch } from "./membership/diskWatch.js";
 import { handOverVote } from "./membership/handOverVote.js";
 import { MembershipStatus } from "./membership/membershipStatus.js";
 import { StoreService } from "./store/storeService.js";
@@ -20,12 +21,14 @@
   readonly founding: Founding;
   readonly anvil: StorageNode;
   readonly #disk: Disk;
+  readonly #disks: DiskWatch;
   #ledger: RaftNode | undefined;
   #desk: StoreService | undefined;
 
   constructor(node: ClusterNode, disk: Disk, router: Router) {
     this.node = node;
     this.#disk = disk;
+    this.#disks = new DiskWatch(node.membership);
     this.founding = new Founding(node, disk);
     this.anvil = new StorageNode(node, disk, !node.parts.settings.stores);
     this.founding.on("founded", () => this.#begin());
@@ -50,7 +53,7 @@
 
   /** Says what is wrong with the data folder, if anything is. */
   load(): string | undefined {
-    return new ReplicaLog(this.#disk, "store").fault() ?? this.anvil.load();
+    return new ReplicaLog(this.#disk, "store").fault() ?? this.founding.fault() ?? this.anvil.load();
   }
 
   async start(): Promise<void> {
@@ -112,6 +115,7 @@
       clock: parts.clock,
       chance: parts.chance,
       ring: parts.log,
+      isTrusted: (id) => this.#disks.isTrusted(id),
     });
     this.#desk = new StoreService(this.node, this.#ledger);
     membership.self.isFounded = true;
--- a/packages/testkit/src/sabotage/membershipSabotages.ts
+++ b/packages/testkit/src/sabotage/membershipSabotages.ts
@@ -14,7 +14,7 @@
   {
     name: "commits in a joint configuration count the new set only",
     file: "control/dist/consensus/raftNode.js",
-    find: "VoterSets.of(this.members).map((set) => set.map((one) => one.id))",
+    find: "VoterSets.idSets(this.members)",
     put: "[this.members.voters.map((one) => one.id)]",
     test: `${sim}/memberChanges.test.js`,
   },
@@ -88,4 +88,32 @@
     put: "",
     test: "control/dist/consensus/memberExchange.test.js",
   },
+  {
+    name: "an older copy of a disk counts",
+    file: "control/dist/membership/diskWatch.js",
+    find: "!isOlder && ",
+    put: "",
+    test: `${sim}/disks.test.js`,
+  },
+  {
+    name: "both copies of a disk count",
+    file: "control/dist/membership/diskWatch.js",
+    find: "!seen.isTwofold && ",
+    put: "",
+    test: "control/dist/membership/diskWatch.test.js",
+  },
+  {
+    name: "a disk votes in another machine",
+    file: "control/dist/controlNode.js",
+    find: " ?? this.founding.fault()",
+    put: "",
+    test: `${sim}/disks.test.js`,
+  },
+  {
+    name: "whoever is not trusted is counted",
+    file: "control/dist/controlNode.js",
+    find: "isTrusted: (id) => this.#disks.isTrusted(id)",
+    put: "isTrusted: () => true",
+    test: `${sim}/disks.test.js`,
+  },
 ];
--- a/packages/testkit/src/sim/simDisk.ts
+++ b/packages/testkit/src/sim/simDisk.ts
@@ -49,6 +49,17 @@
     this.#waiting = [];
   }
 
+  /** What would survive a loss of power just now. */
+  copy(): ReadonlyMap<string, Uint8Array> {
+    return new Map(this.#durable);
+  }
+
+  /** Puts a copy in place of all that it has; for a machine that is down. */
+  restore(copy: ReadonlyMap<string, Uint8Array>): void {
+    this.#durable = new Map(copy);
+    this.#waiting = [];
+  }
+
   /** Changes one byte of one kept value. */
   corrupt(prefix: string): boolean {
     const entry = [...this.#durable].find(([key, value]) => key.startsWith(prefix) && value.length > 0);
