--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -1,6 +1,7 @@
 import { EventEmitter } from "node:events";
 import type { StoreMember, Members, Vote, VoteReceipt, Yield } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { FollowerLog } from "@cranetrack/core/replication/followerLog.js";
+import { LogCompaction } from "@cranetrack/core/replication/logCompaction.js";
 import type { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
 import { LogReplicator } from "@cranetrack/core/replication/logReplicator.js";
 import type { RandomSource } from "@cranetrack/core/runtime/random.js";
@@ -14,9 +15,11 @@
 import { MemberLog } from "./memberLog.js";
 import { VoterSets } from "./voterSets.js";
 import { judgeVote } from "./judgeVote.js";
+import { LeaderContact } from "./leaderContact.js";
 import { Metadata, type Applied } from "../store/metadata.js";
 import type { RaftNodeParts } from "./raftNodeParts.js";
 import { Proposals } from "./proposals.js";
+import { storeCompaction } from "./storeCompaction.js";
 import { SlowMajorityWatch } from "./slowMajorityWatch.js";
 
 /**
@@ -33,7 +36,6 @@
 }> {
   static readonly beatMs = 75;
   static readonly turnMs = 80;
-  static readonly compactAt = 4000;
 
   readonly metadata = new Metadata();
   readonly id: string;
@@ -42,19 +44,18 @@
   readonly #exchange: RpcEndpoint;
   readonly #clock: Clock;
   readonly #electionMs: number;
-  /** Without a majority, or a proposer, for longer than this, a lathe stops speaking for the store. */
-  readonly #inTouchMs: number;
+  readonly #contact: LeaderContact;
   readonly #chance: RandomSource;
   readonly #ring: LogBuffer;
   readonly #intake: FollowerLog;
   readonly #proposals: Proposals;
   readonly #memberLog: MemberLog;
+  readonly #compaction: LogCompaction;
   readonly memberExchange: MemberExchange;
   #spread: LogReplicator | undefined;
   #commit: number;
   #applied: number;
   #proposer = "";
-  #heardAt: number;
   #electionAt = 0;
   #votes = new Set<string>();
   /** 0 when not asking, else the term asked for. */
@@ -77,16 +78,16 @@
     this.#exchange = parts.exchange;
     this.#clock = parts.clock;
     this.#electionMs = parts.electionMs;
-    this.#inTouchMs = parts.electionMs * 1.3;
+    this.#contact = new LeaderContact(parts.clock, parts.electionMs);
     this.#chance = parts.chance;
     this.#ring = parts.ring;
-    this.#heardAt = parts.clock.now();
-    this.#commit = this.#applied = this.#log.baseIndex;
+    this.#commit = this.#applied = this.#log.snapshotIndex;
+    this.#compaction = new LogCompaction(this.#log, storeCompaction);
     this.#proposals = new Proposals(this.#log, this.#clock);
     this.#memberLog = new MemberLog(this.#log);
     const propose = (data: Uint8Array): void => void this.propose(data, entryKind.members);
     this.memberExchange = new MemberExchange(this.#memberLog, parts.ring, propose);
-    if (this.#log.baseIndex > 0) this.#memberLog.installed(this.metadata.install(this.#log.snapshot));
+    if (this.#log.snapshotIndex > 0) this.#memberLog.installed(this.metadata.install(this.#log.snapshot));
     this.#intake = new FollowerLog(
       this.#log,
       this.id,
@@ -141,10 +142,10 @@
     return this.#log.term;
   }
 
-  /** Whether a majority stands behind what this lathe tells its feeds. */
+  /** Whether a majority stands behind what this lathe tells its feeds, and it has all that was committed. */
   get isInTouch(): boolean {
-    if (this.#spread !== undefined) return this.isLeader && this.#spread.majorityAgo() < this.#inTouchMs;
-    return this.#proposer !== "" && this.#clock.now() - this.#heardAt < this.#inTouchMs;
+    if (this.#spread === undefined) return this.#proposer !== "" && this.#contact.isCurrent;
+    return this.isLeader && !this.#contact.hasJustResumed && this.#spread.majorityAgo() < this.#contact.limitMs;
   }
 
   /** Undefined: not the proposer any more; the command may or may not be carried out. */
@@ -177,23 +178,28 @@
   }
 
   async #take(
-    message: { term: number; sender: string },
+    message: { term: number; sender: string; commit?: number },
     from: string,
     take: () => Promise<BodyInit>,
   ): Promise<undefined> {
+    const isLed = message.term >= this.#log.term && message.term > this.#yieldedTerm;
     if (message.term >= this.#log.term) {
       this.#isStandingBy = false;
       if (message.term > this.#log.term) this.#stepDown("a higher term");
-      if (message.term > this.#yieldedTerm) this.#heed(message.sender);
+      if (isLed) this.#heed(message.sender);
     }
-    const receipt = await take();
+    const taken = take();
+    // Members hold from when their entry is in the log, synced or not.
+    this.#findMembers();
+    if (isLed && this.#applied >= (message.commit ?? Infinity)) this.#contact.current();
+    const receipt = await taken;
     this.#findMembers();
     this.#exchange.tell(from, receipt);
     return undefined;
   }
 
   #heed(sender: string): void {
-    this.#heardAt = this.#clock.now();
+    this.#contact.heard();
     this.#asking = 0;
     this.#rearm();
     if (this.#proposer === sender) return;
@@ -203,8 +209,9 @@
 
   #beat(): void {
     const now = this.#clock.now();
+    this.#contact.beat();
     if (this.#spread !== undefined) {
-      if (this.#spread.majorityAgo() > this.#inTouchMs) return this.#stepDown("no majority answers");
+      if (this.#spread.majorityAgo() > this.#contact.limitMs) return this.#stepDown("no majority answers");
       if (this.#slowWatch.isSlow(now, this.#spread.answerMs)) return this.#giveWay(now);
       return this.#spread.beat();
     }
@@ -252,8 +259,7 @@
 
   async #vote(vote: Vote, from: string): Promise<undefined> {
     if (vote.founding !== this.founding || !Number.isSafeInteger(vote.term)) return undefined;
-    const isLed =
-      this.#spread !== undefined || (this.#proposer !== "" && this.#clock.now() - this.#heardAt < this.#electionMs);
+    const isLed = this.#spread !== undefined || (this.#proposer !== "" && this.#contact.heardAgo < this.#electionMs);
     const isGranted = judgeVote(vote, this.#log, isLed);
     if (!vote.isPre && !isLed) {
       if (vote.term > this.#log.term || isGranted) {
@@ -262,6 +268,7 @@
       }
     }
     // Whoever lacks the entry that names the candidate answers it too: the candidate knows whose word counts.
+    await this.#log.termSynced();
     this.#exchange.tell(from, {
       case: "voteReceipt",
       value: { term: isGranted ? vote.term : this.#log.term, isGranted, voter: this.id, isPre: vote.isPre },
@@ -359,6 +366,7 @@
     while (this.#applied < this.#commit) {
       const entry = this.#log.at(this.#applied + 1)!;
       this.#applied += 1;
+      this.#compaction.applied(entry);
       const isCommand = entry.kind === entryKind.command;
       const applied: Applied = isCommand
         ? this.metadata.apply(entry.index, entry.data)
@@ -372,13 +380,12 @@
     // Its removal is committed: the others elect at once.
     if (this.isLeader && this.hasSettledMembers && !VoterSets.isVoter(this.members, this.id))
       this.#stepDown("it is no voter any more");
-    if (this.#log.length > RaftNode.compactAt && this.#applied > this.#log.baseIndex + RaftNode.compactAt / 2)
-      this.#compact();
+    if (this.#compaction.isDue) this.#compact();
   }
 
   #compact(): void {
     const members = this.#memberLog.snapshot(this.#applied);
-    void this.#log.compact(this.#applied, this.metadata.snapshot(members));
+    void this.#compaction.compact(this.#applied, this.metadata.snapshot(members));
   }
 
   #install(index: number, state: Uint8Array): void {
--- a/packages/control/src/drain/drainMachine.ts
+++ b/packages/control/src/drain/drainMachine.ts
@@ -42,7 +42,8 @@
         draining: new Set(standing.wishes.map((kv) => DrainKey.machineOf(kv.key)!)),
         inUse: inUse(standing),
       });
-      if (refusal !== undefined) return refusal;
+      // Whoever is cut off, or has just started, knows too few machines to refuse anything.
+      if (refusal !== undefined) return node.feed.isFresh ? refusal : unavailable();
       const { outcome } = await node.store.txn({
         checks: [{ key: DrainKey.turn, revision: standing.turn }],
         puts: [
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,15 +1,9 @@
+import { cutOffSabotages } from "./cutOffSabotages.js";
+import { logSabotages } from "./logSabotages.js";
+import { replicaSabotages } from "./replicaSabotages.js";
+import type { Sabotage } from "./sabotage.js";
 import { membershipSabotages } from "./membershipSabotages.js";
 
-export interface Sabotage {
-  name: string;
-  /** Built file below packages/, and what to put in place of what. */
-  file: string;
-  find: string;
-  put: string;
-  /** The built test that must fail then. */
-  test: string;
-}
-
 const sim = "testkit/dist/sim";
 
 /** Guards taken out on purpose; for each a test must fail. */
@@ -158,7 +152,7 @@
   {
     name: "lost replicas are never replaced",
     file: "log-storage/dist/repair/replicaRepair.js",
-    find: "if (out === undefined)",
+    find: "if (change === undefined)",
     put: "if (true)",
     test: `${sim}/shards.test.js`,
   },
@@ -284,8 +278,8 @@
   {
     name: "what a proposer sent before it gave up brings it back",
     file: "control/dist/consensus/raftNode.js",
-    find: "if (message.term > this.#yieldedTerm)",
-    put: "if (true)",
+    find: " && message.term > this.#yieldedTerm",
+    put: "",
     test: `${sim}/store.test.js`,
   },
   {
@@ -344,4 +338,7 @@
     put: "this.head = from;",
     test: "edge/dist/fanout/streamTail.test.js",
   },
+  ...logSabotages,
+  ...replicaSabotages,
+  ...cutOffSabotages,
 ];
