--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,12 +1,6 @@
-export interface Sabotage {
-  name: string;
-  /** Built file below packages/, and what to put in place of what. */
-  file: string;
-  find: string;
-  put: string;
-  /** The built test that must fail then. */
-  test: string;
-}
+import { logSabotages } from "./logSabotages.js";
+import { repairSabotages } from "./repairSabotages.js";
+import type { Sabotage } from "./sabotage.js";
 
 const sim = "testkit/dist/sim";
 
@@ -152,13 +146,6 @@
     put: "if (false)",
     test: `${sim}/shards.test.js`,
   },
-  {
-    name: "lost replicas are never replaced",
-    file: "log-storage/dist/repair/replicaRepair.js",
-    find: "if (change === undefined)",
-    put: "if (true)",
-    test: `${sim}/shards.test.js`,
-  },
   {
     name: "a peer that is cut off is not reached through others",
     file: "core/dist/rpc/rpcEndpoint.js",
@@ -252,9 +239,9 @@
   },
   {
     name: "pushes before their follow's receipt are let go",
-    file: "edge/dist/fanout/shardFollow.js",
-    find: "return void this.#early.push(push);",
-    put: "return;",
+    file: "edge/dist/fanout/numberedPushes.js",
+    find: "this.#early.push(push);",
+    put: "",
     test: "edge/dist/fanout/shardFollow.test.js",
   },
   {
@@ -341,53 +328,6 @@
     put: "this.head = from;",
     test: "edge/dist/fanout/streamTail.test.js",
   },
-  {
-    name: "a set is put in force before its majority has everything",
-    file: "log-storage/dist/repair/setChange.js",
-    find: "having.length >= Placement.majorityOf(set.members.length)",
-    put: "having.length >= 1",
-    test: "log-storage/dist/repair/setChange.test.js",
-  },
-  {
-    name: "a replica that may have lost its disk is counted on",
-    file: "log-storage/dist/repair/setChange.js",
-    find: "progress.heardAgo(id) < answeringMs",
-    put: "true",
-    test: "log-storage/dist/repair/setChange.test.js",
-  },
-  {
-    name: "a successor is not told from any free machine",
-    file: "log-storage/dist/repair/newcomers.js",
-    find: "seenAt !== undefined && seenAt >",
-    put: "false && seenAt >",
-    test: `${sim}/replicaSets.test.js`,
-  },
-  {
-    name: "any free machine is taken for a successor",
-    file: "log-storage/dist/repair/newcomers.js",
-    find: "seenAt !== undefined && seenAt >",
-    put: "true || seenAt >",
-    test: `${sim}/replicaSets.test.js`,
-  },
-  {
-    name: "a drain does not look at what contracts ask of zones",
-    file: "log-storage/dist/repair/replicaChoice.js",
-    find: "vacancy.isVoluntary && this.#breaksContract(change, members)",
-    put: "false",
-    test: `${sim}/replicaSets.test.js`,
-  },
-  {
-    name: "sets are placed without a look at zones",
-    file: "log-storage/dist/repair/placement.js",
-    find: "one.zone < other.zone ||",
-    put: "false ||",
-    test: "log-storage/dist/repair/placement.test.js",
-  },
-  {
-    name: "a plan may ask for more losses than replicas survive",
-    file: "control/dist/configuration/planCapacity.js",
-    find: "if (replicas < needed)",
-    put: "if (false)",
-    test: `${sim}/planCapacity.test.js`,
-  },
+  ...logSabotages,
+  ...repairSabotages,
 ];
