--- a/packages/testkit/src/sim/replicaSets.test.ts
+++ b/packages/testkit/src/sim/replicaSets.test.ts
@@ -69,7 +69,7 @@
 function unkept(fleet: SimFleet): number[] {
   const { proposer } = fleet;
   if (proposer === undefined) return [];
-  const lives = fleet.withRole("anvil").flatMap((name) => fleet.find(name)?.anvil ?? []);
+  const lives = fleet.names.flatMap((name) => fleet.find(name)?.lathe?.anvil ?? fleet.find(name)?.anvil ?? []);
   return fleet
     .find(proposer)!
     .node.shards.all()
@@ -133,8 +133,13 @@
   fleet.start("lathe-4");
   await fleet.run(3000);
   load.ask("PUT", "lathe-2");
-  const isEmpty = (): boolean => setsOf(fleet).every((members) => members.every(({ name }) => name !== "lathe-2"));
+  const lost = new Set<number>();
+  const isEmpty = (): boolean => {
+    unkept(fleet).forEach((shard) => lost.add(shard));
+    return setsOf(fleet).every((members) => members.every(({ name }) => name !== "lathe-2"));
+  };
   expect(await fleet.until(isEmpty, 6000)).toEqual(true);
+  expect([...lost]).toEqual([]);
   load.ask("DELETE", "lathe-2");
   expect(await judged(fleet, load)).toEqual([]);
 });
