--- a/packages/testkit/src/sabotage/replicaSabotages.ts
+++ b/packages/testkit/src/sabotage/repairSabotages.ts
@@ -2,8 +2,15 @@
 
 const sim = "testkit/dist/sim";
 
-/** Guards of replica sets, their placement and their repair. */
-export const replicaSabotages: readonly Sabotage[] = [
+/** Guards of replica sets: where they are placed, when they are changed, and when a change may be decided. */
+export const repairSabotages: readonly Sabotage[] = [
+  {
+    name: "lost replicas are never replaced",
+    file: "log-storage/dist/repair/replicaRepair.js",
+    find: "if (change === undefined)",
+    put: "if (true)",
+    test: `${sim}/shards.test.js`,
+  },
   {
     name: "a set is put in force before its majority has everything",
     file: "log-storage/dist/repair/setChange.js",
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,6 +1,6 @@
 import { cutOffSabotages } from "./cutOffSabotages.js";
 import { logSabotages } from "./logSabotages.js";
-import { replicaSabotages } from "./replicaSabotages.js";
+import { repairSabotages } from "./repairSabotages.js";
 import type { Sabotage } from "./sabotage.js";
 import { membershipSabotages } from "./membershipSabotages.js";
 import { orderSabotages } from "./orderSabotages.js";
@@ -143,13 +143,6 @@
     put: "if (false)",
     test: `${sim}/shards.test.js`,
   },
-  {
-    name: "lost replicas are never replaced",
-    file: "log-storage/dist/repair/replicaRepair.js",
-    find: "if (change === undefined)",
-    put: "if (true)",
-    test: `${sim}/shards.test.js`,
-  },
   {
     name: "a peer that is cut off is not reached through others",
     file: "core/dist/rpc/rpcEndpoint.js",
@@ -326,7 +319,7 @@
     test: "edge/dist/fanout/streamTail.test.js",
   },
   ...logSabotages,
-  ...replicaSabotages,
   ...cutOffSabotages,
   ...orderSabotages,
+  ...repairSabotages,
 ];
