--- a/packages/testkit/src/sim/simPort.ts
+++ b/packages/testkit/src/sim/simPort.ts
@@ -7,12 +7,27 @@
 
 const away: PortReceipt = { status: 503, body: { error: { code: "unreachable" } }, comeBack: 0.3 };
 
+/** An answer as a node gave it, whether it arrives or not. */
+export interface GivenAnswer {
+  name: string;
+  method: string;
+  path: string;
+  status: number;
+  text: string;
+}
+
 /** Callers' wires in the simulator: latency both ways, resets when a node falls, silence while it is paused. */
 export class SimPort implements CallerPort {
   static readonly giveUpMs = 4000;
+  /** Silence after which an operator takes an answer for lost. */
+  static readonly silenceMs = 1000;
   readonly #fleet: SimFleet;
   /** Sessions whose clients do not read: what is sent to them waits, in bytes. */
   readonly stalled = new Set<string>();
+  /** Of the answers to operators' orders, this share is lost on its way. */
+  answerLoss = 0;
+  /** Told of each answer at the moment when a node gives it. */
+  readonly onAnswer = new Set<(answer: GivenAnswer) => void>();
 
   constructor(fleet: SimFleet) {
     this.#fleet = fleet;
@@ -89,7 +104,16 @@
   }
 
   call(name: string, method: string, path: string, body: string | undefined): Promise<PortReceipt> {
-    return this.run(name, ({ router }) => router.run(method, path, Buffer.from(body ?? "")));
+    const answered = this.run(name, async (simNode) => {
+      const receipt = await simNode.router.run(method, path, Buffer.from(body ?? ""));
+      if (!simNode.body.isDead)
+        for (const tell of this.onAnswer) tell({ name, method, path, status: receipt.status, text: body ?? "" });
+      return receipt;
+    });
+    const isOrder = method !== "GET" && method !== "POST";
+    if (!isOrder || this.answerLoss === 0 || this.#fleet.world.chance.draw() >= this.answerLoss) return answered;
+    const { world } = this.#fleet;
+    return new Promise((resolve) => void world.at(world.now + SimPort.silenceMs, () => resolve(SimPort.#broken())));
   }
 
   /** A call on what runs on a node, carried there and back as `call` is. */
@@ -99,10 +123,14 @@
     return this.#ask<PortReceipt>(
       simNode,
       (settle) => void act(simNode).then((receipt) => settle(SimPort.#read(receipt))),
-      () => ({ status: 0, body: { error: { code: "broken" } }, comeBack: 0.3 }),
+      SimPort.#broken,
     );
   }
 
+  static #broken(): PortReceipt {
+    return { status: 0, body: { error: { code: "broken" } }, comeBack: 0.3 };
+  }
+
   static #read(receipt: ApiReply): PortReceipt {
     const raw = typeof receipt.body === "string" ? receipt.body : Buffer.from(Router.encode(receipt.body)).toString();
     let body: Record<string, unknown> = {};
