--- a/packages/control/src/consensus/raftNodeParts.ts
+++ b/packages/control/src/consensus/raftNodeParts.ts
@@ -1,3 +1,4 @@
+import type { CompactionBounds } from "@cranetrack/core/replication/logCompaction.js";
 import type { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
 import type { RandomSource } from "@cranetrack/core/runtime/random.js";
 import type { Clock } from "@cranetrack/core/runtime/clock.js";
@@ -16,6 +17,6 @@
   readonly clock: Clock;
   readonly chance: RandomSource;
   readonly ring: LogBuffer;
-  /** Entries after which the log is compacted; `RaftNode.compactAt` where left out. */
-  readonly compactAt?: number;
+  /** When the log is compacted; `storeCompaction` where left out. */
+  readonly compaction?: CompactionBounds;
 }
--- a/packages/testkit/src/explore/explore.test.ts
+++ b/packages/testkit/src/explore/explore.test.ts
@@ -20,13 +20,7 @@
 import type { PropertyName } from "./violation.js";
 
 /** Broken in this version, and mended elsewhere; to be emptied then. */
-const known: readonly PropertyName[] = [
-  "answers only what is on disk",
-  "commits on enough disks",
-  "replies reach their call",
-  "members are the log's newest",
-  "all catch up",
-];
+const known: readonly PropertyName[] = ["replies reach their call", "members are the log's newest"];
 
 interface Group {
   machines: number;
--- a/packages/testkit/src/explore/memberSets.ts
+++ b/packages/testkit/src/explore/memberSets.ts
@@ -1,9 +1,10 @@
+import { VoterSets } from "@cranetrack/control/consensus/voterSets.js";
 import type { Members, StoreMember } from "@cranetrack/core/gen/cranetrack_pb.js";
 
 /** The sets of voters that a configuration of members names, of which each must agree by itself. */
 export const MemberSets = {
   of(members: Members): StoreMember[][] {
-    return [members.voters];
+    return VoterSets.of(members);
   },
 
   text(members: Members | undefined): string {
--- a/packages/testkit/src/explore/modelMachine.ts
+++ b/packages/testkit/src/explore/modelMachine.ts
@@ -4,6 +4,7 @@
 /** A place where processes live one after the other, and its disk, which has an identity of its own. */
 export class ModelMachine {
   readonly name: string;
+  readonly place: number;
   readonly disk = new ModelDisk();
   /** The process that runs now. */
   member: ModelMember | undefined;
@@ -12,8 +13,9 @@
   /** Stands for all that the process has taken in since its start, and for its disk before: same text, same state. */
   history = "";
 
-  constructor(name: string) {
-    this.name = name;
+  constructor(place: number) {
+    this.place = place;
+    this.name = `m${place}`;
   }
 
   /** Who this machine is in the replicated log: a blank disk makes it another. */
--- a/packages/testkit/src/explore/modelMember.ts
+++ b/packages/testkit/src/explore/modelMember.ts
@@ -1,5 +1,6 @@
 import { RaftNode } from "@cranetrack/control/consensus/raftNode.js";
 import { LogGroups } from "@cranetrack/core/replication/logGroups.js";
+import type { CompactionBounds } from "@cranetrack/core/replication/logCompaction.js";
 import { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
 import { RpcEndpoint } from "@cranetrack/core/rpc/rpcEndpoint.js";
 import { LogBuffer } from "@cranetrack/core/runtime/logBuffer.js";
@@ -11,7 +12,7 @@
 export const modelBounds = {
   /** Below one heartbeat interval: one tick without a word from the leader is an election timeout. */
   electionMs: 60,
-  /** Entries after which a log is compacted. */
+  /** Applied entries after which a log is compacted. */
   compactAt: 3,
   callMs: 200,
   /** How far a clock goes while its process is frozen. */
@@ -50,10 +51,15 @@
       clock: this.clock,
       chance: { draw: () => 0, identity: () => this.id },
       ring: new LogBuffer(this.name, () => undefined),
-      compactAt: modelBounds.compactAt,
+      compaction: ModelMember.#compaction(machine),
     });
   }
 
+  /** Every other machine keeps an entry in front of its snapshots' ends. */
+  static #compaction({ place }: ModelMachine): CompactionBounds {
+    return { entries: modelBounds.compactAt, bytes: 1e6, kept: { entries: place % 2, bytes: 1e6 } };
+  }
+
   get isRunning(): boolean {
     return this.isUp && !this.isFrozen;
   }
--- a/packages/testkit/src/explore/modelWorld.ts
+++ b/packages/testkit/src/explore/modelWorld.ts
@@ -44,7 +44,7 @@
   private constructor(settings: WorldSettings, coverage: Coverage) {
     this.settings = settings;
     this.coverage = coverage;
-    this.machines = Array.from({ length: settings.machines }, (_, i) => new ModelMachine(`m${i}`));
+    this.machines = Array.from({ length: settings.machines }, (_, i) => new ModelMachine(i));
     this.observer = new Observer(this.machines, coverage, settings.ignored);
     this.callers = new Callers(this.observer, coverage);
     this.steps = new MemberSteps(this.machines, this.observer, coverage, settings.voters);
--- a/packages/testkit/src/explore/observer.ts
+++ b/packages/testkit/src/explore/observer.ts
@@ -40,8 +40,8 @@
     this.#contacts.set(member, new ContactWatch(member));
     const { raft, log, name } = member;
     const installed = (index: number): void =>
-      this.keep(() => this.committed.installed(name, index, log.baseTerm, raft.metadata.snapshot(undefined)));
-    if (log.baseIndex > 0) installed(log.baseIndex);
+      this.keep(() => this.committed.installed(name, index, log.snapshotTerm, raft.metadata.snapshot(undefined)));
+    if (log.snapshotIndex > 0) installed(log.snapshotIndex);
     raft.on("applied", ({ revision }) =>
       this.keep(() => this.committed.applied(name, log.at(revision)!, raft.metadata.snapshot(undefined))),
     );
