Consensus: a follower goes by the members in its log before its disk has synced them

Cause: RaftNode looked for members only after the answer to an append was ready, so between the append and the sync a follower counted votes by the old members while its log already named the new ones (Raft, section 6: a server uses the newest configuration in its log, committed or not). Found by the explorer, 12 actions after shrinking. Ruled out so far: no wrong election or commit came of it in the walks that ignored it. Before: found.test.js fails (m0 goes by learners none, its log says learners m3#0).

--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -21,6 +21,8 @@
 import { storeCompaction } from "./storeCompaction.js";
 import { SlowMajorityWatch } from "./slowMajorityWatch.js";
 
+type TermSender = Pick<Yield, "term" | "sender">;
+
 /**
  * One lathe's part in the replicated log, by Raft's rules. Which lathe proposes changes with every
  * election and has no lasting meaning.
@@ -175,19 +177,16 @@
     if (this.isLeader) this.memberExchange.begin(this.#commit, voters, learners);
   }
 
-  async #take(
-    message: { term: number; sender: string },
-    from: string,
-    take: () => Promise<BodyInit>,
-  ): Promise<undefined> {
-    if (message.term >= this.#log.term) {
+  async #take({ term, sender }: TermSender, from: string, take: () => Promise<BodyInit>): Promise<undefined> {
+    if (term >= this.#log.term) {
       this.#isStandingBy = false;
-      if (message.term > this.#log.term) this.#stepDown("a higher term");
-      if (message.term > this.#yieldedTerm) this.#heed(message.sender);
+      if (term > this.#log.term) this.#stepDown("a higher term");
+      if (term > this.#yieldedTerm) this.#heed(sender);
     }
-    const receipt = await take();
+    const receipt = take();
+    // In force from when they are in the log, not only once the disk has them (Raft, section 6).
     this.#findMembers();
-    this.#exchange.tell(from, receipt);
+    this.#exchange.tell(from, await receipt);
     return undefined;
   }
 
@@ -331,9 +330,7 @@
     this.#proposer = "";
     this.#yieldedTerm = term;
     this.#tellVoters({ case: "yield", value: { term, sender } }, sender);
-    const ids = VoterSets.all(this.members)
-      .map((one) => one.id)
-      .filter((id) => id !== sender);
+    const ids = VoterSets.all(this.members).flatMap(({ id }) => (id === sender ? [] : [id]));
     this.#electionAt = this.#clock.now() + Rendezvous.rank(String(term), ids).indexOf(this.id) * RaftNode.turnMs;
     return undefined;
   }
--- a/packages/testkit/src/explore/explore.test.ts
+++ b/packages/testkit/src/explore/explore.test.ts
@@ -20,7 +20,7 @@
 import type { PropertyName } from "./violation.js";
 
 /** Broken in this version, and mended elsewhere; to be emptied then. */
-const known: readonly PropertyName[] = ["replies reach their call", "members are the log's newest"];
+const known: readonly PropertyName[] = ["replies reach their call"];
 
 interface Group {
   machines: number;
