Explorer: members tended by production's own code, over whole nodes

A member of the model is now a ClusterNode (not started: no gossip) with RaftNode and, in tended walks, MemberChanges: lost and draining voters are exchanged by its rules, machines ask to join, operators drain and undrain.

--- a/packages/testkit/src/explore/action.ts
+++ b/packages/testkit/src/explore/action.ts
@@ -27,6 +27,8 @@
   "replace",
   "drain",
   "tend",
+  "join",
+  "undrain",
 ] as const;
 
 export type ActionKind = (typeof actionKinds)[number];
--- a/packages/testkit/src/explore/choices.ts
+++ b/packages/testkit/src/explore/choices.ts
@@ -15,8 +15,17 @@
   "removeLearner",
   "replace",
   "drain",
+  "undrain",
+  "join",
 ]);
 
+/** Leaders' clocks move more often, or no leader would stay. */
+function ticks(world: ModelWorld): Action[] {
+  const found = Choices.of(world, "tick");
+  const led = found.filter(({ member }) => world.machines[member]!.member?.isActingLeader === true);
+  return [...found, ...led, ...led];
+}
+
 /** Which actions of a kind mean something in a state. */
 export const Choices = {
   /** All with the plain `nth`: the oldest frame, all writes, nothing unsynced kept. */
@@ -33,7 +42,7 @@
 
   /** The one that a drawn number stands for, if there is any; now and then with another `nth`. */
   pick(world: ModelWorld, kind: ActionKind, drawn: number): Action | undefined {
-    const found = Choices.of(world, kind);
+    const found = kind === "tick" ? ticks(world) : Choices.of(world, kind);
     const action = found[drawn % Math.max(1, found.length)];
     if (action === undefined) return undefined;
     const most = Choices.most(world, action);
--- a/packages/testkit/src/explore/exhaustiveSearch.ts
+++ b/packages/testkit/src/explore/exhaustiveSearch.ts
@@ -15,6 +15,8 @@
   readonly depth: number;
   /** The search ends, unfinished, after so many states. */
   readonly mostStates: number;
+  /** How long a path that fails may be shrunk. */
+  readonly shrinkMs: number;
 }
 
 export interface SearchReport {
@@ -116,6 +118,6 @@
   }
 
   #shrunk(actions: readonly Action[]): ReturnType<typeof Trace.shrink> {
-    return Trace.shrink(this.#settings.world, actions);
+    return Trace.shrink(this.#settings.world, actions, this.#settings.shrinkMs);
   }
 }
--- a/packages/testkit/src/explore/explore.test.ts
+++ b/packages/testkit/src/explore/explore.test.ts
@@ -22,6 +22,9 @@
 /** Broken in this version, and mended elsewhere; to be emptied then. */
 const known: readonly PropertyName[] = ["replies reach their call"];
 
+/** A failure is told soon; `jig explore` shrinks it further. */
+const shrinkMs = 3000;
+
 interface Group {
   machines: number;
   walks: number;
@@ -29,8 +32,9 @@
 }
 
 async function walk({ machines, walks, profiles }: Group): Promise<WalkReport> {
-  const world = { machines, voters: 3, syncsAtOnce: false, ignored: known };
-  const report = await new RandomWalk({ world, profiles, walks, seed: 17, steps: 400 }).run();
+  const isTended = profiles.includes("tended");
+  const world = { machines, voters: 3, syncsAtOnce: false, isTended, ignored: known };
+  const report = await new RandomWalk({ world, profiles, walks, seed: 17, steps: 400, shrinkMs }).run();
   const { violation, trace } = report;
   if (violation !== undefined) throw new Error(Trace.test(world, { violation, trace }), { cause: violation });
   return report;
@@ -56,6 +60,11 @@
   expectAll(report, ["replace carried out", "drain carried out", "leader elected", "snapshot installed"]);
 });
 
+test("point 3, losses: members as production tends them, with lost disks, newcomers and drains", async () => {
+  const report = await walk({ machines: 5, walks: 150, profiles: ["tended"] });
+  expectAll(report, ["joint members committed", "other voters committed", "leader replaced", "snapshot installed"]);
+});
+
 test("point 4, catching up: after restarts and snapshots all have the same log and the same state", async () => {
   const report = await walk({ machines: 3, walks: 200, profiles: ["restarts", "losses", "everything"] });
   expectAll(report, ["snapshot installed", "log truncated", "leader replaced"]);
@@ -68,7 +77,8 @@
 
 for (const scenario of scenarios)
   test(`exhaustive search from "${scenario.name}" to depth ${scenario.depth} breaks nothing`, async () => {
-    const settings = await searchOf({ ...scenario, world: { ...scenario.world, ignored: known } }, 100_000);
+    const world = { ...scenario.world, ignored: known };
+    const settings = await searchOf({ ...scenario, world }, { mostStates: 100_000, shrinkMs });
     const report = await new ExhaustiveSearch(settings).run();
     expect([report.violation?.message, report.isWhole]).toEqual([undefined, true]);
   });
--- a/packages/testkit/src/explore/exploreCommand.ts
+++ b/packages/testkit/src/explore/exploreCommand.ts
@@ -22,6 +22,8 @@
   replay?: string;
 }
 
+const shrinkMs = 60_000;
+
 type Say = (text: string) => void;
 
 /** `jig explore`: false where a property was broken. */
@@ -38,8 +40,8 @@
   const unknown = names.filter((name) => profiles[name] === undefined);
   if (unknown.length > 0)
     throw new Error(`no profile ${unknown.join()}; there are ${Object.keys(profiles).join(", ")}`);
-  const world: WorldSettings = { machines, voters, syncsAtOnce: false, ignored };
-  const report = await new RandomWalk({ world, profiles: names, seed, walks, steps }).run();
+  const world: WorldSettings = { machines, voters, syncsAtOnce: false, isTended: names.includes("tended"), ignored };
+  const report = await new RandomWalk({ world, profiles: names, seed, walks, steps, shrinkMs }).run();
   say(
     `seed ${seed}: ${report.walks} walks, ${report.states} states, ${perSecond(report)}, longest ${report.longest}\n`,
   );
@@ -54,7 +56,8 @@
   let isGood = true;
   for (const scenario of chosen) {
     const world = { ...scenario.world, ignored };
-    const settings = await searchOf({ ...scenario, world, depth: options.depth ?? scenario.depth }, options.states);
+    const bounds = { mostStates: options.states, shrinkMs };
+    const settings = await searchOf({ ...scenario, world, depth: options.depth ?? scenario.depth }, bounds);
     const report = await new ExhaustiveSearch(settings).run();
     const extent = report.isWhole ? "all of it" : "not all of the next level";
     say(`${scenario.name}: depth ${report.depth}, ${extent}, ${report.states} states, ${perSecond(report)}\n`);
--- a/packages/testkit/src/explore/modelMember.ts
+++ b/packages/testkit/src/explore/modelMember.ts
@@ -1,17 +1,22 @@
 import { RaftNode } from "@cranetrack/control/consensus/raftNode.js";
-import { LogGroups } from "@cranetrack/core/replication/logGroups.js";
+import { MemberChanges } from "@cranetrack/control/membership/memberChanges.js";
 import type { CompactionBounds } from "@cranetrack/core/replication/logCompaction.js";
 import { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
-import { RpcEndpoint } from "@cranetrack/core/rpc/rpcEndpoint.js";
+import type { RpcEndpoint } from "@cranetrack/core/rpc/rpcEndpoint.js";
+import { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import { LogBuffer } from "@cranetrack/core/runtime/logBuffer.js";
+import type { Settings } from "@cranetrack/core/runtime/settings.js";
+import { SimRandom } from "../sim/simRandom.js";
 import { ModelClock } from "./modelClock.js";
 import type { ModelMachine } from "./modelMachine.js";
 import type { ModelNetwork } from "./modelNetwork.js";
 
 /** Small bounds, so that short runs reach what takes production long. */
 export const modelBounds = {
-  /** Below one heartbeat interval: one tick without a word from the leader is an election timeout. */
+  /** Below one heartbeat interval: one tick or two without a word from the leader are an election timeout. */
   electionMs: 60,
+  /** A voter that is silent for longer is replaced, where members are tended. */
+  replaceVoterMs: 200,
   /** Applied entries after which a log is compacted. */
   compactAt: 3,
   callMs: 200,
@@ -30,34 +35,46 @@
   readonly log: ReplicaLog;
   readonly raft: RaftNode;
   readonly endpoint: RpcEndpoint;
+  /** Where it decides itself, as leader, who is a member. */
+  readonly changes: MemberChanges | undefined;
   isUp = true;
   isFrozen = false;
 
-  constructor(machine: ModelMachine, network: ModelNetwork, life: number) {
+  constructor(machine: ModelMachine, network: ModelNetwork, life: number, tended: { voters: number } | undefined) {
     this.name = machine.name;
     this.id = machine.diskId;
     this.life = life;
     const isUp = (): boolean => this.isUp;
+    const node = new ClusterNode(
+      {
+        settings: ModelMember.#settings(machine, tended?.voters ?? 1),
+        clock: this.clock,
+        net: network.attach(this.name, isUp),
+        disk: undefined,
+        chance: new SimRandom(machine.place * 1000 + life),
+        log: new LogBuffer(this.name, () => undefined),
+        incarnation: life,
+      },
+      [],
+    );
     this.log = new ReplicaLog(machine.disk.mount(isUp), "store");
-    this.endpoint = new RpcEndpoint(this.name, network.attach(this.name, isUp), this.clock);
+    this.endpoint = node.exchange;
+    // Gossip is not part of the model: everybody knows every address, and nobody carries frames for others.
     this.endpoint.addressOf = (name) => name;
+    this.endpoint.relaysFor = () => [];
     this.raft = new RaftNode({
       id: this.id,
       founding: ModelMember.founding,
       log: this.log,
       exchange: this.endpoint,
-      groups: new LogGroups(this.endpoint),
+      groups: node.groups,
       electionMs: modelBounds.electionMs,
       clock: this.clock,
-      chance: { draw: () => 0, identity: () => this.id },
-      ring: new LogBuffer(this.name, () => undefined),
+      chance: node.parts.chance,
+      ring: node.parts.log,
       compaction: ModelMember.#compaction(machine),
     });
-  }
-
-  /** Every other machine keeps an entry in front of its snapshots' ends. */
-  static #compaction({ place }: ModelMachine): CompactionBounds {
-    return { entries: modelBounds.compactAt, bytes: 1e6, kept: { entries: place % 2, bytes: 1e6 } };
+    if (tended !== undefined) this.changes = new MemberChanges(node, this.raft);
   }
 
   get isRunning(): boolean {
@@ -68,4 +85,30 @@
   get isActingLeader(): boolean {
     return this.isUp && this.raft.leaderName === this.name;
   }
+
+  /** Every other machine keeps an entry in front of its snapshots' ends. */
+  static #compaction({ place }: ModelMachine): CompactionBounds {
+    return { entries: modelBounds.compactAt, bytes: 1e6, kept: { entries: place % 2, bytes: 1e6 } };
+  }
+
+  static #settings({ name }: ModelMachine, voters: number): Settings {
+    return {
+      name,
+      role: "lathe",
+      zone: "zone",
+      address: `${name}:1`,
+      seeds: [],
+      mayFound: true,
+      lathes: voters,
+      voters,
+      replaceVoterMs: modelBounds.replaceVoterMs,
+      stores: false,
+      shards: 1,
+      edgeLeaseMs: 1500,
+      holderLeaseMs: 1500,
+      electionMs: modelBounds.electionMs,
+      mostLinks: 1,
+      bufferBytes: 1024,
+    };
+  }
 }
--- a/packages/testkit/src/explore/modelWorld.ts
+++ b/packages/testkit/src/explore/modelWorld.ts
@@ -11,6 +11,7 @@
 import { ModelMember, modelBounds } from "./modelMember.js";
 import { ModelNetwork } from "./modelNetwork.js";
 import { Observer } from "./observer.js";
+import { TendedSteps } from "./tendedSteps.js";
 import { Violation, type PropertyName } from "./violation.js";
 
 export interface WorldSettings {
@@ -19,6 +20,8 @@
   readonly voters: number;
   /** Writes are synced in the step that asks for them, except where a member's are held back. */
   readonly syncsAtOnce: boolean;
+  /** Leaders decide themselves who is a member, as in production; else members change by actions. */
+  readonly isTended?: boolean;
   /** Properties that are known not to hold, so that others can be looked for beside them. */
   readonly ignored?: readonly PropertyName[];
 }
@@ -36,6 +39,7 @@
   readonly observer: Observer;
   readonly callers: Callers;
   readonly steps: MemberSteps;
+  readonly tendedSteps: TendedSteps;
   /** Whose writes are not synced at once. */
   readonly #held = new Set<ModelMachine>();
   /** All actions that were carried out. */
@@ -48,6 +52,7 @@
     this.observer = new Observer(this.machines, coverage, settings.ignored);
     this.callers = new Callers(this.observer, coverage);
     this.steps = new MemberSteps(this.machines, this.observer, coverage, settings.voters);
+    this.tendedSteps = new TendedSteps(this.machines, settings.voters);
     this.network = new ModelNetwork((from, to, frame) => {
       const machine = this.machines.find((one) => one.name === from)!;
       this.observer.sent(machine, to, frame);
@@ -122,7 +127,7 @@
       case "call":
         return isRunning && machine !== second;
       default:
-        return isRunning && this.steps.isEnabled(kind, member, second);
+        return isRunning && this.#memberSteps.isEnabled(kind, member, second);
     }
   }
 
@@ -203,10 +208,18 @@
         return this.callers.call(member, second.name);
       default:
         this.#remember(machine, `${kind} ${second.diskId}`);
-        return this.steps.take(kind, member, second);
+        return this.#memberSteps.take(kind, member, second);
     }
   }
 
+  get #memberSteps(): MemberSteps | TendedSteps {
+    return this.settings.isTended === true ? this.tendedSteps : this.steps;
+  }
+
+  get #tended(): { voters: number } | undefined {
+    return this.settings.isTended === true ? this.settings : undefined;
+  }
+
   #deliver(from: ModelMachine, to: ModelMachine, nth: number): void {
     const bytes = this.network.take(from.name, to.name, nth);
     if (to.member?.isUp !== true) return;
@@ -225,9 +238,9 @@
 
   #boot(machine: ModelMachine): void {
     machine.lives += 1;
-    this.#remember(machine, `start from ${machine.diskId} ${machine.disk.text()}`);
+    this.#remember(machine, `start ${machine.lives} from ${machine.diskId} ${machine.disk.text()}`);
     try {
-      const member = new ModelMember(machine, this.network, machine.lives);
+      const member = new ModelMember(machine, this.network, machine.lives, this.#tended);
       machine.member = member;
       this.callers.serve(member);
       this.observer.watch(member);
--- a/packages/testkit/src/explore/observer.ts
+++ b/packages/testkit/src/explore/observer.ts
@@ -20,6 +20,7 @@
   readonly #leaders = new Map<number, ModelMember>();
   /** Voter and term to the name of the candidate. */
   readonly #votes = new Map<string, string>();
+  #members: Members | undefined;
   readonly #lastIndexes = new WeakMap<ReplicaLog, number>();
   readonly #contacts = new Map<ModelMember, ContactWatch>();
   /** The last commit whose disks were looked at as it came about. */
@@ -210,6 +211,7 @@
       voters.filter((one) => lacking.includes(one.id)).length * 2 > voters.length;
     const isNew = last > this.#judged;
     this.#judged = last;
+    if (isNew) this.#countMembers();
     for (const members of this.relevantMembers()) {
       const sets = MemberSets.of(members);
       const mustHold = isNew && this.#led().some((one) => one.raft.members === members);
@@ -221,6 +223,19 @@
     }
   }
 
+  #countMembers(): void {
+    const members = this.committed.membersAt(this.committed.last)!;
+    const before = this.#members;
+    this.#members = members;
+    if (before === undefined || before === members) return;
+    const idsOf = (one: Members): string =>
+      MemberSets.of(one)[0]!
+        .map(({ id }) => id)
+        .join();
+    if (MemberSets.of(members).length > 1) this.#coverage.count("event: joint members committed");
+    else if (idsOf(members) !== idsOf(before)) this.#coverage.count("event: other voters committed");
+  }
+
   /** Those that act as leaders in the newest term that anybody leads. */
   #led(): ModelMember[] {
     const leaders = this.#machines.flatMap(({ member }) => (member?.isActingLeader === true ? [member] : []));
--- a/packages/testkit/src/explore/randomWalk.ts
+++ b/packages/testkit/src/explore/randomWalk.ts
@@ -16,6 +16,8 @@
   readonly walks: number;
   /** How many actions are drawn for a walk; what means nothing in the state it comes to is passed over. */
   readonly steps: number;
+  /** How long a walk that fails may be shrunk. */
+  readonly shrinkMs: number;
 }
 
 export interface WalkReport {
@@ -49,12 +51,12 @@
 
   async run(): Promise<WalkReport> {
     const startedAt = performance.now();
-    const { seed, walks, world } = this.#settings;
+    const { seed, walks, world, shrinkMs } = this.#settings;
     const property = fc.asyncProperty(this.#drawn(), (drawn) => this.#walk(drawn));
     // Shrunk afterwards, as the actions that were taken: what a drawn number stands for depends on those before it.
     await fc.check(property, { seed, numRuns: walks, endOnFailure: true });
     const ms = performance.now() - startedAt;
-    const found = this.#failed === undefined ? undefined : await Trace.shrink(world, this.#failed);
+    const found = this.#failed === undefined ? undefined : await Trace.shrink(world, this.#failed, shrinkMs);
     return {
       walks: this.#walks,
       states: this.#states,
--- a/packages/testkit/src/explore/recovery.ts
+++ b/packages/testkit/src/explore/recovery.ts
@@ -13,6 +13,7 @@
     for (const kind of ["thaw", "mend", "restart"] as const)
       for (const action of Choices.of(world, kind)) await world.take(action);
     for (let round = 0; round < Recovery.rounds; round += 1) {
+      for (const action of Choices.of(world, "join")) await world.take(action);
       await calm(world);
       if (await isCaughtUp(world)) return;
       // The clocks of different machines differ: somebody asks for votes first.
--- a/packages/testkit/src/explore/scenarios.ts
+++ b/packages/testkit/src/explore/scenarios.ts
@@ -79,12 +79,13 @@
   },
 ];
 
+/** A scenario, searched within bounds. */
 export async function searchOf(
   { world, prepare, limits, depth }: Scenario,
-  mostStates: number,
+  bounds: Pick<SearchSettings, "mostStates" | "shrinkMs">,
 ): Promise<SearchSettings> {
   const prepared = await ModelWorld.start(world);
   await prepare(prepared, (cutOff) => deliverAll(prepared, cutOff));
   const prefix: Action[] = [...prepared.taken];
-  return { world, prefix, limits, depth, mostStates };
+  return { world, prefix, limits, depth, ...bounds };
 }
--- a/packages/testkit/src/explore/trace.ts
+++ b/packages/testkit/src/explore/trace.ts
@@ -11,9 +11,6 @@
 
 /** Actions that lead to a violation. */
 export const Trace = {
-  /** Shrinking ends with what it has by then. */
-  mostMs: 20_000,
-
   /** What a list of actions breaks, or the end of all troubles after it; and those of them that were taken. */
   async play(settings: WorldSettings, actions: readonly Action[]): Promise<FoundTrace | undefined> {
     const world = await ModelWorld.start(settings);
@@ -29,8 +26,8 @@
     }
   },
 
-  /** A shorter list that breaks the same property, found by fast-check. */
-  async shrink(settings: WorldSettings, actions: readonly Action[]): Promise<FoundTrace | undefined> {
+  /** A shorter list that breaks the same property, found by fast-check within so many milliseconds. */
+  async shrink(settings: WorldSettings, actions: readonly Action[], mostMs: number): Promise<FoundTrace | undefined> {
     let found = await Trace.play(settings, actions);
     const property = found?.violation.property;
     if (found === undefined) return undefined;
@@ -47,7 +44,7 @@
       if (played.trace.length < found!.trace.length) found = played;
       throw played.violation;
     });
-    await fc.check(broken, { examples: [[[...found.trace]]], numRuns: 1, interruptAfterTimeLimit: Trace.mostMs });
+    await fc.check(broken, { examples: [[[...found.trace]]], numRuns: 1, interruptAfterTimeLimit: mostMs });
     return found;
   },
 
