--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -22,6 +22,13 @@
 import { storeCompaction } from "./storeCompaction.js";
 import { SlowMajorityWatch } from "./slowMajorityWatch.js";
 
+/** What a leader sends: its commit index, where the message tells of one. */
+interface LeaderMessage {
+  term: number;
+  sender: string;
+  commit?: number;
+}
+
 /**
  * One lathe's part in the replicated log, by Raft's rules. Which lathe proposes changes with every
  * election and has no lasting meaning.
@@ -82,7 +89,7 @@
     this.#chance = parts.chance;
     this.#ring = parts.ring;
     this.#commit = this.#applied = this.#log.snapshotIndex;
-    this.#compaction = new LogCompaction(this.#log, storeCompaction);
+    this.#compaction = new LogCompaction(this.#log, parts.compaction ?? storeCompaction);
     this.#proposals = new Proposals(this.#log, this.#clock);
     this.#memberLog = new MemberLog(this.#log);
     const propose = (data: Uint8Array): void => void this.propose(data, entryKind.members);
@@ -177,11 +184,7 @@
     if (this.isLeader) this.memberExchange.begin(this.#commit, voters, learners);
   }
 
-  async #take(
-    message: { term: number; sender: string; commit?: number },
-    from: string,
-    take: () => Promise<BodyInit>,
-  ): Promise<undefined> {
+  async #take(message: LeaderMessage, from: string, take: () => Promise<BodyInit>): Promise<undefined> {
     const isLed = message.term >= this.#log.term && message.term > this.#yieldedTerm;
     if (message.term >= this.#log.term) {
       this.#isStandingBy = false;
@@ -189,12 +192,10 @@
       if (isLed) this.#heed(message.sender);
     }
     const taken = take();
-    // Members hold from when their entry is in the log, synced or not.
-    this.#findMembers();
     if (isLed && this.#applied >= (message.commit ?? Infinity)) this.#contact.current();
-    const receipt = await taken;
+    // In force from when they are in the log, not only once the disk has them (thesis, 4.1).
     this.#findMembers();
-    this.#exchange.tell(from, receipt);
+    this.#exchange.tell(from, await taken);
     return undefined;
   }
 
