--- a/packages/testkit/src/explore/modelMember.ts
+++ b/packages/testkit/src/explore/modelMember.ts
@@ -17,9 +17,6 @@
   electionMs: 60,
   /** A voter that is silent for longer is replaced, where members are tended. */
   replaceVoterMs: 200,
-  replicas: 3,
-  replaceReplicaMs: 200,
-  replaceByNewcomerMs: 100,
   /** Applied entries after which a log is compacted. */
   compactAt: 3,
   callMs: 200,
@@ -106,6 +103,9 @@
       lathes: voters,
       voters,
       replaceVoterMs: modelBounds.replaceVoterMs,
+      replicas: 3,
+      replaceReplicaMs: modelBounds.replaceVoterMs,
+      replaceByNewcomerMs: modelBounds.replaceVoterMs,
       stores: false,
       shards: 1,
       edgeLeaseMs: 1500,
