--- a/packages/core/src/replication/followerLog.test.ts
+++ b/packages/core/src/replication/followerLog.test.ts
@@ -1,4 +1,5 @@
 import { test } from "node:test";
+import { crc32 } from "node:zlib";
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import { expect } from "earl";
 import {
@@ -8,6 +9,7 @@
   SnapshotSchema,
   type Append,
   type Entry,
+  type Snapshot,
 } from "../gen/cranetrack_pb.js";
 import type { BodyInit } from "../rpc/wire.js";
 import type { Disk, DiskChange } from "../storage/disk.js";
@@ -75,7 +77,8 @@
 
 const append = (value: MessageInitShape<typeof AppendSchema>): Append =>
   create(AppendSchema, { ...value, group: "g", sender: "a", receiver: "b" } as MessageInitShape<typeof AppendSchema>);
-const snapshot = (term: number, index: number, indexTerm: number): ReturnType<typeof create<typeof SnapshotSchema>> =>
+const state = new Uint8Array([9]);
+const snapshot = (term: number, index: number, indexTerm: number): Snapshot =>
   create(SnapshotSchema, {
     group: "g",
     sender: "a",
@@ -83,7 +86,9 @@
     term,
     index,
     indexTerm,
-    state: new Uint8Array([9]),
+    state,
+    size: state.length,
+    checksum: crc32(state),
   });
 
 /** What was answered: taken or not, match or hint, term. Undefined while nothing was. */
--- a/packages/core/src/replication/followerLog.ts
+++ b/packages/core/src/replication/followerLog.ts
@@ -1,6 +1,7 @@
 import type { Append, Snapshot } from "../gen/cranetrack_pb.js";
 import type { BodyInit } from "../rpc/wire.js";
 import type { ReplicaLog } from "./replicaLog.js";
+import { SnapshotAssembly } from "./snapshotAssembly.js";
 
 /**
  * The taking side of a replicated log. Answers only after the disk has what it answers for.
@@ -14,6 +15,7 @@
   readonly #onSnapshot: (index: number, state: Uint8Array) => void;
   /** Up to where this log is known to be the one of the term's sender. */
   #agreed = { term: 0, index: 0 };
+  readonly #assembly = new SnapshotAssembly();
 
   /** What cannot be read is refused before anything is replaced by it. */
   readonly #isReadable: (state: Uint8Array) => boolean;
@@ -37,6 +39,7 @@
     this.#promise(append.term);
     if (this.#isConflicting(append, commit))
       return this.#receipt(append, false, this.#conflictHint(append.prevIndex, commit));
+    this.#assembly.drop();
     const match = append.prevIndex + append.entries.length;
     this.#agree(append.term, match);
     const synced = this.#log.agree(append.prevIndex, append.entries);
@@ -46,26 +49,29 @@
   }
 
   /**
-   * A snapshot stands for committed entries. Where the log has its last entry, it has all of them, and what follows
-   * stays (Raft, section 7, rule 6); else the snapshot takes the place of the whole log.
+   * Takes a piece of a snapshot, which stands for committed entries. Where the log has its last entry, it has all of
+   * them, and what follows stays (Raft, section 7, rule 6); else, once all pieces are there, the snapshot takes the
+   * place of the whole log.
    */
-  async takeSnapshot(snapshot: Snapshot, commit: number): Promise<BodyInit> {
-    const { term, index, indexTerm } = snapshot;
+  async takeSnapshot(piece: Snapshot, commit: number): Promise<BodyInit> {
+    const { term, index, indexTerm } = piece;
     const isSane = [term, index, indexTerm].every(FollowerLog.#isCount);
-    if (term < this.#log.term || !isSane) return this.#receipt(snapshot, false, 0);
+    if (term < this.#log.term || !isSane) return this.#receipt(piece, false, 0);
     this.#promise(term);
-    const isHeld = index <= commit || this.#log.termAt(index) === indexTerm;
-    if (!isHeld && !this.#isReadable(snapshot.state)) return this.#receipt(snapshot, false, 0);
-    this.#agree(term, index);
-    if (isHeld) {
+    if (index <= commit || this.#log.termAt(index) === indexTerm) {
+      this.#agree(term, index);
       this.#onCommit(index);
       await this.#log.syncedUpTo(index);
-    } else {
-      const installed = this.#log.install(index, indexTerm, snapshot.state);
-      this.#onSnapshot(index, snapshot.state);
-      await installed;
+      return this.#receipt(piece, true, index);
     }
-    return this.#receipt(snapshot, true, index);
+    const outcome = this.#assembly.take(piece);
+    if (outcome.kind !== "whole") return this.#receipt(piece, false, 0, outcome.received);
+    if (!this.#isReadable(outcome.state)) return this.#receipt(piece, false, 0);
+    this.#agree(term, index);
+    const installed = this.#log.install(index, indexTerm, outcome.state);
+    this.#onSnapshot(index, outcome.state);
+    await installed;
+    return this.#receipt(piece, true, index);
   }
 
   /** The sender of a term has committed its log up to an index. */
@@ -118,9 +124,10 @@
 
   /** Resolves once the term it names is synced; what was taken in an earlier term is not taken in that one. */
   async #receipt(
-    to: { group: string; term: number; round: number; sender: string },
+    to: { group: string; term: number; round: number; sender: string; index?: number },
     isTaken: boolean,
     match: number,
+    received = 0,
   ): Promise<BodyInit> {
     await this.#log.termSynced();
     return {
@@ -133,6 +140,8 @@
         isTaken: isTaken && to.term === this.#log.term,
         match,
         round: to.round,
+        snapshotIndex: to.index ?? 0,
+        received,
       },
     };
   }
--- a/packages/core/src/replication/logReplicator.ts
+++ b/packages/core/src/replication/logReplicator.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "../runtime/clock.js";
 import type { BodyInit } from "../rpc/wire.js";
 import type { ReplicaLog } from "./replicaLog.js";
+import { SnapshotSender, type SnapshotImage } from "./snapshotSender.js";
 
 interface Peer {
   next: number;
@@ -16,6 +17,8 @@
   isWaiting: boolean;
   round: number;
   heardAt: number;
+  /** Set while it is sent a snapshot, because the entries that it lacks are not here any more. */
+  transfer: SnapshotSender | undefined;
 }
 
 /**
@@ -36,6 +39,8 @@
   #round = 0;
   #isOver = false;
   commit: number;
+  /** The newest snapshot that some replica was sent. */
+  #image: SnapshotImage | undefined;
 
   constructor(parts: {
     log: ReplicaLog;
@@ -72,6 +77,7 @@
           isWaiting: false,
           round: 0,
           heardAt: this.#clock.now(),
+          transfer: undefined,
         });
     }
     this.#advance();
@@ -123,8 +129,6 @@
     for (const [id, peer] of this.#peers) {
       const isTold = !peer.isWaiting && peer.next > this.#log.lastIndex && peer.told === this.commit;
       if (isTold && this.#clock.now() - peer.sentAt < idleMs) continue;
-      const needsSnapshot = peer.next - 1 < this.#log.baseIndex;
-      if (peer.isWaiting && needsSnapshot && this.#clock.now() - peer.sentAt < 2000) continue;
       this.#sendTo(id, peer);
     }
   }
@@ -161,17 +165,27 @@
     peer.isWaiting = false;
     peer.round = Math.max(peer.round, receipt.round);
     const before = peer.next;
-    if (receipt.isTaken) {
-      peer.match = Math.max(peer.match, receipt.match);
-      peer.next = Math.max(peer.next, peer.match + 1);
-    } else peer.next = Math.max(peer.match + 1, Math.min(peer.next - 1, receipt.match + 1));
+    const isPieceTaken = LogReplicator.#learn(peer, receipt);
     this.#advance();
     this.#settleRounds();
     // A refusal that taught nothing new is not answered at once, or two nodes could keep each other busy for ever.
-    const hasMore = receipt.isTaken ? peer.next <= this.#log.lastIndex : peer.next !== before;
+    const hasMore = receipt.isTaken ? peer.next <= this.#log.lastIndex : isPieceTaken || peer.next !== before;
     if (hasMore) this.#sendTo(receipt.sender, peer);
   }
 
+  /** Takes in what a reply says of a replica's log; true where the next piece of a snapshot may go. */
+  static #learn(peer: Peer, receipt: AppendReceipt): boolean {
+    if (receipt.isTaken) {
+      peer.match = Math.max(peer.match, receipt.match);
+      peer.next = Math.max(peer.next, peer.match + 1);
+      if (peer.transfer !== undefined && peer.match >= peer.transfer.image.index) peer.transfer = undefined;
+      return false;
+    }
+    if (peer.transfer !== undefined) return peer.transfer.acknowledge(receipt.snapshotIndex, receipt.received);
+    if (receipt.snapshotIndex === 0) peer.next = Math.max(peer.match + 1, Math.min(peer.next - 1, receipt.match + 1));
+    return false;
+  }
+
   stop(): void {
     this.#isOver = true;
     for (const { settle } of this.#rounds.splice(0)) settle(false);
@@ -184,24 +198,18 @@
 
   #sendTo(id: string, peer: Peer): void {
     if (this.#isOver) return;
+    const prevTerm = peer.next - 1 < this.#log.baseIndex ? undefined : this.#log.termAt(peer.next - 1);
+    const body = prevTerm === undefined ? this.#nextPiece(id, peer) : this.#nextAppend(id, peer, prevTerm);
+    if (body === undefined) return;
     peer.sentAt = this.#clock.now();
     peer.told = this.commit;
     if (!peer.isWaiting) peer.askedAt = peer.sentAt;
     peer.isWaiting = true;
-    const prevTerm = peer.next - 1 < this.#log.baseIndex ? undefined : this.#log.termAt(peer.next - 1);
-    if (prevTerm === undefined) {
-      const snapshot = {
-        group: this.#log.group,
-        term: this.#term,
-        sender: this.#self,
-        receiver: id,
-        index: this.#log.snapshotIndex,
-        indexTerm: this.#log.snapshotTerm,
-        state: this.#log.snapshot,
-        round: this.#round,
-      };
-      return this.#send(id, { case: "snapshot", value: snapshot });
-    }
+    this.#send(id, body);
+  }
+
+  #nextAppend(id: string, peer: Peer, prevTerm: number): BodyInit {
+    peer.transfer = undefined;
     const entries = this.#log.after(peer.next - 1);
     const append = {
       group: this.#log.group,
@@ -215,7 +223,33 @@
       round: this.#round,
     };
     peer.next += entries.length;
-    this.#send(id, { case: "append", value: append });
+    return { case: "append", value: append };
+  }
+
+  #nextPiece(id: string, peer: Peer): BodyInit | undefined {
+    peer.transfer ??= new SnapshotSender(this.#newestImage());
+    const piece = peer.transfer.next(this.#clock.now());
+    if (piece === undefined) return undefined;
+    const { index, indexTerm, state, checksum } = peer.transfer.image;
+    const value = {
+      group: this.#log.group,
+      term: this.#term,
+      sender: this.#self,
+      receiver: id,
+      index,
+      indexTerm,
+      state: piece.bytes,
+      round: this.#round,
+      offset: piece.offset,
+      size: state.length,
+      checksum,
+    };
+    return { case: "snapshot", value };
+  }
+
+  #newestImage(): SnapshotImage {
+    if (this.#image?.index !== this.#log.snapshotIndex) this.#image = SnapshotSender.imageOf(this.#log);
+    return this.#image!;
   }
 
   #settleRounds(): void {
--- /dev/null
+++ b/packages/core/src/replication/snapshotPieces.test.ts
@@ -0,0 +1,238 @@
+import { test } from "node:test";
+import { crc32 } from "node:zlib";
+import { create } from "@bufbuild/protobuf";
+import { expect } from "earl";
+import { AppendReceiptSchema, AppendSchema, EntrySchema, SnapshotSchema, type Snapshot } from "../gen/cranetrack_pb.js";
+import type { BodyInit } from "../rpc/wire.js";
+import type { Disk } from "../storage/disk.js";
+import { FollowerLog } from "./followerLog.js";
+import { LogReplicator } from "./logReplicator.js";
+import { ReplicaLog } from "./replicaLog.js";
+import { SnapshotAssembly } from "./snapshotAssembly.js";
+import { SnapshotSender } from "./snapshotSender.js";
+
+const kib = 1024;
+const beatMs = 75;
+const disk = (): Disk => ({ read: () => [], write: () => Promise.resolve() });
+const turn = (): Promise<void> => new Promise((resolve) => void setImmediate(resolve));
+const image = (bytes: number): Uint8Array => Uint8Array.from({ length: bytes }, (_, i) => (i * 31) % 251);
+const noClock = { once: () => ({ stop: () => undefined }), every: () => ({ stop: () => undefined }) };
+
+/** A leader whose log begins behind a snapshot, and a blank follower that it has to catch up. */
+class Pair {
+  now = 0;
+  readonly log = new ReplicaLog(disk(), "g");
+  readonly replicator: LogReplicator;
+  follower!: FollowerLog;
+  followerLog!: ReplicaLog;
+  installed: Uint8Array | undefined;
+  commit = 0;
+  readonly sent: BodyInit[] = [];
+  readonly #queue: BodyInit[] = [];
+  isLost: (body: BodyInit, count: number) => boolean = () => false;
+
+  private constructor() {
+    this.replicator = new LogReplicator({
+      log: this.log,
+      clock: { ...noClock, now: () => this.now },
+      self: "a",
+      term: 2,
+      commit: 100,
+      send: (_id, body) => {
+        this.sent.push(body);
+        if (!this.isLost(body, this.sent.length)) this.#queue.push(body);
+      },
+    });
+    this.restartFollower();
+  }
+
+  static async over(snapshot: Uint8Array): Promise<Pair> {
+    const pair = new Pair();
+    await pair.log.install(100, 1, snapshot);
+    await pair.append(5);
+    pair.replicator.enlist([["a"]], ["b"]);
+    return pair;
+  }
+
+  async append(count: number, bytes = 10): Promise<void> {
+    for (let i = 0; i < count; i += 1)
+      await this.log.append([
+        create(EntrySchema, { index: this.log.lastIndex + 1, term: 2, data: new Uint8Array(bytes) }),
+      ]);
+  }
+
+  restartFollower(): void {
+    this.commit = 0;
+    this.followerLog = new ReplicaLog(disk(), "g");
+    this.follower = new FollowerLog(
+      this.followerLog,
+      "b",
+      (index) => (this.commit = Math.max(this.commit, index)),
+      (index, state) => {
+        this.commit = index;
+        this.installed = state;
+      },
+    );
+  }
+
+  async run(ms: number): Promise<void> {
+    for (const end = this.now + ms; this.now < end; this.now += beatMs) {
+      this.replicator.beat();
+      await this.#deliver();
+    }
+  }
+
+  get pieces(): Array<{ offset: number; length: number }> {
+    return this.sent.flatMap((body) =>
+      body.case === "snapshot" ? [{ offset: body.value.offset!, length: body.value.state!.length }] : [],
+    );
+  }
+
+  get sentBytes(): number {
+    return this.pieces.reduce((sum, { length }) => sum + length, 0);
+  }
+
+  async #deliver(): Promise<void> {
+    for (let body = this.#queue.shift(); body !== undefined; body = this.#queue.shift()) {
+      let answer: BodyInit | undefined;
+      if (body.case === "append") answer = await this.follower.take(create(AppendSchema, body.value), this.commit);
+      if (body.case === "snapshot")
+        answer = await this.follower.takeSnapshot(create(SnapshotSchema, body.value), this.commit);
+      if (answer?.case === "appendReceipt") this.replicator.take(create(AppendReceiptSchema, answer.value));
+      await turn();
+    }
+  }
+}
+
+test("a snapshot goes in pieces, each once where nothing is lost, and the entries behind it follow", async () => {
+  const snapshot = image(1200 * kib);
+  const pair = await Pair.over(snapshot);
+  await pair.run(300);
+  expect(pair.pieces.map(({ offset }) => offset / kib)).toEqual([0, 256, 512, 768, 1024]);
+  expect(pair.pieces.every(({ length }) => length <= 256 * kib)).toEqual(true);
+  expect(Buffer.compare(pair.installed!, snapshot)).toEqual(0);
+  expect([pair.followerLog.lastIndex, pair.replicator.matchOf("b")]).toEqual([105, 105]);
+});
+
+test("after losses a snapshot goes on where it was, never from its beginning", async () => {
+  const pair = await Pair.over(image(1200 * kib));
+  pair.isLost = (_body, count) => (count * 7) % 5 < 2;
+  await pair.run(10_000);
+  const offsets = pair.pieces.map(({ offset }) => offset);
+  expect(offsets).toEqual([...offsets].sort((a, b) => a - b));
+  expect(pair.replicator.matchOf("b")).toEqual(105);
+  expect(pair.sentBytes <= 2 * 1200 * kib).toEqual(true);
+});
+
+test("a follower that does not answer is sent a piece more and more rarely", async () => {
+  const pair = await Pair.over(image(1200 * kib));
+  pair.isLost = (body) => body.case === "snapshot";
+  await pair.run(20_000);
+  expect(pair.pieces.length >= 4 && pair.pieces.length <= 10).toEqual(true);
+  expect(new Set(pair.pieces.map(({ offset }) => offset))).toEqual(new Set([0]));
+});
+
+test("confirming that nobody has taken over sends no piece again", async () => {
+  const pair = await Pair.over(image(600 * kib));
+  pair.isLost = (body) => body.case === "snapshot";
+  await pair.run(beatMs);
+  for (let i = 0; i < 50; i += 1) void pair.replicator.confirm();
+  expect(pair.pieces.length).toEqual(1);
+});
+
+test("a follower that restarts in between is sent the snapshot again from its beginning, and takes it", async () => {
+  const snapshot = image(1200 * kib);
+  const pair = await Pair.over(snapshot);
+  pair.isLost = () => pair.pieces.length > 3;
+  await pair.run(200);
+  pair.restartFollower();
+  pair.isLost = () => false;
+  await pair.run(6000);
+  expect(Buffer.compare(pair.installed!, snapshot)).toEqual(0);
+  expect(pair.replicator.matchOf("b")).toEqual(105);
+});
+
+test("a snapshot under way is finished although the log is compacted meanwhile", async () => {
+  const snapshot = image(1200 * kib);
+  const pair = await Pair.over(snapshot);
+  pair.isLost = () => pair.pieces.length > 2;
+  await pair.run(200);
+  await pair.log.compact(105, image(500 * kib), { entries: 10, bytes: 1000 });
+  pair.isLost = () => false;
+  await pair.run(2000);
+  expect(Buffer.compare(pair.installed!, snapshot)).toEqual(0);
+  expect(pair.replicator.matchOf("b")).toEqual(105);
+  expect(pair.sentBytes < 1800 * kib).toEqual(true);
+});
+
+const whole = image(600 * kib);
+const pieceAt = (offset: number, change: Partial<Omit<Snapshot, "$typeName" | "$unknown">> = {}): Snapshot =>
+  create(SnapshotSchema, {
+    group: "g",
+    term: 2,
+    sender: "a",
+    index: 9,
+    indexTerm: 1,
+    offset,
+    state: whole.subarray(offset, offset + SnapshotSender.pieceBytes),
+    size: whole.length,
+    checksum: crc32(whole),
+    ...change,
+  });
+const step = SnapshotSender.pieceBytes;
+
+test("a piece out of order is refused with the place to go on from", () => {
+  const assembly = new SnapshotAssembly();
+  expect(assembly.take(pieceAt(step))).toEqual({ kind: "refused", received: 0 });
+  expect(assembly.take(pieceAt(0))).toEqual({ kind: "taken", received: step });
+  expect(assembly.take(pieceAt(2 * step))).toEqual({ kind: "refused", received: step });
+  expect(assembly.take(pieceAt(0))).toEqual({ kind: "refused", received: step });
+  expect(assembly.take(pieceAt(step))).toEqual({ kind: "taken", received: 2 * step });
+  const last = assembly.take(pieceAt(2 * step));
+  expect(last.kind === "whole" && Buffer.compare(last.state, whole)).toEqual(0);
+});
+
+test("a piece of another snapshot, term or sender never mixes into the one under way", () => {
+  for (const change of [{ index: 8 }, { indexTerm: 2 }, { term: 3 }, { sender: "c" }, { checksum: 1 }]) {
+    const assembly = new SnapshotAssembly();
+    assembly.take(pieceAt(0));
+    expect(assembly.take(pieceAt(step, change))).toEqual({ kind: "refused", received: 0 });
+    expect(assembly.take(pieceAt(step))).toEqual({ kind: "taken", received: 2 * step });
+  }
+});
+
+test("a snapshot whose bytes were altered is never whole", () => {
+  const assembly = new SnapshotAssembly();
+  assembly.take(pieceAt(0));
+  assembly.take(pieceAt(step, { state: new Uint8Array(step) }));
+  expect(assembly.take(pieceAt(2 * step))).toEqual({ kind: "refused", received: 0 });
+  expect(assembly.take(pieceAt(0))).toEqual({ kind: "taken", received: step });
+});
+
+test("a snapshot that is too big, or a piece that overruns it or counts in no numbers, is refused", () => {
+  const assembly = new SnapshotAssembly(1000 * kib);
+  const wrongs = [{ size: 1001 * kib }, { size: 100 }, { size: NaN }, { offset: -1 }, { state: new Uint8Array() }];
+  for (const wrong of wrongs) expect(assembly.take(pieceAt(0, wrong))).toEqual({ kind: "refused", received: 0 });
+});
+
+test("a follower replaces nothing before all pieces are there, and nothing by what it cannot read", async () => {
+  for (const isReadable of [true, false]) {
+    const log = new ReplicaLog(disk(), "g");
+    await log.append([create(EntrySchema, { index: 1, term: 1 })]);
+    const follower = new FollowerLog(
+      log,
+      "b",
+      () => undefined,
+      () => undefined,
+      () => isReadable,
+    );
+    const answers: unknown[] = [];
+    for (const offset of [0, step, 2 * step]) {
+      const body = await follower.takeSnapshot(pieceAt(offset), 0);
+      if (body.case === "appendReceipt")
+        answers.push([body.value.isTaken, body.value.match, body.value.received, log.lastIndex]);
+    }
+    const last = isReadable ? [true, 9, 0, 9] : [false, 0, 0, 1];
+    expect(answers).toEqual([[false, 0, step, 1], [false, 0, 2 * step, 1], last]);
+  }
+});
