--- a/packages/testkit/src/jig.ts
+++ b/packages/testkit/src/jig.ts
@@ -13,6 +13,8 @@
 import { Load } from "./fleet/load.js";
 import type { FaultName } from "./sim/faults.js";
 import type { ScenarioReport } from "./sim/scenario.js";
+import { CatchUp, type Comeback } from "./sim/catchUp.js";
+import { measureJournalGrowth } from "./sim/journalGrowth.js";
 import { Sweep } from "./sim/sweep.js";
 import { Capacity } from "./capacity/capacity.js";
 import { Slopes } from "./capacity/slopes.js";
@@ -154,6 +156,22 @@
     process.exitCode = sweep.failed > 0 ? 1 : 0;
   });
 
+cli
+  .command("catch-up", "Measure how members of the store catch up after many big changes, and what that costs")
+  .option("--changes <n>", "How many changes", { default: 500 })
+  .option("--routes <n>", "Routes in each configuration", { default: 0 })
+  .option("--document <bytes>", "Bytes of the operators' document", { default: 262_144 })
+  .option("--seed <n>", "Seed", { default: 5 })
+  .action(async (options: { changes: number; routes: number; document: number; seed: number }) => {
+    const { changes, routes, seed, document: documentBytes } = options;
+    const growth = await measureJournalGrowth(changes, 2 * documentBytes, 128_000_000);
+    process.stdout.write(`${JSON.stringify(growth)}\n`);
+    for (const comeback of ["restarted", "blank", "new"] as Comeback[])
+      process.stdout.write(
+        `${JSON.stringify(await CatchUp.run({ seed, comeback, changes, routes, documentBytes }))}\n`,
+      );
+  });
+
 cli
   .command("cost", "Measure what processes cost one another: an idle fleet, and small calls")
   .option("--edges <list>", "Idle fleets with so many edges, parted by commas", { default: "6,54" })
--- a/packages/testkit/src/sabotage/logSabotages.ts
+++ b/packages/testkit/src/sabotage/logSabotages.ts
@@ -121,4 +121,11 @@
     put: "false",
     test: "core/dist/replication/snapshotPieces.test.js",
   },
+  {
+    name: "the store's log grows until 4,000 changes are in it",
+    file: "control/dist/consensus/storeCompaction.js",
+    find: "bytes: 8 * 1024 * 1024",
+    put: "bytes: Infinity",
+    test: "testkit/dist/sim/catchUp.test.js",
+  },
 ];
--- /dev/null
+++ b/packages/testkit/src/sim/journalGrowth.ts
@@ -0,0 +1,50 @@
+import { mkdtempSync, rmSync, statSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { create } from "@bufbuild/protobuf";
+import { EntrySchema } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { LogCompaction } from "@cranetrack/core/replication/logCompaction.js";
+import { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
+import { JournalDisk } from "@cranetrack/core/storage/journalDisk.js";
+import { SealedDisk } from "@cranetrack/core/storage/sealedDisk.js";
+import { storeCompaction } from "@cranetrack/control/consensus/storeCompaction.js";
+
+export interface JournalGrowthReport {
+  readonly changes: number;
+  /** The longest the journal was, beside which a compaction needs room for what is kept. */
+  readonly mostJournalBytes: number;
+  /** The most that the process held beyond what it began with. */
+  readonly mostResidentBytes: number;
+  /** Whether writes ever had to wait for room. */
+  readonly wasFull: boolean;
+}
+
+/** The store's log on a real journal, in the room that a control machine has, through many big changes. */
+export async function measureJournalGrowth(
+  changes: number,
+  changeBytes: number,
+  mostBytes: number,
+): Promise<JournalGrowthReport> {
+  const folder = mkdtempSync(join(tmpdir(), "cranetrack-journal-"));
+  const residentAtFirst = process.memoryUsage().rss;
+  let wasFull = false;
+  let mostJournalBytes = 0;
+  let mostResidentBytes = 0;
+  const journal = await JournalDisk.open(folder, { mostBytes, onFull: () => (wasFull = true) });
+  try {
+    const log = new ReplicaLog(new SealedDisk(journal), "store");
+    const compaction = new LogCompaction(log, storeCompaction);
+    for (let index = 1; index <= changes && !wasFull; index += 1) {
+      const entry = create(EntrySchema, { index, term: 1, data: Buffer.alloc(changeBytes, index % 256) });
+      await log.append([entry]);
+      compaction.applied(entry);
+      if (compaction.isDue) await compaction.compact(index, Buffer.alloc(changeBytes));
+      mostJournalBytes = Math.max(mostJournalBytes, statSync(join(folder, "journal")).size);
+      mostResidentBytes = Math.max(mostResidentBytes, process.memoryUsage().rss - residentAtFirst);
+    }
+    return { changes, mostJournalBytes, mostResidentBytes, wasFull };
+  } finally {
+    await journal.close();
+    rmSync(folder, { recursive: true });
+  }
+}
--- a/packages/testkit/src/sim/simDisk.ts
+++ b/packages/testkit/src/sim/simDisk.ts
@@ -44,6 +44,11 @@
     this.#readyAt = 0;
   }
 
+  /** What is kept and survives a loss of power. */
+  get bytes(): number {
+    return [...this.#durable.values()].reduce((sum, value) => sum + value.length, 0);
+  }
+
   wipe(): void {
     this.#durable = new Map();
     this.#waiting = [];
