--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,10 +1,13 @@
 import { logSabotages } from "./logSabotages.js";
+import { replicaSabotages } from "./replicaSabotages.js";
 import type { Sabotage } from "./sabotage.js";
+import { membershipSabotages } from "./membershipSabotages.js";
 
 const sim = "testkit/dist/sim";
 
 /** Guards taken out on purpose; for each a test must fail. */
 export const sabotages: readonly Sabotage[] = [
+  ...membershipSabotages,
   {
     name: "a replica answers before its disk",
     file: "core/dist/replication/followerLog.js",
@@ -148,7 +151,7 @@
   {
     name: "lost replicas are never replaced",
     file: "log-storage/dist/repair/replicaRepair.js",
-    find: "if (out === undefined)",
+    find: "if (change === undefined)",
     put: "if (true)",
     test: `${sim}/shards.test.js`,
   },
@@ -245,9 +248,9 @@
   },
   {
     name: "pushes before their follow's receipt are let go",
-    file: "edge/dist/fanout/shardFollow.js",
-    find: "return void this.#early.push(push);",
-    put: "return;",
+    file: "edge/dist/fanout/numberedPushes.js",
+    find: "this.#early.push(push);",
+    put: "",
     test: "edge/dist/fanout/shardFollow.test.js",
   },
   {
@@ -335,4 +338,5 @@
     test: "edge/dist/fanout/streamTail.test.js",
   },
   ...logSabotages,
+  ...replicaSabotages,
 ];
