--- /dev/null
+++ b/packages/testkit/src/sim/oldState.test.ts
@@ -0,0 +1,92 @@
+import { test } from "node:test";
+import { Wire } from "@cranetrack/core/rpc/wire.js";
+import { expect } from "earl";
+import { Scenario } from "./scenario.js";
+import { SimFleet } from "./simFleet.js";
+import { SimLoad } from "./simLoad.js";
+
+async function founded(seed: number): Promise<{ fleet: SimFleet; load: SimLoad; lathes: string[] }> {
+  const fleet = new SimFleet(seed, Scenario.machines(3, 3, 1));
+  for (const name of fleet.names) fleet.configure(name, { replaceVoterMs: 60_000 });
+  const load = new SimLoad(fleet);
+  expect(await load.begin(0)).toEqual(true);
+  return { fleet, load, lathes: fleet.withRole("lathe") };
+}
+
+async function settled<T>(fleet: SimFleet, asked: Promise<T>, dueMs = 30_000): Promise<T> {
+  let got: { value: T } | undefined;
+  void asked.then((value) => (got = { value }));
+  expect(await fleet.until(() => got !== undefined, dueMs)).toEqual(true);
+  return got!.value;
+}
+
+/** Puts so many plans, one after the other; returns the last one's mark. */
+async function change(fleet: SimFleet, load: SimLoad, count: number): Promise<number> {
+  let mark = 0;
+  for (let i = 0; i < count; i += 1) {
+    mark = load.nextMark;
+    expect(await settled(fleet, load.putPlan(SimLoad.plan(mark)))).toEqual(200);
+  }
+  return mark;
+}
+
+const markAt = async (fleet: SimFleet, node: string): Promise<unknown> => {
+  const { status, body } = await settled(fleet, fleet.port.call(node, "GET", "/v1/plan", undefined), 8000);
+  return status === 200 ? (JSON.parse(String(body["raw"])) as { mark: number }).mark : status;
+};
+
+test("a restarted member with old state never leads, and serves nothing older than the others did", async () => {
+  for (const seed of [701, 702, 703]) {
+    const { fleet, load, lathes } = await founded(seed);
+    const old = lathes.find((name) => name !== fleet.proposer)!;
+    fleet.kill(old);
+    const mark = await change(fleet, load, 5);
+    const [current, other] = lathes.filter((name) => name !== old) as [string, string];
+    fleet.kill(current);
+    fleet.kill(other);
+    // The old one starts first and asks for votes before the one that has everything.
+    fleet.start(old);
+    await fleet.run(1500);
+    fleet.start(current);
+    expect(await fleet.until(() => fleet.proposer !== undefined, 15_000)).toEqual(true);
+    expect(fleet.proposer).toEqual(current);
+    expect(await fleet.until(() => fleet.find(old)!.lathe!.ledger!.isInTouch, 5000)).toEqual(true);
+    expect(await markAt(fleet, old)).toEqual(mark);
+  }
+});
+
+test("a blank disk has no vote of the member it was, so old state on one disk is no majority with it", async () => {
+  const { fleet, load, lathes } = await founded(711);
+  const old = lathes.find((name) => name !== fleet.proposer)!;
+  fleet.kill(old);
+  await change(fleet, load, 5);
+  const [blank, other] = lathes.filter((name) => name !== old) as [string, string];
+  fleet.wipe(blank);
+  fleet.kill(other);
+  fleet.start(old);
+  fleet.start(blank);
+  for (let i = 0; i < 200; i += 1) {
+    await fleet.run(50);
+    expect(lathes.some((name) => fleet.find(name)?.lathe?.ledger?.isLeader === true)).toEqual(false);
+  }
+});
+
+test("who was elected serves nothing before an entry of its own term is committed", async () => {
+  const { fleet, load, lathes } = await founded(721);
+  const mark = await change(fleet, load, 2);
+  fleet.wires.mutate = (_from, _to, bytes) => (Wire.decode(bytes)?.body.case === "appendReceipt" ? [] : undefined);
+  const alive = lathes.filter((name) => name !== fleet.proposer);
+  fleet.kill(fleet.proposer!);
+  let wasElected = false;
+  for (let i = 0; i < 80; i += 1) {
+    await fleet.run(50);
+    const rafts = alive.map((name) => fleet.find(name)!.lathe!.ledger!);
+    wasElected ||= rafts.some((raft) => raft.leaderName !== "");
+    expect(rafts.some((raft) => raft.isLeader)).toEqual(false);
+  }
+  expect(wasElected).toEqual(true);
+  expect([503, 504, 0]).toInclude((await markAt(fleet, alive[0]!)) as number);
+  fleet.wires.heal();
+  expect(await fleet.until(() => fleet.proposer !== undefined, 10_000)).toEqual(true);
+  expect(await markAt(fleet, alive[0]!)).toEqual(mark);
+});
