--- a/packages/log-storage/src/replication/replica.test.ts
+++ b/packages/log-storage/src/replication/replica.test.ts
@@ -1,11 +1,18 @@
 import { test } from "node:test";
-import { create } from "@bufbuild/protobuf";
+import { create, toBinary } from "@bufbuild/protobuf";
 import { expect } from "earl";
-import { EntrySchema, type Entry } from "@cranetrack/core/gen/cranetrack_pb.js";
+import {
+  EntrySchema,
+  ShardPullReceiptSchema,
+  ShardPullSchema,
+  ShardSnapshotSchema,
+  type Entry,
+  type ShardPullReceipt,
+} from "@cranetrack/core/gen/cranetrack_pb.js";
 import { LogGroups } from "@cranetrack/core/replication/logGroups.js";
 import { RpcEndpoint } from "@cranetrack/core/rpc/rpcEndpoint.js";
 import type { Disk } from "@cranetrack/core/storage/disk.js";
-import { ShardState } from "../shards/shardState.js";
+import { LogPull } from "../shards/logPull.js";
 import { Replica, type ReplicaNode } from "./replica.js";
 
 const disk: Disk = { read: () => [], write: () => Promise.resolve() };
@@ -22,22 +29,97 @@
 const node: ReplicaNode = { exchange, groups: new LogGroups(exchange), parts: { clock } };
 const noop = (index: number, term: number): Entry => create(EntrySchema, { index, term, kind: 1 });
 
-async function holding(last: number): Promise<Replica> {
+/** Replicas whose logs begin with entries of these terms. */
+async function withTerms(...terms: number[]): Promise<Replica> {
   const replica = new Replica(0, "r", disk, node);
-  await replica.log.append(Array.from({ length: last }, (_, i) => noop(i + 1, 1)));
+  await replica.log.promise(9, "");
+  await replica.log.append(terms.map((term, i) => noop(i + 1, term)));
   return replica;
 }
 
-test("a pulled snapshot that this log has already takes away nothing behind it", async () => {
-  const replica = await holding(10);
-  const base = { index: 5, term: 1, snapshot: new ShardState().snapshot() };
-  await replica.replace(true, base, [noop(6, 1), noop(7, 1)]);
-  expect([replica.log.lastIndex, replica.applied]).toEqual([10, 5]);
+const bigSnapshot = (streams: number): Uint8Array =>
+  toBinary(
+    ShardSnapshotSchema,
+    create(ShardSnapshotSchema, {
+      streams: Array.from({ length: streams }, (_, i) => ({ stream: `${i}${"s".repeat(1000)}`, birth: "1" })),
+      at: 1,
+    }),
+  );
+
+/** A pull from one replica into another; `change` may alter or lose what comes. */
+function pull(
+  into: Replica,
+  from: Replica,
+  change: (answer: ShardPullReceipt, asked: number) => ShardPullReceipt | undefined = (answer) => answer,
+): { run: Promise<boolean>; asked: Array<[after: number, offset: number]> } {
+  const asked: Array<[number, number]> = [];
+  const ask = (after: number, offset: number): Promise<ShardPullReceipt | undefined> => {
+    asked.push([after, offset]);
+    const body = from.pull(create(ShardPullSchema, { epoch: 9, after, offset }));
+    const answer = body?.case === "shardPullReceipt" ? create(ShardPullReceiptSchema, body.value) : undefined;
+    return Promise.resolve(answer === undefined ? undefined : change(answer, asked.length));
+  };
+  return { run: new LogPull(into, 9, ask).run(from.log.lastIndex), asked };
+}
+
+test("a pulled snapshot that this log has already takes away nothing, and no piece of it is awaited", async () => {
+  const into = await withTerms(1, 1, 1, 1, 1, 1, 1);
+  const from = await withTerms(1, 1, 1, 1, 1, 2);
+  await from.log.compact(5, bigSnapshot(600));
+  const pulled = pull(into, from);
+  expect(into.log.lastIndex).toEqual(7);
+  expect(await pulled.run).toEqual(true);
+  expect([into.log.baseIndex, into.log.lastIndex, into.log.termAt(6), into.applied]).toEqual([0, 6, 2, 5]);
+  expect(pulled.asked).toEqual([
+    [0, 0],
+    [5, 0],
+  ]);
+});
+
+test("a big snapshot is pulled in pieces in place of a log that ends before it, also past lost answers", async () => {
+  const into = await withTerms(1, 1);
+  const from = await withTerms(1, 1, 2, 2, 2, 2);
+  await from.log.compact(5, bigSnapshot(600));
+  const pulled = pull(into, from, (answer, asked) => (asked % 2 === 0 ? undefined : answer));
+  expect(await pulled.run).toEqual(true);
+  expect([into.log.baseIndex, into.log.lastIndex, into.applied, into.state.streams.size]).toEqual([5, 6, 5, 600]);
+  const offsets = pulled.asked.filter(([after]) => after === 0).map(([, offset]) => offset);
+  expect(offsets).toEqual([...offsets].sort((a, b) => a - b));
+  expect(new Set(offsets).size).toEqual(3);
+});
+
+test("a log that is compacted while its snapshot is pulled is asked for the new one", async () => {
+  const into = await withTerms(1, 1);
+  const from = await withTerms(1, 1, 2, 2, 2, 2);
+  await from.log.compact(4, bigSnapshot(600));
+  const pulled = pull(into, from, (answer, asked) => {
+    if (asked === 2) void from.log.compact(5, bigSnapshot(700));
+    return answer;
+  });
+  expect(await pulled.run).toEqual(true);
+  expect([into.log.baseIndex, into.log.lastIndex, into.state.streams.size]).toEqual([5, 6, 700]);
+});
+
+test("what is pulled altered, out of order or never replaces nothing", async () => {
+  const changes: Array<(answer: ShardPullReceipt) => ShardPullReceipt | undefined> = [
+    (answer) => create(ShardPullReceiptSchema, { ...answer, snapshot: new Uint8Array(answer.snapshot.length) }),
+    (answer) => create(ShardPullReceiptSchema, { ...answer, size: 1e12 }),
+    (answer) => create(ShardPullReceiptSchema, { ...answer, isWhole: false, entries: [noop(7, 2)] }),
+    () => undefined,
+  ];
+  for (const change of changes) {
+    const into = await withTerms(1, 1);
+    const from = await withTerms(1, 1, 2, 2, 2, 2);
+    await from.log.compact(5, bigSnapshot(600));
+    expect(await pull(into, from, change).run).toEqual(false);
+    expect([into.log.lastIndex, into.log.baseIndex, into.applied]).toEqual([2, 0, 0]);
+  }
 });
 
 test("a pulled snapshot takes the place of a log that conflicts with it", async () => {
-  const replica = await holding(10);
-  const base = { index: 5, term: 2, snapshot: new ShardState().snapshot() };
-  await replica.replace(true, base, [noop(6, 2), noop(7, 2)]);
-  expect([replica.log.baseIndex, replica.log.lastIndex, replica.applied]).toEqual([5, 7, 5]);
+  const into = await withTerms(1, 1, 1, 1, 1, 1, 1, 1);
+  const from = await withTerms(1, 1, 2, 2, 2, 2);
+  await from.log.compact(5, bigSnapshot(1));
+  expect(await pull(into, from).run).toEqual(true);
+  expect([into.log.baseIndex, into.log.lastIndex, into.log.termAt(6), into.applied]).toEqual([5, 6, 2, 5]);
 });
--- a/packages/log-storage/src/replication/replica.ts
+++ b/packages/log-storage/src/replication/replica.ts
@@ -1,8 +1,10 @@
 import { EventEmitter } from "node:events";
+import { crc32 } from "node:zlib";
 import type { Entry, Pledge, ShardPull } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { FollowerLog } from "@cranetrack/core/replication/followerLog.js";
 import { LogCompaction, type CompactionBounds } from "@cranetrack/core/replication/logCompaction.js";
 import { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
+import { SnapshotSender } from "@cranetrack/core/replication/snapshotSender.js";
 import type { LogReplicator } from "@cranetrack/core/replication/logReplicator.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import type { Clock } from "@cranetrack/core/runtime/clock.js";
@@ -37,6 +39,9 @@
     kept: { entries: 500, bytes: 1024 * 1024 },
   };
 
+  /** Entries in one reply to a pull: well below what may wait on a connection. */
+  static readonly pullBytes = 4 * 1024 * 1024;
+
   readonly shard: number;
   readonly id: string;
   readonly log: ReplicaLog;
@@ -49,6 +54,8 @@
   #heard = { term: 0, at: -Infinity, commit: 0 };
   /** Since when something is committed that is not applied here; 0 while all is. */
   #behindSince = 0;
+  /** The snapshot that was last asked for in pieces. */
+  #pulled: { snapshot: Uint8Array; checksum: number } | undefined;
   /** Set while this replica spreads its own log. */
   spread: LogReplicator | undefined;
 
@@ -131,44 +138,52 @@
     };
   }
 
-  /** A new holder with a shorter log asks for what it lacks. */
+  /** A new holder with a shorter log asks for what it lacks: a piece of the snapshot, or entries. */
   pull(pull: ShardPull): BodyInit | undefined {
-    if (pull.epoch !== this.log.term) return undefined;
-    const isWhole = pull.after < this.log.baseIndex || this.log.termAt(pull.after) === undefined;
-    const after = isWhole ? this.log.snapshotIndex : pull.after;
-    const snapshot = isWhole ? this.log.snapshot : new Uint8Array();
+    if (pull.epoch !== this.log.term || !Number.isSafeInteger(pull.offset) || pull.offset < 0) return undefined;
+    const { baseIndex, snapshotIndex, snapshotTerm, snapshot } = this.log;
+    const isWhole = pull.after < baseIndex || this.log.termAt(pull.after) === undefined;
+    if (!isWhole)
+      return { case: "shardPullReceipt", value: { isWhole, entries: this.log.after(pull.after, Replica.pullBytes) } };
+    if (this.#pulled?.snapshot !== snapshot) this.#pulled = { snapshot, checksum: crc32(snapshot) };
     return {
       case: "shardPullReceipt",
       value: {
         isWhole,
-        baseIndex: this.log.snapshotIndex,
-        baseTerm: this.log.snapshotTerm,
-        snapshot,
-        entries: this.log.after(after, 16 * 1024 * 1024),
+        baseIndex: snapshotIndex,
+        baseTerm: snapshotTerm,
+        snapshot: snapshot.subarray(pull.offset, pull.offset + SnapshotSender.pieceBytes),
+        size: snapshot.length,
+        checksum: this.#pulled.checksum,
       },
     };
   }
 
+  /** Takes a better log's entries in place of what this one has after its applied part. */
+  async takePulled(entries: readonly Entry[]): Promise<void> {
+    if (entries[0] !== undefined) await this.log.agree(entries[0].index - 1, entries);
+  }
+
   /**
-   * Takes a better log in place of what this one has after its applied part. Entries that both have stay where they
-   * are: this replica has answered for them.
+   * Whether the log has all that a better log's snapshot stands for. Entries that both have stay where they are: this
+   * replica has answered for them.
    */
-  async replace(
-    isWhole: boolean,
-    base: { index: number; term: number; snapshot: Uint8Array },
-    entries: readonly Entry[],
-  ): Promise<void> {
-    if (isWhole && base.index > this.applied && this.log.termAt(base.index) === base.term) this.advance(base.index);
-    if (isWhole && base.index > this.applied) {
-      const installed = this.log.install(base.index, base.term, base.snapshot);
-      this.#install(base.index, base.snapshot);
-      await installed;
-    }
-    await this.log.agree((entries[0]?.index ?? this.applied + 1) - 1, entries);
+  hasSnapshot(index: number, term: number): boolean {
+    if (index > this.applied && this.log.termAt(index) === term) this.advance(index);
+    return index <= this.applied;
+  }
+
+  /** Takes a better log's snapshot in place of a log that conflicts with it, or ends before it; false if unreadable. */
+  async installPulled(index: number, term: number, snapshot: Uint8Array): Promise<boolean> {
+    if (!ShardState.isReadable(snapshot)) return false;
+    const installed = this.log.install(index, term, snapshot);
+    this.#install(index, snapshot);
+    await installed;
+    return true;
   }
 
   #install(index: number, state: Uint8Array): void {
-    if (state.length > 0) this.state.install(state);
+    this.state.install(state);
     this.applied = index;
     this.emit("installed");
   }
--- a/packages/log-storage/src/shards/holder.ts
+++ b/packages/log-storage/src/shards/holder.ts
@@ -5,6 +5,7 @@
 import type { ShardSet } from "@cranetrack/core/feeds/shardSet.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import type { Verdict } from "./streamLog.js";
+import { LogPull } from "./logPull.js";
 import type { CommitTurn } from "../replication/commitTurn.js";
 import type { AppliedEntry, Replica } from "../replication/replica.js";
 
@@ -19,6 +20,8 @@
   static readonly silentMs = 700;
   /** Replicas that have heard everything are told so this often, and their answers show that they are there. */
   static readonly idleBeatMs = 250;
+  /** How long a question for a part of a better log may take. */
+  static readonly pullMs = 1500;
 
   readonly epoch: number;
   readonly #replica: Replica;
@@ -197,22 +200,18 @@
     this.emit("applied", applied);
   }
 
-  async #pullFrom(member: ShardSet["members"][number], lastIndex: number): Promise<boolean> {
-    const replica = this.#replica;
-    let after = replica.applied;
-    do {
+  #pullFrom(member: ShardSet["members"][number], lastIndex: number): Promise<boolean> {
+    const { log } = this.#replica;
+    const pull = new LogPull(this.#replica, this.epoch, async (after, offset) => {
+      if (this.#isOver) return undefined;
       const body = await this.#node.exchange.call(
         member.name,
-        { case: "shardPull", value: { group: replica.log.group, epoch: this.epoch, after, receiver: member.id } },
-        1500,
+        { case: "shardPull", value: { group: log.group, epoch: this.epoch, after, offset, receiver: member.id } },
+        Holder.pullMs,
       );
-      if (body?.case !== "shardPullReceipt" || this.#isOver) return false;
-      const { isWhole, baseIndex, baseTerm, snapshot, entries } = body.value;
-      await replica.replace(isWhole, { index: baseIndex, term: baseTerm, snapshot }, entries);
-      if (entries.length === 0 && replica.log.lastIndex < lastIndex) return false;
-      after = entries.at(-1)?.index ?? replica.log.lastIndex;
-    } while (after < lastIndex);
-    return true;
+      return body?.case === "shardPullReceipt" && !this.#isOver ? body.value : undefined;
+    });
+    return pull.run(lastIndex);
   }
 
   #enough<T>(asked: Array<Promise<T | undefined>>, count: number): Promise<T[] | undefined> {
--- a/packages/testkit/src/sabotage/logSabotages.ts
+++ b/packages/testkit/src/sabotage/logSabotages.ts
@@ -40,7 +40,7 @@
   {
     name: "a pulled snapshot takes away the entries behind it",
     file: "log-storage/dist/replication/replica.js",
-    find: "this.log.termAt(base.index) === base.term",
+    find: "this.log.termAt(index) === term",
     put: "false",
     test: "log-storage/dist/replication/replica.test.js",
   },
@@ -156,4 +156,18 @@
     put: "this.#spread !== undefined",
     test: "testkit/dist/sim/oldState.test.js",
   },
+  {
+    name: "a pull takes whatever entries come",
+    file: "log-storage/dist/shards/logPull.js",
+    find: "entries.some((entry, i) => entry.index !== this.#after + 1 + i)",
+    put: "false",
+    test: "log-storage/dist/replication/replica.test.js",
+  },
+  {
+    name: "an unanswered pull is not asked again",
+    file: "log-storage/dist/shards/logPull.js",
+    find: "static tries = 3",
+    put: "static tries = 1",
+    test: "log-storage/dist/replication/replica.test.js",
+  },
 ];
