Control: the archive of plans is bounded in size, in what waits for it, and in what a commit costs

The platform's program has no archive; this is for the lathe.

After: planArchive.test.ts 3 of 3. Sabotages: 2 new, each caught.

--- a/packages/control/src/configuration/planArchive.test.ts
+++ b/packages/control/src/configuration/planArchive.test.ts
@@ -1,4 +1,5 @@
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { randomBytes } from "node:crypto";
+import { existsSync, mkdtempSync, readFileSync, readdirSync, rmSync, statSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
@@ -43,3 +44,42 @@
     expect([archive.mark, log.lines.some((line) => line.includes("could not be archived"))]).toEqual([6, true]);
   },
 );
+
+test("an archive that is full becomes the earlier one, and its size stays bounded", async () => {
+  const folder = join(mkdtempSync(join(tmpdir(), "cranetrack-plans-")), "plans");
+  const journal = new ChangeJournal<Change>();
+  const log = new LogBuffer("test", () => undefined);
+  const mostBytes = 60_000;
+  const archive = new PlanArchive(folder, new PlanView(journal), log, mostBytes);
+  const sizes: number[] = [];
+  for (let mark = 1; mark <= 3 * PlanArchive.lookEach + 5; mark += 1) {
+    journal.append({ key: BirthsKey.name, value: BirthsKey.write({ mark, spaces: {} }), revision: mark });
+    const filler = [...randomBytes(24_000)].map((byte) => (byte < 128 ? " " : "\t")).join("");
+    const text = `${textOf(mark)}${filler}`;
+    journal.append({ key: "plan", value: Buffer.from(text), revision: mark });
+    await archive.settled();
+    expect(archive.mark).toEqual(mark);
+    if (mark % 5 !== 0) continue;
+    const found = [folder, archive.earlierFolder].filter((one) => existsSync(one));
+    const names = found.flatMap((one) => readdirSync(one, { recursive: true }).map((name) => join(one, String(name))));
+    sizes.push(names.reduce((sum, name) => sum + statSync(name).size, 0));
+  }
+  // Two archives, each of what is allowed and what comes between two looks: three objects and their folders a commit.
+  expect(Math.max(...sizes) < 2 * (mostBytes + PlanArchive.lookEach * 20_000)).toEqual(true);
+  expect((await archive.marks()).length).toEqual(5);
+  expect(existsSync(archive.earlierFolder)).toEqual(true);
+});
+
+test("of many plans at once the newest are committed, and no more wait than a few", async () => {
+  const folder = join(mkdtempSync(join(tmpdir(), "cranetrack-plans-")), "plans");
+  const journal = new ChangeJournal<Change>();
+  const archive = new PlanArchive(folder, new PlanView(journal), new LogBuffer("test", () => undefined));
+  for (let mark = 1; mark <= 50; mark += 1) {
+    journal.append({ key: BirthsKey.name, value: BirthsKey.write({ mark, spaces: {} }), revision: mark });
+    journal.append({ key: "plan", value: Buffer.from(textOf(mark)), revision: mark });
+  }
+  await archive.settled();
+  const marks = await archive.marks();
+  expect(marks[0]).toEqual(50);
+  expect(marks.length <= PlanArchive.mostWaiting + 1).toEqual(true);
+});
--- a/packages/control/src/configuration/planArchive.ts
+++ b/packages/control/src/configuration/planArchive.ts
@@ -9,20 +9,32 @@
 /**
  * Accepted plans as commits in a Git object store beside the lathe's data. Only a copy: it follows what the
  * metadata store accepted, is never on the way of an acceptance, and what is lost is made again from there.
+ * Its size is bounded: a full archive becomes the earlier one, beside it, in place of the one before.
  * Invariant: commits are made one at a time, in the order of the marks.
  */
 export class PlanArchive {
   static readonly author = { name: "cranetrack", email: "cranetrack@localhost" };
   static readonly file = "plan.json";
+  /** Bytes on the disk from which on an archive is full; there are at most two of that size. */
+  static readonly mostBytes = 8 * 1024 * 1024;
+  /** The size is looked at each so many commits: that reads the whole folder. */
+  static readonly lookEach = 25;
+  /** Plans that may wait to be committed; of more the oldest are left out. */
+  static readonly mostWaiting = 8;
 
   readonly #folder: string;
   readonly #log: LogBuffer;
   readonly #queue = new PQueue({ concurrency: 1 });
   #kept = 0;
+  readonly #waiting: Array<{ mark: number; text: string }> = [];
+  readonly #mostBytes: number;
+  /** Commits since the archive's size was looked at. */
+  #commits = 0;
 
-  constructor(folder: string, plan: PlanView, log: LogBuffer) {
+  constructor(folder: string, plan: PlanView, log: LogBuffer, mostBytes = PlanArchive.mostBytes) {
     this.#folder = folder;
     this.#log = log;
+    this.#mostBytes = mostBytes;
     plan.on("changed", () => this.#follow(plan.mark, plan.text));
   }
 
@@ -36,27 +48,56 @@
     return this.#queue.onIdle();
   }
 
-  async marks(): Promise<number[]> {
-    const commits = await git.log({ fs: nodeFs, dir: this.#folder }).catch(() => []);
+  /** The marks of the newest commits, newest first; without a number, of all. */
+  async marks(most?: number): Promise<number[]> {
+    const depth = most === undefined ? {} : { depth: most };
+    const commits = await git.log({ fs: nodeFs, dir: this.#folder, ...depth }).catch(() => []);
     return commits.map(({ commit }) => Number(/^mark (\d+)/.exec(commit.message)?.[1] ?? 0));
   }
 
+  /** Where the archive is that was full. */
+  get earlierFolder(): string {
+    return `${this.#folder}.earlier`;
+  }
+
   #follow(mark: number, text: string): void {
+    this.#waiting.push({ mark, text });
+    if (this.#waiting.length > PlanArchive.mostWaiting) this.#waiting.shift();
     void this.#queue.add(async () => {
-      try {
-        await this.#commit(mark, text);
-        this.#kept = mark;
-      } catch (cause) {
-        this.#log.warn("a plan could not be archived", { mark, why: (cause as Error).message });
-      }
+      const next = this.#waiting.shift();
+      if (next !== undefined) await this.#keep(next.mark, next.text);
     });
   }
 
+  async #keep(mark: number, text: string): Promise<void> {
+    try {
+      await this.#commit(mark, text);
+      this.#kept = mark;
+      await this.#turnWhenFull();
+    } catch (cause) {
+      this.#log.warn("a plan could not be archived", { mark, why: (cause as Error).message });
+    }
+  }
+
+  async #turnWhenFull(): Promise<void> {
+    this.#commits += 1;
+    if (this.#commits % PlanArchive.lookEach !== 0) return;
+    if ((await PlanArchive.#sizeOf(this.#folder)) < this.#mostBytes) return;
+    await fs.rm(this.earlierFolder, { recursive: true, force: true });
+    await fs.rename(this.#folder, this.earlierFolder);
+  }
+
+  static async #sizeOf(folder: string): Promise<number> {
+    const names = await fs.readdir(folder, { recursive: true });
+    const stats = await Promise.all(names.map((name) => fs.stat(join(folder, name))));
+    return stats.reduce((sum, { size }) => sum + size, 0);
+  }
+
   async #commit(mark: number, text: string): Promise<void> {
     const dir = this.#folder;
     mkdirSync(dir, { recursive: true });
     await git.init({ fs: nodeFs, dir, defaultBranch: "main" });
-    const [newest] = await this.marks();
+    const [newest] = await this.marks(1);
     if (newest !== undefined && newest >= mark) return;
     await fs.writeFile(join(dir, PlanArchive.file), text);
     await git.add({ fs: nodeFs, dir, filepath: PlanArchive.file });
--- a/packages/testkit/src/sabotage/logSabotages.ts
+++ b/packages/testkit/src/sabotage/logSabotages.ts
@@ -170,4 +170,18 @@
     put: "static tries = 1",
     test: "log-storage/dist/replication/replica.test.js",
   },
+  {
+    name: "the archive of plans grows for ever",
+    file: "control/dist/configuration/planArchive.js",
+    find: "await this.#turnWhenFull();",
+    put: "",
+    test: "control/dist/configuration/planArchive.test.js",
+  },
+  {
+    name: "any number of plans wait for the archive",
+    file: "control/dist/configuration/planArchive.js",
+    find: "if (this.#waiting.length > _a.mostWaiting)",
+    put: "if (false)",
+    test: "control/dist/configuration/planArchive.test.js",
+  },
 ];
