--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,7 +1,9 @@
+import { cutOffSabotages } from "./cutOffSabotages.js";
 import { logSabotages } from "./logSabotages.js";
-import { replicaSabotages } from "./replicaSabotages.js";
+import { repairSabotages } from "./repairSabotages.js";
 import type { Sabotage } from "./sabotage.js";
 import { membershipSabotages } from "./membershipSabotages.js";
+import { orderSabotages } from "./orderSabotages.js";
 
 const sim = "testkit/dist/sim";
 
@@ -127,13 +129,6 @@
     put: "return true;",
     test: `${sim}/store.test.js`,
   },
-  {
-    name: "a plan needs no rising mark",
-    file: "control/dist/configuration/putPlan.js",
-    find: "markInForce >= mark",
-    put: "false",
-    test: `${sim}/store.test.js`,
-  },
   {
     name: "a founded lathe agrees again",
     file: "control/dist/consensus/founding.js",
@@ -148,13 +143,6 @@
     put: "if (false)",
     test: `${sim}/shards.test.js`,
   },
-  {
-    name: "lost replicas are never replaced",
-    file: "log-storage/dist/repair/replicaRepair.js",
-    find: "if (change === undefined)",
-    put: "if (true)",
-    test: `${sim}/shards.test.js`,
-  },
   {
     name: "a peer that is cut off is not reached through others",
     file: "core/dist/rpc/rpcEndpoint.js",
@@ -218,13 +206,6 @@
     put: "return { mark, spaces: Object.fromEntries(births), ended: {} };",
     test: `${sim}/streams.test.js`,
   },
-  {
-    name: "a plan's document is not looked at",
-    file: "control/dist/configuration/putPlan.js",
-    find: "(document === undefined || isKept(inForce.document, document))",
-    put: "true",
-    test: `${sim}/store.test.js`,
-  },
   {
     name: "a living space may change its order",
     file: "control/dist/configuration/putPlan.js",
@@ -277,8 +258,8 @@
   {
     name: "what a proposer sent before it gave up brings it back",
     file: "control/dist/consensus/raftNode.js",
-    find: "if (message.term > this.#yieldedTerm)",
-    put: "if (true)",
+    find: " && message.term > this.#yieldedTerm",
+    put: "",
     test: `${sim}/store.test.js`,
   },
   {
@@ -338,5 +319,7 @@
     test: "edge/dist/fanout/streamTail.test.js",
   },
   ...logSabotages,
-  ...replicaSabotages,
+  ...cutOffSabotages,
+  ...orderSabotages,
+  ...repairSabotages,
 ];
--- a/packages/testkit/src/sim/planCapacity.test.ts
+++ b/packages/testkit/src/sim/planCapacity.test.ts
@@ -50,7 +50,7 @@
     const spaces = SimPlans.usual();
     spaces["notes"]![0]!.owe["fault_budget"] = { machines: 2 };
     const path = "spaces.0.program.0.owe.fault_budget.machines";
-    expect(await put(fleet, load.nextMark, spaces)).toEqual({ status: 422, paths: [path] });
+    expect(await put(fleet, load.nextMark, spaces)).toEqual({ status: 503, paths: [path] });
   });
 
 test("the first plan rests on the replica sets, also while one of their machines is down", async () => {
@@ -64,7 +64,7 @@
   const fleet = await withDisks(94, 2);
   const paths = ["0.program.0.owe.fault_budget.machines", "1.program.0.owe.fault_budget.machines"];
   expect(await put(fleet, 1)).toEqual({
-    status: 422,
+    status: 503,
     paths: [...paths, "1.program.0.owe.fault_budget.zones"].map((path) => `spaces.${path}`),
   });
 });
@@ -72,7 +72,7 @@
 test("two losses take five machines, and settings that ask for five replicas", async () => {
   const spaces = SimPlans.usual();
   spaces["notes"]![0]!.owe["fault_budget"] = { machines: 2 };
-  const refused = { status: 422, paths: ["spaces.0.program.0.owe.fault_budget.machines"] };
+  const refused = { status: 503, paths: ["spaces.0.program.0.owe.fault_budget.machines"] };
   for (const [seed, disks, replicas, receipt] of [
     [95, 5, 5, { status: 200, paths: [] }],
     [96, 4, 5, refused],
