Rpc: a reply settles only its own call, and what may not be repeated runs at most once

Cause: calls were numbered from 1 in each life of a process, and a reply settled whichever call had its number. It was not looked at who answered, for which life, or with what. A reply of one node to call 1 settled call 1 to another; the reply that a frozen peer gave when it thawed settled a call of the asker's next life. A frame that came twice, by another node and directly or doubled on the way, ran twice, transactions without checks among them.

`callKinds.ts` judges every kind of frame: call, reply or message, and for calls whether they may be repeated and why. A call that may not names the life that carries it out; that life does so at most once, behind a bounded window in which what is forgotten counts as done. A life that is not known is told by the asked process before anything runs. Nodes carry only frames of whoever gave them. All drops are counted.

Ruled out: incarnations of the membership as lives (they follow the wall clock); numbers from a kept counter (edges have no disk); a ping before each first call instead of the refusal (pings never go through other nodes).

--- a/packages/core/src/rpc/rpcEndpoint.ts
+++ b/packages/core/src/rpc/rpcEndpoint.ts
@@ -1,7 +1,10 @@
 import { EventEmitter } from "node:events";
 import type { Frame } from "../gen/cranetrack_pb.js";
-import type { Clock, Beat } from "../runtime/clock.js";
+import type { Clock } from "../runtime/clock.js";
+import type { RandomSource } from "../runtime/random.js";
 import type { Transport } from "../transport/transport.js";
+import { isCall, isReplyTo, mayRepeat, type CallInit } from "./callKinds.js";
+import { ServedCalls } from "./servedCalls.js";
 import { Wire, type Body, type BodyInit } from "./wire.js";
 
 type Known = Exclude<Body, { case: undefined }>;
@@ -10,14 +13,52 @@
 type Served = BodyInit | undefined | Promise<BodyInit | undefined>;
 type Serve<C extends Case> = (value: Values[C], frame: Frame) => Served;
 interface Waiting {
+  id: number;
   settle: (body: Body | undefined) => void;
-  beat: Beat;
   to: string;
+  body: CallInit;
+  /** It may not be repeated. */
+  isOnce: boolean;
+  /** The only life of the asked process that carries it out; 0 where that was not known, or does not matter. */
+  callee: number;
+}
+/** What a frame says of the call that it belongs to; a message has the number 0. */
+interface Part {
+  id: number;
+  isReceipt: boolean;
+  body: BodyInit;
+  caller?: number;
+  callee?: number;
+}
+
+/** Frames that were dropped since the start, by reason. */
+export interface DroppedFrames {
+  /** Replies to no open call: never asked, or settled before. */
+  unasked: number;
+  /** Replies to a call of another life of this process, or of an unexpected life of the asked one. */
+  otherLife: number;
+  /** Replies of somebody who was not asked. */
+  otherSender: number;
+  /** Replies of a kind that does not answer the call. */
+  otherKind: number;
+  /** Calls that may not be repeated and were begun before, or can't be told from such. */
+  repeated: number;
+  /** Frames to be carried that do not come from whoever gave them. */
+  forged: number;
 }
 
 /**
  * Calls and tellings between named processes. A call that is not answered by its due settles
  * with undefined: it may or may not have been carried out.
+ *
+ * A call is named by the asked process, the asking process, its life and a number. The life is drawn at random at the
+ * start (52 bits), so no restart repeats it and no clock is asked; the number rises within it. Only a reply that has
+ * all four, and a kind that answers the call, settles it.
+ *
+ * A call that may not be repeated (`callKinds.ts`) names the one life of the asked process that carries it out, and
+ * that life carries it out at most once: a frame that comes twice, or only after a restart, runs nothing. Where the
+ * asker does not know that life, the asked process tells it, and the call, which no life has carried out, is sent to
+ * it.
  */
 export class RpcEndpoint extends EventEmitter<{ heard: [name: string]; mute: [name: string] }> {
   /** How often a mute peer is asked directly, and for how long its answer stands against frames that came round. */
@@ -36,21 +77,33 @@
   readonly #mute = new Set<string>();
   readonly #proven = new Map<string, number>();
   #lastId = 0;
+  /** This process's life. */
+  readonly #life: number;
+  /** Everybody's lives, as last heard. One that is over by now only makes a call fail. */
+  readonly #lives = new Map<string, number>();
+  readonly #begun = new ServedCalls();
+  readonly dropped: DroppedFrames = {
+    unasked: 0,
+    otherLife: 0,
+    otherSender: 0,
+    otherKind: 0,
+    repeated: 0,
+    forged: 0,
+  };
   /** Told by membership. */
   addressOf: (name: string) => string | undefined = () => undefined;
   relaysFor: (name: string) => string[] = () => [];
 
-  constructor(name: string, net: Transport, clock: Clock) {
+  constructor(name: string, net: Transport, clock: Clock, chance: RandomSource) {
     super();
     this.setMaxListeners(0);
     this.name = name;
     this.#net = net;
     this.#clock = clock;
+    this.#life = RpcEndpoint.#drawLife(chance);
+    this.#lives.set(name, this.#life);
     net.onFrame((frame) => void this.#take(frame));
-    net.onLost((address) => {
-      for (const waiting of [...this.#waiting.values()])
-        if (this.addressOf(waiting.to) === address) waiting.settle(undefined);
-    });
+    net.onLost((address) => this.#lost(address));
   }
 
   serve<C extends Case>(kind: C, handle: Serve<C>): void {
@@ -72,24 +125,48 @@
     this.#net.send(address, this.#encode(to, { id: 0, isReceipt: false, body }));
   }
 
-  call(to: string, body: BodyInit, due: number): Promise<Body | undefined> {
-    const id = ++this.#lastId;
+  call(to: string, body: CallInit, due: number): Promise<Body | undefined> {
     return new Promise((resolve) => {
-      const settle = (receipt: Body | undefined): void => {
+      const settle = (reply: Body | undefined): void => {
         beat.stop();
-        this.#waiting.delete(id);
-        if (receipt === undefined) this.#unanswered(to);
-        resolve(receipt);
+        this.#waiting.delete(waiting.id);
+        resolve(reply);
       };
-      const beat = this.#clock.once(due, () => settle(undefined));
-      this.#waiting.set(id, { settle, beat, to });
-      this.#send(to, { id, isReceipt: false, body });
+      const waiting = { id: 0, settle, to, body, isOnce: !mayRepeat(body), callee: 0 };
+      const beat = this.#clock.once(due, () => this.#silent(waiting));
+      this.#open(waiting);
     });
   }
 
   /** Settles every open call to a node that is known to be gone, at once. */
   giveUp(name: string): void {
-    for (const waiting of [...this.#waiting.values()]) if (waiting.to === name) waiting.settle(undefined);
+    this.#lives.delete(name);
+    for (const waiting of [...this.#waiting.values()]) if (waiting.to === name) this.#silent(waiting);
+  }
+
+  #open(waiting: Waiting): void {
+    waiting.id = ++this.#lastId;
+    waiting.callee = waiting.isOnce ? (this.#lives.get(waiting.to) ?? 0) : 0;
+    this.#waiting.set(waiting.id, waiting);
+    const { id, body, callee } = waiting;
+    this.#send(waiting.to, { id, isReceipt: false, body, caller: this.#life, callee });
+  }
+
+  #silent(waiting: Waiting): void {
+    waiting.settle(undefined);
+    this.#unanswered(waiting.to);
+  }
+
+  /** Not 0, and exact in a double. */
+  static #drawLife(chance: RandomSource): number {
+    return 1 + Number.parseInt(chance.identity().slice(0, 13), 16);
+  }
+
+  /** The connection to an address broke: whoever is there now may be in another life. */
+  #lost(address: string): void {
+    for (const waiting of [...this.#waiting.values()])
+      if (this.addressOf(waiting.to) === address) this.#silent(waiting);
+    for (const name of [...this.#lives.keys()]) if (this.addressOf(name) === address) this.#lives.delete(name);
   }
 
   #unanswered(to: string): void {
@@ -110,11 +187,11 @@
     else this.#clock.once(RpcEndpoint.probeMs, () => void this.#probe(name));
   }
 
-  #encode(to: string, part: { id: number; isReceipt: boolean; body: BodyInit }): Uint8Array {
+  #encode(to: string, part: Part): Uint8Array {
     return Wire.encode({ ...part, from: this.name, to, fromAddress: this.#net.address });
   }
 
-  #send(to: string, part: { id: number; isReceipt: boolean; body: BodyInit }): void {
+  #send(to: string, part: Part): void {
     const address = this.addressOf(to);
     if (address === undefined) return;
     const frame = this.#encode(to, part);
@@ -134,20 +211,55 @@
     if (frame.hops === 0) this.emit("heard", frame.from);
     else if (this.#clock.now() - (this.#proven.get(frame.from) ?? -Infinity) > RpcEndpoint.provenMs)
       this.#unanswered(frame.from);
-    if (frame.body.case === "relay") return this.#carry(frame.body.value.to, frame.body.value.frame);
-    if (frame.isReceipt) return this.#waiting.get(frame.id)?.settle(frame.body);
-    const handle = this.#served.get(frame.body.case!);
-    if (handle === undefined) return;
-    const receipt = await handle(frame.body, frame);
-    if (receipt === undefined || frame.id === 0) return;
-    if (this.addressOf(frame.from) !== undefined)
-      return this.#send(frame.from, { id: frame.id, isReceipt: true, body: receipt });
-    this.#net.send(frame.fromAddress, this.#encode(frame.from, { id: frame.id, isReceipt: true, body: receipt }));
-  }
-
-  /** Carries another's frame one hop; what was carried once is not carried again. */
-  #carry(to: string, bytes: Uint8Array): void {
+    if (frame.body.case === "relay") return this.#carry(frame.from, frame.body.value.to, frame.body.value.frame);
+    if (frame.isReceipt) return this.#settle(frame);
+    if (isCall(frame.body) && frame.caller !== 0) this.#lives.set(frame.from, frame.caller);
+    if (!isCall(frame.body) || mayRepeat(frame.body)) return this.#run(frame);
+    if (frame.id !== 0 && frame.callee !== this.#life) return this.#reply(frame, { case: "otherLife", value: {} });
+    if (this.#begun.begin(frame.from, frame.caller, frame.id)) return this.#run(frame);
+    this.dropped.repeated += 1;
+  }
+
+  async #run(frame: Frame): Promise<void> {
+    const reply = await this.#served.get(frame.body.case!)?.(frame.body, frame);
+    if (reply !== undefined && frame.id !== 0) this.#reply(frame, reply);
+  }
+
+  #reply({ id, caller, from, fromAddress }: Frame, body: BodyInit): void {
+    const part = { id, isReceipt: true, body, caller, callee: this.#life };
+    if (this.addressOf(from) !== undefined) return this.#send(from, part);
+    this.#net.send(fromAddress, this.#encode(from, part));
+  }
+
+  #settle(frame: Frame): void {
+    const waiting = this.#waiting.get(frame.id);
+    if (frame.caller !== this.#life) this.dropped.otherLife += 1;
+    else if (waiting === undefined) this.dropped.unasked += 1;
+    else if (waiting.to !== frame.from || frame.to !== this.name) this.dropped.otherSender += 1;
+    else if (waiting.isOnce && frame.body.case === "otherLife") this.#refused(waiting, frame.callee);
+    else if (waiting.callee !== 0 && waiting.callee !== frame.callee) this.dropped.otherLife += 1;
+    else if (!isReplyTo(waiting.body.case, frame.body.case)) this.dropped.otherKind += 1;
+    else {
+      this.#lives.set(frame.from, frame.callee);
+      waiting.settle(frame.body);
+    }
+  }
+
+  /**
+   * A life does not carry a call out. One that named no life was carried out by none and never will be: it is sent to
+   * this one. One that named another life may have been carried out there.
+   */
+  #refused(waiting: Waiting, life: number): void {
+    this.#lives.set(waiting.to, life);
+    if (waiting.callee !== 0 || life === 0) return waiting.settle(undefined);
+    this.#waiting.delete(waiting.id);
+    this.#open(waiting);
+  }
+
+  /** Carries another's own frame one hop; what was carried once is not carried again. */
+  #carry(from: string, to: string, bytes: Uint8Array): void {
     const inner = Wire.decode(bytes);
+    if (inner !== undefined && inner.from !== from) return void (this.dropped.forged += 1);
     const address = this.addressOf(to);
     if (inner === undefined || inner.hops > 0 || inner.to !== to || address === undefined) return;
     this.#net.send(address, Wire.again({ ...inner, hops: 1 }));
--- a/packages/core/src/rpc/wire.test.ts
+++ b/packages/core/src/rpc/wire.test.ts
@@ -30,15 +30,19 @@
     { from: "a", body },
     { id: 7, from: "a", to: "b", fromAddress: "10.0.0.1:1", body },
     { id: 1.5, isReceipt: true, from: "ä".repeat(100), hops: 1, body: { case: "done", value: {} } },
+    { id: 7, from: "a", to: "b", fromAddress: "10.0.0.1:1", caller: 2 ** 52, callee: 3, body },
+    { id: 7, isReceipt: true, from: "a", to: "b", hops: 1, caller: 2 ** 52, callee: 2 ** 51 + 1, body },
     { from: "a", to: "b", body: { case: "gossip", value: { members: [{ name: "c", version: 2 }], isAsking: true } } },
   ];
   for (const one of frames)
     expect(Buffer.from(Wire.encode(one))).toEqual(
       Buffer.from(Seal.close(toBinary(FrameSchema, create(FrameSchema, one)))),
     );
-  const bytes = Wire.encode(frames[1]!);
-  const place = Wire.envelopeIn(bytes)!;
-  expect(Wire.decode(Wire.shorten(bytes, place))).toEqual(undefined);
-  expect(Wire.decode(Wire.shorten(bytes, place), Wire.decode(bytes))).toEqual(Wire.decode(bytes));
-  expect(Wire.envelopeIn(Wire.encode(frames[2]!))).toEqual(undefined);
+  for (const one of [frames[1]!, frames[3]!]) {
+    const bytes = Wire.encode(one);
+    const place = Wire.envelopeIn(bytes)!;
+    expect(Wire.decode(Wire.shorten(bytes, place))).toEqual(undefined);
+    expect(Wire.decode(Wire.shorten(bytes, place), Wire.decode(bytes))).toEqual(Wire.decode(bytes));
+  }
+  for (const carried of [frames[2]!, frames[4]!]) expect(Wire.envelopeIn(Wire.encode(carried))).toEqual(undefined);
 });
--- a/packages/core/src/runtime/clusterNode.ts
+++ b/packages/core/src/runtime/clusterNode.ts
@@ -27,7 +27,7 @@
   constructor(parts: NodeParts, prefixes: string[], disk = "") {
     const { settings, clock, net, chance } = parts;
     this.parts = parts;
-    this.exchange = new RpcEndpoint(settings.name, net, clock);
+    this.exchange = new RpcEndpoint(settings.name, net, clock, chance);
     this.groups = new LogGroups(this.exchange);
     const self = {
       name: settings.name,
--- a/packages/core/src/runtime/nodeStatus.ts
+++ b/packages/core/src/runtime/nodeStatus.ts
@@ -59,6 +59,7 @@
         settings: this.#parts.settingsFault(),
         last: parts.log.lastFault,
         garbledFrames: this.#parts.garbled(),
+        droppedFrames: { ...this.#node.exchange.dropped },
       },
       ...this.#parts.more(),
     };
@@ -79,10 +80,15 @@
       memory_rss_bytes: memory.rss,
       memory_heap_bytes: memory.heapUsed,
     };
+    for (const [reason, count] of Object.entries(this.#node.exchange.dropped))
+      figures[`dropped_frames_${NodeStatus.#snake(reason)}_total`] = count;
     for (const [key, value] of Object.entries(this.#parts.more()))
-      if (typeof value === "number") figures[key.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`)] = value;
+      if (typeof value === "number") figures[NodeStatus.#snake(key)] = value;
     return Object.entries(figures)
       .map(([key, value]) => `cranetrack_${key} ${value}\n`)
       .join("");
   }
+  static #snake(key: string): string {
+    return key.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
+  }
 }
--- a/packages/core/src/store/storeClient.test.ts
+++ b/packages/core/src/store/storeClient.test.ts
@@ -30,8 +30,8 @@
     once: (ms: number, ring: () => void) => (ms === 0 && turns.push(ring), { stop: () => undefined }),
     every: () => ({ stop: () => undefined }),
   };
-  const exchange = new RpcEndpoint("vise-1", net, clock);
   const chance = { draw: () => 0, identity: () => "0123456789abcdef" };
+  const exchange = new RpcEndpoint("vise-1", net, clock, chance);
   const membership = new Membership({ name: "vise-1" }, [], exchange, clock, chance);
   const lathe = (name: string, address: string, isInStore: boolean): object => ({
     name,
@@ -49,7 +49,7 @@
     store: new StoreClient(exchange, membership, clock),
     frames,
     turn: () => turns.splice(0).forEach((ring) => ring()),
-    answer: (frame, body) => tell(body, { id: frame.id, isReceipt: true }),
+    answer: (frame, body) => tell(body, { id: frame.id, isReceipt: true, caller: frame.caller }),
   };
 }
 
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,3 +1,5 @@
+import { callSabotages } from "./callSabotages.js";
+
 export interface Sabotage {
   name: string;
   /** Built file below packages/, and what to put in place of what. */
@@ -341,4 +343,5 @@
     put: "this.head = from;",
     test: "edge/dist/fanout/streamTail.test.js",
   },
+  ...callSabotages,
 ];
--- a/packages/testkit/src/slopes/cost.ts
+++ b/packages/testkit/src/slopes/cost.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
 import { createServer } from "node:net";
 import { RpcEndpoint } from "@cranetrack/core/rpc/rpcEndpoint.js";
+import { HostRandom } from "@cranetrack/core/runtime/hostRandom.js";
 import { HostClock } from "@cranetrack/core/runtime/hostClock.js";
 import { LogBuffer } from "@cranetrack/core/runtime/logBuffer.js";
 import { TcpTransport } from "@cranetrack/core/transport/tcpTransport.js";
@@ -56,7 +57,7 @@
     const log = new LogBuffer("cost", () => undefined);
     const nets = [new TcpTransport(await freeAddress(), log), new TcpTransport(await freeAddress(), log)] as const;
     const [asking, answering] = nets.map((net, i) => {
-      const exchange = new RpcEndpoint(`vise-${i + 1}`, net, new HostClock());
+      const exchange = new RpcEndpoint(`vise-${i + 1}`, net, new HostClock(), new HostRandom());
       exchange.addressOf = (name) => nets[Number(name.slice(5)) - 1]!.address;
       return exchange;
     }) as [RpcEndpoint, RpcEndpoint];
