Calls: whether a call is sent again follows from its mark, in one place

Cause: each sender had its own rule. A node that passes on an operators' order sent it to a second node after a silence, whatever it was, and then called it undone ("no lathe answers", 503) though the first may have done it. The store's client kept a list of its own (transactions alone), took "unknown" of one lathe as the end also of reads and renewals, and a lathe called a renewal "not done" that it had passed on and heard nothing of.

Now `mayRepeat` decides at the store's client, where a lathe passes on to the proposer, where a node passes on an order, and where a publish goes on at the shard's next holder. After a silence a call that may not be repeated ends unknown (504 for orders that were passed on). What may be repeated goes on, and ends unknown, not undone, where any try may have done it. Nodes that answer are asked before mute ones, since there is one try now.

Reviewed, with nothing to change: claims, swaps of replica sets, owner keys and released sessions send each transaction once; after an unknown outcome they read the key or let go, and a conflict is only taken as definite from a first try. Lease keepers draw a new lease for each try of a grant. Connections send nothing again: now with a test.

--- a/packages/control/src/store/storeService.ts
+++ b/packages/control/src/store/storeService.ts
@@ -8,6 +8,7 @@
 } from "@cranetrack/core/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import type { Outcome } from "@cranetrack/core/store/storeClient.js";
+import { mayRepeatStoreCall } from "@cranetrack/core/rpc/callKinds.js";
 import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
 import { Feeds } from "./feeds.js";
 import { Leases } from "./leases.js";
@@ -110,17 +111,17 @@
     if (calls.some((call) => call.isPassed) || proposer === "" || proposer === this.#node.exchange.name)
       return all({ outcome: "away", comeBack: 1, reason: "no proposer is known" });
     const kinds = new Set(calls.map((call) => call.call.case));
-    const isChange = kinds.has("txn") || kinds.has("grant") || kinds.has("revoke");
+    const isRepeatable = calls.every((call) => mayRepeatStoreCall(call.call.case));
     const passed = this.#node.exchange.call(
       proposer,
       { case: "storeBatch", value: { calls: calls.map(({ call }) => ({ call, isPassed: true })) } },
       kinds.has("renew") ? 800 : 450,
     );
-    // What changes nothing may as well be asked of the next proposer, once there is one.
-    const body = await (isChange ? passed : this.#unlessLed(passed));
+    // What may be repeated may as well be asked of the next proposer, once there is one.
+    const body = await (isRepeatable ? this.#unlessLed(passed) : passed);
     if (body === "led") return this.#runAll(calls);
     if (body?.case === "storeBatchReceipt" && body.value.receipts.length === calls.length) return body.value.receipts;
-    return all(isChange ? { outcome: "unsure", comeBack: 0.5 } : { outcome: "away", comeBack: 0.5 });
+    return all({ outcome: "unsure", comeBack: 0.5 });
   }
 
   /** What was passed on, or word that another proposes now: maybe this lathe itself. */
--- a/packages/core/src/http/router.ts
+++ b/packages/core/src/http/router.ts
@@ -1,6 +1,7 @@
 import { ApiReplies, type ApiReply } from "./apiReply.js";
 import type { ClusterNode } from "../runtime/clusterNode.js";
 import { Rendezvous } from "../membership/rendezvous.js";
+import { mayRepeat, type CallInit } from "../rpc/callKinds.js";
 import type { BodyInit } from "../rpc/wire.js";
 
 export interface ApiCall {
@@ -62,10 +63,20 @@
     const role = this.#elsewhere.find((one) => one.pattern.test(path))?.role;
     if (role === undefined || role === this.#node.parts.settings.role || isPassed)
       return ApiReplies.fault(404, "unknown-path", `there is no ${path}`);
-    const alive = this.#node.membership.alive(role).map((member) => member.name);
-    for (const name of Rendezvous.rank(this.#node.exchange.name, alive).slice(0, 2)) {
-      const receipt = await this.passTo(name, method, path, body);
+    return this.#passToRole(role, { method, path, body });
+  }
+
+  /** To a second node only where the first did not answer and the call may be repeated. */
+  async #passToRole(role: string, call: Pick<ApiCall, "method" | "path" | "body">): Promise<ApiReply> {
+    const { membership, exchange } = this.#node;
+    const alive = membership.alive(role).map((member) => member.name);
+    const ranked = Rendezvous.rank(exchange.name, alive);
+    const heard = ranked.filter((name) => !exchange.isMute(name));
+    for (const name of [...new Set([...heard, ...ranked])].slice(0, 2)) {
+      const receipt = await this.passTo(name, call.method, call.path, call.body);
       if (receipt !== undefined) return receipt;
+      if (!mayRepeat({ case: "pass", value: call }))
+        return ApiReplies.unsure(`${name} did not answer; the same call again settles it`);
     }
     return ApiReplies.away(`no ${role} answers`);
   }
@@ -77,7 +88,8 @@
     body: Uint8Array,
     due = Router.passDue,
   ): Promise<ApiReply | undefined> {
-    const receipt = await this.#node.exchange.call(name, { case: "pass", value: { method, path, body } }, due);
+    const pass: CallInit = { case: "pass", value: { method, path, body } };
+    const receipt = await this.#node.exchange.call(name, pass, due);
     if (receipt?.case !== "passReceipt") return undefined;
     const { status, comeBack } = receipt.value;
     return { status, body: receipt.value.body, comeBack: comeBack > 0 ? comeBack : undefined };
--- a/packages/core/src/store/storeClient.test.ts
+++ b/packages/core/src/store/storeClient.test.ts
@@ -4,18 +4,20 @@
 import { GossipSchema, StoreBatchReceiptSchema, StoreReceiptSchema, type Frame } from "../gen/cranetrack_pb.js";
 import { RpcEndpoint } from "../rpc/rpcEndpoint.js";
 import { Membership } from "../membership/membership.js";
-import { StoreClient } from "./storeClient.js";
+import { StoreClient, type StoreChange } from "./storeClient.js";
 import { Wire, type BodyInit } from "../rpc/wire.js";
 
-/** A client of one lathe, the frames that it sent, and the lathe's answers. */
-function client(): {
+/** A client of the lathes in the store, the frames that it sent, the lathes' answers, and the end of its patience. */
+function client(inStore: readonly string[] = ["lathe-2"]): {
   store: StoreClient;
   frames: Frame[];
   turn: () => void;
+  silence: () => void;
   answer: (frame: Frame, body: BodyInit) => void;
 } {
   const frames: Frame[] = [];
   const turns: Array<() => void> = [];
+  const dues: Array<() => void> = [];
   let take: (frame: Frame) => void = () => undefined;
   const net = {
     address: "10.0.0.9:1",
@@ -27,7 +29,7 @@
   };
   const clock = {
     now: () => 0,
-    once: (ms: number, ring: () => void) => (ms === 0 && turns.push(ring), { stop: () => undefined }),
+    once: (ms: number, ring: () => void) => ((ms === 0 ? turns : dues).push(ring), { stop: () => undefined }),
     every: () => ({ stop: () => undefined }),
   };
   const chance = { draw: () => 0, identity: () => "0123456789abcdef" };
@@ -41,7 +43,7 @@
     version: 1,
     isInStore,
   });
-  const members = [lathe("lathe-1", "10.0.0.1:1", false), lathe("lathe-2", "10.0.0.2:1", true)];
+  const members = [1, 2, 3].map((i) => lathe(`lathe-${i}`, `10.0.0.${i}:1`, inStore.includes(`lathe-${i}`)));
   const tell = (body: BodyInit, part: object): void =>
     take(Wire.decode(Wire.encode({ from: "lathe-2", to: "vise-1", fromAddress: "", ...part, body }))!);
   tell({ case: "gossip", value: create(GossipSchema, { members }) }, {});
@@ -49,7 +51,8 @@
     store: new StoreClient(exchange, membership, clock),
     frames,
     turn: () => turns.splice(0).forEach((ring) => ring()),
-    answer: (frame, body) => tell(body, { id: frame.id, isReceipt: true, caller: frame.caller }),
+    silence: () => dues.splice(0).forEach((ring) => ring()),
+    answer: (frame, body) => tell(body, { from: frame.to, id: frame.id, isReceipt: true, caller: frame.caller }),
   };
 }
 
@@ -73,3 +76,46 @@
   answer(frames[1]!, { case: "storeReceipt", value: receipt(4) });
   expect((await Promise.all([...reads, written])).map((one) => one.revision)).toEqual([1, 2, 3, 4]);
 });
+
+/** Which lathes are asked, one after the other, where each says this in turn; and what the client says then. */
+async function asked(call: StoreChange, says: readonly string[]): Promise<{ asked: number; outcome: string }> {
+  const { store, frames, turn, silence, answer } = client(["lathe-1", "lathe-2", "lathe-3"]);
+  const calls = (): Frame[] => frames.filter((frame) => frame.body.case === "storeCall");
+  const settled = store.call(call);
+  for (const outcome of says) {
+    await new Promise((resolve) => setImmediate(resolve));
+    turn();
+    const frame = calls().at(-1)!;
+    if (outcome === "silent") silence();
+    else answer(frame, { case: "storeReceipt", value: create(StoreReceiptSchema, { outcome }) });
+  }
+  const { outcome } = await settled;
+  return { asked: new Set(calls().map(({ to }) => to)).size, outcome };
+}
+
+const txn: StoreChange = { case: "txn", value: { puts: [{ key: "k" }] } };
+const once: ReadonlyArray<[says: string[], asked: number, outcome: string]> = [
+  [["silent"], 1, "unsure"],
+  [["unsure"], 1, "unsure"],
+  [["away", "silent"], 2, "unsure"],
+  [["away", "unsure"], 2, "unsure"],
+  [["away", "conflict"], 2, "conflict"],
+  [["away", "away", "away"], 3, "away"],
+];
+
+test("a call that may not be repeated is asked of another lathe only after word that it was not done", async () => {
+  for (const [says, count, outcome] of once) expect(await asked(txn, says)).toEqual({ asked: count, outcome });
+});
+
+test("a call that may be repeated goes on after a silence, and ends unsure where a try may have done it", async () => {
+  const grant: StoreChange = { case: "grant", value: { lease: "a/1", length: 4000 } };
+  for (const call of [
+    grant,
+    { case: "renew", value: { lease: "a/1" } },
+    { case: "read", value: {} },
+  ] as StoreChange[]) {
+    expect(await asked(call, ["silent", "unsure", "done"])).toEqual({ asked: 3, outcome: "done" });
+    expect(await asked(call, ["silent", "away", "away"])).toEqual({ asked: 3, outcome: "unsure" });
+    expect(await asked(call, ["away", "away", "away"])).toEqual({ asked: 3, outcome: "away" });
+  }
+});
--- a/packages/core/src/store/storeClient.ts
+++ b/packages/core/src/store/storeClient.ts
@@ -2,6 +2,7 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import type { StoreCallSchema, TxnSchema } from "../gen/cranetrack_pb.js";
 import type { Clock } from "../runtime/clock.js";
+import { mayRepeatStoreCall } from "../rpc/callKinds.js";
 import type { RpcEndpoint } from "../rpc/rpcEndpoint.js";
 import type { Membership } from "../membership/membership.js";
 import { Rendezvous } from "../membership/rendezvous.js";
@@ -49,29 +50,34 @@
     return this.call({ case: "read", value: { keys, prefixes } }, due);
   }
 
-  /** Ends by `due` with an outcome: `unsure` where a change may have been carried out, `away` where it was not. */
+  /**
+   * Ends by `due` with an outcome: `unsure` where a change may have been carried out, `away` where it was not and never
+   * will be. After `away` the next lathe is asked; after a silence or `unsure` only if the call may be repeated.
+   */
   async call(call: StoreChange, due = 1200): Promise<Outcome> {
     const end = this.#clock.now() + due;
-    let isSent = false;
+    const mostMs = StoreClient.tryMs[call.case ?? "read"] ?? StoreClient.readMs;
+    let isUnknown = false;
     for (const name of this.#order()) {
       const left = end - this.#clock.now();
       if (left <= 20) break;
-      const id = ++this.#lastCall;
-      this.#open.set(id, { name, at: this.#clock.now() });
-      const receipt = await this.#ask(
-        name,
-        call,
-        Math.min(left, StoreClient.tryMs[call.case ?? "read"] ?? StoreClient.readMs),
-      );
-      this.#open.delete(id);
-      if (receipt !== undefined && receipt.outcome !== "away") {
-        this.#favourite = name;
-        return receipt;
-      }
-      if (receipt === undefined) isSent = true;
-      if (receipt === undefined && call.case === "txn") return { outcome: "unsure", comeBack: 0.5 };
+      const receipt = await this.#timed(name, call, Math.min(left, mostMs));
+      if (receipt !== undefined && receipt.outcome !== "away" && receipt.outcome !== "unsure") return receipt;
+      if (receipt?.outcome === "away") continue;
+      isUnknown = true;
+      if (!mayRepeatStoreCall(call.case)) break;
     }
-    return { outcome: isSent ? "unsure" : "away", comeBack: 1, reason: "no majority of lathes answers" };
+    if (isUnknown) return { outcome: "unsure", comeBack: 0.5, reason: "no lathe said what became of it" };
+    return { outcome: "away", comeBack: 1, reason: "no majority of lathes answers" };
+  }
+
+  async #timed(name: string, call: StoreChange, due: number): Promise<StoreReceipt | undefined> {
+    const id = ++this.#lastCall;
+    this.#open.set(id, { name, at: this.#clock.now() });
+    const receipt = await this.#ask(name, call, due);
+    this.#open.delete(id);
+    if (receipt !== undefined && receipt.outcome !== "away") this.#favourite = name;
+    return receipt;
   }
 
   #ask(name: string, call: StoreChange, due: number): Promise<StoreReceipt | undefined> {
--- a/packages/core/src/transport/tcpTransport.test.ts
+++ b/packages/core/src/transport/tcpTransport.test.ts
@@ -137,3 +137,33 @@
   net.close();
   server.close();
 });
+
+test("what a connection that broke had not delivered is not sent again over the next one", async () => {
+  const address = await freeAddress();
+  const [host, port] = TcpTransport.split(address);
+  const server = createServer().listen(port, host);
+  await once(server, "listening");
+  const net = new TcpTransport(await freeAddress(), new LogBuffer("test", () => undefined));
+  const lost = new Promise<string>((resolve) => net.onLost(resolve));
+  net.send(address, ping("one"));
+  const [first] = (await once(server, "connection")) as [Socket];
+  first.pause();
+  // More than the machine's buffers take: whole frames wait in the process.
+  for (let i = 0; i < 7; i += 1) net.send(address, ping("x".repeat(1024 * 1024)));
+  await new Promise((resolve) => setImmediate(resolve));
+  first.resetAndDestroy();
+  expect(await lost).toEqual(address);
+  const receiver = new TcpTransport(address, new LogBuffer("test", () => undefined));
+  server.close();
+  await once(server, "close");
+  await receiver.listen();
+  const frames: Frame[] = [];
+  receiver.onFrame((frame) => void frames.push(frame));
+  net.send(address, ping("two"));
+  net.send(address, ping("three"));
+  await arrived(frames, 2);
+  const said = frames.map(({ body }) => (body.case === "ping" ? body.value.about : body.case));
+  expect(said).toEqual(["two", "three"]);
+  net.close();
+  receiver.close();
+});
--- a/packages/edge/src/publishing/publishMessage.ts
+++ b/packages/edge/src/publishing/publishMessage.ts
@@ -1,5 +1,6 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { Plans } from "@cranetrack/core/configuration/plan.js";
+import { mayRepeat, type CallInit } from "@cranetrack/core/rpc/callKinds.js";
 import type { PublishReceipt, PublishSchema } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { Places } from "../subscriptions/place.js";
 import type { Session } from "../sessions/session.js";
@@ -80,13 +81,14 @@
   publish: MessageInitShape<typeof PublishSchema>,
 ): Promise<PublishReceipt | "mute" | undefined> {
   const { exchange, membership, shards, parts } = vise.node;
+  const call: CallInit = { case: "publish", value: publish };
   let isOpen = false;
   for (let left = end - parts.clock.now(); left > 0; left = end - parts.clock.now()) {
     const { holder } = shards.find(shard);
     if (exchange.isMute(holder) && !membership.isAlive(holder)) return isOpen ? undefined : "mute";
     // A short deadline gives this publish up, and not the holder, who may be slower than that and well.
     const body = await Promise.race([
-      exchange.call(holder, { case: "publish", value: publish }, vise.publishDue),
+      exchange.call(holder, call, vise.publishDue),
       shards.moved(shard, holder, parts.clock, left),
     ]);
     const receipt = body?.case === "publishReceipt" ? body.value : undefined;
@@ -96,7 +98,7 @@
     if (isFinal || (receipt !== undefined && !isOpen && receipt.reason !== "")) return receipt;
     if (receipt === undefined) isOpen = true;
     const isMoved = shards.find(shard).holder !== holder;
-    if (receipt === undefined && !isMoved) return undefined;
+    if (receipt === undefined && !(isMoved && mayRepeat(call))) return undefined;
     if (!(await isHeld(vise, shard, end))) return isOpen ? undefined : receipt;
     // Whoever has just claimed it does not serve yet.
     if (!isMoved) await new Promise<void>((resolve) => void parts.clock.once(againMs, resolve));
--- a/packages/testkit/src/sim/calls.test.ts
+++ b/packages/testkit/src/sim/calls.test.ts
@@ -1,9 +1,11 @@
 import { test } from "node:test";
 import { DrainKey } from "@cranetrack/core/keys/drainKey.js";
-import { Wire } from "@cranetrack/core/rpc/wire.js";
+import { Wire, type Body } from "@cranetrack/core/rpc/wire.js";
+import type { StoreChange } from "@cranetrack/core/store/storeClient.js";
 import { expect } from "earl";
 import { CallModel, type CallCounts } from "./callModel.js";
 import { served } from "./hand.js";
+import { SimLoad } from "./simLoad.js";
 
 const seeds = Array.from({ length: 20 }, (_, i) => 9000 + i);
 /** What must have come about over all seeds, so that the model is not passed by standing still. */
@@ -30,6 +32,22 @@
   expect(tooFew.map(([key]) => `${key} ${sums.get(key)}`)).toEqual([]);
 });
 
+test("an operators' order that was passed on is not passed on again after a silence, nor called undone", async () => {
+  const { fleet, load, ask } = await served(9100);
+  let passed = 0;
+  fleet.wires.mutate = (_from, _to, bytes) => {
+    const frame = Wire.decode(bytes);
+    if (frame?.body.case === "pass" && frame.body.value.method === "PUT") passed += 1;
+    return frame?.body.case === "passReceipt" ? [] : undefined;
+  };
+  const mark = load.nextMark;
+  const receipt = await ask("vise-1", "PUT", "/v1/plan", JSON.stringify(SimLoad.plan(mark)));
+  expect([passed, receipt["status"]]).toEqual([1, 504]);
+  fleet.wires.mutate = undefined;
+  const inForce = await ask("vise-2", "GET", "/v1/plan");
+  expect((JSON.parse(String(inForce["raw"])) as { mark: number }).mark).toEqual(mark);
+});
+
 test("a change without checks that comes once more, after another, does not undo that one", async () => {
   const { fleet } = await served(9101);
   const { store } = fleet.find("vise-1")!.node;
@@ -51,3 +69,33 @@
   await fleet.run(2000);
   expect(fleet.find(fleet.proposer!)!.lathe!.ledger!.metadata.get(key)).toEqual(undefined);
 });
+
+test("a transaction that a lathe passed on is not passed on again when another proposes; a revocation is", async () => {
+  const { fleet } = await served(9102);
+  const old = fleet.proposer!;
+  const passed: string[] = [];
+  fleet.wires.mutate = (from, _to, bytes) => {
+    const body = Wire.decode(bytes)?.body;
+    const calls = body?.case === "storeBatch" ? body.value.calls : [];
+    for (const { call, isPassed } of calls) if (isPassed) passed.push(call.case!);
+    return body?.case === "storeBatchReceipt" && from === fleet.addressOf(old) ? [] : undefined;
+  };
+  const other = fleet.withRole("lathe").find((name) => name !== old)!;
+  const { exchange } = fleet.find("vise-1")!.node;
+  const outcomes: string[] = [];
+  const ask = (call: StoreChange): void => {
+    const heed = (body: Body | undefined): void =>
+      void outcomes.push(`${call.case} ${body?.case === "storeReceipt" ? body.value.outcome : "silent"}`);
+    void exchange.call(other, { case: "storeCall", value: { call } }, 3000).then(heed);
+  };
+  await fleet.run(20);
+  passed.length = 0;
+  ask({ case: "txn", value: { puts: [{ key: "more/k" }] } });
+  ask({ case: "revoke", value: { lease: "none" } });
+  await fleet.run(20);
+  fleet.find(old)!.lathe!.ledger!.resign();
+  expect(await fleet.until(() => outcomes.length === 2, 3000)).toEqual(true);
+  expect(outcomes.sort()).toEqual(["revoke lost", "txn unsure"]);
+  const count = (kind: string): number => passed.filter((one) => one === kind).length;
+  expect([count("txn"), count("revoke") >= 1]).toEqual([1, true]);
+});
