Sessions: an owner that gives a session up without its state says so

Cause: a pull that comes again is answered from what was shipped, for 30 s. After that, and where the owner had lost the session, the answer was an empty "shipped": the new owner took the session for whole, and called publishes undone ("never will be") of which the earlier owner had handed over a try. Now the reply says that the state is lost (`is_lost`), and the new owner answers such publishes with unknown.

Ruled out: keeping shipped states for longer, which only moves the moment.

Not mended: where the owner's lease has run out and its key is gone, nothing tells an edge that the session had an owner; a publish that its holder does not take is called undone there, though another try may be on its way.

Before: "a session pulled again after its state was forgotten ..." fails (whole: true for false).

--- a/packages/core/src/rpc/callKinds.ts
+++ b/packages/core/src/rpc/callKinds.ts
@@ -56,7 +56,9 @@
   pull: {
     kind: "call",
     replies: ["pullReceipt"],
-    repetition: repeatable("the owner key's revision: what was shipped under it is kept and shipped again"),
+    repetition: repeatable(
+      "the owner key's revision: what was shipped under it is kept and shipped again, then told as lost",
+    ),
   },
   pass: { kind: "call", replies: ["passReceipt"], repetition: { kind: "byContent" } },
 
--- a/packages/edge/src/sessions/sessions.ts
+++ b/packages/edge/src/sessions/sessions.ts
@@ -159,6 +159,7 @@
         reason: `the owner ${owner.node} says ${receipt.value.outcome}`,
       };
     this.emit("step", "shipped", id);
+    if (receipt.value.isLost) this.#orphans.set(id, this.#node.parts.clock.now());
     return { state: receipt.value };
   }
 
@@ -204,12 +205,15 @@
     return body;
   }
 
-  /** The key names this node, which does not have the session: it lost it with a lease, or never got it. */
+  /**
+   * The key names this node, which does not have the session: it lost it with a lease, never got it, or shipped it to
+   * an asker that never wrote the key, longer ago than shipped states are kept.
+   */
   #shipNothing(pull: Pull): BodyInit {
     const owner = this.#table.get(pull.session);
     if (owner !== undefined || this.#claiming.has(pull.session))
       return { case: "pullReceipt", value: { outcome: "owned under another revision", comeBack: 0.3 } };
-    return { case: "pullReceipt", value: { outcome: "shipped" } };
+    return { case: "pullReceipt", value: { outcome: "shipped", isLost: true } };
   }
 
   /** A write whose outcome is unknown: what does the key say now? */
--- a/packages/testkit/src/sabotage/callSabotages.ts
+++ b/packages/testkit/src/sabotage/callSabotages.ts
@@ -146,4 +146,11 @@
     put: "if (false)",
     test: `${sim}/calls.test.js`,
   },
+  {
+    name: "a session that is given up without its state counts as whole",
+    file: "edge/dist/sessions/sessions.js",
+    find: "if (receipt.value.isLost)",
+    put: "if (false)",
+    test: `${sim}/calls.test.js`,
+  },
 ];
--- a/packages/testkit/src/sim/calls.test.ts
+++ b/packages/testkit/src/sim/calls.test.ts
@@ -2,9 +2,10 @@
 import { DrainKey } from "@cranetrack/core/keys/drainKey.js";
 import { Wire, type Body } from "@cranetrack/core/rpc/wire.js";
 import type { StoreChange } from "@cranetrack/core/store/storeClient.js";
+import { Sessions } from "@cranetrack/edge/sessions/sessions.js";
 import { expect } from "earl";
 import { CallModel, type CallCounts } from "./callModel.js";
-import { served } from "./hand.js";
+import { Hand, served } from "./hand.js";
 import { SimLoad } from "./simLoad.js";
 
 const seeds = Array.from({ length: 20 }, (_, i) => 9000 + i);
@@ -99,3 +100,18 @@
   const count = (kind: string): number => passed.filter((one) => one === kind).length;
   expect([count("txn"), count("revoke") >= 1]).toEqual([1, true]);
 });
+
+test("a session pulled again after its state was forgotten is not taken for whole", async () => {
+  const { fleet, publish } = await served(9103);
+  const first = new Hand(fleet, "vise-1", "desk", { subscriptions: [{ topic: "notes/t1" }] });
+  expect(await fleet.until(() => first.of("confirmed").length === 1, 5000)).toEqual(true);
+  expect((await publish("desk", 1))["receipt"]).toEqual("accepted");
+  // An asker that never hears the reply, nor writes the key.
+  const { epoch } = fleet.find("vise-1")!.vise!.sessions.table.get("desk")!;
+  const pull = { session: "desk", ownerRevision: epoch, asker: "vise-3" };
+  void fleet.find("vise-3")!.node.exchange.call("vise-1", { case: "pull", value: pull }, 500);
+  await fleet.run(Sessions.keepShippedMs + 2000);
+  const second = new Hand(fleet, "vise-2", "desk", { subscriptions: [{ topic: "notes/t1" }] });
+  expect(await fleet.until(() => second.of("confirmed").length === 1, 5000)).toEqual(true);
+  expect(fleet.find("vise-2")!.vise!.sessions.table.get("desk")!.isWhole).toEqual(false);
+});
