--- a/packages/log-storage/src/replication/replica.ts
+++ b/packages/log-storage/src/replication/replica.ts
@@ -1,14 +1,19 @@
 import { EventEmitter } from "node:events";
 import type { Entry, Pledge, ShardPull } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { FollowerLog } from "@cranetrack/core/replication/followerLog.js";
+import { LogCompaction, type CompactionBounds } from "@cranetrack/core/replication/logCompaction.js";
 import { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
 import type { LogReplicator } from "@cranetrack/core/replication/logReplicator.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { Clock } from "@cranetrack/core/runtime/clock.js";
 import type { Disk } from "@cranetrack/core/storage/disk.js";
 import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
 import { ShardState } from "../shards/shardState.js";
 import type { Verdict } from "../shards/streamLog.js";
 
+/** What a replica needs of its node. */
+export type ReplicaNode = Pick<ClusterNode, "groups" | "exchange"> & { readonly parts: { readonly clock: Clock } };
+
 export interface AppliedEntry {
   entry: Entry;
   verdict: Verdict | undefined;
@@ -25,14 +30,20 @@
   appended: [];
   installed: [];
 }> {
-  static readonly compactAt = 3000;
+  /** A machine holds replicas of many shards, so each keeps little. */
+  static readonly compaction: CompactionBounds = {
+    entries: 3000,
+    bytes: 4 * 1024 * 1024,
+    kept: { entries: 500, bytes: 1024 * 1024 },
+  };
 
   readonly shard: number;
   readonly id: string;
   readonly log: ReplicaLog;
   readonly state = new ShardState();
   readonly #intake: FollowerLog;
-  readonly #node: ClusterNode;
+  readonly #compaction: LogCompaction;
+  readonly #node: ReplicaNode;
   applied = 0;
   /** When a holder was last heard, of which epoch, and how far it said the log is committed. */
   #heard = { term: 0, at: -Infinity, commit: 0 };
@@ -41,13 +52,14 @@
   /** Set while this replica spreads its own log. */
   spread: LogReplicator | undefined;
 
-  constructor(shard: number, id: string, disk: Disk, node: ClusterNode) {
+  constructor(shard: number, id: string, disk: Disk, node: ReplicaNode) {
     super();
     this.setMaxListeners(0);
     this.shard = shard;
     this.id = id;
     this.#node = node;
     this.log = new ReplicaLog(disk, `shard${String(shard).padStart(3, "0")}`);
+    this.#compaction = new LogCompaction(this.log, Replica.compaction);
     this.#intake = new FollowerLog(
       this.log,
       id,
@@ -55,7 +67,7 @@
       (index, state) => this.#install(index, state),
       (state) => ShardState.isReadable(state),
     );
-    if (this.log.baseIndex > 0) this.#install(this.log.baseIndex, this.log.snapshot);
+    if (this.log.snapshotIndex > 0) this.#install(this.log.snapshotIndex, this.log.snapshot);
     node.groups.enlist(this.log.group, {
       append: (append, from) =>
         append.receiver === this.id
@@ -77,11 +89,11 @@
     while (this.applied < end) {
       const entry = this.log.at(this.applied + 1)!;
       this.applied += 1;
+      this.#compaction.applied(entry);
       const verdict = entry.kind === 0 ? this.state.apply(entry.data) : undefined;
       this.emit("applied", { entry, verdict });
     }
-    if (this.log.length > Replica.compactAt && this.applied - this.log.baseIndex > Replica.compactAt / 2)
-      void this.log.compact(this.applied, this.state.snapshot());
+    if (this.#compaction.isDue) void this.#compaction.compact(this.applied, this.state.snapshot());
   }
 
   /** The holder of an epoch says how far the log is committed. */
@@ -123,26 +135,30 @@
   pull(pull: ShardPull): BodyInit | undefined {
     if (pull.epoch !== this.log.term) return undefined;
     const isWhole = pull.after < this.log.baseIndex || this.log.termAt(pull.after) === undefined;
-    const after = isWhole ? this.log.baseIndex : pull.after;
+    const after = isWhole ? this.log.snapshotIndex : pull.after;
     const snapshot = isWhole ? this.log.snapshot : new Uint8Array();
     return {
       case: "shardPullReceipt",
       value: {
         isWhole,
-        baseIndex: this.log.baseIndex,
-        baseTerm: this.log.baseTerm,
+        baseIndex: this.log.snapshotIndex,
+        baseTerm: this.log.snapshotTerm,
         snapshot,
         entries: this.log.after(after, 16 * 1024 * 1024),
       },
     };
   }
 
-  /** Takes a better log in place of what this one has after its applied part. */
+  /**
+   * Takes a better log in place of what this one has after its applied part. Entries that both have stay where they
+   * are: this replica has answered for them.
+   */
   async replace(
     isWhole: boolean,
     base: { index: number; term: number; snapshot: Uint8Array },
     entries: readonly Entry[],
   ): Promise<void> {
+    if (isWhole && base.index > this.applied && this.log.termAt(base.index) === base.term) this.advance(base.index);
     if (isWhole && base.index > this.applied) {
       const installed = this.log.install(base.index, base.term, base.snapshot);
       this.#install(base.index, base.snapshot);
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,19 +1,13 @@
 import { callSabotages } from "./callSabotages.js";
-
-export interface Sabotage {
-  name: string;
-  /** Built file below packages/, and what to put in place of what. */
-  file: string;
-  find: string;
-  put: string;
-  /** The built test that must fail then. */
-  test: string;
-}
+import { logSabotages } from "./logSabotages.js";
+import type { Sabotage } from "./sabotage.js";
+import { membershipSabotages } from "./membershipSabotages.js";
 
 const sim = "testkit/dist/sim";
 
 /** Guards taken out on purpose; for each a test must fail. */
 export const sabotages: readonly Sabotage[] = [
+  ...membershipSabotages,
   {
     name: "a replica answers before its disk",
     file: "core/dist/replication/followerLog.js",
@@ -254,9 +248,9 @@
   },
   {
     name: "pushes before their follow's receipt are let go",
-    file: "edge/dist/fanout/shardFollow.js",
-    find: "return void this.#early.push(push);",
-    put: "return;",
+    file: "edge/dist/fanout/numberedPushes.js",
+    find: "this.#early.push(push);",
+    put: "",
     test: "edge/dist/fanout/shardFollow.test.js",
   },
   {
@@ -343,5 +337,6 @@
     put: "this.head = from;",
     test: "edge/dist/fanout/streamTail.test.js",
   },
+  ...logSabotages,
   ...callSabotages,
 ];
