Store's client: only a lathe that said what became of a call is asked first next time

Since calls that may be repeated go on after "unknown", a lathe that answers so (it is out of touch with the proposer) became the favourite of its node. Found by reading while a test of the sessions was looked into that failed for another reason; the store client's 3 tests pass.

--- a/packages/core/src/store/storeClient.ts
+++ b/packages/core/src/store/storeClient.ts
@@ -28,7 +28,7 @@
   readonly #exchange: RpcEndpoint;
   readonly #membership: Membership;
   readonly #clock: Clock;
-  /** The lathe that answered last; only a hint. */
+  /** The lathe that last said what became of a call; only a hint. */
   #favourite = "";
   /** Calls under way, and since when: a lathe that keeps one waiting is not given the next. */
   readonly #open = new Map<number, { name: string; at: number }>();
@@ -62,7 +62,10 @@
       const left = end - this.#clock.now();
       if (left <= 20) break;
       const receipt = await this.#timed(name, call, Math.min(left, mostMs));
-      if (receipt !== undefined && receipt.outcome !== "away" && receipt.outcome !== "unsure") return receipt;
+      if (receipt !== undefined && receipt.outcome !== "away" && receipt.outcome !== "unsure") {
+        this.#favourite = name;
+        return receipt;
+      }
       if (receipt?.outcome === "away") continue;
       isUnknown = true;
       if (!mayRepeatStoreCall(call.case)) break;
@@ -76,7 +79,6 @@
     this.#open.set(id, { name, at: this.#clock.now() });
     const receipt = await this.#ask(name, call, due);
     this.#open.delete(id);
-    if (receipt !== undefined && receipt.outcome !== "away") this.#favourite = name;
     return receipt;
   }
 
