--- a/packages/log-storage/src/replication/replica.test.ts
+++ b/packages/log-storage/src/replication/replica.test.ts
@@ -25,7 +25,8 @@
   onLost: () => undefined,
   drop: () => undefined,
 };
-const exchange = new RpcEndpoint("r", transport, clock);
+const chance = { draw: () => 0, identity: () => "0123456789abcdef" };
+const exchange = new RpcEndpoint("r", transport, clock, chance);
 const node: ReplicaNode = { exchange, groups: new LogGroups(exchange), parts: { clock } };
 const noop = (index: number, term: number): Entry => create(EntrySchema, { index, term, kind: 1 });
 
--- /dev/null
+++ b/packages/testkit/src/sim/calls.test.ts
@@ -0,0 +1,117 @@
+import { test } from "node:test";
+import { DrainKey } from "@cranetrack/core/keys/drainKey.js";
+import { Wire, type Body } from "@cranetrack/core/rpc/wire.js";
+import type { StoreChange } from "@cranetrack/core/store/storeClient.js";
+import { Sessions } from "@cranetrack/edge/sessions/sessions.js";
+import { expect } from "earl";
+import { CallModel, type CallCounts } from "./callModel.js";
+import { Hand, served } from "./hand.js";
+import { SimLoad } from "./simLoad.js";
+
+const seeds = Array.from({ length: 20 }, (_, i) => 9000 + i);
+/** What must have come about over all seeds, so that the model is not passed by standing still. */
+const wanted: Partial<CallCounts> = {
+  answered: 10_000,
+  unknown: 500,
+  carriedByOthers: 500,
+  restarts: 200,
+  restartsBesideFrozen: 50,
+  unasked: 100,
+  otherLife: 20,
+  repeated: 50,
+};
+
+test("every reply reaches the call that it is about, and what may not be repeated runs at most once", async () => {
+  const sums = new Map<string, number>();
+  for (const seed of seeds) {
+    const model = new CallModel(seed);
+    await model.run(10_000);
+    expect([seed, ...model.violations]).toEqual([seed]);
+    for (const [key, count] of Object.entries(model.counts)) sums.set(key, (sums.get(key) ?? 0) + Number(count));
+  }
+  const tooFew = Object.entries(wanted).filter(([key, least]) => (sums.get(key) ?? 0) < least);
+  expect(tooFew.map(([key]) => `${key} ${sums.get(key)}`)).toEqual([]);
+});
+
+test("an operators' order that was passed on is not passed on again after a silence, nor called undone", async () => {
+  const { fleet, load, ask } = await served(9100);
+  let passed = 0;
+  fleet.wires.mutate = (_from, _to, bytes) => {
+    const frame = Wire.decode(bytes);
+    if (frame?.body.case === "pass" && frame.body.value.method === "PUT") passed += 1;
+    return frame?.body.case === "passReceipt" ? [] : undefined;
+  };
+  const mark = load.nextMark;
+  const receipt = await ask("vise-1", "PUT", "/v1/plan", JSON.stringify(SimLoad.plan(mark)));
+  expect([passed, receipt["status"]]).toEqual([1, 504]);
+  fleet.wires.mutate = undefined;
+  const inForce = await ask("vise-2", "GET", "/v1/plan");
+  expect((JSON.parse(String(inForce["raw"])) as { mark: number }).mark).toEqual(mark);
+});
+
+test("a change without checks that comes once more, after another, does not undo that one", async () => {
+  const { fleet } = await served(9101);
+  const { store } = fleet.find("vise-1")!.node;
+  const key = DrainKey.of("anvil-1");
+  const done = async (change: object): Promise<string> => {
+    let outcome = "";
+    void store.txn(change).then((written) => (outcome = written.outcome));
+    expect(await fleet.until(() => outcome !== "", 3000)).toEqual(true);
+    return outcome;
+  };
+  // The first change comes again 500 ms later, also where it is passed on.
+  fleet.wires.mutate = (_from, _to, bytes) => {
+    const kind = Wire.decode(bytes)?.body.case;
+    return kind === "storeCall" || kind === "storeBatch" ? [0, 500].map((delay) => ({ bytes, delay })) : undefined;
+  };
+  expect(await done({ puts: [{ key, value: DrainKey.write() }] })).toEqual("done");
+  fleet.wires.mutate = undefined;
+  expect(await done({ deletes: [key] })).toEqual("done");
+  await fleet.run(2000);
+  expect(fleet.find(fleet.proposer!)!.lathe!.ledger!.metadata.get(key)).toEqual(undefined);
+});
+
+test("a transaction that a lathe passed on is not passed on again when another proposes; a revocation is", async () => {
+  const { fleet } = await served(9102);
+  const old = fleet.proposer!;
+  const passed: string[] = [];
+  fleet.wires.mutate = (from, _to, bytes) => {
+    const body = Wire.decode(bytes)?.body;
+    const calls = body?.case === "storeBatch" ? body.value.calls : [];
+    for (const { call, isPassed } of calls) if (isPassed) passed.push(call.case!);
+    return body?.case === "storeBatchReceipt" && from === fleet.addressOf(old) ? [] : undefined;
+  };
+  const other = fleet.withRole("lathe").find((name) => name !== old)!;
+  const { exchange } = fleet.find("vise-1")!.node;
+  const outcomes: string[] = [];
+  const ask = (call: StoreChange): void => {
+    const heed = (body: Body | undefined): void =>
+      void outcomes.push(`${call.case} ${body?.case === "storeReceipt" ? body.value.outcome : "silent"}`);
+    void exchange.call(other, { case: "storeCall", value: { call } }, 3000).then(heed);
+  };
+  await fleet.run(20);
+  passed.length = 0;
+  ask({ case: "txn", value: { puts: [{ key: "more/k" }] } });
+  ask({ case: "revoke", value: { lease: "none" } });
+  await fleet.run(20);
+  fleet.find(old)!.lathe!.ledger!.resign();
+  expect(await fleet.until(() => outcomes.length === 2, 3000)).toEqual(true);
+  expect(outcomes.sort()).toEqual(["revoke lost", "txn unsure"]);
+  const count = (kind: string): number => passed.filter((one) => one === kind).length;
+  expect([count("txn"), count("revoke") >= 1]).toEqual([1, true]);
+});
+
+test("a session pulled again after its state was forgotten is not taken for whole", async () => {
+  const { fleet, publish } = await served(9103);
+  const first = new Hand(fleet, "vise-1", "desk", { subscriptions: [{ topic: "notes/t1" }] });
+  expect(await fleet.until(() => first.of("confirmed").length === 1, 5000)).toEqual(true);
+  expect((await publish("desk", 1))["receipt"]).toEqual("accepted");
+  // An asker that never hears the reply, nor writes the key.
+  const { epoch } = fleet.find("vise-1")!.vise!.sessions.table.get("desk")!;
+  const pull = { session: "desk", ownerRevision: epoch, asker: "vise-3" };
+  void fleet.find("vise-3")!.node.exchange.call("vise-1", { case: "pull", value: pull }, 500);
+  await fleet.run(Sessions.keepShippedMs + 2000);
+  const second = new Hand(fleet, "vise-2", "desk", { subscriptions: [{ topic: "notes/t1" }] });
+  expect(await fleet.until(() => second.of("confirmed").length === 1, 5000)).toEqual(true);
+  expect(fleet.find("vise-2")!.vise!.sessions.table.get("desk")!.isWhole).toEqual(false);
+});
--- a/packages/testkit/src/sim/shards.test.ts
+++ b/packages/testkit/src/sim/shards.test.ts
@@ -212,6 +212,13 @@
     fleet.wires.heal();
     await fleet.run(3000);
     await acceptPlan(fleet, load, ["notes", "notices"]);
+    const before = load.history.seen.length;
+    const accepted = (): string[] =>
+      load.history.seen
+        .slice(before)
+        .flatMap((one) => (one.kind === "accepted" && one.topic === "notes/t1" ? [one.place] : []));
+    // The load picks its topics at random.
+    expect(await fleet.until(() => accepted().length > 0, 10_000)).toEqual(true);
     await fleet.run(3000);
     const births = new Set(
       load.history.seen.flatMap((one) =>
