--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -15,12 +15,20 @@
 import { MemberLog } from "./memberLog.js";
 import { VoterSets } from "./voterSets.js";
 import { judgeVote } from "./judgeVote.js";
+import { LeaderContact } from "./leaderContact.js";
 import { Metadata, type Applied } from "../store/metadata.js";
 import type { RaftNodeParts } from "./raftNodeParts.js";
 import { Proposals } from "./proposals.js";
 import { storeCompaction } from "./storeCompaction.js";
 import { SlowMajorityWatch } from "./slowMajorityWatch.js";
 
+/** What a leader sends: its commit index, where the message tells of one. */
+interface LeaderMessage {
+  term: number;
+  sender: string;
+  commit?: number;
+}
+
 /**
  * One lathe's part in the replicated log, by Raft's rules. Which lathe proposes changes with every
  * election and has no lasting meaning.
@@ -43,8 +51,7 @@
   readonly #exchange: RpcEndpoint;
   readonly #clock: Clock;
   readonly #electionMs: number;
-  /** Without a majority, or a proposer, for longer than this, a lathe stops speaking for the store. */
-  readonly #inTouchMs: number;
+  readonly #contact: LeaderContact;
   readonly #chance: RandomSource;
   readonly #ring: LogBuffer;
   readonly #intake: FollowerLog;
@@ -56,7 +63,6 @@
   #commit: number;
   #applied: number;
   #proposer = "";
-  #heardAt: number;
   #electionAt = 0;
   #votes = new Set<string>();
   /** 0 when not asking, else the term asked for. */
@@ -79,12 +85,11 @@
     this.#exchange = parts.exchange;
     this.#clock = parts.clock;
     this.#electionMs = parts.electionMs;
-    this.#inTouchMs = parts.electionMs * 1.3;
+    this.#contact = new LeaderContact(parts.clock, parts.electionMs);
     this.#chance = parts.chance;
     this.#ring = parts.ring;
-    this.#heardAt = parts.clock.now();
     this.#commit = this.#applied = this.#log.snapshotIndex;
-    this.#compaction = new LogCompaction(this.#log, storeCompaction);
+    this.#compaction = new LogCompaction(this.#log, parts.compaction ?? storeCompaction);
     this.#proposals = new Proposals(this.#log, this.#clock);
     this.#memberLog = new MemberLog(this.#log);
     const propose = (data: Uint8Array): void => void this.propose(data, entryKind.members);
@@ -98,8 +103,12 @@
       (state) => Metadata.isReadable(state),
     );
     this.#findMembers();
-    this.#exchange.serve("vote", (vote, frame) => this.#vote(vote, frame.from));
-    this.#exchange.serve("voteReceipt", (receipt) => this.#count(receipt));
+    this.#exchange.serve("vote", (vote, frame) =>
+      parts.isTrusted(vote.candidate) ? this.#vote(vote, frame.from) : undefined,
+    );
+    this.#exchange.serve("voteReceipt", (receipt) =>
+      parts.isTrusted(receipt.voter) ? this.#count(receipt) : undefined,
+    );
     this.#exchange.serve("yield", (yielded) => this.#succeed(yielded));
     parts.groups.enlist(this.#log.group, {
       append: (append, from) =>
@@ -111,7 +120,7 @@
           ? this.#take(snapshot, from, () => this.#intake.takeSnapshot(snapshot, this.#commit))
           : undefined,
       receipt: (receipt) => {
-        if (receipt.receiver === this.id) this.#spread?.take(receipt);
+        if (receipt.receiver === this.id && parts.isTrusted(receipt.sender)) this.#spread?.take(receipt);
       },
     });
     this.#rearm();
@@ -140,10 +149,10 @@
     return this.#log.term;
   }
 
-  /** Whether a majority stands behind what this lathe tells its feeds. */
+  /** Whether a majority stands behind what this lathe tells its feeds, and it has all that was committed. */
   get isInTouch(): boolean {
-    if (this.#spread !== undefined) return this.isLeader && this.#spread.majorityAgo() < this.#inTouchMs;
-    return this.#proposer !== "" && this.#clock.now() - this.#heardAt < this.#inTouchMs;
+    if (this.#spread === undefined) return this.#proposer !== "" && this.#contact.isCurrent;
+    return this.isLeader && !this.#contact.hasJustResumed && this.#spread.majorityAgo() < this.#contact.limitMs;
   }
 
   /** Undefined: not the proposer any more; the command may or may not be carried out. */
@@ -175,24 +184,23 @@
     if (this.isLeader) this.memberExchange.begin(this.#commit, voters, learners);
   }
 
-  async #take(
-    message: { term: number; sender: string },
-    from: string,
-    take: () => Promise<BodyInit>,
-  ): Promise<undefined> {
+  async #take(message: LeaderMessage, from: string, take: () => Promise<BodyInit>): Promise<undefined> {
+    const isLed = message.term >= this.#log.term && message.term > this.#yieldedTerm;
     if (message.term >= this.#log.term) {
       this.#isStandingBy = false;
       if (message.term > this.#log.term) this.#stepDown("a higher term");
-      if (message.term > this.#yieldedTerm) this.#heed(message.sender);
+      if (isLed) this.#heed(message.sender);
     }
-    const receipt = await take();
+    const taken = take();
+    if (isLed && this.#applied >= (message.commit ?? Infinity)) this.#contact.current();
+    // In force from when they are in the log, not only once the disk has them (thesis, 4.1).
     this.#findMembers();
-    this.#exchange.tell(from, receipt);
+    this.#exchange.tell(from, await taken);
     return undefined;
   }
 
   #heed(sender: string): void {
-    this.#heardAt = this.#clock.now();
+    this.#contact.heard();
     this.#asking = 0;
     this.#rearm();
     if (this.#proposer === sender) return;
@@ -202,8 +210,9 @@
 
   #beat(): void {
     const now = this.#clock.now();
+    this.#contact.beat();
     if (this.#spread !== undefined) {
-      if (this.#spread.majorityAgo() > this.#inTouchMs) return this.#stepDown("no majority answers");
+      if (this.#spread.majorityAgo() > this.#contact.limitMs) return this.#stepDown("no majority answers");
       if (this.#slowWatch.isSlow(now, this.#spread.answerMs)) return this.#giveWay(now);
       return this.#spread.beat();
     }
@@ -251,8 +260,7 @@
 
   async #vote(vote: Vote, from: string): Promise<undefined> {
     if (vote.founding !== this.founding || !Number.isSafeInteger(vote.term)) return undefined;
-    const isLed =
-      this.#spread !== undefined || (this.#proposer !== "" && this.#clock.now() - this.#heardAt < this.#electionMs);
+    const isLed = this.#spread !== undefined || (this.#proposer !== "" && this.#contact.heardAgo < this.#electionMs);
     const isGranted = judgeVote(vote, this.#log, isLed);
     if (!vote.isPre && !isLed) {
       if (vote.term > this.#log.term || isGranted) {
@@ -331,9 +339,7 @@
     this.#proposer = "";
     this.#yieldedTerm = term;
     this.#tellVoters({ case: "yield", value: { term, sender } }, sender);
-    const ids = VoterSets.all(this.members)
-      .map((one) => one.id)
-      .filter((id) => id !== sender);
+    const ids = VoterSets.ids(this.members).filter((id) => id !== sender);
     this.#electionAt = this.#clock.now() + Rendezvous.rank(String(term), ids).indexOf(this.id) * RaftNode.turnMs;
     return undefined;
   }
@@ -395,9 +401,7 @@
   }
 
   #enlist(): void {
-    this.#spread?.enlist(
-      VoterSets.of(this.members).map((set) => set.map((one) => one.id)),
-      this.members.learners.map((one) => one.id),
-    );
+    const learners = this.members.learners.map((one) => one.id);
+    this.#spread?.enlist(VoterSets.idSets(this.members), learners);
   }
 }
