--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -4,6 +4,7 @@
 import { LogCompaction } from "@cranetrack/core/replication/logCompaction.js";
 import type { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
 import { LogReplicator } from "@cranetrack/core/replication/logReplicator.js";
+import type { Group } from "@cranetrack/core/replication/logGroups.js";
 import type { RandomSource } from "@cranetrack/core/runtime/random.js";
 import type { Clock } from "@cranetrack/core/runtime/clock.js";
 import type { RpcEndpoint } from "@cranetrack/core/rpc/rpcEndpoint.js";
@@ -11,6 +12,7 @@
 import type { LogBuffer } from "@cranetrack/core/runtime/logBuffer.js";
 import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
 import { entryKind } from "./entryKind.js";
+import { ownMessages } from "./ownMessages.js";
 import { MemberExchange } from "./memberExchange.js";
 import { MemberLog } from "./memberLog.js";
 import { VoterSets } from "./voterSets.js";
@@ -103,19 +105,12 @@
       parts.isTrusted(receipt.voter) ? this.#count(receipt) : undefined,
     );
     this.#exchange.serve("yield", (yielded) => this.#succeed(yielded));
-    parts.groups.enlist(this.#log.group, {
-      append: (append, from) =>
-        append.receiver === this.id
-          ? this.#take(append, from, () => this.#intake.take(append, this.#commit))
-          : undefined,
-      snapshot: (snapshot, from) =>
-        snapshot.receiver === this.id
-          ? this.#take(snapshot, from, () => this.#intake.takeSnapshot(snapshot, this.#commit))
-          : undefined,
-      receipt: (receipt) => {
-        if (receipt.receiver === this.id && parts.isTrusted(receipt.sender)) this.#spread?.take(receipt);
-      },
-    });
+    const group: Group = {
+      append: (append, from) => this.#take(append, from, () => this.#intake.take(append, this.#commit)),
+      snapshot: (snapshot, from) => this.#take(snapshot, from, () => this.#intake.takeSnapshot(snapshot, this.#commit)),
+      receipt: (receipt) => this.#spread?.take(receipt),
+    };
+    parts.groups.enlist(this.#log.group, ownMessages(this.id, parts.isTrusted, group));
     this.#rearm();
     this.#clock.every(RaftNode.beatMs, () => this.#beat());
   }
@@ -400,7 +395,6 @@
   }
 
   #enlist(): void {
-    const learners = this.members.learners.map((one) => one.id);
-    this.#spread?.enlist(VoterSets.idSets(this.members), learners);
+    this.#spread?.enlist(VoterSets.idSets(this.members), VoterSets.learnerIds(this.members));
   }
 }
--- a/packages/control/src/consensus/voterSets.ts
+++ b/packages/control/src/consensus/voterSets.ts
@@ -27,6 +27,10 @@
     return VoterSets.of(members).map((set) => set.map((one) => one.id));
   },
 
+  learnerIds(members: Members): string[] {
+    return members.learners.map((one) => one.id);
+  },
+
   isVoter(members: Members, id: string): boolean {
     return VoterSets.all(members).some((one) => one.id === id);
   },
--- a/packages/control/src/drain/drainCapacity.ts
+++ b/packages/control/src/drain/drainCapacity.ts
@@ -21,11 +21,8 @@
 
 const atRisk = (message: string): ApiReply => ApiReplies.fault(409, "contract-at-risk", message);
 
-/** A set survives f machines with 2f + 1 replicas; three are the least that any set has. */
-function replicasAtRisk({ plan }: ClusterNode, left: readonly Member[]): ApiReply | undefined {
-  const rules = plan.plan?.spaces.flatMap((space) => space.program) ?? [];
-  const budgets = rules.filter(({ owe }) => owe.keep > 0).map(({ owe }) => owe.fault_budget.machines ?? 0);
-  const needed = 2 * Math.max(1, ...budgets) + 1;
+function replicasAtRisk({ parts }: ClusterNode, left: readonly Member[]): ApiReply | undefined {
+  const needed = parts.settings.replicas;
   const disks = left.filter((one) => one.shelf !== "").length;
   if (disks >= needed) return undefined;
   return atRisk(`only ${disks} machines with a disk would be left, and each shard needs ${needed}`);
