Drains: the test for a node that lags, which refuses nothing

Cause: since a drain begins with a confirmed read, the sabotage that takes the freshness guard out was not caught by cutOff.test.ts any more (a node that is cut off fails at the read): the guard still stands between a node that can ask the store but lags behind it, and a definite refusal.

--- a/packages/testkit/src/sabotage/cutOffSabotages.ts
+++ b/packages/testkit/src/sabotage/cutOffSabotages.ts
@@ -37,6 +37,6 @@
     file: "control/dist/drain/drainMachine.js",
     find: "node.feed.isFresh",
     put: "true",
-    test: "testkit/dist/sim/cutOff.test.js",
+    test: "testkit/dist/sim/drains.test.js",
   },
 ];
--- a/packages/testkit/src/sim/drains.test.ts
+++ b/packages/testkit/src/sim/drains.test.ts
@@ -1,6 +1,7 @@
 import { test } from "node:test";
 import { DrainMachine } from "@cranetrack/control/drain/drainMachine.js";
 import { DrainKey } from "@cranetrack/core/keys/drainKey.js";
+import { Wire } from "@cranetrack/core/rpc/wire.js";
 import { expect } from "earl";
 import type { Machine } from "../fleet/deployments.js";
 import { served, type Served } from "./hand.js";
@@ -149,6 +150,21 @@
   for (const name of ["lathe-1", "lathe-9"]) expect((await ask("lathe-1", "PUT", path(name)))["status"]).toEqual(503);
 });
 
+test("a node that lags behind the store refuses no drain, though it can ask the store", async () => {
+  const all = await served(216, machines(3));
+  const { fleet, ask } = all;
+  const node = voters(fleet).find((one) => one !== fleet.proposer)!;
+  fleet.wires.mutate = (_from, to, bytes) =>
+    to === fleet.addressOf(node) && Wire.decode(bytes)?.body.case === "feedPush" ? [] : undefined;
+  expect(await fleet.until(() => !fleet.find(node)!.node.feed.isFresh, 10_000)).toEqual(true);
+  const leaving = others(fleet, node)[0]!;
+  expect((await ask(node, "GET", path(leaving)))["status"]).toEqual(200);
+  expect((await ask(node, "PUT", path(leaving)))["status"]).toEqual(503);
+  fleet.wires.heal();
+  expect(await fleet.until(() => fleet.find(node)!.node.feed.isFresh, 10_000)).toEqual(true);
+  expect((await ask(node, "PUT", path(leaving)))["status"]).toEqual(409);
+});
+
 test("two orders at once, of which only one can be kept: one is taken; the same one twice is taken twice", async () => {
   for (const seed of [208, 209, 210, 211, 212, 213]) {
     const { fleet } = await served(seed, machines(4));
