--- a/packages/testkit/src/sim/replicaSets.test.ts
+++ b/packages/testkit/src/sim/replicaSets.test.ts
@@ -19,7 +19,7 @@
 
 /** Control nodes that keep topic logs themselves, with no spare beside them; later ones only join. */
 const storing = (count: number): Machine[] => {
-  const settings = { stores: true, lathes: 3, founders: [...founders] };
+  const settings = { stores: true, lathes: 3, founders: [...founders], replaceVoterMs: 1000 };
   return [
     ...Scenario.machines(count, 0, 0).map((machine) => ({ ...machine, settings })),
     ...Scenario.machines(0, 0, 2),
@@ -110,6 +110,26 @@
       expect(isWhole).toEqual(true);
     });
 
+for (const seed of [201, 204, 205, 211, 212])
+  test(`a control node that stores and leads the store is replaced, a disk goes: none lost (${seed})`, async () => {
+    const fleet = new SimFleet(seed, storing(4), 12);
+    const load = await begin(fleet, ["lathe-4"]);
+    for (const name of fleet.withRole("lathe")) fleet.configure(name, { mayFound: false });
+    const lost = fleet.proposer!;
+    fleet.retire(lost);
+    await fleet.run(1000);
+    fleet.start("lathe-4");
+    await fleet.run(syncMs);
+    const isWhole = setsOf(fleet).every((members) => members.every((member) => member.name !== lost));
+    const left = fleet.withRole("lathe").filter((name) => name !== lost);
+    fleet.wipe(left[0]!);
+    for (const name of left) fleet.kill(name);
+    await fleet.run(1700);
+    for (const name of left) fleet.start(name);
+    expect(await judged(fleet, load)).toEqual([]);
+    expect(isWhole).toEqual(true);
+  });
+
 test("a machine that is back soon keeps its replicas, and one that stays away does not", async () => {
   const fleet = new SimFleet(211, withStorage(4, { replaceReplicaMs: 4000 }));
   const load = await begin(fleet, []);
