--- a/packages/testkit/src/sim/simPort.ts
+++ b/packages/testkit/src/sim/simPort.ts
@@ -7,8 +7,6 @@
 
 const away: PortReceipt = { status: 503, body: { error: { code: "unreachable" } }, comeBack: 0.3 };
 
-const broken = (): PortReceipt => ({ status: 0, body: { error: { code: "broken" } }, comeBack: 0.3 });
-
 /** An answer as a node gave it, whether it arrives or not. */
 export interface GivenAnswer {
   name: string;
@@ -115,20 +113,24 @@
     const isOrder = method !== "GET" && method !== "POST";
     if (!isOrder || this.answerLoss === 0 || this.#fleet.world.chance.draw() >= this.answerLoss) return answered;
     const { world } = this.#fleet;
-    return new Promise((resolve) => void world.at(world.now + SimPort.silenceMs, () => resolve(broken())));
+    return new Promise((resolve) => void world.at(world.now + SimPort.silenceMs, () => resolve(SimPort.#broken())));
   }
 
-  /** A call on what runs on a node, carried there and back. */
+  /** A call on what runs on a node, carried there and back as `call` is. */
   run(name: string, act: (simNode: SimNode) => Promise<ApiReply>): Promise<PortReceipt> {
     const simNode = this.#fleet.find(name);
     if (simNode === undefined) return this.#later(away);
     return this.#ask<PortReceipt>(
       simNode,
       (settle) => void act(simNode).then((receipt) => settle(SimPort.#read(receipt))),
-      broken,
+      SimPort.#broken,
     );
   }
 
+  static #broken(): PortReceipt {
+    return { status: 0, body: { error: { code: "broken" } }, comeBack: 0.3 };
+  }
+
   static #read(receipt: ApiReply): PortReceipt {
     const raw = typeof receipt.body === "string" ? receipt.body : Buffer.from(Router.encode(receipt.body)).toString();
     let body: Record<string, unknown> = {};
