--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -99,19 +99,11 @@
     this.#exchange.serve("vote", (vote, frame) =>
       parts.isTrusted(vote.candidate) ? this.#vote(vote, frame.from) : undefined,
     );
-    this.#exchange.serve("voteReceipt", (receipt) =>
-      parts.isTrusted(receipt.voter) ? this.#count(receipt) : undefined,
-    );
+    this.#exchange.serve("voteReceipt", (got) => (parts.isTrusted(got.voter) ? this.#count(got) : undefined));
     this.#exchange.serve("yield", (yielded) => this.#succeed(yielded));
     parts.groups.enlist(this.#log.group, {
-      append: (append, from) =>
-        append.receiver === this.id
-          ? this.#take(append, from, () => this.#intake.take(append, this.#commit))
-          : undefined,
-      snapshot: (snapshot, from) =>
-        snapshot.receiver === this.id
-          ? this.#take(snapshot, from, () => this.#intake.takeSnapshot(snapshot, this.#commit))
-          : undefined,
+      append: (append, from) => this.#take(append, from, () => this.#intake.take(append, this.#commit)),
+      snapshot: (snapshot, from) => this.#take(snapshot, from, () => this.#intake.takeSnapshot(snapshot, this.#commit)),
       receipt: (receipt) => {
         if (receipt.receiver === this.id && parts.isTrusted(receipt.sender)) this.#spread?.take(receipt);
       },
@@ -178,10 +170,11 @@
   }
 
   async #take(
-    message: { term: number; sender: string; commit?: number },
+    message: { term: number; sender: string; receiver: string; commit?: number },
     from: string,
     take: () => Promise<BodyInit>,
   ): Promise<undefined> {
+    if (message.receiver !== this.id) return undefined;
     const isLed = message.term >= this.#log.term && message.term > this.#yieldedTerm;
     if (message.term >= this.#log.term) {
       this.#isStandingBy = false;
