--- a/packages/testkit/src/sim/machineActs.ts
+++ b/packages/testkit/src/sim/machineActs.ts
@@ -56,7 +56,7 @@
 
   /** One that stores is emptied, and as soon as that is said to be done, another one's disk is lost. */
   readonly emptiedWipe: Act = (_name, ms) => {
-    if (!this.fleet.isWhole) return Acts.notNow;
+    if (!this.fleet.mayLose) return Acts.notNow;
     const machine = this.chance.pick(this.fleet.withRole("anvil").filter((one) => this.fleet.isUsed(one)));
     this.load.ask("PUT", machine);
     const look = (left: number): void => {
@@ -64,7 +64,7 @@
       void this.load.isEmptied(machine).then((isEmptied) => {
         const others = this.counted.filter((one) => one !== machine);
         if (!isEmptied) this.later(250, () => look(left - 1));
-        else if (this.fleet.isWhole) this.#wipe(this.chance.pick(others));
+        else if (this.fleet.mayLose) this.#wipe(this.chance.pick(others));
       });
     };
     this.later(500, () => look(30));
@@ -120,14 +120,14 @@
   /** One loss is what is promised: while another is still to be mended, nothing is taken for good. */
   #replaceable(): string | undefined {
     const names = this.counted.filter((one) => this.fleet.find(one) !== undefined);
-    return this.fleet.isWhole && names.length > 0 ? this.chance.pick(names) : undefined;
+    return this.fleet.mayLose && names.length > 0 ? this.chance.pick(names) : undefined;
   }
 
   #start(old: string): void {
     this.#replaced += 1;
-    const { role, zone }: Machine = this.fleet.machineOf(old);
+    const { role, zone, settings }: Machine = this.fleet.machineOf(old);
     const name = `${role}-new-${this.#replaced}`;
-    this.fleet.enlist({ name, role, zone, settings: { mayFound: false } });
+    this.fleet.enlist({ name, role, zone, settings: { ...settings, mayFound: false } });
     this.fleet.start(name);
   }
 
--- a/packages/testkit/src/sim/orderActs.ts
+++ b/packages/testkit/src/sim/orderActs.ts
@@ -67,12 +67,12 @@
 
   /** A disk is lost 5 to 400 ms after a change was sent. */
   readonly sentWipe: Act = () => {
-    if (!this.fleet.isWhole) return Acts.notNow;
+    if (!this.fleet.mayLose) return Acts.notNow;
     const name = this.chance.pick(this.counted);
     this.#change();
     const ms = this.chance.between(...OrderActs.sentMs);
     this.later(ms, () => {
-      if (this.fleet.isWhole) this.#fall([name], (one) => this.fleet.wipe(one));
+      if (this.fleet.mayLose) this.#fall([name], (one) => this.fleet.wipe(one));
     });
     return ms + 2000;
   };
@@ -101,9 +101,9 @@
   }
 
   #wipeAfterAck(others: readonly string[]): number {
-    if (!this.fleet.isWhole) return Acts.notNow;
+    if (!this.fleet.mayLose) return Acts.notNow;
     return this.#afterAck((acknowledging) => {
-      if (!this.fleet.isWhole) return;
+      if (!this.fleet.mayLose) return;
       const isCounted = this.counted.includes(acknowledging);
       const lost = isCounted && this.chance.draw() < 0.5 ? acknowledging : this.chance.pick(this.counted);
       for (const one of others) if (one !== lost) this.fleet.kill(one);
--- a/packages/testkit/src/sim/scenario.ts
+++ b/packages/testkit/src/sim/scenario.ts
@@ -4,6 +4,7 @@
 import { Lateness } from "../checker/lateness.js";
 import type { Probe } from "../fleet/probe.js";
 import { Faults, type FaultName } from "./faults.js";
+import { LossBudget } from "./lossBudget.js";
 import { SimFleet } from "./simFleet.js";
 import { SimLoad } from "./simLoad.js";
 
@@ -31,6 +32,8 @@
   /** Machines that are not there at the beginning. */
   later?: readonly string[];
   prepare?: (fleet: SimFleet) => void;
+  /** The next disk may be lost so long after the last loss was over, mended or not. */
+  syncMs?: number;
 }
 
 /**
@@ -42,6 +45,11 @@
   backMs: 12_000,
   fairMs: 4000,
 
+  /** In the users' shortest time from a successor's start until the next loss may come. */
+  syncMs: 4000,
+  /** With which a repair is over by then. */
+  quickRepair: { replaceVoterMs: 1333, replaceReplicaMs: 3000, replaceByNewcomerMs: 800 },
+
   machines(lathes = 3, anvils = 3, vises = 3): Machine[] {
     const zones = ["north", "south", "west"];
     const make = (role: Machine["role"], count: number): Machine[] =>
@@ -49,15 +57,22 @@
     return [...make("lathe", lathes), ...make("anvil", anvils), ...make("vise", vises)];
   },
 
-  /** Every third seed on a larger fleet, with machines to be added; every fourth with clocks that disagree. */
-  shapeOf(seed: number): Pick<ScenarioOptions, "machines" | "later" | "prepare"> {
+  /**
+   * Every third seed on a larger fleet, with machines to be added; every fourth with clocks that disagree; every
+   * second with losses as users count them, by the time since the last.
+   */
+  shapeOf(seed: number): Omit<ScenarioOptions, "faults" | "faultMs" | "isDealt" | "callers"> {
     const isLarge = seed % 3 === 0;
+    const isQuick = seed % 2 === 0;
     const prepare = (fleet: SimFleet): void => {
       if (seed % 4 !== 0) return;
       const chance = fleet.world.chance.fork();
       for (const name of fleet.names) fleet.setRate(name, chance.between(0.97, 1.03));
     };
-    return isLarge ? { machines: Scenario.machines(5, 4, 5), later: ["anvil-4", "vise-5"], prepare } : { prepare };
+    const plain = isLarge ? Scenario.machines(5, 4, 5) : Scenario.machines();
+    const machines = isQuick ? plain.map((one) => ({ ...one, settings: Scenario.quickRepair })) : plain;
+    const later = isLarge ? { later: ["anvil-4", "vise-5"] } : {};
+    return { machines, prepare, ...later, ...(isQuick ? { syncMs: Scenario.syncMs } : {}) };
   },
 
   async run(seed: number, options: ScenarioOptions = {}): Promise<ScenarioReport> {
@@ -96,6 +111,7 @@
       breach("service-back", "the fleet never came to serve");
       return report(Infinity);
     }
+    if (options.syncMs !== undefined) fleet.budget = new LossBudget(fleet, options.syncMs);
     load.play(25);
     await fleet.run(2000);
     await faults.rage(options.faultMs ?? 25_000, options.isDealt);
--- a/packages/testkit/src/sim/simDisk.ts
+++ b/packages/testkit/src/sim/simDisk.ts
@@ -55,6 +55,10 @@
     this.#isFull = isFull;
   }
 
+  get isTroubled(): boolean {
+    return this.slowness > 1 || this.#isFull || this.#hungUntil > this.#world.now || this.onRefuse !== undefined;
+  }
+
   /** Takes and answers everything again. */
   mend(): void {
     this.slowness = 1;
--- a/packages/testkit/src/sim/simFleet.ts
+++ b/packages/testkit/src/sim/simFleet.ts
@@ -1,5 +1,6 @@
 import { SettingsReader, type Settings } from "@cranetrack/core/runtime/settings.js";
 import type { Machine } from "../fleet/deployments.js";
+import type { LossBudget } from "./lossBudget.js";
 import { SimDisk } from "./simDisk.js";
 import { SimNode } from "./simNode.js";
 import { SimPort } from "./simPort.js";
@@ -27,6 +28,8 @@
   readonly world: SimWorld;
   readonly wires: SimWires;
   readonly port: SimPort;
+  /** How losses are counted; none given, each is mended before the next. */
+  budget: LossBudget | undefined;
   readonly #slots = new Map<string, Slot>();
   readonly #shared: { seeds: Settings["seeds"]; shards: number; lathes: number };
 
@@ -165,6 +168,11 @@
     return routes.map(([, route]) => route.holder).find((holder) => holder !== "");
   }
 
+  /** Whether one more disk may be lost: by the time since the last loss, or else once all before are mended. */
+  get mayLose(): boolean {
+    return this.budget === undefined ? this.isWhole : this.budget.isFree;
+  }
+
   /** Every disk that anything was promised on is there: no loss is still to be mended. */
   get isWhole(): boolean {
     const { proposer } = this;
--- a/packages/testkit/src/sim/simTransport.ts
+++ b/packages/testkit/src/sim/simTransport.ts
@@ -87,6 +87,10 @@
     this.#world.at(port.body.pausedUntil, () => this.#tellReset(port, address));
   }
 
+  get isTroubled(): boolean {
+    return this.#cuts.size > 0 || this.slow.size > 0 || this.loss > 0;
+  }
+
   mend(from: string, to: string): void {
     this.#cuts.delete(`${from}>${to}`);
   }
