--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -108,9 +108,7 @@
     this.#exchange.serve("vote", (vote, frame) =>
       parts.isTrusted(vote.candidate) ? this.#vote(vote, frame.from) : undefined,
     );
-    this.#exchange.serve("voteReceipt", (receipt) =>
-      parts.isTrusted(receipt.voter) ? this.#count(receipt) : undefined,
-    );
+    this.#exchange.serve("voteReceipt", (got) => (parts.isTrusted(got.voter) ? this.#count(got) : undefined));
     this.#exchange.serve("yield", (yielded) => this.#succeed(yielded));
     const group: Group = {
       append: (append, from) => this.#take(append, from, () => this.#intake.take(append, this.#commit)),
