Feeds: a node's memory of changes leaves large values out

Hundreds of changes of a configuration of 300 routes are tens of megabytes on every node. Views still see each change whole; what is remembered of it has no large value.

--- a/packages/core/src/feeds/changeJournal.ts
+++ b/packages/core/src/feeds/changeJournal.ts
@@ -6,12 +6,15 @@
  */
 export class ChangeJournal<Event> extends EventEmitter<{ appended: [] }> {
   readonly #most: number;
+  readonly #remember: (event: Event) => Event;
   readonly #folds: Array<(event: Event) => void> = [];
   #events: Event[] = [];
 
-  constructor(most = 2000) {
+  /** `remember` gives the form in which an event is kept; views see it as it is. */
+  constructor(most = 2000, remember: (event: Event) => Event = (event) => event) {
     super();
     this.setMaxListeners(0);
+    this.#remember = remember;
     this.#most = most;
   }
 
@@ -24,7 +27,7 @@
   }
 
   append(event: Event): void {
-    this.#events.push(event);
+    this.#events.push(this.#remember(event));
     if (this.#events.length > this.#most * 2) this.#events = this.#events.slice(-this.#most);
     for (const fold of this.#folds) fold(event);
     this.emit("appended");
--- a/packages/core/src/runtime/clusterNode.ts
+++ b/packages/core/src/runtime/clusterNode.ts
@@ -8,16 +8,22 @@
 import { MachinesView } from "../feeds/machinesView.js";
 import { PlanView } from "../configuration/planView.js";
 import { ShardsView } from "../feeds/shardsView.js";
+import { PackedValue } from "../store/packedValue.js";
 import { StoreClient } from "../store/storeClient.js";
 
 /** What every process of the fleet is made of, whatever its role. */
 export class ClusterNode {
+  static readonly #mostChanges = 2000;
+  /** Some thousands of whole configurations would be more than a process's memory. */
+  static readonly #withoutLarge = (change: Change): Change =>
+    change.value !== undefined && PackedValue.isLarge(change.value) ? { ...change, value: new Uint8Array() } : change;
+
   readonly parts: NodeParts;
   readonly exchange: RpcEndpoint;
   readonly groups: LogGroups;
   readonly membership: Membership;
   readonly store: StoreClient;
-  readonly journal = new ChangeJournal<Change>();
+  readonly journal = new ChangeJournal<Change>(ClusterNode.#mostChanges, ClusterNode.#withoutLarge);
   readonly feed: FeedFollower;
   readonly machines: MachinesView;
   readonly plan: PlanView;
--- a/packages/testkit/src/sabotage/configurationSabotages.ts
+++ b/packages/testkit/src/sabotage/configurationSabotages.ts
@@ -53,4 +53,11 @@
     put: "kv",
     test: storm,
   },
+  {
+    name: "changes are remembered with their large values",
+    file: "core/dist/runtime/clusterNode.js",
+    find: "{ ...change, value: new Uint8Array() }",
+    put: "change",
+    test: storm,
+  },
 ];
--- a/packages/testkit/src/sim/configurationStorm.test.ts
+++ b/packages/testkit/src/sim/configurationStorm.test.ts
@@ -78,6 +78,10 @@
 const marks = (fleet: SimFleet): number[] =>
   fleet.names.flatMap((name) => (fleet.find(name) === undefined ? [] : [fleet.find(name)!.node.plan.mark]));
 
+/** Bytes of the changes that a node remembers. */
+const keptBytes = (fleet: SimFleet, name: string): number =>
+  fleet.find(name)!.node.journal.recent.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+
 test("200 changes of a configuration of 300 routes move a fifth of its bytes each, to all nodes together", async () => {
   const fleet = await started(401, 300);
   const counted = countBytes(fleet);
@@ -90,6 +94,7 @@
     expect(Math.min(...marks(fleet)) >= mark - 3).toEqual(true);
   }
   await fleet.run(300);
+  for (const name of fleet.names) expect(keptBytes(fleet, name) < last.plan.length).toEqual(true);
   expect(new Set(marks(fleet))).toEqual(new Set([201]));
   for (const name of fleet.names) expect(fleet.find(name)!.node.plan.text).toEqual(last.plan);
   const read = await settled(fleet, readDocument(fleet.find("lathe-1")!.node));
