Store: a leader takes differences from earlier versions, and keeps those deflated

Cause: a writer that has not read the newest version makes its difference from an older one; the state machine takes differences from the present version alone, so the write was repeated with the value whole, in a second round. And of a configuration of 5,000 routes the leader's 4 MB of history held five versions, fewer than a paced feed lags behind in a storm: its pushes went whole.

Now the leader turns a difference from any version that it keeps into one from the present version before it proposes it, and keeps earlier versions deflated. What reaches the log still names the base that the state machine checks.

--- a/packages/control/src/store/storeService.ts
+++ b/packages/control/src/store/storeService.ts
@@ -7,9 +7,11 @@
   type FeedState,
   type Kv,
   type Read,
+  type Txn,
   type StoreCall,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { packing, PackedValue } from "@cranetrack/core/store/packedValue.js";
 import type { Outcome } from "@cranetrack/core/store/storeClient.js";
 import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
 import { Feeds } from "./feeds.js";
@@ -59,6 +61,8 @@
     if (!this.#ledger.isLeader) return (await this.#pass([call]))[0]!;
     switch (call.call.case) {
       case "txn":
+        if (!this.#rebase(call.call.value)) return { outcome: "rebase" };
+      // falls through
       case "grant":
       case "revoke": {
         const applied = await this.#ledger.propose(
@@ -98,6 +102,21 @@
     return this.#feeds.states();
   }
 
+  /**
+   * Makes differences from earlier versions such from the present one, to which alone the log's entries apply.
+   * False where an earlier version is not known here any more.
+   */
+  #rebase({ puts }: Txn): boolean {
+    for (const put of puts) {
+      const present = this.#ledger.metadata.get(put.key);
+      if (put.packing !== packing.difference || put.baseRevision === present?.revision) continue;
+      const value = this.#values.unpack(put);
+      if (value === undefined) return false;
+      Object.assign(put, PackedValue.pack(value, present));
+    }
+    return true;
+  }
+
   /** For a receiver that has these versions, and maybe none. */
   #packed(kvs: readonly Kv[], known: readonly Check[] = []): Kv[] {
     const revisionOf = (key: string): number => known.find((check) => check.key === key)?.revision ?? 0;
--- a/packages/control/src/store/valueHistory.ts
+++ b/packages/control/src/store/valueHistory.ts
@@ -11,7 +11,7 @@
   /** Of one key; two versions are kept in any case. */
   static readonly mostBytes = 4 * 1024 * 1024;
 
-  readonly #versions = new Map<string, ValueVersion[]>();
+  readonly #versions = new Map<string, KeptVersion[]>();
   /** Forms of the newest version that were made, by the revision of their base. */
   readonly #forms = new Map<string, Map<number, Packed>>();
 
@@ -45,13 +45,24 @@
 
   /** For a receiver that has the key's value of exactly this revision. */
   packFrom(kv: Kv, revision: number): Kv {
-    return this.#pack(
-      kv,
-      this.#versions.get(kv.key)?.find((version) => version.revision === revision),
-    );
+    return this.#pack(kv, this.#find(kv.key, revision));
   }
 
-  #pack(kv: Kv, base: ValueVersion | undefined): Kv {
+  /** The value of a difference from any version kept here. */
+  unpack(kv: Kv): Uint8Array | undefined {
+    return PackedValue.unpack(kv, ValueHistory.#whole(this.#find(kv.key, kv.baseRevision)));
+  }
+
+  static #whole(version: KeptVersion | undefined): ValueVersion | undefined {
+    const value = version === undefined ? undefined : PackedValue.unpack(version.packed, undefined);
+    return version === undefined || value === undefined ? undefined : { value, revision: version.revision };
+  }
+
+  #find(key: string, revision: number): KeptVersion | undefined {
+    return this.#versions.get(key)?.find((version) => version.revision === revision);
+  }
+
+  #pack(kv: Kv, base: KeptVersion | undefined): Kv {
     if (!ValueHistory.isLarge(kv)) return kv;
     if (base?.revision === kv.revision)
       return create(KvSchema, {
@@ -64,22 +75,30 @@
   }
 
   /** Many receivers have the same base: each form is made once. */
-  #form(kv: Kv, base: ValueVersion | undefined): Packed {
+  #form(kv: Kv, base: KeptVersion | undefined): Packed {
     const isNewest = this.#versions.get(kv.key)?.at(-1)?.revision === kv.revision;
-    if (!isNewest) return PackedValue.pack(kv.value, base);
+    if (!isNewest) return PackedValue.pack(kv.value, ValueHistory.#whole(base));
     const forms = this.#forms.get(kv.key) ?? new Map<number, Packed>();
     this.#forms.set(kv.key, forms);
-    const form = forms.get(base?.revision ?? 0) ?? PackedValue.pack(kv.value, base);
+    const form = forms.get(base?.revision ?? 0) ?? PackedValue.pack(kv.value, ValueHistory.#whole(base));
     forms.set(base?.revision ?? 0, form);
     return form;
   }
 
+  /** Earlier versions are kept deflated: whole, some of a large configuration would be more than feeds lag behind. */
   #add({ key, value, revision }: Kv): void {
     const versions = this.#versions.get(key) ?? [];
     this.#versions.set(key, versions);
-    versions.push({ value, revision });
-    const bytes = (): number => versions.reduce((sum, version) => sum + version.value.length, 0);
+    const last = versions.at(-1);
+    if (last !== undefined) last.packed = PackedValue.pack(last.packed.value);
+    versions.push({ revision, packed: { value, packing: packing.none, baseRevision: 0 } });
+    const bytes = (): number => versions.reduce((sum, { packed }) => sum + packed.value.length, 0);
     while (versions.length > 2 && (versions.length > ValueHistory.mostVersions || bytes() > ValueHistory.mostBytes))
       versions.shift();
   }
 }
+
+interface KeptVersion {
+  revision: number;
+  packed: Packed;
+}
--- a/packages/testkit/src/sabotage/configurationSabotages.ts
+++ b/packages/testkit/src/sabotage/configurationSabotages.ts
@@ -60,4 +60,11 @@
     put: "change",
     test: storm,
   },
+  {
+    name: "a leader takes differences from the newest version alone",
+    file: "control/dist/store/storeService.js",
+    find: "const value = this.#values.unpack(put)",
+    put: "const value = undefined",
+    test: storm,
+  },
 ];
--- a/packages/testkit/src/sim/configurationStorm.test.ts
+++ b/packages/testkit/src/sim/configurationStorm.test.ts
@@ -187,6 +187,24 @@
   expect(refusals(fleet)).toEqual(0);
 });
 
+test("writers that do not read before they write move differences too, also in the store's log", async () => {
+  const fleet = await started(405, 300);
+  const counted = countBytes(fleet);
+  const writers = fleet.withRole("lathe").map((name) => fleet.find(name)!.node);
+  let whole = 0;
+  for (let mark = 1; mark <= 60; mark += 1) {
+    const value = Buffer.from(configuration(mark, 300).document);
+    whole += value.length;
+    const puts = [{ key: "documents/other", value }];
+    const written = await settled(fleet, writers[mark % writers.length]!.store.txn({ puts }));
+    expect(written.outcome).toEqual("done");
+  }
+  // Three of the writes are the first of their writers: the value goes deflated, and to two replicas.
+  expect(carried(counted) / whole < 0.05).toEqual(true);
+  const read = await settled(fleet, writers[0]!.store.read(["documents/other"]));
+  expect(Buffer.from(read.kvs![0]!.value).toString()).toEqual(configuration(60, 300).document);
+});
+
 test("a document is written whole where the one it was to differ from is gone", async () => {
   const fleet = await started(404, 300);
   await put(fleet, 2, 300);
