Configuration: 5,000 routes are taken, and 4 MB for a plan or a document; beyond that a 413 says so

Cause: a plan had at most 4,096 spaces, and it and the operators' document 1 MB each: 5,000 routes are more than both. The operator's address and the HTTP interface now take what a plan may have.

After: put, changed 20 times 0.1 s apart, in force on all nine nodes, read back byte for byte; each edge reads it five times in that storm (sabotage "a node is told each change of a large configuration at once": the test fails). A plan or document beyond the bound gets 413 and changes nothing.

--- a/packages/core/src/configuration/plan.ts
+++ b/packages/core/src/configuration/plan.ts
@@ -30,7 +30,9 @@
 
 /** The operators' configuration: data, checked whole where it is put, judged by pure functions on every node. */
 export const Plans = {
-  mostBytes: 1024 * 1024,
+  /** Of a plan, and of the operators' document about it: 5,000 routes have about 1.2 MB. */
+  mostBytes: 4 * 1024 * 1024,
+  mostSpaces: 16_384,
   /** Bytes of a payload, and topics of a connection, where the plan names no other limit. */
   usualPayloadBytes: 65_536,
   usualSubscriptions: 500,
--- a/packages/core/src/configuration/planSchema.ts
+++ b/packages/core/src/configuration/planSchema.ts
@@ -28,7 +28,7 @@
     program: type({ "+": "reject", when, owe }).array().moreThanLength(0).atMostLength(64),
   })
     .array()
-    .atMostLength(4096),
+    .atMostLength(Plans.mostSpaces),
   "limits?": type({
     "+": "reject",
     "subscriptions?": "1 <= number.integer <= 100000",
--- a/packages/core/src/http/router.ts
+++ b/packages/core/src/http/router.ts
@@ -1,4 +1,5 @@
 import { ApiReplies, type ApiReply } from "./apiReply.js";
+import { Plans } from "../configuration/plan.js";
 import type { ClusterNode } from "../runtime/clusterNode.js";
 import { Rendezvous } from "../membership/rendezvous.js";
 import type { BodyInit } from "../rpc/wire.js";
@@ -21,7 +22,8 @@
  * Every node takes every call: what it cannot do itself it passes on, once, to a node that can.
  */
 export class Router {
-  static readonly mostBody = 1_200_000;
+  /** The largest body is a plan; a little more, so that a plan beyond its bound is told what that is. */
+  static readonly mostBody = Plans.mostBytes + 200_000;
   static readonly passDue = 2500;
 
   readonly #node: ClusterNode;
--- a/packages/testkit/src/sabotage/configurationSabotages.ts
+++ b/packages/testkit/src/sabotage/configurationSabotages.ts
@@ -60,6 +60,20 @@
     put: "change",
     test: storm,
   },
+  {
+    name: "a node is told each change of a large configuration at once",
+    file: "control/dist/store/feeds.js",
+    find: "feed.paceTo = now +",
+    put: "feed.paceTo = 0 *",
+    test: storm,
+  },
+  {
+    name: "a leader knows a value's newest version alone",
+    file: "control/dist/store/valueHistory.js",
+    find: "versions.length > 2 && (",
+    put: "versions.length > 1 && (true || ",
+    test: storm,
+  },
   {
     name: "a leader takes differences from the newest version alone",
     file: "control/dist/store/storeService.js",
--- a/packages/testkit/src/sim/configurationStorm.test.ts
+++ b/packages/testkit/src/sim/configurationStorm.test.ts
@@ -1,5 +1,6 @@
 import { test } from "node:test";
 import { Wire } from "@cranetrack/core/rpc/wire.js";
+import { Plans } from "@cranetrack/core/configuration/plan.js";
 import { putPlan } from "@cranetrack/control/configuration/putPlan.js";
 import { readDocument } from "@cranetrack/control/configuration/readDocument.js";
 import { expect } from "earl";
@@ -111,12 +112,13 @@
   from: number,
   to: number,
   acts: Readonly<Record<number, () => void>> = {},
+  routes = 300,
 ): Promise<Written> {
-  let last = configuration(from, 300);
+  let last = configuration(from, routes);
   for (let mark = from; mark <= to; mark += 1) {
     acts[mark]?.();
     const began = fleet.world.now;
-    last = await put(fleet, mark, 300);
+    last = await put(fleet, mark, routes);
     await fleet.run(Math.max(0, 100 - (fleet.world.now - began)));
   }
   return last;
@@ -205,6 +207,40 @@
   expect(Buffer.from(read.kvs![0]!.value).toString()).toEqual(configuration(60, 300).document);
 });
 
+test("a configuration of 5,000 routes is put, changed, put in force everywhere and read back", async () => {
+  const fleet = await started(406, 5000);
+  await expectInForce(fleet, configuration(1, 5000));
+  const counted = countBytes(fleet);
+  const changes = new Map(fleet.withRole("vise").map((name) => [name, 0]));
+  for (const [name] of changes)
+    fleet.find(name)!.node.plan.on("changed", () => void changes.set(name, changes.get(name)! + 1));
+  const began = fleet.world.now;
+  const last = await storm(fleet, 2, 21, {}, 5000);
+  await fleet.run(1000);
+  await expectInForce(fleet, last);
+  expect(carried(counted) < last.plan.length).toEqual(true);
+  // 26 kB as measured: five pushes to each of nine nodes, none of them whole.
+  expect(counted.get("feedPush")! < 60_000).toEqual(true);
+  // A node reads the whole plan at each change, so large ones come in larger steps.
+  const most = Math.ceil((fleet.world.now - began) / 400) + 1;
+  for (const [, count] of changes) expect(count > 2 && count <= most).toEqual(true);
+});
+
+test("a configuration beyond the bound is refused by name, and changes nothing", async () => {
+  const fleet = await started(407, 10);
+  const { node } = fleet.find("lathe-1")!;
+  const { plan } = configuration(2, 10);
+  const long = Buffer.alloc(Plans.mostBytes + 1, " ");
+  for (const [body, document] of [
+    [long, Buffer.from("{}")],
+    [Buffer.from(plan), long],
+  ] as const) {
+    const reply = await settled(fleet, putPlan(node, body, document));
+    expect([reply.status, JSON.stringify(reply.body).includes(String(Plans.mostBytes))]).toEqual([413, true]);
+  }
+  await expectInForce(fleet, configuration(1, 10));
+});
+
 test("a document is written whole where the one it was to differ from is gone", async () => {
   const fleet = await started(404, 300);
   await put(fleet, 2, 300);
