Plans: a topic's space is found by its longest prefix, not by a walk over all spaces

Cause: each publish, start, count and contract walked all spaces of the plan, and all ended prefixes of its births; the births of a plan were made with a walk over all spaces for each that went, in the store's state machine.

Now an index of prefixes by length, made once a plan, answers.

Test: prefixIndex.test.js against a walk; sabotage "a topic's space is the first that fits" is caught.

--- a/packages/control/src/configuration/putPlan.ts
+++ b/packages/control/src/configuration/putPlan.ts
@@ -82,9 +82,9 @@
 
 /** A space is one stream, or a stream a topic, for its whole life: where its messages go follows from it. */
 function turnedOrders(inForce: Uint8Array, plan: Plan): PlanFault[] {
-  const before = PlanKey.outline(inForce)?.spaces ?? [];
+  const before = new Map(PlanKey.outline(inForce)?.spaces.map((space) => [space.prefix, space]));
   return plan.spaces.flatMap((space, i) => {
-    const earlier = before.find(({ prefix }) => prefix === Plans.prefixOf(space));
+    const earlier = before.get(Plans.prefixOf(space));
     const isWhole = space.program[0]!.owe.order === "space";
     if (earlier === undefined || earlier.isWhole === isWhole) return [];
     const order = earlier.isWhole ? "space" : "sender or topic";
--- a/packages/core/src/configuration/plan.ts
+++ b/packages/core/src/configuration/plan.ts
@@ -1,3 +1,5 @@
+import { PrefixIndex } from "./prefixIndex.js";
+
 /** `sender` and `topic` give each topic one sequence, which `topic` promises; `space` gives one to a whole space. */
 export type Order = "sender" | "topic" | "space";
 
@@ -28,6 +30,15 @@
   problem: string;
 }
 
+/** Made at the first question about a plan. Invariant: a plan that was asked about is never changed. */
+const indexes = new WeakMap<Plan, PrefixIndex<Space>>();
+
+function indexOf(plan: Plan): PrefixIndex<Space> {
+  const index = indexes.get(plan) ?? new PrefixIndex(plan.spaces, (space) => Plans.prefixOf(space));
+  indexes.set(plan, index);
+  return index;
+}
+
 /** The operators' configuration: data, checked whole where it is put, judged by pure functions on every node. */
 export const Plans = {
   /** Of a plan, and of the operators' document about it: 5,000 routes have about 1.2 MB. */
@@ -44,15 +55,7 @@
 
   /** The space that owns a topic: the longest prefix wins. */
   spaceOf(plan: Plan | undefined, topic: string): Space | undefined {
-    let found: Space | undefined;
-    let length = -1;
-    for (const space of plan?.spaces ?? []) {
-      const prefix = Plans.prefixOf(space);
-      if (prefix.length <= length || !topic.startsWith(prefix)) continue;
-      found = space;
-      length = prefix.length;
-    }
-    return found;
+    return plan === undefined ? undefined : indexOf(plan).longest(topic);
   },
 
   isTopic(topic: unknown): topic is string {
@@ -61,7 +64,7 @@
 
   /** The order of the space with this prefix. Its rules may differ between `sender` and `topic` only. */
   orderOf(plan: Plan | undefined, prefix: string): Order | undefined {
-    return plan?.spaces.find((one) => Plans.prefixOf(one) === prefix)?.program[0]?.owe.order;
+    return plan === undefined ? undefined : indexOf(plan).get(prefix)?.program[0]?.owe.order;
   },
 
   /** What the plan owes a topic: its space's first rule that matches; undefined where none does. */
--- a/packages/core/src/configuration/streams.ts
+++ b/packages/core/src/configuration/streams.ts
@@ -1,4 +1,5 @@
 import type { BirthsRecord } from "../keys/birthsKey.js";
+import { PrefixIndex } from "./prefixIndex.js";
 import { Plans, type Order, type Plan } from "./plan.js";
 
 /** Where a topic's messages go: a pure function of its space, the space's order and its birth. */
@@ -59,11 +60,22 @@
   },
 };
 
+type Ended = readonly [prefix: string, mark: number];
+
+/** Made at the first question about births. Invariant: births that were asked about are never changed. */
+const indexes = new WeakMap<BirthsRecord, PrefixIndex<Ended>>();
+
+function endedIn(births: BirthsRecord): PrefixIndex<Ended> {
+  const index = indexes.get(births) ?? new PrefixIndex<Ended>(Object.entries(births.ended), ([prefix]) => prefix);
+  indexes.set(births, index);
+  return index;
+}
+
 /** The space's birth as a topic has it: later where the topic came to the space later. */
 function birthOf(births: BirthsRecord | undefined, space: string, topic: string): number | undefined {
   if (births === undefined || !Object.hasOwn(births.spaces, space)) return undefined;
   let latest = births.spaces[space]!;
-  for (const [prefix, mark] of Object.entries(births.ended))
-    if (mark > latest && prefix.length > space.length && topic.startsWith(prefix)) latest = mark;
+  for (const [prefix, mark] of endedIn(births).all(topic))
+    if (mark > latest && prefix.length > space.length) latest = mark;
   return latest;
 }
--- a/packages/core/src/keys/birthsKey.ts
+++ b/packages/core/src/keys/birthsKey.ts
@@ -1,3 +1,4 @@
+import { PrefixIndex } from "../configuration/prefixIndex.js";
 import { JsonValue } from "./jsonValue.js";
 import type { PlanOutline, SpaceOutline } from "./configurationKey.js";
 
@@ -11,7 +12,7 @@
   ended: Record<string, number>;
 }
 
-type Marks = Array<[prefix: string, mark: number]>;
+type Marks = ReadonlyArray<readonly [prefix: string, mark: number]>;
 
 /** The key beside the plan that says when each of its spaces was born; written with the plan, in one step. */
 export const BirthsKey = {
@@ -43,36 +44,52 @@
     const earlier = new Map(Object.entries(before?.spaces ?? {}));
     const births = new Map(spaces.map(({ prefix }) => [prefix, earlier.get(prefix) ?? mark]));
     const gone = [...earlier.keys()].filter((prefix) => !present.has(prefix));
+    const index = new PrefixIndex(spaces, ({ prefix }) => prefix);
     for (const prefix of gone) {
-      const heir = heirOf(spaces, prefix);
+      const heir = heirOf(index, prefix);
       if (heir?.isWhole === true) births.set(heir.prefix, mark);
     }
     const marks = new Map([...Object.entries(before?.ended ?? {}), ...gone.map((one) => [one, mark] as const)]);
     const all = [...marks].sort((a, b) => b[1] - a[1]);
-    const ended = all.filter((one, i) => !present.has(one[0]) && isNeeded(all.slice(0, i), one, spaces, births));
-    for (const [prefix] of ended.splice(BirthsKey.mostEnded)) births.set(heirOf(spaces, prefix)!.prefix, mark);
+    const later = new LaterPrefixes();
+    const ended = all.filter((one) => {
+      const isKept = !present.has(one[0]) && isNeeded(later, one, index, births);
+      later.add(one[0]);
+      return isKept;
+    });
+    for (const [prefix] of ended.splice(BirthsKey.mostEnded)) births.set(heirOf(index, prefix)!.prefix, mark);
     return { mark, spaces: Object.fromEntries(births), ended: Object.fromEntries(ended) };
   },
 };
 
+/** Prefixes by length, to ask whether one of them begins a text. */
+class LaterPrefixes {
+  readonly #byLength = new Map<number, Set<string>>();
+
+  add(prefix: string): void {
+    const known = this.#byLength.get(prefix.length) ?? new Set<string>();
+    this.#byLength.set(prefix.length, known.add(prefix));
+  }
+
+  /** Whether one that is longer than this begins the text. */
+  hasLonger(text: string, length: number): boolean {
+    return [...this.#byLength].some(([one, known]) => one > length && known.has(text.slice(0, one)));
+  }
+}
+
 /** The space that has what was a prefix's. */
-function heirOf(spaces: readonly SpaceOutline[], prefix: string): SpaceOutline | undefined {
-  return spaces
-    .filter((one) => one.prefix !== prefix && prefix.startsWith(one.prefix))
-    .reduce<SpaceOutline | undefined>(
-      (a, b) => (a === undefined || b.prefix.length > a.prefix.length ? b : a),
-      undefined,
-    );
+function heirOf(spaces: PrefixIndex<SpaceOutline>, prefix: string): SpaceOutline | undefined {
+  return spaces.longest(prefix, prefix.length - 1);
 }
 
 /** Neither the heir's birth nor a later end of a shorter prefix says the same. */
 function isNeeded(
-  later: Marks,
+  later: LaterPrefixes,
   [prefix, mark]: Marks[number],
-  spaces: readonly SpaceOutline[],
+  spaces: PrefixIndex<SpaceOutline>,
   births: ReadonlyMap<string, number>,
 ): boolean {
   const heir = heirOf(spaces, prefix);
   if (heir === undefined || heir.isWhole || births.get(heir.prefix)! >= mark) return false;
-  return !later.some(([other]) => prefix.startsWith(other) && other.length > heir.prefix.length);
+  return !later.hasLonger(prefix, heir.prefix.length);
 }
--- a/packages/testkit/src/sabotage/configurationSabotages.ts
+++ b/packages/testkit/src/sabotage/configurationSabotages.ts
@@ -81,4 +81,11 @@
     put: "const value = undefined",
     test: storm,
   },
+  {
+    name: "a topic's space is the first that fits",
+    file: "core/dist/configuration/prefixIndex.js",
+    find: "sort((a, b) => b - a)",
+    put: "sort((a, b) => a - b)",
+    test: "core/dist/configuration/prefixIndex.test.js",
+  },
 ];
