--- a/packages/testkit/src/sabotage/configurationSabotages.ts
+++ b/packages/testkit/src/sabotage/configurationSabotages.ts
@@ -70,8 +70,8 @@
   {
     name: "a leader knows a value's newest version alone",
     file: "control/dist/store/valueHistory.js",
-    find: "versions.length > ValueHistory.mostVersions",
-    put: "versions.length > 1",
+    find: ".mostVersions)",
+    put: ".mostVersions - 63)",
     test: storm,
   },
   {
