Feeds: a node that can read no push asks anew five times a second at most; a pace has its bound

Cause: a refused push opened the feed anew at once, so a node that could read none asked for everything again with each answer. The pace of large values grew with their size without end. Now a feed that is younger than 200 ms is opened anew by the next look, and the newest of a large value is told each second at least.

Before: sabotage "a node that can read no push asks again at once" puts the old way back and the test fails. After: the test passes, 16 times at most in 3 s.

--- a/packages/control/src/store/feeds.ts
+++ b/packages/control/src/store/feeds.ts
@@ -39,10 +39,11 @@
   static readonly beatMs = 500;
   /**
    * Large values are told at most once in this time and a millisecond for each `paceBytes` of them, the newest then:
-   * a node reads them whole after each change, which takes it about 40 ms for a megabyte.
+   * a node reads them whole after each change. Never less often than each `mostPaceMs`.
    */
   static readonly paceMs = 100;
   static readonly paceBytes = 2000;
+  static readonly mostPaceMs = 1000;
 
   readonly #node: ClusterNode;
   readonly #ledger: RaftNode;
@@ -189,7 +190,7 @@
       ? feed.prefixes.flatMap((prefix) => this.#ledger.metadata.range(prefix))
       : this.#after(from).filter((kv) => Feeds.#isFollowed(feed, kv));
     const large = whole.filter(ValueHistory.isLarge).reduce((sum, kv) => sum + kv.value.length, 0);
-    if (large > 0) feed.paceTo = now + Feeds.paceMs + large / Feeds.paceBytes;
+    if (large > 0) feed.paceTo = now + Math.min(Feeds.paceMs + large / Feeds.paceBytes, Feeds.mostPaceMs);
     const kvs = whole.map((kv) => this.#values.packSince(kv, isSnapshot ? 0 : from));
     feed.told = this.#ledger.metadata.revision;
     this.#node.exchange.tell(feed.name, {
--- a/packages/core/src/feeds/feedFollower.ts
+++ b/packages/core/src/feeds/feedFollower.ts
@@ -160,7 +160,9 @@
   #refuse(): undefined {
     this.refused += 1;
     this.#needsSnapshot = true;
-    this.#open();
+    // At once, but not again and again: the next look opens it where this feed is as young.
+    if (this.#clock.now() - this.#openedAt > FeedFollower.closedMs) this.#open();
+    else this.#isClosed = true;
     return undefined;
   }
 
--- a/packages/testkit/src/sabotage/configurationSabotages.ts
+++ b/packages/testkit/src/sabotage/configurationSabotages.ts
@@ -46,6 +46,13 @@
     put: "this.revision",
     test: storm,
   },
+  {
+    name: "a node that can read no push asks again at once",
+    file: "core/dist/feeds/feedFollower.js",
+    find: "if (this.#clock.now() - this.#openedAt > _a.closedMs)\n            this.#open();\n        else",
+    put: "this.#open();\n        if (false)",
+    test: storm,
+  },
   {
     name: "each node gets every change whole",
     file: "control/dist/store/feeds.js",
--- a/packages/testkit/src/sim/configurationStorm.test.ts
+++ b/packages/testkit/src/sim/configurationStorm.test.ts
@@ -159,6 +159,24 @@
   expect(refusals(fleet)).toEqual(1);
 });
 
+test("a node that can read no push asks for everything five times a second, and has it once it can", async () => {
+  const fleet = await started(408, 300);
+  let opens = 0;
+  fleet.wires.mutate = (_from, to, bytes) => {
+    const frame = Wire.decode(bytes);
+    if (frame?.body.case === "feedOpen" && frame.from === "vise-1") opens += 1;
+    if (to !== fleet.addressOf("vise-1") || frame?.body.case !== "feedPush") return undefined;
+    for (const kv of frame.body.value.kvs) kv.packing = 9;
+    return [{ bytes: Wire.again(frame), delay: 0 }];
+  };
+  const last = await put(fleet, 2, 300);
+  await fleet.run(3000);
+  expect([opens > 5, opens <= 16, fleet.find("vise-1")!.node.plan.mark]).toEqual([true, true, 1]);
+  fleet.wires.heal();
+  await fleet.run(1000);
+  await expectInForce(fleet, last);
+});
+
 test("a storm of changes reaches every node through lost pushes, restarts, a frozen node and a cut", async () => {
   const fleet = await started(403, 300);
   const chance = fleet.world.chance.fork();
