Edges: a plan that was read and has not changed is not taken apart again for an unknown topic

Cause: an edge that has just started, and has no plan yet, reads the store's for each question about a topic, one read after the other; each was parsed whole and walked for each question. Now the prefixes are kept with the plan's revision, and looked up by length. Each answer still comes from a read that began after its question.

Test: planCheck.test.js, the first of this class; sabotage "an edge takes every plan for the one that it read last" is caught.

--- a/packages/edge/src/publishing/planCheck.ts
+++ b/packages/edge/src/publishing/planCheck.ts
@@ -1,7 +1,10 @@
-import { PlanKey } from "@cranetrack/core/keys/configurationKey.js";
+import { PlanKey, type SpaceOutline } from "@cranetrack/core/keys/configurationKey.js";
 import type { StoreClient } from "@cranetrack/core/store/storeClient.js";
+import { PrefixIndex } from "@cranetrack/core/configuration/prefixIndex.js";
 import type { TopicFault } from "./topicFault.js";
 
+type Prefixes = PrefixIndex<SpaceOutline>;
+
 /**
  * Whether a space that this edge has not heard of is unknown: the store is asked, for an edge refuses nothing
  * from its cache.
@@ -9,8 +12,10 @@
  */
 export class PlanCheck {
   readonly #store: Pick<StoreClient, "read">;
-  #running: Promise<readonly string[] | undefined> | undefined;
-  #next: Promise<readonly string[] | undefined> | undefined;
+  #running: Promise<Prefixes | undefined> | undefined;
+  #next: Promise<Prefixes | undefined> | undefined;
+  /** What was read last: edges that have just started ask again and again, and a plan may be large. */
+  #latest: { revision: number; prefixes: Prefixes } | undefined;
 
   constructor(store: Pick<StoreClient, "read">) {
     this.#store = store;
@@ -18,14 +23,14 @@
 
   async faultOf(topic: string): Promise<TopicFault> {
     const prefixes = await this.#prefixes();
-    if (prefixes?.some((prefix) => topic.startsWith(prefix)) === false)
+    if (prefixes !== undefined && prefixes.longest(topic) === undefined)
       return { topic, code: "unknown-topic", reason: `the plan in force has no rule for ${topic}` };
     const reason = prefixes === undefined ? "the store does not answer" : "this node has not heard of the space yet";
     return { topic, code: "unavailable", reason, comeBack: 0.3 };
   }
 
   /** Questions that come during a read share the next one. */
-  #prefixes(): Promise<readonly string[] | undefined> {
+  #prefixes(): Promise<Prefixes | undefined> {
     if (this.#running === undefined) return (this.#running = this.#read());
     this.#next ??= this.#running.then(() => {
       this.#next = undefined;
@@ -34,11 +39,16 @@
     return this.#next;
   }
 
-  async #read(): Promise<readonly string[] | undefined> {
+  async #read(): Promise<Prefixes | undefined> {
     const read = await this.#store.read([PlanKey.name]);
     if (this.#next === undefined) this.#running = undefined;
     if (read.outcome !== "done") return undefined;
     const plan = read.kvs?.[0];
-    return (plan === undefined ? [] : PlanKey.outline(plan.value)?.spaces)?.map(({ prefix }) => prefix) ?? [];
+    const revision = plan?.revision ?? 0;
+    if (this.#latest?.revision === revision) return this.#latest.prefixes;
+    const spaces = (plan === undefined ? undefined : PlanKey.outline(plan.value)?.spaces) ?? [];
+    const prefixes: Prefixes = new PrefixIndex(spaces, ({ prefix }) => prefix);
+    this.#latest = { revision, prefixes };
+    return prefixes;
   }
 }
--- a/packages/testkit/src/sabotage/configurationSabotages.ts
+++ b/packages/testkit/src/sabotage/configurationSabotages.ts
@@ -95,4 +95,11 @@
     put: "sort((a, b) => a - b)",
     test: "core/dist/configuration/prefixIndex.test.js",
   },
+  {
+    name: "an edge takes every plan for the one that it read last",
+    file: "edge/dist/publishing/planCheck.js",
+    find: "this.#latest?.revision === revision",
+    put: "this.#latest !== undefined",
+    test: "edge/dist/publishing/planCheck.test.js",
+  },
 ];
