--- a/packages/control/src/store/storeService.ts
+++ b/packages/control/src/store/storeService.ts
@@ -10,6 +10,7 @@
   type Txn,
   type StoreCall,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { MembersKey } from "@cranetrack/core/keys/membersKey.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import { packing, PackedValue } from "@cranetrack/core/store/packedValue.js";
 import type { Outcome } from "@cranetrack/core/store/storeClient.js";
@@ -44,7 +45,10 @@
     this.#values.reset(ledger.metadata.range(""));
     ledger.on("applied", ({ changes }) => this.#values.keep(changes));
     ledger.on("snapshotd", () => this.#values.reset(ledger.metadata.range("")));
-    this.#feeds = new Feeds(node, ledger, this.#values, async () => (await this.run(look)).outcome === "done");
+    this.#feeds = new Feeds(node, ledger, this.#values, async () => {
+      const { outcome, revision } = await this.run(look);
+      return outcome === "done" ? revision : undefined;
+    });
     node.exchange.serve("storeCall", async (call): Promise<BodyInit> => ({
       case: "storeReceipt",
       value: await this.run(call),
@@ -126,17 +130,24 @@
   async #read({ keys, prefixes, known }: Read): Promise<Outcome> {
     if (!(await this.#ledger.confirm())) return { outcome: "away", comeBack: 1 };
     const { metadata } = this.#ledger;
+    const members = keys.includes(MembersKey.name) ? this.#members() : [];
     const single = keys
       .map((key) => metadata.get(key))
       .filter((kv) => kv !== undefined)
       .map((kv) => (kv.lease === "" ? kv : create(KvSchema, { ...kv, leaseLeft: this.#leases.leftOf(kv.lease) })));
     return {
       outcome: "done",
-      kvs: this.#packed([...single, ...prefixes.flatMap((prefix) => metadata.range(prefix))], known),
+      kvs: this.#packed([...members, ...single, ...prefixes.flatMap((prefix) => metadata.range(prefix))], known),
       revision: metadata.revision,
     };
   }
 
+  #members(): Kv[] {
+    const voting = this.#ledger.memberExchange.voting(this.#ledger.commit);
+    const voters = [...new Set(voting.map((one) => one.name))];
+    return [create(KvSchema, { key: MembersKey.name, value: MembersKey.write({ voters }) })];
+  }
+
   async #pass(calls: StoreCall[]): Promise<Outcome[]> {
     const all = (outcome: Outcome): Outcome[] => calls.map(() => outcome);
     const proposer = this.#ledger.leaderName;
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,20 +1,16 @@
 import { configurationSabotages } from "./configurationSabotages.js";
-
-export interface Sabotage {
-  name: string;
-  /** Built file below packages/, and what to put in place of what. */
-  file: string;
-  find: string;
-  put: string;
-  /** The built test that must fail then. */
-  test: string;
-}
+import { cutOffSabotages } from "./cutOffSabotages.js";
+import { logSabotages } from "./logSabotages.js";
+import { replicaSabotages } from "./replicaSabotages.js";
+import type { Sabotage } from "./sabotage.js";
+import { membershipSabotages } from "./membershipSabotages.js";
 
 const sim = "testkit/dist/sim";
 
 /** Guards taken out on purpose; for each a test must fail. */
 export const sabotages: readonly Sabotage[] = [
   ...configurationSabotages,
+  ...membershipSabotages,
   {
     name: "a replica answers before its disk",
     file: "core/dist/replication/followerLog.js",
@@ -158,7 +154,7 @@
   {
     name: "lost replicas are never replaced",
     file: "log-storage/dist/repair/replicaRepair.js",
-    find: "if (out === undefined)",
+    find: "if (change === undefined)",
     put: "if (true)",
     test: `${sim}/shards.test.js`,
   },
@@ -255,9 +251,9 @@
   },
   {
     name: "pushes before their follow's receipt are let go",
-    file: "edge/dist/fanout/shardFollow.js",
-    find: "return void this.#early.push(push);",
-    put: "return;",
+    file: "edge/dist/fanout/numberedPushes.js",
+    find: "this.#early.push(push);",
+    put: "",
     test: "edge/dist/fanout/shardFollow.test.js",
   },
   {
@@ -284,8 +280,8 @@
   {
     name: "what a proposer sent before it gave up brings it back",
     file: "control/dist/consensus/raftNode.js",
-    find: "if (message.term > this.#yieldedTerm)",
-    put: "if (true)",
+    find: " && message.term > this.#yieldedTerm",
+    put: "",
     test: `${sim}/store.test.js`,
   },
   {
@@ -344,4 +340,7 @@
     put: "this.head = from;",
     test: "edge/dist/fanout/streamTail.test.js",
   },
+  ...logSabotages,
+  ...replicaSabotages,
+  ...cutOffSabotages,
 ];
