--- a/packages/core/src/http/httpServer.ts
+++ b/packages/core/src/http/httpServer.ts
@@ -10,7 +10,7 @@
   readonly #app: FastifyInstance;
 
   constructor(router: Router, stream?: { pattern: RegExp; open: Stream }) {
-    this.#app = fastify({ bodyLimit: Router.mostBody, forceCloseConnections: true, exposeHeadRoutes: false });
+    this.#app = fastify({ bodyLimit: Router.mostPlanBody, forceCloseConnections: true, exposeHeadRoutes: false });
     this.#app.removeAllContentTypeParsers();
     this.#app.addContentTypeParser("*", { parseAs: "buffer" }, (_request, body, done) => done(null, body));
     this.#app.setErrorHandler((fault: { statusCode?: number; message: string }, _request, reply) => {
--- a/packages/core/src/http/router.ts
+++ b/packages/core/src/http/router.ts
@@ -22,8 +22,9 @@
  * Every node takes every call: what it cannot do itself it passes on, once, to a node that can.
  */
 export class Router {
-  /** The largest body is a plan; a little more, so that a plan beyond its bound is told what that is. */
-  static readonly mostBody = Plans.mostBytes + 200_000;
+  static readonly mostBody = 1_200_000;
+  /** Of a plan; a little more than it may have, so that one beyond its bound is told what that is. */
+  static readonly mostPlanBody = Plans.mostBytes + 200_000;
   static readonly passDue = 2500;
 
   readonly #node: ClusterNode;
@@ -54,8 +55,8 @@
   }
 
   async run(method: string, path: string, body: Uint8Array, isPassed = false): Promise<ApiReply> {
-    if (body.length > Router.mostBody)
-      return ApiReplies.fault(413, "too-large", `a body may have ${Router.mostBody} bytes`);
+    const most = path === "/v1/plan" ? Router.mostPlanBody : Router.mostBody;
+    if (body.length > most) return ApiReplies.fault(413, "too-large", `a body may have ${most} bytes`);
     const matching = this.#routes.filter((route) => route.pattern.test(path));
     const route = matching.find((one) => one.method === method);
     if (route !== undefined)
