--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,4 +1,5 @@
 import { cutOffSabotages } from "./cutOffSabotages.js";
+import { callSabotages } from "./callSabotages.js";
 import { logSabotages } from "./logSabotages.js";
 import { repairSabotages } from "./repairSabotages.js";
 import type { Sabotage } from "./sabotage.js";
@@ -322,4 +323,5 @@
   ...cutOffSabotages,
   ...orderSabotages,
   ...repairSabotages,
+  ...callSabotages,
 ];
--- a/packages/testkit/src/sim/simDisk.ts
+++ b/packages/testkit/src/sim/simDisk.ts
@@ -55,6 +55,10 @@
     this.#isFull = isFull;
   }
 
+  get isTroubled(): boolean {
+    return this.slowness > 1 || this.#isFull || this.#hungUntil > this.#world.now || this.onRefuse !== undefined;
+  }
+
   /** Takes and answers everything again. */
   mend(): void {
     this.slowness = 1;
@@ -80,6 +84,11 @@
     this.#readyAt = 0;
   }
 
+  /** What is kept and survives a loss of power. */
+  get bytes(): number {
+    return [...this.#durable.values()].reduce((sum, value) => sum + value.length, 0);
+  }
+
   wipe(): void {
     this.#durable = new Map();
     this.#waiting = [];
