--- a/packages/control/src/store/storeService.ts
+++ b/packages/control/src/store/storeService.ts
@@ -3,18 +3,23 @@
   KvSchema,
   StoreCallSchema,
   StoreCommandSchema,
+  type Check,
   type FeedState,
   type Kv,
+  type Read,
+  type Txn,
   type StoreCall,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { MembersKey } from "@cranetrack/core/keys/membersKey.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { packing, PackedValue } from "@cranetrack/core/store/packedValue.js";
 import type { Outcome } from "@cranetrack/core/store/storeClient.js";
 import { mayRepeatStoreCall } from "@cranetrack/core/rpc/callKinds.js";
 import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
 import { Feeds } from "./feeds.js";
 import { Leases } from "./leases.js";
 import type { RaftNode } from "../consensus/raftNode.js";
+import { ValueHistory } from "./valueHistory.js";
 import { MemberChanges } from "../membership/memberChanges.js";
 
 /** Takes every call on the store; what only the proposer can answer is passed on to it, once. */
@@ -23,6 +28,7 @@
   readonly #ledger: RaftNode;
   readonly #leases: Leases;
   readonly #feeds: Feeds;
+  readonly #values = new ValueHistory();
   readonly #memberChanges: MemberChanges;
 
   constructor(node: ClusterNode, ledger: RaftNode) {
@@ -37,7 +43,10 @@
         ),
     );
     const look = create(StoreCallSchema, { call: { case: "read", value: {} } });
-    this.#feeds = new Feeds(node, ledger, async () => {
+    this.#values.reset(ledger.metadata.range(""));
+    ledger.on("applied", ({ changes }) => this.#values.keep(changes));
+    ledger.on("snapshotd", () => this.#values.reset(ledger.metadata.range("")));
+    this.#feeds = new Feeds(node, ledger, this.#values, async () => {
       const { outcome, revision } = await this.run(look);
       return outcome === "done" ? revision : undefined;
     });
@@ -57,6 +66,8 @@
     if (!this.#ledger.isLeader) return (await this.#pass([call]))[0]!;
     switch (call.call.case) {
       case "txn":
+        if (!this.#rebase(call.call.value)) return { outcome: "rebase" };
+      // falls through
       case "grant":
       case "revoke": {
         const applied = await this.#ledger.propose(
@@ -64,10 +75,10 @@
         );
         return applied === undefined
           ? { outcome: "unsure", comeBack: 1 }
-          : { outcome: applied.outcome, revision: applied.revision, kvs: applied.kvs };
+          : { outcome: applied.outcome, revision: applied.revision, kvs: this.#packed(applied.kvs) };
       }
       case "read":
-        return this.#read(call.call.value.keys, call.call.value.prefixes);
+        return this.#read(call.call.value);
       case "renew": {
         const { lease } = call.call.value;
         const isThere = this.#leases.renew(lease);
@@ -96,7 +107,28 @@
     return this.#feeds.states();
   }
 
-  async #read(keys: readonly string[], prefixes: readonly string[]): Promise<Outcome> {
+  /**
+   * Makes differences from earlier versions such from the present one, to which alone the log's entries apply.
+   * False where an earlier version is not known here any more.
+   */
+  #rebase({ puts }: Txn): boolean {
+    for (const put of puts) {
+      const present = this.#ledger.metadata.get(put.key);
+      if (put.packing !== packing.difference || put.baseRevision === present?.revision) continue;
+      const value = this.#values.unpack(put);
+      if (value === undefined) return false;
+      Object.assign(put, PackedValue.pack(value, present));
+    }
+    return true;
+  }
+
+  /** For a receiver that has these versions, and maybe none. */
+  #packed(kvs: readonly Kv[], known: readonly Check[] = []): Kv[] {
+    const revisionOf = (key: string): number => known.find((check) => check.key === key)?.revision ?? 0;
+    return kvs.map((kv) => this.#values.packFrom(kv, revisionOf(kv.key)));
+  }
+
+  async #read({ keys, prefixes, known }: Read): Promise<Outcome> {
     if (!(await this.#ledger.confirm())) return { outcome: "away", comeBack: 1 };
     const { metadata } = this.#ledger;
     const members = keys.includes(MembersKey.name) ? this.#members() : [];
@@ -106,7 +138,7 @@
       .map((kv) => (kv.lease === "" ? kv : create(KvSchema, { ...kv, leaseLeft: this.#leases.leftOf(kv.lease) })));
     return {
       outcome: "done",
-      kvs: [...members, ...single, ...prefixes.flatMap((prefix) => metadata.range(prefix))],
+      kvs: this.#packed([...members, ...single, ...prefixes.flatMap((prefix) => metadata.range(prefix))], known),
       revision: metadata.revision,
     };
   }
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,3 +1,4 @@
+import { configurationSabotages } from "./configurationSabotages.js";
 import { cutOffSabotages } from "./cutOffSabotages.js";
 import { callSabotages } from "./callSabotages.js";
 import { logSabotages } from "./logSabotages.js";
@@ -10,6 +11,7 @@
 
 /** Guards taken out on purpose; for each a test must fail. */
 export const sabotages: readonly Sabotage[] = [
+  ...configurationSabotages,
   ...membershipSabotages,
   {
     name: "a replica answers before its disk",
