--- a/packages/testkit/src/sim/faultActs.ts
+++ b/packages/testkit/src/sim/faultActs.ts
@@ -27,7 +27,7 @@
 
   /** A disk is lost for good, and only where no other loss is still to be mended: one loss is what is promised. */
   readonly wipe: Act = () => {
-    if (!this.#fleet.mayLose) return -1;
+    if (!this.#fleet.reserveLoss(0)) return -1;
     const name = this.#chance.pick([...this.#fleet.withRole("lathe"), ...this.#fleet.withRole("anvil")]);
     if (this.#fleet.find(name) === undefined) return -1;
     this.#fleet.wipe(name);
@@ -174,7 +174,7 @@
   /** A node that was added is gone for good; a storage machine only while nothing else is to be mended. */
   readonly gone: Act = () => {
     const extra = this.#load.later.filter((name) => this.#fleet.find(name) !== undefined);
-    if (extra.length === 0 || !this.#fleet.mayLose) return -1;
+    if (extra.length === 0 || !this.#fleet.reserveLoss(0)) return -1;
     const name = this.#chance.pick(extra);
     this.#fleet.retire(name);
     return 0;
--- a/packages/testkit/src/sim/machineActs.ts
+++ b/packages/testkit/src/sim/machineActs.ts
@@ -5,6 +5,9 @@
 export class MachineActs extends Acts {
   static readonly share = 0.6;
   static readonly stepMs = 2000;
+  /** Within which a machine that is replaced is gone, or another's disk is lost after a drain. */
+  static readonly lossMs = 8000;
+  static readonly emptyMs = 10_000;
   #replaced = 0;
 
   /** The process ends at once and its machine goes on. */
@@ -56,7 +59,7 @@
 
   /** One that stores is emptied, and as soon as that is said to be done, another one's disk is lost. */
   readonly emptiedWipe: Act = (_name, ms) => {
-    if (!this.fleet.mayLose) return Acts.notNow;
+    if (!this.fleet.reserveLoss(MachineActs.emptyMs)) return Acts.notNow;
     const machine = this.chance.pick(this.fleet.withRole("anvil").filter((one) => this.fleet.isUsed(one)));
     this.load.ask("PUT", machine);
     const look = (left: number): void => {
@@ -120,7 +123,7 @@
   /** One loss is what is promised: while another is still to be mended, nothing is taken for good. */
   #replaceable(): string | undefined {
     const names = this.counted.filter((one) => this.fleet.find(one) !== undefined);
-    return this.fleet.mayLose && names.length > 0 ? this.chance.pick(names) : undefined;
+    return names.length > 0 && this.fleet.reserveLoss(MachineActs.lossMs) ? this.chance.pick(names) : undefined;
   }
 
   #start(old: string): void {
--- a/packages/testkit/src/sim/orderActs.ts
+++ b/packages/testkit/src/sim/orderActs.ts
@@ -8,6 +8,8 @@
   /** Between an acknowledgement and the loss of power that follows it. */
   static readonly rightAfterMs = 4;
   static readonly sentMs = [5, 400] as const;
+  /** Within which a disk that is to be lost is lost. */
+  static readonly lossMs = 2500;
 
   /** Most answers to operators are lost on their way; the same orders come again, to other machines. */
   readonly lostAnswers: Act = (_name, ms) => {
@@ -67,7 +69,7 @@
 
   /** A disk is lost 5 to 400 ms after a change was sent. */
   readonly sentWipe: Act = () => {
-    if (!this.fleet.mayLose) return Acts.notNow;
+    if (!this.fleet.reserveLoss(OrderActs.lossMs)) return Acts.notNow;
     const name = this.chance.pick(this.counted);
     this.#change();
     const ms = this.chance.between(...OrderActs.sentMs);
@@ -101,7 +103,7 @@
   }
 
   #wipeAfterAck(others: readonly string[]): number {
-    if (!this.fleet.mayLose) return Acts.notNow;
+    if (!this.fleet.reserveLoss(OrderActs.lossMs)) return Acts.notNow;
     return this.#afterAck((acknowledging) => {
       if (!this.fleet.mayLose) return;
       const isCounted = this.counted.includes(acknowledging);
--- a/packages/testkit/src/sim/simFleet.ts
+++ b/packages/testkit/src/sim/simFleet.ts
@@ -30,6 +30,7 @@
   readonly port: SimPort;
   /** How losses are counted; none given, each is mended before the next. */
   budget: LossBudget | undefined;
+  #reservedUntil = 0;
   readonly #slots = new Map<string, Slot>();
   readonly #shared: { seeds: Settings["seeds"]; shards: number; lathes: number };
 
@@ -173,6 +174,13 @@
     return this.budget === undefined ? this.isWhole : this.budget.isFree;
   }
 
+  /** Says that one disk will be lost within a while, and no other before that; false where that may not be. */
+  reserveLoss(ms: number): boolean {
+    if (this.world.now < this.#reservedUntil || !this.mayLose) return false;
+    this.#reservedUntil = this.world.now + ms;
+    return true;
+  }
+
   /** Every disk that anything was promised on is there: no loss is still to be mended. */
   get isWhole(): boolean {
     const { proposer } = this;
