--- a/packages/core/src/storage/journalDisk.test.ts
+++ b/packages/core/src/storage/journalDisk.test.ts
@@ -1,4 +1,4 @@
-import { appendFileSync, mkdirSync, mkdtempSync, readdirSync, readFileSync, writeFileSync } from "node:fs";
+import { appendFileSync, existsSync, mkdirSync, mkdtempSync, readdirSync, readFileSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
@@ -185,6 +185,39 @@
   await disk.close();
 });
 
+test("a disk without room for a second file still takes the record that makes room", async () => {
+  const folder = folderOf();
+  let hasRoom = true;
+  let refused = 0;
+  const said: string[] = [];
+  const disk = await JournalDisk.open(folder, {
+    compactAt: 2000,
+    retryMs: 1,
+    onFull: (why) => said.push(why),
+    sync: async (file) => {
+      // A file beside the journal is a compaction's.
+      if (!hasRoom && existsSync(join(folder, "journal.new"))) {
+        refused += 1;
+        throw Object.assign(new Error("no room"), { code: "ENOSPC" });
+      }
+      await file.datasync();
+    },
+  });
+  const big = Buffer.alloc(900, "x");
+  await disk.write([{ key: "a", value: big }]);
+  await disk.write([{ key: "b", value: big }]);
+  hasRoom = false;
+  for (let i = 0; i < 10; i += 1) await disk.write([{ key: "c", value: Buffer.alloc(400, `${i}`) }]);
+  expect(refused > 0 && refused < 6).toEqual(true);
+  await disk.write([{ key: "a", isRemoved: true }]);
+  hasRoom = true;
+  for (let i = 0; i < 30; i += 1) await disk.write([{ key: "c", value: Buffer.alloc(100, `${i}`) }]);
+  expect([disk.fault, said]).toEqual(["", []]);
+  expect(readFileSync(join(folder, "journal")).length < 4000).toEqual(true);
+  await disk.close();
+  expect((await readAll(folder, "")).map(([key]) => key)).toEqual(["b", "c"]);
+});
+
 test("what was synced and altered since, and what is no journal, is refused and not cut off", async () => {
   const folder = folderOf();
   const disk = await JournalDisk.open(folder);
--- a/packages/core/src/storage/journalDisk.ts
+++ b/packages/core/src/storage/journalDisk.ts
@@ -45,6 +45,8 @@
   readonly #index = new Map<string, Kept>();
   #file: FileHandle;
   #end = JournalDisk.#head.length;
+  /** After a compaction that found no room: how long the file may become before the next one. */
+  #longFrom = 0;
   #sequence = 0;
   #liveBytes = 0;
   #waiting: Waiting[] = [];
@@ -133,16 +135,15 @@
     // Beside the file there is always room for the next one.
     const hasRoom = (): boolean => this.#end + size + live <= this.#mostBytes;
     try {
-      const isLong = this.#end + size > Math.max(this.#options.compactAt, 2 * this.#liveBytes);
-      if (isLong || (!hasRoom() && this.#end > 1.25 * this.#liveBytes)) await this.#compact();
+      const isLong = this.#end + size > Math.max(this.#options.compactAt, 2 * this.#liveBytes, this.#longFrom);
+      if (isLong || (!hasRoom() && this.#end > 1.25 * this.#liveBytes)) await this.#tryCompact();
       if (!hasRoom()) return this.#isFull(`${this.#liveBytes} bytes are kept, ${this.#mostBytes} is the room`);
       const record = JournalRecord.encode(this.#sequence + 1, changes);
       await JournalDisk.#writeAt(this.#file, record, this.#end);
       await this.#options.sync(this.#file);
       this.#take(JournalRecord.decode(record, 0) as ReadRecord);
     } catch (cause) {
-      const { code, message } = cause as NodeJS.ErrnoException;
-      if (code !== undefined && JournalDisk.#room.has(code)) return this.#isFull(message);
+      if (JournalDisk.#isRoomMissing(cause)) return this.#isFull((cause as Error).message);
       throw cause;
     }
     this.fault = "";
@@ -174,6 +175,25 @@
     this.#end += record.end;
   }
 
+  /**
+   * A disk without room for a second file may have room for one more record, and that may be the one that removes
+   * what takes the room: so a compaction without room is put off, and the record is tried all the same.
+   */
+  async #tryCompact(): Promise<void> {
+    try {
+      await this.#compact();
+      this.#longFrom = 0;
+    } catch (cause) {
+      if (!JournalDisk.#isRoomMissing(cause)) throw cause;
+      this.#longFrom = this.#end + this.#options.compactAt / 4;
+    }
+  }
+
+  static #isRoomMissing(cause: unknown): boolean {
+    const { code } = cause as NodeJS.ErrnoException;
+    return code !== undefined && JournalDisk.#room.has(code);
+  }
+
   /** Everything that is kept, in a new file that takes the old one's name once it is synced. */
   async #compact(): Promise<void> {
     const path = join(this.#folder, "journal.new");
--- a/packages/testkit/src/sabotage/logSabotages.ts
+++ b/packages/testkit/src/sabotage/logSabotages.ts
@@ -184,4 +184,11 @@
     put: "if (false)",
     test: "control/dist/configuration/planArchive.test.js",
   },
+  {
+    name: "a compaction without room stops all writes",
+    file: "core/dist/storage/journalDisk.js",
+    find: "await this.#tryCompact();",
+    put: "await this.#compact();",
+    test: "core/dist/storage/journalDisk.test.js",
+  },
 ];
