--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -4,6 +4,7 @@
 import { LogCompaction } from "@cranetrack/core/replication/logCompaction.js";
 import type { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
 import { LogReplicator } from "@cranetrack/core/replication/logReplicator.js";
+import type { Group } from "@cranetrack/core/replication/logGroups.js";
 import type { RandomSource } from "@cranetrack/core/runtime/random.js";
 import type { Clock } from "@cranetrack/core/runtime/clock.js";
 import type { RpcEndpoint } from "@cranetrack/core/rpc/rpcEndpoint.js";
@@ -11,6 +12,7 @@
 import type { LogBuffer } from "@cranetrack/core/runtime/logBuffer.js";
 import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
 import { entryKind } from "./entryKind.js";
+import { ownMessages } from "./ownMessages.js";
 import { MemberExchange } from "./memberExchange.js";
 import { MemberLog } from "./memberLog.js";
 import { VoterSets } from "./voterSets.js";
@@ -22,6 +24,13 @@
 import { storeCompaction } from "./storeCompaction.js";
 import { SlowMajorityWatch } from "./slowMajorityWatch.js";
 
+/** What a leader sends: its commit index, where the message tells of one. */
+interface LeaderMessage {
+  term: number;
+  sender: string;
+  commit?: number;
+}
+
 /**
  * One lathe's part in the replicated log, by Raft's rules. Which lathe proposes changes with every
  * election and has no lasting meaning.
@@ -82,7 +91,7 @@
     this.#chance = parts.chance;
     this.#ring = parts.ring;
     this.#commit = this.#applied = this.#log.snapshotIndex;
-    this.#compaction = new LogCompaction(this.#log, storeCompaction);
+    this.#compaction = new LogCompaction(this.#log, parts.compaction ?? storeCompaction);
     this.#proposals = new Proposals(this.#log, this.#clock);
     this.#memberLog = new MemberLog(this.#log);
     const propose = (data: Uint8Array): void => void this.propose(data, entryKind.members);
@@ -99,23 +108,14 @@
     this.#exchange.serve("vote", (vote, frame) =>
       parts.isTrusted(vote.candidate) ? this.#vote(vote, frame.from) : undefined,
     );
-    this.#exchange.serve("voteReceipt", (receipt) =>
-      parts.isTrusted(receipt.voter) ? this.#count(receipt) : undefined,
-    );
+    this.#exchange.serve("voteReceipt", (got) => (parts.isTrusted(got.voter) ? this.#count(got) : undefined));
     this.#exchange.serve("yield", (yielded) => this.#succeed(yielded));
-    parts.groups.enlist(this.#log.group, {
-      append: (append, from) =>
-        append.receiver === this.id
-          ? this.#take(append, from, () => this.#intake.take(append, this.#commit))
-          : undefined,
-      snapshot: (snapshot, from) =>
-        snapshot.receiver === this.id
-          ? this.#take(snapshot, from, () => this.#intake.takeSnapshot(snapshot, this.#commit))
-          : undefined,
-      receipt: (receipt) => {
-        if (receipt.receiver === this.id && parts.isTrusted(receipt.sender)) this.#spread?.take(receipt);
-      },
-    });
+    const group: Group = {
+      append: (append, from) => this.#take(append, from, () => this.#intake.take(append, this.#commit)),
+      snapshot: (snapshot, from) => this.#take(snapshot, from, () => this.#intake.takeSnapshot(snapshot, this.#commit)),
+      receipt: (receipt) => this.#spread?.take(receipt),
+    };
+    parts.groups.enlist(this.#log.group, ownMessages(this.id, parts.isTrusted, group));
     this.#rearm();
     this.#clock.every(RaftNode.beatMs, () => this.#beat());
   }
@@ -177,11 +177,7 @@
     if (this.isLeader) this.memberExchange.begin(this.#commit, voters, learners);
   }
 
-  async #take(
-    message: { term: number; sender: string; commit?: number },
-    from: string,
-    take: () => Promise<BodyInit>,
-  ): Promise<undefined> {
+  async #take(message: LeaderMessage, from: string, take: () => Promise<BodyInit>): Promise<undefined> {
     const isLed = message.term >= this.#log.term && message.term > this.#yieldedTerm;
     if (message.term >= this.#log.term) {
       this.#isStandingBy = false;
@@ -189,12 +185,10 @@
       if (isLed) this.#heed(message.sender);
     }
     const taken = take();
-    // Members hold from when their entry is in the log, synced or not.
-    this.#findMembers();
     if (isLed && this.#applied >= (message.commit ?? Infinity)) this.#contact.current();
-    const receipt = await taken;
+    // In force from when they are in the log, not only once the disk has them (thesis, 4.1).
     this.#findMembers();
-    this.#exchange.tell(from, receipt);
+    this.#exchange.tell(from, await taken);
     return undefined;
   }
 
@@ -400,7 +394,6 @@
   }
 
   #enlist(): void {
-    const learners = this.members.learners.map((one) => one.id);
-    this.#spread?.enlist(VoterSets.idSets(this.members), learners);
+    this.#spread?.enlist(VoterSets.idSets(this.members), VoterSets.learnerIds(this.members));
   }
 }
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,4 +1,6 @@
+import { configurationSabotages } from "./configurationSabotages.js";
 import { cutOffSabotages } from "./cutOffSabotages.js";
+import { callSabotages } from "./callSabotages.js";
 import { logSabotages } from "./logSabotages.js";
 import { repairSabotages } from "./repairSabotages.js";
 import type { Sabotage } from "./sabotage.js";
@@ -9,6 +11,7 @@
 
 /** Guards taken out on purpose; for each a test must fail. */
 export const sabotages: readonly Sabotage[] = [
+  ...configurationSabotages,
   ...membershipSabotages,
   {
     name: "a replica answers before its disk",
@@ -322,4 +325,5 @@
   ...cutOffSabotages,
   ...orderSabotages,
   ...repairSabotages,
+  ...callSabotages,
 ];
