--- a/packages/testkit/src/sabotage/electionSabotages.ts
+++ b/packages/testkit/src/sabotage/electionSabotages.ts
@@ -8,7 +8,7 @@
   {
     name: "who has voted goes on asking for votes itself",
     file,
-    find: "this.#asking = 0;\n                await this.#log.promise(",
+    find: "this.#asking = 0;\n            await this.#log.promise(",
     put: "await this.#log.promise(",
     test,
   },
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,6 +1,6 @@
+import { cutOffSabotages } from "./cutOffSabotages.js";
 import { callSabotages } from "./callSabotages.js";
 import { electionSabotages } from "./electionSabotages.js";
-import { cutOffSabotages } from "./cutOffSabotages.js";
 import { logSabotages } from "./logSabotages.js";
 import { repairSabotages } from "./repairSabotages.js";
 import type { Sabotage } from "./sabotage.js";
@@ -321,9 +321,9 @@
     test: "edge/dist/fanout/streamTail.test.js",
   },
   ...logSabotages,
-  ...callSabotages,
-  ...electionSabotages,
   ...cutOffSabotages,
   ...orderSabotages,
   ...repairSabotages,
+  ...callSabotages,
+  ...electionSabotages,
 ];
