--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,3 +1,4 @@
+import { configurationSabotages } from "./configurationSabotages.js";
 import { cutOffSabotages } from "./cutOffSabotages.js";
 import { callSabotages } from "./callSabotages.js";
 import { electionSabotages } from "./electionSabotages.js";
@@ -11,6 +12,7 @@
 
 /** Guards taken out on purpose; for each a test must fail. */
 export const sabotages: readonly Sabotage[] = [
+  ...configurationSabotages,
   ...membershipSabotages,
   {
     name: "a replica answers before its disk",
