--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -239,15 +239,9 @@
   }
 
   #sendVote(): void {
-    const vote = {
-      term: this.#asking,
-      candidate: this.id,
-      lastIndex: this.#log.lastIndex,
-      lastTerm: this.#log.lastTerm,
-      isPre: this.#isPre,
-      founding: this.founding,
-    };
-    this.#tellVoters({ case: "vote", value: vote });
+    const { lastIndex, lastTerm } = this.#log;
+    const vote = { term: this.#asking, candidate: this.id, lastIndex, lastTerm };
+    this.#tellVoters({ case: "vote", value: { ...vote, isPre: this.#isPre, founding: this.founding } });
     this.#tally();
   }
 
@@ -255,11 +249,11 @@
     if (vote.founding !== this.founding || !Number.isSafeInteger(vote.term)) return undefined;
     const isLed = this.#spread !== undefined || (this.#proposer !== "" && this.#contact.heardAgo < this.#electionMs);
     const isGranted = judgeVote(vote, this.#log, isLed);
-    if (!vote.isPre && !isLed) {
-      if (vote.term > this.#log.term || isGranted) {
-        await this.#log.promise(vote.term, isGranted ? vote.candidate : "");
-        this.#rearm();
-      }
+    if (!vote.isPre && !isLed && (vote.term > this.#log.term || isGranted)) {
+      // What it asked for itself was a vote in an earlier term.
+      this.#asking = 0;
+      await this.#log.promise(vote.term, isGranted ? vote.candidate : "");
+      this.#rearm();
     }
     // Whoever lacks the entry that names the candidate answers it too: the candidate knows whose word counts.
     await this.#log.termSynced();
@@ -272,8 +266,11 @@
 
   #count(receipt: VoteReceipt): undefined {
     if (!Number.isSafeInteger(receipt.term) || !VoterSets.isVoter(this.members, receipt.voter)) return undefined;
-    if (!receipt.isGranted && receipt.term > this.#log.term && this.#spread === undefined)
+    if (!receipt.isGranted && receipt.term > this.#log.term && this.#spread === undefined) {
       void this.#log.promise(receipt.term, "");
+      // Nobody grants a term that is over: the next one is asked for at once.
+      if (this.#asking !== 0) this.#ask(true);
+    }
     if (receipt.isGranted && this.#asking === receipt.term && receipt.isPre === this.#isPre) {
       this.#votes.add(receipt.voter);
       this.#tally();
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,6 +1,7 @@
 import { configurationSabotages } from "./configurationSabotages.js";
 import { cutOffSabotages } from "./cutOffSabotages.js";
 import { callSabotages } from "./callSabotages.js";
+import { electionSabotages } from "./electionSabotages.js";
 import { logSabotages } from "./logSabotages.js";
 import { repairSabotages } from "./repairSabotages.js";
 import type { Sabotage } from "./sabotage.js";
@@ -326,4 +327,5 @@
   ...orderSabotages,
   ...repairSabotages,
   ...callSabotages,
+  ...electionSabotages,
 ];
