Consensus: a leader that leaves asks for votes until the new voters are committed

Cause: RaftNode let only voters of its own newest members ask for votes. A leader that was exchanged, appended the new set and lost power before anybody had it, never asked again, and refused the others, whose logs are behind its own; with another voter away they lacked a majority of the old set: no leader for ever. (Ongaro's thesis, 4.2.2: a server that is not in its own latest configuration still starts elections, as it may be needed until C_new is committed.) One lost disk and one loss of power of the leaving leader are enough. Ruled out: an old leader that is out for long disturbs nobody by this: it asks for pre-votes, which who is led refuses, and stands by once it is told. That commit is unknown after a start doesn't matter: the configuration before the newest is meant, by its place in the log. Before: found.test.js fails (no leader after 60 rounds without troubles). After: it passes, with memberExchange.test and sim/memberChanges.test 23 of 23.

--- a/packages/control/src/consensus/memberExchange.ts
+++ b/packages/control/src/consensus/memberExchange.ts
@@ -25,10 +25,14 @@
     return this.#memberLog.index <= commit && !VoterSets.isJoint(this.#memberLog.members);
   }
 
-  /** Whose votes matter: by the newest configuration and, as long as that is not committed, by the one before. */
+  /**
+   * Whose votes matter: by the newest configuration and, as long as that is not known to be committed, by the one
+   * before. Each of them may ask for votes: one that leaves, too, as only its log may have the newest configuration
+   * (Ongaro's thesis, section 4.2.2). It doesn't count itself then.
+   */
   voting(commit: number): StoreMember[] {
     const { members, index } = this.#memberLog;
-    const all = index <= commit ? [members] : [members, this.#memberLog.upTo(commit)];
+    const all = index <= commit ? [members] : [members, this.#memberLog.upTo(index - 1)];
     return all.flatMap((one) => VoterSets.all(one));
   }
 
--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -206,8 +206,8 @@
       if (this.#slowWatch.isSlow(now, this.#spread.answerMs)) return this.#giveWay(now);
       return this.#spread.beat();
     }
-    const isVoter = VoterSets.isVoter(this.members, this.id);
-    if (isVoter && now >= this.#electionAt && !this.#isResigned && !this.#isStandingBy) this.#ask(true);
+    const mayLead = this.memberExchange.voting(this.#commit).some((one) => one.id === this.id);
+    if (mayLead && now >= this.#electionAt && !this.#isResigned && !this.#isStandingBy) this.#ask(true);
     // After a start of all, the first question may have reached nobody yet.
     else if (this.#asking !== 0 && this.#isPre) this.#sendVote();
   }
