Explorer: voters are exchanged, leaders leave, commits are judged as they are made; sabotages

Members change by joint exchanges as production has them; a leader may be drained itself; a commit is judged against the members in force in the moment it is counted, and has to be of the leader's own term. A scenario for exhaustive search exchanges voters. Budget: disks of learners count, too.

--- a/packages/testkit/src/explore/callers.ts
+++ b/packages/testkit/src/explore/callers.ts
@@ -13,6 +13,7 @@
 export class Callers {
   /** The key that orders replace, each naming the revision it replaces, as operators' orders do. */
   static readonly orderKey = "order";
+  static readonly bigBytes = 1024 * 1024;
 
   readonly #observer: Observer;
   readonly #coverage: Coverage;
@@ -29,9 +30,9 @@
     this.#coverage = coverage;
   }
 
-  /** Puts a key of its own, whatever is there. */
-  propose(member: ModelMember): void {
-    this.#put(member, `key-${member.name}`, undefined);
+  /** Puts a key of its own, whatever is there. A big one fills a frame, so that what follows comes in another. */
+  propose(member: ModelMember, isBig: boolean): void {
+    this.#put(member, `key-${member.name}`, undefined, isBig ? Callers.bigBytes : 0);
   }
 
   /** Replaces the order in force at this member, if it still is then. */
@@ -93,10 +94,14 @@
     return `${this.#told};${[...this.#confirmed].join()}`;
   }
 
-  #put(member: ModelMember, key: string, replaced: number | undefined): void {
+  #put(member: ModelMember, key: string, replaced: number | undefined, padding = 0): void {
     const token = this.#token(member);
     const checks = replaced === undefined ? [] : [{ key, revision: replaced }];
-    const txn = { checks, puts: [{ key, value: Buffer.from(token) } as Partial<Kv> as Kv], deletes: [] };
+    const txn = {
+      checks,
+      puts: [{ key, value: Buffer.from(token.padEnd(padding)) } as Partial<Kv> as Kv],
+      deletes: [],
+    };
     const data = toBinary(StoreCommandSchema, create(StoreCommandSchema, { command: { case: "txn", value: txn } }));
     void member.raft.propose(data).then((applied) => {
       if (!member.isUp) return;
--- a/packages/testkit/src/explore/explore.test.ts
+++ b/packages/testkit/src/explore/explore.test.ts
@@ -57,7 +57,13 @@
 
 test("point 3, losses: replaced, drained and removed members leave every commit on enough disks", async () => {
   const report = await walk({ machines: 5, walks: 200, profiles: ["members"] });
-  expectAll(report, ["replace carried out", "drain carried out", "leader elected", "snapshot installed"]);
+  expectAll(report, [
+    "replace begun",
+    "drain begun",
+    "joint members committed",
+    "leader replaced",
+    "snapshot installed",
+  ]);
 });
 
 test("point 3, losses: members as production tends them, with lost disks, newcomers and drains", async () => {
--- a/packages/testkit/src/explore/memberSteps.ts
+++ b/packages/testkit/src/explore/memberSteps.ts
@@ -9,7 +9,7 @@
 /**
  * Changes of members, asked of a leader one step at a time, and which disks may be lost.
  * The rules are those of the code that changes members in production: a newcomer learns before it votes, one change
- * at a time, a leader never takes itself out, and a voter is taken out only where a majority of the rest is there.
+ * at a time, and voters are taken out or exchanged only where a majority of the new set is there. A leader may leave.
  */
 export class MemberSteps {
   readonly #machines: readonly ModelMachine[];
@@ -26,7 +26,7 @@
     this.#wanted = wanted;
   }
 
-  isEnabled(kind: ActionKind, { raft, id, name }: ModelMember, { diskId, name: other }: ModelMachine): boolean {
+  isEnabled(kind: ActionKind, { raft, name }: ModelMember, { diskId, name: other }: ModelMachine): boolean {
     if (!raft.isLeader) return false;
     const { voters, learners } = raft.members;
     const isMember = [...voters, ...learners].some((one) => one.id === diskId);
@@ -45,15 +45,15 @@
       case "replace":
         return voters.some((one) => one.name === other && one.id !== diskId && !this.#leaving.has(one.id));
       case "drain":
-        return other !== name && voters.some((one) => one.id === diskId && one.id !== id && !this.#leaving.has(one.id));
+        return voters.some((one) => one.id === diskId && !this.#leaving.has(one.id));
       case "tend":
-        return this.#next(raft.members.voters, raft.members.learners, id, raft) !== undefined;
+        return this.#next(raft) !== undefined;
       default:
         return false;
     }
   }
 
-  take(kind: ActionKind, { raft, id }: ModelMember, { diskId, name }: ModelMachine): void {
+  take(kind: ActionKind, { raft }: ModelMember, { diskId, name }: ModelMachine): void {
     const { voters, learners } = raft.members;
     const other = { id: diskId, name } as StoreMember;
     switch (kind) {
@@ -76,37 +76,45 @@
       case "drain":
         return void this.#leaving.set(diskId, "drain");
       default:
-        return this.#next(voters, learners, id, raft)?.();
+        return this.#next(raft)?.();
     }
   }
 
-  /** Whether a disk may be lost: in every set that matters a majority of disks is left. */
+  /**
+   * Whether a disk may be lost: with it, and those that were lost and are still named as voters or learners, a
+   * majority of every set that matters is left.
+   */
   mayLose(machine: ModelMachine): boolean {
-    const left = this.#machines.filter((one) => one !== machine);
+    const left = new Set(this.#machines.filter((one) => one !== machine).map((one) => one.diskId));
     const members = [...this.#observer.relevantMembers(), ...this.#observer.laterMembers()];
-    return members.flatMap((one) => MemberSets.of(one)).every((voters) => MemberSteps.#isMajority(left, voters));
+    return members.every((one) =>
+      MemberSets.of(one).every((voters) => {
+        const named = new Set([...voters, ...one.learners].map(({ id }) => id));
+        const lost = [...named].filter((id) => !left.has(id));
+        return lost.length * 2 < voters.length;
+      }),
+    );
   }
 
   text(): string {
     return [...this.#leaving].join(";");
   }
 
-  /** What the change under way needs next: who leaves is replaced first. */
-  #next(
-    voters: StoreMember[],
-    learners: StoreMember[],
-    id: string,
-    raft: ModelMember["raft"],
-  ): (() => void) | undefined {
-    const out = voters.find((one) => this.#leaving.has(one.id) && one.id !== id);
-    if (out === undefined) return undefined;
+  /** What the change under way needs next: a learner, or to take it in the place of who leaves, in one exchange. */
+  #next(raft: ModelMember["raft"]): (() => void) | undefined {
+    const { voters, learners } = raft.members;
+    const out = voters.find((one) => this.#leaving.has(one.id));
+    if (out === undefined || !raft.hasSettledMembers) return undefined;
+    const rest = MemberSteps.#without(voters, out.id);
     const ready = learners.find((one) => raft.matchOf(one.id).match > 0);
-    if (ready !== undefined && MemberSteps.#isMajority(this.#machines, [...voters, ready]))
-      return () => raft.changeMembers([...voters, ready], MemberSteps.#without(learners, ready.id));
-    if (voters.length > this.#wanted) {
+    const next = voters.length > this.#wanted || ready === undefined ? rest : [...rest, ready];
+    if (next.length >= this.#wanted && MemberSteps.#isMajority(this.#machines, next)) {
       return () => {
-        this.#coverage.count(`event: ${this.#leaving.get(out.id)} carried out`);
-        raft.changeMembers(MemberSteps.#without(voters, out.id), learners);
+        this.#coverage.count(`event: ${this.#leaving.get(out.id)} begun`);
+        raft.changeMembers(
+          next,
+          learners.filter((one) => !next.includes(one)),
+        );
       };
     }
     const spare = this.#machines.find((one) => !voters.some(({ id: voter }) => voter === one.diskId));
--- a/packages/testkit/src/explore/modelWorld.ts
+++ b/packages/testkit/src/explore/modelWorld.ts
@@ -196,7 +196,7 @@
         return this.network.mend(machine.name, second.name);
       case "propose":
         this.#remember(machine, kind);
-        return this.callers.propose(member);
+        return this.callers.propose(member, nth > 0);
       case "order":
         this.#remember(machine, kind);
         return this.callers.order(member);
--- a/packages/testkit/src/explore/observer.ts
+++ b/packages/testkit/src/explore/observer.ts
@@ -44,7 +44,10 @@
       this.keep(() => this.committed.installed(name, index, log.snapshotTerm, raft.metadata.snapshot(undefined)));
     if (log.snapshotIndex > 0) installed(log.snapshotIndex);
     raft.on("applied", ({ revision }) =>
-      this.keep(() => this.committed.applied(name, log.at(revision)!, raft.metadata.snapshot(undefined))),
+      this.keep(() => {
+        if (member.isActingLeader && revision > this.committed.last) this.#checkCommit(member, revision);
+        this.committed.applied(name, log.at(revision)!, raft.metadata.snapshot(undefined));
+      }),
     );
     raft.on("snapshotd", () => {
       this.#coverage.count("event: snapshot installed");
@@ -201,26 +204,42 @@
     const { last } = this.committed;
     const term = this.committed.at(last)?.term;
     if (term === undefined) return;
-    const lacking = this.#machines
-      .filter((machine) => {
-        const disk = this.durable(machine);
-        return disk.baseIndex < last && disk.termAt(last) !== term;
-      })
-      .map((machine) => machine.diskId);
-    const isMajority = (voters: StoreMember[]): boolean =>
-      voters.filter((one) => lacking.includes(one.id)).length * 2 > voters.length;
-    const isNew = last > this.#judged;
+    const lacking = this.#lacking(last, term);
+    for (const members of this.relevantMembers())
+      if (MemberSets.of(members).every((voters) => Observer.#isMajority(voters, lacking)))
+        throw new Violation("commits on enough disks", Observer.#missing(last, lacking, members));
+    if (last > this.#judged) this.#countMembers();
     this.#judged = last;
-    if (isNew) this.#countMembers();
-    for (const members of this.relevantMembers()) {
-      const sets = MemberSets.of(members);
-      const mustHold = isNew && this.#led().some((one) => one.raft.members === members);
-      if (mustHold ? sets.some(isMajority) : sets.every(isMajority))
-        throw new Violation(
-          "commits on enough disks",
-          `entry ${last} is committed, and not on the disks of ${lacking.join(", ")} (${MemberSets.text(members)})`,
-        );
-    }
+  }
+
+  /** A leader takes an entry for committed: by every set of voters in force there, and in its own term. */
+  #checkCommit({ name, log, raft }: ModelMember, index: number): void {
+    const lacking = this.#lacking(index, log.termAt(index)!);
+    if (MemberSets.of(raft.members).some((voters) => Observer.#isMajority(voters, lacking)))
+      throw new Violation("commits on enough disks", Observer.#missing(index, lacking, raft.members));
+    const term = log.termAt(raft.commit);
+    if (term !== raft.term)
+      throw new Violation(
+        "commits of the leader's own term",
+        `${name} leads term ${raft.term} and commits up to entry ${raft.commit}, which is of term ${term}`,
+      );
+  }
+
+  /** The disks, by their identities, that have not got an entry. */
+  #lacking(index: number, term: number): Set<string> {
+    const machines = this.#machines.filter((machine) => {
+      const disk = this.durable(machine);
+      return disk.baseIndex < index && disk.termAt(index) !== term;
+    });
+    return new Set(machines.map((machine) => machine.diskId));
+  }
+
+  static #isMajority(voters: readonly StoreMember[], ids: ReadonlySet<string>): boolean {
+    return voters.filter((one) => ids.has(one.id)).length * 2 > voters.length;
+  }
+
+  static #missing(index: number, lacking: ReadonlySet<string>, members: Members): string {
+    return `entry ${index} is committed, and not on ${[...lacking].join(", ")} (${MemberSets.text(members)})`;
   }
 
   #countMembers(): void {
--- a/packages/testkit/src/explore/scenarios.ts
+++ b/packages/testkit/src/explore/scenarios.ts
@@ -37,6 +37,20 @@
 
 /** The starts of exhaustive searches, and what may happen after them. */
 export const scenarios: readonly Scenario[] = [
+  {
+    name: "voters are exchanged",
+    world: withSpare,
+    prepare: async (world, deliver) => {
+      await elect(world, deliver);
+      await world.take(act("addLearner", 0, 3));
+      await deliver();
+      await world.take(act("tick", 0));
+      await deliver();
+      await world.take(act("drain", 0, 2));
+    },
+    limits: { deliver: Infinity, tend: 1, tick: 1, crash: 1, propose: 1 },
+    depth: 4,
+  },
   {
     name: "first election",
     world: three,
@@ -73,6 +87,8 @@
       await elect(world, deliver);
       await world.take(act("addLearner", 0, 3));
       await deliver();
+      await world.take(act("tick", 0));
+      await deliver();
     },
     limits: { deliver: Infinity, promote: 1, removeVoter: 1, tick: 1, propose: 1, crash: 1 },
     depth: 3,
--- a/packages/testkit/src/explore/violation.ts
+++ b/packages/testkit/src/explore/violation.ts
@@ -7,6 +7,7 @@
   | "state machines agree"
   | "commits stay"
   | "commits on enough disks"
+  | "commits of the leader's own term"
   | "answers only what is on disk"
   | "members are the log's newest"
   | "acknowledged orders stay"
--- /dev/null
+++ b/packages/testkit/src/sabotage/exploreSabotages.ts
@@ -0,0 +1,130 @@
+import type { Sabotage } from "./sabotage.js";
+
+const test = "testkit/dist/explore/explore.test.js";
+const replicaLog = "core/dist/replication/replicaLog.js";
+const followerLog = "core/dist/replication/followerLog.js";
+const logReplicator = "core/dist/replication/logReplicator.js";
+const raftNode = "control/dist/consensus/raftNode.js";
+
+/** Guards of the replicated log that the explorer must miss, by its bounded part alone. */
+export const exploreSabotages: readonly Sabotage[] = [
+  {
+    name: "explorer: a promise resolves before its sync",
+    file: replicaLog,
+    find: "this.#promised = this.#disk.write([this.#meta()]);",
+    put: "void this.#disk.write([this.#meta()]);",
+    test,
+  },
+  {
+    name: "explorer: a log that is behind gets votes",
+    file: "control/dist/consensus/judgeVote.js",
+    find: "if (!isCurrent || isLed)",
+    put: "if (isLed)",
+    test,
+  },
+  {
+    name: "explorer: two votes in a term",
+    file: "control/dist/consensus/judgeVote.js",
+    find: '(log.vote === "" || log.vote === vote.candidate)',
+    put: "true",
+    test,
+  },
+  {
+    name: "explorer: older terms commit by counting",
+    file: logReplicator,
+    find: " || this.#log.termAt(agreed) !== this.#term",
+    put: "",
+    test,
+  },
+  {
+    name: "explorer: only the new set commits in an exchange",
+    file: logReplicator,
+    find: "this.#sets = sets.map((set) => [...set]);",
+    put: "this.#sets = [[...sets.at(-1)]];",
+    test,
+  },
+  {
+    name: "explorer: one of two sets elects",
+    file: "control/dist/consensus/voterSets.js",
+    find: "return VoterSets.of(members).every(",
+    put: "return VoterSets.of(members).some(",
+    test,
+  },
+  {
+    name: "explorer: an exchange of voters begins before the one before is over",
+    file: "control/dist/consensus/memberExchange.js",
+    find: "return this.#memberLog.index <= commit && !VoterSets.isJoint(this.#memberLog.members);",
+    put: "return true;",
+    test,
+  },
+  {
+    name: "explorer: a learner counts",
+    file: raftNode,
+    find: "VoterSets.of(this.members).map((set) => set.map((one) => one.id))",
+    put: "VoterSets.of(this.members).map((set) => [...set, ...this.members.learners].map((one) => one.id))",
+    test,
+  },
+  {
+    name: "explorer: a read asks nobody",
+    file: raftNode,
+    find: "return (await this.#proposals.confirm()) && this.isLeader;",
+    put: "return this.isLeader;",
+    test,
+  },
+  {
+    name: "explorer: a read is answered before an entry of the term is committed",
+    file: raftNode,
+    find: "return this.#spread !== undefined && this.#commit >= this.#noopIndex;",
+    put: "return this.#spread !== undefined;",
+    test,
+  },
+  {
+    name: "explorer: a snapshot throws away what follows it",
+    file: followerLog,
+    find: " || this.#log.termAt(index) === indexTerm",
+    put: "",
+    test,
+  },
+  {
+    name: "explorer: a follower answers before its disk",
+    file: followerLog,
+    find: "await synced;",
+    put: "",
+    test,
+  },
+  {
+    name: "explorer: a follower takes what does not follow its log",
+    file: followerLog,
+    find: "if (!isBehindBase && this.#log.termAt(prevIndex) !== prevTerm)",
+    put: "if (!isBehindBase && this.#log.termAt(prevIndex) === undefined)",
+    test,
+  },
+  {
+    name: "explorer: a leader counts its own entries before its disk has them",
+    file: logReplicator,
+    find: "id === this.#self ? this.#log.syncedIndex",
+    put: "id === this.#self ? this.#log.lastIndex",
+    test,
+  },
+  {
+    name: "explorer: who has heard of a leader is in touch for ever",
+    file: raftNode,
+    find: 'return this.#proposer !== "" && this.#clock.now() - this.#heardAt < this.#inTouchMs;',
+    put: 'return this.#proposer !== "";',
+    test,
+  },
+  {
+    name: "explorer: who is not named by the log gets no answer to its vote",
+    file: raftNode,
+    find: "await this.#log.termSynced();",
+    put: "if (!VoterSets.isVoter(this.members, vote.candidate)) return undefined; await this.#log.termSynced();",
+    test,
+  },
+  {
+    name: "explorer: members are looked for only after the disk has them",
+    file: raftNode,
+    find: "const receipt = take();",
+    put: "const receipt = take(); await receipt;",
+    test,
+  },
+];
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,3 +1,4 @@
+import { exploreSabotages } from "./exploreSabotages.js";
 import { logSabotages } from "./logSabotages.js";
 import type { Sabotage } from "./sabotage.js";
 import { membershipSabotages } from "./membershipSabotages.js";
@@ -336,5 +337,6 @@
     put: "this.head = from;",
     test: "edge/dist/fanout/streamTail.test.js",
   },
+  ...exploreSabotages,
   ...logSabotages,
 ];
