--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -4,6 +4,7 @@
 import { LogCompaction } from "@cranetrack/core/replication/logCompaction.js";
 import type { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
 import { LogReplicator } from "@cranetrack/core/replication/logReplicator.js";
+import type { Group } from "@cranetrack/core/replication/logGroups.js";
 import type { RandomSource } from "@cranetrack/core/runtime/random.js";
 import type { Clock } from "@cranetrack/core/runtime/clock.js";
 import type { RpcEndpoint } from "@cranetrack/core/rpc/rpcEndpoint.js";
@@ -11,17 +12,24 @@
 import type { LogBuffer } from "@cranetrack/core/runtime/logBuffer.js";
 import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
 import { entryKind } from "./entryKind.js";
+import { ownMessages } from "./ownMessages.js";
 import { MemberExchange } from "./memberExchange.js";
 import { MemberLog } from "./memberLog.js";
 import { VoterSets } from "./voterSets.js";
 import { judgeVote } from "./judgeVote.js";
+import { LeaderContact } from "./leaderContact.js";
 import { Metadata, type Applied } from "../store/metadata.js";
 import type { RaftNodeParts } from "./raftNodeParts.js";
 import { Proposals } from "./proposals.js";
 import { storeCompaction } from "./storeCompaction.js";
 import { SlowMajorityWatch } from "./slowMajorityWatch.js";
 
-type TermSender = Pick<Yield, "term" | "sender">;
+/** What a leader sends: its commit index, where the message tells of one. */
+interface LeaderMessage {
+  term: number;
+  sender: string;
+  commit?: number;
+}
 
 /**
  * One lathe's part in the replicated log, by Raft's rules. Which lathe proposes changes with every
@@ -45,8 +53,7 @@
   readonly #exchange: RpcEndpoint;
   readonly #clock: Clock;
   readonly #electionMs: number;
-  /** Without a majority, or a proposer, for longer than this, a lathe stops speaking for the store. */
-  readonly #inTouchMs: number;
+  readonly #contact: LeaderContact;
   readonly #chance: RandomSource;
   readonly #ring: LogBuffer;
   readonly #intake: FollowerLog;
@@ -58,7 +65,6 @@
   #commit: number;
   #applied: number;
   #proposer = "";
-  #heardAt: number;
   #electionAt = 0;
   #votes = new Set<string>();
   /** 0 when not asking, else the term asked for. */
@@ -81,10 +87,9 @@
     this.#exchange = parts.exchange;
     this.#clock = parts.clock;
     this.#electionMs = parts.electionMs;
-    this.#inTouchMs = parts.electionMs * 1.3;
+    this.#contact = new LeaderContact(parts.clock, parts.electionMs);
     this.#chance = parts.chance;
     this.#ring = parts.ring;
-    this.#heardAt = parts.clock.now();
     this.#commit = this.#applied = this.#log.snapshotIndex;
     this.#compaction = new LogCompaction(this.#log, parts.compaction ?? storeCompaction);
     this.#proposals = new Proposals(this.#log, this.#clock);
@@ -100,22 +105,17 @@
       (state) => Metadata.isReadable(state),
     );
     this.#findMembers();
-    this.#exchange.serve("vote", (vote, frame) => this.#vote(vote, frame.from));
-    this.#exchange.serve("voteReceipt", (receipt) => this.#count(receipt));
+    this.#exchange.serve("vote", (vote, frame) =>
+      parts.isTrusted(vote.candidate) ? this.#vote(vote, frame.from) : undefined,
+    );
+    this.#exchange.serve("voteReceipt", (got) => (parts.isTrusted(got.voter) ? this.#count(got) : undefined));
     this.#exchange.serve("yield", (yielded) => this.#succeed(yielded));
-    parts.groups.enlist(this.#log.group, {
-      append: (append, from) =>
-        append.receiver === this.id
-          ? this.#take(append, from, () => this.#intake.take(append, this.#commit))
-          : undefined,
-      snapshot: (snapshot, from) =>
-        snapshot.receiver === this.id
-          ? this.#take(snapshot, from, () => this.#intake.takeSnapshot(snapshot, this.#commit))
-          : undefined,
-      receipt: (receipt) => {
-        if (receipt.receiver === this.id) this.#spread?.take(receipt);
-      },
-    });
+    const group: Group = {
+      append: (append, from) => this.#take(append, from, () => this.#intake.take(append, this.#commit)),
+      snapshot: (snapshot, from) => this.#take(snapshot, from, () => this.#intake.takeSnapshot(snapshot, this.#commit)),
+      receipt: (receipt) => this.#spread?.take(receipt),
+    };
+    parts.groups.enlist(this.#log.group, ownMessages(this.id, parts.isTrusted, group));
     this.#rearm();
     this.#clock.every(RaftNode.beatMs, () => this.#beat());
   }
@@ -142,10 +142,10 @@
     return this.#log.term;
   }
 
-  /** Whether a majority stands behind what this lathe tells its feeds. */
+  /** Whether a majority stands behind what this lathe tells its feeds, and it has all that was committed. */
   get isInTouch(): boolean {
-    if (this.#spread !== undefined) return this.isLeader && this.#spread.majorityAgo() < this.#inTouchMs;
-    return this.#proposer !== "" && this.#clock.now() - this.#heardAt < this.#inTouchMs;
+    if (this.#spread === undefined) return this.#proposer !== "" && this.#contact.isCurrent;
+    return this.isLeader && !this.#contact.hasJustResumed && this.#spread.majorityAgo() < this.#contact.limitMs;
   }
 
   /** Undefined: not the proposer any more; the command may or may not be carried out. */
@@ -177,21 +177,23 @@
     if (this.isLeader) this.memberExchange.begin(this.#commit, voters, learners);
   }
 
-  async #take({ term, sender }: TermSender, from: string, take: () => Promise<BodyInit>): Promise<undefined> {
-    if (term >= this.#log.term) {
+  async #take(message: LeaderMessage, from: string, take: () => Promise<BodyInit>): Promise<undefined> {
+    const isLed = message.term >= this.#log.term && message.term > this.#yieldedTerm;
+    if (message.term >= this.#log.term) {
       this.#isStandingBy = false;
-      if (term > this.#log.term) this.#stepDown("a higher term");
-      if (term > this.#yieldedTerm) this.#heed(sender);
+      if (message.term > this.#log.term) this.#stepDown("a higher term");
+      if (isLed) this.#heed(message.sender);
     }
-    const receipt = take();
-    // In force from when they are in the log, not only once the disk has them (Raft, section 6).
+    const taken = take();
+    if (isLed && this.#applied >= (message.commit ?? Infinity)) this.#contact.current();
+    // In force from when they are in the log, not only once the disk has them (thesis, 4.1).
     this.#findMembers();
-    this.#exchange.tell(from, await receipt);
+    this.#exchange.tell(from, await taken);
     return undefined;
   }
 
   #heed(sender: string): void {
-    this.#heardAt = this.#clock.now();
+    this.#contact.heard();
     this.#asking = 0;
     this.#rearm();
     if (this.#proposer === sender) return;
@@ -201,8 +203,9 @@
 
   #beat(): void {
     const now = this.#clock.now();
+    this.#contact.beat();
     if (this.#spread !== undefined) {
-      if (this.#spread.majorityAgo() > this.#inTouchMs) return this.#stepDown("no majority answers");
+      if (this.#spread.majorityAgo() > this.#contact.limitMs) return this.#stepDown("no majority answers");
       if (this.#slowWatch.isSlow(now, this.#spread.answerMs)) return this.#giveWay(now);
       return this.#spread.beat();
     }
@@ -236,28 +239,21 @@
   }
 
   #sendVote(): void {
-    const vote = {
-      term: this.#asking,
-      candidate: this.id,
-      lastIndex: this.#log.lastIndex,
-      lastTerm: this.#log.lastTerm,
-      isPre: this.#isPre,
-      founding: this.founding,
-    };
-    this.#tellVoters({ case: "vote", value: vote });
+    const { lastIndex, lastTerm } = this.#log;
+    const vote = { term: this.#asking, candidate: this.id, lastIndex, lastTerm };
+    this.#tellVoters({ case: "vote", value: { ...vote, isPre: this.#isPre, founding: this.founding } });
     this.#tally();
   }
 
   async #vote(vote: Vote, from: string): Promise<undefined> {
     if (vote.founding !== this.founding || !Number.isSafeInteger(vote.term)) return undefined;
-    const isLed =
-      this.#spread !== undefined || (this.#proposer !== "" && this.#clock.now() - this.#heardAt < this.#electionMs);
+    const isLed = this.#spread !== undefined || (this.#proposer !== "" && this.#contact.heardAgo < this.#electionMs);
     const isGranted = judgeVote(vote, this.#log, isLed);
-    if (!vote.isPre && !isLed) {
-      if (vote.term > this.#log.term || isGranted) {
-        await this.#log.promise(vote.term, isGranted ? vote.candidate : "");
-        this.#rearm();
-      }
+    if (!vote.isPre && !isLed && (vote.term > this.#log.term || isGranted)) {
+      // What it asked for itself was a vote in an earlier term.
+      this.#asking = 0;
+      await this.#log.promise(vote.term, isGranted ? vote.candidate : "");
+      this.#rearm();
     }
     // Whoever lacks the entry that names the candidate answers it too: the candidate knows whose word counts.
     await this.#log.termSynced();
@@ -270,8 +266,11 @@
 
   #count(receipt: VoteReceipt): undefined {
     if (!Number.isSafeInteger(receipt.term) || !VoterSets.isVoter(this.members, receipt.voter)) return undefined;
-    if (!receipt.isGranted && receipt.term > this.#log.term && this.#spread === undefined)
+    if (!receipt.isGranted && receipt.term > this.#log.term && this.#spread === undefined) {
       void this.#log.promise(receipt.term, "");
+      // Nobody grants a term that is over: the next one is asked for at once.
+      if (this.#asking !== 0) this.#ask(true);
+    }
     if (receipt.isGranted && this.#asking === receipt.term && receipt.isPre === this.#isPre) {
       this.#votes.add(receipt.voter);
       this.#tally();
@@ -330,7 +329,7 @@
     this.#proposer = "";
     this.#yieldedTerm = term;
     this.#tellVoters({ case: "yield", value: { term, sender } }, sender);
-    const ids = VoterSets.all(this.members).flatMap(({ id }) => (id === sender ? [] : [id]));
+    const ids = VoterSets.ids(this.members).filter((id) => id !== sender);
     this.#electionAt = this.#clock.now() + Rendezvous.rank(String(term), ids).indexOf(this.id) * RaftNode.turnMs;
     return undefined;
   }
@@ -392,9 +391,6 @@
   }
 
   #enlist(): void {
-    this.#spread?.enlist(
-      VoterSets.of(this.members).map((set) => set.map((one) => one.id)),
-      this.members.learners.map((one) => one.id),
-    );
+    this.#spread?.enlist(VoterSets.idSets(this.members), VoterSets.learnerIds(this.members));
   }
 }
--- a/packages/control/src/consensus/raftNodeParts.ts
+++ b/packages/control/src/consensus/raftNodeParts.ts
@@ -17,6 +17,8 @@
   readonly clock: Clock;
   readonly chance: RandomSource;
   readonly ring: LogBuffer;
+  /** False for a disk that is there twice or is an older copy: it neither votes nor counts. */
+  readonly isTrusted: (id: string) => boolean;
   /** When the log is compacted; `storeCompaction` where left out. */
   readonly compaction?: CompactionBounds;
 }
--- a/packages/control/src/consensus/voterSets.ts
+++ b/packages/control/src/consensus/voterSets.ts
@@ -19,6 +19,18 @@
     return [...byId.values()];
   },
 
+  ids(members: Members): string[] {
+    return VoterSets.all(members).map((one) => one.id);
+  },
+
+  idSets(members: Members): string[][] {
+    return VoterSets.of(members).map((set) => set.map((one) => one.id));
+  },
+
+  learnerIds(members: Members): string[] {
+    return members.learners.map((one) => one.id);
+  },
+
   isVoter(members: Members, id: string): boolean {
     return VoterSets.all(members).some((one) => one.id === id);
   },
--- a/packages/core/src/feeds/feedFollower.ts
+++ b/packages/core/src/feeds/feedFollower.ts
@@ -6,6 +6,7 @@
 import type { ChangeJournal } from "./changeJournal.js";
 import type { Membership } from "../membership/membership.js";
 import { Rendezvous } from "../membership/rendezvous.js";
+import { PackedValue, type ValueVersion } from "../store/packedValue.js";
 
 export interface Change {
   key: string;
@@ -15,10 +16,16 @@
 
 /**
  * Follows the store's numbered changes from one lathe at a time and appends them to the journal.
- * Invariants: `revision` only rises; a push is applied only in its number's turn.
+ * Invariants: `revision` only rises; a push is applied only in its number's turn, and whole: one with a difference
+ * whose base is not held here is refused, and everything is asked for anew.
  */
 export class FeedFollower extends EventEmitter<{ first: [] }> {
   static readonly staleMs = 1450;
+  /**
+   * A push answers an acknowledgement, at the lathe's next beat (500 ms) at the latest. What comes later than this was
+   * on its way, or in a buffer of a process that stood still, for the rest of the time.
+   */
+  static readonly answerMs = 700;
   /** Two beats without a word: another lathe is asked before what this node knows is stale. */
   static readonly silentMs = 1000;
   /** A first snapshot may take this long; asking elsewhere sooner only makes it later. What follows is short. */
@@ -28,22 +35,32 @@
   static readonly reopenMs = 1000;
   static readonly livelyMs = 900;
 
+  static readonly #noValue = new Uint8Array();
+
   readonly #exchange: RpcEndpoint;
   readonly #membership: Membership;
   readonly #clock: Clock;
   readonly #chance: RandomSource;
   readonly #prefixes: string[];
   readonly #journal: ChangeJournal<Change>;
-  /** The keys held, to tell from a snapshot what is gone. */
-  readonly #keys = new Map<string, number>();
+  /** The keys held, to tell from a snapshot what is gone, and large values, which differences apply to. */
+  readonly #keys = new Map<string, ValueVersion>();
   #feed = "";
   #lathe = "";
   #number = 0;
+  /** Invariant: at most `answerMs` later than when the lathe sent what was heard. */
   #heardAt = -Infinity;
+  #arrivedAt = -Infinity;
+  /** When the last push was acknowledged first, or the feed was opened. */
+  #askedAt = -Infinity;
   #openedAt = -Infinity;
   #opens = 0;
   /** The lathe let go of the feed. What was heard before stays as old as it is: another lathe may go on from it. */
   #isClosed = false;
+  /** A push was refused: nothing but a snapshot will do. */
+  #needsSnapshot = false;
+  /** Pushes that were refused for want of a difference's base. */
+  refused = 0;
   revision = 0;
   /** Told by the plan's view, to be acknowledged. */
   planMark: () => number = () => 0;
@@ -86,7 +103,7 @@
     this.#clock.every(100, () => {
       if (this.#isClosed && this.#clock.now() - this.#openedAt > FeedFollower.closedMs) return this.#open();
       if (
-        this.age > FeedFollower.silentMs &&
+        this.#clock.now() - this.#arrivedAt > FeedFollower.silentMs &&
         this.#clock.now() - this.#openedAt > (this.revision === 0 ? FeedFollower.openMs : FeedFollower.reopenMs)
       )
         this.#open();
@@ -105,13 +122,18 @@
     if (lathe === undefined) return;
     this.#opens += 1;
     this.#isClosed = false;
-    this.#openedAt = this.#clock.now();
+    this.#openedAt = this.#askedAt = this.#clock.now();
     this.#feed = `${this.#exchange.name}/${this.#chance.identity().slice(0, 8)}`;
     this.#lathe = lathe;
     this.#number = 0;
     this.#exchange.tell(lathe, {
       case: "feedOpen",
-      value: { feed: this.#feed, name: this.#exchange.name, prefixes: this.#prefixes, revision: this.revision },
+      value: {
+        feed: this.#feed,
+        name: this.#exchange.name,
+        prefixes: this.#prefixes,
+        revision: this.#needsSnapshot ? 0 : this.revision,
+      },
     });
   }
 
@@ -119,10 +141,12 @@
     if (push.feed !== this.#feed || from !== this.#lathe) return undefined;
     if (push.number === this.#number + 1 && (push.isSnapshot || push.fromRevision <= this.revision)) {
       if (push.revision < this.revision) return undefined;
+      if (!push.isSnapshot) push.kvs = push.kvs.filter((kv) => kv.revision > this.revision);
+      if (!push.kvs.every((kv) => this.#unpack(kv))) return this.#refuse();
       this.#number = push.number;
-      this.#heardAt = this.#clock.now();
+      this.#hear();
       this.#apply(push);
-    } else if (push.number === this.#number) this.#heardAt = this.#clock.now();
+    }
     const ack = {
       feed: this.#feed,
       number: this.#number,
@@ -134,12 +158,34 @@
     return undefined;
   }
 
+  /** False where the value can't be had from what is held here. */
+  #unpack(kv: Kv): boolean {
+    const value = PackedValue.unpack(kv, this.#keys.get(kv.key));
+    if (value !== undefined) kv.value = value;
+    else if (this.#keys.has(kv.key)) this.#keys.set(kv.key, { value: FeedFollower.#noValue, revision: 0 });
+    return value !== undefined;
+  }
+
+  #refuse(): undefined {
+    this.refused += 1;
+    this.#needsSnapshot = true;
+    // At once, but not again and again: the next look opens it where this feed is as young.
+    if (this.#clock.now() - this.#openedAt > FeedFollower.closedMs) this.#open();
+    else this.#isClosed = true;
+    return undefined;
+  }
+
+  #hear(): void {
+    const now = this.#clock.now();
+    this.#heardAt = Math.max(this.#heardAt, Math.min(now, this.#askedAt + FeedFollower.answerMs));
+    this.#arrivedAt = this.#askedAt = now;
+  }
+
   #apply(push: FeedPush): void {
     const isFirst = this.revision === 0;
+    if (push.isSnapshot) this.#needsSnapshot = false;
     if (push.isSnapshot) this.#applySnapshot(push.kvs);
-    else
-      for (const kv of push.kvs)
-        if (kv.revision > this.revision) this.#change(kv.key, kv.isGone ? undefined : kv.value, kv.revision);
+    else for (const kv of push.kvs) this.#change(kv.key, kv.isGone ? undefined : kv.value, kv.revision);
     this.revision = push.revision;
     if (isFirst && this.revision > 0) this.emit("first");
   }
@@ -147,12 +193,13 @@
   #applySnapshot(kvs: Kv[]): void {
     const present = new Set(kvs.map((kv) => kv.key));
     for (const key of [...this.#keys.keys()]) if (!present.has(key)) this.#change(key, undefined, this.revision);
-    for (const kv of kvs) if (this.#keys.get(kv.key) !== kv.revision) this.#change(kv.key, kv.value, kv.revision);
+    for (const kv of kvs)
+      if (this.#keys.get(kv.key)?.revision !== kv.revision) this.#change(kv.key, kv.value, kv.revision);
   }
 
   #change(key: string, value: Uint8Array | undefined, revision: number): void {
     if (value === undefined) this.#keys.delete(key);
-    else this.#keys.set(key, revision);
+    else this.#keys.set(key, { value: PackedValue.isLarge(value) ? value : FeedFollower.#noValue, revision });
     this.#journal.append({ key, value, revision });
   }
 }
--- a/packages/core/src/storage/journalDisk.ts
+++ b/packages/core/src/storage/journalDisk.ts
@@ -1,10 +1,11 @@
-import { closeSync, existsSync, fstatSync, fsyncSync, ftruncateSync, mkdirSync, openSync } from "node:fs";
+import { closeSync, existsSync, fstatSync, fsyncSync, ftruncateSync, openSync } from "node:fs";
 import { readSync, rmSync, writeSync } from "node:fs";
 import { open, rename, rm, type FileHandle } from "node:fs/promises";
 import { join } from "node:path";
 import VError from "verror";
 import type { Disk, DiskChange } from "./disk.js";
 import { JournalRecord, type ReadRecord } from "./journalRecord.js";
+import { NewFolder } from "./newFolder.js";
 
 interface Kept {
   at: number;
@@ -44,6 +45,8 @@
   readonly #index = new Map<string, Kept>();
   #file: FileHandle;
   #end = JournalDisk.#head.length;
+  /** After a compaction that found no room: how long the file may become before the next one. */
+  #longFrom = 0;
   #sequence = 0;
   #liveBytes = 0;
   #waiting: Waiting[] = [];
@@ -66,7 +69,7 @@
 
   static async open(folder: string, options: JournalOptions = {}): Promise<JournalDisk> {
     try {
-      mkdirSync(folder, { recursive: true });
+      NewFolder.make(folder);
       if (existsSync(join(folder, "data.mdb"))) throw new Error("it holds the data of another disk format");
       rmSync(join(folder, "journal.new"), { force: true });
       const path = join(folder, "journal");
@@ -75,7 +78,7 @@
       disk.#load();
       // A process that was killed left writes that no sync covers: what was read must stay from here on.
       await disk.#options.sync(disk.#file);
-      JournalDisk.#syncFolder(folder);
+      NewFolder.sync(folder);
       return disk;
     } catch (cause) {
       throw new VError({ name: "DataFolderFault", cause: cause as Error }, "the data folder %s cannot be used", folder);
@@ -132,16 +135,15 @@
     // Beside the file there is always room for the next one.
     const hasRoom = (): boolean => this.#end + size + live <= this.#mostBytes;
     try {
-      const isLong = this.#end + size > Math.max(this.#options.compactAt, 2 * this.#liveBytes);
-      if (isLong || (!hasRoom() && this.#end > 1.25 * this.#liveBytes)) await this.#compact();
+      const isLong = this.#end + size > Math.max(this.#options.compactAt, 2 * this.#liveBytes, this.#longFrom);
+      if (isLong || (!hasRoom() && this.#end > 1.25 * this.#liveBytes)) await this.#tryCompact();
       if (!hasRoom()) return this.#isFull(`${this.#liveBytes} bytes are kept, ${this.#mostBytes} is the room`);
       const record = JournalRecord.encode(this.#sequence + 1, changes);
       await JournalDisk.#writeAt(this.#file, record, this.#end);
       await this.#options.sync(this.#file);
       this.#take(JournalRecord.decode(record, 0) as ReadRecord);
     } catch (cause) {
-      const { code, message } = cause as NodeJS.ErrnoException;
-      if (code !== undefined && JournalDisk.#room.has(code)) return this.#isFull(message);
+      if (JournalDisk.#isRoomMissing(cause)) return this.#isFull((cause as Error).message);
       throw cause;
     }
     this.fault = "";
@@ -173,6 +175,25 @@
     this.#end += record.end;
   }
 
+  /**
+   * A disk without room for a second file may have room for one more record, and that may be the one that removes
+   * what takes the room: so a compaction without room is put off, and the record is tried all the same.
+   */
+  async #tryCompact(): Promise<void> {
+    try {
+      await this.#compact();
+      this.#longFrom = 0;
+    } catch (cause) {
+      if (!JournalDisk.#isRoomMissing(cause)) throw cause;
+      this.#longFrom = this.#end + this.#options.compactAt / 4;
+    }
+  }
+
+  static #isRoomMissing(cause: unknown): boolean {
+    const { code } = cause as NodeJS.ErrnoException;
+    return code !== undefined && JournalDisk.#room.has(code);
+  }
+
   /** Everything that is kept, in a new file that takes the old one's name once it is synced. */
   async #compact(): Promise<void> {
     const path = join(this.#folder, "journal.new");
@@ -213,7 +234,7 @@
     this.#end = end;
     this.#sequence = sequence;
     for (const [key, entry] of kept) this.#index.set(key, entry);
-    JournalDisk.#syncFolder(this.#folder);
+    NewFolder.sync(this.#folder);
     await old.close();
   }
 
@@ -282,12 +303,6 @@
     }
   }
 
-  static #syncFolder(folder: string): void {
-    const file = openSync(folder, "r");
-    fsyncSync(file);
-    closeSync(file);
-  }
-
   static async #writeAt(file: FileHandle, bytes: Uint8Array, place: number): Promise<void> {
     for (let done = 0; done < bytes.length;)
       done += (await file.write(bytes, done, bytes.length - done, place + done)).bytesWritten;
--- a/packages/core/src/store/storeClient.ts
+++ b/packages/core/src/store/storeClient.ts
@@ -2,9 +2,11 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import type { StoreCallSchema, TxnSchema } from "../gen/cranetrack_pb.js";
 import type { Clock } from "../runtime/clock.js";
+import { mayRepeatStoreCall } from "../rpc/callKinds.js";
 import type { RpcEndpoint } from "../rpc/rpcEndpoint.js";
 import type { Membership } from "../membership/membership.js";
 import { Rendezvous } from "../membership/rendezvous.js";
+import { LargeValues } from "./largeValues.js";
 
 export type StoreChange = NonNullable<MessageInitShape<typeof StoreCallSchema>["call"]>;
 export type Outcome = { outcome: string } & Partial<
@@ -27,13 +29,14 @@
   readonly #exchange: RpcEndpoint;
   readonly #membership: Membership;
   readonly #clock: Clock;
-  /** The lathe that answered last; only a hint. */
+  /** The lathe that last said what became of a call; only a hint. */
   #favourite = "";
   /** Calls under way, and since when: a lathe that keeps one waiting is not given the next. */
   readonly #open = new Map<number, { name: string; at: number }>();
   #lastCall = 0;
   /** What is to be asked of a lathe at the end of this turn: one frame for all calls of a kind. */
   readonly #batches = new Map<string, Asked[]>();
+  readonly #values = new LargeValues();
 
   constructor(exchange: RpcEndpoint, membership: Membership, clock: Clock) {
     this.#exchange = exchange;
@@ -41,37 +44,60 @@
     this.#clock = clock;
   }
 
-  txn(txn: MessageInitShape<typeof TxnSchema>, due = 1200): Promise<Outcome> {
-    return this.call({ case: "txn", value: txn }, due);
+  /** Large values go as differences. Where the store has not the base, nothing was done, and they go whole. */
+  async txn(txn: MessageInitShape<typeof TxnSchema>, due = 1200): Promise<Outcome> {
+    const end = this.#clock.now() + due;
+    let written = await this.call({ case: "txn", value: this.#values.pack(txn) }, due);
+    if (written.outcome === "rebase") {
+      this.#values.forget();
+      written = await this.call({ case: "txn", value: this.#values.pack(txn) }, end - this.#clock.now());
+    }
+    if (written.outcome === "done") this.#values.written(txn, written.revision ?? 0);
+    return written;
   }
 
-  read(keys: string[], prefixes: string[] = [], due = 1200): Promise<Outcome> {
-    return this.call({ case: "read", value: { keys, prefixes } }, due);
+  /** Large values that this client has are not sent again, and changed ones come as differences. */
+  async read(keys: string[], prefixes: string[] = [], due = 1200): Promise<Outcome> {
+    const end = this.#clock.now() + due;
+    const ask = (left: number): Promise<Outcome> =>
+      this.call({ case: "read", value: { keys, prefixes, known: this.#values.knownOf(keys) } }, left);
+    const read = await ask(due);
+    if (this.#values.unpack(read.kvs ?? [])) return read;
+    this.#values.forget();
+    const whole = await ask(end - this.#clock.now());
+    return this.#values.unpack(whole.kvs ?? []) ? whole : { outcome: "away", comeBack: 0.3 };
   }
 
-  /** Ends by `due` with an outcome: `unsure` where a change may have been carried out, `away` where it was not. */
+  /**
+   * Ends by `due` with an outcome: `unsure` where a change may have been carried out, `away` where it was not and never
+   * will be. After `away` the next lathe is asked; after a silence or `unsure` only if the call may be repeated.
+   */
   async call(call: StoreChange, due = 1200): Promise<Outcome> {
     const end = this.#clock.now() + due;
-    let isSent = false;
+    const mostMs = StoreClient.tryMs[call.case ?? "read"] ?? StoreClient.readMs;
+    let isUnknown = false;
     for (const name of this.#order()) {
       const left = end - this.#clock.now();
       if (left <= 20) break;
-      const id = ++this.#lastCall;
-      this.#open.set(id, { name, at: this.#clock.now() });
-      const receipt = await this.#ask(
-        name,
-        call,
-        Math.min(left, StoreClient.tryMs[call.case ?? "read"] ?? StoreClient.readMs),
-      );
-      this.#open.delete(id);
-      if (receipt !== undefined && receipt.outcome !== "away") {
+      const receipt = await this.#timed(name, call, Math.min(left, mostMs));
+      if (receipt !== undefined && receipt.outcome !== "away" && receipt.outcome !== "unsure") {
         this.#favourite = name;
         return receipt;
       }
-      if (receipt === undefined) isSent = true;
-      if (receipt === undefined && call.case === "txn") return { outcome: "unsure", comeBack: 0.5 };
+      if (receipt?.outcome === "away") continue;
+      isUnknown = true;
+      if (!mayRepeatStoreCall(call.case)) break;
     }
-    return { outcome: isSent ? "unsure" : "away", comeBack: 1, reason: "no majority of lathes answers" };
+    if (isUnknown) return { outcome: "unsure", comeBack: 0.5, reason: "no lathe said what became of it" };
+    return { outcome: "away", comeBack: 1, reason: "no majority of lathes answers" };
+  }
+
+  async #timed(name: string, call: StoreChange, due: number): Promise<StoreReceipt | undefined> {
+    const id = ++this.#lastCall;
+    this.#open.set(id, { name, at: this.#clock.now() });
+    const receipt = await this.#ask(name, call, due);
+    this.#open.delete(id);
+    return receipt;
   }
 
   #ask(name: string, call: StoreChange, due: number): Promise<StoreReceipt | undefined> {
--- a/packages/testkit/src/explore/callers.ts
+++ b/packages/testkit/src/explore/callers.ts
@@ -23,6 +23,7 @@
   readonly #acknowledged = new Map<number, string>();
   /** Which order was confirmed as the one that replaced a revision. */
   readonly #confirmed = new Map<number, string>();
+  readonly #carriedOut = new Set<string>();
   readonly #asked = new Map<string, number>();
 
   constructor(observer: Observer, coverage: Coverage) {
@@ -56,10 +57,11 @@
     });
   }
 
-  /** One call to another process, which answers with what it was asked and its own name. */
+  /** One call that may not be repeated; the other process answers with what it was asked and its own name. */
   call(member: ModelMember, to: string): void {
     const token = this.#token(member);
-    const body = { case: "storeCall" as const, value: { call: { case: "read" as const, value: { keys: [token] } } } };
+    const txn = { checks: [], puts: [], deletes: [token] };
+    const body = { case: "storeCall" as const, value: { call: { case: "txn" as const, value: txn } } };
     void member.endpoint.call(to, body, modelBounds.callMs).then((reply) => {
       if (!member.isUp) return;
       if (reply === undefined) return this.#coverage.count("event: call unanswered");
@@ -76,7 +78,12 @@
   serve(member: ModelMember): void {
     member.endpoint.serve("ping", () => ({ case: "done", value: {} }));
     member.endpoint.serve("storeCall", ({ call }) => {
-      const token = call.case === "read" ? call.value.keys[0] : "";
+      const token = call.case === "txn" ? call.value.deletes[0]! : "";
+      this.#observer.keep(() => {
+        if (this.#carriedOut.has(token))
+          throw new Violation("calls run at most once", `${member.name} carries ${token} out again`);
+      });
+      this.#carriedOut.add(token);
       return { case: "storeReceipt", value: { outcome: "done", reason: `${member.name} ${token}` } };
     });
   }
--- a/packages/testkit/src/explore/modelMember.ts
+++ b/packages/testkit/src/explore/modelMember.ts
@@ -73,6 +73,7 @@
       chance: node.parts.chance,
       ring: node.parts.log,
       compaction: ModelMember.#compaction(machine),
+      isTrusted: () => true,
     });
     if (tended !== undefined) this.changes = new MemberChanges(node, this.raft);
   }
@@ -102,6 +103,9 @@
       lathes: voters,
       voters,
       replaceVoterMs: modelBounds.replaceVoterMs,
+      replicas: 3,
+      replaceReplicaMs: modelBounds.replaceVoterMs,
+      replaceByNewcomerMs: modelBounds.replaceVoterMs,
       stores: false,
       shards: 1,
       edgeLeaseMs: 1500,
--- a/packages/testkit/src/explore/violation.ts
+++ b/packages/testkit/src/explore/violation.ts
@@ -16,6 +16,7 @@
   | "in touch only with a majority"
   | "all catch up"
   | "replies reach their call"
+  | "calls run at most once"
   | "no fault thrown";
 
 /** A property does not hold: the run ends here, and what led to it is shrunk. */
