Simulator: who is asked to go for good is not started again

A machine that was to be replaced, and lost power before it had gone, came back with everybody's power and was removed seconds later without a word; the next loss was then counted from its successor's start.

--- a/packages/testkit/src/sim/machineActs.ts
+++ b/packages/testkit/src/sim/machineActs.ts
@@ -42,7 +42,7 @@
     const old = this.#replaceable();
     if (old === undefined) return Acts.notNow;
     this.#start(old);
-    this.later(1000, () => this.fleet.cycle(old));
+    this.later(1000, () => this.fleet.dismiss(old));
     return this.later(7500, () => this.fleet.retire(old)) + 1000;
   };
 
@@ -51,7 +51,7 @@
     const spare = this.edges.slice(2);
     const names = this.some(spare, 2);
     names.forEach((one, i) => {
-      this.later(i * 1500, () => this.fleet.cycle(one));
+      this.later(i * 1500, () => this.fleet.dismiss(one));
       this.later(i * 1500 + 6500, () => this.fleet.retire(one));
     });
     return names.length === 0 ? Acts.notNow : names.length * 1500 + 6500;
--- a/packages/testkit/src/sim/simFleet.ts
+++ b/packages/testkit/src/sim/simFleet.ts
@@ -140,6 +140,12 @@
     this.#slots.get(name)!.isRetired = true;
   }
 
+  /** Asked politely to go for good: whatever ends it, it is not started again. */
+  dismiss(name: string): void {
+    this.#slots.get(name)!.isRetired = true;
+    this.cycle(name);
+  }
+
   isRetired(name: string): boolean {
     return this.#slots.get(name)!.isRetired;
   }
