--- a/packages/control/src/consensus/raftNodeParts.ts
+++ b/packages/control/src/consensus/raftNodeParts.ts
@@ -1,3 +1,4 @@
+import type { CompactionBounds } from "@cranetrack/core/replication/logCompaction.js";
 import type { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
 import type { RandomSource } from "@cranetrack/core/runtime/random.js";
 import type { Clock } from "@cranetrack/core/runtime/clock.js";
@@ -18,4 +19,6 @@
   readonly ring: LogBuffer;
   /** False for a disk that is there twice or is an older copy: it neither votes nor counts. */
   readonly isTrusted: (id: string) => boolean;
+  /** When the log is compacted; `storeCompaction` where left out. */
+  readonly compaction?: CompactionBounds;
 }
--- a/packages/control/src/store/metadata.ts
+++ b/packages/control/src/store/metadata.ts
@@ -10,12 +10,14 @@
 } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { BirthsKey } from "@cranetrack/core/keys/birthsKey.js";
 import { PlanKey } from "@cranetrack/core/keys/configurationKey.js";
+import { PackedValue } from "@cranetrack/core/store/packedValue.js";
 import { AcceptedOrders } from "./acceptedOrders.js";
 
 const BTree = BTreeModule.default;
 
 export interface Applied {
-  outcome: "done" | "conflict" | "lost";
+  /** `rebase`: a difference whose base is not the key's value; nothing was done. */
+  outcome: "done" | "conflict" | "lost" | "rebase";
   revision: number;
   kvs: Kv[];
   changes: Kv[];
@@ -103,6 +105,7 @@
     }
     if (txn.puts.some((kv) => kv.lease !== "" && !this.#leases.has(kv.lease)))
       return { outcome: "lost", revision: index, kvs: [], changes };
+    if (!txn.puts.every((kv) => this.#unpack(kv))) return { outcome: "rebase", revision: index, kvs: [], changes };
     if (AcceptedOrders.isTooOld(this, txn.puts)) return { outcome: "conflict", revision: index, kvs: [], changes };
     const puts = this.#withBirths(AcceptedOrders.withFloor(this, txn.puts));
     for (const key of txn.deletes) this.#remove(key, index, changes);
@@ -127,6 +130,15 @@
     }
   }
 
+  /** Values are kept whole. A difference applies to exactly the version it was made from. */
+  #unpack(kv: Kv): boolean {
+    const value = PackedValue.unpack(kv, this.#keys.get(kv.key));
+    if (value === undefined) return false;
+    kv.value = value;
+    kv.packing = kv.baseRevision = 0;
+    return true;
+  }
+
   /** A plan is kept with its spaces' births, which follow from the plan before it and from nothing else. */
   #withBirths(puts: readonly Kv[]): readonly Kv[] {
     if (!puts.some((kv) => kv.key === PlanKey.name)) return puts;
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,4 +1,7 @@
+import { configurationSabotages } from "./configurationSabotages.js";
 import { cutOffSabotages } from "./cutOffSabotages.js";
+import { callSabotages } from "./callSabotages.js";
+import { electionSabotages } from "./electionSabotages.js";
 import { logSabotages } from "./logSabotages.js";
 import { repairSabotages } from "./repairSabotages.js";
 import type { Sabotage } from "./sabotage.js";
@@ -9,6 +12,7 @@
 
 /** Guards taken out on purpose; for each a test must fail. */
 export const sabotages: readonly Sabotage[] = [
+  ...configurationSabotages,
   ...membershipSabotages,
   {
     name: "a replica answers before its disk",
@@ -322,4 +326,6 @@
   ...cutOffSabotages,
   ...orderSabotages,
   ...repairSabotages,
+  ...callSabotages,
+  ...electionSabotages,
 ];
