--- a/packages/testkit/src/sim/catchUp.ts
+++ b/packages/testkit/src/sim/catchUp.ts
@@ -1,3 +1,4 @@
+import { createCipheriv } from "node:crypto";
 import { putPlan } from "@cranetrack/control/configuration/putPlan.js";
 import type { RaftNode } from "@cranetrack/control/consensus/raftNode.js";
 import { Wire } from "@cranetrack/core/rpc/wire.js";
@@ -124,8 +125,11 @@
     return JSON.stringify(SimPlans.write(this.#load.nextMark, spaces, Object.keys(spaces)));
   }
 
+  /** Bytes that no compression makes smaller and no difference from the document before: the worst there can be. */
   #document(): Uint8Array {
-    return new Uint8Array(this.#options.documentBytes).fill(this.#made % 256);
+    const key = Buffer.alloc(16);
+    key.writeUInt32BE(this.#made);
+    return createCipheriv("aes-128-ctr", key, Buffer.alloc(16)).update(Buffer.alloc(this.#options.documentBytes));
   }
 
   #countBytesTo(address: string): void {
