--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -1,6 +1,7 @@
 import { callSabotages } from "./callSabotages.js";
 import { configurationSabotages } from "./configurationSabotages.js";
 import { cutOffSabotages } from "./cutOffSabotages.js";
+import { diskSabotages } from "./diskSabotages.js";
 import { electionSabotages } from "./electionSabotages.js";
 import { exploreSabotages } from "./exploreSabotages.js";
 import { logSabotages } from "./logSabotages.js";
@@ -326,6 +327,7 @@
   ...exploreSabotages,
   ...logSabotages,
   ...cutOffSabotages,
+  ...diskSabotages,
   ...orderSabotages,
   ...repairSabotages,
   ...callSabotages,
