--- a/packages/testkit/src/explore/observer.ts
+++ b/packages/testkit/src/explore/observer.ts
@@ -49,7 +49,7 @@
         this.committed.applied(name, log.at(revision)!, raft.metadata.snapshot(undefined));
       }),
     );
-    raft.on("snapshotd", () => {
+    raft.on("snapshotInstalled", () => {
       this.#coverage.count("event: snapshot installed");
       installed(raft.commit);
     });
