--- a/packages/testkit/src/explore/found.test.ts
+++ b/packages/testkit/src/explore/found.test.ts
@@ -5,18 +5,22 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import { act, type Action } from "./action.js";
-import type { WorldSettings } from "./modelWorld.js";
+import { ModelWorld, type WorldSettings } from "./modelWorld.js";
 import { Trace } from "./trace.js";
 
 const three: WorldSettings = { machines: 3, voters: 3, syncsAtOnce: false };
 const five: WorldSettings = { ...three, machines: 5 };
 
+/** What a trace breaks, of which each action has to mean something, or it shows nothing. */
 async function broken(settings: WorldSettings, actions: readonly Action[]): Promise<string | undefined> {
+  const world = await ModelWorld.replay(settings, actions);
+  expect(world.taken).toEqual([...actions]);
   return (await Trace.play(settings, actions))?.violation.message;
 }
 
 /** m1 is elected by m0. */
 const elected = [
+  act("tick", 1),
   act("tick", 1),
   act("deliver", 1),
   act("deliver", 0, 1),
