Explorer: polite stops, members told that they are out, and what being in touch rests on

A process resigns and ends (its yield is sent); one that is out of the members is told to stand by. Who calls itself in touch must have applied what its leader had committed when it sent its last word within the bound.

--- a/packages/testkit/src/explore/action.ts
+++ b/packages/testkit/src/explore/action.ts
@@ -11,6 +11,8 @@
   "hold",
   "crash",
   "restart",
+  "stop",
+  "standBy",
   "loseDisk",
   "freeze",
   "thaw",
--- a/packages/testkit/src/explore/contactWatch.ts
+++ b/packages/testkit/src/explore/contactWatch.ts
@@ -5,14 +5,16 @@
 
 /**
  * Which contacts one process really had, by its own clock, beside what it says of itself.
- * Invariant to be kept: it calls itself in touch only within `inTouchMs` of a word from a leader, or, leading itself,
- * of answers of a majority of every set of voters.
+ * Invariant to be kept: it calls itself in touch only within `inTouchMs` of a word from a leader after which it had
+ * applied all that the leader had committed then, or, leading itself, of answers of a majority of every set of voters.
  */
 export class ContactWatch {
   static readonly inTouchMs = modelBounds.electionMs * 1.3;
 
   readonly #member: ModelMember;
-  #leaderAt = -Infinity;
+  #currentAt = -Infinity;
+  /** What arrived in this step. */
+  #word: { at: number; commit: number } | undefined;
   /** When each other member last answered, or began to count. */
   readonly #answeredAt = new Map<string, number>();
   #ledTerm = 0;
@@ -24,8 +26,8 @@
   /** A frame arrives. */
   take({ body }: Frame): void {
     const { raft, clock } = this.#member;
-    const isFromLeader = body.case === "append" || body.case === "snapshot";
-    if (isFromLeader && body.value.term >= raft.term) this.#leaderAt = clock.now();
+    if (body.case === "append" && body.value.term >= raft.term)
+      this.#word = { at: clock.now(), commit: body.value.commit };
     if (body.case === "appendReceipt" && body.value.term === raft.term)
       this.#answeredAt.set(body.value.sender, clock.now());
   }
@@ -33,8 +35,10 @@
   check(): void {
     const { raft, clock, name } = this.#member;
     if (this.#member.isActingLeader) this.#lead();
+    if (this.#word !== undefined && raft.commit >= this.#word.commit) this.#currentAt = this.#word.at;
+    this.#word = undefined;
     if (!raft.isInTouch) return;
-    const ago = this.#member.isActingLeader ? this.#majorityAgo() : clock.now() - this.#leaderAt;
+    const ago = this.#member.isActingLeader ? this.#majorityAgo() : clock.now() - this.#currentAt;
     if (ago >= ContactWatch.inTouchMs)
       throw new Violation(
         "in touch only with a majority",
--- a/packages/testkit/src/explore/modelWorld.ts
+++ b/packages/testkit/src/explore/modelWorld.ts
@@ -103,7 +103,10 @@
         return nth < this.network.count(machine.name, second.name);
       case "tick":
       case "freeze":
+      case "stop":
         return isRunning;
+      case "standBy":
+        return isRunning && this.observer.isOut(machine.diskId);
       case "sync":
         return isRunning && machine.disk.pending > 0;
       case "hold":
@@ -178,6 +181,12 @@
         return void this.#held.add(machine);
       case "crash":
         return this.#crash(machine, nth);
+      case "stop":
+        member.raft.resign();
+        return this.#crash(machine, Infinity);
+      case "standBy":
+        this.#remember(machine, kind);
+        return member.raft.standBy();
       case "restart":
         return this.#boot(machine);
       case "loseDisk":
--- a/packages/testkit/src/explore/observer.ts
+++ b/packages/testkit/src/explore/observer.ts
@@ -131,6 +131,13 @@
     return [committed, ...led].filter((members) => members !== undefined);
   }
 
+  /** Whether the members are committed and nobody has this disk for a voter or a learner. */
+  isOut(id: string): boolean {
+    const members = [...this.relevantMembers(), ...this.laterMembers()];
+    const named = members.flatMap((one) => [...MemberSets.of(one).flat(), ...one.learners]);
+    return this.committed.last > 0 && !named.some((one) => one.id === id);
+  }
+
   /** Members named after the last commit, in any process's log or on any disk: they may come to be in force. */
   laterMembers(): Members[] {
     const logs = this.#machines.flatMap((machine) => [this.durable(machine), machine.member?.log]);
--- a/packages/testkit/src/explore/profiles.ts
+++ b/packages/testkit/src/explore/profiles.ts
@@ -4,7 +4,7 @@
 export type Weights = Partial<Record<ActionKind, number>>;
 
 const calm: Weights = { deliver: 60, sync: 30, tick: 3, propose: 8, order: 3, read: 4 };
-const restarts: Weights = { ...calm, crash: 1.2, restart: 4 };
+const restarts: Weights = { ...calm, crash: 1.2, stop: 0.4, restart: 4 };
 const changes: Weights = { addLearner: 1, promote: 3, removeVoter: 0.5, removeLearner: 0.2, tend: 6, drain: 0.4 };
 
 /** What walks are like: some troubles at a time, so that each gets far enough to matter. */
@@ -16,6 +16,17 @@
   orders: { ...calm, order: 16, propose: 2, drop: 4, cut: 0.6, mend: 1.5, crash: 0.8, restart: 4, tick: 5 },
   everything: { ...restarts, drop: 4, duplicate: 2, cut: 0.4, mend: 1, freeze: 0.5, thaw: 1.5, tick: 4 },
   members: { ...restarts, ...changes, loseDisk: 0.6, replace: 4 },
-  tended: { ...calm, tick: 9, crash: 0.5, restart: 3, loseDisk: 0.4, join: 6, drain: 1, undrain: 0.3 },
+  tended: {
+    ...calm,
+    tick: 9,
+    crash: 0.5,
+    stop: 0.3,
+    restart: 3,
+    standBy: 0.3,
+    loseDisk: 0.4,
+    join: 6,
+    drain: 1,
+    undrain: 0.3,
+  },
   calls: { deliver: 20, call: 10, crash: 1, restart: 4, tick: 1, freeze: 1, thaw: 2, drop: 2 },
 };
