--- a/packages/testkit/src/sabotage/exploreSabotages.ts
+++ b/packages/testkit/src/sabotage/exploreSabotages.ts
@@ -62,8 +62,8 @@
   {
     name: "explorer: a learner counts",
     file: raftNode,
-    find: "VoterSets.of(this.members).map((set) => set.map((one) => one.id))",
-    put: "VoterSets.of(this.members).map((set) => [...set, ...this.members.learners].map((one) => one.id))",
+    find: "VoterSets.idSets(this.members), VoterSets.learnerIds(this.members)",
+    put: "VoterSets.idSets(this.members).map((set) => [...set, ...VoterSets.learnerIds(this.members)]), []",
     test,
   },
   {
