--- a/packages/testkit/src/sim/faultActs.ts
+++ b/packages/testkit/src/sim/faultActs.ts
@@ -13,6 +13,7 @@
   readonly #fleet: SimFleet;
   readonly #load: SimLoad;
   readonly #chance: SimRandom;
+  #passed = 0;
 
   constructor(fleet: SimFleet, load: SimLoad, chance: SimRandom) {
     this.#fleet = fleet;
@@ -174,12 +175,23 @@
   /** A node that was added is gone for good; a storage machine only while nothing else is to be mended. */
   readonly gone: Act = () => {
     const extra = this.#load.later.filter((name) => this.#fleet.find(name) !== undefined);
-    if (extra.length === 0 || !this.#fleet.reserveLoss(0)) return -1;
+    if (extra.length === 0) return this.#passing();
+    if (!this.#fleet.reserveLoss(0)) return -1;
     const name = this.#chance.pick(extra);
     this.#fleet.retire(name);
     return 0;
   };
 
+  /** An edge that nobody knew comes, and is gone for good a few seconds later. */
+  #passing(): number {
+    this.#passed += 1;
+    const name = `vise-passing-${this.#passed}`;
+    const zone = this.#fleet.zoneOf(this.#chance.pick(this.#fleet.names));
+    this.#fleet.enlist({ name, role: "vise", zone });
+    this.#fleet.start(name);
+    return this.#later(this.#chance.between(3000, 6000), () => this.#fleet.retire(name));
+  }
+
   /** A shard's holder and the edge of some session fail at once, each in its own way. */
   readonly pair: Act = (_name, ms) => {
     const holder = this.#fleet.holder;
