--- a/packages/testkit/src/sabotage/exploreSabotages.ts
+++ b/packages/testkit/src/sabotage/exploreSabotages.ts
@@ -62,8 +62,8 @@
   {
     name: "explorer: a learner counts",
     file: raftNode,
-    find: "VoterSets.of(this.members).map((set) => set.map((one) => one.id))",
-    put: "VoterSets.of(this.members).map((set) => [...set, ...this.members.learners].map((one) => one.id))",
+    find: "VoterSets.idSets(this.members), VoterSets",
+    put: "VoterSets.idSets(this.members).map((set) => [...set, ...VoterSets.learnerIds(this.members)]), VoterSets",
     test,
   },
   {
@@ -108,6 +108,13 @@
     put: "id === this.#self ? this.#log.lastIndex",
     test,
   },
+  {
+    name: "explorer: who lacks what its leader committed is in touch",
+    file: raftNode,
+    find: "if (isLed && this.#applied >= (message.commit ?? Infinity))",
+    put: "if (isLed)",
+    test,
+  },
   {
     name: "explorer: who has heard of a leader is in touch for ever",
     file: "control/dist/consensus/leaderContact.js",
