--- a/packages/testkit/src/sabotage/exploreSabotages.ts
+++ b/packages/testkit/src/sabotage/exploreSabotages.ts
@@ -108,6 +108,13 @@
     put: "id === this.#self ? this.#log.lastIndex",
     test,
   },
+  {
+    name: "explorer: who lacks what its leader committed is in touch",
+    file: raftNode,
+    find: "if (isLed && this.#applied >= (message.commit ?? Infinity))",
+    put: "if (isLed)",
+    test,
+  },
   {
     name: "explorer: who has heard of a leader is in touch for ever",
     file: "control/dist/consensus/leaderContact.js",
