Configuration: plans are checked by a library that loads in milliseconds

Cause: a storage machine loaded arktype when the first plan was put there. Loaded again by each member that an operator's next order reaches. Ruled out: disks (26 ms a sync) and links; the lag is of the processes' own. Found besides: lists were taken for objects (when, limits, fault_budget), and no node could have read such a plan.

--- a/packages/control/src/configuration/putPlan.ts
+++ b/packages/control/src/configuration/putPlan.ts
@@ -1,5 +1,6 @@
 import type { Kv } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { Plans, type Plan, type PlanFault, type PlanRead } from "@cranetrack/core/configuration/plan.js";
+import { PlanSchema } from "@cranetrack/core/configuration/planSchema.js";
 import { AcceptedOrderKey } from "@cranetrack/core/keys/acceptedOrderKey.js";
 import { DocumentKey } from "@cranetrack/core/keys/documentKey.js";
 import { PlanKey } from "@cranetrack/core/keys/configurationKey.js";
@@ -25,7 +26,6 @@
     return ApiReplies.fault(413, "too-large", `a plan and its document may have ${Plans.mostBytes} bytes each`);
   const json = JsonBody.read(body);
   if ("receipt" in json) return json.receipt;
-  const { PlanSchema } = await import("@cranetrack/core/configuration/planSchema.js");
   const read = PlanSchema.read(json.value);
   const mark = "plan" in read ? read.plan.mark : PlanKey.markOf(body);
   // With a document the body is this node's translation, and its faults may be those of this node's settings.
--- a/packages/control/src/configuration/startUp.test.ts
+++ b/packages/control/src/configuration/startUp.test.ts
@@ -15,8 +15,10 @@
   return /arktype is loaded/.exec(stderr.toString())?.[0] ?? stderr.toString();
 }
 
-test("a lathe with its anvil and its calls is loaded without arktype; only the check of a plan needs it", () => {
+test("a lathe with its calls, the check of a plan too, is loaded without arktype; only settings need it", () => {
   expect(load("../controlNode.js")).toEqual("");
   expect(load("readDocument.js")).toEqual("");
-  expect(load("../../../core/dist/configuration/planSchema.js")).toEqual("arktype is loaded");
+  expect(load("putPlan.js")).toEqual("");
+  expect(load("../../../core/dist/configuration/planSchema.js")).toEqual("");
+  expect(load("../../../core/dist/runtime/settings.js")).toEqual("arktype is loaded");
 });
--- a/packages/core/src/configuration/plan.test.ts
+++ b/packages/core/src/configuration/plan.test.ts
@@ -163,3 +163,16 @@
   for (const value of [null, 7, "plan", [], undefined]) expect(pathOf(value)).toEqual("");
   expect("faults" in PlanReader.parse("{")).toEqual(true);
 });
+
+test("the whole check takes no list for an object: no node could read what was accepted", () => {
+  const rules = (rule: object): object => ({ mark: 1, spaces: [{ name: "a", program: [rule] }] });
+  const listed: Array<[string, object]> = [
+    ["limits", { mark: 1, spaces: [], limits: [] }],
+    ["spaces.0.program.0.when", rules({ when: [], owe })],
+    ["spaces.0.program.0.owe.fault_budget", rules({ when: {}, owe: { ...owe, fault_budget: [] } })],
+  ];
+  for (const [path, value] of listed) {
+    const read = PlanSchema.read(value);
+    expect("faults" in read ? read.faults.map((fault) => fault.path) : []).toEqual([path]);
+  }
+});
--- a/packages/core/src/configuration/planSchema.ts
+++ b/packages/core/src/configuration/planSchema.ts
@@ -1,49 +1,60 @@
-import { type } from "arktype";
-import { Plans, type Plan, type PlanFault, type PlanRead, type Space } from "./plan.js";
+import * as v from "valibot";
+import { Plans, type PlanFault, type PlanRead, type Space } from "./plan.js";
 import { PlanReader } from "./planReader.js";
 
-const owe = type({
-  "+": "reject",
-  keep: "0 <= number <= 315360000",
-  order: "'sender' | 'topic' | 'space' | 'one'",
-  fault_budget: type({ "+": "reject", "machines?": "0 <= number.integer <= 2", "zones?": "0 <= number.integer <= 1" }),
-  "publishers?": "string[] <= 1000",
-  "maxBytes?": "1 <= number.integer <= 262144",
+/** Versions are exact in a double. */
+const mostMark = Number.MAX_SAFE_INTEGER;
+/** Ten years. */
+const mostKeepSeconds = 315_360_000;
+const mostPayloadBytes = 262_144;
+
+const wholeNumber = (least: number, most: number) =>
+  v.pipe(v.number(), v.integer(), v.minValue(least), v.maxValue(most));
+const shortText = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
+
+const owe = v.strictObject({
+  keep: v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(mostKeepSeconds)),
+  order: v.picklist(["sender", "topic", "space", "one"]),
+  fault_budget: v.strictObject({
+    machines: v.optional(wholeNumber(0, 2)),
+    zones: v.optional(wholeNumber(0, 1)),
+  }),
+  publishers: v.optional(v.pipe(v.array(v.string()), v.maxLength(1000))),
+  maxBytes: v.optional(wholeNumber(1, mostPayloadBytes)),
 });
 
-const when = type({
-  "+": "reject",
-  "topic?": "1 <= string <= 200",
-  "topicPrefix?": "1 <= string <= 200",
+const when = v.strictObject({ topic: v.optional(shortText), topicPrefix: v.optional(shortText) });
+
+const space = v.strictObject({
+  name: v.pipe(v.string(), v.regex(/^[A-Za-z0-9._-]{1,64}$/)),
+  prefix: v.optional(v.pipe(v.string(), v.regex(/^[\x21-\x7e]{0,200}$/))),
+  deadlineMs: v.optional(wholeNumber(1, 600_000)),
+  program: v.pipe(v.array(v.strictObject({ when, owe })), v.minLength(1), v.maxLength(64)),
 });
 
-const planType = type({
-  "+": "reject",
-  mark: "1 <= number.integer <= 9007199254740991",
-  spaces: type({
-    "+": "reject",
-    name: "/^[A-Za-z0-9._-]{1,64}$/",
-    "prefix?": "/^[\\x21-\\x7e]{0,200}$/",
-    "deadlineMs?": "1 <= number.integer <= 600000",
-    program: type({ "+": "reject", when, owe }).array().moreThanLength(0).atMostLength(64),
-  })
-    .array()
-    .atMostLength(Plans.mostSpaces),
-  "limits?": type({
-    "+": "reject",
-    "subscriptions?": "0 <= number.integer <= 100000",
-    "payloadBytes?": "1 <= number.integer <= 262144",
-  }),
+const planType = v.strictObject({
+  mark: wholeNumber(1, mostMark),
+  spaces: v.pipe(v.array(space), v.maxLength(Plans.mostSpaces)),
+  limits: v.optional(
+    v.strictObject({
+      subscriptions: v.optional(wholeNumber(0, 100_000)),
+      payloadBytes: v.optional(wholeNumber(1, mostPayloadBytes)),
+    }),
+  ),
 });
 
-/** The whole check of an operator's plan. Slow to load: for tools, and imported late where a plan is put. */
+/**
+ * The whole check of an operator's plan: every problem with its path. Its library is one that is loaded in
+ * milliseconds, for a control node stands still meanwhile.
+ */
 export const PlanSchema = {
   read(value: unknown): PlanRead {
-    const checked = planType(value);
-    if (checked instanceof type.errors) {
-      return { faults: [...checked].map((fault) => ({ path: fault.path.join("."), problem: fault.message })) };
-    }
-    const plan = PlanReader.normalized(checked as Plan);
+    const checked = v.safeParse(planType, value);
+    if (!checked.success) return { faults: checked.issues.map(faultOf) };
+    // The schema takes a list for an object; no node could read that plan.
+    const read = PlanReader.read(value);
+    if ("faults" in read) return read;
+    const { plan } = read;
     const faults = [...sameSpaces(plan.spaces), ...plan.spaces.flatMap(mixedRules)];
     return faults.length > 0 ? { faults } : { plan };
   },
@@ -58,6 +69,10 @@
   },
 };
 
+function faultOf(issue: v.BaseIssue<unknown>): PlanFault {
+  return { path: v.getDotPath(issue) ?? "", problem: issue.message };
+}
+
 function sameSpaces(spaces: readonly Space[]): PlanFault[] {
   const faults: PlanFault[] = [];
   const names = new Set<string>();
