RPC: a relay for each mute peer is drawn, and kept while it answers

Ruled out: a relay drawn for each frame, which lets frames to one peer overtake each other. Test: frames to a mute peer keep to one relay while it answers, and peers have relays of their own.

--- a/packages/core/src/rpc/rpcEndpoint.test.ts
+++ b/packages/core/src/rpc/rpcEndpoint.test.ts
@@ -15,6 +15,8 @@
 /** Processes whose frames wait until a test delivers them, as often and in whatever order it likes. */
 class Network {
   sent: Sent[] = [];
+  /** What endpoints draw next, over and over. */
+  draws = [0];
   readonly #takes = new Map<string, (frame: Frame) => void>();
   readonly #losts = new Map<string, (address: string) => void>();
   readonly #cut = new Set<string>();
@@ -34,7 +36,11 @@
     const clock = { now: () => 0, once: () => beat, every: () => beat };
     const life = (this.#lives += 1);
     const endpoint = new RpcEndpoint(name, net, clock, {
-      draw: () => 0,
+      draw: () => {
+        const [next = 0] = this.draws;
+        this.draws.push(this.draws.shift() ?? 0);
+        return next;
+      },
       identity: () => life.toString(16).padStart(20, "0").split("").reverse().join(""),
     });
     endpoint.addressOf = (other) => `at ${other}`;
@@ -297,3 +303,20 @@
   await network.deliver([...frames, ...frames]);
   expect([served, b.dropped.repeated]).toEqual([3, 1]);
 });
+
+test("frames to a mute peer keep to one relay while it answers, and peers have relays of their own", () => {
+  const network = new Network();
+  network.draws = [0.1, 0.6, 0.9];
+  const a = network.start("a", ["r0", "r1", "r2", "r3", "b", "c"]);
+  network.cut("a", "b");
+  network.cut("a", "c");
+  const carriersTo = (peer: string): string[] => {
+    for (let i = 0; i < 3; i += 1) a.tell(peer, { case: "founded", value: {} });
+    return network.take().map(({ to }) => to);
+  };
+  expect(carriersTo("b")).toEqual(["r0", "r0", "r0"]);
+  expect(carriersTo("c")).toEqual(["r2", "r2", "r2"]);
+  expect(carriersTo("b")).toEqual(["r0", "r0", "r0"]);
+  network.cut("a", "r0");
+  expect(carriersTo("b")).toEqual(["r3", "r3", "r3"]);
+});
--- a/packages/core/src/rpc/rpcEndpoint.ts
+++ b/packages/core/src/rpc/rpcEndpoint.ts
@@ -68,6 +68,7 @@
   readonly name: string;
   readonly #net: Transport;
   readonly #clock: Clock;
+  readonly #chance: RandomSource;
   readonly #served = new Map<string, (body: Body, frame: Frame) => Served>();
   readonly #waiting = new Map<number, Waiting>();
   /**
@@ -76,6 +77,8 @@
    */
   readonly #mute = new Set<string>();
   readonly #proven = new Map<string, number>();
+  /** Who carries frames to a mute peer. */
+  readonly #relays = new Map<string, string>();
   #lastId = 0;
   /** This process's life. */
   readonly #life: number;
@@ -100,6 +103,7 @@
     this.name = name;
     this.#net = net;
     this.#clock = clock;
+    this.#chance = chance;
     this.#life = RpcEndpoint.#drawLife(chance);
     this.#lives.set(name, this.#life);
     net.onFrame((frame) => void this.#take(frame));
@@ -181,12 +185,17 @@
   async #probe(name: string): Promise<void> {
     const answer = await this.call(name, { case: "ping", value: {} }, RpcEndpoint.probeMs);
     if (answer !== undefined) {
-      this.#mute.delete(name);
+      this.#hearAgain(name);
       this.#proven.set(name, this.#clock.now());
-    } else if (this.addressOf(name) === undefined) this.#mute.delete(name);
+    } else if (this.addressOf(name) === undefined) this.#hearAgain(name);
     else this.#clock.once(RpcEndpoint.probeMs, () => void this.#probe(name));
   }
 
+  #hearAgain(name: string): void {
+    this.#mute.delete(name);
+    this.#relays.delete(name);
+  }
+
   #encode(to: string, part: Part): Uint8Array {
     return Wire.encode({ ...part, from: this.name, to, fromAddress: this.#net.address });
   }
@@ -197,7 +206,7 @@
     const frame = this.#encode(to, part);
     const isPing = part.body.case === "ping" || part.body.case === "done" || part.body.case === "gossip";
     if (isPing || !this.isMute(to)) return this.#net.send(address, frame);
-    const relay = this.relaysFor(to).find((name) => name !== this.name && !this.isMute(name));
+    const relay = this.#relayFor(to);
     const relayAddress = relay === undefined ? undefined : this.addressOf(relay);
     if (relay === undefined || relayAddress === undefined) return this.#net.send(address, frame);
     this.#net.send(
@@ -206,6 +215,18 @@
     );
   }
 
+  /** One relay for all frames to a peer, so that they keep their order, while it answers; drawn, so that none has all. */
+  #relayFor(to: string): string | undefined {
+    const isGood = (name: string): boolean => name !== this.name && name !== to && !this.isMute(name);
+    const kept = this.#relays.get(to);
+    if (kept !== undefined && this.addressOf(kept) !== undefined && isGood(kept)) return kept;
+    const good = this.relaysFor(to).filter(isGood);
+    const drawn = good[Math.floor(this.#chance.draw() * good.length)];
+    if (drawn === undefined) this.#relays.delete(to);
+    else this.#relays.set(to, drawn);
+    return drawn;
+  }
+
   async #take(frame: Frame): Promise<void> {
     if (frame.to !== "" && frame.to !== this.name) return;
     if (frame.hops === 0) this.emit("heard", frame.from);
