Feeds: opening one is a call, so that a lost refusal is not waited for

Now a member says at once whether a first push will come; who does not hear so within 0.5 s asks the next one. Sabotage: a feed that nobody takes is waited for.

--- a/packages/control/src/store/feeds.ts
+++ b/packages/control/src/store/feeds.ts
@@ -6,6 +6,7 @@
   type FeedState,
   type Kv,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import type { RaftNode } from "../consensus/raftNode.js";
 import { ValueHistory } from "./valueHistory.js";
@@ -50,6 +51,7 @@
   static readonly mostPaceMs = 1000;
   /** A lathe that still lacks what was committed when the feed was opened lets go of it after this. */
   static readonly behindMs = 1500;
+  static readonly #outOfTouch = "out of touch with the majority";
 
   readonly #node: ClusterNode;
   readonly #ledger: RaftNode;
@@ -117,7 +119,8 @@
     if (this.#large.delete(key)) this.#changes = this.#changes.filter((kv) => !isEarlier(kv));
   }
 
-  async #open(open: FeedOpen): Promise<undefined> {
+  /** Says at once whether a first push will come; what goes wrong later closes the feed. */
+  #open(open: FeedOpen): BodyInit {
     for (const [id, feed] of this.#feeds) if (feed.name === open.name) this.#feeds.delete(id);
     const now = this.#node.parts.clock.now();
     const feed: Feed = {
@@ -138,12 +141,17 @@
       openedAt: now,
       confirmed: undefined,
     };
+    if (!this.#ledger.isInTouch) return { case: "fault", value: { code: "away", message: Feeds.#outOfTouch } };
     this.#feeds.set(open.feed, feed);
+    void this.#confirmFirst(feed, open.revision);
+    return { case: "done", value: {} };
+  }
+
+  async #confirmFirst(feed: Feed, revision: number): Promise<void> {
     const confirmed = await this.#confirm();
-    if (confirmed === undefined) this.#close(feed, "not in touch with a majority");
-    else feed.confirmed = Math.max(confirmed, open.revision);
+    if (confirmed === undefined) return this.#close(feed, Feeds.#outOfTouch);
+    feed.confirmed = Math.max(confirmed, revision);
     this.#begin(feed);
-    return undefined;
   }
 
   /** The first push goes out once this lathe has what was committed when the feed was opened. */
@@ -170,7 +178,7 @@
     const now = this.#node.parts.clock.now();
     for (const feed of this.#feeds.values()) {
       this.#begin(feed);
-      if (!this.#ledger.isInTouch) this.#close(feed, "out of touch with the majority");
+      if (!this.#ledger.isInTouch) this.#close(feed, Feeds.#outOfTouch);
       else if (!feed.isReady && now - feed.openedAt > Feeds.behindMs) this.#close(feed, "behind the majority");
       else if (now - feed.heardAt > 5000) this.#feeds.delete(feed.feed);
       else if (!feed.isReady) continue;
--- a/packages/core/src/feeds/feedFollower.ts
+++ b/packages/core/src/feeds/feedFollower.ts
@@ -28,6 +28,8 @@
   static readonly answerMs = 700;
   /** Two beats without a word: another lathe is asked before what this node knows is stale. */
   static readonly silentMs = 1000;
+  /** A lathe says at once whether it takes a feed. */
+  static readonly acceptMs = 500;
   /** A first snapshot may take this long; asking elsewhere sooner only makes it later. What follows is short. */
   static readonly openMs = 2500;
   /** After a lathe let go of the feed; it may have been told so at once. */
@@ -126,15 +128,20 @@
     this.#feed = `${this.#exchange.name}/${this.#chance.identity().slice(0, 8)}`;
     this.#lathe = lathe;
     this.#number = 0;
-    this.#exchange.tell(lathe, {
-      case: "feedOpen",
-      value: {
-        feed: this.#feed,
-        name: this.#exchange.name,
-        prefixes: this.#prefixes,
-        revision: this.#needsSnapshot ? 0 : this.revision,
-      },
-    });
+    void this.#ask(lathe, this.#feed);
+  }
+
+  /** A refusal may be lost: who does not say that a push will come is not waited for. */
+  async #ask(lathe: string, feed: string): Promise<void> {
+    const value = {
+      feed,
+      name: this.#exchange.name,
+      prefixes: this.#prefixes,
+      revision: this.#needsSnapshot ? 0 : this.revision,
+    };
+    const reply = await this.#exchange.call(lathe, { case: "feedOpen", value }, FeedFollower.acceptMs);
+    const isAccepted = reply?.case === "done" || this.#number > 0;
+    if (feed === this.#feed && !isAccepted) this.#isClosed = true;
   }
 
   #take(push: FeedPush, from: string): undefined {
--- a/packages/core/src/rpc/callKinds.ts
+++ b/packages/core/src/rpc/callKinds.ts
@@ -60,6 +60,11 @@
       "the owner key's revision: what was shipped under it is kept and shipped again, then told as lost",
     ),
   },
+  feedOpen: {
+    kind: "call",
+    replies: ["done", "fault"],
+    repetition: repeatable("the feed's identity: opened again it begins anew"),
+  },
   pass: { kind: "call", replies: ["passReceipt"], repetition: { kind: "byContent" } },
 
   done: { kind: "reply" },
@@ -87,7 +92,6 @@
   appendReceipt: { kind: "message" },
   snapshot: { kind: "message" },
   yield: { kind: "message" },
-  feedOpen: { kind: "message" },
   feedPush: { kind: "message" },
   feedAck: { kind: "message" },
   feedClose: { kind: "message" },
--- a/packages/testkit/src/sabotage/cutOffSabotages.ts
+++ b/packages/testkit/src/sabotage/cutOffSabotages.ts
@@ -18,6 +18,13 @@
     put: "false",
     test,
   },
+  {
+    name: "a feed that nobody takes is waited for",
+    file: "core/dist/feeds/feedFollower.js",
+    find: "feed === this.#feed && !isAccepted",
+    put: "false",
+    test,
+  },
   {
     name: "a push counts from when it was read",
     file: "core/dist/feeds/feedFollower.js",
--- a/packages/testkit/src/sim/freshness.test.ts
+++ b/packages/testkit/src/sim/freshness.test.ts
@@ -98,3 +98,26 @@
   }
   expect([...old]).toEqual([]);
 });
+
+test("a refused feed is asked for elsewhere at once, also where the refusal is lost", async () => {
+  const { fleet } = await served(505);
+  const [alone] = fleet.withRole("lathe").filter((name) => name !== fleet.proposer);
+  const edge = fleet.withRole("vise").find((name) => fleet.zoneOf(name) === fleet.zoneOf(alone!))!;
+  fleet.kill(edge);
+  // It hears none but the edge, whom its refusals do not reach; nobody carries frames round.
+  const [own, other] = [fleet.addressOf(alone!), fleet.addressOf(edge)];
+  let asked = 0;
+  fleet.wires.mutate = (from, to, bytes) => {
+    const body = Wire.decode(bytes)?.body.case;
+    if (body === "relay") return [];
+    if (to === own) asked += body === "feedOpen" ? 1 : 0;
+    const isRefusal = body === "feedClose" || body === "fault";
+    if (from === own) return to === other && !isRefusal ? undefined : [];
+    return to === own && from !== other ? [] : undefined;
+  };
+  await fleet.run(2000);
+  const { feed } = fleet.start(edge).node;
+  const startedAt = fleet.world.now;
+  expect(await fleet.until(() => feed.revision > 0, 5000)).toEqual(true);
+  expect([asked > 0, fleet.world.now - startedAt < 1500]).toEqual([true, true]);
+});
