Replication: rounds are confirmed by heartbeats that no disk delays

Cause: a read waited for a round of appends, which followers answer once their disk has synced the entries: with 26 ms a sync and 12 ms between regions 150 to 450 ms under the joins of a large site, beyond the 300 ms after which a member is given up on. Now a round asks replicas that owe a disk's answer by an empty append behind what they have synced, which is answered at once; slowness is measured by those alone. A peer that answers late keeps its connection: it is dropped once a ping goes unanswered as well, for the drop failed all other calls on it. Ruled out: time of the event loops (under 0.2 s by now), more members, bytes on the disks (40 KB in 5 s).

--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -207,6 +207,7 @@
     if (this.#spread !== undefined) {
       if (this.#spread.majorityAgo() > this.#contact.limitMs) return this.#stepDown("no majority answers");
       if (this.#slowWatch.isSlow(now, this.#spread.answerMs)) return this.#giveWay(now);
+      this.#spread.askWaiting();
       return this.#spread.beat();
     }
     const mayLead = this.memberExchange.voting(this.#commit).some((one) => one.id === this.id);
--- a/packages/core/src/replication/logReplicator.ts
+++ b/packages/core/src/replication/logReplicator.ts
@@ -11,10 +11,13 @@
   sentAt: number;
   /** The commit index it was last sent. */
   told: number;
-  /** When the oldest unanswered message was sent; and how long answers take, the slow ones remembered a while. */
-  askedAt: number;
-  answerMs: number;
+  /** An append or a snapshot's piece is unanswered, and up to where its answer will tell of the log. */
   isWaiting: boolean;
+  awaited: number;
+  /** When the oldest unanswered heartbeat was sent, and its round; how long answers take, slow ones remembered. */
+  askedAt: number | undefined;
+  askedRound: number;
+  answerMs: number;
   round: number;
   heardAt: number;
   /** Set while it is sent a snapshot, because the entries that it lacks are not here any more. */
@@ -72,9 +75,11 @@
           match: 0,
           sentAt: -Infinity,
           told: -1,
-          askedAt: 0,
-          answerMs: 0,
           isWaiting: false,
+          awaited: 0,
+          askedAt: undefined,
+          askedRound: 0,
+          answerMs: 0,
           round: 0,
           heardAt: this.#clock.now(),
           transfer: undefined,
@@ -101,10 +106,13 @@
     );
   }
 
-  /** How long a majority of every set takes to answer, or has not answered yet. */
+  /**
+   * How long a majority of every set takes to answer heartbeats, or has not answered yet. Entries are answered once
+   * they are synced: that a disk takes long says nothing of the sender.
+   */
   get answerMs(): number {
     const now = this.#clock.now();
-    const timeOf = (peer: Peer): number => Math.max(peer.answerMs, peer.isWaiting ? now - peer.askedAt : 0);
+    const timeOf = (peer: Peer): number => Math.max(peer.answerMs, now - (peer.askedAt ?? now));
     const slowest = this.#sets.map((set) => {
       const peers = set.map((id) => this.#peers.get(id));
       const times = peers.map((peer) => (peer === undefined ? 0 : timeOf(peer)));
@@ -133,6 +141,13 @@
     }
   }
 
+  /** Asks those who still owe the answer of a disk for one of the network. */
+  askWaiting(): void {
+    this.#round += 1;
+    for (const [id, peer] of this.#peers)
+      if (peer.isWaiting && peer.transfer === undefined) this.#sendHeartbeat(id, peer);
+  }
+
   /** Who has been sent all that is committed and not been told that it is: they count as told from now on. */
   untold(): string[] {
     if (this.#isOver) return [];
@@ -161,16 +176,22 @@
     }
     if (receipt.term !== this.#term || this.#isOver) return;
     peer.heardAt = this.#clock.now();
-    if (peer.isWaiting) peer.answerMs = Math.max(this.#clock.now() - peer.askedAt, peer.answerMs * 0.9);
-    peer.isWaiting = false;
-    peer.round = Math.max(peer.round, receipt.round);
+    this.#heedRound(peer, receipt.round);
+    if (!receipt.isTaken || receipt.match >= peer.awaited) peer.isWaiting = false;
     const before = peer.next;
     const isPieceTaken = LogReplicator.#learn(peer, receipt);
     this.#advance();
     this.#settleRounds();
     // A refusal that taught nothing new is not answered at once, or two nodes could keep each other busy for ever.
     const hasMore = receipt.isTaken ? peer.next <= this.#log.lastIndex : isPieceTaken || peer.next !== before;
-    if (hasMore) this.#sendTo(receipt.sender, peer);
+    if (hasMore && !peer.isWaiting) this.#sendTo(receipt.sender, peer);
+  }
+
+  #heedRound(peer: Peer, round: number): void {
+    peer.round = Math.max(peer.round, round);
+    if (peer.askedAt === undefined || round < peer.askedRound) return;
+    peer.answerMs = Math.max(this.#clock.now() - peer.askedAt, peer.answerMs * 0.9);
+    peer.askedAt = undefined;
   }
 
   /** Takes in what a reply says of a replica's log; true where the next piece of a snapshot may go. */
@@ -193,7 +214,31 @@
 
   #nextRound(): void {
     this.#round += 1;
-    for (const [id, peer] of this.#peers) this.#sendTo(id, peer);
+    for (const [id, peer] of this.#peers) this.#sendHeartbeat(id, peer);
+  }
+
+  /**
+   * A replica that has everything is sent an empty append. One that has not is sent such a one behind what it is known
+   * to have synced: it is answered without its disk, so that reads and the watch over slow leaders wait for the
+   * network alone (thesis, 6.4).
+   */
+  #sendHeartbeat(id: string, peer: Peer): void {
+    if (!peer.isWaiting && peer.next > this.#log.lastIndex) return this.#sendTo(id, peer);
+    const prevTerm = peer.match < this.#log.baseIndex ? undefined : this.#log.termAt(peer.match);
+    if (this.#isOver || peer.transfer !== undefined || prevTerm === undefined) return this.#sendTo(id, peer);
+    this.#expectAnswer(peer);
+    this.#send(id, { case: "append", value: { ...this.#head(id), prevIndex: peer.match, prevTerm, entries: [] } });
+  }
+
+  #expectAnswer(peer: Peer): void {
+    if (peer.askedAt !== undefined) return;
+    peer.askedAt = this.#clock.now();
+    peer.askedRound = this.#round;
+  }
+
+  #head(id: string): { group: string; term: number; sender: string; receiver: string; commit: number; round: number } {
+    const { group } = this.#log;
+    return { group, term: this.#term, sender: this.#self, receiver: id, commit: this.commit, round: this.#round };
   }
 
   #sendTo(id: string, peer: Peer): void {
@@ -203,7 +248,6 @@
     if (body === undefined) return;
     peer.sentAt = this.#clock.now();
     peer.told = this.commit;
-    if (!peer.isWaiting) peer.askedAt = peer.sentAt;
     peer.isWaiting = true;
     this.#send(id, body);
   }
@@ -211,18 +255,10 @@
   #nextAppend(id: string, peer: Peer, prevTerm: number): BodyInit {
     peer.transfer = undefined;
     const entries = this.#log.after(peer.next - 1);
-    const append = {
-      group: this.#log.group,
-      term: this.#term,
-      sender: this.#self,
-      receiver: id,
-      prevIndex: peer.next - 1,
-      prevTerm,
-      entries,
-      commit: this.commit,
-      round: this.#round,
-    };
+    const append = { ...this.#head(id), prevIndex: peer.next - 1, prevTerm, entries };
     peer.next += entries.length;
+    peer.awaited = peer.next - 1;
+    if (entries.length === 0 && !peer.isWaiting) this.#expectAnswer(peer);
     return { case: "append", value: append };
   }
 
@@ -230,6 +266,7 @@
     peer.transfer ??= new SnapshotSender(this.#newestImage());
     const piece = peer.transfer.next(this.#clock.now());
     if (piece === undefined) return undefined;
+    peer.awaited = 0;
     const { index, indexTerm, state, checksum } = peer.transfer.image;
     const value = {
       group: this.#log.group,
--- a/packages/core/src/replication/replication.test.ts
+++ b/packages/core/src/replication/replication.test.ts
@@ -1,7 +1,15 @@
 import { test } from "node:test";
 import { create } from "@bufbuild/protobuf";
 import { expect } from "earl";
-import { AppendReceiptSchema, AppendSchema, EntrySchema, type Entry } from "../gen/cranetrack_pb.js";
+import {
+  AppendReceiptSchema,
+  AppendSchema,
+  EntrySchema,
+  type Append,
+  type AppendReceipt,
+  type Entry,
+} from "../gen/cranetrack_pb.js";
+import type { BodyInit } from "../rpc/wire.js";
 import type { Disk, DiskChange } from "../storage/disk.js";
 import { FollowerLog } from "./followerLog.js";
 import { ReplicaLog } from "./replicaLog.js";
@@ -225,6 +233,83 @@
   expect(spread.answerMs).toEqual(400);
 });
 
+/** A leader whose entry 1 both others have; and what it sends. */
+async function settledLeader(): Promise<{
+  log: ReplicaLog;
+  spread: LogReplicator;
+  sent: Append[];
+  at: (ms: number) => void;
+}> {
+  let now = 0;
+  const sent: Append[] = [];
+  const disk = new HeldDisk();
+  const log = new ReplicaLog(disk, "g");
+  const send = (_id: string, body: BodyInit): void => {
+    if (body.case === "append") sent.push(create(AppendSchema, body.value));
+  };
+  const spread = new LogReplicator({ log, clock: { ...clock, now: () => now }, self: "a", term: 2, commit: 0, send });
+  spread.enlist([["a", "b", "c"]], []);
+  void log.append([entry(1, 2)]).then(() => spread.kick());
+  await disk.sync();
+  for (const id of ["b", "c"]) spread.take(receipt(id, 1));
+  sent.length = 0;
+  return { log, spread, sent, at: (ms) => (now = ms) };
+}
+
+/** What a replica answers that has synced up to an index, and no further for now. */
+const answersOf = (sent: readonly Append[], synced: number): AppendReceipt[] =>
+  sent
+    .filter(({ prevIndex, entries }) => prevIndex + entries.length <= synced)
+    .map(({ receiver, prevIndex, entries, round }) =>
+      create(AppendReceiptSchema, { ...receipt(receiver, prevIndex + entries.length), round }),
+    );
+
+test("a read is confirmed by the others' word while their disks still write", async () => {
+  const { log, spread, sent } = await settledLeader();
+  void log.append([entry(2, 2)]);
+  spread.kick();
+  let isConfirmed = false;
+  void spread.confirm().then((outcome) => (isConfirmed = outcome));
+  for (const answer of answersOf(sent, 1)) spread.take(answer);
+  await new Promise((resolve) => setImmediate(resolve));
+  expect([isConfirmed, spread.commit]).toEqual([true, 1]);
+});
+
+test("a heartbeat's answer is not taken for the entries': nothing is sent again, or committed", async () => {
+  const { log, spread, sent } = await settledLeader();
+  void log.append([entry(2, 2)]);
+  spread.kick();
+  void spread.confirm();
+  const before = sent.length;
+  for (const answer of answersOf(sent, 1)) spread.take(answer);
+  expect([spread.commit, sent.length]).toEqual([1, before]);
+  void log.append([entry(3, 2)]);
+  spread.kick();
+  expect(sent.length).toEqual(before);
+  for (const answer of answersOf(sent, 2)) spread.take(answer);
+  expect(sent.slice(before).map(({ entries }) => entries.map(({ index }) => index))).toEqual([[3], [3]]);
+});
+
+test("disks that take long make no slow leader, and others that answer late do", async () => {
+  const { log, spread, sent, at } = await settledLeader();
+  void log.append([entry(2, 2)]);
+  spread.kick();
+  for (let ms = 75; ms <= 750; ms += 75) {
+    at(ms);
+    sent.length = 0;
+    spread.askWaiting();
+    at(ms + 20);
+    for (const answer of answersOf(sent, 1)) spread.take(answer);
+  }
+  expect(spread.answerMs).toEqual(20);
+  sent.length = 0;
+  spread.askWaiting();
+  at(1270);
+  expect(spread.answerMs).toEqual(500);
+  for (const answer of answersOf(sent, 1)) spread.take(answer);
+  expect(spread.answerMs).toEqual(500);
+});
+
 test("a commit notice commits no more than what this log shares with its term's sender", async () => {
   const commits: number[] = [];
   const log = new ReplicaLog(new HeldDisk(), "g");
--- a/packages/core/src/rpc/rpcEndpoint.ts
+++ b/packages/core/src/rpc/rpcEndpoint.ts
@@ -176,19 +176,25 @@
   #unanswered(to: string): void {
     if (this.#mute.has(to) || to === this.name) return;
     this.#mute.add(to);
-    const address = this.addressOf(to);
-    if (address !== undefined) this.#net.drop(address);
     this.emit("mute", to);
-    void this.#probe(to);
+    void this.#probe(to, true);
   }
 
-  async #probe(name: string): Promise<void> {
+  /**
+   * Who answers the first ping was only late: its connection stays, with all other calls on it. Else it is dropped,
+   * for a new one is up sooner after a cut than this one goes on.
+   */
+  async #probe(name: string, isFirst = false): Promise<void> {
     const answer = await this.call(name, { case: "ping", value: {} }, RpcEndpoint.probeMs);
     if (answer !== undefined) {
       this.#hearAgain(name);
       this.#proven.set(name, this.#clock.now());
-    } else if (this.addressOf(name) === undefined) this.#hearAgain(name);
-    else this.#clock.once(RpcEndpoint.probeMs, () => void this.#probe(name));
+      return;
+    }
+    const address = this.addressOf(name);
+    if (address === undefined) return this.#hearAgain(name);
+    if (isFirst) this.#net.drop(address);
+    this.#clock.once(RpcEndpoint.probeMs, () => void this.#probe(name));
   }
 
   #hearAgain(name: string): void {
@@ -215,7 +221,7 @@
     );
   }
 
-  /** One relay for all frames to a peer, so that they keep their order, while it answers; drawn, so that none has all. */
+  /** One relay for all frames to a peer while it answers, to keep their order; drawn, so that none has all. */
   #relayFor(to: string): string | undefined {
     const isGood = (name: string): boolean => name !== this.name && name !== to && !this.isMute(name);
     const kept = this.#relays.get(to);
