--- a/packages/testkit/src/explore/found.test.ts
+++ b/packages/testkit/src/explore/found.test.ts
@@ -71,6 +71,8 @@
     act("deliver", 0, 3),
     act("deliver", 1),
     act("deliver", 3),
+    act("deliver", 0, 1),
+    act("deliver", 1),
     act("drop", 0, 1),
     act("drop", 0, 3),
     act("crash", 0),
