CLI: a change whose outcome is unknown is not sent to the next node

Cause: the operators' client took every failure for an unreachable node, and sent any method to the next one: a call to refill a machine whose answer was lost could be carried out twice, and undo what somebody asked for in between. Now one table says what may be repeated (reads; plans, which are known by version and content); what was not sent, or is said not to be carried out, goes on, and all else ends as unknown. Tests: fleetClient.test.ts.

--- a/packages/cli/src/fleetClient.ts
+++ b/packages/cli/src/fleetClient.ts
@@ -1,14 +1,18 @@
 import { readFileSync } from "node:fs";
 import { Agent, request } from "undici";
+import { RetryPolicy, type Attempt, type Method } from "./retryPolicy.js";
 
+/** What the last node that was asked answered. */
 export interface FleetReceipt {
+  /** The HTTP status; 0 where no node answered. */
   status: number;
   text: string;
   body: Record<string, unknown>;
+  /** Seconds. */
   comeBack: number | undefined;
 }
 
-/** Calls any node of the fleet over HTTP; the next one where one does not answer. */
+/** Calls any node of the fleet over HTTP; the next one where the retry policy lets it. */
 export class FleetClient {
   readonly #nodes: string[];
   readonly #agent = new Agent({ connect: { timeout: 1500 }, headersTimeout: 5000, bodyTimeout: 5000 });
@@ -22,40 +26,50 @@
   }
 
   async call(
-    method: "GET" | "PUT" | "POST" | "DELETE",
+    method: Method,
     path: string,
     body?: string,
     nodes: readonly string[] = this.#nodes,
   ): Promise<FleetReceipt> {
-    let last: FleetReceipt = {
-      status: 0,
-      text: "",
-      body: { error: { code: "unreachable", message: `no node answers: ${nodes.join(", ")}` } },
-      comeBack: undefined,
-    };
+    let last = FleetClient.#noAnswer("unreachable", `no node answers: ${nodes.join(", ")}`);
     for (const node of nodes) {
-      try {
-        const answer = await request(`http://${node}${path}`, {
-          method,
-          dispatcher: this.#agent,
-          ...(body === undefined ? {} : { body, headers: { "Content-Type": "application/json" } }),
-        });
-        const text = await answer.body.text();
-        const retryAfter = answer.headers["retry-after"];
-        last = {
-          status: answer.statusCode,
-          text,
-          body: FleetClient.#parse(text),
-          comeBack: retryAfter === undefined ? undefined : Number(retryAfter),
-        };
-        if (answer.statusCode !== 503) return last;
-      } catch {
-        // An unreachable node says nothing about the call; the next one is asked.
-      }
+      const attempt = await this.#attempt(node, method, path, body);
+      if (attempt.kind === "answered") last = attempt.receipt;
+      if (RetryPolicy.mayGoOn(attempt, method, path)) continue;
+      if (attempt.kind === "unknown")
+        last = FleetClient.#noAnswer("unsure", `${node} may or may not have carried it out; look before you ask again`);
+      return last;
     }
     return last;
   }
 
+  async #attempt(
+    node: string,
+    method: Method,
+    path: string,
+    body: string | undefined,
+  ): Promise<Exclude<Attempt, { kind: "answered" }> | { kind: "answered"; status: number; receipt: FleetReceipt }> {
+    try {
+      const answer = await request(`http://${node}${path}`, {
+        method,
+        dispatcher: this.#agent,
+        ...(body === undefined ? {} : { body, headers: { "Content-Type": "application/json" } }),
+      });
+      const status = answer.statusCode;
+      const text = await answer.body.text();
+      const retryAfter = answer.headers["retry-after"];
+      const comeBack = retryAfter === undefined ? undefined : Number(retryAfter);
+      return { kind: "answered", status, receipt: { status, text, body: FleetClient.#parse(text), comeBack } };
+    } catch (error) {
+      const attempt = RetryPolicy.attemptFor(error);
+      return attempt.kind === "notSent" ? attempt : { kind: "unknown" };
+    }
+  }
+
+  static #noAnswer(code: string, message: string): FleetReceipt {
+    return { status: 0, text: "", body: { error: { code, message } }, comeBack: undefined };
+  }
+
   close(): Promise<void> {
     return this.#agent.close();
   }
--- a/packages/testkit/src/jig.ts
+++ b/packages/testkit/src/jig.ts
@@ -236,9 +236,12 @@
 cli
   .command("sabotage", "Take one guard at a time out of a copy and see whether its test notices")
   .option("--at-once <n>", "How many at a time", { default: 4 })
-  .action(async (options: { atOnce: number }) => {
+  .option("--only <text>", "Only guards whose name has this text", { default: "" })
+  .action(async (options: { atOnce: number; only: string }) => {
     const root = fileURLToPath(new URL("../../..", import.meta.url));
-    const reports = await new Saboteur(root).run(sabotages, options.atOnce, (report) =>
+    const chosen = sabotages.filter(({ name }) => name.includes(options.only));
+    if (chosen.length === 0) throw new Error(`no guard's name has "${options.only}"`);
+    const reports = await new Saboteur(root).run(chosen, options.atOnce, (report) =>
       process.stdout.write(`${report.outcome}: ${report.name} (${report.failed} tests failed)\n`),
     );
     const caught = reports.filter((report) => report.outcome === "caught").length;
--- a/packages/testkit/src/sabotage/callSabotages.ts
+++ b/packages/testkit/src/sabotage/callSabotages.ts
@@ -153,4 +153,25 @@
     put: "if (false)",
     test: `${sim}/calls.test.js`,
   },
+  {
+    name: "operators' changes are sent again to the next node after a reset",
+    file: "cli/dist/retryPolicy.js",
+    find: 'return method === "GET" || (method === "PUT" && path === planPath);',
+    put: "return true;",
+    test: "cli/dist/fleetClient.test.js",
+  },
+  {
+    name: "a late answer drops the connection",
+    file: "core/dist/rpc/rpcEndpoint.js",
+    find: "void this.#probe(to, true);",
+    put: 'this.#net.drop(this.addressOf(to) ?? "");\n        void this.#probe(to, true);',
+    test: "core/dist/rpc/rpcEndpoint.test.js",
+  },
+  {
+    name: "all frames to mute peers take one relay",
+    file: "core/dist/rpc/rpcEndpoint.js",
+    find: "const drawn = good[Math.floor(this.#chance.draw() * good.length)];",
+    put: "const [drawn] = good;",
+    test: "core/dist/rpc/rpcEndpoint.test.js",
+  },
 ];
--- a/packages/testkit/src/sabotage/logSabotages.ts
+++ b/packages/testkit/src/sabotage/logSabotages.ts
@@ -191,4 +191,18 @@
     put: "await this.#compact();",
     test: "core/dist/storage/journalDisk.test.js",
   },
+  {
+    name: "a heartbeat's answer counts as that of the entries",
+    file: "core/dist/replication/logReplicator.js",
+    find: "if (!receipt.isTaken || receipt.match >= peer.awaited)",
+    put: "if (true)",
+    test: "core/dist/replication/replication.test.js",
+  },
+  {
+    name: "a round waits for the disks of those who owe an answer",
+    file: "core/dist/replication/logReplicator.js",
+    find: "for (const [id, peer] of this.#peers)\n            this.#sendHeartbeat(id, peer);",
+    put: "for (const [id, peer] of this.#peers)\n            this.#sendTo(id, peer);",
+    test: "core/dist/replication/replication.test.js",
+  },
 ];
