--- a/packages/log-storage/src/shards/claims.ts
+++ b/packages/log-storage/src/shards/claims.ts
@@ -8,7 +8,7 @@
 import { Holder } from "./holder.js";
 import { Newcomers } from "../repair/newcomers.js";
 import { ReplicaRepair } from "../repair/replicaRepair.js";
-import { CommitTurn } from "../replication/commitTurn.js";
+import { CommitNotices } from "../replication/commitNotices.js";
 import type { PushTurn } from "../follows/pushTurn.js";
 import type { Replica } from "../replication/replica.js";
 
@@ -41,7 +41,7 @@
   /** Shards whose set is being swapped: their key's new epoch may be heard of before the swap's own receipt. */
   readonly #mending = new Set<number>();
   readonly #turn: PushTurn;
-  readonly #commits: CommitTurn;
+  readonly #commits: CommitNotices;
   readonly #newcomers: Newcomers;
   isDraining = false;
 
@@ -51,7 +51,7 @@
     this.#replicas = replicas;
     this.#id = id;
     this.#turn = turn;
-    this.#commits = new CommitTurn(node);
+    this.#commits = new CommitNotices(node);
     this.#newcomers = new Newcomers(node.membership, node.parts.clock);
     lease.on("lost", () => {
       for (const claim of [...this.#claims.values()]) claim.holder.stop("the lease was lost");
--- a/packages/log-storage/src/shards/holder.ts
+++ b/packages/log-storage/src/shards/holder.ts
@@ -6,17 +6,23 @@
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import type { Verdict } from "./streamLog.js";
 import { LogPull } from "./logPull.js";
-import type { CommitTurn } from "../replication/commitTurn.js";
+import type { CommitNotices, CommitSource, UntoldReplica } from "../replication/commitNotices.js";
 import type { AppliedEntry, Replica } from "../replication/replica.js";
 
 type CommandInit = NonNullable<MessageInitShape<typeof ShardCommandSchema>["command"]>;
 
+interface HolderEvents {
+  serving: [];
+  over: [why: string];
+  applied: [applied: AppliedEntry];
+}
+
 /**
  * A shard's holder for one epoch. It serves only after a majority has pledged its epoch and an entry of
  * that epoch is committed, so everything committed before is in its log.
  * Invariant: once over, it never serves again; the next claim makes another holder.
  */
-export class Holder extends EventEmitter<{ serving: []; over: [why: string]; applied: [applied: AppliedEntry] }> {
+export class Holder extends EventEmitter<HolderEvents> implements CommitSource {
   static readonly silentMs = 700;
   /** Replicas that have heard everything are told so this often, and their answers show that they are there. */
   static readonly idleBeatMs = 250;
@@ -26,7 +32,7 @@
   readonly epoch: number;
   readonly #replica: Replica;
   readonly #node: ClusterNode;
-  readonly #commits: CommitTurn;
+  readonly #commits: CommitNotices;
   readonly #pending = new Map<number, (verdict: Verdict | undefined) => void>();
   readonly #startedAt: number;
   #timeBase = 0;
@@ -37,7 +43,7 @@
   readonly #heed = (applied: AppliedEntry): void => this.#applied(applied);
   readonly #outbid = (): void => this.stop("a higher epoch");
 
-  constructor(replica: Replica, set: ShardSet, epoch: number, node: ClusterNode, commits: CommitTurn) {
+  constructor(replica: Replica, set: ShardSet, epoch: number, node: ClusterNode, commits: CommitNotices) {
     super();
     this.setMaxListeners(0);
     this.#replica = replica;
@@ -132,7 +138,7 @@
   }
 
   /** Which replicas have all that is committed and were not told so; they count as told from now on. */
-  untold(): Array<{ id: string; name: string; commit: { shard: number; term: number; index: number } }> {
+  untold(): UntoldReplica[] {
     const commit = { shard: this.#replica.shard, term: this.epoch, index: this.#spread?.commit ?? 0 };
     return (this.#spread?.untold() ?? []).map((id) => ({ id, name: this.#nameOf(id), commit }));
   }
--- a/packages/testkit/src/sim/simPort.ts
+++ b/packages/testkit/src/sim/simPort.ts
@@ -1,12 +1,19 @@
 import type { ClientLink } from "@cranetrack/edge/connections/clientLink.js";
 import type { CallerPort, PortLink, PortReceipt } from "../callers/callerPort.js";
-import type { SimFleet } from "./simFleet.js";
 import type { SimNode } from "./simNode.js";
+import type { SimWorld } from "./simWorld.js";
 import { Router } from "@cranetrack/core/http/router.js";
 import type { ApiReply } from "@cranetrack/core/http/apiReply.js";
 
 const away: PortReceipt = { status: 503, body: { error: { code: "unreachable" } }, comeBack: 0.3 };
 
+/** The machines that callers reach. */
+interface ReachedNodes {
+  readonly world: SimWorld;
+  /** The process that runs under a name now. */
+  find(name: string): SimNode | undefined;
+}
+
 /** An answer as a node gave it, whether it arrives or not. */
 export interface GivenAnswer {
   name: string;
@@ -21,7 +28,7 @@
   static readonly giveUpMs = 4000;
   /** Silence after which an operator takes an answer for lost. */
   static readonly silenceMs = 1000;
-  readonly #fleet: SimFleet;
+  readonly #nodes: ReachedNodes;
   /** Sessions whose clients do not read: what is sent to them waits, in bytes. */
   readonly stalled = new Set<string>();
   /** Of the answers to operators' orders, this share is lost on its way. */
@@ -29,8 +36,8 @@
   /** Told of each answer at the moment when a node gives it. */
   readonly onAnswer = new Set<(answer: GivenAnswer) => void>();
 
-  constructor(fleet: SimFleet) {
-    this.#fleet = fleet;
+  constructor(nodes: ReachedNodes) {
+    this.#nodes = nodes;
   }
 
   async link(
@@ -39,7 +46,7 @@
     body: object,
     heed: { line(line: Record<string, unknown>): void; closed(): void },
   ): Promise<PortLink | PortReceipt> {
-    const simNode = this.#fleet.find(name);
+    const simNode = this.#nodes.find(name);
     if (simNode?.vise === undefined) return this.#later(away);
     const state = { isOpen: false, isClientGone: false, isServerGone: false, whenClosed: (): void => undefined };
     let forget = (): void => undefined;
@@ -111,14 +118,14 @@
       return receipt;
     });
     const isOrder = method !== "GET" && method !== "POST";
-    if (!isOrder || this.answerLoss === 0 || this.#fleet.world.chance.draw() >= this.answerLoss) return answered;
-    const { world } = this.#fleet;
+    if (!isOrder || this.answerLoss === 0 || this.#nodes.world.chance.draw() >= this.answerLoss) return answered;
+    const { world } = this.#nodes;
     return new Promise((resolve) => void world.at(world.now + SimPort.silenceMs, () => resolve(SimPort.#broken())));
   }
 
   /** A call on what runs on a node, carried there and back as `call` is. */
   run(name: string, act: (simNode: SimNode) => Promise<ApiReply>): Promise<PortReceipt> {
-    const simNode = this.#fleet.find(name);
+    const simNode = this.#nodes.find(name);
     if (simNode === undefined) return this.#later(away);
     return this.#ask<PortReceipt>(
       simNode,
@@ -144,7 +151,7 @@
 
   /** Carries a question over and its answer back; a fall or a long silence ends it without one. */
   #ask<T>(simNode: SimNode, act: (settle: (value: T) => void) => void, giveUp: () => T): Promise<T> {
-    const { world } = this.#fleet;
+    const { world } = this.#nodes;
     return new Promise((resolve) => {
       let isDone = false;
       const finish = (make: () => T): void => {
@@ -168,13 +175,13 @@
   }
 
   #afterWire(act: () => void): void {
-    const { world } = this.#fleet;
+    const { world } = this.#nodes;
     world.at(world.now + 1, act);
   }
 
   /** Runs on the node after the wire, once it is not paused, unless it falls first. */
   #onNode(simNode: SimNode, act: () => void): void {
-    const { world } = this.#fleet;
+    const { world } = this.#nodes;
     const arrive = (): void => {
       if (simNode.body.isDead) return;
       if (simNode.body.pausedUntil > world.now) return void world.at(simNode.body.pausedUntil, arrive);
