Tests: two guards that no test noticed when taken out

A push that overtakes the receipt which tells of its stream (a follow by hand), and a holder whose feed is silent (in the simulator): both sabotages are caught now, each run by itself.

--- a/packages/edge/src/fanout/shardFollow.test.ts
+++ b/packages/edge/src/fanout/shardFollow.test.ts
@@ -64,3 +64,53 @@
   const beat = follow.beat()!;
   expect([beat.seen, asked()]).toEqual([1, 1]);
 });
+
+test("a push that overtakes the receipt which tells of its stream is asked for again", async () => {
+  const turns: Array<() => void> = [];
+  const asked: Array<{ streams: string[]; answer: (heads: object[]) => Promise<void> }> = [];
+  const turn = (): Promise<void> => new Promise<void>((resolve) => setImmediate(resolve));
+  const parts: Pick<ClusterNode, "exchange" | "parts" | "shards"> = {
+    parts: {
+      clock: { once: (_ms: number, ring: () => void) => (turns.push(ring), { stop: () => undefined }) },
+      chance: { identity: () => "identity" },
+    } as ClusterNode["parts"],
+    shards: { find: () => ({ holder: "anvil-1", epoch: 7 }) } as object as ClusterNode["shards"],
+    exchange: {
+      name: "vise-1",
+      call: (_to: string, body: BodyInit): Promise<Body | undefined> =>
+        new Promise((resolve) => {
+          const streams = body.case === "follow" ? (body.value.streams ?? []).map((at) => at.stream ?? "") : [];
+          const answer = (heads: object[]): Promise<void> => {
+            const value = create(FollowReceiptSchema, { outcome: "done", epoch: 7, number: 0, heads });
+            resolve({ case: "followReceipt", value });
+            return turn();
+          };
+          asked.push({ streams, answer });
+        }),
+    } as object as ClusterNode["exchange"],
+  };
+  const follow = new ShardFollow(
+    parts as ClusterNode,
+    0,
+    () => new Map(),
+    () => undefined,
+  );
+  const add = async (name: string): Promise<StreamTail> => {
+    const tail = new StreamTail({ stream: name, space: "notes/", spaceBirth: 1 }, 0);
+    follow.add(tail);
+    for (const ring of turns.splice(0)) ring();
+    await turn();
+    return tail;
+  };
+  const head = (name: string, from: number): object => ({ stream: name, birth, from, low: 0 });
+  await add("6:notes/t0");
+  await asked[0]!.answer([head("6:notes/t0", 0)]);
+  const late = await add(stream);
+  // The holder tells of the stream, and then pushes its first message; the push comes first.
+  follow.take(push("vise-1/identity", 1, [1]));
+  await asked[1]!.answer([head(stream, 0)]);
+  for (const ring of turns.splice(0)) ring();
+  await turn();
+  expect([late.isKnown, late.head]).toEqual([true, 0]);
+  expect(asked.map(({ streams }) => streams)).toEqual([["6:notes/t0"], [stream], [stream]]);
+});
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -98,7 +98,7 @@
     file: "log-storage/dist/shards/shardService.js",
     find: " && this.#node.feed.isFresh",
     put: "",
-    test: `${sim}/shards.test.js`,
+    test: `${sim}/freshness.test.js`,
   },
   {
     name: "ownership is rewritten without a pull",
@@ -231,7 +231,7 @@
     file: "edge/dist/fanout/shardFollow.js",
     find: "this.add(tail);\n        }",
     put: "void 0;\n        }",
-    test: `${sim}/streams.test.js`,
+    test: "edge/dist/fanout/shardFollow.test.js",
   },
   {
     name: "pushes before their follow's receipt are let go",
--- a/packages/testkit/src/sim/freshness.test.ts
+++ b/packages/testkit/src/sim/freshness.test.ts
@@ -1,9 +1,12 @@
 import { test } from "node:test";
 import { Wire } from "@cranetrack/core/rpc/wire.js";
+import { FeedFollower } from "@cranetrack/core/feeds/feedFollower.js";
+import { Rendezvous } from "@cranetrack/core/membership/rendezvous.js";
 import { PlanKey } from "@cranetrack/core/keys/configurationKey.js";
 import { expect } from "earl";
 import { served } from "./hand.js";
 import type { SimFleet } from "./simFleet.js";
+import { SimPlans } from "./simPlans.js";
 import { accepted, actingOnOld, boundMs } from "./staleNodes.js";
 
 const inForceAt = (fleet: SimFleet, name: string): number => {
@@ -121,3 +124,29 @@
   expect(await fleet.until(() => feed.revision > 0, 5000)).toEqual(true);
   expect([asked > 0, fleet.world.now - startedAt < 1500]).toEqual([true, true]);
 });
+
+test("a shard's holder whose feed is silent accepts nothing for a space that may be gone", async () => {
+  const { fleet, load, ask } = await served(506);
+  const { node } = fleet.find("vise-1")!;
+  const { stream, spaceBirth } = node.plan.route("notes/t1")!;
+  const shard = Rendezvous.shardOf(stream, node.parts.settings.shards);
+  const { holder } = node.shards.find(shard);
+  const publish = async (number: number): Promise<string | undefined> => {
+    const value = { shard, topic: "notes/t1", session: "direct", number, payload: Buffer.from("x"), spaceBirth };
+    let outcome: string | undefined;
+    void node.exchange.call(holder, { case: "publish", value }, 800).then((body) => {
+      outcome = body?.case === "publishReceipt" ? body.value.outcome : "nothing";
+    });
+    await fleet.until(() => outcome !== undefined, 2000);
+    return outcome;
+  };
+  expect(await publish(1)).toEqual("accepted");
+  // Its leases are renewed and its replicas answer; only news do not reach it.
+  fleet.wires.mutate = (_from, to, bytes) =>
+    to === fleet.addressOf(holder) && Wire.decode(bytes)?.body.case === "feedPush" ? [] : undefined;
+  const plan = SimPlans.write(load.nextMark, SimPlans.usual(), ["notices", "extra"]);
+  expect((await ask(fleet.proposer!, "PUT", "/v1/plan", JSON.stringify(plan)))["status"]).toEqual(200);
+  await fleet.run(FeedFollower.staleMs + 100);
+  expect(fleet.find(holder)!.node.plan.route("notes/t1") === undefined).toEqual(false);
+  expect(await publish(2)).toEqual("away");
+});
