Tests: the store's histories notice a leader that commits alone

An order at a leader that was cut off just before stays without a clear answer, and the history is linearizable.

--- a/packages/testkit/src/sim/storeHistories.test.ts
+++ b/packages/testkit/src/sim/storeHistories.test.ts
@@ -161,3 +161,28 @@
   for (const kind of ["done", "conflict", "values", "unknown"] as const)
     expect([kind, met[kind] > 30]).toEqual([kind, true]);
 });
+
+test("what a leader is asked just after it was cut off is not acknowledged and lost", async () => {
+  for (let seed = 1; seed <= 5; seed += 1) {
+    const fleet = new SimFleet(seed, Scenario.machines(3, 0, 0));
+    fleet.startAll();
+    expect(await fleet.until(() => fleet.proposer !== undefined, 15_000)).toEqual(true);
+    await fleet.run(1000);
+    const history = new KeysHistory(fleet);
+    const write: Step = { at: 0, client: 0, keys: ["test/x"], checked: 0, kind: "write" };
+    const leader = fleet.proposer!;
+    const others = fleet.withRole("lathe").filter((name) => name !== leader);
+    void history.run(write);
+    await fleet.run(500);
+    fleet.isolate(leader, others, "both");
+    void history.run(write);
+    await fleet.run(calmMs);
+    fleet.wires.heal();
+    await fleet.run(calmMs);
+    void history.run({ ...write, kind: "read" });
+    await fleet.run(2000);
+    const kinds = history.operations.map(({ output }) => output?.kind);
+    expect([seed, ...kinds]).toEqual([seed, "done", undefined, "values"]);
+    expect(checkLinearizability(checkedKeys, history.operations).kind).toEqual("linearizable");
+  }
+});
