Membership: signs of life are asked of a few partners, over connections that stay

Now a node asks one of eight partners that rendezvous hashing names, and tells changes to these; heartbeats and questions go out in turn every 300 ms. Connections that carry such alone are pinged each 3 s, not each 0.7 s. A member is asked directly after 0.9 s of silence, not 0.6 s; suspected after 1.4 s as before. Tests: sim/membership.test.ts, all as before and one more.

--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -10,20 +10,25 @@
 import { Rumours } from "./rumours.js";
 
 /**
- * Who is there, after SWIM: a node sends beats to the few watchers that rendezvous hashing names for it, and at each
- * beat asks any member, a mute one too, for a sign of life: who lost its watchers with it is found by nothing else.
+ * Who is there, after SWIM: a node sends heartbeats to the few watchers that rendezvous hashing names for it, and in
+ * between asks one of a few partners, a mute one too, for a sign of life: who lost its watchers with it is found by
+ * nothing else. Partners are named by rendezvous hashing as well, so that what a node sends takes a few held
+ * connections, however many members there are.
  * Whoever misses one asks directly and through others, and suspects only where another could not reach the silent one
  * either. Suspicions, refutations and all other changes travel as rumours on these frames; tables are compared rarely,
  * by digests. A suspicion speeds up routing and moves and takes no claim from anybody.
  */
 export class Membership extends EventEmitter<{ changed: []; suspected: [name: string] }> {
+  /** Heartbeats and questions to partners go out in turn, one of them in each such time. */
   static readonly beatMs = 300;
   /** Silence before a member is asked directly and through others, and before it is suspected. */
-  static readonly probeMs = 600;
+  static readonly probeMs = 900;
   static readonly suspectMs = 1400;
   static readonly forgetMs = 60_000;
   static readonly watchers = 3;
-  /** Others that are asked whether they reach a silent member, and that are told a change at once. */
+  /** Members that a node asks for a sign of life, and tells a change at once. */
+  static readonly partners = 8;
+  /** Others that are asked whether they reach a silent member; and how many partners are told a change. */
   static readonly helpers = 3;
   static readonly pingDue = 350;
   /** A helper's word needs its own ping first. */
@@ -43,6 +48,8 @@
   #peersOf: readonly Member[] | undefined;
   #peers: Member[] = [];
   #ownWatchers: Member[] = [];
+  #ownPartners: Member[] = [];
+  #beats = 0;
   #ownText = "";
   #heardAt: number;
   #beatAt: number;
@@ -143,18 +150,21 @@
     this.#notice();
     this.#detector.judge();
     this.#forget();
-    const watchers = this.#watchers();
-    for (const member of watchers) this.#tell(member.address, member.name);
-    const peers = this.#upPeers();
-    const drawn = peers[Math.floor(this.#chance.draw() * peers.length)];
-    if (drawn !== undefined && !watchers.includes(drawn)) {
-      this.#detector.expect(drawn.name);
-      this.#tell(drawn.address, drawn.name, { isAsking: true });
-    }
+    this.#beats += 1;
+    if (this.#beats % 2 === 0) for (const member of this.#watchers()) this.#tell(member.address, member.name);
+    else this.#askPartner();
     this.#introduce();
     if (now >= this.#compareAt) this.#compare();
   }
 
+  #askPartner(): void {
+    const partners = this.#partners();
+    const drawn = partners[Math.floor(this.#chance.draw() * partners.length)];
+    if (drawn === undefined) return;
+    this.#detector.expect(drawn.name);
+    this.#tell(drawn.address, drawn.name, { isAsking: true });
+  }
+
   /** Asks seeds for everybody, until some table came; later only those seeds that no member is at. */
   #introduce(): void {
     if (this.#upPeers().length === 0) {
@@ -190,7 +200,7 @@
     const { incarnation, version } = this.self;
     const isWatched = name !== "" && this.#watchers().some((member) => member.name === name);
     const value = { ...more, members: [...members], incarnation, version, isWatched };
-    this.#exchange.tellAddress(address, { case: "gossip", value }, name);
+    this.#exchange.tellInBackground(address, { case: "gossip", value }, name);
   }
 
   #hear(gossip: Gossip, from: string, address: string): undefined {
@@ -276,7 +286,8 @@
     this.#clock.once(Membership.spreadMs, () => {
       this.#isSpreading = false;
       if (this.#rumours.isEmpty) return;
-      for (const member of this.#draw(Membership.helpers)) this.#tell(member.address, member.name);
+      for (const member of this.#draw(Membership.helpers, "", this.#partners()))
+        this.#tell(member.address, member.name);
     });
   }
 
@@ -331,20 +342,28 @@
     if (this.#peersOf !== all) {
       this.#peersOf = all;
       this.#peers = all.filter((member) => member.name !== this.self.name && MemberTable.isUp(member));
-      const names = Rendezvous.spread(this.self.name, this.#peers, Membership.watchers);
-      this.#ownWatchers = names.map((name) => this.find(name)!);
+      const { name } = this.self;
+      const chosen = (key: string, among: readonly Member[], count: number): Member[] =>
+        Rendezvous.spread(key, among, count).map((one) => this.find(one)!);
+      this.#ownWatchers = chosen(name, this.#peers, Membership.watchers);
+      const others = this.#peers.filter((member) => !this.#ownWatchers.includes(member));
+      this.#ownPartners = chosen(`partners of ${name}`, others, Membership.partners);
     }
     return this.#peers;
   }
 
+  #partners(): Member[] {
+    this.#upPeers();
+    return this.#ownPartners;
+  }
+
   #watchers(): Member[] {
     this.#upPeers();
     return this.#ownWatchers;
   }
 
   /** Some of the others that are up and answer, at random. */
-  #draw(count: number, except = ""): Member[] {
-    const peers = this.#upPeers();
+  #draw(count: number, except = "", peers: readonly Member[] = this.#upPeers()): Member[] {
     const drawn = new Set<Member>();
     for (let i = 0; i < 3 * count && drawn.size < Math.min(count, peers.length); i += 1) {
       const peer = peers[Math.floor(this.#chance.draw() * peers.length)]!;
--- a/packages/core/src/rpc/rpcEndpoint.ts
+++ b/packages/core/src/rpc/rpcEndpoint.ts
@@ -129,6 +129,11 @@
     this.#net.send(address, this.#encode(to, { id: 0, isReceipt: false, body }));
   }
 
+  /** The same, of what will be said again soon. */
+  tellInBackground(address: string, body: BodyInit, to = ""): void {
+    this.#net.send(address, this.#encode(to, { id: 0, isReceipt: false, body }), "background");
+  }
+
   call(to: string, body: CallInit, due: number): Promise<Body | undefined> {
     return new Promise((resolve) => {
       const settle = (reply: Body | undefined): void => {
--- a/packages/core/src/transport/tcpConnection.ts
+++ b/packages/core/src/transport/tcpConnection.ts
@@ -1,6 +1,7 @@
 import type { Socket } from "node:net";
 import type { Frame } from "../gen/cranetrack_pb.js";
 import { Wire, type Envelope } from "../rpc/wire.js";
+import type { Urgency } from "./transport.js";
 
 /**
  * One TCP connection carrying frames, each behind its length in four bytes. Only the first frame and those of other
@@ -10,8 +11,8 @@
 export class TcpConnection {
   /** Bytes that may wait for a peer that does not read; what comes beyond is dropped, frame by frame. */
   static readonly mostWaiting = 8 * 1024 * 1024;
-  /** How often a connection in use is pinged, and how long it may stay silent then. */
-  static readonly pingMs = 700;
+  /** How often a connection in use is pinged, by what it carries; and how long it may stay silent then. */
+  static readonly pingMs: Readonly<Record<Urgency, number>> = { awaited: 700, background: 3000 };
   static readonly silentMs = 2000;
 
   static readonly #short = 0x80000000;
@@ -56,7 +57,7 @@
     return this.#socket.writableLength + this.#pendingSize;
   }
 
-  send(bytes: Uint8Array): void {
+  send(bytes: Uint8Array, urgency: Urgency = "awaited"): void {
     if (this.#isClosed) return;
     // A longer frame than may wait goes out alone.
     if (this.waiting > 0 && this.waiting + bytes.length > TcpConnection.mostWaiting) return void (this.dropped += 1);
@@ -68,7 +69,7 @@
       this.#sent = envelope === undefined ? undefined : Buffer.from(envelope);
       this.#put(bytes, 0);
     }
-    if (this.#isPinging) this.#ping();
+    if (this.#isPinging) this.#ping(TcpConnection.pingMs[urgency]);
   }
 
   close(): void {
@@ -95,9 +96,9 @@
     this.#socket.uncork();
   }
 
-  #ping(): void {
+  #ping(periodMs: number): void {
     const now = performance.now();
-    if (this.#deadline !== undefined || now - this.#pingedAt < TcpConnection.pingMs) return;
+    if (this.#deadline !== undefined || now - this.#pingedAt < periodMs) return;
     this.#pingedAt = now;
     this.#put(new Uint8Array(), 0);
     this.#expect();
--- a/packages/core/src/transport/tcpTransport.ts
+++ b/packages/core/src/transport/tcpTransport.ts
@@ -1,7 +1,7 @@
 import { createServer, connect, type Server, type Socket } from "node:net";
 import type { Frame } from "../gen/cranetrack_pb.js";
 import type { LogBuffer } from "../runtime/logBuffer.js";
-import type { Transport } from "./transport.js";
+import type { Transport, Urgency } from "./transport.js";
 import { TcpConnection } from "./tcpConnection.js";
 
 /** Frames over held TCP connections: one outward link an address, as many inward as come. */
@@ -58,7 +58,7 @@
     return failed === undefined || performance.now() >= failed.againAt;
   }
 
-  send(address: string, bytes: Uint8Array): void {
+  send(address: string, bytes: Uint8Array, urgency: Urgency = "awaited"): void {
     let link = this.#outward.get(address);
     if (link === undefined) {
       const failed = this.#unreachable.get(address);
@@ -66,7 +66,7 @@
         return void setImmediate(() => this.#lost(address));
       link = this.#open(address);
     }
-    link.send(bytes);
+    link.send(bytes, urgency);
   }
 
   /** Bytes that wait for an address. */
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -299,8 +299,8 @@
   {
     name: "a mute member is never asked for a sign of life",
     file: "core/dist/membership/membership.js",
-    find: "const drawn = peers[Math.floor(this.#chance.draw() * peers.length)];",
-    put: "const [drawn] = this.#draw(1);",
+    find: "const drawn = partners[Math.floor(this.#chance.draw() * partners.length)];",
+    put: 'const [drawn] = this.#draw(1, "", partners);',
     test: `${sim}/membership.test.js`,
   },
   {
--- a/packages/testkit/src/sim/membership.test.ts
+++ b/packages/testkit/src/sim/membership.test.ts
@@ -154,3 +154,21 @@
   const [few, many] = most;
   expect([few! < 2048, many! < 2048]).toEqual([true, true]);
 });
+
+test("a member asks the same few partners, however many members there are; only tables are compared with any", async () => {
+  const fleet = await started(79, 40);
+  await fleet.run(5000);
+  const own = fleet.addressOf("vise-1");
+  const asked = new Set<string>();
+  let questions = 0;
+  fleet.wires.mutate = (from, to, bytes) => {
+    const body = from === own ? Wire.decode(bytes)?.body : undefined;
+    if (body?.case === "gossip" && body.value.isAsking && body.value.digests.length === 0) {
+      asked.add(to);
+      questions += 1;
+    }
+    return undefined;
+  };
+  await fleet.run(30_000);
+  expect([asked.size <= Membership.partners, questions > 40]).toEqual([true, true]);
+});
