--- a/packages/testkit/src/sim/membership.test.ts
+++ b/packages/testkit/src/sim/membership.test.ts
@@ -155,7 +155,7 @@
   expect([few! < 2048, many! < 2048]).toEqual([true, true]);
 });
 
-test("a member asks the same few partners, however many members there are; only tables are compared with any", async () => {
+test("a member asks the same few partners, however many members there are", async () => {
   const fleet = await started(79, 40);
   await fleet.run(5000);
   const own = fleet.addressOf("vise-1");
