--- a/packages/testkit/src/sim/cutActs.ts
+++ b/packages/testkit/src/sim/cutActs.ts
@@ -28,6 +28,14 @@
       this.later(ms * 0.5, () => this.#again(this.counted.filter((one) => !off.includes(one))));
     });
 
+  /** Nobody waits in vain: each try to reach the others that count is refused at once. */
+  readonly coreCutRefused: Act = (_name, ms) => {
+    const { counted, fleet } = this;
+    const off = this.#oneOff();
+    for (const other of counted) if (other !== off) fleet.wires.refuse(fleet.addressOf(off), fleet.addressOf(other));
+    return this.later(ms, () => fleet.wires.heal());
+  };
+
   /** Edges are cut off from all that count. */
   readonly edgeCut: Act = (_name, ms) => {
     for (const one of this.some(this.edges, Math.ceil(this.edges.length * 0.3)))
@@ -57,8 +65,7 @@
   /** As many as may be lost, often the leader, from the others that count; edges still reach both sides. */
   #cut(ways: "in" | "out" | "both", ms: number, more: (off: string[]) => void = () => undefined): number {
     const { counted, fleet } = this;
-    const one = this.chance.draw() < 0.5 ? fleet.proposer : undefined;
-    const off = [one ?? this.chance.pick(counted)];
+    const off = [this.#oneOff()];
     for (const name of off)
       fleet.isolate(
         name,
@@ -69,6 +76,12 @@
     return this.later(ms, () => fleet.wires.heal());
   }
 
+  /** Often the leader. */
+  #oneOff(): string {
+    const leader = this.chance.draw() < 0.5 ? this.fleet.proposer : undefined;
+    return leader ?? this.chance.pick(this.counted);
+  }
+
   #again(names: readonly string[]): void {
     for (const one of names) {
       this.fleet.crash(one);
--- a/packages/testkit/src/sim/faults.ts
+++ b/packages/testkit/src/sim/faults.ts
@@ -76,6 +76,9 @@
   "fullDisk",
   "hungDisk",
   "refusedWrite",
+  "coreCutRefused",
+  "busyStops",
+  "drainReturned",
 ] as const;
 
 export type FaultName = (typeof names)[number];
--- a/packages/testkit/src/sim/machineActs.ts
+++ b/packages/testkit/src/sim/machineActs.ts
@@ -8,6 +8,8 @@
   /** Within which a machine that is replaced is gone, or another's disk is lost after a drain. */
   static readonly lossMs = 8000;
   static readonly emptyMs = 10_000;
+  /** For each machine that is stopped in turn; longer than a process may take to stop. */
+  static readonly turnMs = 2500;
   #replaced = 0;
 
   /** The process ends at once and its machine goes on. */
@@ -16,6 +18,30 @@
     return this.later(ms * 0.3, () => this.fleet.revive(name));
   };
 
+  /** Each machine that counts is asked to stop while it answers an operator, one after the other. */
+  readonly busyStops: Act = () => {
+    const names = this.counted;
+    names.forEach((one, i) => {
+      this.later(i * MachineActs.turnMs, () => {
+        void this.fleet.port.call(one, "GET", "/v1/plan", undefined);
+        this.later(2, () => this.fleet.cycle(one));
+      });
+      this.later((i + 1) * MachineActs.turnMs - 100, () => this.fleet.revive(one));
+    });
+    return names.length * MachineActs.turnMs;
+  };
+
+  /** A machine is to be emptied as soon as it is back. */
+  readonly drainReturned: Act = (_name, ms) => {
+    const machine = this.chance.pick(this.fleet.withRole("anvil").filter((one) => this.fleet.isUsed(one)));
+    this.fleet.kill(machine);
+    this.later(ms * 0.3, () => {
+      this.fleet.revive(machine);
+      this.load.ask("PUT", machine);
+    });
+    return this.later(ms * 0.3 + MachineActs.emptyMs, () => this.load.ask("DELETE", machine));
+  };
+
   /** Most edges at once; they lose power, or only their processes. */
   readonly herd: Act = (_name, ms) => {
     const names = this.some(this.edges, Math.ceil(this.edges.length * MachineActs.share));
--- a/packages/testkit/src/sim/simTransport.ts
+++ b/packages/testkit/src/sim/simTransport.ts
@@ -5,6 +5,7 @@
 import type { SimWorld } from "./simWorld.js";
 
 interface Port {
+  address: string;
   body: SimBody;
   take: (frame: Frame) => void;
   lost: (address: string) => void;
@@ -22,6 +23,8 @@
   readonly #world: SimWorld;
   readonly #ports = new Map<string, Port>();
   readonly #cuts = new Set<string>();
+  /** Ways on which whoever sends hears at once that nobody is there; each is cut as well. */
+  readonly #refusals = new Set<string>();
   readonly #lastAt = new Map<string, number>();
   /** How often the connection between two was reset. */
   readonly #resets = new Map<string, number>();
@@ -35,7 +38,7 @@
   }
 
   attach(address: string, body: SimBody): Transport {
-    const port: Port = { body, take: () => undefined, lost: () => undefined, unreachable: new Set() };
+    const port: Port = { address, body, take: () => undefined, lost: () => undefined, unreachable: new Set() };
     this.#ports.set(address, port);
     return {
       address,
@@ -61,8 +64,18 @@
     this.#cuts.add(`${from}>${to}`);
   }
 
+  /** Cuts two off from one another by refusing their connections, those that are up as well. */
+  refuse(one: string, other: string): void {
+    this.reset(one, other);
+    for (const way of [`${one}>${other}`, `${other}>${one}`]) {
+      this.#cuts.add(way);
+      this.#refusals.add(way);
+    }
+  }
+
   heal(): void {
     this.#cuts.clear();
+    this.#refusals.clear();
     this.slow.clear();
     this.loss = 0;
     this.mutate = undefined;
@@ -100,7 +113,8 @@
   }
 
   #tellLost(port: Port, address: string): void {
-    if (port.body.isDead || this.#ports.has(address)) return;
+    const isThere = this.#ports.has(address) && !this.#refusals.has(`${port.address}>${address}`);
+    if (port.body.isDead || isThere) return;
     if (port.body.pausedUntil > this.#world.now)
       return void this.#world.at(port.body.pausedUntil, () => this.#tellLost(port, address));
     port.unreachable.add(address);
@@ -113,6 +127,8 @@
       if (!this.#cuts.has(`${to}>${from}`)) this.#world.at(this.#world.now + 1, () => this.#tellLost(port, to));
       return;
     }
+    if (this.#refusals.has(`${from}>${to}`))
+      return void this.#world.at(this.#world.now + 1, () => this.#tellLost(port, to));
     if (!this.#cuts.has(`${from}>${to}`)) port.unreachable.delete(to);
     const copies = this.mutate?.(from, to, bytes);
     if (copies !== undefined) {
