Feeds: a first push that is later than its feed's acceptance should be still counts

Now feeds that were asked for and not accepted in time are remembered, four of them, and the first push of one of these makes it the feed, as old as its question. Sabotage: a feed whose acceptance is late is forgotten.

--- a/packages/core/src/feeds/feedFollower.ts
+++ b/packages/core/src/feeds/feedFollower.ts
@@ -14,6 +14,11 @@
   revision: number;
 }
 
+interface UnacceptedFeed {
+  readonly lathe: string;
+  readonly askedAt: number;
+}
+
 /**
  * Follows the store's numbered changes from one lathe at a time and appends them to the journal.
  * Invariants: `revision` only rises; a push is applied only in its number's turn, and whole: one with a difference
@@ -30,6 +35,8 @@
   static readonly silentMs = 1000;
   /** A lathe says at once whether it takes a feed. */
   static readonly acceptMs = 500;
+  /** Feeds not accepted in time that are remembered: slow machines answer late, and asking anew makes it no sooner. */
+  static readonly mostUnaccepted = 4;
   /** A first snapshot may take this long; asking elsewhere sooner only makes it later. What follows is short. */
   static readonly openMs = 2500;
   /** After a lathe let go of the feed; it may have been told so at once. */
@@ -57,6 +64,8 @@
   #askedAt = -Infinity;
   #openedAt = -Infinity;
   #opens = 0;
+  /** Feeds that were asked for and not accepted in time: word of them, or their first push, may still be on its way. */
+  readonly #unaccepted = new Map<string, UnacceptedFeed>();
   /** The lathe let go of the feed. What was heard before stays as old as it is: another lathe may go on from it. */
   #isClosed = false;
   /** A push was refused: nothing but a snapshot will do. */
@@ -141,16 +150,36 @@
     };
     const reply = await this.#exchange.call(lathe, { case: "feedOpen", value }, FeedFollower.acceptMs);
     const isAccepted = reply?.case === "done" || this.#number > 0;
-    if (feed === this.#feed && !isAccepted) this.#isClosed = true;
+    if (feed !== this.#feed || isAccepted) return;
+    this.#isClosed = true;
+    if (reply === undefined) this.#remember(feed, lathe);
+  }
+
+  #remember(feed: string, lathe: string): void {
+    this.#unaccepted.set(feed, { lathe, askedAt: this.#askedAt });
+    const [oldest] = this.#unaccepted.keys();
+    if (this.#unaccepted.size > FeedFollower.mostUnaccepted) this.#unaccepted.delete(oldest!);
+  }
+
+  /** The first push of a feed that was not accepted in time makes it the feed; it is as old as its question. */
+  #adopt(push: FeedPush, from: string): void {
+    const { lathe, askedAt } = this.#unaccepted.get(push.feed) ?? {};
+    if (lathe !== from || askedAt === undefined || push.number !== 1 || this.#number > 0) return;
+    this.#feed = push.feed;
+    this.#lathe = lathe;
+    this.#askedAt = askedAt;
+    this.#isClosed = false;
   }
 
   #take(push: FeedPush, from: string): undefined {
+    if (push.feed !== this.#feed) this.#adopt(push, from);
     if (push.feed !== this.#feed || from !== this.#lathe) return undefined;
     if (push.number === this.#number + 1 && (push.isSnapshot || push.fromRevision <= this.revision)) {
       if (push.revision < this.revision) return undefined;
       if (!push.isSnapshot) push.kvs = push.kvs.filter((kv) => kv.revision > this.revision);
       if (!push.kvs.every((kv) => this.#unpack(kv))) return this.#refuse();
       this.#number = push.number;
+      this.#unaccepted.clear();
       this.#hear();
       this.#apply(push);
     }
--- a/packages/testkit/src/sabotage/cutOffSabotages.ts
+++ b/packages/testkit/src/sabotage/cutOffSabotages.ts
@@ -25,6 +25,13 @@
     put: "false",
     test,
   },
+  {
+    name: "a feed whose acceptance is late is forgotten",
+    file: "core/dist/feeds/feedFollower.js",
+    find: "if (reply === undefined)",
+    put: "if (false)",
+    test: "testkit/dist/sim/store.test.js",
+  },
   {
     name: "a push counts from when it was read",
     file: "core/dist/feeds/feedFollower.js",
