--- a/packages/cli/src/fleetClient.ts
+++ b/packages/cli/src/fleetClient.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from "node:fs";
 import { Agent, request } from "undici";
-import { RetryPolicy, type Attempt, type Method } from "./retryPolicy.js";
+import { RetryPolicy, type Method, type Unanswered } from "./retryPolicy.js";
 
 /** What the last node that was asked answered. */
 export interface FleetReceipt {
@@ -48,7 +48,7 @@
     method: Method,
     path: string,
     body: string | undefined,
-  ): Promise<Exclude<Attempt, { kind: "answered" }> | { kind: "answered"; status: number; receipt: FleetReceipt }> {
+  ): Promise<Unanswered | { kind: "answered"; status: number; receipt: FleetReceipt }> {
     try {
       const answer = await request(`http://${node}${path}`, {
         method,
@@ -61,8 +61,7 @@
       const comeBack = retryAfter === undefined ? undefined : Number(retryAfter);
       return { kind: "answered", status, receipt: { status, text, body: FleetClient.#parse(text), comeBack } };
     } catch (error) {
-      const attempt = RetryPolicy.attemptFor(error);
-      return attempt.kind === "notSent" ? attempt : { kind: "unknown" };
+      return RetryPolicy.unansweredFor(error);
     }
   }
 
--- a/packages/cli/src/retryPolicy.ts
+++ b/packages/cli/src/retryPolicy.ts
@@ -4,15 +4,16 @@
  */
 export type Method = "GET" | "PUT" | "POST" | "DELETE";
 
-/** What is known of a call that one node was asked. */
-export type Attempt =
-  /** A node answered, with a status that may be final. */
-  | { kind: "answered"; status: number }
+/** A call that one node was asked and did not answer. */
+export type Unanswered =
   /** No connection came about: nobody has the call. */
   | { kind: "notSent" }
   /** Silence, or a reset once the call was on its way. */
   | { kind: "unknown" };
 
+/** What is known of a call that one node was asked; the status of an answer may be final. */
+export type Attempt = { kind: "answered"; status: number } | Unanswered;
+
 /** Errors of the HTTP client that come before the first byte is sent. */
 const beforeSending = new Set([
   "ECONNREFUSED",
@@ -29,7 +30,7 @@
 const unavailable = 503;
 
 export const RetryPolicy = {
-  attemptFor(error: unknown): Attempt {
+  unansweredFor(error: unknown): Unanswered {
     const { code } = error as NodeJS.ErrnoException;
     return { kind: code !== undefined && beforeSending.has(code) ? "notSent" : "unknown" };
   },
