Test, failing: a new holder refuses for good what an earlier one has delivered

The edge's second try of number 1 is answered 409 (number-went-backwards), on the platform RETRY: a promise that it was not done. Expected: 504.

--- a/packages/testkit/src/sim/memory.test.ts
+++ b/packages/testkit/src/sim/memory.test.ts
@@ -2,7 +2,7 @@
 import type { ShardService } from "@cranetrack/log-storage/shards/shardService.js";
 import type { Holder } from "@cranetrack/log-storage/shards/holder.js";
 import type { PublishReceipt } from "@cranetrack/core/gen/cranetrack_pb.js";
-import type { Body } from "@cranetrack/core/rpc/wire.js";
+import { Wire, type Body } from "@cranetrack/core/rpc/wire.js";
 import { countTopic, type Count } from "@cranetrack/edge/fanout/countTopic.js";
 import { expect } from "earl";
 import { Hand, served, type Served } from "./hand.js";
@@ -184,6 +184,51 @@
   ]);
 });
 
+test("what an earlier holder may have delivered is not refused for good by the next one", async () => {
+  const all = await keepingNothing(809);
+  const { fleet } = all;
+  const topic = "notes/t1";
+  const reader = await linked(all, "vise-1", "desk", [{ topic }]);
+  await linked(all, "vise-2", "pen", []);
+  const { name, shard } = holderOf(all, topic);
+  const pen = fleet.addressOf("vise-2");
+  // Number 1 is taken and pushed, and its receipt is lost.
+  fleet.wires.mutate = (_from, to, bytes) =>
+    to === pen && Wire.decode(bytes)?.body.case === "publishReceipt" ? [] : undefined;
+  let receipt: Record<string, unknown> | undefined;
+  const body = JSON.stringify({ topic, number: 1, payload: "p1" });
+  void fleet.port
+    .call("vise-2", "POST", "/v1/sessions/pen/messages", body)
+    .then((got) => (receipt = { status: got.status, ...got.body }));
+  expect(await fleet.until(() => reader.got().length === 1, 1000)).toEqual(true);
+  // Its holder gives the shard up; number 2 is at the next holder before number 1 comes again.
+  fleet.wires.mutate = (from, _to, bytes) =>
+    from === pen && Wire.decode(bytes)?.body.case === "publish" ? [{ bytes, delay: 100 }] : undefined;
+  void fleet.find(name)!.anvil!.claims!.release(shard, "the test says so");
+  const next = (): ShardService | undefined => {
+    const { holder } = fleet.find("vise-2")!.node.shards.find(shard);
+    const claim = fleet.find(holder)?.anvil?.claims?.find(shard);
+    return claim?.bench.isOpen === true ? claim.bench : undefined;
+  };
+  const epoch = fleet.find(name)!.anvil!.claims!.find(shard)?.holder.epoch;
+  expect(epoch).toEqual(undefined);
+  for (let ms = 0; ms < 3000 && next() === undefined; ms += 1) await fleet.run(1);
+  const { spaceBirth } = fleet.find("vise-2")!.node.plan.route(topic)!;
+  const publish = { $typeName: "cranetrack.v1.Publish" as const, shard, session: "pen", ownerEpoch: 1e9, topic };
+  let second = "";
+  void next()!
+    .publish({ ...publish, spaceBirth, number: 2, payload: Buffer.from("p2") })
+    .then(({ value }) => (second = value.outcome ?? ""));
+  expect(await fleet.until(() => second !== "", 1000)).toEqual(true);
+  expect(second).toEqual("accepted");
+  fleet.wires.mutate = undefined;
+  expect(await fleet.until(() => receipt !== undefined, 4000)).toEqual(true);
+  // Delivered already: whoever is told that it never will be publishes it a second time.
+  expect(receipt!["status"]).toEqual(504);
+  const again = await all.publish("pen", 1, "vise-2");
+  expect(again["status"]).toEqual(504);
+});
+
 test("subscribers are counted right after joins, leaves, an edge's death and a change of holder", async () => {
   const all = await keepingNothing(807);
   const { fleet } = all;
