Spaces that keep nothing: a young holder does not refuse what an earlier one may have taken

Cause: who holds a shard judged a number that it had not taken, below one that it had, as never taken. Where nothing is kept, the numbers that an earlier holder took died with it, so for as long as publishers repeat numbers that is not known. Ruled out: overtaking between an edge and one holder (the same birth: the refusal is right). Before: 409, and the message delivered; after: 504 until the stream is 12 s old at this holder, then 409 as before.

--- a/packages/log-storage/src/shards/memoryStreams.ts
+++ b/packages/log-storage/src/shards/memoryStreams.ts
@@ -4,6 +4,8 @@
 
 interface Kept {
   log: StreamLog;
+  /** Shard time at which this holder made it. */
+  bornAt: number;
   /** Shard time of the last use. */
   usedAt: number;
 }
@@ -19,6 +21,8 @@
   static readonly mostKept = 200;
   static readonly mostBytes = 2 * 1024 * 1024;
   static readonly keepMs = 10_000;
+  /** A publisher repeats a number for no longer than this after it first sent it. */
+  static readonly repeatMs = 12_000;
 
   readonly #identity: () => string;
   readonly #streams = new Map<string, Kept>();
@@ -43,13 +47,23 @@
   take(stream: string, spaceBirth: number, at: number): StreamLog | undefined {
     let kept = this.#streams.get(stream);
     if (kept === undefined || kept.log.spaceBirth < spaceBirth) {
-      kept = { log: new StreamLog(stream, Streams.birth(spaceBirth, this.#identity())), usedAt: at };
+      const log = new StreamLog(stream, Streams.birth(spaceBirth, this.#identity()));
+      kept = { log, bornAt: at, usedAt: at };
       this.#streams.set(stream, kept);
     }
     kept.usedAt = Math.max(kept.usedAt, at);
     return kept.log.spaceBirth === spaceBirth ? kept.log : undefined;
   }
 
+  /**
+   * Whether numbers may still arrive that an earlier holder of the stream took. Which ones it took died with it, so
+   * nothing is known here of a number that this holder did not take.
+   */
+  mayHavePredecessor(stream: string, at: number): boolean {
+    const kept = this.#streams.get(stream);
+    return kept !== undefined && at - kept.bornAt < MemoryStreams.repeatMs;
+  }
+
   accept(accept: Accept): Verdict {
     const log = this.find(accept.stream);
     if (log === undefined || log.birth !== accept.birth)
--- a/packages/log-storage/src/shards/shardService.ts
+++ b/packages/log-storage/src/shards/shardService.ts
@@ -20,7 +20,7 @@
 import { HeldBack } from "./heldBack.js";
 import { PublishOutcomes, type PublishOutcome } from "./publishOutcomes.js";
 import { startInMemory, startOf } from "./startOf.js";
-import type { StreamLog, Verdict } from "./streamLog.js";
+import { StreamLog, type Verdict } from "./streamLog.js";
 import { fetchFrom } from "../follows/fetchFrom.js";
 import { Follows } from "../follows/follows.js";
 import type { Holder } from "./holder.js";
@@ -150,8 +150,14 @@
     return Promise.resolve(PublishOutcomes.refused(refusal.code, refusal.reason));
   }
 
-  /** What is accepted has been pushed: nothing else remembers it. */
+  /**
+   * What is accepted has been pushed: nothing else remembers it. What an earlier holder may have accepted and pushed
+   * is not refused: a refusal promises that it never was and never will be delivered.
+   */
   async #inMemory(stream: string, verdict: Verdict): Promise<PublishOutcome> {
+    const isUntaken = verdict.outcome === "refused" && verdict.code === StreamLog.wentBackwards;
+    if (isUntaken && this.#memory.mayHavePredecessor(stream, this.#holder.at))
+      return PublishOutcomes.unsure("an earlier holder may have accepted this number");
     if (verdict.outcome === "accepted" && !(await this.#push(stream)))
       return PublishOutcomes.unsure("the holder lost its claim before the message was pushed");
     return PublishOutcomes.of(verdict);
--- a/packages/log-storage/src/shards/streamLog.ts
+++ b/packages/log-storage/src/shards/streamLog.ts
@@ -25,6 +25,8 @@
  */
 export class StreamLog {
   static readonly window = 128;
+  /** The code of a refusal of a number below the last one taken, which this log itself never took. */
+  static readonly wentBackwards = "number-went-backwards";
 
   readonly stream: string;
   readonly birth: string;
@@ -58,7 +60,7 @@
     const seq = record.seqs[record.numbers.indexOf(number)];
     if (seq === undefined) {
       const reason = `number ${number} is below ${record.numbers.at(-1)} and was never taken`;
-      return { outcome: "refused", code: "number-went-backwards", reason };
+      return { outcome: "refused", code: StreamLog.wentBackwards, reason };
     }
     if (seq === 0)
       return { outcome: "refused", code: "refused-before", reason: `number ${number} was refused for good` };
