Invariants that every process counts; a soak of real processes under troubles that overlap

Each is counted now (status, metrics) and logged with its context; a read of the configuration that is older than what the process has seen is answered 503. jig soak: control and storage on the same machines, kept and passing topics, pipelined publishers, two operators, reads of the configuration anywhere; up to three troubles at a time; disks are lost once all machines were well for 5 s.

--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -103,6 +103,7 @@
       (index) => this.#advance(index),
       (index, state) => this.#install(index, state),
       (state) => Metadata.isReadable(state),
+      (at) => parts.invariants?.violated("committedLog", { group: this.#log.group, index: at }),
     );
     this.#findMembers();
     this.#exchange.serve("vote", (vote, frame) =>
--- a/packages/control/src/consensus/raftNodeParts.ts
+++ b/packages/control/src/consensus/raftNodeParts.ts
@@ -4,6 +4,7 @@
 import type { Clock } from "@cranetrack/core/runtime/clock.js";
 import type { RpcEndpoint } from "@cranetrack/core/rpc/rpcEndpoint.js";
 import type { LogGroups } from "@cranetrack/core/replication/logGroups.js";
+import type { InvariantMonitor } from "@cranetrack/core/runtime/invariantMonitor.js";
 import type { LogBuffer } from "@cranetrack/core/runtime/logBuffer.js";
 
 /** What a ledger works with: this lathe's identity in the founded store, its log, and the seams. */
@@ -17,6 +18,8 @@
   readonly clock: Clock;
   readonly chance: RandomSource;
   readonly ring: LogBuffer;
+  /** Told of entries that diverge from what is committed here; nobody is told where left out. */
+  readonly invariants?: Pick<InvariantMonitor, "violated">;
   /** False for a disk that is there twice or is an older copy: it neither votes nor counts. */
   readonly isTrusted: (id: string) => boolean;
   /** When the log is compacted; `storeCompaction` where left out. */
--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -115,6 +115,7 @@
       clock: parts.clock,
       chance: parts.chance,
       ring: parts.log,
+      invariants: this.node.invariants,
       isTrusted: (id) => this.#disks.isTrusted(id),
     });
     this.#desk = new StoreService(this.node, this.#ledger);
--- a/packages/core/src/configuration/planView.ts
+++ b/packages/core/src/configuration/planView.ts
@@ -4,6 +4,7 @@
 import { BirthsKey, type BirthsRecord } from "../keys/birthsKey.js";
 import type { Plan } from "./plan.js";
 import { PlanKey } from "../keys/configurationKey.js";
+import type { InvariantMonitor } from "../runtime/invariantMonitor.js";
 import { PlanReader } from "./planReader.js";
 import { Streams, type StreamRoute } from "./streams.js";
 
@@ -14,14 +15,18 @@
 export class PlanView extends EventEmitter<{ changed: [] }> {
   plan: Plan | undefined;
   text = "";
+  /** The store's revision of the plan in force here; 0 while there is none. */
+  revision = 0;
   /** Why the newest plan is not in force here; empty when it is. */
   fault = "";
   #births: BirthsRecord | undefined;
-  #next: { plan: Plan; text: string } | undefined;
+  readonly #invariants: Pick<InvariantMonitor, "violated"> | undefined;
+  #next: { plan: Plan; text: string; revision: number } | undefined;
   #nextBirths: BirthsRecord | undefined;
 
-  constructor(journal: ChangeJournal<Change>) {
+  constructor(journal: ChangeJournal<Change>, invariants?: Pick<InvariantMonitor, "violated">) {
     super();
+    this.#invariants = invariants;
     this.setMaxListeners(0);
     journal.fold((change) => this.#fold(change));
   }
@@ -43,24 +48,28 @@
   #fold(change: Change): void {
     if (change.value === undefined) return;
     if (change.key === BirthsKey.name) this.#nextBirths = BirthsKey.read(change.value);
-    else if (change.key === PlanKey.name) this.#read(Buffer.from(change.value).toString());
+    else if (change.key === PlanKey.name) this.#read(Buffer.from(change.value).toString(), change.revision);
     else return;
     this.#takeUp();
   }
 
-  #read(text: string): void {
+  #read(text: string, revision: number): void {
     const read = PlanReader.parse(text);
     if ("faults" in read) this.fault = `cannot read the plan: ${read.faults[0]!.path} ${read.faults[0]!.problem}`;
-    else this.#next = { plan: read.plan, text };
+    else this.#next = { plan: read.plan, text, revision };
   }
 
   #takeUp(): void {
     const next = this.#next;
     const births = this.#nextBirths;
-    if (next === undefined || births?.mark !== next.plan.mark || next.plan.mark <= this.mark) return;
+    if (next === undefined || births?.mark !== next.plan.mark) return;
+    if (next.plan.mark < this.mark)
+      this.#invariants?.violated("configurationVersion", { inForce: this.mark, told: next.plan.mark });
+    if (next.plan.mark <= this.mark) return;
     this.fault = "";
     this.plan = next.plan;
     this.text = next.text;
+    this.revision = next.revision;
     this.#births = births;
     this.emit("changed");
   }
--- a/packages/core/src/replication/followerLog.ts
+++ b/packages/core/src/replication/followerLog.ts
@@ -17,6 +17,8 @@
   #agreed = { term: 0, index: 0 };
   readonly #assembly = new SnapshotAssembly();
 
+  /** Called where the sender of a term has another entry than this log at an index that is committed here. */
+  readonly #onDivergence: (index: number) => void;
   /** What cannot be read is refused before anything is replaced by it. */
   readonly #isReadable: (state: Uint8Array) => boolean;
 
@@ -26,12 +28,14 @@
     onCommit: (index: number) => void,
     onSnapshot: (index: number, state: Uint8Array) => void,
     isReadable: (state: Uint8Array) => boolean = () => true,
+    onDivergence: (index: number) => void = () => undefined,
   ) {
     this.#log = log;
     this.#self = self;
     this.#onCommit = onCommit;
     this.#onSnapshot = onSnapshot;
     this.#isReadable = isReadable;
+    this.#onDivergence = onDivergence;
   }
 
   async take(append: Append, commit: number): Promise<BodyInit> {
@@ -92,10 +96,15 @@
   /** Whether the log differs at prevIndex, or would lose what is committed. */
   #isConflicting({ prevIndex, prevTerm, entries }: Append, commit: number): boolean {
     const isBehindBase = prevIndex < this.#log.baseIndex;
-    if (!isBehindBase && this.#log.termAt(prevIndex) !== prevTerm) return true;
-    return entries.some(
+    if (!isBehindBase && this.#log.termAt(prevIndex) !== prevTerm) {
+      if (prevIndex <= commit) this.#onDivergence(prevIndex);
+      return true;
+    }
+    const other = entries.find(
       ({ index, term }) => index > this.#log.baseIndex && index <= commit && this.#log.termAt(index) !== term,
     );
+    if (other !== undefined) this.#onDivergence(other.index);
+    return other !== undefined;
   }
 
   /**
--- a/packages/core/src/runtime/clusterNode.ts
+++ b/packages/core/src/runtime/clusterNode.ts
@@ -3,6 +3,8 @@
 import { FeedFollower, type Change } from "../feeds/feedFollower.js";
 import { LogGroups } from "../replication/logGroups.js";
 import { ChangeJournal } from "../feeds/changeJournal.js";
+import { ConfigurationWitness } from "../configuration/configurationWitness.js";
+import { InvariantMonitor } from "./invariantMonitor.js";
 import { Membership } from "../membership/membership.js";
 import type { NodeParts } from "./nodeParts.js";
 import { MachinesView } from "../feeds/machinesView.js";
@@ -19,6 +21,7 @@
     change.value !== undefined && PackedValue.isLarge(change.value) ? { ...change, value: new Uint8Array() } : change;
 
   readonly parts: NodeParts;
+  readonly invariants: InvariantMonitor;
   readonly exchange: RpcEndpoint;
   readonly groups: LogGroups;
   readonly membership: Membership;
@@ -27,12 +30,14 @@
   readonly feed: FeedFollower;
   readonly machines: MachinesView;
   readonly plan: PlanView;
+  readonly configurationWitness: ConfigurationWitness;
   readonly shards: ShardsView;
   readonly #addressBook: AddressBook | undefined;
 
   constructor(parts: NodeParts, prefixes: string[], disk = "") {
     const { settings, clock, net, chance } = parts;
     this.parts = parts;
+    this.invariants = new InvariantMonitor(parts.log);
     this.exchange = new RpcEndpoint(settings.name, net, clock, chance);
     this.groups = new LogGroups(this.exchange);
     const self = {
@@ -59,7 +64,8 @@
       journal: this.journal,
     });
     this.machines = new MachinesView(this.journal);
-    this.plan = new PlanView(this.journal);
+    this.plan = new PlanView(this.journal, this.invariants);
+    this.configurationWitness = new ConfigurationWitness(this.invariants, () => this.plan.revision);
     this.shards = new ShardsView(this.journal);
     this.feed.planMark = () => this.plan.mark;
     this.feed.fault = () => this.plan.fault;
--- /dev/null
+++ b/packages/core/src/runtime/invariantMonitor.test.ts
@@ -0,0 +1,47 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import { ConfigurationWitness } from "../configuration/configurationWitness.js";
+import { InvariantMonitor } from "./invariantMonitor.js";
+
+interface Logged {
+  text: string;
+  context: object | undefined;
+}
+
+function monitored(): { monitor: InvariantMonitor; logged: Logged[] } {
+  const logged: Logged[] = [];
+  const monitor = new InvariantMonitor({ fault: (text, context) => void logged.push({ text, context }) });
+  return { monitor, logged };
+}
+
+test("violations are counted by name, and the first ones are logged with what is known", () => {
+  const { monitor, logged } = monitored();
+  for (let i = 0; i < InvariantMonitor.mostLogged + 5; i += 1) monitor.violated("publisherOrder", { number: i });
+  monitor.violated("committedLog", { index: 7 });
+  expect(monitor.countOf("publisherOrder")).toEqual(InvariantMonitor.mostLogged + 5);
+  expect(monitor.total).toEqual(InvariantMonitor.mostLogged + 6);
+  expect(monitor.counts()).toEqual({
+    publisherOrder: InvariantMonitor.mostLogged + 5,
+    configurationRead: 0,
+    configurationVersion: 0,
+    committedLog: 1,
+  });
+  expect(logged.length).toEqual(InvariantMonitor.mostLogged);
+  expect(logged[0]).toEqual({ text: InvariantMonitor.logText, context: { invariant: "publisherOrder", number: 0 } });
+});
+
+test("a read that is older than what was seen when it began is not believed", () => {
+  const { monitor } = monitored();
+  let followed = 0;
+  const witness = new ConfigurationWitness(monitor, () => followed);
+  expect(witness.isCurrent(witness.bound, 0)).toEqual(true);
+  const { bound } = witness;
+  witness.saw(12);
+  // It began before: what it gives may be older.
+  expect([witness.isCurrent(bound, 9), witness.bound]).toEqual([true, 12]);
+  expect(witness.isCurrent(witness.bound, 11)).toEqual(false);
+  followed = 20;
+  expect(witness.isCurrent(witness.bound, 19)).toEqual(false);
+  expect(witness.isCurrent(witness.bound, 20)).toEqual(true);
+  expect(monitor.countOf("configurationRead")).toEqual(2);
+});
--- a/packages/core/src/runtime/nodeStatus.ts
+++ b/packages/core/src/runtime/nodeStatus.ts
@@ -60,6 +60,7 @@
         last: parts.log.lastFault,
         garbledFrames: this.#parts.garbled(),
         droppedFrames: { ...this.#node.exchange.dropped },
+        invariants: this.#node.invariants.counts(),
       },
       ...this.#parts.more(),
     };
@@ -82,6 +83,8 @@
     };
     for (const [reason, count] of Object.entries(this.#node.exchange.dropped))
       figures[`dropped_frames_${NodeStatus.#snake(reason)}_total`] = count;
+    for (const [name, count] of Object.entries(this.#node.invariants.counts()))
+      figures[`invariant_violations_${NodeStatus.#snake(name)}_total`] = count;
     for (const [key, value] of Object.entries(this.#parts.more()))
       if (typeof value === "number") figures[NodeStatus.#snake(key)] = value;
     return Object.entries(figures)
--- /dev/null
+++ b/packages/edge/src/fanout/publisherOrder.ts
@@ -0,0 +1,40 @@
+import type { StreamMessage } from "@cranetrack/core/gen/cranetrack_pb.js";
+
+interface LastMessage {
+  number: number;
+  /** Shard time, milliseconds. */
+  at: number;
+}
+
+/**
+ * Watches the order of each publisher in one birth of a stream. Bounded: whoever was silent longest is forgotten
+ * first. Holders forget publishers that were silent for ten minutes, who may begin anew, so what is older counts for
+ * nothing here as well.
+ */
+export class PublisherOrder {
+  static readonly mostPublishers = 1000;
+  static readonly rememberedMs = 300_000;
+
+  readonly #last = new Map<string, LastMessage>();
+
+  /** The number that this message's should be above, where it is not; else undefined. */
+  faultOf({ topic, session, number, at }: StreamMessage): number | undefined {
+    // Neither part has a blank.
+    const key = `${topic} ${session}`;
+    const last = this.#last.get(key);
+    const isLate = last !== undefined && number <= last.number && at - last.at < PublisherOrder.rememberedMs;
+    this.#last.delete(key);
+    this.#last.set(key, { number, at });
+    if (this.#last.size > PublisherOrder.mostPublishers) this.#forgetOne();
+    return isLate ? last.number : undefined;
+  }
+
+  clear(): void {
+    this.#last.clear();
+  }
+
+  #forgetOne(): void {
+    const [eldest] = this.#last.keys();
+    this.#last.delete(eldest!);
+  }
+}
--- a/packages/edge/src/fanout/streamTable.ts
+++ b/packages/edge/src/fanout/streamTable.ts
@@ -92,6 +92,9 @@
     if (tail === undefined) {
       tail = new StreamTail(route, this.shardOf(route.stream));
       tail.keepsNothing = keepsNothing(this.#node.plan.plan, route.stream);
+      tail.on("disorder", ({ message: { topic, session, number }, last }) =>
+        this.#node.invariants.violated("publisherOrder", { topic, session, number, last }),
+      );
       this.#tails.set(key, tail);
       this.#follows[tail.shard]!.add(tail);
       this.#atReplicas[tail.shard]!.add(tail);
--- a/packages/edge/src/fanout/streamTail.ts
+++ b/packages/edge/src/fanout/streamTail.ts
@@ -2,13 +2,24 @@
 import type { StreamMessage } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { Streams, type StreamRoute } from "@cranetrack/core/configuration/streams.js";
 import { LastNumbers } from "./lastNumbers.js";
+import { PublisherOrder } from "./publisherOrder.js";
 
 /**
  * The newest messages of a stream that this edge has heard of, shared by all its links.
  * Invariants: `messages` are contiguous and end at `head`, whatever was heard or missed; within one birth
  * `head` only rises; it is known only while its holder has confirmed that it owes the stream.
  */
-export class StreamTail extends EventEmitter<{ grown: []; ended: [fault: string] }> {
+/** A message that is not above its publisher's one before it. */
+export interface OrderFault {
+  readonly message: StreamMessage;
+  readonly last: number;
+}
+
+export class StreamTail extends EventEmitter<{
+  grown: [];
+  ended: [fault: string];
+  disorder: [fault: OrderFault];
+}> {
   static readonly most = 400;
   static readonly mostBytes = 2 * 1024 * 1024;
 
@@ -31,6 +42,7 @@
   /** What was given in this birth, and in those before it; only where nothing is kept. */
   #numbers = new LastNumbers();
   readonly #numbersBefore = new LastNumbers();
+  readonly #order = new PublisherOrder();
 
   constructor(route: StreamRoute, shard: number) {
     super();
@@ -74,6 +86,8 @@
     if (fresh.length === 0) return;
     if (fresh[0]!.seq !== this.head + 1) this.#clear();
     for (const message of fresh) {
+      const last = this.#order.faultOf(message);
+      if (last !== undefined) this.emit("disorder", { message, last });
       this.messages.push(message);
       this.#bytes += message.payload.length;
       if (this.keepsNothing) this.#numbers.note(message.topic, message.session, message.number);
@@ -92,6 +106,7 @@
   #reborn(birth: string): void {
     this.#numbersBefore.add(this.#numbers);
     this.#numbers = new LastNumbers();
+    this.#order.clear();
     this.birth = birth;
     this.head = 0;
     this.low = 0;
--- a/packages/log-storage/src/replication/replica.ts
+++ b/packages/log-storage/src/replication/replica.ts
@@ -8,13 +8,17 @@
 import type { LogReplicator } from "@cranetrack/core/replication/logReplicator.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import type { Clock } from "@cranetrack/core/runtime/clock.js";
+import type { InvariantMonitor } from "@cranetrack/core/runtime/invariantMonitor.js";
 import type { Disk } from "@cranetrack/core/storage/disk.js";
 import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
 import { ShardState } from "../shards/shardState.js";
 import type { Verdict } from "../shards/streamLog.js";
 
 /** What a replica needs of its node. */
-export type ReplicaNode = Pick<ClusterNode, "groups" | "exchange"> & { readonly parts: { readonly clock: Clock } };
+export type ReplicaNode = Pick<ClusterNode, "groups" | "exchange"> & {
+  readonly invariants?: Pick<InvariantMonitor, "violated">;
+  readonly parts: { readonly clock: Clock };
+};
 
 export interface AppliedEntry {
   entry: Entry;
@@ -73,6 +77,7 @@
       (index) => this.advance(index),
       (index, state) => this.#install(index, state),
       (state) => ShardState.isReadable(state),
+      (at) => node.invariants?.violated("committedLog", { group: this.log.group, index: at }),
     );
     if (this.log.snapshotIndex > 0) this.#install(this.log.snapshotIndex, this.log.snapshot);
     node.groups.enlist(this.log.group, {
--- /dev/null
+++ b/packages/testkit/src/checker/soakRules.test.ts
@@ -0,0 +1,44 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import { judgeReads } from "./configurationReads.js";
+import type { Seen } from "./history.js";
+import { judgePassing } from "./passingRules.js";
+
+const tried = (number: number, at = 0): Seen => {
+  return { kind: "tried", at, sender: "pen", topic: "p/t", number, payload: `p${number}` };
+};
+const refused = (number: number): Seen => ({ kind: "refused", at: 0, sender: "pen", topic: "p/t", number, code: "x" });
+const unsure = (number: number): Seen => ({ kind: "unsure", at: 0, sender: "pen", topic: "p/t", number });
+const linked: Seen = { kind: "linked", at: 0, subscriber: "desk", node: "vise-1" };
+const got = (number: number, payload = `p${number}`): Seen => {
+  return { kind: "received", at: 1, subscriber: "desk", topic: "p/t", sender: "pen", number, payload };
+};
+const rulesOf = (...seen: Seen[]): string[] => judgePassing(seen).map(({ rule }) => rule);
+
+test("on one link numbers rise, and none comes twice; a new link begins anew", () => {
+  const sent = [tried(1), tried(2), tried(3), linked];
+  expect(rulesOf(...sent, got(1), got(3))).toEqual([]);
+  expect(rulesOf(...sent, got(2), got(2))).toEqual(["twice"]);
+  expect(rulesOf(...sent, got(3), got(1))).toEqual(["sender-order"]);
+  expect(rulesOf(...sent, got(3), linked, got(3))).toEqual([]);
+});
+
+test("nothing comes that nobody sent, that was changed, or of which every try was refused", () => {
+  expect(rulesOf(linked, got(1))).toEqual(["nobody-sent"]);
+  expect(rulesOf(tried(1), linked, got(1, "other"))).toEqual(["changed-bytes"]);
+  expect(rulesOf(tried(1), refused(1), linked, got(1))).toEqual(["refused-delivered"]);
+  expect(rulesOf(tried(1), unsure(1), tried(1), refused(1), linked, got(1))).toEqual([]);
+});
+
+test("a read is as new as what was accepted, or read elsewhere, before it was asked", () => {
+  const read = (version: number, askedAt: number, answeredAt = askedAt + 10): Parameters<typeof judgeReads>[1][0] => {
+    return { node: "lathe-1", askedAt, answeredAt, version };
+  };
+  const accepted = [
+    { version: 3, at: 100 },
+    { version: 5, at: 200 },
+  ];
+  expect(judgeReads(accepted, [read(3, 150), read(3, 199), read(5, 201), read(7, 210), read(7, 230)])).toEqual([]);
+  expect(judgeReads(accepted, [read(3, 201)]).length).toEqual(1);
+  expect(judgeReads(accepted, [read(7, 210), read(5, 230)]).length).toEqual(1);
+});
--- a/packages/testkit/src/fleet/deployments.ts
+++ b/packages/testkit/src/fleet/deployments.ts
@@ -17,6 +17,17 @@
   shared: { space: string; topics: number; perSecond: number; reads: number };
   /** The topics a few senders publish on. */
   broadcast: { space: string; topics: number; perSecond: number; reads: number; senders: number };
+  /** Topics of a space that keeps nothing, whose senders don't wait for one message before the next. */
+  passing?: PassingTopics;
+  /** Lathes that keep the topic logs too, in place of lathes and storage machines. */
+  storingLathes?: number;
+}
+export interface PassingTopics {
+  space: string;
+  topics: number;
+  perSecond: number;
+  senders: number;
+  readers: number;
 }
 
 /** The two deployments of today, as the users describe them. */
@@ -45,6 +56,27 @@
     shared: { space: "notes", topics: 20, perSecond: 30, reads: 4 },
     broadcast: { space: "notices", topics: 2, perSecond: 5, reads: 2, senders: 1 },
   },
+  /** Control and storage on the same three machines, as on the users' control sites. */
+  control: {
+    name: "control",
+    zones: ["north", "south", "west"],
+    edges: 3,
+    links: 24,
+    shared: { space: "notes", topics: 24, perSecond: 40, reads: 4 },
+    broadcast: { space: "notices", topics: 2, perSecond: 5, reads: 2, senders: 1 },
+    passing: { space: "passing", topics: 4, perSecond: 40, senders: 3, readers: 6 },
+    storingLathes: 3,
+  },
+};
+
+/** Of machines that are both: a repair is over in the users' time between two losses of a disk. */
+const storing: Partial<Settings> = {
+  stores: true,
+  shards: 12,
+  disk: "journal",
+  replaceVoterMs: 1366,
+  replaceReplicaMs: 3075,
+  replaceByNewcomerMs: 820,
 };
 
 export const Deployments = {
@@ -56,14 +88,22 @@
     return found;
   },
 
-  machines({ zones, edges, name }: Deployment): Machine[] {
+  machines({ zones, edges, name, storingLathes }: Deployment): Machine[] {
     const zoneOf = (i: number): string => zones[i % zones.length]!;
     const make = (role: Machine["role"], count: number): Machine[] =>
       Array.from({ length: count }, (_, i) => ({ name: `${role}-${i + 1}`, role, zone: zoneOf(i) }));
+    if (storingLathes !== undefined) {
+      const lathes = make("lathe", storingLathes).map((machine) => ({ ...machine, settings: storing }));
+      const vises = make("vise", edges).map((machine) => ({ ...machine, settings: { shards: 12 } }));
+      return [...lathes, ...vises];
+    }
     return [...make("lathe", name === "small" ? 3 : 5), ...make("anvil", 3), ...make("vise", edges)];
   },
 
-  plan({ shared, broadcast }: Deployment, mark: number): Plan {
+  plan({ shared, broadcast, passing }: Deployment, mark: number): Plan {
+    const passingOwe = { keep: 0, order: "sender" as const, fault_budget: {} };
+    const passingSpaces =
+      passing === undefined ? [] : [{ name: passing.space, program: [{ when: {}, owe: passingOwe }] }];
     const senders = Array.from({ length: broadcast.senders }, (_, i) => `sender-${i + 1}`);
     return {
       mark,
@@ -87,6 +127,7 @@
             },
           ],
         },
+        ...passingSpaces,
       ],
     };
   },
--- a/packages/testkit/src/fleet/fleet.ts
+++ b/packages/testkit/src/fleet/fleet.ts
@@ -1,6 +1,6 @@
 import { spawn, type ChildProcess } from "node:child_process";
 import { once } from "node:events";
-import { mkdirSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { existsSync, mkdirSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
 import { join } from "node:path";
 import { HttpPort } from "../callers/httpPort.js";
@@ -174,6 +174,15 @@
     rmSync(this.dataOf(name), { recursive: true, force: true });
   }
 
+  /** Lines of all members' logs that have a text in them, as `member: line`. */
+  logLines(text: string): string[] {
+    return this.names.flatMap((name) => {
+      const path = join(this.#folder, `${name}.log`);
+      const lines = existsSync(path) ? readFileSync(path, "utf8").split("\n") : [];
+      return lines.filter((line) => line.includes(text)).map((line) => `${name}: ${line}`);
+    });
+  }
+
   async stop(): Promise<void> {
     await Promise.all(this.names.map((name) => this.end(name, "SIGKILL")));
     for (const { relay } of this.#members.values()) await relay?.close();
--- a/packages/testkit/src/fleet/load.ts
+++ b/packages/testkit/src/fleet/load.ts
@@ -53,7 +53,7 @@
   /** Plan, callers, confirmations. */
   async begin(share = 1): Promise<void> {
     const { deployment } = this.#fleet;
-    await this.putPlan(Deployments.plan(deployment, (await this.#markInForce()) + 1));
+    await this.putPlan(Deployments.plan(deployment, (await this.markInForce()) + 1));
     await this.#wait(1500);
     const { shared, broadcast } = deployment;
     for (let i = 0; i < deployment.links * share; i += 1) {
@@ -82,7 +82,7 @@
   async takeUps(count: number): Promise<number[]> {
     const taken: number[] = [];
     for (let i = 0; i < count; i += 1) {
-      await this.putPlan(Deployments.plan(this.#fleet.deployment, (await this.#markInForce()) + 1));
+      await this.putPlan(Deployments.plan(this.#fleet.deployment, (await this.markInForce()) + 1));
       const acceptedAt = this.#clock.now();
       for (;;) {
         const { body } = await this.#fleet.call(this.#fleet.withRole("lathe")[0]!, "GET", "/v1/plan/rollout");
@@ -94,7 +94,8 @@
     return taken;
   }
 
-  async #markInForce(): Promise<number> {
+  /** The version that an edge reads as the one in force; 0 where it can read none. */
+  async markInForce(): Promise<number> {
     const read = await this.#fleet.call(this.#fleet.withRole("vise")[0]!, "GET", "/v1/plan");
     return read.status === 200 ? Number(read.body["mark"]) : 0;
   }
@@ -119,7 +120,7 @@
   /** Operators send several plans at once, at different nodes; one is stale and one is broken. */
   async replan(): Promise<void> {
     const { deployment } = this.#fleet;
-    const mark = await this.#markInForce();
+    const mark = await this.markInForce();
     const edges = this.#fleet.withRole("vise");
     const stray = [JSON.stringify(Deployments.plan(deployment, mark)), '{"mark": 1e9, "spaces": 7}'];
     const sent = stray.map((text, i) => this.#fleet.call(edges[i % edges.length]!, "PUT", "/v1/plan", text));
--- /dev/null
+++ b/packages/testkit/src/fleet/soakTroubles.ts
@@ -0,0 +1,118 @@
+import type { Fleet } from "./fleet.js";
+import type { SimRandom } from "../sim/simRandom.js";
+
+/** What was done to a process, from when to when, in milliseconds since the soak began. */
+export interface Trouble {
+  readonly kind: TroubleKind;
+  readonly name: string;
+  readonly from: number;
+  readonly to: number;
+}
+export const troubleKinds = ["kill", "pause", "cut", "lostAnswers", "slow", "reset", "restart", "wipe"] as const;
+export type TroubleKind = (typeof troubleKinds)[number];
+
+/**
+ * Random troubles of real processes and of the wires between them, up to three at a time. A disk is lost only once
+ * every machine with one has been well for the time that the users give a successor; all other losses may overlap.
+ */
+export class SoakTroubles {
+  static readonly mostAtOnce = 3;
+  static readonly leastPauseMs = 200;
+  static readonly mostPauseMs = 2500;
+  /** The users' time from a successor's start until the next disk may be lost, and a bit for the start itself. */
+  static readonly syncMs = 5000;
+
+  readonly #fleet: Fleet;
+  readonly #chance: SimRandom;
+  readonly #now: () => number;
+  readonly #busy = new Set<string>();
+  /** Since when every machine with a disk is well. */
+  #wellSince = 0;
+  readonly done: Trouble[] = [];
+
+  constructor(fleet: Fleet, chance: SimRandom, now: () => number) {
+    this.#fleet = fleet;
+    this.#chance = chance;
+    this.#now = now;
+  }
+
+  /** Begins one trouble after the other until the given time, and returns once all are over. */
+  async rage(until: number): Promise<void> {
+    this.#wellSince = this.#now();
+    const open = new Set<Promise<void>>();
+    while (this.#now() < until) {
+      await this.#wait(this.#chance.between(SoakTroubles.leastPauseMs, SoakTroubles.mostPauseMs));
+      if (open.size >= SoakTroubles.mostAtOnce) continue;
+      const trouble = this.#begin();
+      if (trouble === undefined) continue;
+      open.add(trouble);
+      void trouble.finally(() => open.delete(trouble));
+    }
+    await Promise.all(open);
+  }
+
+  #begin(): Promise<void> | undefined {
+    const free = this.#fleet.names.filter((name) => !this.#busy.has(name));
+    if (free.length === 0) return undefined;
+    const name = this.#chance.pick(free);
+    const kind = this.#mayWipe(name) && this.#chance.draw() < 0.4 ? "wipe" : this.#chance.pick(troubleKinds);
+    if (kind === "wipe" && !this.#mayWipe(name)) return undefined;
+    return this.#run(kind, name);
+  }
+
+  #hasDisk(name: string): boolean {
+    return !this.#fleet.withRole("vise").includes(name);
+  }
+
+  #mayWipe(name: string): boolean {
+    const isAnyTroubled = [...this.#busy].some((one) => this.#hasDisk(one));
+    return this.#hasDisk(name) && !isAnyTroubled && this.#now() - this.#wellSince > SoakTroubles.syncMs;
+  }
+
+  async #run(kind: TroubleKind, name: string): Promise<void> {
+    const from = this.#now();
+    this.#busy.add(name);
+    const ms = this.#chance.between(300, 4000);
+    await this.#act(kind, name, ms);
+    this.#busy.delete(name);
+    if (this.#hasDisk(name)) this.#wellSince = this.#now();
+    this.done.push({ kind, name, from: Math.round(from), to: Math.round(this.#now()) });
+  }
+
+  async #act(kind: TroubleKind, name: string, ms: number): Promise<void> {
+    const fleet = this.#fleet;
+    switch (kind) {
+      case "kill":
+      case "wipe":
+        await fleet.end(name, "SIGKILL");
+        if (kind === "wipe") fleet.wipe(name);
+        await this.#wait(ms / 2);
+        return fleet.launch(name);
+      case "restart":
+        await fleet.cycle(name);
+        return fleet.launch(name);
+      case "pause":
+        fleet.signal(name, "SIGSTOP");
+        await this.#wait(ms);
+        return fleet.signal(name, "SIGCONT");
+      case "reset":
+        fleet.wire(name).set("reset");
+        return fleet.wire(name).set("open");
+      case "slow":
+        fleet.wire(name).set("open", this.#chance.between(20, 300));
+        await this.#wait(ms);
+        return fleet.wire(name).set("open");
+      case "cut":
+      case "lostAnswers":
+        fleet.wire(name).set(kind === "cut" ? "silent" : "mute");
+        await this.#wait(ms);
+        // What was cut in the middle of a frame can't go on: the wire's connections end.
+        fleet.wire(name).set("reset");
+        return fleet.wire(name).set("open");
+    }
+  }
+
+  #wait(ms: number): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, ms));
+  }
+}
--- a/packages/testkit/src/fleet/tcpRelay.ts
+++ b/packages/testkit/src/fleet/tcpRelay.ts
@@ -1,10 +1,13 @@
 import { connect, createServer, type Server, type Socket } from "node:net";
 
+/** `mute` carries what comes in and loses what goes back, as where answers are lost. */
+export type RelayMode = "open" | "silent" | "mute" | "reset";
+
 /** A wire between two processes that can be cut, silenced or slowed: the project's own, for real fleets. */
 export class TcpRelay {
   readonly #server: Server;
   readonly #pairs = new Set<[Socket, Socket]>();
-  #mode: "open" | "silent" | "reset" = "open";
+  #mode: RelayMode = "open";
   #delayMs = 0;
 
   constructor(from: { host: string; port: number }, to: { host: string; port: number }) {
@@ -18,16 +21,16 @@
       near.on("close", () => this.#end(pair));
       far.on("close", () => this.#end(pair));
       near.on("data", (chunk) => this.#carry(far, chunk));
-      far.on("data", (chunk) => this.#carry(near, chunk));
+      far.on("data", (chunk) => this.#carry(near, chunk, true));
     });
     this.#server.listen(from.port, from.host);
   }
 
   /** Silent keeps connections and carries nothing, like a cable pulled out. */
-  set(mode: "open" | "silent" | "reset", delayMs = 0): void {
+  set(mode: RelayMode, delayMs = 0): void {
     this.#mode = mode;
     this.#delayMs = delayMs;
-    if (mode !== "silent") for (const pair of [...this.#pairs]) if (mode === "reset") this.#end(pair);
+    if (mode === "reset") for (const pair of [...this.#pairs]) this.#end(pair);
   }
 
   close(): Promise<void> {
@@ -35,8 +38,9 @@
     return new Promise((resolve) => this.#server.close(() => resolve()));
   }
 
-  #carry(to: Socket, chunk: Buffer): void {
-    if (this.#mode !== "open") return;
+  #carry(to: Socket, chunk: Buffer, isBack = false): void {
+    const isCarried = this.#mode === "open" || (this.#mode === "mute" && !isBack);
+    if (!isCarried) return;
     if (this.#delayMs === 0) to.write(chunk);
     else setTimeout(() => to.write(chunk), this.#delayMs);
   }
--- a/packages/testkit/src/jig.ts
+++ b/packages/testkit/src/jig.ts
@@ -12,6 +12,7 @@
 import { Drill } from "./fleet/drill.js";
 import { Fleet } from "./fleet/fleet.js";
 import { Load } from "./fleet/load.js";
+import { Soak, type SoakReport } from "./fleet/soak.js";
 import type { FaultName } from "./sim/faults.js";
 import type { ScenarioReport } from "./sim/scenario.js";
 import { CatchUp, type Comeback } from "./sim/catchUp.js";
@@ -120,6 +121,54 @@
     });
   });
 
+interface SoakOptions {
+  seconds: number;
+  from: number;
+  seeds: number;
+  folder?: string;
+  set?: string;
+}
+
+const soakOnce = async (name: string, seed: number, options: SoakOptions): Promise<SoakReport> => {
+  const deployment = Deployments.find(name);
+  const relayed = Deployments.machines(deployment).map((machine) => machine.name);
+  const folder = join(folderOf(options.folder), `seed-${seed}`);
+  const fleet = new Fleet(deployment, folder, relayed, settingsOf(options.set));
+  const soak = new Soak(fleet, seed);
+  try {
+    await fleet.start();
+    await fleet.held();
+    return await soak.run(options.seconds);
+  } finally {
+    soak.halt();
+    await fleet.stop();
+  }
+};
+
+cli
+  .command(
+    "soak <deployment>",
+    "Real processes under random troubles that overlap, judged, for one seed after the other",
+  )
+  .option("--seconds <n>", "How long troubles go on for a seed", { default: 60 })
+  .option("--from <seed>", "First seed", { default: 1 })
+  .option("--seeds <n>", "How many seeds", { default: 5 })
+  .option("--folder <folder>", "Where settings, data and logs go")
+  .action(async (name: string, options: SoakOptions) => {
+    let failed = 0;
+    for (let seed = options.from; seed < options.from + options.seeds; seed += 1) {
+      const { breaches, troubles, ...figures } = await soakOnce(name, seed, options);
+      if (breaches.length > 0) failed += 1;
+      process.stdout.write(`${JSON.stringify({ ...figures, troubles: troubles.length, breaches: breaches.length })}\n`);
+      for (const { rule, text } of breaches.slice(0, 10)) process.stdout.write(`  ${rule}: ${text}\n`);
+      if (breaches.length > 0)
+        for (const { kind, name: at, from, to } of troubles)
+          process.stdout.write(`  ${from} to ${to}: ${kind} ${at}\n`);
+    }
+    process.stdout.write(`${options.seeds - failed} passed, ${failed} failed\n`);
+    process.exitCode = failed === 0 ? 0 : 1;
+  });
+
 interface SimOptions {
   from: number;
   seeds: number;
--- a/packages/testkit/src/sim/scenario.ts
+++ b/packages/testkit/src/sim/scenario.ts
@@ -141,6 +141,7 @@
       (one, i) => one.kind.startsWith("plan") && (i >= judged || one.kind !== "planRead"),
     );
     breaches.push(...Checker.judge(plans, fleet.world.now), ...judgeOrders(history.seen));
+    for (const violation of fleet.violations) breach("invariant", violation);
     return report((probe?.doneAt ?? Infinity) - healedAt);
   },
 };
--- a/packages/testkit/src/sim/simFleet.ts
+++ b/packages/testkit/src/sim/simFleet.ts
@@ -31,6 +31,8 @@
   /** How losses are counted; none given, each is mended before the next. */
   budget: LossBudget | undefined;
   #reservedUntil = 0;
+  /** Invariants that processes which are gone counted as violated, as `name invariant count`. */
+  readonly #violations: string[] = [];
   readonly #slots = new Map<string, Slot>();
   readonly #shared: { seeds: Settings["seeds"]; shards: number; lathes: number };
 
@@ -168,6 +170,21 @@
     });
   }
 
+  /** What all processes so far counted as violated, as `name invariant count`. */
+  get violations(): string[] {
+    const alive = this.names.flatMap((name) => {
+      const life = this.find(name);
+      return life === undefined ? [] : SimFleet.#violationsOf(name, life);
+    });
+    return [...this.#violations, ...alive];
+  }
+
+  static #violationsOf(name: string, { node }: SimNode): string[] {
+    return Object.entries(node.invariants.counts())
+      .filter(([, count]) => count > 0)
+      .map(([invariant, count]) => `${name} ${invariant} ${count}`);
+  }
+
   /** Whoever holds some shard, as the proposer sees it. */
   get holder(): string | undefined {
     const { proposer } = this;
@@ -221,6 +238,7 @@
     const slot = this.#slots.get(name)!;
     if (slot.life === undefined) return;
     slot.life.fall();
+    this.#violations.push(...SimFleet.#violationsOf(name, slot.life));
     slot.life = undefined;
     leave(slot.disk);
     this.wires.detach(slot.settings.address);
