--- a/packages/testkit/src/fleet/soak.ts
+++ b/packages/testkit/src/fleet/soak.ts
@@ -13,6 +13,8 @@
 import { SoakOperators } from "./soakOperators.js";
 import { SoakTroubles, type Trouble } from "./soakTroubles.js";
 
+/** Any troubles, or disks lost one after the other as soon as the users may. */
+export type SoakProfile = "any" | "disks";
 export interface SoakReport {
   seed: number;
   breaches: Breach[];
@@ -57,7 +59,7 @@
     this.#chance = new SimRandom(seed);
   }
 
-  async run(seconds: number): Promise<SoakReport> {
+  async run(seconds: number, profile: SoakProfile = "any"): Promise<SoakReport> {
     const startedAt = this.#clock.now();
     const now = (): number => this.#clock.now() - startedAt;
     await this.#load.begin();
@@ -73,7 +75,8 @@
     const operating = operators.run();
     const prober = this.#beginProbing();
     const troubles = new SoakTroubles(this.#fleet, this.#chance.fork(), now);
-    await troubles.rage(now() + seconds * 1000);
+    const until = now() + seconds * 1000;
+    await (profile === "any" ? troubles.rage(until) : troubles.loseDisks(until));
     const backMs = await this.#back();
     operators.stop();
     await operating;
--- a/packages/testkit/src/fleet/soakTroubles.ts
+++ b/packages/testkit/src/fleet/soakTroubles.ts
@@ -21,6 +21,8 @@
   static readonly mostPauseMs = 2500;
   /** The users' time from a successor's start until the next disk may be lost, and a bit for the start itself. */
   static readonly syncMs = 5000;
+  /** The users' shortest time from a successor's start until the next loss. */
+  static readonly successorMs = 4100;
 
   readonly #fleet: Fleet;
   readonly #chance: SimRandom;
@@ -51,6 +53,23 @@
     await Promise.all(open);
   }
 
+  /**
+   * Loses one disk after the other, as soon as the users may: a machine counts as whole again so long after its start.
+   * Meanwhile connections of any machine are reset.
+   */
+  async loseDisks(until: number): Promise<void> {
+    const disks = this.#fleet.names.filter((name) => this.#hasDisk(name));
+    while (this.#now() < until) {
+      const name = this.#chance.pick(disks);
+      await this.#run("wipe", name);
+      const nextAt = this.#now() + SoakTroubles.successorMs;
+      while (this.#now() < nextAt) {
+        await this.#wait(Math.min(this.#chance.between(200, 1500), Math.max(1, nextAt - this.#now())));
+        if (this.#now() < nextAt) await this.#run("reset", this.#chance.pick(this.#fleet.names));
+      }
+    }
+  }
+
   #begin(): Promise<void> | undefined {
     const free = this.#fleet.names.filter((name) => !this.#busy.has(name));
     if (free.length === 0) return undefined;
--- a/packages/testkit/src/jig.ts
+++ b/packages/testkit/src/jig.ts
@@ -12,7 +12,7 @@
 import { Drill } from "./fleet/drill.js";
 import { Fleet } from "./fleet/fleet.js";
 import { Load } from "./fleet/load.js";
-import { Soak, type SoakReport } from "./fleet/soak.js";
+import { Soak, type SoakProfile, type SoakReport } from "./fleet/soak.js";
 import type { FaultName } from "./sim/faults.js";
 import type { ScenarioReport } from "./sim/scenario.js";
 import { CatchUp, type Comeback } from "./sim/catchUp.js";
@@ -125,6 +125,7 @@
   seconds: number;
   from: number;
   seeds: number;
+  profile: SoakProfile;
   folder?: string;
   set?: string;
 }
@@ -138,7 +139,7 @@
   try {
     await fleet.start();
     await fleet.held();
-    return await soak.run(options.seconds);
+    return await soak.run(options.seconds, options.profile);
   } finally {
     soak.halt();
     await fleet.stop();
@@ -153,8 +154,10 @@
   .option("--seconds <n>", "How long troubles go on for a seed", { default: 60 })
   .option("--from <seed>", "First seed", { default: 1 })
   .option("--seeds <n>", "How many seeds", { default: 5 })
+  .option("--profile <name>", "any, or disks: one disk lost after the other as soon as users may", { default: "any" })
   .option("--folder <folder>", "Where settings, data and logs go")
   .action(async (name: string, options: SoakOptions) => {
+    if (options.profile !== "any" && options.profile !== "disks") throw new Error("--profile: must be any or disks");
     let failed = 0;
     for (let seed = options.from; seed < options.from + options.seeds; seed += 1) {
       const { breaches, troubles, ...figures } = await soakOnce(name, seed, options);
--- a/packages/testkit/src/sim/memory.test.ts
+++ b/packages/testkit/src/sim/memory.test.ts
@@ -234,6 +234,38 @@
   expect(again["status"]).toEqual(504);
 });
 
+test("what a reader fetched from one holder does not come a second time from the next", async () => {
+  const all = await keepingNothing(810);
+  const { fleet, publish } = all;
+  const topic = "notes/t1";
+  await linked(all, "vise-2", "pen", []);
+  const first = await linked(all, "vise-1", "desk", [{ topic }]);
+  expect((await publish("pen", 1, "vise-2"))["receipt"]).toEqual("accepted");
+  expect(await fleet.until(() => first.got().length === 1, 1000)).toEqual(true);
+  const after = first.of("message")[0]!["place"];
+  first.close();
+  await fleet.run(100);
+  expect((await publish("pen", 2, "vise-2"))["receipt"]).toEqual("accepted");
+  // At an edge that follows the topic only from now on: what it missed is fetched.
+  const again = await linked(all, "vise-3", "desk", [{ topic, after }]);
+  expect(await fleet.until(() => again.got().length === 1, 1000)).toEqual(true);
+  const { name, shard } = holderOf(all, topic);
+  fleet.kill(name);
+  const next = (): string => fleet.find("vise-2")!.node.shards.find(shard).holder;
+  expect(await fleet.until(() => ![name, ""].includes(next()), 9000)).toEqual(true);
+  // Its publisher had no receipt for it.
+  for (const number of [2, 3]) {
+    let receipt = await publish("pen", number, "vise-2");
+    for (let tries = 0; receipt["receipt"] !== "accepted" && tries < 20; tries += 1) {
+      await fleet.run(200);
+      receipt = await publish("pen", number, "vise-2");
+    }
+    expect(receipt["receipt"]).toEqual("accepted");
+  }
+  expect(await fleet.until(() => again.got(topic).includes(3), 3000)).toEqual(true);
+  expect(again.got(topic)).toEqual([2, 3]);
+});
+
 test("subscribers are counted right after joins, leaves, an edge's death and a change of holder", async () => {
   const all = await keepingNothing(807);
   const { fleet } = all;
