Edge: what was handed on to a subscription is noted where it is handed on, whichever way it came

Cause (ORDER): in a space that keeps nothing a holder's numbers die with it, so each edge filtered what a later holder sequences again; but the filter noted only what was pushed to the edge. A reader that resumed at an edge new to the topic fetched what it missed, unnoted, and was given it again after the holder died. Class: a guard on one of two paths. Ruled out: two sequences in one holder, pushes counted twice, a receipt taken for another's. The filter is one of the subscription now, at the one place that sends; the edge's tables of numbers are gone.

--- a/packages/edge/src/fanout/publisherOrder.test.ts
+++ b/packages/edge/src/fanout/publisherOrder.test.ts
@@ -5,23 +5,37 @@
 import { PublisherOrder } from "./publisherOrder.js";
 import { StreamTail, type OrderFault } from "./streamTail.js";
 
-const message = (seq: number, number: number, session = "pen", at = 1000): StreamMessage =>
-  create(StreamMessageSchema, { seq, number, session, at, topic: "t", payload: Buffer.from("x") });
+const message = (seq: number, number: number, session = "pen", topic = "t"): StreamMessage =>
+  create(StreamMessageSchema, { seq, number, session, at: 1000, topic, payload: Buffer.from("x") });
 
-test("numbers that don't rise are told, each publisher by itself, unless it was silent for long", () => {
+test("the highest number of each publisher and topic counts, whatever comes between", () => {
   const order = new PublisherOrder();
-  expect(order.faultOf(message(1, 5))).toEqual(undefined);
-  expect(order.faultOf(message(2, 3, "other"))).toEqual(undefined);
-  expect(order.faultOf(message(3, 5))).toEqual(5);
-  expect(order.faultOf(message(4, 9))).toEqual(undefined);
-  expect(order.faultOf(message(5, 1, "pen", 1000 + PublisherOrder.rememberedMs))).toEqual(undefined);
+  expect(order.faultOf(message(1, 5), 0)).toEqual(undefined);
+  expect(order.faultOf(message(2, 3, "other"), 0)).toEqual(undefined);
+  expect(order.faultOf(message(3, 2, "pen", "u"), 0)).toEqual(undefined);
+  expect(order.faultOf(message(4, 5), 0)).toEqual(5);
+  expect(order.faultOf(message(5, 2), 0)).toEqual(5);
+  // What came too late takes nothing back.
+  expect(order.faultOf(message(6, 4), 0)).toEqual(5);
+  expect(order.faultOf(message(7, 9), 0)).toEqual(undefined);
 });
 
-test("a publisher that was silent longest is forgotten first", () => {
+test("a publisher that was silent for long may begin anew, and one that was not may not", () => {
   const order = new PublisherOrder();
-  for (let i = 0; i <= PublisherOrder.mostPublishers; i += 1) order.faultOf(message(i + 1, 7, `pen-${i}`));
-  expect(order.faultOf(message(1, 1, "pen-0"))).toEqual(undefined);
-  expect(order.faultOf(message(1, 1, `pen-${PublisherOrder.mostPublishers}`))).toEqual(7);
+  order.faultOf(message(1, 5), 1000);
+  expect(order.faultOf(message(2, 1), 999 + PublisherOrder.rememberedMs)).toEqual(5);
+  expect(order.faultOf(message(3, 1), 999 + 2 * PublisherOrder.rememberedMs)).toEqual(undefined);
+  expect(order.faultOf(message(4, 1), 999 + 2 * PublisherOrder.rememberedMs)).toEqual(1);
+});
+
+test("it is bounded: who was silent longest is forgotten first", () => {
+  const order = new PublisherOrder();
+  for (let i = 0; i < PublisherOrder.mostPublishers; i += 1) order.faultOf(message(i + 1, 7, `pen-${i}`), 0);
+  order.faultOf(message(1, 8, "pen-0"), 0);
+  order.faultOf(message(1, 1, "more"), 0);
+  expect(order.faultOf(message(1, 1, "pen-1"), 0)).toEqual(undefined);
+  expect(order.faultOf(message(1, 1, "pen-0"), 0)).toEqual(8);
+  expect(order.faultOf(message(1, 1, "pen-3"), 0)).toEqual(7);
 });
 
 test("a tail tells of disorder within one birth", () => {
--- a/packages/edge/src/fanout/publisherOrder.ts
+++ b/packages/edge/src/fanout/publisherOrder.ts
@@ -2,14 +2,14 @@
 
 interface LastMessage {
   number: number;
-  /** Shard time, milliseconds. */
+  /** Milliseconds, of the caller's clock. */
   at: number;
 }
 
 /**
- * Watches the order of each publisher in one birth of a stream. Bounded: whoever was silent longest is forgotten
- * first. Holders forget publishers that were silent for ten minutes, who may begin anew, so what is older counts for
- * nothing here as well.
+ * The order of each publisher in each topic: its numbers rise, whatever happens to who sequences them. Bounded: whoever
+ * was silent longest is forgotten first. Holders forget publishers that were silent for ten minutes, who may begin
+ * anew, so what is older than half of that counts for nothing here.
  */
 export class PublisherOrder {
   static readonly mostPublishers = 1000;
@@ -17,14 +17,14 @@
 
   readonly #last = new Map<string, LastMessage>();
 
-  /** The number that this message's should be above, where it is not; else undefined. */
-  faultOf({ topic, session, number, at }: StreamMessage): number | undefined {
+  /** The number that this message's should be above, where it is not; else undefined, and the message is noted. */
+  faultOf({ topic, session, number }: StreamMessage, now: number): number | undefined {
     // Neither part has a blank.
     const key = `${topic} ${session}`;
     const last = this.#last.get(key);
-    const isLate = last !== undefined && number <= last.number && at - last.at < PublisherOrder.rememberedMs;
+    const isLate = last !== undefined && number <= last.number && now - last.at < PublisherOrder.rememberedMs;
     this.#last.delete(key);
-    this.#last.set(key, { number, at });
+    this.#last.set(key, { number: isLate ? last.number : number, at: now });
     if (this.#last.size > PublisherOrder.mostPublishers) this.#forgetOne();
     return isLate ? last.number : undefined;
   }
--- a/packages/edge/src/fanout/streamTail.ts
+++ b/packages/edge/src/fanout/streamTail.ts
@@ -1,7 +1,6 @@
 import { EventEmitter } from "node:events";
 import type { StreamMessage } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { Streams, type StreamRoute } from "@cranetrack/core/configuration/streams.js";
-import { LastNumbers } from "./lastNumbers.js";
 import { PublisherOrder } from "./publisherOrder.js";
 
 /**
@@ -39,9 +38,7 @@
    * nothing of the numbers that the last one took.
    */
   keepsNothing = false;
-  /** What was given in this birth, and in those before it; only where nothing is kept. */
-  #numbers = new LastNumbers();
-  readonly #numbersBefore = new LastNumbers();
+  /** Of the messages in this birth: what its holder takes is in each publisher's order. */
   readonly #order = new PublisherOrder();
 
   constructor(route: StreamRoute, shard: number) {
@@ -60,11 +57,6 @@
     return Streams.topicOf(this.route.stream) === this.route.space;
   }
 
-  /** A message that an earlier holder has pushed, or one older than it: sent again by a client that had no receipt. */
-  isRepeat({ topic, session, number }: StreamMessage): boolean {
-    return this.keepsNothing && number <= this.#numbersBefore.of(topic, session);
-  }
-
   /** The message after a place, if it is here. */
   after(seq: number): StreamMessage | undefined {
     const first = this.messages[0];
@@ -86,11 +78,10 @@
     if (fresh.length === 0) return;
     if (fresh[0]!.seq !== this.head + 1) this.#clear();
     for (const message of fresh) {
-      const last = this.#order.faultOf(message);
+      const last = this.#order.faultOf(message, message.at);
       if (last !== undefined) this.emit("disorder", { message, last });
       this.messages.push(message);
       this.#bytes += message.payload.length;
-      if (this.keepsNothing) this.#numbers.note(message.topic, message.session, message.number);
     }
     this.head = fresh.at(-1)!.seq;
     while (this.messages.length > StreamTail.most || this.#bytes > StreamTail.mostBytes)
@@ -104,8 +95,6 @@
   }
 
   #reborn(birth: string): void {
-    this.#numbersBefore.add(this.#numbers);
-    this.#numbers = new LastNumbers();
     this.#order.clear();
     this.birth = birth;
     this.head = 0;
--- a/packages/edge/src/subscriptions/streamCursor.ts
+++ b/packages/edge/src/subscriptions/streamCursor.ts
@@ -1,6 +1,7 @@
 import type { StreamMessage } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { Plans, type Plan } from "@cranetrack/core/configuration/plan.js";
 import type { Beat, Clock } from "@cranetrack/core/runtime/clock.js";
+import { PublisherOrder } from "../fanout/publisherOrder.js";
 import { Places, type Place } from "./place.js";
 import type { StreamTable } from "../fanout/streamTable.js";
 import type { StreamTail } from "../fanout/streamTail.js";
@@ -20,13 +21,16 @@
  * One stream on one link: reads the log by cursor, in order, and hands on what is of the topics asked for.
  * Invariants: `cursor` is the last message read and only rises within a birth, but where a topic joins with an
  * older place; a topic's entry in `topics` is the last place up to which it needs nothing more, so no message
- * is handed on twice; nothing is handed on before its topic was confirmed, or after it was stopped.
+ * is handed on twice; nothing is handed on before its topic was confirmed, or after it was stopped; where nothing is
+ * kept, each publisher's numbers in a topic rise from birth to birth, whichever way a message came.
  */
 export class StreamCursor {
   static readonly againMs = 250;
 
   readonly #parts: CursorParts;
   readonly #topics = new Map<string, number>();
+  /** By topic: what was handed on, where nothing is kept and places begin anew with each holder. */
+  readonly #given = new Map<string, PublisherOrder>();
   readonly #grown = (): void => void this.#pump();
   readonly #ended = (fault: string): void => this.#endAll(fault);
   birth = "";
@@ -76,6 +80,7 @@
   }
 
   remove(topic: string): void {
+    this.#given.delete(topic);
     if (this.#topics.delete(topic) && !this.#isStopped) this.#parts.table.counts.part(this.tail, topic);
     if (this.#topics.size === 0) this.stop();
   }
@@ -146,12 +151,20 @@
     this.cursor = message.seq;
     const { session, number, payload, seq, topic } = message;
     const from = this.#topics.get(topic);
-    if (from === undefined || seq <= from || this.tail.isRepeat(message)) return;
+    if (from === undefined || seq <= from || this.#isRepeat(message)) return;
     const place = Places.write(this.birth, seq);
     const text = Buffer.from(payload).toString();
     this.#parts.link.send({ kind: "message", topic, sender: session, number, place, payload: text });
   }
 
+  /** What an earlier holder's stream brought, or something before it: published again for want of a receipt. */
+  #isRepeat(message: StreamMessage): boolean {
+    if (!this.tail.keepsNothing) return false;
+    const given = this.#given.get(message.topic) ?? new PublisherOrder();
+    this.#given.set(message.topic, given);
+    return given.faultOf(message, this.#parts.clock.now()) !== undefined;
+  }
+
   /** Goes on after what was trimmed. Only topics that lost a message by it are told, and that were owed it. */
   #skip(low: number, trims: ReadonlyMap<string, number>): void {
     const cursor = this.cursor;
