Edge: a topic that was left and asked for again joins by its later call alone

Cause (ORDER): pending topics were known by name. Of SUB, UNSUB and SUB that came before the first answer, the first one's join ran in the next turn, took the last one's entry for its own and joined at the first one's place: what the client had already came again. Class: a late continuation that checks for some call and not for its own. Ruled out: the front's turns, which are answered in order.

--- a/packages/edge/src/sessions/sessionConnection.ts
+++ b/packages/edge/src/sessions/sessionConnection.ts
@@ -14,6 +14,10 @@
   after: string | undefined;
   settle: (outcome: Subscribed) => void;
 }
+interface Pending {
+  readonly asked: Asked;
+  readonly outcome: Promise<Subscribed>;
+}
 const faultOutcomes = ["unknown-topic", "malformed-place", "unknown-place", "away"] as const;
 
 /**
@@ -25,7 +29,8 @@
   readonly #vise: EdgeParts;
   readonly #session: Session;
   readonly #link: ClientLink;
-  readonly #pending = new Map<string, Promise<Subscribed>>();
+  /** By topic, the call that is under way; a later one takes the place of one that was left meanwhile. */
+  readonly #pending = new Map<string, Pending>();
   #asked: Asked[] = [];
 
   constructor(vise: EdgeParts, session: Session, link: ClientLink) {
@@ -46,13 +51,7 @@
       const { birth, seq } = cursor.placeOf(topic);
       return Promise.resolve({ outcome: "confirmed", place: Places.write(birth, seq) });
     }
-    let pending = this.#pending.get(topic);
-    if (pending === undefined) {
-      pending = new Promise((settle) => this.#asked.push({ topic, after, settle }));
-      this.#pending.set(topic, pending);
-      if (this.#asked.length === 1) this.#vise.node.parts.clock.once(0, () => void this.#lookUp());
-    }
-    return pending;
+    return this.#pending.get(topic)?.outcome ?? this.#ask(topic, after);
   }
 
   unsubscribe(topic: string): Promise<{ outcome: "done" | "moved" }> {
@@ -92,6 +91,16 @@
     return undefined;
   }
 
+  #ask(topic: string, after: string | undefined): Promise<Subscribed> {
+    let settle: (outcome: Subscribed) => void = () => undefined;
+    const outcome = new Promise<Subscribed>((resolve) => (settle = resolve));
+    const asked = { topic, after, settle };
+    this.#pending.set(topic, { asked, outcome });
+    this.#asked.push(asked);
+    if (this.#asked.length === 1) this.#vise.node.parts.clock.once(0, () => void this.#lookUp());
+    return outcome;
+  }
+
   async #lookUp(): Promise<void> {
     const asked = this.#asked;
     this.#asked = [];
@@ -100,8 +109,9 @@
     const good = starts.filter(({ expired }) => expired === "");
     for (const one of asked) one.settle(this.#outcomeOf(one.topic, starts, faults));
     // The confirmations go out first.
-    this.#vise.node.parts.clock.once(0, () => this.#join(good));
-    for (const { topic } of asked) if (!good.some((start) => start.topic === topic)) this.#pending.delete(topic);
+    this.#vise.node.parts.clock.once(0, () => this.#join(asked, good));
+    for (const one of asked)
+      if (this.#isPending(one) && !good.some(({ topic }) => topic === one.topic)) this.#pending.delete(one.topic);
     for (const { tail, expired } of starts) if (expired !== "") this.#vise.streams.leave(tail);
   }
 
@@ -115,9 +125,16 @@
     return { outcome, reason: fault?.reason ?? "the topic could not be looked up", comeBack: fault?.comeBack };
   }
 
+  /** Not left again since, nor asked for anew after that. */
+  #isPending(asked: Asked): boolean {
+    return this.#pending.get(asked.topic)?.asked === asked;
+  }
+
   /** Topics that were left again meanwhile, or whose connection ended, don't join. */
-  #join(starts: readonly Start[]): void {
-    const joining = starts.filter(({ topic }) => this.#pending.delete(topic));
+  #join(asked: readonly Asked[], starts: readonly Start[]): void {
+    const wanted = new Set(asked.filter((one) => this.#isPending(one)).map(({ topic }) => topic));
+    for (const topic of wanted) this.#pending.delete(topic);
+    const joining = starts.filter(({ topic }) => wanted.delete(topic));
     if (this.#isCurrent) joinStreams(this.#vise, this.#session, this.#link, joining, () => undefined);
     for (const { tail } of starts) this.#vise.streams.leave(tail);
   }
--- a/packages/testkit/src/sim/connections.test.ts
+++ b/packages/testkit/src/sim/connections.test.ts
@@ -120,3 +120,22 @@
   const answer = await settled(fleet, new EdgeConnections(vise!).connect("desk", new Wire()));
   expect(answer.outcome).toEqual("open");
 });
+
+test("a topic that was left and asked for again, before it joined, goes on at the later place", async () => {
+  const { fleet } = await served(75);
+  const pen = await open(fleet, "vise-1", "pen");
+  const start = await place(fleet, pen.connection);
+  for (const number of [1, 2, 3])
+    expect((await settled(fleet, pen.connection.publish("notes/t1", number, "x"))).outcome).toEqual("accepted");
+  const { wire, connection } = await open(fleet, "vise-2", "desk");
+  const later = start.replace(/\d+$/, "3");
+  const again = connection.subscribe("notes/t1", start).then(async (first) => {
+    expect(first.outcome).toEqual("confirmed");
+    await connection.unsubscribe("notes/t1");
+    return connection.subscribe("notes/t1", later);
+  });
+  expect(await settled(fleet, again)).toEqual({ outcome: "confirmed", place: later });
+  expect((await settled(fleet, pen.connection.publish("notes/t1", 4, "x"))).outcome).toEqual("accepted");
+  expect(await fleet.until(() => wire.numbers().includes(4), 2000)).toEqual(true);
+  expect(wire.numbers()).toEqual([4]);
+});
