Spaces that keep nothing: one order for all outlives the holder; one reading of configurations

Publishes say now whether an earlier try may have been taken; a holder younger than publishers repeat does not sequence such ones where one order for all is promised, and says unsure. Before (guard taken out): [b 1, a 1, ..] at one edge and [a 1, b 1, ..] at the other; after: one order. Cost: what was under way when the holder changed is not delivered there. The product's GET /v1/plan and the platform's read are one function, with the same check.

--- a/packages/control/src/configuration/readDocument.ts
+++ b/packages/control/src/configuration/readDocument.ts
@@ -1,14 +1,29 @@
 import { DocumentKey } from "@cranetrack/core/keys/documentKey.js";
+import { PlanKey } from "@cranetrack/core/keys/configurationKey.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 
 export type DocumentRead = { outcome: "done"; document: Uint8Array } | { outcome: "none" } | { outcome: "away" };
 
 /** The operators' own document about the plan in force, byte for byte; none where the plan came without one. */
-export async function readDocument(node: ClusterNode): Promise<DocumentRead> {
+export function readDocument(node: ClusterNode): Promise<DocumentRead> {
+  return readNewest(node, DocumentKey.name);
+}
+
+/** The plan in force, byte for byte; none where none was ever accepted. */
+export function readPlan(node: ClusterNode): Promise<DocumentRead> {
+  return readNewest(node, PlanKey.name);
+}
+
+/**
+ * A confirmed read of a key that is written whenever the configuration changes. `away` where no majority confirms it,
+ * or where it is older than what this process has seen of the configuration before.
+ */
+async function readNewest(node: ClusterNode, key: string): Promise<DocumentRead> {
   const { bound } = node.configurationWitness;
-  const present = await node.store.read([DocumentKey.name]);
+  const present = await node.store.read([key]);
   if (present.outcome !== "done") return { outcome: "away" };
   const kept = present.kvs?.[0];
-  if (kept !== undefined && !node.configurationWitness.isCurrent(bound, kept.revision)) return { outcome: "away" };
-  return kept === undefined ? { outcome: "none" } : { outcome: "done", document: kept.value };
+  if (kept === undefined) return { outcome: "none" };
+  if (!node.configurationWitness.isCurrent(bound, kept.revision)) return { outcome: "away" };
+  return { outcome: "done", document: kept.value };
 }
--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -1,5 +1,4 @@
 import { StorageNode } from "@cranetrack/log-storage/storageNode.js";
-import { PlanKey } from "@cranetrack/core/keys/configurationKey.js";
 import { ReplicaLog } from "@cranetrack/core/replication/replicaLog.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import type { Disk } from "@cranetrack/core/storage/disk.js";
@@ -8,6 +7,7 @@
 import { DrainMachine } from "./drain/drainMachine.js";
 import { getRollout } from "./configuration/getRollout.js";
 import { putPlan } from "./configuration/putPlan.js";
+import { readPlan } from "./configuration/readDocument.js";
 import { Founding } from "./consensus/founding.js";
 import { RaftNode } from "./consensus/raftNode.js";
 import { DiskWatch } from "./membership/diskWatch.js";
@@ -34,11 +34,10 @@
     this.founding.on("founded", () => this.#begin());
     router.on("PUT", /^\/v1\/plan$/, (call) => putPlan(node, call.body));
     router.on("GET", /^\/v1\/plan$/, async () => {
-      const read = await node.store.read([PlanKey.name]);
-      if (read.outcome !== "done") return ApiReplies.away("no majority of the lathes answers");
-      return read.kvs![0] === undefined
-        ? ApiReplies.fault(404, "no-plan", "no plan was ever accepted")
-        : ApiReplies.done(read.kvs![0].value);
+      const read = await readPlan(node);
+      if (read.outcome === "done") return ApiReplies.done(read.document);
+      if (read.outcome === "none") return ApiReplies.fault(404, "no-plan", "no plan was ever accepted");
+      return ApiReplies.away("no majority of the lathes answers");
     });
     const emptying = /^\/v1\/machines\/([^/]+)\/emptying$/;
     router.on("PUT", emptying, (call) => DrainMachine.ask(node, call.params[0]!));
--- a/packages/edge/src/publishing/publishMessage.ts
+++ b/packages/edge/src/publishing/publishMessage.ts
@@ -43,7 +43,8 @@
   session.numbers.opened(topic, number);
   const { spaceBirth } = route;
   const publish = { shard, session: session.id, ownerEpoch: session.epoch, spaceBirth, number, topic };
-  const receipt = await atHolder(vise, shard, end, { ...publish, payload: Buffer.from(payload) });
+  const content = { payload: Buffer.from(payload), mayBeRepeat: isDoubtful };
+  const receipt = await atHolder(vise, shard, end, { ...publish, ...content });
   if (receipt === undefined)
     return { outcome: "unsure", reason: "the topic's holder did not answer; the same number again", comeBack: 0.2 };
   if (receipt !== "mute" && receipt.outcome === "unsure")
@@ -81,11 +82,12 @@
   publish: MessageInitShape<typeof PublishSchema>,
 ): Promise<PublishReceipt | "mute" | undefined> {
   const { exchange, membership, shards, parts } = vise.node;
-  const call: CallInit = { case: "publish", value: publish };
   let isOpen = false;
   for (let left = end - parts.clock.now(); left > 0; left = end - parts.clock.now()) {
     const { holder } = shards.find(shard);
     if (exchange.isMute(holder) && !membership.isAlive(holder)) return isOpen ? undefined : "mute";
+    const mayBeRepeat = isOpen || publish.mayBeRepeat === true;
+    const call: CallInit = { case: "publish", value: { ...publish, mayBeRepeat } };
     // A short deadline gives this publish up, and not the holder, who may be slower than that and well.
     const body = await Promise.race([
       exchange.call(holder, call, vise.publishDue),
--- a/packages/log-storage/src/shards/shardService.ts
+++ b/packages/log-storage/src/shards/shardService.ts
@@ -134,7 +134,11 @@
       at: this.#holder.at,
       isVoid: refusal !== undefined,
     });
-    if (this.#standings.isInMemory(stream)) return this.#acceptInMemory(accept, refusal);
+    if (this.#standings.isInMemory(stream)) {
+      if (publish.mayBeRepeat && this.#wouldReorder(stream, owed))
+        return PublishOutcomes.unsure("an earlier holder may have accepted this number, in another order");
+      return this.#acceptInMemory(accept, refusal);
+    }
     const verdict = await this.#holder.propose({ case: "accept", value: accept });
     if (verdict === undefined)
       return PublishOutcomes.unsure("the holder lost its claim before the message was committed");
@@ -143,6 +147,14 @@
     return PublishOutcomes.of(verdict);
   }
 
+  /**
+   * Whether what an earlier holder may have pushed to some edges could come to others in another order than it had
+   * there: one order for all is promised, and the earlier one died with its holder.
+   */
+  #wouldReorder(stream: string, { order }: Owe): boolean {
+    return order !== "sender" && this.#memory.mayHavePredecessor(stream, this.#holder.at);
+  }
+
   /** Sequences in memory. */
   #acceptInMemory(accept: Accept, refusal: { code: string; reason: string } | undefined): Promise<PublishOutcome> {
     const verdict = this.#memory.accept(accept);
--- a/packages/testkit/src/sim/memory.test.ts
+++ b/packages/testkit/src/sim/memory.test.ts
@@ -172,7 +172,8 @@
   const topic = "notes/fresh";
   const { holder, bench, shard, name } = holderOf(all, topic);
   const { spaceBirth } = fleet.find(name)!.node.plan.route(topic)!;
-  const base = { shard, session: "pen", ownerEpoch: 9, topic, spaceBirth, payload: new Uint8Array(1) };
+  const place = { shard, session: "pen", ownerEpoch: 9, topic, spaceBirth };
+  const base = { ...place, payload: new Uint8Array(1), mayBeRepeat: false };
   const outcomes = new Map<number, string>();
   const say = (number: number): void => {
     const publish = { ...base, number, $typeName: "cranetrack.v1.Publish" as const };
@@ -222,7 +223,7 @@
   const publish = { $typeName: "cranetrack.v1.Publish" as const, shard, session: "pen", ownerEpoch: 1e9, topic };
   let second = "";
   void next()!
-    .publish({ ...publish, spaceBirth, number: 2, payload: Buffer.from("p2") })
+    .publish({ ...publish, spaceBirth, number: 2, payload: Buffer.from("p2"), mayBeRepeat: false })
     .then(({ value }) => (second = value.outcome ?? ""));
   expect(await fleet.until(() => second !== "", 1000)).toEqual(true);
   expect(second).toEqual("accepted");
@@ -266,6 +267,49 @@
   expect(again.got(topic)).toEqual([2, 3]);
 });
 
+test("one order for all holds over a change of holder, also for what only some edges were given", async () => {
+  const all = await keepingNothing(811);
+  const { fleet } = all;
+  const topic = "extra/t0";
+  const readers = [await linked(all, "vise-1", "desk", [{ topic }]), await linked(all, "vise-3", "shelf", [{ topic }])];
+  const pens = ["pen-a", "pen-b"];
+  for (const pen of pens) await linked(all, "vise-2", pen, []);
+  const { name, shard } = holderOf(all, topic);
+  const [far, near] = [fleet.addressOf("vise-3"), fleet.addressOf("vise-2")];
+  // One edge is given both messages; the other one's pushes are lost, and so are the receipts.
+  fleet.wires.mutate = (_from, to, bytes) => {
+    const kind = Wire.decode(bytes)?.body.case;
+    const isLost = (to === far && (kind === "push" || kind === "pushes")) || (to === near && kind === "publishReceipt");
+    return isLost ? [] : undefined;
+  };
+  for (const pen of pens) {
+    const body = JSON.stringify({ topic, number: 1, payload: pen });
+    void fleet.port.call("vise-2", "POST", `/v1/sessions/${pen}/messages`, body);
+    expect(await fleet.until(() => readers[0]!.of("message").length === pens.indexOf(pen) + 1, 1000)).toEqual(true);
+  }
+  fleet.kill(name);
+  await fleet.run(100);
+  fleet.wires.mutate = undefined;
+  const next = (): string => fleet.find("vise-2")!.node.shards.find(shard).holder;
+  expect(await fleet.until(() => ![name, ""].includes(next()), 9000)).toEqual(true);
+  await fleet.run(500);
+  // Both come again, the second one's first.
+  for (const pen of [...pens].reverse()) await all.publish(pen, 1, "vise-2", topic);
+  for (const pen of pens) {
+    let receipt = await all.publish(pen, 2, "vise-2", topic);
+    for (let tries = 0; receipt["receipt"] !== "accepted" && tries < 20; tries += 1) {
+      await fleet.run(200);
+      receipt = await all.publish(pen, 2, "vise-2", topic);
+    }
+  }
+  const ordersOf = (): string[][] =>
+    readers.map((reader) => reader.of("message").map((line) => `${String(line["sender"])} ${String(line["number"])}`));
+  expect(await fleet.until(() => ordersOf().every((order) => order.includes("pen-b 2")), 3000)).toEqual(true);
+  const [whole, part] = ordersOf() as [string[], string[]];
+  expect(whole).toEqual(["pen-a 1", "pen-b 1", "pen-a 2", "pen-b 2"]);
+  expect(part).toEqual(whole.filter((one) => part.includes(one)));
+});
+
 test("subscribers are counted right after joins, leaves, an edge's death and a change of holder", async () => {
   const all = await keepingNothing(807);
   const { fleet } = all;
