--- a/packages/core/src/configuration/plan.test.ts
+++ b/packages/core/src/configuration/plan.test.ts
@@ -78,6 +78,21 @@
   expect(view.route("clips/live/7")).toEqual({ stream: "6:clips/live/7", space: "clips/", spaceBirth: 3 });
 });
 
+test("a configuration of a lower version than the one in force is counted as a violation", () => {
+  const journal = new ChangeJournal<Change>();
+  const violated: string[] = [];
+  const view = new PlanView(journal, { violated: (name, context) => void violated.push(`${name} ${context["told"]}`) });
+  for (const [mark, revision] of [
+    [3, 7],
+    [2, 8],
+    [4, 9],
+  ] as const) {
+    journal.append({ key: BirthsKey.name, value: BirthsKey.write({ mark, spaces: {} }), revision });
+    journal.append({ key: "plan", value: Buffer.from(JSON.stringify({ mark, spaces: [] })), revision });
+  }
+  expect([violated, view.mark, view.revision]).toEqual([["configurationVersion 2"], 4, 9]);
+});
+
 const space = (name: string, more: object = {}, rule: object = {}): Plan["spaces"][number] =>
   ({ name, program: [{ when: {}, owe: { ...owe, ...rule } }], ...more }) as Plan["spaces"][number];
 
--- a/packages/core/src/replication/followerLog.test.ts
+++ b/packages/core/src/replication/followerLog.test.ts
@@ -55,6 +55,7 @@
   follower: FollowerLog;
   commits: number[];
   installed: number[];
+  diverged: number[];
 }
 
 /** A follower that holds these entries, synced. */
@@ -65,14 +66,16 @@
   await disk.sync();
   const commits: number[] = [];
   const installed: number[] = [];
+  const diverged: number[] = [];
   const follower = new FollowerLog(
     log,
     "b",
     (index) => commits.push(index),
     (index) => installed.push(index),
     () => isReadable,
+    (index) => diverged.push(index),
   );
-  return { disk, log, follower, commits, installed };
+  return { disk, log, follower, commits, installed, diverged };
 }
 
 const append = (value: MessageInitShape<typeof AppendSchema>): Append =>
@@ -100,6 +103,23 @@
   return seen;
 }
 
+test("entries other than what is committed are refused, and told of; others are an ordinary conflict", async () => {
+  const { disk, log, follower, diverged } = await holding(run(1, 6, 1));
+  const say = async (prevIndex: number, prevTerm: number, entries: Entry[]): Promise<unknown> => {
+    const answer = watch(follower.take(append({ term: 3, prevIndex, prevTerm, commit: 0, round: 1, entries }), 4));
+    await disk.sync();
+    return answer.got;
+  };
+  expect(await say(2, 1, run(3, 4, 2))).toEqual([false, 1, 3]);
+  expect(diverged).toEqual([3]);
+  expect(await say(4, 2, [])).toEqual([false, 3, 3]);
+  expect(diverged).toEqual([3, 4]);
+  // Behind the commit index a new leader's entries take the place of what an earlier one left.
+  expect(await say(6, 2, [])).toEqual([false, 4, 3]);
+  expect(await say(4, 1, run(5, 5, 3))).toEqual([true, 5, 3]);
+  expect([diverged, log.lastIndex]).toEqual([[3, 4], 5]);
+});
+
 test("a snapshot below the last entry takes away nothing that was synced and answered for", async () => {
   const { disk, log, follower, commits, installed } = await holding(run(1, 10, 1));
   const answer = watch(follower.takeSnapshot(snapshot(2, 5, 1), 0));
--- a/packages/testkit/src/checker/passingRules.ts
+++ b/packages/testkit/src/checker/passingRules.ts
@@ -19,6 +19,7 @@
   const links = new Map<string, Map<string, number>>();
   for (const one of seen) {
     if (one.kind === "linked") links.set(one.subscriber, new Map());
+    if (one.kind === "ended") forget(links.get(one.subscriber), one.topic);
     if (one.kind !== "received") continue;
     const fault = faultOf(one, fates.get(keyOf(one)), links.get(one.subscriber) ?? new Map<string, number>());
     if (fault !== undefined) breaches.push({ ...fault, at: one.at });
@@ -26,6 +27,11 @@
   return breaches;
 }
 
+/** What comes after a subscription's end is another subscription's. */
+function forget(link: Map<string, number> | undefined, topic: string): void {
+  for (const key of link?.keys() ?? []) if (key.startsWith(`${topic} `)) link!.delete(key);
+}
+
 function faultOf(
   one: Received,
   fate: Fate | undefined,
--- /dev/null
+++ b/packages/testkit/src/sabotage/incidentSabotages.ts
@@ -0,0 +1,71 @@
+import type { Sabotage } from "./sabotage.js";
+
+const sim = "testkit/dist/sim";
+const service = "log-storage/dist/shards/shardService.js";
+
+/** Guards that came of the incident "Order and configuration", and the invariants that watch them. */
+export const incidentSabotages: readonly Sabotage[] = [
+  {
+    name: "what a subscription was handed on is not remembered over a change of holder",
+    file: "edge/dist/subscriptions/streamCursor.js",
+    find: "seq <= from || this.#isRepeat(message)",
+    put: "seq <= from",
+    test: `${sim}/memory.test.js`,
+  },
+  {
+    name: "a late join takes a later call of the topic for its own",
+    file: "edge/dist/sessions/sessionConnection.js",
+    find: "this.#pending.get(asked.topic)?.asked === asked",
+    put: "this.#pending.has(asked.topic)",
+    test: `${sim}/connections.test.js`,
+  },
+  {
+    name: "a young holder refuses what an earlier one may have taken",
+    file: service,
+    find: "if (isUntaken && this.#memory.mayHavePredecessor(stream, this.#holder.at))",
+    put: "if (false)",
+    test: `${sim}/memory.test.js`,
+  },
+  {
+    name: "a young holder sequences repeats where one order is promised",
+    file: service,
+    find: "if (publish.mayBeRepeat && this.#wouldReorder(stream, owed))",
+    put: "if (false)",
+    test: `${sim}/memory.test.js`,
+  },
+  {
+    name: "edges don't say that a publish may be a repeat",
+    file: "edge/dist/publishing/publishMessage.js",
+    find: "mayBeRepeat: isDoubtful",
+    put: "mayBeRepeat: false",
+    test: `${sim}/memory.test.js`,
+  },
+  {
+    name: "a read older than what was seen is believed",
+    file: "core/dist/configuration/configurationWitness.js",
+    find: "if (revision < bound)",
+    put: "if (false)",
+    test: "core/dist/runtime/invariantMonitor.test.js",
+  },
+  {
+    name: "a configuration that goes back is not counted",
+    file: "core/dist/configuration/planView.js",
+    find: "if (next.plan.mark < this.mark)",
+    put: "if (false)",
+    test: "core/dist/configuration/plan.test.js",
+  },
+  {
+    name: "entries that diverge from committed ones are not counted",
+    file: "core/dist/replication/followerLog.js",
+    find: "if (other !== undefined)",
+    put: "if (false)",
+    test: "core/dist/replication/followerLog.test.js",
+  },
+  {
+    name: "a journal whose renaming was kept by half is taken for none",
+    file: "core/dist/storage/journalDisk.js",
+    find: "if (!existsSync(path) && existsSync(successor))",
+    put: "if (false)",
+    test: "core/dist/storage/journalDisk.test.js",
+  },
+];
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -4,6 +4,7 @@
 import { diskSabotages } from "./diskSabotages.js";
 import { electionSabotages } from "./electionSabotages.js";
 import { exploreSabotages } from "./exploreSabotages.js";
+import { incidentSabotages } from "./incidentSabotages.js";
 import { logSabotages } from "./logSabotages.js";
 import { repairSabotages } from "./repairSabotages.js";
 import type { Sabotage } from "./sabotage.js";
@@ -16,6 +17,7 @@
 export const sabotages: readonly Sabotage[] = [
   ...configurationSabotages,
   ...membershipSabotages,
+  ...incidentSabotages,
   {
     name: "a replica answers before its disk",
     file: "core/dist/replication/followerLog.js",
--- a/packages/testkit/src/sim/elections.test.ts
+++ b/packages/testkit/src/sim/elections.test.ts
@@ -29,3 +29,18 @@
   expect(late).toEqual([]);
   expect([split.length <= mostSplit, split]).toEqual([true, split]);
 });
+
+test("where all members are slow, one leader gives way for it, and not each in turn", async () => {
+  const changes: number[] = [];
+  for (const seed of [1101, 1102, 1103, 1104, 1105, 1106]) {
+    const { fleet } = await served(seed);
+    const lathes = fleet.withRole("lathe");
+    const termOf = (): number => Math.max(...lathes.map((name) => fleet.find(name)!.lathe!.ledger!.term));
+    const before = termOf();
+    for (const lathe of lathes) fleet.wires.slow.set(fleet.addressOf(lathe), 100);
+    await fleet.run(8000);
+    changes.push(termOf() - before);
+    expect(fleet.proposer !== undefined).toEqual(true);
+  }
+  expect([changes.every((count) => count <= 1), changes]).toEqual([true, changes]);
+});
--- a/packages/testkit/src/sim/scenario.ts
+++ b/packages/testkit/src/sim/scenario.ts
@@ -112,6 +112,8 @@
       return report(Infinity);
     }
     if (options.syncMs !== undefined) fleet.budget = new LossBudget(fleet, options.syncMs);
+    const passing = load.passing();
+    passing.begin();
     load.play(25);
     await fleet.run(2000);
     await faults.rage(options.faultMs ?? 25_000, options.isDealt);
@@ -132,6 +134,8 @@
       );
     await fleet.run(healedAt + Scenario.backMs - fleet.world.now);
     await fleet.run(Scenario.fairMs);
+    passing.end();
+    breaches.push(...passing.judge());
     if (!(await load.settle())) breach("service-back", `callers are not settled: ${load.unsettled}`);
     breaches.push(...Checker.judge(history.seen, fleet.world.now));
     const judged = history.seen.length;
--- a/packages/testkit/src/sim/simLoad.ts
+++ b/packages/testkit/src/sim/simLoad.ts
@@ -2,7 +2,8 @@
 import { PlanSchema } from "@cranetrack/core/configuration/planSchema.js";
 import { SimClock } from "./simClock.js";
 import type { SimFleet } from "./simFleet.js";
-import type { SimRandom } from "./simRandom.js";
+import { SimPassing } from "./simPassing.js";
+import { SimRandom } from "./simRandom.js";
 import { Caller } from "../callers/caller.js";
 import { Probe } from "../fleet/probe.js";
 import { SimPlans } from "./simPlans.js";
@@ -94,6 +95,11 @@
     return this.#fleet.until(() => this.callers.every((caller) => caller.isSettled), 25_000);
   }
 
+  /** Callers of the space that keeps nothing, with draws of their own. */
+  passing(): SimPassing {
+    return new SimPassing({ fleet: this.#fleet, clock: this.#clock, chance: new SimRandom(this.#fleet.world.seed) });
+  }
+
   /** Publishes at a rate until stopped. */
   play(perSecond: number): void {
     this.#isPlaying = true;
--- a/packages/testkit/src/sim/simPlans.ts
+++ b/packages/testkit/src/sim/simPlans.ts
@@ -3,12 +3,12 @@
 type Rule = { when: object; owe: Record<string, unknown> };
 export type SimSpaces = Record<string, Rule[]>;
 
-const spaceNames: readonly string[] = ["notes", "notices", "extra"];
+const spaceNames: readonly string[] = ["notes", "notices", "extra", "passing"];
 
-/** The plans of simulated operators: three spaces, and the contracts that they change. */
+/** The plans of simulated operators: three spaces that keep messages, one that keeps nothing, and the contracts that they change. */
 export const SimPlans = {
   all: spaceNames,
-  topics: { notes: 6, notices: 3, extra: 2 } as Record<string, number>,
+  topics: { notes: 6, notices: 3, extra: 2, passing: 2 } as Record<string, number>,
 
   /** The plan with which all callers are served. */
   usual(): SimSpaces {
@@ -21,6 +21,7 @@
         },
       ],
       extra: [{ when: {}, owe: { keep: 60, order: "one", fault_budget: {} } }],
+      passing: [{ when: {}, owe: { keep: 0, order: "sender", fault_budget: {} } }],
     };
   },
 
--- a/packages/testkit/src/sim/simWorld.ts
+++ b/packages/testkit/src/sim/simWorld.ts
@@ -22,7 +22,10 @@
   now = 0;
   events = 0;
 
+  readonly seed: number;
+
   constructor(seed: number) {
+    this.seed = seed;
     this.chance = new SimRandom(seed);
   }
 
