Store: a leader does not give way for slowness soon after another has

Cause: each member judged slow answers for itself, so where all machines were short of processor time the store changed its leader over and over; leases, feeds and shards were made anew each time, which kept the machines short of time. Class: a local judgement of a condition that all share.

--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -219,7 +219,7 @@
 
   /** Lets somebody else propose, and asks again itself only if nobody does. */
   #giveWay(now: number): void {
-    this.#stepDown("a majority answers slowly");
+    this.#stepDown("a majority answers slowly", true);
     this.#electionAt = now + this.#electionMs * 4;
   }
 
@@ -326,19 +326,20 @@
   }
 
   /** The proposer gave up: the others pass it on, for its word may be slow, and ask in turn, to split no votes. */
-  #succeed({ term, sender }: Yield): undefined {
+  #succeed({ term, sender, isSlow }: Yield): undefined {
+    if (isSlow && term >= this.#log.term) this.#slowWatch.otherGaveWay(this.#clock.now());
     if (term !== this.#log.term || sender !== this.#proposer || this.#spread !== undefined) return undefined;
     this.#proposer = "";
     this.#yieldedTerm = term;
-    this.#tellVoters({ case: "yield", value: { term, sender } }, sender);
+    this.#tellVoters({ case: "yield", value: { term, sender, isSlow } }, sender);
     const ids = VoterSets.ids(this.members).filter((id) => id !== sender);
     this.#electionAt = this.#clock.now() + Rendezvous.rank(String(term), ids).indexOf(this.id) * RaftNode.turnMs;
     return undefined;
   }
 
-  #stepDown(why: string): void {
+  #stepDown(why: string, isSlow = false): void {
     if (this.#spread === undefined) return;
-    this.#tellVoters({ case: "yield", value: { term: this.#log.term, sender: this.id } });
+    this.#tellVoters({ case: "yield", value: { term: this.#log.term, sender: this.id, isSlow } });
     this.#ring.note("no longer proposes", { why, term: this.#log.term });
     this.#spread.stop();
     this.#spread = undefined;
--- a/packages/control/src/consensus/slowMajorityWatch.test.ts
+++ b/packages/control/src/consensus/slowMajorityWatch.test.ts
@@ -16,6 +16,15 @@
   expect(slowAt(watch, 1050, 10_000, SlowMajorityWatch.slowMs + 1)).toEqual(undefined);
 });
 
+test("nobody gives way soon after another has", () => {
+  const watch = new SlowMajorityWatch();
+  watch.begin(0);
+  watch.otherGaveWay(0);
+  const { restMs, slowMs } = SlowMajorityWatch;
+  expect(slowAt(watch, 75, restMs, slowMs + 1)).toEqual(undefined);
+  expect(slowAt(watch, restMs + 75, restMs + 500, slowMs + 1)).toEqual(restMs + 75);
+});
+
 test("who slept itself says nothing of the others' slowness", () => {
   const watch = new SlowMajorityWatch();
   watch.begin(0);
--- a/packages/control/src/consensus/slowMajorityWatch.ts
+++ b/packages/control/src/consensus/slowMajorityWatch.ts
@@ -1,8 +1,9 @@
 /**
  * Tells when a proposer that others answer slowly should give way: it may be the slow one, and leases would
  * suffer from it.
- * Invariants: says so at most once in a while, for the slowness of all of them must not keep them electing; who did
- * not look for a while, because it slept itself, says nothing of the others' slowness.
+ * Invariants: says so at most once in a while, and not soon after another proposer gave way for it, since the slowness
+ * of all of them must not keep them electing; who did not look for a while, because it slept itself, says nothing of
+ * the others' slowness.
  */
 export class SlowMajorityWatch {
   static readonly slowMs = 150;
@@ -20,6 +21,11 @@
     this.#quickAt = this.#lookedAt = now;
   }
 
+  /** Another proposer has given way: if this one is answered as slowly, it was not that one's fault. */
+  otherGaveWay(now: number): void {
+    this.#gaveWayAt = now;
+  }
+
   isSlow(now: number, answerMs: number): boolean {
     const isAsleep = now - this.#lookedAt > SlowMajorityWatch.gapMs;
     this.#lookedAt = now;
--- a/packages/testkit/src/sabotage/incidentSabotages.ts
+++ b/packages/testkit/src/sabotage/incidentSabotages.ts
@@ -61,6 +61,13 @@
     put: "if (false)",
     test: "core/dist/replication/followerLog.test.js",
   },
+  {
+    name: "a proposer gives way for slowness soon after another has",
+    file: "control/dist/consensus/raftNode.js",
+    find: "if (isSlow && term >= this.#log.term)",
+    put: "if (false)",
+    test: `${sim}/elections.test.js`,
+  },
   {
     name: "a journal whose renaming was kept by half is taken for none",
     file: "core/dist/storage/journalDisk.js",
--- a/packages/testkit/src/sabotage/sabotages.ts
+++ b/packages/testkit/src/sabotage/sabotages.ts
@@ -252,14 +252,14 @@
   {
     name: "a deaf proposer gives up without a word",
     file: "control/dist/consensus/raftNode.js",
-    find: '{ case: "yield", value: { term: this.#log.term, sender: this.id } }',
+    find: '{ case: "yield", value: { term: this.#log.term, sender: this.id, isSlow } }',
     put: '{ case: "ping", value: {} }',
     test: `${sim}/store.test.js`,
   },
   {
     name: "nobody passes on that a proposer gave up",
     file: "control/dist/consensus/raftNode.js",
-    find: 'this.#tellVoters({ case: "yield", value: { term, sender } }, sender);',
+    find: 'this.#tellVoters({ case: "yield", value: { term, sender, isSlow } }, sender);',
     put: "",
     test: `${sim}/store.test.js`,
   },
