--- /dev/null
+++ b/packages/testkit/src/callers/passingCallers.ts
@@ -0,0 +1,87 @@
+import type { Clock } from "@cranetrack/core/runtime/clock.js";
+import type { Breach } from "../checker/checker.js";
+import { History } from "../checker/history.js";
+import { judgePassing } from "../checker/passingRules.js";
+import type { SimRandom } from "../sim/simRandom.js";
+import { Caller } from "./caller.js";
+import type { CallerPort } from "./callerPort.js";
+import { PipelinedPublisher } from "./pipelinedPublisher.js";
+
+interface PassingParts {
+  port: CallerPort;
+  clock: Clock;
+  chance: SimRandom;
+  /** Edges that callers may come to just now. */
+  edges: () => string[];
+  topics: readonly string[];
+  readers: number;
+  publishers: number;
+  /** Messages a second, of all publishers. */
+  perSecond: number;
+}
+
+/**
+ * Callers of a space that keeps nothing: publishers that don't wait for one message before the next, and readers that
+ * drop off and come back with their places, mostly at another edge. Judged by rules of their own.
+ */
+export class PassingCallers {
+  /** Messages that are published in one go, so that some are always under way at once. */
+  static readonly burst = 4;
+  static readonly dropMs = 900;
+  static readonly mostAwayMs = 400;
+
+  readonly #parts: PassingParts;
+  readonly #history = new History();
+  readonly #readers: Caller[];
+  readonly #senders: Caller[];
+  readonly #publishers: PipelinedPublisher[];
+  #stops: Array<() => void> = [];
+
+  constructor(parts: PassingParts) {
+    this.#parts = parts;
+    this.#readers = this.#callers("reader", parts.readers);
+    this.#senders = this.#callers("sender", parts.publishers);
+    this.#publishers = this.#senders.map(
+      (caller) => new PipelinedPublisher({ caller, port: parts.port, clock: parts.clock, history: this.#history }),
+    );
+  }
+
+  /** Messages that came to readers. */
+  get received(): number {
+    return this.#history.seen.filter(({ kind }) => kind === "received").length;
+  }
+
+  begin(): void {
+    const { clock, chance, perSecond, topics } = this.#parts;
+    for (const reader of this.#readers) reader.start(topics);
+    for (const sender of this.#senders) sender.start([]);
+    const bursts = clock.every((1000 * PassingCallers.burst) / perSecond, () => this.#publish());
+    const drops = clock.every(PassingCallers.dropMs, () =>
+      chance.pick(this.#readers).dropOff(chance.between(0, PassingCallers.mostAwayMs)),
+    );
+    this.#stops = [() => bursts.stop(), () => drops.stop()];
+  }
+
+  end(): void {
+    for (const stop of this.#stops.splice(0)) stop();
+    for (const caller of [...this.#readers, ...this.#senders]) caller.stop();
+  }
+
+  judge(): Breach[] {
+    return judgePassing(this.#history.seen);
+  }
+
+  #publish(): void {
+    const publisher = this.#parts.chance.pick(this.#publishers);
+    const topic = this.#parts.chance.pick(this.#parts.topics);
+    for (let i = 0; i < PassingCallers.burst; i += 1) publisher.publish(topic);
+  }
+
+  #callers(kind: string, count: number): Caller[] {
+    const { port, clock, chance, edges } = this.#parts;
+    return Array.from({ length: count }, (_, i) => {
+      const session = `passing-${kind}-${i + 1}`;
+      return new Caller({ session, port, clock, draw: () => chance.draw(), history: this.#history, nodes: edges });
+    });
+  }
+}
--- a/packages/testkit/src/fleet/soak.ts
+++ b/packages/testkit/src/fleet/soak.ts
@@ -1,13 +1,11 @@
 import { HostClock } from "@cranetrack/core/runtime/hostClock.js";
 import { InvariantMonitor } from "@cranetrack/core/runtime/invariantMonitor.js";
 import { Caller } from "../callers/caller.js";
-import { PipelinedPublisher } from "../callers/pipelinedPublisher.js";
+import { PassingCallers } from "../callers/passingCallers.js";
 import type { Breach } from "../checker/checker.js";
 import { judgeReads } from "../checker/configurationReads.js";
-import { History } from "../checker/history.js";
-import { judgePassing } from "../checker/passingRules.js";
 import { SimRandom } from "../sim/simRandom.js";
-import type { Deployment, PassingTopics } from "./deployments.js";
+import type { Deployment } from "./deployments.js";
 import type { Fleet } from "./fleet.js";
 import { Load } from "./load.js";
 import { SoakOperators } from "./soakOperators.js";
@@ -28,13 +26,6 @@
   /** Milliseconds from the end of all troubles until every caller's message reached its readers. */
   backMs: number;
 }
-interface Passing {
-  readonly history: History;
-  readonly callers: Caller[];
-  readonly publishers: PipelinedPublisher[];
-  stop(): void;
-}
-
 /**
  * Real processes under random troubles that overlap: callers that publish and read kept topics one by one and passing
  * topics without waiting, operators that change and read the configuration anywhere. Everything that they saw is
@@ -65,7 +56,8 @@
     // A store that was founded once is not founded anew, however many disks were lost: that would hide the loss.
     for (const name of this.#fleet.withRole("lathe")) this.#fleet.changeSettings(name, { mayFound: false });
     await this.#load.begin();
-    const passing = this.#beginPassing(this.#fleet.deployment);
+    const passing = this.#passing(this.#fleet.deployment);
+    passing?.begin();
     this.#load.play();
     const operators = new SoakOperators(
       this.#fleet,
@@ -84,21 +76,20 @@
     await operating;
     await this.#readBack(operators);
     prober.stop();
-    passing?.stop();
+    passing?.end();
     const report = await this.#load.end();
     this.#breaches.push(...report.breaches, ...judgeReads(operators.accepted, operators.reads));
-    if (passing !== undefined) this.#breaches.push(...judgePassing(passing.history.seen));
+    this.#breaches.push(...(passing?.judge() ?? []));
     for (const text of operators.refused) this.#breach("change-refused", text);
     for (const text of this.#fleet.fallen) this.#breach("process-ended", text);
     for (const text of this.#fleet.logLines(InvariantMonitor.logText)) this.#breach("invariant", text);
-    const received = passing?.history.seen.filter(({ kind }) => kind === "received").length ?? 0;
     return {
       seed: this.#seed,
       breaches: this.#breaches,
       troubles: troubles.done,
       accepted: report.accepted,
       received: report.receipts,
-      passed: received,
+      passed: passing?.received ?? 0,
       changes: operators.accepted.length,
       reads: operators.reads.length,
       unsure: operators.unsure,
@@ -137,7 +128,14 @@
 
   /** Publishes in spaces that come and go: what is refused and accepted there is judged by the versions in force. */
   #beginProbing(): { stop(): void } {
-    const caller = this.#caller("prober", this.#load.history);
+    const caller = new Caller({
+      session: "prober",
+      port: this.#fleet.port,
+      clock: this.#clock,
+      draw: () => this.#chance.draw(),
+      history: this.#load.history,
+      nodes: () => this.#edges(),
+    });
     caller.start([]);
     const beat = this.#clock.every(Soak.probeMs, () => {
       if (caller.isLinked && caller.open < Soak.mostProbes)
@@ -151,53 +149,23 @@
     };
   }
 
-  #caller(session: string, history: History): Caller {
-    return new Caller({
-      session,
+  #passing({ passing }: Deployment): PassingCallers | undefined {
+    if (passing === undefined) return undefined;
+    const { space, topics, readers, senders, perSecond } = passing;
+    return new PassingCallers({
       port: this.#fleet.port,
       clock: this.#clock,
-      draw: () => this.#chance.draw(),
-      history,
-      nodes: () => this.#fleet.withRole("vise").filter((name) => this.#fleet.isRunning(name)),
-    });
-  }
-
-  #beginPassing({ passing }: Deployment): Passing | undefined {
-    if (passing === undefined) return undefined;
-    const history = new History();
-    const add = (session: string, topics: readonly string[]): Caller => {
-      const caller = this.#caller(session, history);
-      caller.start(topics);
-      return caller;
-    };
-    const topics = Array.from({ length: passing.topics }, (_, i) => `${passing.space}/t${i}`);
-    const readers = Array.from({ length: passing.readers }, (_, i) => add(`passing-reader-${i}`, topics));
-    const senders = Array.from({ length: passing.senders }, (_, i) => add(`passing-sender-${i}`, []));
-    const publishers = senders.map(
-      (caller) => new PipelinedPublisher({ caller, port: this.#fleet.port, clock: this.#clock, history }),
-    );
-    const beat = this.#playPassing(passing, topics, publishers);
-    const callers = [...readers, ...senders];
-    return { history, callers, publishers, stop: () => this.#endPassing(callers, beat) };
-  }
-
-  /** Bursts of several messages on one topic, so that some are always under way at once. */
-  #playPassing(
-    { perSecond }: PassingTopics,
-    topics: readonly string[],
-    publishers: readonly PipelinedPublisher[],
-  ): { stop(): void } {
-    const burst = 4;
-    return this.#clock.every((1000 * burst) / perSecond, () => {
-      const publisher = this.#chance.pick(publishers);
-      const topic = this.#chance.pick(topics);
-      for (let i = 0; i < burst; i += 1) publisher.publish(topic);
+      chance: this.#chance.fork(),
+      edges: () => this.#edges(),
+      topics: Array.from({ length: topics }, (_, i) => `${space}/t${i}`),
+      readers,
+      publishers: senders,
+      perSecond,
     });
   }
 
-  #endPassing(callers: readonly Caller[], beat: { stop(): void }): void {
-    beat.stop();
-    for (const caller of callers) caller.stop();
+  #edges(): string[] {
+    return this.#fleet.withRole("vise").filter((name) => this.#fleet.isRunning(name));
   }
 
   #wait(ms: number): Promise<void> {
--- a/packages/testkit/src/fleet/soakTroubles.ts
+++ b/packages/testkit/src/fleet/soakTroubles.ts
@@ -112,6 +112,8 @@
         await this.#wait(ms / 2);
         return fleet.launch(name);
       case "restart":
+        // A process that is still starting has no manners yet: it ends by the signal itself.
+        await fleet.up(name);
         await fleet.cycle(name);
         return fleet.launch(name);
       case "pause":
--- a/packages/testkit/src/sim/simLoad.ts
+++ b/packages/testkit/src/sim/simLoad.ts
@@ -2,9 +2,9 @@
 import { PlanSchema } from "@cranetrack/core/configuration/planSchema.js";
 import { SimClock } from "./simClock.js";
 import type { SimFleet } from "./simFleet.js";
-import { SimPassing } from "./simPassing.js";
 import { SimRandom } from "./simRandom.js";
 import { Caller } from "../callers/caller.js";
+import { PassingCallers } from "../callers/passingCallers.js";
 import { Probe } from "../fleet/probe.js";
 import { SimPlans } from "./simPlans.js";
 import { History } from "../checker/history.js";
@@ -96,8 +96,18 @@
   }
 
   /** Callers of the space that keeps nothing, with draws of their own. */
-  passing(): SimPassing {
-    return new SimPassing({ fleet: this.#fleet, clock: this.#clock, chance: new SimRandom(this.#fleet.world.seed) });
+  passing(): PassingCallers {
+    const fleet = this.#fleet;
+    return new PassingCallers({
+      port: fleet.port,
+      clock: this.#clock,
+      chance: new SimRandom(fleet.world.seed),
+      edges: () => fleet.withRole("vise").filter((name) => fleet.find(name) !== undefined),
+      topics: Array.from({ length: SimPlans.topics["passing"]! }, (_, i) => `passing/t${i}`),
+      readers: 4,
+      publishers: 2,
+      perSecond: 32,
+    });
   }
 
   /** Publishes at a rate until stopped. */
