--- a/packages/testkit/src/sim/memberChanges.test.ts
+++ b/packages/testkit/src/sim/memberChanges.test.ts
@@ -154,6 +154,30 @@
       expect(await readsAll(fleet, writer)).toEqual(true);
     });
 
+for (const slowMs of [0, 90, 160, 220]) {
+  test(`a blank machine that is ${slowMs} ms slower is taken in while changes never cease`, async () => {
+    const late: number[] = [];
+    for (const seed of [1801, 1802, 1803]) {
+      const fleet = await founded(seed, 3);
+      const writers = [new Writer(fleet, 20), new Writer(fleet, 20)];
+      await fleet.run(500);
+      const lost = fleet.withRole("lathe").find((name) => name !== fleet.proposer)!;
+      const before = members(fleet)!.voters.find((one) => one.name === lost)!.id;
+      fleet.wipe(lost);
+      await fleet.run(1500);
+      fleet.start(lost);
+      if (slowMs > 0) fleet.wires.slow.set(fleet.addressOf(lost), slowMs);
+      const isIn = (): boolean => {
+        const present = members(fleet)?.voters.find((one) => one.name === lost)?.id;
+        return present !== undefined && present !== before && isVoting(fleet, ...fleet.withRole("lathe"));
+      };
+      if (!(await fleet.until(isIn, 3000))) late.push(seed);
+      for (const writer of writers) writer.stop();
+    }
+    expect(late).toEqual([]);
+  });
+}
+
 test("a newcomer that is sent nothing never votes, and makes room for the next", async () => {
   const fleet = await founded(116, 5, ["lathe-4", "lathe-5"]);
   fleet.wires.mutate = (_from, to, bytes) =>
