Store: a catch-up round is of one leadership; sabotages that can't be done any more are found by a test

Read cold: rounds were kept by learner alone, so a node that led again might have taken in a newcomer by what it saw when it led before, just as it knows nothing of it. Two sabotages no longer met their line; a test compares the list with the code.

--- a/packages/control/src/membership/memberChanges.ts
+++ b/packages/control/src/membership/memberChanges.ts
@@ -8,6 +8,8 @@
 import { VoterPlan, type VoterFacts } from "./voterPlan.js";
 
 interface CatchUpRound {
+  /** What an earlier leadership of this node saw says nothing of the learner now. */
+  readonly term: number;
   /** The end of the leader's log when the round began. */
   readonly target: number;
   readonly beganAt: number;
@@ -114,13 +116,18 @@
     for (const id of this.#rounds.keys()) if (!learners.some((one) => one.id === id)) this.#rounds.delete(id);
     for (const { id } of learners) {
       const { match, behind } = this.#raft.matchOf(id);
-      const round = this.#rounds.get(id);
+      const round = this.#roundOf(id);
       if (round !== undefined && match < round.target) continue;
       const isCaughtUp = round !== undefined && this.#now - round.beganAt <= MemberChanges.catchUpMs;
-      this.#rounds.set(id, { target: match + behind, beganAt: this.#now, isCaughtUp });
+      this.#rounds.set(id, { term: this.#raft.term, target: match + behind, beganAt: this.#now, isCaughtUp });
     }
   }
 
+  #roundOf(id: string): CatchUpRound | undefined {
+    const round = this.#rounds.get(id);
+    return round?.term === this.#raft.term ? round : undefined;
+  }
+
   #forget(): void {
     for (const [name, { at }] of this.#joining) if (this.#now - at > MemberChanges.askedMs) this.#joining.delete(name);
   }
@@ -158,7 +165,7 @@
 
   #isReady(one: StoreMember): boolean {
     const { heardAgo } = this.#raft.matchOf(one.id);
-    const isCaughtUp = this.#rounds.get(one.id)?.isCaughtUp === true;
+    const isCaughtUp = this.#roundOf(one.id)?.isCaughtUp === true;
     return isCaughtUp && heardAgo < MemberChanges.answeredMs && !this.#isToLeave(one.name);
   }
 
--- a/packages/testkit/src/sabotage/cutOffSabotages.ts
+++ b/packages/testkit/src/sabotage/cutOffSabotages.ts
@@ -21,8 +21,8 @@
   {
     name: "a feed that nobody takes is waited for",
     file: "core/dist/feeds/feedFollower.js",
-    find: "feed === this.#feed && !isAccepted",
-    put: "false",
+    find: "feed !== this.#feed || isAccepted",
+    put: "true",
     test,
   },
   {
--- a/packages/testkit/src/sabotage/membershipSabotages.ts
+++ b/packages/testkit/src/sabotage/membershipSabotages.ts
@@ -28,8 +28,8 @@
   {
     name: "learners vote before they have caught up",
     file: "control/dist/membership/memberChanges.js",
-    find: "match >= round",
-    put: "true",
+    find: "return isCaughtUp && heardAgo",
+    put: "return heardAgo",
     test: `${sim}/memberChanges.test.js`,
   },
   {
