--- a/packages/testkit/src/sim/sim.test.ts
+++ b/packages/testkit/src/sim/sim.test.ts
@@ -56,3 +56,7 @@
     expect(tell(await Sweep.run(seed, ms, Faults.first))).toEqual([]);
   });
 }
+
+test("seed 68, kept: a number went back where nothing is kept, had a subscription forgotten what it was given", async () => {
+  expect(tell(await Sweep.run(68, 25_000, undefined))).toEqual([]);
+});
