--- a/packages/testkit/src/sim/sim.test.ts
+++ b/packages/testkit/src/sim/sim.test.ts
@@ -57,6 +57,6 @@
   });
 }
 
-test("seed 68, kept: a number went back where nothing is kept, had a subscription forgotten what it was given", async () => {
+test("seed 68, kept: where nothing is kept a number went back on a subscription without a memory", async () => {
   expect(tell(await Sweep.run(68, 25_000, undefined))).toEqual([]);
 });
--- a/packages/testkit/src/sim/simPlans.ts
+++ b/packages/testkit/src/sim/simPlans.ts
@@ -5,7 +5,7 @@
 
 const spaceNames: readonly string[] = ["notes", "notices", "extra", "passing"];
 
-/** The plans of simulated operators: three spaces that keep messages, one that keeps nothing, and the contracts that they change. */
+/** The plans of simulated operators: three spaces that keep messages, one that does not, and how they change. */
 export const SimPlans = {
   all: spaceNames,
   topics: { notes: 6, notices: 3, extra: 2, passing: 2 } as Record<string, number>,
