--- a/packages/edge/src/fanout/streamTail.ts
+++ b/packages/edge/src/fanout/streamTail.ts
@@ -3,17 +3,17 @@
 import { Streams, type StreamRoute } from "@cranetrack/core/configuration/streams.js";
 import { PublisherOrder } from "./publisherOrder.js";
 
-/**
- * The newest messages of a stream that this edge has heard of, shared by all its links.
- * Invariants: `messages` are contiguous and end at `head`, whatever was heard or missed; within one birth
- * `head` only rises; it is known only while its holder has confirmed that it owes the stream.
- */
 /** A message that is not above its publisher's one before it. */
 export interface OrderFault {
   readonly message: StreamMessage;
   readonly last: number;
 }
 
+/**
+ * The newest messages of a stream that this edge has heard of, shared by all its links.
+ * Invariants: `messages` are contiguous and end at `head`, whatever was heard or missed; within one birth
+ * `head` only rises; it is known only while its holder has confirmed that it owes the stream.
+ */
 export class StreamTail extends EventEmitter<{
   grown: [];
   ended: [fault: string];
