--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,15 +1,19 @@
 // A version removes 300 routes whose prefixes lie within another route's. That route stays as it is; its messages go.
+import { join as joinPath } from "node:path";
 import { Numbers, join, outcome, publish, until } from "../lib/client.mjs";
 import { configuration, order, retained, sleep } from "../lib/fleet.mjs";
 import { runCase } from "../lib/runCase.mjs";
 
+/** What was sent, answered and run; in this folder. */
+const recordPath = joinPath(import.meta.dirname, process.argv[2] ?? "record.txt");
+
 const path = "/cranetrack/configuration";
 const topic = "kafi810.2f";
 const outer = retained("r-outer", "kafi810.");
 /** Routes of single clubs, within the outer one; no topic here is one of theirs. */
 const clubs = Array.from({ length: 300 }, (_, i) => retained(`r-club${i}`, `kafi810.club${i}.`));
 
-await runCase(import.meta.dirname, ["accra-osu", "kumasi-suame"], async ({ fleet, record, hasTrouble }) => {
+await runCase(recordPath, ["accra-osu", "kumasi-suame"], async ({ fleet, record, hasTrouble }) => {
   const [first, second] = fleet.names("edge").map((name) => fleet.front(name));
   const put = (revision, routes) => order(fleet, record, "PUT", path, configuration(revision, routes));
   if ((await put(1, [outer, ...clubs])).status !== 200) throw new Error("version 1 was not acknowledged");
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,9 +1,13 @@
 // An edge's process and a storage machine of the same zone end at once. Some publishes were accepted and not yet
 // acknowledged. Their publishers come back and send the same numbers again.
+import { join as joinPath } from "node:path";
 import { Numbers, Connection, join, outcome, until } from "../lib/client.mjs";
 import { configuration, order, retained, sleep } from "../lib/fleet.mjs";
 import { runCase } from "../lib/runCase.mjs";
 
+/** What was sent, answered and run; in this folder. */
+const recordPath = joinPath(import.meta.dirname, process.argv[2] ?? "record.txt");
+
 const path = "/cranetrack/configuration";
 const topics = Array.from({ length: 12 }, (_, i) => `kafi810.${i}`);
 const deadlineMs = 2000;
@@ -94,7 +98,7 @@
   return isFalse ? [`${name}: its message was delivered in spite of RETRY; tries: ${said}`] : [];
 }
 
-await runCase(import.meta.dirname, ["accra-osu", "kumasi-suame"], async (parts) => {
+await runCase(recordPath, ["accra-osu", "kumasi-suame"], async (parts) => {
   const { fleet, record } = parts;
   const taken = await order(fleet, record, "PUT", path, configuration(1, [retained("r-1", "kafi810.")]));
   if (taken.status !== 200) throw new Error("the configuration was not acknowledged");
--- a/review/lib/runCase.mjs
+++ b/review/lib/runCase.mjs
@@ -1,5 +1,4 @@
 // Runs one case: a fleet, a record, an end after 110 s, and the exit code that the review asks for.
-import { join } from "node:path";
 import { Fleet } from "./fleet.mjs";
 import { Record } from "./record.mjs";
 
@@ -7,8 +6,8 @@
  * `run` returns the ways in which the rule was broken; none where it held. The exit code is 1 or 0, or 2 where the case
  * could not run. With TROUBLE=0 the case is to leave the disruption out. Without `waits` it begins with the start.
  */
-export async function runCase(folder, edgeZones, run, { waits = true } = {}) {
-  const record = new Record(join(folder, "record.txt"));
+export async function runCase(recordPath, edgeZones, run, { waits = true } = {}) {
+  const record = new Record(recordPath);
   const hasTrouble = process.env.TROUBLE !== "0";
   const fleet = new Fleet(record, edgeZones);
   const end = async (code, text) => {
