--- a/packages/core/src/configuration/configurationView.ts
+++ b/packages/core/src/configuration/configurationView.ts
@@ -4,8 +4,10 @@
 import { IncarnationsKey, type IncarnationsRecord } from "../keys/incarnationsKey.js";
 import type { Configuration } from "./configuration.js";
 import { ConfigurationKey } from "../keys/configurationKey.js";
+import type { Clock } from "../runtime/clock.js";
 import type { InvariantMonitor } from "../runtime/invariantMonitor.js";
 import { ConfigurationReader } from "./configurationReader.js";
+import { keepsNothing } from "./keepsNothing.js";
 import { Streams, type StreamRoute } from "./streams.js";
 
 /**
@@ -40,6 +42,28 @@
     return Streams.route(this.configuration, this.#incarnations, topic);
   }
 
+  /** Resolves once this version or a later one is in force here, or `timeoutMs` have passed. */
+  reached(version: number, clock: Clock, timeoutMs: number): Promise<void> {
+    if (this.version >= version) return Promise.resolve();
+    return new Promise((resolve) => {
+      const look = (): void => {
+        if (this.version >= version) end();
+      };
+      const end = (): void => {
+        timer.stop();
+        this.off("changed", look);
+        resolve();
+      };
+      const timer = clock.once(timeoutMs, end);
+      this.on("changed", look);
+    });
+  }
+
+  /** Whether messages of the stream outlive the leader that took them, by the configuration in force here. */
+  isKept(stream: string): boolean {
+    return !keepsNothing(this.configuration, stream);
+  }
+
   /**
    * The space's incarnation that a stream must have to be in force; undefined where the configuration has no such
    * stream.
--- a/packages/core/src/configuration/streams.ts
+++ b/packages/core/src/configuration/streams.ts
@@ -2,25 +2,27 @@
 import { PrefixIndex } from "./prefixIndex.js";
 import { Configurations, type Order, type Configuration } from "./configuration.js";
 
-/** Where a topic's messages go: a pure function of its space, the space's order and the incarnations. */
+/** Where a topic's messages go: a pure function of the topic, its space's order and the incarnations. */
 export interface StreamRoute {
   stream: string;
   /** The space's prefix. */
   space: string;
+  /** Where the whole space is one stream, since which version it has its topics; 0 for a topic's own stream. */
   spaceIncarnation: number;
 }
 
 /**
  * The unit of order, sequence, following and cursor: a topic or, where its space's order is `space`, the whole
- * space. The text names by its length the prefix of the space in which the topic got its stream, the root: a topic
- * keeps its stream in a space that inherited it from there, and has another one in any other space.
+ * space. A topic's stream is named after the topic alone: routes say how it is kept, for how long, and whether it may be
+ * used, never which stream it is. The name of a whole space's stream has the length of the space's prefix; streams that
+ * an earlier release made keep the length that they were named with (`IncarnationsRecord.roots`).
  */
 export const Streams = {
   of(root: string, topic: string, order: Order): string {
     return `${root.length}:${order === "space" ? root : topic}`;
   },
 
-  /** The prefix of the space in which the stream was made. */
+  /** The prefix that the stream's name has the length of; empty for a topic's own stream. */
   rootOf(stream: string): string {
     return Streams.topicOf(stream).slice(0, Number.parseInt(stream, 10) || 0);
   },
@@ -38,13 +40,15 @@
   ): StreamRoute | undefined {
     const found = Configurations.spaceOf(configuration, topic);
     const order = found?.program[0]?.contract.order;
-    if (found === undefined || order === undefined) return undefined;
+    if (found === undefined || order === undefined || incarnations === undefined) return undefined;
     const space = Configurations.prefixOf(found);
-    const spaceIncarnation = incarnationOf(incarnations, space, topic);
-    if (spaceIncarnation === undefined) return undefined;
-    const { roots } = incarnations!;
-    const root = Object.hasOwn(roots, space) ? roots[space]! : space;
-    return { stream: Streams.of(root, topic, order), space, spaceIncarnation };
+    if (order !== "space") {
+      const root = earlierRootsIn(incarnations)?.longest(topic)?.[1] ?? "";
+      return { stream: Streams.of(root, topic, order), space, spaceIncarnation: 0 };
+    }
+    const { spaces } = incarnations;
+    if (!Object.hasOwn(spaces, space)) return undefined;
+    return { stream: Streams.of(space, topic, order), space, spaceIncarnation: spaces[space]! };
   },
 
   /** Whether this configuration has the stream for all of its space's topics. */
@@ -65,9 +69,12 @@
     return route?.stream === stream ? route.spaceIncarnation : undefined;
   },
 
-  /** A stream's incarnation: its space's, and something that no other stream and no later life of this one has. */
+  /**
+   * The incarnation of a stream in the log: its space's, 1 for a topic's own stream, and something that no other stream
+   * and no later life of this one has.
+   */
   incarnation(spaceIncarnation: number, identity: string): string {
-    return `${spaceIncarnation.toString(16)}-${identity.slice(0, 10)}`;
+    return `${Math.max(1, spaceIncarnation).toString(16)}-${identity.slice(0, 10)}`;
   },
 
   /** The incarnation of the space in a stream's incarnation; 0 where it is none of ours. */
@@ -81,23 +88,18 @@
   return Configurations.spaceOf(configuration, Streams.topicOf(stream))?.program[0]?.contract.order;
 }
 
-type Ended = readonly [prefix: string, mark: number];
+type EarlierRoot = readonly [prefix: string, root: string];
 
 /** Made at the first question about incarnations. Invariant: incarnations that were asked about are never changed. */
-const indexes = new WeakMap<IncarnationsRecord, PrefixIndex<Ended>>();
+const indexes = new WeakMap<IncarnationsRecord, PrefixIndex<EarlierRoot>>();
 
-function endedIn(incarnations: IncarnationsRecord): PrefixIndex<Ended> {
-  const index =
-    indexes.get(incarnations) ?? new PrefixIndex<Ended>(Object.entries(incarnations.ended), ([prefix]) => prefix);
+/** Undefined where no stream is of an earlier release. */
+function earlierRootsIn(incarnations: IncarnationsRecord): PrefixIndex<EarlierRoot> | undefined {
+  const known = indexes.get(incarnations);
+  if (known !== undefined) return known;
+  const roots = Object.entries(incarnations.roots);
+  if (roots.length === 0) return undefined;
+  const index = new PrefixIndex<EarlierRoot>(roots, ([prefix]) => prefix);
   indexes.set(incarnations, index);
   return index;
 }
-
-/** The space's incarnation as a topic has it: later where the topic came to the space later. */
-function incarnationOf(incarnations: IncarnationsRecord | undefined, space: string, topic: string): number | undefined {
-  if (incarnations === undefined || !Object.hasOwn(incarnations.spaces, space)) return undefined;
-  let latest = incarnations.spaces[space]!;
-  for (const [prefix, version] of endedIn(incarnations).all(topic))
-    if (version > latest && prefix.length > space.length) latest = version;
-  return latest;
-}
--- a/packages/core/src/runtime/invariantMonitor.test.ts
+++ b/packages/core/src/runtime/invariantMonitor.test.ts
@@ -25,6 +25,7 @@
     configurationRead: 0,
     configurationVersion: 0,
     committedLog: 1,
+    subscriptionEnd: 0,
   });
   expect(logged.length).toEqual(InvariantMonitor.maxLogged);
   expect(logged[0]).toEqual({ text: InvariantMonitor.logText, context: { invariant: "publisherOrder", number: 0 } });
--- a/packages/core/src/runtime/invariantMonitor.ts
+++ b/packages/core/src/runtime/invariantMonitor.ts
@@ -10,6 +10,8 @@
   "configurationVersion",
   /** No leader of the present term or a later one has another entry where this log's is committed. */
   "committedLog",
+  /** A confirmed subscription ends only where its client or the end of its connection says so. */
+  "subscriptionEnd",
 ] as const;
 export type InvariantName = (typeof invariantNames)[number];
 
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -114,8 +114,10 @@
   }
 
   #configurationChanged(): void {
-    for (const session of this.sessions.table.values())
+    for (const session of this.sessions.table.values()) {
       for (const cursor of session.cursors()) cursor.configurationChanged(this.node.configuration);
+      session.whenConfigurationChanged?.();
+    }
   }
 
   #tick(): void {
--- a/packages/edge/src/fanout/replicaFollow.ts
+++ b/packages/edge/src/fanout/replicaFollow.ts
@@ -5,6 +5,7 @@
 import { NumberedPushes } from "./numberedPushes.js";
 import type { FollowInit, ShardFollow } from "./shardFollow.js";
 import type { StreamTail } from "./streamTail.js";
+import { viewOf } from "./viewOf.js";
 
 /**
  * This edge's following of one shard's kept streams at a replica in its own region, beside the leader's, which
@@ -87,9 +88,10 @@
     }
     this.#isAsking = true;
     const turn = this.#turn;
-    const streams = wanted.map(({ route: { stream, spaceIncarnation }, incarnation, head }) => {
+    const streams = wanted.map(({ route, incarnation, head }) => {
+      const { stream } = route;
       this.#left.delete(stream);
-      return { stream, spaceIncarnation, incarnation, after: head };
+      return { stream, incarnation, after: head, ...viewOf(this.#node, route) };
     });
     const value = {
       shard: this.#shard,
--- a/packages/edge/src/fanout/shardFollow.ts
+++ b/packages/edge/src/fanout/shardFollow.ts
@@ -10,6 +10,7 @@
 import { fetchMessages, type Fetched } from "./fetchMessages.js";
 import { NumberedPushes } from "./numberedPushes.js";
 import type { StreamTail } from "./streamTail.js";
+import { viewOf } from "./viewOf.js";
 
 /** A follow or its heartbeat, as it is sent. */
 export type FollowInit = MessageInitShape<typeof FollowSchema>;
@@ -232,12 +233,12 @@
 
   #at(tail: StreamTail): MessageInitShape<typeof StreamAtSchema> {
     const { route, incarnation, head, isWhole } = tail;
-    const { stream, spaceIncarnation } = route;
+    const { stream } = route;
     const present = [...this.#countsOf(stream)];
     this.#counted.delete(tail);
     const isQuiet = incarnation !== "" && tail.servedIncarnation === incarnation;
     this.#suppressed.delete(tail);
-    const at = { stream, spaceIncarnation, incarnation, after: head, isQuiet };
+    const at = { stream, incarnation, after: head, isQuiet, ...viewOf(this.#node, route) };
     return isWhole
       ? { ...at, counts: present.map(([topic, count]) => ({ topic, count })) }
       : { ...at, count: present[0]?.[1] ?? 0 };
--- a/packages/edge/src/fanout/streamTail.ts
+++ b/packages/edge/src/fanout/streamTail.ts
@@ -1,6 +1,6 @@
 import { EventEmitter } from "node:events";
 import type { StreamMessage } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Streams, type StreamRoute } from "@cranetrack/core/configuration/streams.js";
+import type { StreamRoute } from "@cranetrack/core/configuration/streams.js";
 import { PublisherOrder } from "./publisherOrder.js";
 
 /** A message that is not above its publisher's one before it. */
@@ -33,10 +33,7 @@
   /** In which incarnation a replica near this edge pushes it; empty where the leader does. */
   servedIncarnation = "";
   users = 0;
-  /**
-   * Whether the leader alone has the stream: then a new incarnation is the same stream at another leader, which knows
-   * nothing of the numbers that the last one took.
-   */
+  /** Whether the configuration in force keeps nothing of the stream: then its leader alone has it. */
   keepsNothing = false;
   /** Of the messages in this incarnation: what its leader takes is in each publisher's order. */
   readonly #order = new PublisherOrder();
@@ -55,7 +52,7 @@
 
   /** One sequence over all the space's topics. */
   get isWhole(): boolean {
-    return Streams.topicOf(this.route.stream) === this.route.space;
+    return this.route.spaceIncarnation > 0;
   }
 
   /** The message after an offset, if it is here. */
--- a/packages/edge/src/publishing/publishMessage.ts
+++ b/packages/edge/src/publishing/publishMessage.ts
@@ -3,6 +3,7 @@
 import { mayRepeat, type CallInit } from "@cranetrack/core/rpc/callKinds.js";
 import type { PublishReply, PublishSchema } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { Cursors } from "../subscriptions/cursor.js";
+import { viewOf } from "../fanout/viewOf.js";
 import type { Session } from "../sessions/session.js";
 import type { EdgeParts } from "../edgeParts.js";
 
@@ -44,8 +45,7 @@
   const shard = edge.streams.shardOf(route.stream);
   if (!(await isHeld(edge, shard, end))) return givenUp("the topic has no holder just now", 0.1);
   session.numbers.opened(topic, number);
-  const { spaceIncarnation } = route;
-  const publish = { shard, session: session.id, ownerEpoch: session.epoch, spaceIncarnation, number, topic };
+  const publish = { shard, session: session.id, ownerEpoch: session.epoch, number, topic, ...viewOf(node, route) };
   const content = { payload: Buffer.from(payload), mayBeRepeat: isDoubtful };
   const reply = await atLeader(edge, shard, end, { ...publish, ...content });
   if (reply === undefined)
--- a/packages/edge/src/sessions/session.ts
+++ b/packages/edge/src/sessions/session.ts
@@ -21,6 +21,8 @@
   joining = 0;
   /** The client brings its topics and cursors with every connection: none are kept for it in between. */
   bringsTopics = false;
+  /** Called by the connection's node, as long as there is this connection. */
+  whenConfigurationChanged: (() => void) | undefined;
   leftAt = 0;
   isStopped = false;
   readonly #completeAt: number;
@@ -50,6 +52,7 @@
     const { connection } = this;
     if (connection === undefined) return;
     this.connection = undefined;
+    this.whenConfigurationChanged = undefined;
     this.joining = 0;
     this.leftAt = now;
     if (!this.bringsTopics)
--- a/packages/edge/src/subscriptions/findStarts.ts
+++ b/packages/edge/src/subscriptions/findStarts.ts
@@ -6,6 +6,7 @@
 import type { TopicFault } from "./topicFault.js";
 import type { Session } from "../sessions/session.js";
 import type { StreamTail } from "../fanout/streamTail.js";
+import { viewOf } from "../fanout/viewOf.js";
 import type { EdgeParts } from "../edgeParts.js";
 import { askStarts } from "./askStarts.js";
 
@@ -93,11 +94,7 @@
   const shards = Grouped.by(unknown, ({ tail }) => tail.shard);
   const confirmed = await Promise.all(
     [...shards].map(async ([shard, list]) => {
-      const cursors = list.map(({ topic, route: { spaceIncarnation }, cursor }) => ({
-        topic,
-        spaceIncarnation,
-        ...cursor,
-      }));
+      const cursors = list.map(({ topic, route, cursor }) => ({ topic, ...viewOf(edge.node, route), ...cursor }));
       const answers = await askStarts(edge, shard, cursors);
       return list.map((one) => startOrFault(one, answers?.get(one.topic)));
     }),
--- a/packages/edge/src/subscriptions/joinStreams.ts
+++ b/packages/edge/src/subscriptions/joinStreams.ts
@@ -1,21 +1,28 @@
 import { Grouped } from "@cranetrack/core/store/grouped.js";
 import type { ClientConnection } from "../connections/clientConnection.js";
+import type { Cursor } from "./cursor.js";
 import { StreamCursor } from "./streamCursor.js";
 import type { Session } from "../sessions/session.js";
 import type { EdgeParts } from "../edgeParts.js";
 import type { Start } from "./findStarts.js";
 
+/** What a connection does about its topics' subscriptions. */
+export interface JoinEvents {
+  whenJoined?: (start: Start, cursor: StreamCursor) => void;
+  whenEnded: (topic: string, cursor: Cursor, reason: string) => void;
+}
+
 /**
  * Subscribes a connection to topics from their starts on. All topics of a stream join its cursor before it moves, so
  * that what they missed comes in the stream's order. `whenJoined` is called for each topic before anything of it is
- * delivered.
+ * delivered, `whenEnded` where its stream has it no more.
  */
 export function joinStreams(
   edge: EdgeParts,
   session: Session,
   connection: ClientConnection,
   starts: readonly Start[],
-  whenJoined: (start: Start, cursor: StreamCursor) => void,
+  { whenJoined, whenEnded }: JoinEvents,
 ): void {
   for (const [tail, list] of Grouped.by(starts, (start) => start.tail)) {
     const joining = list.filter(({ topic }) => !session.subscriptions.has(topic));
@@ -28,7 +35,10 @@
         connection,
         clock: edge.node.parts.clock,
         maySend: () => edge.maySend(session, connection),
-        onEnd: (topic) => session.subscriptions.delete(topic),
+        onEnd: (topic, at, reason) => {
+          session.subscriptions.delete(topic);
+          whenEnded(topic, at, reason);
+        },
       });
     }
     for (const start of joining) {
@@ -36,7 +46,7 @@
       cursor.add(start.topic, start.cursor);
       session.subscriptions.set(start.topic, cursor);
       session.resumeCursors.delete(start.topic);
-      whenJoined(start, cursor);
+      whenJoined?.(start, cursor);
     }
     cursor.start();
   }
--- a/packages/edge/src/subscriptions/subscribeTopics.ts
+++ b/packages/edge/src/subscriptions/subscribeTopics.ts
@@ -38,15 +38,15 @@
   const { starts, faults } = await findStarts(edge, session, admitted);
   const isKept = starts.length === 0 || (await keep(edge, session, starts));
   if (isKept && session.connection === connection)
-    joinStreams(edge, session, connection, starts, ({ topic, cursor: startCursor, expired }, cursor) => {
-      if (expired !== "")
-        connection.send({
-          kind: "expired",
-          topic,
-          place: Cursors.write(startCursor.incarnation, startCursor.seq),
-          reason: expired,
-        });
-      confirm(connection, topic, cursor);
+    joinStreams(edge, session, connection, starts, {
+      whenJoined: ({ topic, cursor: startCursor, expired }, cursor) => {
+        if (expired !== "") {
+          const place = Cursors.write(startCursor.incarnation, startCursor.seq);
+          connection.send({ kind: "expired", topic, place, reason: expired });
+        }
+        confirm(connection, topic, cursor);
+      },
+      whenEnded: (topic, _cursor, reason) => connection.send({ kind: "ended", topic, reason }),
     });
   if (session.connection === connection) session.joining -= admitted.length;
   for (const { tail } of starts) edge.streams.release(tail);
--- a/packages/log-storage/src/follows/followerReads.ts
+++ b/packages/log-storage/src/follows/followerReads.ts
@@ -115,12 +115,11 @@
   #find(stream: string): StreamLog | undefined {
     const log = this.#replica.state.streams.get(stream);
     if (log === undefined || this.#statuses.isInMemory(stream)) return undefined;
-    return this.#statuses.ofStream(stream, log.spaceIncarnation) === "current" ? log : undefined;
+    return this.#statuses.ofLog(log) === "current" ? log : undefined;
   }
 
-  #isServedHere({ stream, incarnation, spaceIncarnation }: StreamAt): boolean {
-    const log = this.#find(stream);
-    return log !== undefined && log.incarnation === incarnation && log.spaceIncarnation === spaceIncarnation;
+  #isServedHere({ stream, incarnation }: StreamAt): boolean {
+    return this.#find(stream)?.incarnation === incarnation;
   }
 
   /** A stream has messages to push. Empty for any: it may have, or be gone in the incarnation that is followed. */
--- a/packages/log-storage/src/shards/followHandler.ts
+++ b/packages/log-storage/src/shards/followHandler.ts
@@ -64,12 +64,12 @@
     if (!this.#authority.isOpen) return { case: "followReply", value: { outcome: "away" } };
     if (follow.streams.length === 0 && !follow.isFull)
       return { case: "followReply", value: { outcome: this.onHeartbeat(follow), epoch: this.#leader.epoch } };
-    const statuses = follow.streams.map(({ stream, spaceIncarnation }) =>
-      this.#streams.statuses.ofStream(stream, spaceIncarnation),
-    );
+    const statuses = follow.streams.map((at) => this.#streams.statuses.ofStream(at.stream, at));
     const followed = follow.streams.filter((_, i) => statuses[i] === "current");
     await Promise.all(
-      followed.map(({ stream, spaceIncarnation }) => this.#streams.incarnationOf(stream, spaceIncarnation)),
+      followed.map(({ stream, spaceIncarnation }) => {
+        return this.#streams.incarnationOf({ stream, space: "", spaceIncarnation });
+      }),
     );
     // A head may become somebody's start only if nobody has taken over meanwhile.
     if (!this.#authority.isOpen || !(await this.#leader.confirm()) || !this.#authority.isOpen)
--- a/packages/log-storage/src/shards/memoryStreams.ts
+++ b/packages/log-storage/src/shards/memoryStreams.ts
@@ -1,9 +1,13 @@
 import type { Accept } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Streams } from "@cranetrack/core/configuration/streams.js";
+import { Incarnations, type LogPosition } from "@cranetrack/core/configuration/incarnation.js";
 import { StreamLog, type Verdict } from "./streamLog.js";
 
 interface MemoryStream {
   log: StreamLog;
+  /** As the stream's route has it. */
+  spaceIncarnation: number;
+  /** Shard time since which no space has it, or its messages go into the log: its numbers stay known for a while. */
+  retiredAt: number | undefined;
   /** Shard time at which this leader made it. */
   createdAt: number;
   /** Shard time of the last use. */
@@ -14,7 +18,7 @@
  * The streams of one led shard whose spaces keep nothing: sequenced by the leader alone, on no disk.
  * Invariants: an incarnation lives as long as this leader at most; messages are trimmed only by `trim`, so what one
  * event-loop turn accepted is still there to be pushed; a stream is never replaced by one of an earlier incarnation of
- * its space.
+ * its space; a number that was taken stays known for as long as it may be repeated, wherever the stream is kept then.
  */
 export class MemoryStreams {
   /** The tail that stays for edges that missed a push. */
@@ -33,29 +37,51 @@
 
   /** How many streams are sequenced in memory alone. */
   get count(): number {
-    return this.#streams.size;
+    return this.all().length;
   }
 
   /** Undefined where nobody has used the stream under this leader, or not for long. */
   find(stream: string): StreamLog | undefined {
-    return this.#streams.get(stream)?.log;
+    const kept = this.#streams.get(stream);
+    return kept?.retiredAt === undefined ? kept?.log : undefined;
+  }
+
+  /** The stream in this incarnation of its space. */
+  findCurrent(stream: string, spaceIncarnation: number): StreamLog | undefined {
+    return this.#streams.get(stream)?.spaceIncarnation === spaceIncarnation ? this.find(stream) : undefined;
   }
 
   /** Every stream that is sequenced here, in the order in which they were created. */
   all(): StreamLog[] {
-    return [...this.#streams.values()].map(({ log }) => log);
+    return [...this.#streams.values()].filter(({ retiredAt }) => retiredAt === undefined).map(({ log }) => log);
   }
 
-  /** The stream, made where there was none of this incarnation of its space; undefined where there is a later one. */
-  findOrCreate(stream: string, spaceIncarnation: number, at: number): StreamLog | undefined {
-    let kept = this.#streams.get(stream);
-    if (kept === undefined || kept.log.spaceIncarnation < spaceIncarnation) {
-      const log = new StreamLog(stream, Streams.incarnation(spaceIncarnation, this.#randomIdentity()));
-      kept = { log, createdAt: at, usedAt: at };
-      this.#streams.set(stream, kept);
+  /**
+   * The stream, made where there was none of this incarnation of its space; undefined where there is a later one. It
+   * begins where its log stands, and goes on where it stood if the log has taken nothing since.
+   */
+  findOrCreate(stream: string, spaceIncarnation: number, base: LogPosition, at: number): StreamLog | undefined {
+    const kept = this.#streams.get(stream);
+    if (kept !== undefined && kept.spaceIncarnation > spaceIncarnation) return undefined;
+    if (kept?.spaceIncarnation === spaceIncarnation) {
+      if (kept.retiredAt !== undefined) this.#resume(kept, base);
+      kept.usedAt = Math.max(kept.usedAt, at);
+      return kept.log;
     }
-    kept.usedAt = Math.max(kept.usedAt, at);
-    return kept.log.spaceIncarnation === spaceIncarnation ? kept.log : undefined;
+    const log = new StreamLog(stream, Incarnations.inMemory(base, this.#randomIdentity()));
+    this.#streams.set(stream, { log, spaceIncarnation, retiredAt: undefined, createdAt: at, usedAt: at });
+    return log;
+  }
+
+  /** Notes that the stream is used. */
+  touch(stream: string, at: number): void {
+    const kept = this.#streams.get(stream);
+    if (kept !== undefined) kept.usedAt = Math.max(kept.usedAt, at);
+  }
+
+  /** The verdict on a number that this leader took, also where the stream is sequenced elsewhere by now. */
+  known(stream: string, topic: string, session: string, number: number): Verdict | undefined {
+    return this.#streams.get(stream)?.log.known(topic, session, number);
   }
 
   /**
@@ -87,7 +113,11 @@
 
   /** Drops what is old, and streams that nobody has used for long. */
   expire(at: number, forgetMs: number, redeliveryMs: number, isFollowed: (stream: string) => boolean): void {
-    for (const [stream, { log, usedAt }] of this.#streams) {
+    for (const [stream, { log, usedAt, retiredAt = Infinity }] of this.#streams) {
+      if (at - retiredAt > redeliveryMs) {
+        this.#streams.delete(stream);
+        continue;
+      }
       MemoryStreams.#trimTail(log, at - MemoryStreams.retentionMs);
       log.forgetNumbers(at - redeliveryMs);
       if (log.hasSessionsBefore(at - forgetMs)) log.forgetSessions(at - forgetMs);
@@ -95,9 +125,17 @@
     }
   }
 
-  /** Ends a stream whose space was removed, or that goes on in the log. */
-  remove(stream: string): void {
-    this.#streams.delete(stream);
+  /** The stream's space was removed, or it goes on in the log: what was sent before stays known for a while. */
+  retire(stream: string, at: number): void {
+    const kept = this.#streams.get(stream);
+    if (kept !== undefined) kept.retiredAt ??= at;
+  }
+
+  #resume(kept: MemoryStream, base: LogPosition): void {
+    kept.retiredAt = undefined;
+    const position = Incarnations.logPosition(kept.log.incarnation, 0);
+    if (position?.identity === base.identity && position.seq === base.seq) return;
+    kept.log = kept.log.emptied(Incarnations.inMemory(base, this.#randomIdentity()));
   }
 
   static #trimTail(log: StreamLog, before: number): void {
--- a/packages/log-storage/src/shards/publishHandler.ts
+++ b/packages/log-storage/src/shards/publishHandler.ts
@@ -1,5 +1,6 @@
 import { create } from "@bufbuild/protobuf";
 import { Configurations, type TopicContract } from "@cranetrack/core/configuration/configuration.js";
+import type { StreamRoute } from "@cranetrack/core/configuration/streams.js";
 import { AcceptSchema, type Accept, type Publish } from "@cranetrack/core/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import { AwaitedRetries } from "./awaitedRetries.js";
@@ -22,6 +23,14 @@
   pusher: StreamPusher;
 }
 
+/** Into which incarnation a message goes, and under which contract; a void one uses up its number alone. */
+interface AcceptedInto {
+  readonly stream: string;
+  readonly incarnation: string;
+  readonly contract: TopicContract;
+  readonly isVoid: boolean;
+}
+
 /**
  * Takes publishes for a shard's leader: checks them against the configuration in force and sequences them, in the
  * replicated log or in memory. A refusal is for good; whatever may still be done, or was, is not refused.
@@ -63,27 +72,42 @@
 
   async #validateAndSequence(publish: Publish): Promise<PublishReply> {
     if (!this.#authority.isOpen) return this.#unavailable();
-    const { topic, number, spaceIncarnation } = publish;
-    const { configuration } = this.#node.configuration;
+    const { statuses } = this.#streams;
+    const { topic, number } = publish;
+    await statuses.heard([[statuses.routeOf(topic), publish]]);
+    if (!this.#authority.isOpen) return this.#unavailable();
     const route = this.#node.configuration.route(topic);
-    const status = this.#streams.statuses.ofIncarnation(route?.spaceIncarnation, spaceIncarnation);
     // One of the two has not heard of the newest configuration yet; a space that this node has seen removed may be
     // back.
-    if (route === undefined || status !== "current") return this.#unavailable("the topic's space is changing", 0.2);
+    if (route === undefined || statuses.ofRequest(route, publish) !== "current")
+      return this.#unavailable("the topic's space is changing", 0.2);
+    const { configuration } = this.#node.configuration;
     const contract = Configurations.contractFor(configuration, topic);
     if (contract === undefined) return refusedReply("unknown-topic", `the plan in force has no rule for ${topic}`);
-    const { stream } = route;
-    if (!this.#streams.isOwn(stream) || !Number.isSafeInteger(number) || number < 1)
+    if (!this.#streams.isOwn(route.stream) || !Number.isSafeInteger(number) || number < 1)
       return refusedReply("malformed", "the topic is another shard's, or the number is none");
-    const known = this.#streams.knownVerdict(stream, spaceIncarnation, publish);
-    if (known !== undefined)
-      return this.#streams.statuses.isInMemory(stream) ? this.#replyFromMemory(stream, known) : replyOf(known);
-    if (this.#leader.pendingCount > PublishHandler.maxPending) return overloadedReply();
-    const violation = findContractViolation(configuration, contract, publish);
-    const incarnation = await this.#streams.incarnationOf(stream, spaceIncarnation);
+    return this.#sequence(publish, route, contract);
+  }
+
+  /** Nothing is waited for between the last look at what is known and the moment when the message is sequenced. */
+  async #sequence(publish: Publish, route: StreamRoute, contract: TopicContract): Promise<PublishReply> {
+    const { statuses } = this.#streams;
+    const { stream } = route;
+    if (
+      this.#streams.knownVerdict(route, publish) === undefined &&
+      this.#leader.pendingCount > PublishHandler.maxPending
+    )
+      return overloadedReply();
+    const incarnation = await this.#streams.incarnationOf(route);
     if (incarnation === undefined || !this.#authority.isOpen) return this.#unavailable();
-    const accept = this.#acceptCommand(publish, stream, incarnation, violation !== undefined);
-    if (this.#streams.statuses.isInMemory(stream)) {
+    const isInMemory = statuses.isInMemory(stream);
+    if (this.#streams.find(stream)?.incarnation !== incarnation)
+      return this.#unavailable("the topic's space is changing", 0.2);
+    const known = this.#streams.knownVerdict(route, publish);
+    if (known !== undefined) return isInMemory ? this.#replyFromMemory(stream, known) : replyOf(known);
+    const violation = findContractViolation(this.#node.configuration.configuration, contract, publish);
+    const accept = this.#acceptCommand(publish, { stream, incarnation, contract, isVoid: violation !== undefined });
+    if (isInMemory) {
       if (publish.mayBeRepeat && this.#wouldReorder(stream, contract))
         return unknownReply("an earlier holder may have accepted this number, in another order");
       return this.#acceptInMemory(accept, violation);
@@ -95,7 +119,7 @@
   }
 
   /** A void one uses up its number and delivers nothing. */
-  #acceptCommand(publish: Publish, stream: string, incarnation: string, isVoid: boolean): Accept {
+  #acceptCommand(publish: Publish, { stream, incarnation, contract, isVoid }: AcceptedInto): Accept {
     const { topic, session, number, ownerEpoch } = publish;
     return create(AcceptSchema, {
       topic,
@@ -107,6 +131,7 @@
       payload: isVoid ? new Uint8Array() : publish.payload,
       at: this.#leader.shardTime,
       isVoid,
+      keepMs: contract.keep * 1000,
     });
   }
 
--- a/packages/log-storage/src/shards/servedStreams.ts
+++ b/packages/log-storage/src/shards/servedStreams.ts
@@ -1,5 +1,6 @@
 import type { Publish } from "@cranetrack/core/gen/cranetrack_pb.js";
-import { Streams } from "@cranetrack/core/configuration/streams.js";
+import { Incarnations, type LogPosition } from "@cranetrack/core/configuration/incarnation.js";
+import { Streams, type StreamRoute } from "@cranetrack/core/configuration/streams.js";
 import { Rendezvous } from "@cranetrack/core/membership/rendezvous.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import { MemoryStreams } from "./memoryStreams.js";
@@ -39,34 +40,80 @@
     return this.statuses.isInMemory(stream) ? this.memory.find(stream) : this.#replica.state.streams.get(stream);
   }
 
-  /** The verdict on a number that the stream knows already, in the same incarnation of its space. */
-  knownVerdict(stream: string, spaceIncarnation: number, { topic, session, number }: Publish): Verdict | undefined {
-    const log = this.find(stream);
-    return log?.spaceIncarnation === spaceIncarnation ? log.known(topic, session, number) : undefined;
+  /** Whether the configuration in force has no such stream, or another incarnation of its space. */
+  isOver(stream: string): boolean {
+    const route = this.statuses.routeOfStream(stream);
+    if (route === undefined) return true;
+    if (route.spaceIncarnation === 0) return false;
+    const log = this.findInLog(stream);
+    return this.statuses.isInMemory(stream)
+      ? this.memory.find(stream) !== undefined && this.memory.findCurrent(stream, route.spaceIncarnation) === undefined
+      : log !== undefined && this.statuses.ofLog(log) === "ended";
+  }
+
+  /** What the replicated log has of the stream, also where the configuration in force keeps it in memory. */
+  findInLog(stream: string): StreamLog | undefined {
+    return this.#replica.state.streams.get(stream);
+  }
+
+  /** The log with this incarnation of the stream, wherever the configuration keeps the stream now. */
+  findIncarnation(stream: string, incarnation: string): StreamLog | undefined {
+    const logs = [this.#replica.state.streams.get(stream), this.memory.find(stream)];
+    return logs.find((log) => log !== undefined && Incarnations.isSame(log.incarnation, incarnation));
+  }
+
+  /**
+   * The verdict on a number that the stream knows already, in the same incarnation of its space: also on one that it
+   * took while the configuration kept it elsewhere.
+   */
+  knownVerdict({ stream, spaceIncarnation }: StreamRoute, { topic, session, number }: Publish): Verdict | undefined {
+    const log = this.#replica.state.streams.get(stream);
+    const isSameLog = spaceIncarnation === 0 || log?.spaceIncarnation === spaceIncarnation;
+    const inLog = (): Verdict | undefined => (isSameLog ? log?.known(topic, session, number) : undefined);
+    const inMemory = (): Verdict | undefined => this.memory.known(stream, topic, session, number);
+    return this.statuses.isInMemory(stream) ? (inMemory() ?? inLog()) : (inLog() ?? inMemory());
   }
 
   /**
-   * The stream's incarnation, made where there was none of this incarnation of its space; undefined where it could not
-   * be.
+   * The stream's incarnation where the configuration in force keeps it, made where there was none of this incarnation
+   * of its space; undefined where it could not be.
    */
-  async incarnationOf(stream: string, spaceIncarnation: number): Promise<string | undefined> {
-    if (this.statuses.isInMemory(stream))
-      return this.memory.findOrCreate(stream, spaceIncarnation, this.#leader.shardTime)?.incarnation;
+  async incarnationOf({ stream, spaceIncarnation }: StreamRoute): Promise<string | undefined> {
+    if (this.statuses.isInMemory(stream)) return this.#incarnationInMemory(stream, spaceIncarnation);
     const { streams } = this.#replica.state;
     let creation = this.#creating.get(stream);
-    if (creation === undefined && (streams.get(stream)?.spaceIncarnation ?? 0) < spaceIncarnation)
-      creation = this.#create(stream, spaceIncarnation);
+    if (creation === undefined && !ServedStreams.#isCurrent(streams.get(stream), spaceIncarnation))
+      creation = this.#create(stream, Streams.incarnation(spaceIncarnation, this.#node.parts.random.identity()));
     if (creation !== undefined) await creation;
     const log = streams.get(stream);
-    return log?.spaceIncarnation === spaceIncarnation ? log.incarnation : undefined;
+    return ServedStreams.#isCurrent(log, spaceIncarnation) ? log!.incarnation : undefined;
   }
 
-  #create(stream: string, spaceIncarnation: number): Promise<void> {
-    const value = {
-      stream,
-      incarnation: Streams.incarnation(spaceIncarnation, this.#node.parts.random.identity()),
-      at: this.#leader.shardTime,
-    };
+  /** One in memory begins behind all that this leader has proposed to the stream's log. */
+  async #incarnationInMemory(stream: string, spaceIncarnation: number): Promise<string | undefined> {
+    const at = this.#leader.shardTime;
+    const current = this.memory.findCurrent(stream, spaceIncarnation);
+    if (current !== undefined) {
+      this.memory.touch(stream, at);
+      return current.incarnation;
+    }
+    const log = this.#replica.state.streams.get(stream);
+    const creation = this.#creating.get(stream);
+    if (creation !== undefined) await creation;
+    else if (log !== undefined && this.#leader.pendingCount > 0) await this.#create(stream, log.incarnation);
+    if (!this.statuses.isInMemory(stream)) return undefined;
+    return this.memory.findOrCreate(stream, spaceIncarnation, this.#logEnd(stream), at)?.incarnation;
+  }
+
+  #logEnd(stream: string): LogPosition {
+    const log = this.#replica.state.streams.get(stream);
+    const end = log === undefined ? undefined : Incarnations.logPosition(log.incarnation, log.head);
+    return end ?? { identity: Incarnations.noLogIdentity(stream), seq: 0 };
+  }
+
+  /** Whoever waits for it waits for all that was proposed before, also where the log has this incarnation already. */
+  #create(stream: string, incarnation: string): Promise<void> {
+    const value = { stream, incarnation, at: this.#leader.shardTime };
     // Who comes when it was just made still waits behind those that have waited for it: in a stream's order of
     // arrival.
     const forget = (): void => void this.#creating.delete(stream);
@@ -76,4 +123,9 @@
     this.#creating.set(stream, creation);
     return creation;
   }
+
+  /** A topic's own stream is the same for good; that of a whole space begins anew with the space's incarnations. */
+  static #isCurrent(log: StreamLog | undefined, spaceIncarnation: number): boolean {
+    return log !== undefined && (spaceIncarnation === 0 || log.spaceIncarnation === spaceIncarnation);
+  }
 }
--- a/packages/log-storage/src/shards/shardService.ts
+++ b/packages/log-storage/src/shards/shardService.ts
@@ -8,7 +8,6 @@
 import { ServedStreams } from "./servedStreams.js";
 import type { ShardLeader } from "./shardLeader.js";
 import { StartHandler } from "./startHandler.js";
-import type { StreamLog } from "./streamLog.js";
 import { StreamPusher } from "./streamPusher.js";
 import { fetchMessages } from "./streamReads.js";
 import { StreamTrimmer } from "./streamTrimmer.js";
@@ -19,6 +18,7 @@
 /** What a shard's leader does for edges, for one epoch. Wires the handlers, one for each kind of request. */
 export class ShardService {
   readonly #replica: Replica;
+  readonly #leader: ShardLeader;
   readonly #authority: LeaderAuthority;
   readonly #streams: ServedStreams;
   readonly #followers: StreamFollowers;
@@ -47,6 +47,7 @@
     });
     const pusher = new StreamPusher(authority, streams, followers, pushBatcher);
     this.#replica = replica;
+    this.#leader = leader;
     this.#authority = authority;
     this.#streams = streams;
     this.#followers = followers;
@@ -99,26 +100,27 @@
   /** Messages of a stream after an offset, for an edge that missed pushes or reads from further back. */
   fetch(fetch: Fetch): BodyInit {
     if (!this.isOpen) return { case: "fetchReply", value: { outcome: "away" } };
-    const log = this.#streams.find(fetch.stream);
-    if (log === undefined || this.#streams.statuses.ofStream(fetch.stream, log.spaceIncarnation) !== "current")
+    const { stream, incarnation } = fetch;
+    const log = this.#streams.findIncarnation(stream, incarnation) ?? this.#streams.find(stream);
+    if (log === undefined || this.#streams.isOver(stream))
       return { case: "fetchReply", value: { outcome: "unknown-topic" } };
     return fetchMessages(log, fetch);
   }
 
-  /** Removed spaces end at once; what is past its retention goes at the next trim. */
+  /**
+   * Streams that no space has any more end for their followers; those that are kept elsewhere now are followed anew. A
+   * stream that is kept as before costs nothing.
+   */
   configurationChanged(): void {
-    const { statuses, memory } = this.#streams;
+    const followed = this.#followers.streams();
+    this.#followers.end(followed.filter((stream) => this.#streams.isOver(stream)));
+    for (const { stream } of this.#streams.memory.all())
+      if (!this.#streams.statuses.isInMemory(stream) || this.#streams.isOver(stream))
+        this.#streams.memory.retire(stream, this.#leader.shardTime);
+    const moved = this.#followers.streams().filter((stream) => this.#followers.isOtherIncarnation(stream));
+    this.#followers.requestRefollow(moved);
     const inLog = [...this.#replica.state.streams.values()];
-    const inMemory = memory.all();
-    const isRemoved = (log: StreamLog): boolean => statuses.ofStream(log.stream, log.spaceIncarnation) === "removed";
-    const removedFromLog = inLog.filter(isRemoved);
-    // A stream that moved between log and memory goes on in another incarnation.
-    const movedToLog = inMemory.filter((log) => !statuses.isInMemory(log.stream));
-    const movedToMemory = inLog.filter((log) => statuses.isInMemory(log.stream));
-    this.#followers.end([...removedFromLog, ...inMemory.filter(isRemoved)].map((log) => log.stream));
-    this.#followers.requestRefollow([...movedToLog, ...movedToMemory].map((log) => log.stream));
-    for (const log of [...movedToLog, ...inMemory.filter(isRemoved)]) memory.remove(log.stream);
-    if (removedFromLog.length + movedToMemory.length > 0) void this.#trimmer.trimLog();
+    if (inLog.some((log) => this.#streams.statuses.ofLog(log) === "ended")) void this.#trimmer.trimLog();
   }
 
   /** Forgets edges that went unresponsive, and trims what is due. */
--- a/packages/log-storage/src/shards/startHandler.ts
+++ b/packages/log-storage/src/shards/startHandler.ts
@@ -6,6 +6,7 @@
   type TopicCursor,
   type TopicStart,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
+import type { StreamRoute } from "@cranetrack/core/configuration/streams.js";
 import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import type { LeaderAuthority } from "./leaderAuthority.js";
@@ -15,7 +16,7 @@
 
 interface RequestedStart {
   readonly cursor: TopicCursor;
-  readonly stream: string;
+  readonly route: StreamRoute | undefined;
   /** Why there is no start, as it travels; empty where there may be one. */
   readonly fault: string;
 }
@@ -38,13 +39,13 @@
   async start(request: StartRequest): Promise<BodyInit> {
     const unavailable: BodyInit = { case: "startReply", value: { outcome: "away" } };
     if (!this.#authority.isOpen) return unavailable;
+    const { statuses } = this.#streams;
+    await statuses.heard(request.cursors.map((cursor) => [statuses.routeOf(cursor.topic), cursor]));
     const requested = request.cursors.map((cursor) => this.#resolve(cursor));
-    const incarnations = new Map(
-      requested.filter(({ fault }) => fault === "").map(({ stream, cursor }) => [stream, cursor.spaceIncarnation]),
-    );
-    await Promise.all(
-      [...incarnations].map(([stream, spaceIncarnation]) => this.#streams.incarnationOf(stream, spaceIncarnation)),
+    const routes = new Map(
+      requested.flatMap(({ route, fault }) => (route === undefined || fault !== "" ? [] : [[route.stream, route]])),
     );
+    await Promise.all([...routes.values()].map((route) => this.#streams.incarnationOf(route)));
     if (!this.#authority.isOpen || !(await this.#leader.confirm()) || !this.#authority.isOpen) return unavailable;
     const starts = requested.map((one) => this.#startOf(one));
     return { case: "startReply", value: { outcome: "done", starts } };
@@ -52,18 +53,18 @@
 
   #resolve(cursor: TopicCursor): RequestedStart {
     const route = this.#node.configuration.route(cursor.topic);
-    const status = this.#streams.statuses.ofIncarnation(route?.spaceIncarnation, cursor.spaceIncarnation);
     const contract = Configurations.contractFor(this.#node.configuration.configuration, cursor.topic);
-    const stream = route?.stream ?? "";
-    const fault = status !== "current" ? "behind" : contract === undefined ? "unknown-topic" : "";
-    return { cursor, stream, fault: fault === "" && !this.#streams.isOwn(stream) ? "behind" : fault };
+    const isCurrent = route !== undefined && this.#streams.statuses.ofRequest(route, cursor) === "current";
+    if (!isCurrent || !this.#streams.isOwn(route.stream)) return { cursor, route, fault: "behind" };
+    return { cursor, route, fault: contract === undefined ? "unknown-topic" : "" };
   }
 
-  #startOf({ cursor, stream, fault }: RequestedStart): TopicStart {
-    const log = this.#streams.find(stream);
+  #startOf({ cursor, route, fault }: RequestedStart): TopicStart {
     if (fault !== "") return create(TopicStartSchema, { topic: cursor.topic, outcome: fault });
-    if (log?.spaceIncarnation !== cursor.spaceIncarnation)
-      return create(TopicStartSchema, { topic: cursor.topic, outcome: "behind" });
-    return this.#streams.statuses.isInMemory(stream) ? startInMemory(log, cursor) : startInLog(log, cursor);
+    const { stream } = route!;
+    const served = this.#streams.find(stream);
+    if (served === undefined) return create(TopicStartSchema, { topic: cursor.topic, outcome: "behind" });
+    if (!this.#streams.statuses.isInMemory(stream)) return startInLog(served, cursor);
+    return startInMemory(served, this.#streams.findInLog(stream), cursor);
   }
 }
--- a/packages/log-storage/src/shards/streamLog.ts
+++ b/packages/log-storage/src/shards/streamLog.ts
@@ -43,6 +43,8 @@
   readonly #known = new Map<string, Map<string, SessionRecord>>();
   head = 0;
   low = 0;
+  /** For how long the contract in force promised to keep the newest message, in milliseconds. */
+  keepMs = 0;
   messages: StreamMessage[] = [];
 
   constructor(stream: string, incarnation: string) {
@@ -86,6 +88,7 @@
     const seq = accept.isVoid ? 0 : this.head + 1;
     if (!accept.isVoid) {
       this.head = seq;
+      this.keepMs = accept.keepMs;
       this.messages.push(create(StreamMessageSchema, { seq, session, number, payload, at, topic }));
     }
     record.at = at;
@@ -143,12 +146,19 @@
 
   /** Typed as the message's fields: an unknown field would be left out of the snapshot in silence. */
   snapshot(): MessageInitShape<typeof StreamSnapshotSchema> {
-    const { stream, incarnation, head, low, messages } = this;
+    const { stream, incarnation, head, low, messages, keepMs } = this;
     const trims = [...this.trims].map(([topic, seq]) => ({ topic, seq }));
     const dedups = [...this.#known].flatMap(([topic, sessions]) =>
       [...sessions].map(([session, record]) => ({ topic, session, ...record })),
     );
-    return { stream, incarnation, head, low, messages, trims, dedups };
+    return { stream, incarnation, head, low, messages, trims, dedups, keepMs };
+  }
+
+  /** A log of another incarnation that has no messages, and knows the numbers that this one took. */
+  emptied(incarnation: string): StreamLog {
+    const log = new StreamLog(this.stream, incarnation);
+    for (const [topic, sessions] of this.#known) log.#known.set(topic, sessions);
+    return log;
   }
 
   /** The log that a snapshot was taken of. */
@@ -156,6 +166,7 @@
     const log = new StreamLog(snapshot.stream, snapshot.incarnation);
     log.head = snapshot.head;
     log.low = snapshot.low;
+    log.keepMs = snapshot.keepMs;
     log.messages = snapshot.messages;
     for (const { topic, seq } of snapshot.trims) log.trims.set(topic, seq);
     for (const { topic, session, at, ownerEpoch, numbers, seqs, ats } of snapshot.dedups) {
--- a/packages/log-storage/src/shards/streamPusher.ts
+++ b/packages/log-storage/src/shards/streamPusher.ts
@@ -37,13 +37,8 @@
     this.#unpushed.clear();
     this.#pushed = undefined;
     if (!this.#authority.isOpen) return false;
-    this.#followers.push(streams.filter((stream) => this.#isCurrent(stream)));
+    this.#followers.push(streams.filter((stream) => !this.#streams.isOver(stream)));
     this.#streams.memory.trim(streams);
     return true;
   }
-
-  #isCurrent(stream: string): boolean {
-    const spaceIncarnation = this.#streams.find(stream)?.spaceIncarnation ?? 0;
-    return this.#streams.statuses.ofStream(stream, spaceIncarnation) === "current";
-  }
 }
--- a/packages/log-storage/src/shards/streamTrimmer.ts
+++ b/packages/log-storage/src/shards/streamTrimmer.ts
@@ -6,6 +6,7 @@
 import type { ServedStreams } from "./servedStreams.js";
 import type { ShardLeader } from "./shardLeader.js";
 import type { StreamLog } from "./streamLog.js";
+import type { LogStatus } from "./streamStatuses.js";
 import type { Replica } from "../replication/replica.js";
 
 type StreamTrim = MessageInitShape<typeof TrimStreamSchema>;
@@ -22,7 +23,8 @@
 
 /**
  * Removes what no contract keeps any more: from memory once a second, from the replicated log by a command every 5 s
- * and at once where a space was removed.
+ * and at once where a space that is one stream was removed. The streams of topics that no contract covers stay for as
+ * long as their messages were promised to: their spaces may be back by then.
  * Invariant: at most one trim command of this leader is under way.
  */
 export class StreamTrimmer {
@@ -43,6 +45,8 @@
   #memoryTrimmedAt = 0;
   #logTrimmedAt = 0;
   #isTrimming = false;
+  /** By stream, shard time since which no contract covers it; counted anew by each leader. */
+  readonly #uncoveredSince = new Map<string, number>();
 
   constructor({ node, replica, leader, authority, streams, isFollowed }: StreamTrimmerParts) {
     this.#node = node;
@@ -92,18 +96,35 @@
   /** What is to go of one stream; undefined where nothing is. */
   #trimOf(log: StreamLog, at: number): StreamTrim | undefined {
     const { stream, incarnation } = log;
-    const status = this.#streams.statuses.ofStream(stream, log.spaceIncarnation);
-    if (status === "removed") return { stream, incarnation, isRemoved: true };
-    if (status !== "current") return undefined;
-    // No contract keeps any of it; should one do so again, that is another incarnation.
-    if (this.#streams.statuses.isInMemory(stream)) return { stream, incarnation, isRemoved: true };
-    const kept = log.messages.findIndex((message) => message.at >= at - this.#retentionMs(message.topic));
+    const status = this.#streams.statuses.ofLog(log);
+    if (status === "ended" || this.#isOver(log, status, at)) return { stream, incarnation, isRemoved: true };
+    const isKept = status === "current" && !this.#streams.statuses.isInMemory(stream);
+    const kept = log.messages.findIndex((message) => {
+      return message.at >= at - (isKept ? this.#retentionMs(message.topic) : StreamTrimmer.#promisedMs(log));
+    });
     const low = kept === -1 ? log.head : log.messages[kept]!.seq - 1;
     return low > log.low ? { stream, incarnation, low } : undefined;
   }
 
+  /** Whether no contract has covered the stream for as long as the last one kept its messages. */
+  #isOver(log: StreamLog, status: LogStatus, at: number): boolean {
+    if (status !== "uncovered") {
+      this.#uncoveredSince.delete(log.stream);
+      return false;
+    }
+    const since = this.#uncoveredSince.get(log.stream) ?? at;
+    this.#uncoveredSince.set(log.stream, since);
+    if (at - since < StreamTrimmer.#promisedMs(log)) return false;
+    this.#uncoveredSince.delete(log.stream);
+    return true;
+  }
+
   #retentionMs(topic: string): number {
     const contract = Configurations.contractFor(this.#node.configuration.configuration, topic);
     return Math.max((contract?.keep ?? 0) * 1000, StreamTrimmer.minRetentionMs);
   }
+
+  static #promisedMs({ keepMs }: StreamLog): number {
+    return Math.max(keepMs, StreamTrimmer.minRetentionMs);
+  }
 }
