--- a/packages/control/src/store/feed.ts
+++ b/packages/control/src/store/feed.ts
@@ -8,6 +8,7 @@
 } from "@cranetrack/core/gen/cranetrack_pb.js";
 import type { Clock } from "@cranetrack/core/runtime/clock.js";
 import type { ChangeLog } from "./changeLog.js";
+import { IncarnationsKey } from "@cranetrack/core/keys/incarnationsKey.js";
 import { ValueHistory } from "./valueHistory.js";
 
 /**
@@ -61,7 +62,7 @@
     if (!this.isReady || this.sentRevision >= revision) return false;
     if (this.sentRevision < changes.since) return true;
     const unsent = changes.after(Math.max(this.sentRevision, this.unchangedTo)).filter((kv) => this.follows(kv));
-    if (unsent.length > 0) return clock.now() >= this.largeNotBefore || !unsent.every(ValueHistory.isLarge);
+    if (unsent.length > 0) return clock.now() >= this.largeNotBefore || !unsent.every(mayWait);
     this.unchangedTo = revision;
     return false;
   }
@@ -94,3 +95,8 @@
     });
   }
 }
+
+/** Incarnations are of no use before the configuration that they were written with. */
+function mayWait(kv: Kv): boolean {
+  return ValueHistory.isLarge(kv) || kv.key === IncarnationsKey.name;
+}
--- a/packages/core/src/configuration/incarnation.ts
+++ b/packages/core/src/configuration/incarnation.ts
@@ -14,8 +14,8 @@
 /**
  * The incarnations of a stream, as texts that stand in cursors: one in the log, for as long as the log has the stream;
  * and one in the memory of each leader that sequences it while its space keeps nothing. The latter names its base, the
- * end of the log at the time, so that every cursor is a place in the log as well: whoever has read it goes on there once
- * the space keeps messages again. Pure.
+ * end of the log at the time, so that every cursor is a place in the log as well: whoever has read it goes on there
+ * once the space keeps messages again. Pure.
  */
 export const Incarnations = {
   /** Of a stream in a leader's memory that begins where the log stands at `base`. */
--- a/packages/core/src/configuration/streams.ts
+++ b/packages/core/src/configuration/streams.ts
@@ -13,9 +13,9 @@
 
 /**
  * The unit of order, sequence, following and cursor: a topic or, where its space's order is `space`, the whole
- * space. A topic's stream is named after the topic alone: routes say how it is kept, for how long, and whether it may be
- * used, never which stream it is. The name of a whole space's stream has the length of the space's prefix; streams that
- * an earlier release made keep the length that they were named with (`IncarnationsRecord.roots`).
+ * space. A topic's stream is named after the topic alone: routes say how it is kept, for how long, and whether it may
+ * be used, never which stream it is. The name of a whole space's stream has the length of the space's prefix; streams
+ * that an earlier release made keep the length that they were named with (`IncarnationsRecord.roots`).
  */
 export const Streams = {
   of(root: string, topic: string, order: Order): string {
--- a/packages/edge/src/connections/sessionConnection.ts
+++ b/packages/edge/src/connections/sessionConnection.ts
@@ -40,7 +40,7 @@
   readonly #suspended = new Map<string, Cursor>();
   /** Topics that the client has, as far as it was told. */
   readonly #confirmed = new Set<string>();
-  #isRejoinDue = false;
+  #isRejoinScheduled = false;
   #asked: Asked[] = [];
 
   constructor(edge: EdgeParts, session: Session, connection: ClientConnection) {
@@ -175,10 +175,10 @@
   }
 
   #rejoinLater(delayMs: number): void {
-    if (this.#isRejoinDue) return;
-    this.#isRejoinDue = true;
+    if (this.#isRejoinScheduled) return;
+    this.#isRejoinScheduled = true;
     this.#edge.node.parts.clock.once(delayMs, () => {
-      this.#isRejoinDue = false;
+      this.#isRejoinScheduled = false;
       this.#rejoin();
     });
   }
--- a/packages/edge/src/fanout/fetchMessages.ts
+++ b/packages/edge/src/fanout/fetchMessages.ts
@@ -4,8 +4,8 @@
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 
 /**
- * Messages of one incarnation, in order; `trimmed` where those up to `low` are gone from the log, `gone` where the whole
- * incarnation is.
+ * Messages of one incarnation, in order; `trimmed` where those up to `low` are gone from the log, `gone` where the
+ * whole incarnation is.
  */
 export interface Fetched {
   outcome: "done" | "trimmed" | "gone";
--- a/packages/edge/src/publishing/publishMessage.ts
+++ b/packages/edge/src/publishing/publishMessage.ts
@@ -3,6 +3,7 @@
 import { mayRepeat, type CallInit } from "@cranetrack/core/rpc/callKinds.js";
 import type { PublishReply, PublishSchema } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { Cursors } from "../subscriptions/cursor.js";
+import { findRoute } from "./findRoute.js";
 import { viewOf } from "../fanout/viewOf.js";
 import type { Session } from "../sessions/session.js";
 import type { EdgeParts } from "../edgeParts.js";
@@ -37,9 +38,9 @@
     isDoubtful
       ? { outcome: "unsure", reason, retryAfterSeconds }
       : { outcome: "away", reason, retryAfterSeconds, ...(code === undefined ? {} : { code }) };
-  const route = node.configuration.route(topic);
-  if (route === undefined) {
-    const { code, reason, retryAfterSeconds } = await edge.configurationCheck.faultOf(topic);
+  const route = await findRoute(edge, topic);
+  if ("code" in route) {
+    const { code, reason, retryAfterSeconds } = route;
     return retryAfterSeconds === undefined ? { outcome: "refused", code, reason } : givenUp(reason, retryAfterSeconds);
   }
   const shard = edge.streams.shardOf(route.stream);
--- a/packages/edge/src/subscriptions/findStarts.ts
+++ b/packages/edge/src/subscriptions/findStarts.ts
@@ -8,6 +8,7 @@
 import type { StreamTail } from "../fanout/streamTail.js";
 import { viewOf } from "../fanout/viewOf.js";
 import type { EdgeParts } from "../edgeParts.js";
+import { findRoute } from "../publishing/findRoute.js";
 import { askStarts } from "./askStarts.js";
 
 const headTimeoutMs = 600;
@@ -43,20 +44,7 @@
   session: Session,
   requests: readonly SubscriptionRequest[],
 ): Promise<{ starts: Start[]; faults: TopicFault[] }> {
-  const faults: TopicFault[] = [];
-  const unrouted: string[] = [];
-  const routed: Routed[] = [];
-  for (const { topic, after } of requests) {
-    const asked = Cursors.read(after);
-    const route = edge.node.configuration.route(topic);
-    if (after !== undefined && asked === undefined)
-      faults.push({ topic, code: "malformed-place", reason: "the place is malformed" });
-    else if (route === undefined) unrouted.push(topic);
-    else {
-      const cursor = asked ?? session.resumeCursors.get(topic);
-      routed.push({ topic, tail: edge.streams.acquire(route), route, cursor, isAsked: asked !== undefined });
-    }
-  }
+  const { faults, unrouted, routed } = routeRequests(edge, session, requests);
   const starts: Start[] = [];
   const unknown: Routed[] = [];
   // One follow of an edge brings the confirmed heads of all its connections' streams, so that a reconnecting crowd
@@ -67,10 +55,12 @@
     if (start === undefined) unknown.push(one);
     else starts.push(start);
   }
-  const [confirmed] = await Promise.all([
+  const [confirmed, late] = await Promise.all([
     startsFromLeader(edge, unknown),
-    Promise.all(unrouted.map(async (topic) => faults.push(await edge.configurationCheck.faultOf(topic)))),
+    findLateStarts(edge, session, unrouted),
   ]);
+  starts.push(...late.starts);
+  faults.push(...late.faults);
   for (const one of confirmed) {
     if ("code" in one) faults.push(one);
     else starts.push(one);
@@ -78,6 +68,47 @@
   return { starts, faults };
 }
 
+interface RoutedRequests {
+  readonly faults: TopicFault[];
+  /** Topics that this edge knows no space for. */
+  readonly unrouted: SubscriptionRequest[];
+  readonly routed: Routed[];
+}
+
+function routeRequests(edge: EdgeParts, session: Session, requests: readonly SubscriptionRequest[]): RoutedRequests {
+  const faults: TopicFault[] = [];
+  const unrouted: SubscriptionRequest[] = [];
+  const routed: Routed[] = [];
+  for (const request of requests) {
+    const { topic, after } = request;
+    const asked = Cursors.read(after);
+    const route = edge.node.configuration.route(topic);
+    if (after !== undefined && asked === undefined)
+      faults.push({ topic, code: "malformed-place", reason: "the place is malformed" });
+    else if (route === undefined) unrouted.push(request);
+    else {
+      const cursor = asked ?? session.resumeCursors.get(topic);
+      routed.push({ topic, tail: edge.streams.acquire(route), route, cursor, isAsked: asked !== undefined });
+    }
+  }
+  return { faults, unrouted, routed };
+}
+
+/** The same of topics that this edge knew no space for when they were asked for. */
+async function findLateStarts(
+  edge: EdgeParts,
+  session: Session,
+  requests: readonly SubscriptionRequest[],
+): Promise<{ starts: Start[]; faults: TopicFault[] }> {
+  if (requests.length === 0) return { starts: [], faults: [] };
+  const routes = await Promise.all(requests.map(({ topic }) => findRoute(edge, topic)));
+  const faults = routes.filter((one) => "code" in one);
+  const late = requests.filter((_, i) => !("code" in routes[i]!));
+  if (late.length === 0) return { starts: [], faults };
+  const found = await findStarts(edge, session, late);
+  return { starts: found.starts, faults: [...faults, ...found.faults] };
+}
+
 /**
  * What the tail shows by itself: a cursor within it, in the same incarnation, of a topic that has a contract.
  */
--- a/packages/edge/src/subscriptions/streamCursor.ts
+++ b/packages/edge/src/subscriptions/streamCursor.ts
@@ -216,8 +216,8 @@
   /** Goes on after what was trimmed; only the clients of topics that lost a message by it are notified. */
   #skip(low: number, trims: ReadonlyMap<string, number>): void {
     const cursor = this.cursor;
-    const isOwed = !Incarnations.isInMemory(this.tail.incarnation);
-    if (isOwed)
+    const isKept = !Incarnations.isInMemory(this.tail.incarnation);
+    if (isKept)
       for (const [topic, from] of this.#topics) {
         if ((trims.get(topic) ?? 0) > Math.max(from, cursor)) this.#expire(topic, low, "older messages were trimmed");
       }
