--- a/packages/testkit/src/sim/connections.test.ts
+++ b/packages/testkit/src/sim/connections.test.ts
@@ -1,57 +1,11 @@
 import { test } from "node:test";
-import type { ClientConnection } from "@cranetrack/edge/connections/clientConnection.js";
 import type { SessionEndpoint } from "@cranetrack/edge/connections/clientEndpoint.js";
 import { EdgeClientEndpoint } from "@cranetrack/edge/connections/edgeClientEndpoint.js";
 import { expect } from "earl";
+import { EndpointConnection, open, resultOf } from "./endpointConnection.js";
 import { startTestFleet } from "./testClient.js";
 import type { SimFleet } from "./simFleet.js";
 
-type Line = Record<string, unknown>;
-
-/** A client's end of an in-process connection. */
-class Wire implements ClientConnection {
-  readonly lines: Line[] = [];
-  waitingBytes = 0;
-  isClosed = false;
-  #whenClosed: () => void = () => undefined;
-
-  send(line: object): void {
-    this.lines.push(line as Line);
-  }
-
-  close(): void {
-    this.isClosed = true;
-    this.#whenClosed();
-  }
-
-  onClose(whenClosed: () => void): void {
-    this.#whenClosed = whenClosed;
-  }
-
-  numbers(): unknown[] {
-    return this.lines.filter(({ kind }) => kind === "message").map(({ number }) => number);
-  }
-}
-
-/** Runs the fleet until a call has its answer. */
-async function resultOf<T>(fleet: SimFleet, call: Promise<T>): Promise<T> {
-  let answer: { value: T } | undefined;
-  void call.then((value) => (answer = { value }));
-  expect(await fleet.until(() => answer !== undefined, 6000)).toEqual(true);
-  return answer!.value;
-}
-
-async function open(
-  fleet: SimFleet,
-  edge: string,
-  session: string,
-): Promise<{ wire: Wire; connection: SessionEndpoint }> {
-  const wire = new Wire();
-  const answer = await resultOf(fleet, new EdgeClientEndpoint(fleet.find(edge)!.edge!).connect(session, wire));
-  if (answer.outcome !== "open") throw new Error(`not connected: ${JSON.stringify(answer)}`);
-  return { wire, connection: answer.connection };
-}
-
 async function place(fleet: SimFleet, connection: SessionEndpoint, after?: string): Promise<string> {
   const answer = await resultOf(fleet, connection.subscribe("notes/t1", after));
   return answer.outcome === "confirmed" ? answer.cursor : answer.outcome;
@@ -121,7 +75,7 @@
   await fleet.run(100);
   const { edge } = fleet.start("vise-1");
   expect(edge!.lease.isHeld).toEqual(false);
-  const answer = await resultOf(fleet, new EdgeClientEndpoint(edge!).connect("desk", new Wire()));
+  const answer = await resultOf(fleet, new EdgeClientEndpoint(edge!).connect("desk", new EndpointConnection()));
   expect(answer.outcome).toEqual("open");
 });
 
@@ -131,7 +85,7 @@
   const { edge, node } = fleet.find("vise-1")!;
   for (const controlNode of fleet.withRole("lathe")) fleet.isolate(controlNode, fleet.names, "both");
   expect(await fleet.until(() => !node.feed.isFresh, 3000)).toEqual(true);
-  const connecting = new EdgeClientEndpoint(edge!).connect("desk", new Wire());
+  const connecting = new EdgeClientEndpoint(edge!).connect("desk", new EndpointConnection());
   await fleet.run(600);
   fleet.wires.heal();
   expect((await resultOf(fleet, connecting)).outcome).toEqual("open");
@@ -147,7 +101,7 @@
     change.case === "read" && fleet.world.now < electedAt
       ? Promise.resolve({ outcome: "away" })
       : call(change, timeoutMs);
-  const answer = await resultOf(fleet, new EdgeClientEndpoint(edge!).connect("desk", new Wire()));
+  const answer = await resultOf(fleet, new EdgeClientEndpoint(edge!).connect("desk", new EndpointConnection()));
   expect(answer.outcome).toEqual("open");
 });
 
@@ -167,7 +121,10 @@
     return call(change, timeoutMs);
   };
   const endpoint = new EdgeClientEndpoint(edge!);
-  const answers = await resultOf(fleet, Promise.all(names.map((name) => endpoint.connect(name, new Wire()))));
+  const answers = await resultOf(
+    fleet,
+    Promise.all(names.map((name) => endpoint.connect(name, new EndpointConnection()))),
+  );
   expect(answers.map(({ outcome }) => outcome)).toEqual(["open", "open", "open"]);
   expect(revokeCount).toEqual(1);
 });
