--- a/packages/testkit/src/sim/topicVersions.test.ts
+++ b/packages/testkit/src/sim/topicVersions.test.ts
@@ -221,7 +221,7 @@
   }
 }
 
-// Guards against LOST, ORDER and EXPIRED (issue 42): what a topic's clients got depended on the routes that had been.
+// Guards against LOST and ORDER (issue 42): what a topic's clients got depended on the routes that had been.
 test("a topic is one list of messages, whatever versions are drawn and whatever fails meanwhile", async () => {
   const runs = Number(process.env["TOPIC_VERSION_RUNS"] ?? 12);
   await fc.assert(
