--- a/packages/control/src/configuration/proposeConfiguration.ts
+++ b/packages/control/src/configuration/proposeConfiguration.ts
@@ -8,6 +8,7 @@
 import { ConfigurationSchema } from "@cranetrack/core/configuration/configurationSchema.js";
 import { AcceptedChangeKey } from "@cranetrack/core/keys/acceptedChangeKey.js";
 import { DocumentKey } from "@cranetrack/core/keys/documentKey.js";
+import { IncarnationsKey } from "@cranetrack/core/keys/incarnationsKey.js";
 import { ConfigurationKey } from "@cranetrack/core/keys/configurationKey.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import { ApiReplies, type ApiReply } from "@cranetrack/core/http/apiReply.js";
@@ -122,6 +123,7 @@
     checks: [{ key: ConfigurationKey.name, revision: inputs.configuration?.revision ?? 0 }],
     puts: [
       { key: ConfigurationKey.name, value: body },
+      { key: IncarnationsKey.name, value: IncarnationsKey.requested },
       acceptanceRecord(change),
       ...(document === undefined ? [] : [{ key: DocumentKey.name, value: document }]),
     ],
--- a/packages/control/src/store/metadata.test.ts
+++ b/packages/control/src/store/metadata.test.ts
@@ -1,6 +1,7 @@
 import { test } from "node:test";
 import { create, toBinary, type MessageInitShape } from "@bufbuild/protobuf";
 import { StoreCommandSchema, type TxnSchema } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { IncarnationsKey } from "@cranetrack/core/keys/incarnationsKey.js";
 import { PackedValue, packing } from "@cranetrack/core/store/packedValue.js";
 import { expect } from "earl";
 import { Metadata, type Applied } from "./metadata.js";
@@ -83,3 +84,40 @@
   run({ case: "revoke", value: { lease: "edge/1" } });
   expect(ended()).toEqual(revision);
 });
+
+// Guards against LOST after an upgrade (issue 42): entries of an earlier release were replayed as if this one had
+// proposed them, and the streams that they stand for were not found again.
+test("an entry makes the incarnations that the release which proposed it makes, however it is replayed", () => {
+  const put = (
+    version: number,
+    prefixes: readonly string[],
+    isRequested: boolean,
+  ): MessageInitShape<typeof TxnSchema> => {
+    const spaces = prefixes.map((prefix) => ({
+      name: prefix,
+      prefix,
+      program: [{ owe: { keep: 60, order: "topic" } }],
+    }));
+    const value = Buffer.from(JSON.stringify({ mark: version, spaces }));
+    const requested = { key: IncarnationsKey.name, value: IncarnationsKey.requested };
+    return { puts: [{ key: "plan", value }, ...(isRequested ? [requested] : [])] };
+  };
+  const replayed = new Metadata();
+  apply(replayed, put(1, ["a/", "c/"], false));
+  apply(replayed, put(2, ["a/", "a/b/", "c/"], false));
+  expect(text(replayed, IncarnationsKey.name)).toEqual(
+    '{"mark":2,"spaces":{"a/":1,"a/b/":1,"c/":1},"ended":{},"roots":{"a/b/":"a/"}}',
+  );
+  const restarted = new Metadata();
+  restarted.install(replayed.snapshot(undefined));
+  const roots = '"roots":{"a/":"a/","a/b/":"a/","c/":"c/"}}';
+  for (const state of [replayed, restarted]) {
+    apply(state, put(3, ["a/b/"], true));
+    expect(text(state, IncarnationsKey.name)).toEqual(`{"mark":3,"spaces":{},"nested":[],${roots}`);
+    apply(state, put(4, ["a/", "d/"], true));
+    expect(text(state, IncarnationsKey.name)).toEqual(`{"mark":4,"spaces":{},"nested":[],${roots}`);
+  }
+  const founded = new Metadata();
+  apply(founded, put(1, ["a/"], true));
+  expect(text(founded, IncarnationsKey.name)).toEqual('{"mark":1,"spaces":{},"nested":[]}');
+});
--- a/packages/control/src/store/metadata.ts
+++ b/packages/control/src/store/metadata.ts
@@ -10,7 +10,8 @@
 } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { EndedOwnersKey, sessionOfOwnerKey } from "@cranetrack/core/keys/endedOwnersKey.js";
 import { IncarnationsKey } from "@cranetrack/core/keys/incarnationsKey.js";
-import { ConfigurationKey } from "@cranetrack/core/keys/configurationKey.js";
+import { ConfigurationKey, type ConfigurationOutline } from "@cranetrack/core/keys/configurationKey.js";
+import { EarlierIncarnations } from "@cranetrack/core/keys/earlierIncarnations.js";
 import { PackedValue } from "@cranetrack/core/store/packedValue.js";
 import { AcceptedConfigurations } from "./acceptedConfigurations.js";
 
@@ -160,18 +161,26 @@
    */
   #withIncarnations(puts: readonly Kv[]): readonly Kv[] {
     if (!puts.some((kv) => kv.key === ConfigurationKey.name)) return puts;
+    const isRequested = puts.some((kv) => kv.key === IncarnationsKey.name);
     return puts.flatMap((kv) => {
+      if (kv.key === IncarnationsKey.name) return [];
       const outline = kv.key === ConfigurationKey.name ? ConfigurationKey.outline(kv.value) : undefined;
       if (outline === undefined) return [kv];
-      const before = this.#keys.get(IncarnationsKey.name);
-      const incarnations = IncarnationsKey.next(
-        before === undefined ? undefined : IncarnationsKey.read(before.value),
-        outline,
-      );
-      return [create(KvSchema, { key: IncarnationsKey.name, value: IncarnationsKey.write(incarnations) }), kv];
+      const value = isRequested ? this.#nextIncarnations(outline) : this.#nextEarlierIncarnations(outline);
+      return [create(KvSchema, { key: IncarnationsKey.name, value }), kv];
     });
   }
 
+  #nextIncarnations(outline: ConfigurationOutline): Uint8Array {
+    const before = this.#keys.get(IncarnationsKey.name);
+    const record = before === undefined ? undefined : IncarnationsKey.read(before.value);
+    return IncarnationsKey.write(IncarnationsKey.next(record, outline));
+  }
+
+  #nextEarlierIncarnations(outline: ConfigurationOutline): Uint8Array {
+    return EarlierIncarnations.next(this.#keys.get(IncarnationsKey.name)?.value, outline);
+  }
+
   #noteEndedOwners(lease: string, changes: Kv[]): void {
     const value = EndedOwnersKey.write(lease);
     this.#putAll([create(KvSchema, { key: EndedOwnersKey.name, value })], this.revision, changes);
--- a/packages/core/src/keys/incarnationsKey.ts
+++ b/packages/core/src/keys/incarnationsKey.ts
@@ -29,6 +29,11 @@
  */
 export const IncarnationsKey = {
   name: "plan/births",
+  /**
+   * Put beside a configuration by whoever proposes it: the state machine puts the record in its place. Entries without
+   * it are of earlier releases, see `EarlierIncarnations`.
+   */
+  requested: Buffer.from("{}") as Uint8Array,
 
   write(record: Pick<IncarnationsRecord, "version" | "spaces"> & Partial<IncarnationsRecord>): Uint8Array {
     const { version, spaces, nested = [], roots = {} } = record;
--- a/packages/testkit/src/golden/adapter.ts
+++ b/packages/testkit/src/golden/adapter.ts
@@ -14,6 +14,7 @@
 import type { Change } from "@cranetrack/core/feeds/feedFollower.js";
 import * as messages from "@cranetrack/core/gen/cranetrack_pb.js";
 import { AcceptedChangeKey } from "@cranetrack/core/keys/acceptedChangeKey.js";
+import { EarlierIncarnations } from "@cranetrack/core/keys/earlierIncarnations.js";
 import { IncarnationsKey } from "@cranetrack/core/keys/incarnationsKey.js";
 import { ConfigurationKey } from "@cranetrack/core/keys/configurationKey.js";
 import { DocumentKey } from "@cranetrack/core/keys/documentKey.js";
@@ -229,6 +230,11 @@
   );
 }
 
+/** The same by an entry that an earlier release proposed. */
+export function nextEarlierIncarnations(before: Uint8Array, configuration: Uint8Array): Uint8Array {
+  return EarlierIncarnations.next(before, ConfigurationKey.outline(configuration)!);
+}
+
 /** The store's keys, and what is read in them. */
 export const storeKeys = {
   configuration: ConfigurationKey.name,
--- a/packages/testkit/src/golden/store.test.ts
+++ b/packages/testkit/src/golden/store.test.ts
@@ -8,6 +8,7 @@
   decodeConfiguration,
   decodeConfigurationOutline,
   encodePutOver,
+  nextEarlierIncarnations,
   nextIncarnations,
   openConfigurationArchive,
   packingNumbers,
@@ -154,6 +155,8 @@
         { prefix: "chat/", isOneStream: true },
       ],
     });
+    const earlier = nextEarlierIncarnations(fromBase64(fixtures.values[0]!.bytes), Buffer.from(laterConfigurationText));
+    expect(Buffer.from(earlier).toString()).toEqual('{"mark":42,"spaces":{"chat/":41},"ended":{}}');
     const next = nextIncarnations(fromBase64(fixtures.values[0]!.bytes), Buffer.from(laterConfigurationText));
     expect(Buffer.from(next).toString()).toEqual(
       '{"mark":42,"spaces":{"chat/":41},"nested":[],"roots":{"eu/orders/":"eu/orders/","chat/":"chat/"}}',
