--- a/packages/testkit/src/mutants/mutants.ts
+++ b/packages/testkit/src/mutants/mutants.ts
@@ -10,6 +10,7 @@
 import type { Mutant } from "./mutant.js";
 import { membershipMutants } from "./membershipMutants.js";
 import { orderMutants } from "./orderMutants.js";
+import { streamMutants } from "./streamMutants.js";
 
 const sim = "testkit/dist/sim";
 
@@ -125,8 +126,8 @@
   },
   {
     name: "an ended subscription stays in the table",
-    file: "edge/dist/subscriptions/streamCursor.js",
-    find: "this.#parts.onEnd(topic);",
+    file: "edge/dist/subscriptions/joinStreams.js",
+    find: "session.subscriptions.delete(topic);",
     put: "",
     test: `${sim}/shards.test.js`,
   },
@@ -205,19 +206,17 @@
     test: `${sim}/streams.test.js`,
   },
   {
-    name: "births are kept from the space's earlier life",
+    name: "streams of a founded system have names of an earlier release",
     file: "control/dist/store/metadata.js",
-    find: "IncarnationsKey.next(before === undefined ? undefined : IncarnationsKey.read(before.value), outline)",
-    put:
-      'IncarnationsKey.next({ version: 0, spaces: { "notes/": 1, "notices/": ' +
-      '1, "extra/": 1 }, ended: {} }, outline)',
-    test: `${sim}/streams.test.js`,
+    find: "IncarnationsKey.next(record, outline)",
+    put: 'IncarnationsKey.next({ version: 0, spaces: {}, nested: [], roots: { "a/": "a/" } }, outline)',
+    test: "control/dist/store/metadata.test.js",
   },
   {
-    name: "topics that come back to a space go on in its old streams",
+    name: "topics that come back to a space that is one stream go on in it",
     file: "core/dist/keys/incarnationsKey.js",
-    find: "ended: Object.fromEntries(ended),",
-    put: "ended: {},",
+    find: "extended.has(prefix) ? version : ",
+    put: "",
     test: "core/dist/configuration/streams.test.js",
   },
   {
@@ -230,7 +229,7 @@
   {
     name: "an edge refuses topics from its cache",
     file: "edge/dist/publishing/configurationCheck.js",
-    find: "if (prefixes !== undefined && prefixes.longest(topic) === undefined)",
+    find: "if (stored.prefixes.longest(topic) === undefined)",
     put: "if (true)",
     test: `${sim}/streams.test.js`,
   },
@@ -286,8 +285,8 @@
   {
     name: "a holder refuses what it has seen removed",
     file: "log-storage/dist/shards/publishHandler.js",
-    find: 'if (route === undefined || status !== "current")',
-    put: 'if (status === "newer" || status === "older")',
+    find: 'if (route === undefined || statuses.ofRequest(route, publish) !== "current")',
+    put: 'if (route !== undefined && statuses.ofRequest(route, publish) !== "current")',
     test: `${sim}/streams.test.js`,
   },
   {
@@ -337,6 +336,7 @@
   ...cutOffMutants,
   ...diskMutants,
   ...orderMutants,
+  ...streamMutants,
   ...repairMutants,
   ...callMutants,
   ...electionMutants,
--- a/packages/testkit/src/sim/streams.test.ts
+++ b/packages/testkit/src/sim/streams.test.ts
@@ -337,7 +337,7 @@
 test("a longer prefix of other storage leaves a topic its subscribers, its places and its numbers", async () => {
   const all = await startTestFleet(66);
   const { fleet, publish, load } = all;
-  const topic = "notes/deep/t1";
+  const topic = "notes/deep/passing";
   const put = async (isNested: boolean): Promise<void> => {
     const configuration = SimLoad.configuration(load.nextVersion);
     const contract = { keep: 120, order: "topic", fault_budget: { machines: 1 } };
@@ -353,11 +353,11 @@
   let number = 0;
   for (const isNested of [false, true, false, true, false]) {
     await put(isNested);
+    const from = number;
+    const visitor = await connectSession(all, "vise-3", `visitor-${from}`, [topic]);
+    places.push({ after: placeOf(visitor, topic), from });
     // A number that was taken before is not taken again, wherever the topic is kept by now.
     if (number > 0) expect((await publish("pen", number, "vise-2", topic))["receipt"]).toEqual("accepted");
-    const visitor = await connectSession(all, "vise-3", `visitor-${number}`, [topic]);
-    places.push({ after: placeOf(visitor, topic), from: number });
-    visitor.close();
     for (let i = 0; i < 3; i += 1) {
       expect((await publish("pen", (number += 1), "vise-2", topic))["receipt"]).toEqual("accepted");
       if (!isNested) kept.push(number);
@@ -365,11 +365,14 @@
     expect(await fleet.until(() => staying.got(topic).length === number, 3000)).toEqual(true);
     expect(staying.got(topic)).toEqual(Array.from({ length: number }, (_, i) => i + 1));
     expect([staying.of("ended"), staying.of("expired")]).toEqual([[], []]);
+    expect(await fleet.until(() => visitor.got(topic).length >= 3, 3000)).toEqual(true);
+    expect(visitor.got(topic)).toEqual([1, 2, 3].map((one) => from + one));
+    visitor.close();
     if (isNested) continue;
-    for (const { after, from } of places) {
-      const subscriptions = [{ topic, after }];
-      const again = new TestClient(fleet, "vise-3", `again-${number}-${from}`, { subscriptions });
-      const owed = kept.filter((one) => one > from);
+    for (const place of places) {
+      const subscriptions = [{ topic, after: place.after }];
+      const again = new TestClient(fleet, "vise-3", `again-${number}-${place.from}`, { subscriptions });
+      const owed = kept.filter((one) => one > place.from);
       const given = (): unknown[] => again.got(topic).filter((one) => kept.some((number) => number === one));
       expect(await fleet.until(() => given().length >= owed.length, 5000)).toEqual(true);
       expect([given(), again.of("expired")]).toEqual([owed, []]);
