--- a/packages/testkit/src/sim/topicVersions.test.ts
+++ b/packages/testkit/src/sim/topicVersions.test.ts
@@ -10,7 +10,16 @@
 /** Which of the nested prefixes have a space, and whether it keeps messages. */
 type Spaces = ReadonlyArray<Kind | undefined>;
 /** What happens while a version passes. */
-type Trouble = "none" | "leaderKilled" | "leaderCrashed" | "leaderRelease" | "allKilled" | "edgeDeaf" | "missedVersion";
+type Trouble =
+  | "none"
+  | "leaderWiped"
+  | "allCrashed"
+  | "leaderKilled"
+  | "leaderCrashed"
+  | "leaderRelease"
+  | "allKilled"
+  | "edgeDeaf"
+  | "missedVersion";
 interface Step {
   readonly spaces: Spaces;
   readonly trouble: Trouble;
@@ -26,6 +35,7 @@
 const kindArbitrary = fc.constantFrom<Kind | undefined>(undefined, "kept", "kept", "passing");
 const troubleArbitrary = fc.constantFrom<Trouble>(
   ...["none" as const, "none" as const, "none" as const, "leaderKilled" as const, "leaderCrashed" as const],
+  ...["leaderWiped" as const, "allCrashed" as const],
   ...["leaderRelease" as const, "allKilled" as const, "edgeDeaf" as const, "missedVersion" as const],
 );
 const stepArbitrary: fc.Arbitrary<Step> = fc.record({
@@ -113,9 +123,11 @@
     const route = node.configuration.route(topic);
     const shard = route === undefined ? 0 : edge!.streams.shardOf(route.stream);
     const { leader } = node.shards.find(shard);
+    if (trouble === "allCrashed") for (const name of fleet.withRole("anvil")) fleet.crash(name);
     if (trouble === "allKilled") for (const name of fleet.withRole("anvil")) fleet.kill(name);
     if (fleet.find(leader) === undefined) return;
     if (trouble === "leaderKilled") fleet.kill(leader);
+    if (trouble === "leaderWiped") fleet.wipe(leader);
     if (trouble === "leaderCrashed") fleet.crash(leader);
     if (trouble === "leaderRelease")
       await resultOf(fleet, fleet.find(leader)!.storage!.leadership!.release(shard, "the test says so"));
