Sight: how late each event loop is, how long each step of a joining takes, which frames go where

Change: LoadMonitor writes one line a second while the loop is late or a joining was slow or failed; times of store calls and of the steps of a joining; frames by kind, unresponsive peers and dropped connections in status and metrics; SIGUSR2 writes the status to the log.

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -93,6 +93,7 @@
     const raft = this.#raft;
     const members = raft?.members;
     return {
+      storeCalls: this.#storeService?.callTimes ?? {},
       founding: { id: this.founding.id, founded: this.founding.founding, missing: this.founding.waitingFor },
       raft:
         raft === undefined
@@ -110,6 +111,11 @@
     };
   }
 
+  #raftFields(): Record<string, string | number> {
+    const { term = 0, leaderName = "", commit = 0 } = this.#raft ?? {};
+    return { term, leader: leaderName, commit };
+  }
+
   #begin(): void {
     const { rpc, groups, membership, parts } = this.node;
     const log = new ReplicaLog(this.#disk, logGroupNames.store);
@@ -127,6 +133,7 @@
       isTrusted: (id) => this.#disks.isTrusted(id),
     });
     this.#storeService = new StoreService(this.node, this.#raft);
+    this.node.load.add("raft", () => ({ fields: this.#raftFields(), isNotable: false }));
     membership.self.isFounded = true;
     membership.self.founding = this.founding.founding;
     new MembershipStatus(this.node, this.#raft);
--- a/packages/control/src/store/storeService.ts
+++ b/packages/control/src/store/storeService.ts
@@ -13,6 +13,7 @@
 import { MembersKey } from "@cranetrack/core/keys/membersKey.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import { packing, PackedValue } from "@cranetrack/core/store/packedValue.js";
+import { StepTimes, type StepTime } from "@cranetrack/core/runtime/stepTimes.js";
 import type { Outcome } from "@cranetrack/core/store/storeClient.js";
 import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
 import { Feeds } from "./feeds.js";
@@ -35,9 +36,12 @@
   readonly #values = new ValueHistory();
   readonly #memberChanges: MemberChanges;
   readonly #forwarding: LeaderForwarding;
+  readonly #times: StepTimes<string>;
 
   constructor(node: ClusterNode, raft: RaftNode) {
     this.#raft = raft;
+    this.#times = new StepTimes(node.parts.clock);
+    node.load.add("storeCalls", () => ({ fields: this.#times.takeInterval(), isNotable: false }));
     this.#forwarding = new LeaderForwarding(node, raft, (calls) => this.#runAll(calls));
     this.#leases = new Leases(
       raft,
@@ -63,10 +67,19 @@
     this.#memberChanges = new MemberChanges(node, raft);
   }
 
+  /** By kind of call, how long the leader took; of this control node, as far as it led. */
+  get callTimes(): Record<string, StepTime> {
+    return this.#times.totals();
+  }
+
   /** Carries out one call, here or at the leader. */
   async run(call: StoreCall): Promise<Outcome> {
     if (call.call.case === "feeds") return { outcome: "done", feeds: this.#feeds.states() };
     if (!this.#raft.isLeader) return (await this.#forwarding.forward([call]))[0]!;
+    return this.#times.measure(call.call.case ?? "unknown", () => this.#runAsLeader(call));
+  }
+
+  async #runAsLeader(call: StoreCall): Promise<Outcome> {
     switch (call.call.case) {
       case "txn":
         if (!this.#rebase(call.call.value)) return { outcome: "rebase" };
--- a/packages/core/src/rpc/rpcEndpoint.ts
+++ b/packages/core/src/rpc/rpcEndpoint.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "../runtime/clock.js";
 import type { RandomSource } from "../runtime/random.js";
 import type { Transport } from "../transport/transport.js";
+import { FrameTraffic } from "./frameTraffic.js";
 import { isCall, isReplyTo, mayRepeat, type CallInit } from "./callKinds.js";
 import { ServedCalls } from "./servedCalls.js";
 import { Wire, type Body, type BodyInit } from "./wire.js";
@@ -93,6 +94,11 @@
     repeated: 0,
     forged: 0,
   };
+  /** Frames sent and received, by kind. */
+  readonly traffic = new FrameTraffic();
+  /** How often a peer was found unresponsive since the start, and how often its connection was dropped for that. */
+  unresponsiveCount = 0;
+  droppedConnectionCount = 0;
   /** Set by membership. */
   addressOf: (name: string) => string | undefined = () => undefined;
   relaysFor: (name: string) => string[] = () => [];
@@ -189,6 +195,7 @@
   #markUnresponsive(to: string): void {
     if (this.#unresponsive.has(to) || to === this.name) return;
     this.#unresponsive.add(to);
+    this.unresponsiveCount += 1;
     this.emit("unresponsive", to);
     void this.#probe(to, true);
   }
@@ -206,7 +213,10 @@
     }
     const address = this.addressOf(name);
     if (address === undefined) return this.#markResponsive(name);
-    if (isFirst) this.#transport.drop(address);
+    if (isFirst) {
+      this.droppedConnectionCount += 1;
+      this.#transport.drop(address);
+    }
     this.#clock.once(RpcEndpoint.probeMs, () => void this.#probe(name));
   }
 
@@ -216,7 +226,9 @@
   }
 
   #encode(to: string, part: Part): Uint8Array {
-    return Wire.encode({ ...part, from: this.name, to, fromAddress: this.#transport.address });
+    const frame = Wire.encode({ ...part, from: this.name, to, fromAddress: this.#transport.address });
+    this.traffic.onSent(part.body.case, frame.length);
+    return frame;
   }
 
   #send(to: string, part: Part): void {
@@ -248,6 +260,7 @@
 
   async #handleFrame(frame: Frame): Promise<void> {
     if (frame.to !== "" && frame.to !== this.name) return;
+    this.traffic.onReceived(frame.body.case);
     if (frame.hops === 0) this.emit("heard", frame.from);
     else if (this.#clock.now() - (this.#proven.get(frame.from) ?? -Infinity) > RpcEndpoint.provenMs)
       this.#markUnresponsive(frame.from);
--- a/packages/core/src/runtime/clusterNode.ts
+++ b/packages/core/src/runtime/clusterNode.ts
@@ -5,6 +5,7 @@
 import { ChangeJournal } from "../feeds/changeJournal.js";
 import { ConfigurationVerifier } from "../configuration/configurationVerifier.js";
 import { InvariantMonitor } from "./invariantMonitor.js";
+import { LoadMonitor } from "./loadMonitor.js";
 import { Membership } from "../membership/membership.js";
 import type { NodeParts } from "./nodeParts.js";
 import { MachinesView } from "../feeds/machinesView.js";
@@ -23,6 +24,7 @@
 
   readonly parts: NodeParts;
   readonly invariants: InvariantMonitor;
+  readonly load: LoadMonitor;
   readonly rpc: RpcEndpoint;
   readonly groups: LogGroups;
   readonly membership: Membership;
@@ -39,6 +41,7 @@
     const { settings, clock, transport, random } = parts;
     this.parts = parts;
     this.invariants = new InvariantMonitor(parts.log);
+    this.load = new LoadMonitor(clock, parts.log, parts.processorMs ?? (() => 0));
     this.rpc = new RpcEndpoint(settings.name, transport, clock, random);
     this.groups = new LogGroups(this.rpc);
     const self = {
@@ -53,6 +56,7 @@
       isStorage: settings.role === nodeRole.storage || (settings.role === nodeRole.control && settings.stores),
       disk,
     };
+    this.load.add("rpc", () => ({ fields: this.#rpcFields(), isNotable: false }));
     this.membership = new Membership(self, settings.seeds, this.rpc, clock, random);
     if (parts.disk !== undefined) this.#addressBook = new AddressBook(parts.disk, this.membership, clock);
     this.store = new StoreClient(this.rpc, this.membership, clock);
@@ -72,6 +76,12 @@
     this.feed.fault = () => this.configuration.fault;
   }
 
+  #rpcFields(): Record<string, number> {
+    const { unresponsiveCount, droppedConnectionCount, traffic } = this.rpc;
+    const relayed = traffic.counts()["relay"]?.sent ?? 0;
+    return { unresponsiveCount, droppedConnectionCount, relayed, feedAgeMs: Math.round(Math.min(this.feed.age, 1e9)) };
+  }
+
   start(): void {
     this.membership.start();
     this.#addressBook?.start();
--- /dev/null
+++ b/packages/core/src/runtime/loadMonitor.test.ts
@@ -0,0 +1,32 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import { LoadMonitor } from "./loadMonitor.js";
+
+/** Guards against processes that were overloaded without a word in any log (issue 45). */
+test("a late event loop is reported with what its parts say; a calm one is not", () => {
+  let now = 0;
+  let processorMs = 0;
+  let sample: () => void = () => undefined;
+  const clock = {
+    now: () => now,
+    once: () => ({ stop: () => undefined }),
+    every: (_ms: number, callback: () => void) => {
+      sample = callback;
+      return { stop: () => undefined };
+    },
+  };
+  const lines: object[] = [];
+  const log = { report: (_text: string, context: object = {}) => void lines.push(context) };
+  const monitor = new LoadMonitor(clock, log, () => processorMs);
+  monitor.add("rpc", () => ({ fields: { relayed: 3 }, isNotable: false }));
+  const pass = (ms: number): void => {
+    now += ms;
+    sample();
+  };
+  for (let i = 0; i < 4; i += 1) pass(LoadMonitor.sampleMs);
+  expect(lines).toEqual([]);
+  processorMs = 650;
+  pass(LoadMonitor.sampleMs);
+  pass(LoadMonitor.sampleMs + 800);
+  expect(lines).toEqual([{ loopLagMs: 800, worstLoopLagMs: 800, processorShare: 0.5, rpc: '{"relayed":3}' }]);
+});
--- a/packages/core/src/runtime/logBuffer.ts
+++ b/packages/core/src/runtime/logBuffer.ts
@@ -46,14 +46,20 @@
     this.#write(lines.map((line) => `${line}\n`).join(""));
   }
 
+  /** A line that is written out by itself at once: the rest of the ring is of no use without a fault. */
+  report(text: string, context: Context = {}): void {
+    this.#write(`${this.#keep("note", text, context)}\n`);
+  }
+
   get lines(): readonly string[] {
     return this.#lines;
   }
 
-  #keep(level: "note" | "warn" | "fault", text: string, context: Context): void {
-    const line = { at: new Date().toISOString(), level, program: this.#name, text, ...context };
-    this.#lines.push(JSON.stringify(line));
+  #keep(level: "note" | "warn" | "fault", text: string, context: Context): string {
+    const line = JSON.stringify({ at: new Date().toISOString(), level, program: this.#name, text, ...context });
+    this.#lines.push(line);
     if (this.#lines.length > this.#maxLines) this.#lines.shift();
     if (level === "fault") this.#log.error(context, text);
+    return line;
   }
 }
--- a/packages/core/src/runtime/nodeParts.ts
+++ b/packages/core/src/runtime/nodeParts.ts
@@ -15,4 +15,6 @@
   readonly log: LogBuffer;
   /** Rises with every start of the process under the same name. */
   readonly incarnation: number;
+  /** Processor time of the process so far, in milliseconds; none given, none is reported. */
+  readonly processorMs?: () => number;
 }
--- a/packages/core/src/runtime/nodeStatus.ts
+++ b/packages/core/src/runtime/nodeStatus.ts
@@ -57,6 +57,12 @@
         epoch: route.epoch,
         replicas: route.set?.members.map((member) => member.name) ?? [],
       })),
+      load: this.#node.load.status(),
+      rpc: {
+        unresponsiveCount: this.#node.rpc.unresponsiveCount,
+        droppedConnectionCount: this.#node.rpc.droppedConnectionCount,
+        frames: this.#node.rpc.traffic.counts(),
+      },
       risks: contractRisks(this.#node),
       faults: {
         settings: this.#parts.settingsFault(),
@@ -70,7 +76,7 @@
   }
 
   #metrics(): string {
-    const { membership, feed, configuration, shards } = this.#node;
+    const { membership, feed, configuration, shards, load, rpc } = this.#node;
     const memory = process.memoryUsage();
     const held = shards.all().filter(([, route]) => route.leader === this.#node.parts.settings.name).length;
     const figures: Record<string, number> = {
@@ -81,6 +87,11 @@
       shards_held: held,
       shards_free: shards.all().filter(([, route]) => route.leader === "").length,
       garbled_frames_total: this.#parts.garbled(),
+      loop_lag_seconds: load.loopLagMs / 1000,
+      loop_lag_worst_seconds: load.worstLoopLagMs / 1000,
+      processor_share: load.processorShare,
+      unresponsive_total: rpc.unresponsiveCount,
+      dropped_connections_total: rpc.droppedConnectionCount,
       memory_rss_bytes: memory.rss,
       memory_heap_bytes: memory.heapUsed,
     };
--- a/packages/core/src/runtime/programHost.ts
+++ b/packages/core/src/runtime/programHost.ts
@@ -91,12 +91,13 @@
     const { disk, node, router, built } = await this.#assemble(settings, { log, clock, transport });
     ProgramHost.#endOnUncaught(log);
     const watch = ProgramHost.#watchSettings(watched, settings, clock, log, built);
-    new NodeStatus(node, router, {
+    const status = new NodeStatus(node, router, {
       garbled: () => transport.garbled,
       settingsFault: () => watch?.fault ?? "",
       more: () => ({ ...built.status(), dataFolder: disk?.fault ?? "" }),
       isReady: () => built.isReady(),
     });
+    process.on("SIGUSR2", () => log.report("status", { status: JSON.stringify(status.status()) }));
     const listeners = [...(built.listeners ?? [])];
     try {
       if (settings.http !== undefined) listeners.push(await ProgramHost.#httpListener(settings.http, router, built));
@@ -117,7 +118,16 @@
       const disk = await ProgramHost.#openDisk(settings, log);
       const checksummed = disk === undefined ? undefined : new ChecksummedDisk(disk);
       const node = new ClusterNode(
-        { settings, clock, transport, disk: checksummed, random: new HostRandom(), log, incarnation: Date.now() },
+        {
+          settings,
+          clock,
+          transport,
+          disk: checksummed,
+          random: new HostRandom(),
+          log,
+          incarnation: Date.now(),
+          processorMs: () => ProgramHost.#processorMs(),
+        },
         this.#prefixes,
       );
       const router = new Router(node);
@@ -130,6 +140,11 @@
     }
   }
 
+  static #processorMs(): number {
+    const { user, system } = process.cpuUsage();
+    return (user + system) / 1000;
+  }
+
   /** Writes the log buffer out and ends the process. */
   static #quit(log: LogBuffer, code: number, text: string): never {
     log.fault(text);
--- a/packages/edge/src/connections/edgeClientEndpoint.ts
+++ b/packages/edge/src/connections/edgeClientEndpoint.ts
@@ -22,7 +22,11 @@
   /** Takes the session over to this node and makes the connection its own, in place of an older one. */
   async connect(id: string, connection: ClientConnection): Promise<Connected> {
     if (!AdmitSession.isName(id)) return { outcome: "malformed", reason: "a session's name is malformed" };
+    const { clock } = this.#edge.node.parts;
+    const startedAt = clock.now();
     const admitted = await AdmitSession.run(this.#edge, id, EdgeClientEndpoint.patienceMs);
+    const outcome = connection.isClosed ? "abandoned" : "session" in admitted ? "open" : "refused";
+    this.#edge.joinings.greeted(outcome, clock.now() - startedAt);
     if (!("session" in admitted))
       return { outcome: "away", reason: admitted.reason, retryAfterSeconds: admitted.retryAfterSeconds };
     const { session } = admitted;
--- a/packages/edge/src/connections/sessionConnection.ts
+++ b/packages/edge/src/connections/sessionConnection.ts
@@ -126,7 +126,9 @@
     const asked = this.#asked;
     this.#asked = [];
     const requests = asked.map(({ topic, after }) => (after === undefined ? { topic } : { topic, after }));
-    const { starts, faults } = await findStarts(this.#edge, this.#session, requests);
+    const { starts, faults } = await this.#edge.joinings.steps.measure("starts", () =>
+      findStarts(this.#edge, this.#session, requests),
+    );
     const good = starts.filter(({ expired }) => expired === "");
     for (const one of asked) one.resolve(this.#outcomeOf(one.topic, starts, faults));
     // The confirmations go out first.
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -6,6 +6,7 @@
 import type { ClientConnection } from "./connections/clientConnection.js";
 import { SubscriptionKey } from "./subscriptions/subscriptionKey.js";
 import type { Session } from "./sessions/session.js";
+import { JoiningStats } from "./sessions/joiningStats.js";
 import { Sessions } from "./sessions/sessions.js";
 import { ConfigurationCheck } from "./publishing/configurationCheck.js";
 import { StreamTable } from "./fanout/streamTable.js";
@@ -25,6 +26,7 @@
   readonly node: ClusterNode;
   readonly lease: LeaseKeepAlive;
   readonly sessions: Sessions;
+  readonly joinings: JoiningStats;
   readonly streams: StreamTable;
   readonly configurationCheck: ConfigurationCheck;
   readonly router: Router;
@@ -43,9 +45,12 @@
     this.live = { maxConnections: settings.maxConnections, bufferBytes: settings.bufferBytes };
     this.touchDelay = new SharedDelay(clock, EdgeNode.touchDelayMs);
     this.lease = new LeaseKeepAlive(settings.name, settings.edgeLeaseMs, node.store, clock, random);
-    this.sessions = new Sessions(node, this.lease);
+    this.joinings = new JoiningStats(clock);
+    this.sessions = new Sessions(node, this.lease, this.joinings.steps);
     this.streams = new StreamTable(node);
     this.configurationCheck = new ConfigurationCheck(node.store);
+    node.load.add("joinings", () => this.joinings.takeInterval());
+    node.load.add("edge", () => ({ fields: this.#loadFields(), isNotable: false }));
     node.configuration.on("changed", () => this.#configurationChanged());
     clock.every(this.heartbeatIntervalMs, () => this.#tick());
     clock.every(200_000, () => this.#renewSessions());
@@ -66,9 +71,15 @@
       isDraining: this.isDraining,
       hasLease: this.lease.isHeld,
       leasesLost: this.lease.losses,
+      joinings: this.joinings.status(),
     };
   }
 
+  #loadFields(): Record<string, number> {
+    const { connections, table } = this.sessions;
+    return { connections, sessions: table.size, admitting: this.admitting, leasesLost: this.lease.losses };
+  }
+
   /** Begins to acquire the node's lease. */
   start(): void {
     this.lease.start();
--- a/packages/edge/src/edgeParts.ts
+++ b/packages/edge/src/edgeParts.ts
@@ -4,6 +4,7 @@
 import type { Router } from "@cranetrack/core/http/router.js";
 import type { ClientConnection } from "./connections/clientConnection.js";
 import type { Session } from "./sessions/session.js";
+import type { JoiningStats } from "./sessions/joiningStats.js";
 import type { Sessions } from "./sessions/sessions.js";
 import type { ConfigurationCheck } from "./publishing/configurationCheck.js";
 import type { StreamTable } from "./fanout/streamTable.js";
@@ -13,6 +14,7 @@
   readonly node: ClusterNode;
   readonly lease: LeaseKeepAlive;
   readonly sessions: Sessions;
+  readonly joinings: JoiningStats;
   readonly streams: StreamTable;
   readonly configurationCheck: ConfigurationCheck;
   readonly router: Router;
--- a/packages/edge/src/sessions/admitSession.ts
+++ b/packages/edge/src/sessions/admitSession.ts
@@ -17,7 +17,8 @@
   async run(edge: EdgeParts, id: string, patience = 0): Promise<Admitted> {
     const { sessions, node, lease } = edge;
     if (edge.isDraining) return { reason: "this node is stopping", retryAfterSeconds: 0.2, code: "stopping" };
-    const end = node.parts.clock.now() + patience;
+    const startedAt = node.parts.clock.now();
+    const end = startedAt + patience;
     while ((!lease.isHeld || !node.feed.isFresh) && node.parts.clock.now() < end) await edge.touchDelay.next();
     if (!lease.isHeld || !node.feed.isFresh)
       return { reason: "this node is out of touch with the store", retryAfterSeconds: 1, code: "unavailable" };
@@ -25,6 +26,7 @@
       const retryAfterSeconds = 1 + node.parts.random.draw() * 2;
       return { reason: "this node has as many links as it takes", retryAfterSeconds, code: "full" };
     }
+    edge.joinings.steps.record("admission", node.parts.clock.now() - startedAt);
     edge.admitting += 1;
     const claimed = await sessions.claim(id, end - node.parts.clock.now());
     edge.admitting -= 1;
--- a/packages/edge/src/sessions/sessions.ts
+++ b/packages/edge/src/sessions/sessions.ts
@@ -2,6 +2,7 @@
 import type { Kv, Pull, PullReply } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { EndedOwnersKey } from "@cranetrack/core/keys/endedOwnersKey.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { StepTimes } from "@cranetrack/core/runtime/stepTimes.js";
 import type { LeaseKeepAlive } from "@cranetrack/core/store/leaseKeepAlive.js";
 import type { Body, BodyInit } from "@cranetrack/core/rpc/wire.js";
 import { OwnerEnds } from "./ownerEnds.js";
@@ -9,6 +10,7 @@
 import { SubscriptionKey } from "../subscriptions/subscriptionKey.js";
 import { readOwner, type Owner, type OwnerRead } from "./readOwner.js";
 import { Session } from "./session.js";
+import type { JoiningStep } from "./joiningStats.js";
 
 /** Why a session could not be claimed, and when the client may try again. */
 interface NotClaimed {
@@ -56,6 +58,7 @@
 
   readonly #node: ClusterNode;
   readonly #lease: LeaseKeepAlive;
+  readonly #steps: StepTimes<JoiningStep>;
   readonly #table = new Map<string, Session>();
   readonly #claiming = new Set<string>();
   readonly #ownerEnds: OwnerEnds;
@@ -64,10 +67,11 @@
   /** State already shipped, for a new owner whose reply was lost. */
   readonly #shipped = new Map<string, Shipped>();
 
-  constructor(node: ClusterNode, lease: LeaseKeepAlive) {
+  constructor(node: ClusterNode, lease: LeaseKeepAlive, steps: StepTimes<JoiningStep>) {
     super();
     this.#node = node;
     this.#lease = lease;
+    this.#steps = steps;
     this.#ownerEnds = new OwnerEnds(node.parts.clock, node.parts.settings.redeliveryMs);
     node.rpc.serve("pull", (pull) => this.#ship(pull));
     lease.on("lost", () => this.#dropAll());
@@ -130,7 +134,9 @@
     if (!this.#lease.isHeld) return { retryAfterSeconds: 1, reason: "this node has no lease" };
     const key = OwnerKey.of(id);
     // Step 2, owner key.
-    const read = await readOwner(this.#node.store, id, [SubscriptionKey.prefix(id)]);
+    const read = await this.#steps.measure("ownerRead", () =>
+      readOwner(this.#node.store, id, [SubscriptionKey.prefix(id)]),
+    );
     if (read === undefined)
       return { retryAfterSeconds: 1, reason: "the store does not answer", isStoreUnavailable: true };
     const { owner } = read;
@@ -139,10 +145,8 @@
     if (shipped === "freed" || (shipped !== undefined && "retryAfterSeconds" in shipped)) return shipped;
     // Step 5, overwrite: after the transfer, so that two nodes never both hold the session's state as owner.
     const value = OwnerKey.write({ node: this.#node.rpc.name, lease });
-    const written = await this.#node.store.txn({
-      checks: [{ key, revision: owner?.revision ?? 0 }],
-      puts: [{ key, value, lease }],
-    });
+    const txn = { checks: [{ key, revision: owner?.revision ?? 0 }], puts: [{ key, value, lease }] };
+    const written = await this.#steps.measure("claim", () => this.#node.store.txn(txn));
     if (written.outcome === "conflict") return { retryAfterSeconds: 0.1, reason: "another resume of this session won" };
     const revision =
       written.outcome === "done" ? written.revision! : await this.#resolveUnknownWrite(id, lease, written.outcome);
@@ -202,7 +206,7 @@
     }
     if (owner.node === this.#node.rpc.name) return undefined;
     this.emit("step", "pull", id);
-    const reply = await this.#ask(id, owner);
+    const reply = await this.#steps.measure("pull", () => this.#ask(id, owner));
     if (reply?.case !== "pullReply") return this.#unanswered(id, owner);
     if (reply.value.outcome !== "shipped")
       return {
