--- a/packages/testkit/src/sim/simClock.ts
+++ b/packages/testkit/src/sim/simClock.ts
@@ -1,4 +1,5 @@
 import type { TimerHandle, Clock } from "@cranetrack/core/runtime/clock.js";
+import { processorCosts, type SimProcessor } from "./simProcessor.js";
 import type { SimWorld } from "./simWorld.js";
 
 /** What a machine's state does to whatever happens on it. */
@@ -7,6 +8,8 @@
   pausedUntil: number;
   /** How fast its clock runs: 1.02 gains two hundredths. */
   rate?: number;
+  /** None given, its work takes no time. */
+  processor?: SimProcessor | undefined;
 }
 
 /** A process's view of virtual time: beats stop with it, and wait while it is paused. */
@@ -49,7 +52,11 @@
     this.#world.at(at, () => {
       if (tick.isOff || this.#body.isDead) return;
       if (this.#body.pausedUntil > this.#world.now) return this.#fire(this.#body.pausedUntil, tick, callback);
-      callback();
+      const { processor } = this.#body;
+      if (processor === undefined) return callback();
+      processor.run(processorCosts.timer, () => {
+        if (!tick.isOff && !this.#body.isDead) callback();
+      });
     });
   }
 }
--- a/packages/testkit/src/sim/simDisk.ts
+++ b/packages/testkit/src/sim/simDisk.ts
@@ -1,5 +1,6 @@
 import type { Disk, DiskChange } from "@cranetrack/core/storage/disk.js";
 import type { SimBody } from "./simClock.js";
+import { processorCosts } from "./simProcessor.js";
 import type { SimWorld } from "./simWorld.js";
 
 /**
@@ -38,6 +39,7 @@
         this.onRefuse = undefined;
         if (!body.isDead) refuse?.();
         if (body.isDead) return new Promise(() => undefined);
+        body.processor?.charge(processorCosts.diskWrite);
         SimDisk.#apply(live, changes);
         this.#waiting.push(changes);
         return this.#sync(body);
--- a/packages/testkit/src/sim/simFleet.ts
+++ b/packages/testkit/src/sim/simFleet.ts
@@ -4,6 +4,7 @@
 import { SimDisk } from "./simDisk.js";
 import { SimNode } from "./simNode.js";
 import { SimPort } from "./simPort.js";
+import { SimProcessor } from "./simProcessor.js";
 import { SimWires } from "./simTransport.js";
 import { SimWorld } from "./simWorld.js";
 
@@ -14,6 +15,8 @@
   running: SimNode | undefined;
   incarnations: number;
   rate: number;
+  /** Of a core; undefined where its work takes no time. */
+  processorShare: number | undefined;
   /** How far its time of day is off; only the number of a process's life comes of it. */
   wallMs: number;
   /** Whether it was ever started; and whether it is gone for good. */
@@ -65,6 +68,7 @@
       running: undefined,
       incarnations: 0,
       rate: 1,
+      processorShare: undefined,
       wallMs: 0,
       isUsed: false,
       isRetired: false,
@@ -116,7 +120,9 @@
     slot.incarnations += 1;
     slot.isUsed = true;
     const startedAt = SimFleet.epochMs + Math.floor(this.world.now + slot.wallMs) + slot.incarnations;
-    slot.running = new SimNode(this.world, this.wires, slot.disk, slot.settings, startedAt, slot.rate);
+    const { rate, processorShare } = slot;
+    const machine = { rate, processorShare };
+    slot.running = new SimNode(this.world, this.wires, slot.disk, slot.settings, startedAt, machine);
     return slot.running;
   }
 
@@ -162,6 +168,13 @@
     this.#slots.get(name)!.rate = rate;
   }
 
+  /** Which share of a core a machine's process has, at once and from its next start on. */
+  setProcessorShare(name: string, share: number): void {
+    const slot = this.#slots.get(name)!;
+    slot.processorShare = share;
+    if (slot.running !== undefined) slot.running.body.processor = new SimProcessor(this.world, share);
+  }
+
   /** The control node that proposes and knows that it does. */
   get leader(): string | undefined {
     return this.withRole("lathe").find((name) => {
--- a/packages/testkit/src/sim/simNode.ts
+++ b/packages/testkit/src/sim/simNode.ts
@@ -11,10 +11,19 @@
 import { EdgeNode } from "@cranetrack/edge/edgeNode.js";
 import { EdgeCalls } from "@cranetrack/edge/connections/edgeCalls.js";
 import { SimClock, type SimBody } from "./simClock.js";
+import { SimProcessor } from "./simProcessor.js";
 import type { SimDisk } from "./simDisk.js";
 import type { SimWires } from "./simTransport.js";
 import type { SimWorld } from "./simWorld.js";
 
+/** What a process runs on. */
+interface SimMachine {
+  /** How fast its clock runs. */
+  readonly rate: number;
+  /** Of a core; undefined where its work takes no time. */
+  readonly processorShare: number | undefined;
+}
+
 /** One process's life in the simulator: the production classes over simulated seams. */
 export class SimNode {
   readonly body: SimBody;
@@ -30,8 +39,17 @@
   /** Why it would not start, as a process would exit. */
   readonly fault: string | undefined;
 
-  constructor(world: SimWorld, wires: SimWires, disk: SimDisk, settings: Settings, incarnation: number, rate: number) {
-    this.body = { isDead: false, pausedUntil: 0, rate };
+  constructor(
+    world: SimWorld,
+    wires: SimWires,
+    disk: SimDisk,
+    settings: Settings,
+    incarnation: number,
+    machine: SimMachine,
+  ) {
+    const { rate, processorShare } = machine;
+    const processor = processorShare === undefined ? undefined : new SimProcessor(world, processorShare);
+    this.body = { isDead: false, pausedUntil: 0, rate, processor };
     this.clock = new SimClock(world, this.body);
     this.log = new LogBuffer(settings.name, () => undefined);
     const random = world.random.fork();
--- a/packages/testkit/src/sim/simTransport.ts
+++ b/packages/testkit/src/sim/simTransport.ts
@@ -2,6 +2,7 @@
 import type { Transport } from "@cranetrack/core/transport/transport.js";
 import { Wire } from "@cranetrack/core/rpc/wire.js";
 import type { SimBody } from "./simClock.js";
+import { processorCosts } from "./simProcessor.js";
 import type { SimWorld } from "./simWorld.js";
 
 interface Port {
@@ -43,7 +44,9 @@
     return {
       address,
       send: (to, bytes) => {
-        if (!body.isDead) this.#send(port, address, to, bytes);
+        if (body.isDead) return;
+        body.processor?.charge(processorCosts.frameSent + (bytes.length / 1024) * processorCosts.kilobyte);
+        this.#send(port, address, to, bytes);
       },
       isReachable: (to) => !port.unreachable.has(to),
       onFrame: (take) => void (port.take = take),
@@ -142,7 +145,8 @@
   #carry(from: string, to: string, bytes: Uint8Array, delay: number): void {
     const slowness = (this.slow.get(from) ?? 0) + (this.slow.get(to) ?? 0);
     const key = `${from}>${to}`;
-    const wanted = this.#world.now + delay + this.#world.random.between(0.2, 2) + slowness * this.#world.random.draw();
+    const leavesAt = this.#ports.get(from)?.body.processor?.busyUntil ?? this.#world.now;
+    const wanted = leavesAt + delay + this.#world.random.between(0.2, 2) + slowness * this.#world.random.draw();
     const at = delay > 0 ? wanted : Math.max(wanted, this.#lastAt.get(key) ?? 0);
     if (delay === 0) this.#lastAt.set(key, at);
     const resets = this.#resets.get(key);
@@ -159,6 +163,12 @@
     this.#world.digestEvent(`${this.#world.now} ${key} `);
     this.#world.digestEvent(bytes);
     const frame = Wire.decode(bytes);
-    if (frame !== undefined) port.take(frame);
+    if (frame === undefined) return;
+    const { processor } = port.body;
+    if (processor === undefined) return port.take(frame);
+    const costMs = processorCosts.frameReceived + (bytes.length / 1024) * processorCosts.kilobyte;
+    processor.run(costMs, () => {
+      if (!port.body.isDead) port.take(frame);
+    });
   }
 }
