Calls: a peer that answers other calls is slow, not gone

What callers saw: joinings cut and repeated while no machine was down. Change: a call that is due waits one more turn, so that a reply that lies behind a late timer is taken; a peer is marked only where it has answered no call for 350 ms, or its connection broke.

--- a/packages/core/src/rpc/rpcEndpoint.ts
+++ b/packages/core/src/rpc/rpcEndpoint.ts
@@ -65,6 +65,8 @@
   /** How often an unresponsive peer is pinged, and how long its answer outweighs frames that came by a relay. */
   static readonly probeMs = 400;
   static readonly provenMs = 1500;
+  /** A peer that answered any call within this time is slow at most, not gone. */
+  static readonly answeringMs = 350;
 
   readonly name: string;
   readonly #transport: Transport;
@@ -78,6 +80,8 @@
    */
   readonly #unresponsive = new Set<string>();
   readonly #proven = new Map<string, number>();
+  /** When each peer last answered a call directly. */
+  readonly #answeredAt = new Map<string, number>();
   /** Which node relays frames to an unresponsive peer. */
   readonly #relays = new Map<string, string>();
   #lastId = 0;
@@ -155,7 +159,7 @@
         resolve(reply);
       };
       const pending = { id: 0, complete, to, body, isOnce: !mayRepeat(body), calleeIncarnation: 0 };
-      const timer = this.#clock.once(timeoutMs, () => this.#onTimeout(pending));
+      const timer = this.#clock.once(timeoutMs, () => this.#onDue(pending));
       this.#open(pending);
     });
   }
@@ -163,7 +167,7 @@
   /** Completes every open call to a node that is known to be gone with undefined, at once. */
   abandonCallsTo(name: string): void {
     this.#incarnations.delete(name);
-    for (const pending of [...this.#pending.values()]) if (pending.to === name) this.#onTimeout(pending);
+    for (const pending of [...this.#pending.values()]) if (pending.to === name) this.#onLost(pending);
   }
 
   #open(pending: PendingCall): void {
@@ -174,7 +178,22 @@
     this.#send(pending.to, { id, isReply: false, body, callerIncarnation: this.#incarnation, calleeIncarnation });
   }
 
+  /** Where this process itself is late, the reply may wait behind the timer: it is taken first. */
+  #onDue(pending: PendingCall): void {
+    this.#clock.once(0, () => {
+      if (this.#pending.get(pending.id) === pending) this.#onTimeout(pending);
+    });
+  }
+
+  /** A peer that answers other calls is only slow: routing around it would add to its load and to others'. */
   #onTimeout(pending: PendingCall): void {
+    pending.complete(undefined);
+    const silentMs = this.#clock.now() - (this.#answeredAt.get(pending.to) ?? -Infinity);
+    if (silentMs > RpcEndpoint.answeringMs) this.#markUnresponsive(pending.to);
+  }
+
+  /** The connection that the call went by is gone. */
+  #onLost(pending: PendingCall): void {
     pending.complete(undefined);
     this.#markUnresponsive(pending.to);
   }
@@ -187,7 +206,7 @@
   /** The connection to an address broke: the process there now may be another incarnation. */
   #onConnectionLost(address: string): void {
     for (const pending of [...this.#pending.values()])
-      if (this.addressOf(pending.to) === address) this.#onTimeout(pending);
+      if (this.addressOf(pending.to) === address) this.#onLost(pending);
     for (const name of [...this.#incarnations.keys()])
       if (this.addressOf(name) === address) this.#incarnations.delete(name);
   }
@@ -298,6 +317,7 @@
     else if (!isReplyTo(pending.body.case, frame.body.case)) this.dropped.otherKind += 1;
     else {
       this.#incarnations.set(frame.from, frame.calleeIncarnation);
+      if (frame.hops === 0) this.#answeredAt.set(frame.from, this.#clock.now());
       pending.complete(frame.body);
     }
   }
