Follows rest on the leader's lease, without a round for each

What callers saw: subscribing took a second and more when a crowd came. Cause: each follow of a shard was confirmed by a round of its leader with its replicas: four appends and four replies for each. Change: a follow is answered while the leader's lease is held, within which nobody else can have taken over. Starts that are asked of the leader by themselves are confirmed by a round as before.

--- a/packages/log-storage/src/shards/followHandler.ts
+++ b/packages/log-storage/src/shards/followHandler.ts
@@ -71,9 +71,8 @@
         return this.#streams.incarnationOf({ stream, space: "", spaceIncarnation });
       }),
     );
-    // A head may become somebody's start only if nobody has taken over meanwhile.
-    if (!this.#authority.isOpen || !(await this.#leader.confirm()) || !this.#authority.isOpen)
-      return { case: "followReply", value: { outcome: "away" } };
+    // While the lease is held nobody else can have taken over: no round is needed for these heads.
+    if (!this.#authority.isOpen) return { case: "followReply", value: { outcome: "away" } };
     if (this.#followers.isStale(follow)) return { case: "followReply", value: { outcome: "resync" } };
     const { heads, number } = this.#followers.admit(follow, followed, edge);
     const found = new Set(heads.map((head) => head.stream));
