--- a/packages/control/src/store/metadata.test.ts
+++ b/packages/control/src/store/metadata.test.ts
@@ -1,6 +1,7 @@
 import { test } from "node:test";
 import { create, toBinary, type MessageInitShape } from "@bufbuild/protobuf";
 import { StoreCommandSchema, type TxnSchema } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { OwnerKey } from "@cranetrack/core/keys/ownerKey.js";
 import { IncarnationsKey } from "@cranetrack/core/keys/incarnationsKey.js";
 import { PackedValue, packing } from "@cranetrack/core/store/packedValue.js";
 import { expect } from "earl";
@@ -121,3 +122,26 @@
   apply(founded, put(1, ["a/"], true));
   expect(text(founded, IncarnationsKey.name)).toEqual('{"mark":1,"spaces":{},"nested":[]}');
 });
+
+/** Guards against a crowd's claims that are decided together: one that comes too late held up the others. */
+test("claims of owners in one entry are granted or not each by itself, and none without the lease", () => {
+  const state = new Metadata();
+  const run = (command: MessageInitShape<typeof StoreCommandSchema>["command"]): Applied =>
+    state.apply(state.revision + 1, toBinary(StoreCommandSchema, create(StoreCommandSchema, { command })));
+  const claim = (node: string, ...claims: Array<{ session: string; revision?: number }>): Applied =>
+    run({ case: "claimOwners", value: { node, lease: `${node}/1`, claims } });
+  const ownerOf = (session: string): string => {
+    const kv = state.get(OwnerKey.of(session));
+    return kv === undefined ? "nobody" : `${OwnerKey.read(kv.value)!.node} since ${kv.revision}`;
+  };
+  expect(claim("vise-1", { session: "desk" }).outcome).toEqual("lost");
+  expect(ownerOf("desk")).toEqual("nobody");
+  run({ case: "grant", value: { lease: "vise-1/1", length: 4000 } });
+  run({ case: "grant", value: { lease: "vise-2/1", length: 4000 } });
+  expect(claim("vise-1", { session: "desk" }, { session: "pen" }).changes.length).toEqual(2);
+  const late = claim("vise-2", { session: "desk" }, { session: "pen", revision: 4 }, { session: "ink" });
+  expect([late.outcome, late.changes.map(({ key }) => key)]).toEqual(["done", ["pen", "ink"].map(OwnerKey.of)]);
+  expect(["desk", "pen", "ink"].map(ownerOf)).toEqual(["vise-1 since 4", "vise-2 since 5", "vise-2 since 5"]);
+  run({ case: "revoke", value: { lease: "vise-2/1" } });
+  expect(["desk", "pen", "ink"].map(ownerOf)).toEqual(["vise-1 since 4", "nobody", "nobody"]);
+});
--- a/packages/control/src/store/metadata.ts
+++ b/packages/control/src/store/metadata.ts
@@ -4,11 +4,14 @@
   KvSchema,
   StoreCommandSchema,
   StoreSnapshotSchema,
+  type ClaimOwners,
   type Kv,
   type Members,
+  type OwnerClaim,
   type Txn,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { EndedOwnersKey, sessionOfOwnerKey } from "@cranetrack/core/keys/endedOwnersKey.js";
+import { OwnerKey } from "@cranetrack/core/keys/ownerKey.js";
 import { IncarnationsKey } from "@cranetrack/core/keys/incarnationsKey.js";
 import { ConfigurationKey, type ConfigurationOutline } from "@cranetrack/core/keys/configurationKey.js";
 import { EarlierIncarnations } from "@cranetrack/core/keys/earlierIncarnations.js";
@@ -76,9 +79,15 @@
       return { outcome: lease === undefined ? "lost" : "done", revision: index, kvs: [], changes };
     }
     if (command.case === "txn") return this.#txn(index, command.value, changes);
+    if (command.case === "claimOwners") return this.#claimOwners(index, command.value, changes);
     return { outcome: "done", revision: index, kvs: [], changes };
   }
 
+  /** Whether the session's owner key is the one that the claim expects. */
+  isGrantable({ session, revision }: OwnerClaim): boolean {
+    return (this.#keys.get(OwnerKey.of(session))?.revision ?? 0) === revision;
+  }
+
   /** The whole state as bytes, with the members that the caller hands it. */
   snapshot(members: Members | undefined): Uint8Array {
     const leases = [...this.#leases].map(([lease, { length }]) => ({ lease, length }));
@@ -134,6 +143,16 @@
     return { outcome: "done", revision: index, kvs: [], changes };
   }
 
+  /** Each claim is granted or not by itself: one that comes too late doesn't hold up the others. */
+  #claimOwners(index: number, { node, lease, claims }: ClaimOwners, changes: Kv[]): Applied {
+    if (!this.#leases.has(lease)) return { outcome: "lost", revision: index, kvs: [], changes };
+    const value = OwnerKey.write({ node, lease });
+    const granted = claims.filter((claim) => this.isGrantable(claim));
+    const puts = granted.map(({ session }) => create(KvSchema, { key: OwnerKey.of(session), value, lease }));
+    this.#putAll(puts, index, changes);
+    return { outcome: "done", revision: index, kvs: [], changes };
+  }
+
   #putAll(puts: readonly Kv[], index: number, changes: Kv[]): void {
     for (const kv of puts) {
       this.#leases.get(this.#keys.get(kv.key)?.lease ?? "")?.keys.delete(kv.key);
--- a/packages/control/src/store/storeService.ts
+++ b/packages/control/src/store/storeService.ts
@@ -1,8 +1,7 @@
-import { create, toBinary, type MessageInitShape } from "@bufbuild/protobuf";
+import { create } from "@bufbuild/protobuf";
 import {
   KvSchema,
   StoreCallSchema,
-  StoreCommandSchema,
   type Check,
   type FeedState,
   type Kv,
@@ -16,10 +15,12 @@
 import { StepTimes, type StepTime } from "@cranetrack/core/runtime/stepTimes.js";
 import type { Outcome } from "@cranetrack/core/store/storeClient.js";
 import type { BodyInit } from "@cranetrack/core/rpc/wire.js";
+import { encodeCommand } from "./encodeCommand.js";
 import { Feeds } from "./feeds.js";
 import { LeaderForwarding } from "./leaderForwarding.js";
 import { Leases } from "./leases.js";
 import type { RaftNode } from "../consensus/raftNode.js";
+import { OwnerClaims } from "./ownerClaims.js";
 import { ValueHistory } from "./valueHistory.js";
 import { MemberChanges } from "../membership/memberChanges.js";
 
@@ -37,6 +38,7 @@
   readonly #memberChanges: MemberChanges;
   readonly #forwarding: LeaderForwarding;
   readonly #times: StepTimes<string>;
+  readonly #ownerClaims: OwnerClaims;
 
   constructor(node: ClusterNode, raft: RaftNode) {
     this.#raft = raft;
@@ -48,6 +50,7 @@
       node.parts.clock,
       (lease) => void raft.propose(encodeCommand({ case: "revoke", value: { lease } })),
     );
+    this.#ownerClaims = new OwnerClaims(raft, (lease) => this.#leases.remainingMs(lease));
     const emptyRead = create(StoreCallSchema, { call: { case: "read", value: {} } });
     this.#values.reset(raft.metadata.range(""));
     raft.on("applied", ({ changes }) => this.#values.keep(changes));
@@ -75,7 +78,7 @@
   /** Carries out one call, here or at the leader. */
   async run(call: StoreCall): Promise<Outcome> {
     if (call.call.case === "feeds") return { outcome: "done", feeds: this.#feeds.states() };
-    if (!this.#raft.isLeader) return (await this.#forwarding.forward([call]))[0]!;
+    if (!this.#raft.isLeader) return (await this.#runElsewhere([call]))[0]!;
     return this.#times.measure(call.call.case ?? "unknown", () => this.#runAsLeader(call));
   }
 
@@ -99,6 +102,8 @@
         if (!(await this.#raft.confirm())) return { outcome: "away", retryAfterSeconds: 1 };
         return { outcome: isThere ? "done" : "lost" };
       }
+      case "claimOwners":
+        return this.#ownerClaims.run(call.call.value);
       case "join":
         if (!(await this.#raft.confirm())) return { outcome: "away", retryAfterSeconds: 1 };
         return this.#memberChanges.join(call.call.value);
@@ -109,7 +114,17 @@
 
   /** Calls that a node made in one turn: forwarded in one frame. */
   #runAll(calls: StoreCall[]): Promise<Outcome[]> {
-    return this.#raft.isLeader ? Promise.all(calls.map((call) => this.run(call))) : this.#forwarding.forward(calls);
+    return this.#raft.isLeader ? Promise.all(calls.map((call) => this.run(call))) : this.#runElsewhere(calls);
+  }
+
+  /** At the leader; but first claims of sessions that have an owner are answered from what is applied here. */
+  async #runElsewhere(calls: StoreCall[]): Promise<Outcome[]> {
+    const split = calls.map((call) => this.#ownerClaims.answerApplied(call));
+    const left = split.flatMap(({ left }) => left ?? []);
+    const outcomes = left.length === 0 ? [] : await this.#forwarding.forward(left);
+    return split.map((one) =>
+      one.left === undefined ? one.applied : OwnerClaims.merge(outcomes.shift()!, one.applied),
+    );
   }
 
   /** Tells the nodes that follow the store here to go on at other control nodes at once. */
@@ -165,7 +180,3 @@
     return [create(KvSchema, { key: MembersKey.name, value: MembersKey.write({ voters }) })];
   }
 }
-
-function encodeCommand(command: MessageInitShape<typeof StoreCommandSchema>["command"]): Uint8Array {
-  return toBinary(StoreCommandSchema, create(StoreCommandSchema, { command }));
-}
--- a/packages/edge/src/sessions/ownerKey.ts
+++ b/packages/core/src/keys/ownerKey.ts
@@ -1,5 +1,5 @@
-import { sessionOfOwnerKey } from "@cranetrack/core/keys/endedOwnersKey.js";
-import { JsonValue } from "@cranetrack/core/keys/jsonValue.js";
+import { sessionOfOwnerKey } from "./endedOwnersKey.js";
+import { JsonValue } from "./jsonValue.js";
 
 /** The stored value: the owning node, and its lease, with which the key ends. */
 export interface OwnerRecord {
@@ -17,6 +17,11 @@
     return `sessions/${session}/owner`;
   },
 
+  /** What all keys of a session begin with: its owner and its kept subscriptions. */
+  prefix(session: string): string {
+    return `sessions/${session}/`;
+  },
+
   /** The session that a key is about, if it is such a key. */
   sessionOf(key: string): string | undefined {
     return sessionOfOwnerKey(key);
--- a/packages/core/src/rpc/callKinds.ts
+++ b/packages/core/src/rpc/callKinds.ts
@@ -105,6 +105,7 @@
 export const storeCallKinds = {
   txn: once("it may have no checks, and one with checks would conflict with itself"),
   read: changesNothing,
+  claimOwners: once("a later one finds its own key, and may find none where the session was released meanwhile"),
   grant: repeatable(
     "the lease's identity: one that is there stays as it is, one brought back has no keys and runs out",
   ),
--- a/packages/core/src/store/storeClient.ts
+++ b/packages/core/src/store/storeClient.ts
@@ -25,7 +25,7 @@
   static readonly readMs = 300;
   static readonly maxBatch = 200;
   static readonly waitMs = 200;
-  static readonly tryMs: Readonly<Record<string, number>> = { txn: 700, renew: 800 };
+  static readonly tryMs: Readonly<Record<string, number>> = { txn: 700, claimOwners: 700, renew: 800 };
 
   readonly #rpc: RpcEndpoint;
   readonly #membership: Membership;
--- /dev/null
+++ b/packages/edge/src/sessions/claimQueue.ts
@@ -0,0 +1,106 @@
+import type { Kv } from "@cranetrack/core/gen/cranetrack_pb.js";
+import { EndedOwnersKey } from "@cranetrack/core/keys/endedOwnersKey.js";
+import { OwnerKey } from "@cranetrack/core/keys/ownerKey.js";
+import type { Outcome, StoreClient } from "@cranetrack/core/store/storeClient.js";
+import { ownerOf, type Owner } from "./readOwner.js";
+
+/** A session that is to be owned under a lease, if its owner key has this revision; 0 where there must be none. */
+export interface OwnerClaim {
+  readonly session: string;
+  readonly lease: string;
+  readonly revision: number;
+  /** Whoever else owns it must be known for certain. */
+  readonly isConfirmed: boolean;
+}
+
+/**
+ * What became of a claim. `owned`: the key has another revision; `free`: it had the revision no more, and nobody owns
+ * the session; `lost`: the lease is gone; `unsure`: it may have been granted; `away`: it was not.
+ */
+export type ClaimAnswer =
+  | { readonly outcome: "granted"; readonly revision: number; readonly ownersEndedAt: number; readonly kvs: Kv[] }
+  | { readonly outcome: "owned"; readonly owner: Owner }
+  | { readonly outcome: "free" | "lost" | "unsure" | "away" };
+
+interface WaitingClaim extends OwnerClaim {
+  readonly resolve: (answer: ClaimAnswer) => void;
+}
+
+/**
+ * Claims of owner keys on their way to the store. Few calls are under way at a time, and claims that wait meanwhile go
+ * together in the next one: the more sessions come back at once, the less each costs the store.
+ */
+export class ClaimQueue {
+  static readonly maxCalls = 4;
+  static readonly maxClaims = 200;
+
+  readonly #store: Pick<StoreClient, "call">;
+  readonly #node: string;
+  #waiting: WaitingClaim[] = [];
+  #callCount = 0;
+  #isScheduled = false;
+
+  /** `node`: the name of the node that claims. */
+  constructor(store: Pick<StoreClient, "call">, node: string) {
+    this.#store = store;
+    this.#node = node;
+  }
+
+  /** Never rejects. */
+  claim(claim: OwnerClaim): Promise<ClaimAnswer> {
+    return new Promise((resolve) => {
+      this.#waiting.push({ ...claim, resolve });
+      this.#schedule();
+    });
+  }
+
+  /** Claims of one turn go together. */
+  #schedule(): void {
+    if (this.#isScheduled) return;
+    this.#isScheduled = true;
+    queueMicrotask(() => {
+      this.#isScheduled = false;
+      while (this.#callCount < ClaimQueue.maxCalls && this.#waiting.length > 0) void this.#send(this.#takeBatch());
+    });
+  }
+
+  /** The first claims that wait, as far as they are under one lease. */
+  #takeBatch(): WaitingClaim[] {
+    const { lease } = this.#waiting[0]!;
+    const batch = this.#waiting.filter((claim) => claim.lease === lease).slice(0, ClaimQueue.maxClaims);
+    const taken = new Set(batch);
+    this.#waiting = this.#waiting.filter((claim) => !taken.has(claim));
+    return batch;
+  }
+
+  async #send(batch: readonly WaitingClaim[]): Promise<void> {
+    this.#callCount += 1;
+    const claims = batch.map(({ session, revision, isConfirmed }) => ({ session, revision, isConfirmed }));
+    const value = { node: this.#node, lease: batch[0]!.lease, claims };
+    const outcome = await this.#store.call({ case: "claimOwners", value });
+    this.#callCount -= 1;
+    const keys = new Map((outcome.kvs ?? []).map((kv) => [kv.key, kv]));
+    for (const claim of batch) claim.resolve(ClaimQueue.#answerOf(claim, outcome, keys));
+    if (this.#waiting.length > 0) this.#schedule();
+  }
+
+  static #answerOf({ session }: WaitingClaim, outcome: Outcome, keys: ReadonlyMap<string, Kv>): ClaimAnswer {
+    const kv = keys.get(OwnerKey.of(session));
+    const isGranted = outcome.outcome === "done" && kv !== undefined && kv.revision === outcome.revision;
+    // Word of another owner holds whatever became of the claims that were passed on.
+    if (kv !== undefined && !isGranted) return { outcome: "owned", owner: ownerOf(kv) };
+    if (outcome.outcome !== "done") return { outcome: ClaimQueue.#failureOf(outcome) };
+    if (kv === undefined) return { outcome: "free" };
+    const prefix = OwnerKey.prefix(session);
+    return {
+      outcome: "granted",
+      revision: kv.revision,
+      ownersEndedAt: keys.get(EndedOwnersKey.name)?.revision ?? 0,
+      kvs: [...keys.values()].filter(({ key }) => key !== kv.key && key.startsWith(prefix)),
+    };
+  }
+
+  static #failureOf({ outcome }: Outcome): "lost" | "unsure" | "away" {
+    return outcome === "lost" || outcome === "unsure" ? outcome : "away";
+  }
+}
--- a/packages/edge/src/sessions/joiningStats.ts
+++ b/packages/edge/src/sessions/joiningStats.ts
@@ -5,12 +5,10 @@
 export type JoiningStep =
   /** Until the node has its lease, is in touch with the store, and admits the connection. */
   | "admission"
-  /** The owner key is read. */
-  | "ownerRead"
+  /** The owner key is claimed, or its owner is told. */
+  | "claim"
   /** The old owner stops and ships the session. */
   | "pull"
-  /** The owner key is written. */
-  | "claim"
   /** From the connection's first attempt to its answer. */
   | "greeting"
   /** From the request for topics to the answer where they start. */
--- a/packages/edge/src/sessions/readOwner.ts
+++ b/packages/edge/src/sessions/readOwner.ts
@@ -1,7 +1,7 @@
 import type { Kv } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { EndedOwnersKey } from "@cranetrack/core/keys/endedOwnersKey.js";
 import type { StoreClient } from "@cranetrack/core/store/storeClient.js";
-import { OwnerKey, type OwnerRecord } from "./ownerKey.js";
+import { OwnerKey, type OwnerRecord } from "@cranetrack/core/keys/ownerKey.js";
 
 /** An owner key as read: its revision, by which it may be overwritten, and how many ms its lease has left. */
 export type Owner = OwnerRecord & { revision: number; leaseLeft: number };
@@ -30,11 +30,15 @@
   if (read.outcome !== "done") return undefined;
   const kvs = read.kvs ?? [];
   const kept = kvs.find((kv) => kv.key === key);
-  const record = kept === undefined ? undefined : OwnerKey.read(kept.value);
   const ended = kvs.find((kv) => kv.key === EndedOwnersKey.name);
   const rest = { ownersEndedAt: ended?.revision ?? 0, kvs: kvs.filter((kv) => kv !== kept && kv !== ended) };
   if (kept === undefined) return { owner: undefined, ...rest };
+  return { owner: ownerOf(kept), ...rest };
+}
+
+/** An owner key as it came from the store. */
+export function ownerOf({ value, revision, leaseLeft }: Kv): Owner {
   // Foreign bytes under the key: nobody's claim, but the key's revision must be known to overwrite it.
-  const { node, lease } = record ?? { node: "", lease: "" };
-  return { owner: { node, lease, revision: kept.revision, leaseLeft: kept.leaseLeft }, ...rest };
+  const { node, lease } = OwnerKey.read(value) ?? { node: "", lease: "" };
+  return { node, lease, revision, leaseLeft };
 }
--- a/packages/edge/src/sessions/sessions.ts
+++ b/packages/edge/src/sessions/sessions.ts
@@ -1,14 +1,15 @@
 import { EventEmitter } from "node:events";
 import type { Kv, Pull, PullReply } from "@cranetrack/core/gen/cranetrack_pb.js";
 import { EndedOwnersKey } from "@cranetrack/core/keys/endedOwnersKey.js";
+import { OwnerKey } from "@cranetrack/core/keys/ownerKey.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
 import type { StepTimes } from "@cranetrack/core/runtime/stepTimes.js";
 import type { LeaseKeepAlive } from "@cranetrack/core/store/leaseKeepAlive.js";
 import type { Body, BodyInit } from "@cranetrack/core/rpc/wire.js";
+import { ClaimQueue, type ClaimAnswer, type OwnerClaim } from "./claimQueue.js";
 import { OwnerEnds } from "./ownerEnds.js";
-import { OwnerKey } from "./ownerKey.js";
 import { SubscriptionKey } from "../subscriptions/subscriptionKey.js";
-import { readOwner, type Owner, type OwnerRead } from "./readOwner.js";
+import { readOwner, type Owner } from "./readOwner.js";
 import { Session } from "./session.js";
 import type { JoiningStep } from "./joiningStats.js";
 
@@ -21,6 +22,13 @@
 }
 /** The session, owned by this node; or when the claim may be tried again. */
 export type Claimed = { session: Session } | NotClaimed;
+type Granted = Extract<ClaimAnswer, { outcome: "granted" }>;
+/** What a new owner starts with. */
+interface SessionState {
+  /** From when on the publish numbers are known completely, in milliseconds of the monotonic clock. */
+  readonly completeAt: number;
+  readonly shipped?: PullReply | undefined;
+}
 interface Shipped {
   body: BodyInit;
   at: number;
@@ -32,12 +40,14 @@
  *
  * 1. Lease: each edge holds a lease in the metadata store; all its owner keys end with it (`LeaseKeepAlive`,
  * `#dropAll`).
- * 2. Owner key: the new node reads `sessions/ID/owner`, its revision included (`readOwner`).
+ * 2. Owner key: the new node claims `sessions/ID/owner`, together with others (`ClaimQueue`). Where the key is there
+ *    already, it is told the owner and the key's revision; that may be old, and nothing but the owner's answer and
+ *    step 5 rests on it.
  * 3. Stop: the new node asks the old owner over RPC, not through the store (`#pull`); the old owner closes the client's
  *    connection and takes nothing more for the session (`#ship`).
  * 4. Ship: it replies with publish numbers and cursors (`#prepare`).
  * 5. Overwrite: only then does the new node write the owner key under its own lease, by compare-and-set on the revision
- *    read in step 2 (`#claim`). The revision written is the session's epoch, the fencing token of its publishes.
+ *    of step 2 (`#claim`). The revision written is the session's epoch, the fencing token of its publishes.
  *
  * An owner that does not answer keeps the key until its lease runs out.
  * Invariant: a session is in the table only while its owner key was last seen written with this node's
@@ -61,6 +71,7 @@
   readonly #steps: StepTimes<JoiningStep>;
   readonly #table = new Map<string, Session>();
   readonly #claiming = new Set<string>();
+  readonly #claims: ClaimQueue;
   readonly #ownerEnds: OwnerEnds;
   /** Earlier leases of this node that are being given up. */
   readonly #revoking = new Map<string, Promise<boolean>>();
@@ -72,6 +83,7 @@
     this.#node = node;
     this.#lease = lease;
     this.#steps = steps;
+    this.#claims = new ClaimQueue(node.store, node.rpc.name);
     this.#ownerEnds = new OwnerEnds(node.parts.clock, node.parts.settings.redeliveryMs);
     node.rpc.serve("pull", (pull) => this.#ship(pull));
     lease.on("lost", () => this.#dropAll());
@@ -132,41 +144,59 @@
   async #claim(id: string): Promise<Claimed | "freed"> {
     const { lease } = this.#lease;
     if (!this.#lease.isHeld) return { retryAfterSeconds: 1, reason: "this node has no lease" };
-    const key = OwnerKey.of(id);
-    // Step 2, owner key.
-    const read = await this.#steps.measure("ownerRead", () =>
-      readOwner(this.#node.store, id, [SubscriptionKey.prefix(id)]),
-    );
-    if (read === undefined)
-      return { retryAfterSeconds: 1, reason: "the store does not answer", isStoreUnavailable: true };
-    const { owner } = read;
+    // Step 2, owner key: granted at once where nobody owns the session.
+    const first = await this.#claimKey({ session: id, lease, revision: 0, isConfirmed: false });
+    if (first.outcome === "granted") {
+      const completeAt = this.#ownerEnds.completeAt(first.ownersEndedAt);
+      return this.#own(id, lease, first, { completeAt });
+    }
+    if (first.outcome !== "owned") return Sessions.#notGranted(first.outcome);
+    const { owner } = first;
     // Steps 3 and 4, stop and ship, at the old owner.
-    const shipped = owner === undefined || owner.node === "" ? undefined : await this.#pull(id, owner, lease);
+    const shipped = owner.node === "" ? undefined : await this.#pull(id, owner, lease);
     if (shipped === "freed" || (shipped !== undefined && "retryAfterSeconds" in shipped)) return shipped;
     // Step 5, overwrite: after the transfer, so that two nodes never both hold the session's state as owner.
-    const value = OwnerKey.write({ node: this.#node.rpc.name, lease });
-    const txn = { checks: [{ key, revision: owner?.revision ?? 0 }], puts: [{ key, value, lease }] };
-    const written = await this.#steps.measure("claim", () => this.#node.store.txn(txn));
-    if (written.outcome === "conflict") return { retryAfterSeconds: 0.1, reason: "another resume of this session won" };
-    const revision =
-      written.outcome === "done" ? written.revision! : await this.#resolveUnknownWrite(id, lease, written.outcome);
-    if (revision === 0) return { retryAfterSeconds: 0.3, reason: "the owner key could not be written" };
+    const second = await this.#claimKey({ session: id, lease, revision: owner.revision, isConfirmed: true });
+    if (second.outcome === "owned") return { retryAfterSeconds: 0.1, reason: "another resume of this session won" };
+    if (second.outcome !== "granted") return Sessions.#notGranted(second.outcome);
+    return this.#own(id, lease, second, { completeAt: this.#completeAt(shipped?.state), shipped: shipped?.state });
+  }
+
+  /** A claim with an unknown outcome: the key says whether it was granted. */
+  async #claimKey(claim: OwnerClaim): Promise<ClaimAnswer> {
+    const answer = await this.#steps.measure("claim", () => this.#claims.claim(claim));
+    if (answer.outcome !== "unsure") return answer;
+    const { session } = claim;
+    const read = await readOwner(this.#node.store, session, [SubscriptionKey.prefix(session)]);
+    const owner = read?.owner;
+    const isOwn = owner?.node === this.#node.rpc.name && owner.lease === claim.lease;
+    if (!isOwn || owner.revision === claim.revision) return answer;
+    return { outcome: "granted", revision: owner.revision, ownersEndedAt: read!.ownersEndedAt, kvs: read!.kvs };
+  }
+
+  static #notGranted(outcome: "free" | "lost" | "unsure" | "away"): NotClaimed | "freed" {
+    if (outcome === "free") return "freed";
+    if (outcome === "lost") return { retryAfterSeconds: 0.3, reason: "the owner key could not be written" };
+    return { retryAfterSeconds: 1, reason: "the store does not answer", isStoreUnavailable: true };
+  }
+
+  /** The owner key is written: the session is this node's, unless its lease was lost meanwhile. */
+  #own(id: string, lease: string, granted: Granted, state: SessionState): Claimed {
     if (!this.#lease.isHeld || this.#lease.lease !== lease)
       return { retryAfterSeconds: 1, reason: "this node lost its lease" };
     this.emit("step", "owner-written", id);
-    const session = new Session(id, revision, this.#completeAt(read, shipped?.state));
-    this.#fill(session, read.kvs, shipped?.state);
+    const session = new Session(id, granted.revision, state.completeAt);
+    this.#fill(session, granted.kvs, state.shipped);
     this.#table.set(id, session);
     return { session };
   }
 
   /**
-   * From when on the session's publish numbers are known completely: at once where its last owner shipped them all.
-   * That nobody owns a session doesn't prove that nobody did: a key ends with the lease of an owner that was killed.
+   * From when on the publish numbers of a session that had an owner are known completely: at once where that shipped
+   * them all.
    */
-  #completeAt({ owner, ownersEndedAt }: OwnerRead, shipped: PullReply | undefined): number {
+  #completeAt(shipped: PullReply | undefined): number {
     if (shipped !== undefined && !shipped.isLost) return 0;
-    if (owner === undefined) return this.#ownerEnds.completeAt(ownersEndedAt);
     const { clock, settings } = this.#node.parts;
     return clock.now() + settings.redeliveryMs;
   }
@@ -287,19 +317,11 @@
     return { case: "pullReply", value: { outcome: "shipped", isLost: true } };
   }
 
-  /** A write with an unknown outcome: the key says whether it was done. The revision written, or 0. */
-  async #resolveUnknownWrite(id: string, lease: string, outcome: string): Promise<number> {
-    if (outcome !== "unsure") return 0;
-    const read = await readOwner(this.#node.store, id);
-    const owner = read?.owner;
-    return owner?.node === this.#node.rpc.name && owner.lease === lease ? owner.revision : 0;
-  }
-
   #fill(session: Session, kvs: Kv[], shipped: PullReply | undefined): void {
     for (const kv of kvs) {
-      const cursor = SubscriptionKey.read(kv.value);
-      if (cursor !== undefined)
-        session.resumeCursors.set(kv.key.slice(SubscriptionKey.prefix(session.id).length), cursor);
+      const prefix = SubscriptionKey.prefix(session.id);
+      const cursor = kv.key.startsWith(prefix) ? SubscriptionKey.read(kv.value) : undefined;
+      if (cursor !== undefined) session.resumeCursors.set(kv.key.slice(prefix.length), cursor);
     }
     for (const { topic, incarnation, cursor } of shipped?.subscriptions ?? [])
       session.resumeCursors.set(topic, { incarnation, seq: cursor });
--- a/packages/edge/src/subscriptions/subscribeTopics.ts
+++ b/packages/edge/src/subscriptions/subscribeTopics.ts
@@ -1,7 +1,7 @@
 import { Configurations } from "@cranetrack/core/configuration/configuration.js";
 import type { ClientConnection } from "../connections/clientConnection.js";
 import type { StreamCursor } from "./streamCursor.js";
-import { OwnerKey } from "../sessions/ownerKey.js";
+import { OwnerKey } from "@cranetrack/core/keys/ownerKey.js";
 import { Cursors } from "./cursor.js";
 import { SubscriptionKey } from "./subscriptionKey.js";
 import type { TopicFault } from "./topicFault.js";
--- a/packages/edge/src/subscriptions/unsubscribeTopic.ts
+++ b/packages/edge/src/subscriptions/unsubscribeTopic.ts
@@ -1,5 +1,5 @@
 import { ApiReplies, type ApiReply } from "@cranetrack/core/http/apiReply.js";
-import { OwnerKey } from "../sessions/ownerKey.js";
+import { OwnerKey } from "@cranetrack/core/keys/ownerKey.js";
 import { SubscriptionKey } from "./subscriptionKey.js";
 import type { Session } from "../sessions/session.js";
 import type { EdgeParts } from "../edgeParts.js";
--- a/packages/testkit/src/golden/adapter.ts
+++ b/packages/testkit/src/golden/adapter.ts
@@ -28,7 +28,7 @@
 import { LogBuffer } from "@cranetrack/core/runtime/logBuffer.js";
 import { LargeValues } from "@cranetrack/core/store/largeValues.js";
 import { PackedValue, packing } from "@cranetrack/core/store/packedValue.js";
-import { OwnerKey } from "@cranetrack/edge/sessions/ownerKey.js";
+import { OwnerKey } from "@cranetrack/core/keys/ownerKey.js";
 import { SubscriptionKey } from "@cranetrack/edge/subscriptions/subscriptionKey.js";
 import { SimRandom } from "../sim/simRandom.js";
 
--- a/packages/testkit/src/golden/wire.test.ts
+++ b/packages/testkit/src/golden/wire.test.ts
@@ -37,11 +37,18 @@
 
 const sorted = (texts: string[]): string[] => [...new Set(texts)].sort();
 
-/** Of frames, by name and number: what a sender says of the configuration that it goes by. */
+/** Claims of owners, which have a golden of their own (`claimWire.test.ts`). */
+const claimFields = [
+  ...["OwnerClaim 1", "OwnerClaim 2", "OwnerClaim 3"],
+  ...["ClaimOwners 1", "ClaimOwners 2", "ClaimOwners 3"],
+].map((field) => `cranetrack.v1.${field}`);
+
+/** Of frames, by name and number: claims, and what a sender says of the configuration that it goes by. */
 const laterFrameFields = [
   ...["cranetrack.v1.Publish 9", "cranetrack.v1.Publish 10"],
   ...["cranetrack.v1.StreamAt 8", "cranetrack.v1.StreamAt 9"],
   ...["cranetrack.v1.TopicCursor 5", "cranetrack.v1.TopicCursor 6"],
+  ...["cranetrack.v1.StoreCall 8", ...claimFields],
 ];
 
 void describe("frames of revision ca00b7a", () => {
@@ -78,6 +85,7 @@
   "cranetrack.v1.DedupRecord 7",
   "cranetrack.v1.Accept 11",
   "cranetrack.v1.StreamSnapshot 8",
+  ...["cranetrack.v1.StoreCommand 4", ...claimFields],
 ];
 
 void describe("stored messages of revision ca00b7a", () => {
--- a/packages/testkit/src/mutants/mutants.ts
+++ b/packages/testkit/src/mutants/mutants.ts
@@ -106,7 +106,7 @@
   {
     name: "ownership is rewritten without a pull",
     file: "edge/dist/sessions/sessions.js",
-    find: 'owner === undefined || owner.node === "" ? undefined : await this.#pull(id, owner, lease)',
+    find: 'owner.node === "" ? undefined : await this.#pull(id, owner, lease)',
     put: "undefined",
     test: `${sim}/sessions.test.js`,
   },
--- a/packages/testkit/src/sim/bounds.test.ts
+++ b/packages/testkit/src/sim/bounds.test.ts
@@ -6,7 +6,7 @@
 import { LogBuffer } from "@cranetrack/core/runtime/logBuffer.js";
 import { Sessions } from "@cranetrack/edge/sessions/sessions.js";
 import { StreamTail } from "@cranetrack/edge/fanout/streamTail.js";
-import { OwnerKey } from "@cranetrack/edge/sessions/ownerKey.js";
+import { OwnerKey } from "@cranetrack/core/keys/ownerKey.js";
 import { expect } from "earl";
 import { TestClient, startTestFleet } from "./testClient.js";
 
--- a/packages/testkit/src/sim/connections.test.ts
+++ b/packages/testkit/src/sim/connections.test.ts
@@ -98,7 +98,7 @@
   const call = node.store.call.bind(node.store);
   const electedAt = fleet.world.now + 1100;
   node.store.call = (change, timeoutMs) =>
-    change.case === "read" && fleet.world.now < electedAt
+    change.case === "claimOwners" && fleet.world.now < electedAt
       ? Promise.resolve({ outcome: "away" })
       : call(change, timeoutMs);
   const answer = await resultOf(fleet, new EdgeClientEndpoint(edge!).connect("desk", new EndpointConnection()));
--- a/packages/testkit/src/sim/sessions.test.ts
+++ b/packages/testkit/src/sim/sessions.test.ts
@@ -1,5 +1,5 @@
 import { test } from "node:test";
-import { OwnerKey } from "@cranetrack/edge/sessions/ownerKey.js";
+import { OwnerKey } from "@cranetrack/core/keys/ownerKey.js";
 import { expect } from "earl";
 import { TestClient, startTestFleet, type Line } from "./testClient.js";
 import type { SimFleet } from "./simFleet.js";
--- a/packages/testkit/src/slopes/storeSlopes.ts
+++ b/packages/testkit/src/slopes/storeSlopes.ts
@@ -16,7 +16,7 @@
 import { Leases } from "@cranetrack/control/store/leases.js";
 import type { RaftNode } from "@cranetrack/control/consensus/raftNode.js";
 import { Metadata } from "@cranetrack/control/store/metadata.js";
-import { OwnerKey } from "@cranetrack/edge/sessions/ownerKey.js";
+import { OwnerKey } from "@cranetrack/core/keys/ownerKey.js";
 import { Meter } from "./meter.js";
 
 type Command = Parameters<typeof create<typeof StoreCommandSchema>>[1];
