Counts of subscribers go with heartbeats while many change; replicas are followed with heartbeats; weights are kept

What callers saw: joinings that waited for edges and shard leaders. Cause: each change of a count was sent to a leader at once, and each follow at a leader was followed at once by one at a replica: frames for every joining.

--- a/packages/core/src/membership/rendezvous.ts
+++ b/packages/core/src/membership/rendezvous.ts
@@ -1,9 +1,19 @@
 import { createHash } from "node:crypto";
 
+/** Weights that were asked for, by what was hashed: the same few are asked for again and again. */
+const weights = new Map<string, number>();
+const maxWeights = 20_000;
+
 /** Highest-random-weight hashing: every node that knows the same names picks the same ones. */
 export const Rendezvous = {
   weigh(key: string, name: string): number {
-    return createHash("sha1").update(`${key}\u0000${name}`).digest().readUIntBE(0, 6);
+    const hashed = `${key}\u0000${name}`;
+    let weight = weights.get(hashed);
+    if (weight !== undefined) return weight;
+    weight = createHash("sha1").update(hashed).digest().readUIntBE(0, 6);
+    if (weights.size >= maxWeights) weights.clear();
+    weights.set(hashed, weight);
+    return weight;
   },
 
   /** All names, the best for the key first. */
--- a/packages/edge/src/fanout/replicaFollow.ts
+++ b/packages/edge/src/fanout/replicaFollow.ts
@@ -72,7 +72,7 @@
     this.#atLeader.add(tail);
   }
 
-  /** Follows what the leader has confirmed and the replica does not serve yet. */
+  /** Follows what the leader has confirmed and the replica does not serve yet; asked with each heartbeat. */
   async reconcile(): Promise<void> {
     const near = this.#near();
     if (this.#server !== "" && this.#server !== near) this.#leave();
--- a/packages/edge/src/fanout/shardFollow.test.ts
+++ b/packages/edge/src/fanout/shardFollow.test.ts
@@ -45,12 +45,7 @@
       },
     } as object as ClusterNode["rpc"],
   };
-  const follow = new ShardFollow(
-    parts as ClusterNode,
-    0,
-    () => new Map(),
-    () => undefined,
-  );
+  const follow = new ShardFollow(parts as ClusterNode, 0, () => new Map(), { take: () => true });
   const tail = new StreamTail({ stream, space: "notes/", spaceIncarnation: 1 }, 0);
   follow.add(tail);
   for (const fire of turns.splice(0)) fire();
@@ -91,12 +86,7 @@
         }),
     } as object as ClusterNode["rpc"],
   };
-  const follow = new ShardFollow(
-    parts as ClusterNode,
-    0,
-    () => new Map(),
-    () => undefined,
-  );
+  const follow = new ShardFollow(parts as ClusterNode, 0, () => new Map(), { take: () => true });
   const add = async (name: string): Promise<StreamTail> => {
     const tail = new StreamTail({ stream: name, space: "notes/", spaceIncarnation: 1 }, 0);
     follow.add(tail);
--- a/packages/edge/src/fanout/shardFollow.ts
+++ b/packages/edge/src/fanout/shardFollow.ts
@@ -7,6 +7,7 @@
   TopicCountSchema,
 } from "@cranetrack/core/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import type { TokenBucket } from "@cranetrack/core/runtime/tokenBucket.js";
 import { fetchMessages, type Fetched } from "./fetchMessages.js";
 import { NumberedPushes } from "./numberedPushes.js";
 import type { StreamTail } from "./streamTail.js";
@@ -37,7 +38,8 @@
   readonly #left = new Set<string>();
   /** Served by a replica since a moment ago: the leader need not push them. */
   readonly #suppressed = new Set<StreamTail>();
-  readonly #onHeadsConfirmed: () => void;
+  /** How often counts go to leaders at once, all shards of this edge together; others wait for a heartbeat. */
+  readonly #countUpdates: Pick<TokenBucket, "take">;
   /** Up to which index the leader had applied the shard's log when it last answered a heartbeat. */
   applied = 0;
   #isSendingCounts = false;
@@ -49,11 +51,11 @@
   /** Rises when the leader changes; a reply to an earlier turn is ignored. */
   #turn = 0;
 
-  constructor(node: ClusterNode, shard: number, countsOf: CountsOf, onHeadsConfirmed: () => void) {
+  constructor(node: ClusterNode, shard: number, countsOf: CountsOf, countUpdates: Pick<TokenBucket, "take">) {
     this.#node = node;
     this.#shard = shard;
     this.#countsOf = countsOf;
-    this.#onHeadsConfirmed = onHeadsConfirmed;
+    this.#countUpdates = countUpdates;
   }
 
   /** Nothing is followed. */
@@ -90,13 +92,16 @@
     if (this.#streams.get(tail.stream) === tail) this.#suppressed.add(tail);
   }
 
-  /** A topic's subscribers have changed: the leader is notified at once, or right after the update under way. */
+  /**
+   * A topic's subscribers have changed: the leader is notified at once or right after the update under way; with the
+   * next heartbeat where many counts change, as when a crowd comes.
+   */
   countChanged(tail: StreamTail, topic: string): void {
     if (this.#streams.get(tail.stream) !== tail) return;
     let topics = this.#counted.get(tail);
     if (topics === undefined) this.#counted.set(tail, (topics = new Set()));
     topics.add(topic);
-    if (this.#isSendingCounts) return;
+    if (this.#isSendingCounts || !this.#countUpdates.take()) return;
     this.#isSendingCounts = true;
     this.#node.parts.clock.once(0, () => void this.#sendCounts());
   }
@@ -152,10 +157,9 @@
       this.#epoch = reply.value.epoch;
     }
     for (const head of reply.value.heads) this.#onHead(head);
-    this.#onHeadsConfirmed();
     for (const push of early) this.receive(push);
     // What changed while this was asked.
-    if (!this.#isSendingCounts && this.#counted.size > 0) {
+    if (!this.#isSendingCounts && this.#counted.size > 0 && this.#countUpdates.take()) {
       this.#isSendingCounts = true;
       void this.#sendCounts();
     }
--- a/packages/edge/src/fanout/streamTable.ts
+++ b/packages/edge/src/fanout/streamTable.ts
@@ -2,6 +2,7 @@
 import { Grouped } from "@cranetrack/core/store/grouped.js";
 import { Rendezvous } from "@cranetrack/core/membership/rendezvous.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { TokenBucket } from "@cranetrack/core/runtime/tokenBucket.js";
 import type { StreamRoute } from "@cranetrack/core/configuration/streams.js";
 import { keepsNothing } from "@cranetrack/core/configuration/keepsNothing.js";
 import type { Fetched } from "./fetchMessages.js";
@@ -23,6 +24,8 @@
 export class StreamTable {
   /** Milliseconds that a stream is followed on after its last user. */
   static readonly lingerMs = 5000;
+  /** Changed counts that go to leaders at once: so many together, and so many a second. */
+  static readonly countUpdates = { burst: 10, perSecond: 5 } as const;
 
   readonly #node: ClusterNode;
   readonly #tails = new Map<string, StreamTail>();
@@ -37,9 +40,11 @@
   constructor(node: ClusterNode) {
     this.#node = node;
     const countsOf: CountsOf = (stream) => this.countsOf(stream);
+    const { burst, perSecond } = StreamTable.countUpdates;
+    const countUpdates = new TokenBucket(node.parts.clock, burst, perSecond);
     this.#follows = Array.from(
       { length: node.parts.settings.shards },
-      (_, shard) => new ShardFollow(node, shard, countsOf, () => void this.#atReplicas[shard]!.reconcile()),
+      (_, shard) => new ShardFollow(node, shard, countsOf, countUpdates),
     );
     this.#atReplicas = this.#follows.map((follow, shard) => new ReplicaFollow(node, shard, follow));
     const failAt = (name: string): void => {
