--- a/packages/core/src/keys/ownerKey.ts
+++ b/packages/core/src/keys/ownerKey.ts
@@ -27,6 +27,11 @@
     return sessionOfOwnerKey(key);
   },
 
+  /** The session that has a key among its own, whichever it is. */
+  sessionWith(key: string): string | undefined {
+    return /^sessions\/([^/]+)\//.exec(key)?.[1];
+  },
+
   write(record: OwnerRecord): Uint8Array {
     return JsonValue.write(record);
   },
--- a/packages/edge/src/sessions/claimQueue.ts
+++ b/packages/edge/src/sessions/claimQueue.ts
@@ -79,25 +79,34 @@
     const value = { node: this.#node, lease: batch[0]!.lease, claims };
     const outcome = await this.#store.call({ case: "claimOwners", value });
     this.#callCount -= 1;
-    const keys = new Map((outcome.kvs ?? []).map((kv) => [kv.key, kv]));
-    for (const claim of batch) claim.resolve(ClaimQueue.#answerOf(claim, outcome, keys));
+    const keys = ClaimQueue.#keysBySession(outcome.kvs ?? []);
+    const ownersEndedAt = (outcome.kvs ?? []).find(({ key }) => key === EndedOwnersKey.name)?.revision ?? 0;
+    for (const claim of batch)
+      claim.resolve(ClaimQueue.#answerOf(claim, outcome, keys.get(claim.session) ?? [], ownersEndedAt));
     if (this.#waiting.length > 0) this.#schedule();
   }
 
-  static #answerOf({ session }: WaitingClaim, outcome: Outcome, keys: ReadonlyMap<string, Kv>): ClaimAnswer {
-    const kv = keys.get(OwnerKey.of(session));
+  static #keysBySession(kvs: readonly Kv[]): ReadonlyMap<string, Kv[]> {
+    const bySession = new Map<string, Kv[]>();
+    for (const kv of kvs) {
+      const session = OwnerKey.sessionWith(kv.key);
+      if (session === undefined) continue;
+      const keys = bySession.get(session);
+      if (keys === undefined) bySession.set(session, [kv]);
+      else keys.push(kv);
+    }
+    return bySession;
+  }
+
+  /** `keys`: what the reply has of the claim's session. */
+  static #answerOf({ session }: OwnerClaim, outcome: Outcome, keys: Kv[], ownersEndedAt: number): ClaimAnswer {
+    const kv = keys.find(({ key }) => key === OwnerKey.of(session));
     const isGranted = outcome.outcome === "done" && kv !== undefined && kv.revision === outcome.revision;
     // Word of another owner holds whatever became of the claims that were passed on.
     if (kv !== undefined && !isGranted) return { outcome: "owned", owner: ownerOf(kv) };
     if (outcome.outcome !== "done") return { outcome: ClaimQueue.#failureOf(outcome) };
     if (kv === undefined) return { outcome: "free" };
-    const prefix = OwnerKey.prefix(session);
-    return {
-      outcome: "granted",
-      revision: kv.revision,
-      ownersEndedAt: keys.get(EndedOwnersKey.name)?.revision ?? 0,
-      kvs: [...keys.values()].filter(({ key }) => key !== kv.key && key.startsWith(prefix)),
-    };
+    return { outcome: "granted", revision: kv.revision, ownersEndedAt, kvs: keys.filter((one) => one !== kv) };
   }
 
   static #failureOf({ outcome }: Outcome): "lost" | "unsure" | "away" {
