Members in the log: each entry is read once, not with every append

Change: it remembers up to which entry, of which term, it has read; where that entry is still there, so is all before it (log matching).

--- a/packages/control/src/consensus/memberLog.ts
+++ b/packages/control/src/consensus/memberLog.ts
@@ -13,6 +13,9 @@
   #members: Members = create(MembersSchema, {});
   #index = 0;
   #term = -1;
+  /** Up to which entry the log was read for members, and its term. */
+  #readIndex = 0;
+  #readTerm = -1;
 
   constructor(log: ReplicaLog) {
     this.#log = log;
@@ -54,8 +57,13 @@
   }
 
   #newest(): Members {
-    const isSame = this.#index > this.#log.baseIndex && this.#log.termAt(this.#index) === this.#term;
-    if (isSame && this.#find(this.#log.lastIndex, this.#index) === undefined) return this.#members;
+    const isSame = this.#index >= this.#log.baseIndex && this.#log.termAt(this.#index) === this.#term;
+    // Where an entry has the term that it had, all entries before it are the same (log matching).
+    const isReadSame = this.#log.termAt(this.#readIndex) === this.#readTerm;
+    const after = isReadSame ? Math.max(this.#index, this.#readIndex) : this.#index;
+    this.#readIndex = this.#log.lastIndex;
+    this.#readTerm = this.#log.lastTerm;
+    if (isSame && this.#find(this.#log.lastIndex, after) === undefined) return this.#members;
     const found = this.#find(this.#log.lastIndex);
     this.#index = found?.index ?? this.#log.baseIndex;
     this.#term = found?.term ?? this.#log.baseTerm;
