Tests draw ports that no outgoing connection is ever given

Seen: 'real processes under troubles that overlap' failed once, beside other tests: vise-2 was not ready after 30 s. Its log: listen EADDRINUSE 127.0.0.1:33569. Cause: the port was drawn from the range of outgoing connections (32768 to 60999), one of which took it before the process listened.

--- a/packages/testkit/src/fleet/fleet.ts
+++ b/packages/testkit/src/fleet/fleet.ts
@@ -6,13 +6,13 @@
 import { spawn, type ChildProcess } from "node:child_process";
 import { once } from "node:events";
 import { existsSync, mkdirSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { join } from "node:path";
 import { HttpPort } from "../clients/httpPort.js";
 import type { PortReply } from "../clients/clientPort.js";
 import { TcpRelay } from "./tcpRelay.js";
 import { Deployments, type Deployment, type Machine } from "./deployments.js";
 import { programOf } from "./programOf.js";
+import { drawFreePorts } from "@cranetrack/platform/soak/drawPort.js";
 
 interface Member {
   machine: Machine;
@@ -76,7 +76,7 @@
   /** Writes a settings file for each machine, starts all processes and waits until all are ready. */
   async start(): Promise<void> {
     const machines = Deployments.machines(this.deployment);
-    const ports = await Fleet.#freePorts(machines.length * 3);
+    const ports = await drawFreePorts(machines.length * 3);
     const addresses = ports.map((port) => `127.0.0.1:${port}`);
     const relayed = (name: string): boolean => this.#relayed.includes(name);
     // A relayed machine listens on a port of its own and is known to others by its relay's.
@@ -264,18 +264,4 @@
     const [host, port] = address.split(":") as [string, string];
     return { host, port: Number(port) };
   }
-
-  static async #freePorts(count: number): Promise<number[]> {
-    const servers = await Promise.all(
-      Array.from({ length: count }, async () => {
-        const server = createServer();
-        server.listen(0, "127.0.0.1");
-        await once(server, "listening");
-        return server;
-      }),
-    );
-    const ports = servers.map((server) => (server.address() as { port: number }).port);
-    await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-    return ports;
-  }
 }
--- a/packages/testkit/src/golden/diskFleet.ts
+++ b/packages/testkit/src/golden/diskFleet.ts
@@ -2,10 +2,10 @@
 import { spawn, type ChildProcess } from "node:child_process";
 import { once } from "node:events";
 import { openSync, readFileSync, writeFileSync } from "node:fs";
-import { createServer, type AddressInfo } from "node:net";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { programFile, settingsContent, type DiskKind, type NodeKind } from "./diskAdapter.js";
+import { drawFreePorts } from "@cranetrack/platform/soak/drawPort.js";
 
 /** Where the golden data folders are. */
 export const goldenFolder = fileURLToPath(new URL("../../golden/disk", import.meta.url));
@@ -60,7 +60,7 @@
 
   /** Resolves once all nodes say that they are ready. */
   async start(): Promise<void> {
-    const ports = await freePorts(2 * DiskFleet.nodes.length);
+    const ports = await drawFreePorts(2 * DiskFleet.nodes.length);
     const addresses = ports.map((port) => `127.0.0.1:${port}`);
     DiskFleet.nodes.forEach((node, i) => {
       this.#http.set(node, addresses[DiskFleet.nodes.length + i]!);
@@ -170,11 +170,3 @@
     for (const line of complete) lines.push(JSON.parse(line) as Line);
   }
 }
-
-async function freePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer().listen(0, "127.0.0.1"));
-  await Promise.all(servers.map((server) => once(server, "listening")));
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
-}
