Owners are told from what is applied only while the leader is heard

A control node that was cut off from the leader went on naming owners from old state: nothing rests on that, but an edge could keep asking it.

--- a/packages/control/src/consensus/raftNode.ts
+++ b/packages/control/src/consensus/raftNode.ts
@@ -159,6 +159,12 @@
     return VoterSets.all(this.members).find((member) => member.id === leaderId)?.name ?? "";
   }
 
+  /** It leads, or has heard the leader within an election timeout. */
+  get hasLeader(): boolean {
+    const isLeaderHeard = this.#election.leaderId !== "" && this.#contact.heardAgo < this.#electionMs;
+    return this.#leadership !== undefined || isLeaderHeard;
+  }
+
   /** The members in force: the newest in the log, committed or not. */
   get members(): Members {
     return this.#memberLog.members;
@@ -294,8 +300,7 @@
 
   async #handleVoteRequest(vote: Vote, from: string): Promise<undefined> {
     if (vote.founding !== this.founding || !Number.isSafeInteger(vote.term)) return undefined;
-    const isLeaderHeard = this.#election.leaderId !== "" && this.#contact.heardAgo < this.#electionMs;
-    const hasLeader = this.#leadership !== undefined || isLeaderHeard;
+    const { hasLeader } = this;
     const isGranted = mayGrantVote(vote, this.#log, hasLeader);
     if (!vote.isPre && !hasLeader && (vote.term > this.#log.term || isGranted)) {
       // What it campaigned for itself was an earlier term.
--- a/packages/control/src/store/ownerClaims.ts
+++ b/packages/control/src/store/ownerClaims.ts
@@ -50,9 +50,9 @@
     return this.#answer(claims, applied.revision);
   }
 
-  /** Splits a call into the claims whose present owner is known here, and all else. */
+  /** Splits a call into the claims whose present owner is known here, and all else; out of touch nothing is known. */
   answerApplied(call: StoreCall): AppliedAnswer {
-    if (call.call.case !== "claimOwners" || call.isForwarded || this.#raft.leaderName === "")
+    if (call.call.case !== "claimOwners" || call.isForwarded || !this.#raft.hasLeader)
       return { applied: { outcome: "done" }, left: call };
     const { node, lease, claims } = call.call.value;
     const isOwned = ({ session, revision, isConfirmed }: OwnerClaim): boolean =>
