An edge takes every number up to the highest one sent for possibly accepted

Cause: an edge remembered only the numbers without an outcome. An accepted number was removed from them, so when it came again it counted as never sent: the edge promised that it was not done, and told the new leader that it could not be a repeat.

Change: numbers rise in a topic, so a number up to the highest one sent may have been accepted. Only numbers that no leader accepted are remembered, at most 64 of a topic; one that is forgotten counts as possibly accepted. The next owner gets the highest number. A number that arrives again while its first attempt is pending shares that attempt's outcome, and nothing is sent after the session's state was shipped. New numbers cost nothing.

--- a/packages/edge/src/publishing/publishMessage.ts
+++ b/packages/edge/src/publishing/publishMessage.ts
@@ -20,8 +20,21 @@
   | { outcome: "away"; reason: string; retryAfterSeconds: number; code?: string }
   | { outcome: "unsure"; reason: string; retryAfterSeconds: number };
 
-/** Publishes one message of a session that this node owns. Only the shard's leader accepts or refuses it. */
-export async function publishMessage(
+/**
+ * Publishes one message of a session that this node owns. Only the shard's leader accepts or refuses it. A number whose
+ * publish is pending shares the outcome of that.
+ */
+export function publishMessage(
+  edge: EdgeParts,
+  session: Session,
+  topic: string,
+  number: number,
+  payload: string,
+): Promise<PublishOutcome> {
+  return session.pendingPublishes.share(topic, number, () => attemptPublish(edge, session, topic, number, payload));
+}
+
+async function attemptPublish(
   edge: EdgeParts,
   session: Session,
   topic: string,
@@ -31,10 +44,10 @@
   const { node } = edge;
   const now = node.parts.clock.now();
   const deadline = now + publishTimeoutMs(edge, topic);
-  // If an earlier attempt may have sent this number, it can't be reported as not published.
-  const mayHaveBeenSent = !session.knowsAllNumbers(now) || session.numbers.isOpen(topic, number);
+  // What may have been accepted can't be reported as not published.
+  const mayBeAccepted = !session.knowsAllNumbers(now) || session.numbers.mayHaveBeenAccepted(topic, number);
   const giveUp = (reason: string, retryAfterSeconds: number, code?: string): PublishOutcome =>
-    mayHaveBeenSent
+    mayBeAccepted
       ? { outcome: "unsure", reason, retryAfterSeconds }
       : { outcome: "away", reason, retryAfterSeconds, ...(code === undefined ? {} : { code }) };
   const route = await findRoute(edge, topic);
@@ -44,9 +57,12 @@
   }
   const shard = edge.streams.shardOf(route.stream);
   if (!(await waitForLeader(edge, shard, deadline))) return giveUp("the topic has no holder just now", 0.1);
-  session.numbers.recordOpen(topic, number);
+  // The next owner was told which numbers had been sent, so nothing may be sent after that.
+  if (session.isStopped || !edge.lease.isHeld)
+    return { outcome: "unsure", reason: "the session moved on meanwhile", retryAfterSeconds: 0.3 };
+  session.numbers.recordSent(topic, number);
   const publish = { shard, session: session.id, ownerEpoch: session.epoch, number, topic, ...viewOf(node, route) };
-  const content = { payload: Buffer.from(payload), mayBeRepeat: mayHaveBeenSent };
+  const content = { payload: Buffer.from(payload), mayBeRepeat: mayBeAccepted };
   const reply = await publishAtLeader(edge, shard, deadline, { ...publish, ...content });
   if (reply === undefined)
     return {
@@ -56,8 +72,8 @@
     };
   if (reply !== "unresponsive" && reply.outcome === "unsure")
     return { outcome: "unsure", reason: reply.reason, retryAfterSeconds: reply.retryAfterSeconds };
-  if (!mayHaveBeenSent || (reply !== "unresponsive" && reply.outcome === "accepted"))
-    session.numbers.recordResolved(topic, number);
+  const isAccepted = reply !== "unresponsive" && reply.outcome === "accepted";
+  if (!mayBeAccepted && !isAccepted) session.numbers.recordNotAccepted(topic, number);
   if (reply === "unresponsive") return giveUp("the topic's holder does not answer", 0.2);
   const { outcome, code, reason, retryAfterSeconds, incarnation, seq } = reply;
   if (outcome === "accepted") return { outcome: "accepted", cursor: Cursors.write(incarnation, seq) };
--- a/packages/edge/src/publishing/publishNumbers.ts
+++ b/packages/edge/src/publishing/publishNumbers.ts
@@ -1,25 +1,26 @@
 /** A session's publish numbers in one topic. */
 interface TopicNumbers {
+  /** The highest number that was sent to a leader. */
   highest: number;
-  /** Numbers sent to a leader that have no final outcome yet. */
-  open: Set<number>;
+  /** Numbers up to the highest that no leader has accepted: every attempt was answered so. */
+  notAccepted: Set<number>;
 }
 /** A publish number as the old owner sends it to the new one. */
 export interface NumberRecord {
   topic: string;
   number: number;
-  /** It was sent to a leader and has no final outcome yet. */
+  /** A leader may have accepted it. Owners of an earlier release clear this for numbers with a final outcome. */
   isOpen: boolean;
 }
 
 /**
- * A session's publish numbers by topic: the highest one used, and the open ones, which have no final outcome yet.
- * Invariants: a number is open from just before it is sent to a leader until its final outcome; of the open numbers of
- * a topic, the highest `maxOpen` are remembered.
+ * A session's publish numbers by topic. Because a client's numbers rise, a number above the highest one sent is new,
+ * and every other number may have been accepted, unless it is remembered as not accepted.
+ * Invariants: a number counts as sent from just before it is sent to a leader; what is forgotten counts as sent.
  */
 export class PublishNumbers {
-  /** Open numbers remembered per topic. */
-  static readonly maxOpen = 64;
+  /** Numbers per topic that are remembered as not accepted. */
+  static readonly maxNotAccepted = 64;
 
   readonly #topics = new Map<string, TopicNumbers>();
 
@@ -29,44 +30,38 @@
   }
 
   /** Whether an earlier attempt with this number may have been accepted. */
-  isOpen(topic: string, number: number): boolean {
-    return this.#topics.get(topic)?.open.has(number) === true;
+  mayHaveBeenAccepted(topic: string, number: number): boolean {
+    const numbers = this.#topics.get(topic);
+    return numbers !== undefined && number <= numbers.highest && !numbers.notAccepted.has(number);
   }
 
   /** Records that the number is about to be sent to a leader. */
-  recordOpen(topic: string, number: number): void {
+  recordSent(topic: string, number: number): void {
     const numbers = this.#numbersOf(topic);
     numbers.highest = Math.max(numbers.highest, number);
-    numbers.open.add(number);
-    if (numbers.open.size > PublishNumbers.maxOpen) numbers.open.delete(Math.min(...numbers.open));
+    numbers.notAccepted.delete(number);
   }
 
-  /** Records that the number has its final outcome. */
-  recordResolved(topic: string, number: number): void {
-    const numbers = this.#numbersOf(topic);
-    numbers.highest = Math.max(numbers.highest, number);
-    numbers.open.delete(number);
+  /** Records that no attempt with this number was accepted. */
+  recordNotAccepted(topic: string, number: number): void {
+    const { notAccepted } = this.#numbersOf(topic);
+    notAccepted.add(number);
+    if (notAccepted.size > PublishNumbers.maxNotAccepted) notAccepted.delete(Math.min(...notAccepted));
   }
 
   /** The records that the next owner needs. */
   records(): NumberRecord[] {
-    return [...this.#topics].flatMap(([topic, { highest, open }]) => [
-      { topic, number: highest, isOpen: open.has(highest) },
-      ...[...open].filter((number) => number !== highest).map((number) => ({ topic, number, isOpen: true })),
-    ]);
+    return [...this.#topics].map(([topic, { highest }]) => ({ topic, number: highest, isOpen: true }));
   }
 
   /** Restores the records that the old owner sent. */
   restore(records: readonly NumberRecord[]): void {
-    for (const { topic, number, isOpen } of records) {
-      if (isOpen) this.recordOpen(topic, number);
-      else this.recordResolved(topic, number);
-    }
+    for (const { topic, number } of records) this.recordSent(topic, number);
   }
 
   #numbersOf(topic: string): TopicNumbers {
     let numbers = this.#topics.get(topic);
-    if (numbers === undefined) this.#topics.set(topic, (numbers = { highest: 0, open: new Set() }));
+    if (numbers === undefined) this.#topics.set(topic, (numbers = { highest: 0, notAccepted: new Set() }));
     return numbers;
   }
 }
--- a/packages/edge/src/sessions/session.ts
+++ b/packages/edge/src/sessions/session.ts
@@ -1,6 +1,8 @@
 import type { ClientConnection } from "../connections/clientConnection.js";
 import type { StreamCursor } from "../subscriptions/streamCursor.js";
 import type { Cursor } from "../subscriptions/cursor.js";
+import { PendingPublishes } from "../publishing/pendingPublishes.js";
+import type { PublishOutcome } from "../publishing/publishMessage.js";
 import { PublishNumbers } from "../publishing/publishNumbers.js";
 
 /**
@@ -14,6 +16,7 @@
   /** Revision of the owner key; the fencing token of the session's publishes. */
   readonly epoch: number;
   readonly numbers = new PublishNumbers();
+  readonly pendingPublishes = new PendingPublishes<PublishOutcome>();
   /** Cursors of topics without a live subscription: received from the old owner, or left by an earlier connection. */
   readonly resumeCursors = new Map<string, Cursor>();
   /** By topic: the cursor of its stream. Topics of the same stream share a cursor. */
--- a/packages/testkit/src/sim/lostOwner.test.ts
+++ b/packages/testkit/src/sim/lostOwner.test.ts
@@ -34,6 +34,22 @@
   expect(repeated["status"]).toEqual(504);
 });
 
+// Guards against ORDER (review/7): the acknowledgement of an accepted number was lost, and while the shard had no leader
+// the number was answered "never done", at its owner and at the edge that had taken the session over.
+test("an accepted number that is repeated while its shard has no leader is not promised to be undone", async () => {
+  const test = await startTestFleet(9106);
+  await connect(test, "vise-1");
+  for (const number of [1, 2]) expect((await test.publish("desk", number))["receipt"]).toEqual("accepted");
+  await loseLeader(test);
+  expect((await test.publish("desk", 1))["status"]).toEqual(504);
+  expect((await test.publish("desk", 3))["status"]).toEqual(503);
+  // Without a leader a topic can't be subscribed to, so this connection has none.
+  const moved = new TestClient(test.fleet, "vise-2", "desk", { subscriptions: [] });
+  expect(await test.fleet.until(() => moved.linesOf("open").length === 1, 5000)).toEqual(true);
+  expect((await test.publish("desk", 2, "vise-2"))["status"]).toEqual(504);
+  expect((await test.publish("desk", 3, "vise-2"))["status"]).toEqual(503);
+});
+
 // The same promise through a takeover: an owner without the earlier state can't ship that it was complete.
 test("a session that is not complete stays so at the edge that takes it over, and is complete in the end", async () => {
   const test = await startTestFleet(9105);
--- a/packages/testkit/src/sim/memory.test.ts
+++ b/packages/testkit/src/sim/memory.test.ts
@@ -126,6 +126,36 @@
   expect([reader.linesOf("expired"), reader.linesOf("ended"), reader.isClosed]).toEqual([[], [], false]);
 });
 
+// Guards against ORDER (review/8): the acknowledgement was lost, the leader changed, others published, and the repeated
+// number was taken once more, behind their messages.
+test("in one order, a number that an earlier leader took is not sequenced again behind what came since", async () => {
+  const all = await keepingNothing(811);
+  const { fleet, publish } = all;
+  const topic = "extra/t0";
+  await connectSession(all, "vise-1", "pen", []);
+  await connectSession(all, "vise-2", "quill", []);
+  const reader = await connectSession(all, "vise-3", "desk", [{ topic }]);
+  expect((await publish("pen", 1, "vise-1", topic))["receipt"]).toEqual("accepted");
+  const { name, shard } = shardLeaderOf(all, topic);
+  fleet.kill(name);
+  const { shards } = fleet.find("vise-2")!.node;
+  expect(await fleet.until(() => ![name, ""].includes(shards.find(shard).leader), 9000)).toEqual(true);
+  const late = await connectSession(all, "vise-2", "shelf", [{ topic }]);
+  let other = await publish("quill", 1, "vise-2", topic);
+  for (let tries = 0; other["receipt"] !== "accepted" && tries < 20; tries += 1) {
+    await fleet.run(200);
+    other = await publish("quill", 1, "vise-2", topic);
+  }
+  expect((await publish("pen", 1, "vise-1", topic))["status"]).toEqual(504);
+  expect((await publish("pen", 2, "vise-1", topic))["receipt"]).toEqual("accepted");
+  expect(await fleet.until(() => late.deliveries().length === 2, 4000)).toEqual(true);
+  const senders = (client: TestClient): unknown[] => client.linesOf("message").map((line) => line["sender"]);
+  expect([senders(reader), senders(late)]).toEqual([
+    ["pen", "quill", "pen"],
+    ["quill", "pen"],
+  ]);
+});
+
 function leaderShard({ fleet }: TestFleet): number {
   const { node, edge } = fleet.find("vise-2")!;
   return edge!.streams.shardOf(node.configuration.route("notes/t1")!.stream);
