A leader promises nothing of numbers that it has forgotten

A number below those that a session's record still has was refused as never taken, which callers of the platform get as RETRY, though it may have been forgotten. The same went for a publish whose stream was replaced, or whose session had moved, before it was applied: an earlier attempt of it may have been accepted.

These get the verdict "unknown" now.

--- a/packages/log-storage/src/shards/memoryStreams.ts
+++ b/packages/log-storage/src/shards/memoryStreams.ts
@@ -103,7 +103,7 @@
   accept(accept: Accept): Verdict {
     const log = this.find(accept.stream);
     if (log === undefined || log.incarnation !== accept.incarnation)
-      return { kind: "refused", code: "topic-gone", reason: "the topic was removed meanwhile" };
+      return { kind: "unknown", reason: "the topic was removed meanwhile" };
     return log.accept(accept);
   }
 
--- a/packages/log-storage/src/shards/publishHandler.ts
+++ b/packages/log-storage/src/shards/publishHandler.ts
@@ -147,7 +147,7 @@
 
   #acceptInMemory(accept: Accept, violation: ContractViolation | undefined): Promise<PublishReply> {
     const verdict = this.#memory.accept(accept);
-    if (verdict.kind === "accepted" || violation === undefined) return this.#replyFromMemory(accept.stream, verdict);
+    if (verdict.kind !== "refused" || violation === undefined) return this.#replyFromMemory(accept.stream, verdict);
     return Promise.resolve(refusedReply(violation.code, violation.reason));
   }
 
--- a/packages/log-storage/src/shards/publishReplies.ts
+++ b/packages/log-storage/src/shards/publishReplies.ts
@@ -35,6 +35,7 @@
 
 /** The reply for a stream's verdict, the same for the first and for every later copy of the number. */
 export function verdictReply(verdict: Verdict): PublishReply {
+  if (verdict.kind === "unknown") return unknownReply(verdict.reason);
   if (verdict.kind === "refused") return refusedReply(verdict.code, verdict.reason);
   return { case: "publishReply", value: { outcome: "accepted", incarnation: verdict.incarnation, seq: verdict.seq } };
 }
--- a/packages/log-storage/src/shards/shardState.ts
+++ b/packages/log-storage/src/shards/shardState.ts
@@ -87,7 +87,7 @@
     this.shardTime = Math.max(this.shardTime, accept.at);
     const log = this.streams.get(accept.stream);
     if (log === undefined || log.incarnation !== accept.incarnation)
-      return { kind: "refused", code: "topic-gone", reason: "the topic was removed meanwhile" };
+      return { kind: "unknown", reason: "the topic was removed meanwhile" };
     return log.accept(accept);
   }
 
--- a/packages/log-storage/src/shards/streamLog.ts
+++ b/packages/log-storage/src/shards/streamLog.ts
@@ -23,12 +23,14 @@
 }
 
 /**
- * A stream's verdict on a number: accepted at `seq`, where `isFresh` tells the first time from a repeat; or refused,
- * with a code and a reason that are sent to the client.
+ * A stream's verdict on a number: accepted at `seq`, where `isFresh` tells the first time from a repeat; refused, which
+ * promises that the number never was and never will be accepted, with a code and a reason that are sent to the client;
+ * or unknown: it is not accepted now, and may have been before.
  */
 export type Verdict =
   | { kind: "accepted"; stream: string; incarnation: string; seq: number; isFresh: boolean }
-  | { kind: "refused"; code: string; reason: string };
+  | { kind: "refused"; code: string; reason: string }
+  | { kind: "unknown"; reason: string };
 
 /**
  * One stream's part of a shard's log: its messages in order, and the numbers that were sent before.
@@ -77,6 +79,8 @@
     const record = this.#sessionsByTopic.get(topic)?.get(session);
     if (record === undefined || number > record.numbers.at(-1)!) return undefined;
     const seq = record.seqs[record.numbers.indexOf(number)];
+    if (seq === undefined && mayBeForgotten(record, number))
+      return { kind: "unknown", reason: `number ${number} is older than the numbers that are still known` };
     if (seq === undefined) {
       const reason = `number ${number} is below ${record.numbers.at(-1)} and was never taken`;
       return { kind: "refused", code: StreamLog.numberWentBackwards, reason };
@@ -92,7 +96,7 @@
     if (knownVerdict !== undefined) return knownVerdict;
     const record = this.#sessionsOf(topic).get(session) ?? { at: 0, ownerEpoch: 0, numbers: [], seqs: [], ats: [] };
     if (accept.ownerEpoch < record.ownerEpoch)
-      return { kind: "refused", code: "stale-owner", reason: "the session has moved to another node" };
+      return { kind: "unknown", reason: "the session has moved to another node" };
     const seq = accept.isVoid ? 0 : this.head + 1;
     if (!accept.isVoid) {
       this.head = seq;
@@ -193,6 +197,11 @@
   }
 }
 
+/** Whether a number that is not in the record may have been in it: only records of this size forget numbers. */
+function mayBeForgotten({ numbers }: SessionRecord, number: number): boolean {
+  return numbers.length >= StreamLog.minKnownNumbers && number < numbers[0]!;
+}
+
 /** Number of a session's oldest numbers that were taken before a shard time and need not stay known. */
 function countForgettable({ ats }: SessionRecord, before: number): number {
   const maxCount = ats.length - StreamLog.minKnownNumbers;
