A reader keeps what its connection has received when a topic gets a new cursor

Cause, traced in the simulator: the next leader does not know which numbers the earlier one took in memory and takes a repeated one again; readers drop such repeats by the numbers that they have received. That history belonged to the cursor, and a topic whose space comes back gets another cursor. It was also bounded by count alone: the 1,001st publisher made it forget the first.

Change: the history belongs to the connection (DeliveredNumbers) and lasts until the client itself ends the subscription or the connection ends. No publisher is forgotten by count while its numbers may be repeated. How long that is follows from redeliveryMs in one place (repeatWindow); live streams used a fixed 12 s, which is too short where redelivery_s is above 12.

--- a/packages/edge/src/connections/sessionConnection.ts
+++ b/packages/edge/src/connections/sessionConnection.ts
@@ -68,6 +68,7 @@
     const pending = this.#pending.get(topic)?.outcome;
     if (pending !== undefined) return pending;
     const suspended = this.#suspended.get(topic);
+    if (after !== undefined) this.#session.deliveredNumbers.forget(topic);
     this.#suspended.delete(topic);
     this.#confirmedTopics.delete(topic);
     return this.#queueLookUp(topic, after ?? (suspended === undefined ? undefined : cursorText(suspended)));
@@ -81,6 +82,7 @@
     this.#confirmedTopics.delete(topic);
     this.#session.subscriptions.get(topic)?.remove(topic);
     this.#session.subscriptions.delete(topic);
+    this.#session.deliveredNumbers.forget(topic);
     return Promise.resolve({ outcome: "done" });
   }
 
--- a/packages/edge/src/fanout/publisherOrder.test.ts
+++ b/packages/edge/src/fanout/publisherOrder.test.ts
@@ -38,6 +38,16 @@
   expect(order.checkNumber(message(1, 1, "pen-3"), 0)).toEqual(7);
 });
 
+// Guards against ORDER (review/10): what a reader had received was forgotten while it could still be repeated.
+test("a publisher is not forgotten by count while its numbers may be repeated", () => {
+  const order = new PublisherOrder(15_000);
+  const count = 2 * PublisherOrder.maxPublishers;
+  for (let i = 0; i < count; i += 1) order.checkNumber(message(i + 1, 7, `pen-${i}`), i);
+  expect(order.checkNumber(message(1, 7, "pen-0"), 14_999)).toEqual(7);
+  order.checkNumber(message(1, 7, "more"), 17_000);
+  expect(order.checkNumber(message(1, 7, "pen-1"), 17_000)).toEqual(undefined);
+});
+
 test("a tail reports numbers out of order within one incarnation", () => {
   const tail = new StreamTail({ stream: "0:t", space: "", spaceIncarnation: 1 }, 0);
   const faults: OrderFault[] = [];
--- a/packages/edge/src/fanout/publisherOrder.ts
+++ b/packages/edge/src/fanout/publisherOrder.ts
@@ -9,8 +9,8 @@
 }
 
 /**
- * Checks that the numbers of each publisher in each topic rise, also when the leader changes. Bounded: the publisher
- * that was silent longest is forgotten first. Leaders forget publishers that were silent for ten minutes, whose numbers
+ * Checks that the numbers of each publisher in each topic rise, also when the leader changes. Bounded: of more than
+ * `maxPublishers`, the one that was silent longest is forgotten first, if it was silent for `minRememberedMs`. Leaders forget publishers that were silent for ten minutes, whose numbers
  * may then start again, so numbers older than half of that time are ignored here.
  */
 export class PublisherOrder {
@@ -19,8 +19,15 @@
   /** Milliseconds for which a number is compared with later ones. */
   static readonly rememberedMs = 300_000;
 
+  readonly #minRememberedMs: number;
+  /** The publisher that was silent longest comes first. */
   readonly #last = new Map<string, LastMessage>();
 
+  /** `minRememberedMs`: for how long after its last message no publisher is forgotten, in milliseconds. */
+  constructor(minRememberedMs = 0) {
+    this.#minRememberedMs = minRememberedMs;
+  }
+
   /**
    * Returns the publisher's highest number so far if this message's number is not above it. Otherwise remembers the
    * message's number and returns undefined. Both count as activity of the publisher at `now`, in milliseconds.
@@ -32,7 +39,7 @@
     const isOutOfOrder = last !== undefined && number <= last.number && now - last.at < PublisherOrder.rememberedMs;
     this.#last.delete(key);
     this.#last.set(key, { number: isOutOfOrder ? last.number : number, at: now });
-    if (this.#last.size > PublisherOrder.maxPublishers) this.#forgetOldest();
+    this.#forgetOldest(now);
     return isOutOfOrder ? last.number : undefined;
   }
 
@@ -41,8 +48,10 @@
     this.#last.clear();
   }
 
-  #forgetOldest(): void {
-    const [oldestKey] = this.#last.keys();
-    this.#last.delete(oldestKey!);
+  #forgetOldest(now: number): void {
+    for (const [key, { at }] of this.#last) {
+      if (this.#last.size <= PublisherOrder.maxPublishers || now - at < this.#minRememberedMs) return;
+      this.#last.delete(key);
+    }
   }
 }
--- a/packages/edge/src/sessions/session.ts
+++ b/packages/edge/src/sessions/session.ts
@@ -1,6 +1,7 @@
 import type { ClientConnection } from "../connections/clientConnection.js";
 import type { StreamCursor } from "../subscriptions/streamCursor.js";
 import type { Cursor } from "../subscriptions/cursor.js";
+import { DeliveredNumbers } from "../subscriptions/deliveredNumbers.js";
 import { PendingPublishes } from "../publishing/pendingPublishes.js";
 import type { PublishOutcome } from "../publishing/publishMessage.js";
 import { PublishNumbers } from "../publishing/publishNumbers.js";
@@ -22,6 +23,8 @@
   /** By topic: the cursor of its stream. Topics of the same stream share a cursor. */
   readonly subscriptions = new Map<string, StreamCursor>();
   connection: ClientConnection | undefined;
+  /** The publish numbers that the present connection has received. */
+  deliveredNumbers: DeliveredNumbers;
   /** Topics being looked up for the present connection. They already count against the limit of the configuration. */
   pendingTopicCount = 0;
   /** The client sends its topics and cursors with every connection, so the session keeps none in between. */
@@ -32,15 +35,19 @@
   disconnectedAt = 0;
   /** This node no longer owns the session: nothing may be sent or published for it. */
   isStopped = false;
+  readonly #repeatWindowMs: number;
   readonly #numbersCompleteAt: number;
 
   /**
+   * `repeatWindowMs`: how long after a publish number was first sent it may arrive again, in milliseconds.
    * `numbersCompleteAt` is a time of the monotonic clock in milliseconds (see `knowsAllNumbers`). It lies in the future
    * if an earlier owner may have existed whose state was not received.
    */
-  constructor(id: string, epoch: number, numbersCompleteAt = 0) {
+  constructor(id: string, epoch: number, repeatWindowMs: number, numbersCompleteAt = 0) {
     this.id = id;
     this.epoch = epoch;
+    this.deliveredNumbers = new DeliveredNumbers(repeatWindowMs);
+    this.#repeatWindowMs = repeatWindowMs;
     this.#numbersCompleteAt = numbersCompleteAt;
   }
 
@@ -67,6 +74,7 @@
       for (const [topic, cursor] of this.subscriptions) this.resumeCursors.set(topic, cursor.cursorOf(topic));
     for (const cursor of this.cursors()) cursor.stop();
     this.subscriptions.clear();
+    this.deliveredNumbers = new DeliveredNumbers(this.#repeatWindowMs);
     if (connection.isClosed) return;
     connection.send({ kind: "goodbye", reason, comeBack: retryAfterSeconds, ...(address === "" ? {} : { address }) });
     connection.close();
--- a/packages/edge/src/sessions/sessions.ts
+++ b/packages/edge/src/sessions/sessions.ts
@@ -3,6 +3,7 @@
 import { EndedOwnersKey } from "@cranetrack/core/keys/endedOwnersKey.js";
 import { OwnerKey } from "@cranetrack/core/keys/ownerKey.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { repeatWindowMs } from "@cranetrack/core/runtime/repeatWindow.js";
 import type { StepTimes } from "@cranetrack/core/runtime/stepTimes.js";
 import type { LeaseKeepAlive } from "@cranetrack/core/store/leaseKeepAlive.js";
 import type { Body, BodyInit } from "@cranetrack/core/rpc/wire.js";
@@ -191,7 +192,8 @@
     if (!this.#lease.isHeld || this.#lease.lease !== lease)
       return { retryAfterSeconds: 1, reason: "this node lost its lease" };
     this.emit("step", "owner-written", id);
-    const session = new Session(id, granted.revision, state.numbersCompleteAt);
+    const windowMs = repeatWindowMs(this.#node.parts.settings);
+    const session = new Session(id, granted.revision, windowMs, state.numbersCompleteAt);
     this.#restoreState(session, granted.kvs, state.shipped);
     this.#table.set(id, session);
     return { session };
--- a/packages/edge/src/subscriptions/joinStreams.ts
+++ b/packages/edge/src/subscriptions/joinStreams.ts
@@ -34,6 +34,7 @@
         table: edge.streams,
         tail: edge.streams.acquire(tail.route),
         connection,
+        delivered: session.deliveredNumbers,
         clock: edge.node.parts.clock,
         maySend: () => edge.maySend(session, connection),
         onEnd: (topic, at, reason) => {
--- a/packages/edge/src/subscriptions/streamCursor.ts
+++ b/packages/edge/src/subscriptions/streamCursor.ts
@@ -3,8 +3,8 @@
 import type { ConfigurationView } from "@cranetrack/core/configuration/configurationView.js";
 import { Incarnations } from "@cranetrack/core/configuration/incarnation.js";
 import type { TimerHandle, Clock } from "@cranetrack/core/runtime/clock.js";
-import { PublisherOrder } from "../fanout/publisherOrder.js";
 import { Cursors, type Cursor } from "./cursor.js";
+import type { DeliveredNumbers } from "./deliveredNumbers.js";
 import { nextIncarnation } from "./nextIncarnation.js";
 import type { StreamTable } from "../fanout/streamTable.js";
 import type { StreamTail } from "../fanout/streamTail.js";
@@ -15,6 +15,8 @@
   table: StreamTable;
   tail: StreamTail;
   connection: ClientConnection;
+  /** The numbers that the connection has received, also those of earlier cursors. */
+  delivered: DeliveredNumbers;
   clock: Clock;
   /** Whether messages may be sent on the connection; if not, it is closed and the cursor delivers nothing more. */
   maySend: () => boolean;
@@ -36,8 +38,6 @@
   readonly #parts: CursorParts;
   /** By subscribed topic, the offset up to which its messages were delivered or need not be. */
   readonly #handledUpTo = new Map<string, number>();
-  /** By topic, the publishers' numbers delivered since the stream was in memory, where each leader restarts offsets. */
-  readonly #delivered = new Map<string, PublisherOrder>();
   readonly #onGrown = (): void => void this.#advance();
   readonly #onEnded = (fault: string): void => this.#endAll(fault);
   /** The incarnation that is read; empty before the first topic was added. */
@@ -95,7 +95,6 @@
 
   /** Removes a topic; removing the last one stops the cursor. */
   remove(topic: string): void {
-    this.#delivered.delete(topic);
     if (this.#handledUpTo.delete(topic) && !this.#isStopped)
       this.#parts.table.counts.removeSubscriber(this.tail, topic);
     if (this.#handledUpTo.size === 0) this.stop();
@@ -212,16 +211,9 @@
     this.#parts.connection.send({ kind: "message", topic, sender: session, number, place: cursor, payload: text });
   }
 
-  /**
-   * Whether the message, or a later one of its publisher, was already delivered in an earlier incarnation. This happens
-   * when a client publishes again as it got no reply, and a new leader or the log, which does not know the first
-   * attempt, accepts the message once more.
-   */
   #isRepeat(message: StreamMessage): boolean {
-    let delivered = this.#delivered.get(message.topic);
-    if (delivered === undefined && !this.#isInMemory) return false;
-    if (delivered === undefined) this.#delivered.set(message.topic, (delivered = new PublisherOrder()));
-    return delivered.checkNumber(message, this.#parts.clock.now()) !== undefined;
+    const { delivered, clock } = this.#parts;
+    return delivered.isRepeat({ message, isInMemory: this.#isInMemory, now: clock.now() });
   }
 
   /** Continues after trimmed messages. Notifies the client only of topics that lost a message. */
--- a/packages/edge/src/subscriptions/subscribeTopics.ts
+++ b/packages/edge/src/subscriptions/subscribeTopics.ts
@@ -48,7 +48,10 @@
         }
         sendConfirmed(connection, topic, cursor);
       },
-      onEnded: (topic, _cursor, reason) => connection.send({ kind: "ended", topic, reason }),
+      onEnded: (topic, _cursor, reason) => {
+        session.deliveredNumbers.forget(topic);
+        connection.send({ kind: "ended", topic, reason });
+      },
     });
   if (session.connection === connection) session.pendingTopicCount -= admitted.length;
   for (const { tail } of starts) edge.streams.release(tail);
--- a/packages/edge/src/subscriptions/unsubscribeTopic.ts
+++ b/packages/edge/src/subscriptions/unsubscribeTopic.ts
@@ -8,6 +8,7 @@
 export async function unsubscribeTopic(edge: EdgeParts, session: Session, topic: string): Promise<ApiReply> {
   session.subscriptions.get(topic)?.remove(topic);
   session.subscriptions.delete(topic);
+  session.deliveredNumbers.forget(topic);
   session.resumeCursors.delete(topic);
   const checks = [{ key: OwnerKey.of(session.id), revision: session.epoch }];
   const written = await edge.node.store.txn({ checks, deletes: [SubscriptionKey.of(session.id, topic)] });
--- a/packages/log-storage/src/shards/memoryStreams.test.ts
+++ b/packages/log-storage/src/shards/memoryStreams.test.ts
@@ -10,7 +10,8 @@
 const stream = "notes/t1";
 const base = { identity: "0123456789", seq: 7 };
 let identityCount = 0;
-const createStreams = (): MemoryStreams => new MemoryStreams(() => (identityCount += 1).toString(16).padStart(10, "0"));
+const nextIdentity = (): string => (identityCount += 1).toString(16).padStart(10, "0");
+const createStreams = (): MemoryStreams => new MemoryStreams(nextIdentity, redeliveryMs);
 
 function publish(streams: MemoryStreams, number: number, at = 0, bytes = 1): string {
   const log = streams.findOrCreate(stream, 1, base, at)!;
--- a/packages/log-storage/src/shards/memoryStreams.ts
+++ b/packages/log-storage/src/shards/memoryStreams.ts
@@ -29,14 +29,15 @@
   static readonly maxTailBytes = 2 * 1024 * 1024;
   /** Milliseconds for which messages stay for edges that missed a push. */
   static readonly tailRetentionMs = 10_000;
-  /** A publisher repeats a number for no more than this many milliseconds after it first sent it. */
-  static readonly maxRepeatMs = 12_000;
 
   readonly #randomIdentity: () => string;
+  readonly #repeatWindowMs: number;
   readonly #streams = new Map<string, MemoryStream>();
 
-  constructor(randomIdentity: () => string) {
+  /** `repeatWindowMs`: how long after a publish number was first sent it may arrive again, in milliseconds. */
+  constructor(randomIdentity: () => string, repeatWindowMs: number) {
     this.#randomIdentity = randomIdentity;
+    this.#repeatWindowMs = repeatWindowMs;
   }
 
   /** Number of streams that are sequenced in memory alone. */
@@ -96,7 +97,7 @@
    */
   mayHavePredecessor(stream: string, at: number): boolean {
     const entry = this.#streams.get(stream);
-    return entry !== undefined && at - entry.createdAt < MemoryStreams.maxRepeatMs;
+    return entry !== undefined && at - entry.createdAt < this.#repeatWindowMs;
   }
 
   /** Sequences a message, or repeats the verdict on its number. */
--- a/packages/log-storage/src/shards/servedStreams.ts
+++ b/packages/log-storage/src/shards/servedStreams.ts
@@ -3,6 +3,7 @@
 import { Streams, type StreamRoute } from "@cranetrack/core/configuration/streams.js";
 import { Rendezvous } from "@cranetrack/core/membership/rendezvous.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { repeatWindowMs } from "@cranetrack/core/runtime/repeatWindow.js";
 import { MemoryStreams } from "./memoryStreams.js";
 import type { ShardLeader } from "./shardLeader.js";
 import type { StreamLog, Verdict } from "./streamLog.js";
@@ -27,7 +28,7 @@
     this.#replica = replica;
     this.#leader = leader;
     this.statuses = new StreamStatuses(node);
-    this.memory = new MemoryStreams(() => node.parts.random.identity());
+    this.memory = new MemoryStreams(() => node.parts.random.identity(), repeatWindowMs(node.parts.settings));
   }
 
   /** Whether the stream hashes into this shard. */
--- a/packages/log-storage/src/shards/streamTrimmer.ts
+++ b/packages/log-storage/src/shards/streamTrimmer.ts
@@ -2,6 +2,7 @@
 import { Configurations } from "@cranetrack/core/configuration/configuration.js";
 import type { TrimStreamSchema } from "@cranetrack/core/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { repeatWindowMs } from "@cranetrack/core/runtime/repeatWindow.js";
 import type { LeaderAuthority } from "./leaderAuthority.js";
 import type { ServedStreams } from "./servedStreams.js";
 import type { ShardLeader } from "./shardLeader.js";
@@ -33,8 +34,6 @@
   static readonly minRetentionMs = 45_000;
   /** A session's numbers in a topic stay known for this many milliseconds after the last of them. */
   static readonly sessionRetentionMs = 600_000;
-  /** Milliseconds for which a publish that was repeated last may be on its way. */
-  static readonly repeatMarginMs = 5000;
   /** Interval in ms of trims in memory. */
   static readonly memoryIntervalMs = 1000;
   /** Interval in ms of trims of the replicated log. */
@@ -94,12 +93,9 @@
     this.#isTrimming = false;
   }
 
-  /**
-   * How long numbers stay known after they were taken, in ms: as long as a client may repeat them, and a publish that
-   * it repeated last may be on its way.
-   */
+  /** How long numbers stay known after they were taken, in ms. */
   get #numberRetentionMs(): number {
-    return this.#node.parts.settings.redeliveryMs + StreamTrimmer.repeatMarginMs;
+    return repeatWindowMs(this.#node.parts.settings);
   }
 
   /** The trim of one stream; undefined if there is nothing to remove. */
--- a/packages/testkit/src/sim/memory.test.ts
+++ b/packages/testkit/src/sim/memory.test.ts
@@ -1,5 +1,5 @@
 import { test } from "node:test";
-import { MemoryStreams } from "@cranetrack/log-storage/shards/memoryStreams.js";
+import { repeatWindowMs } from "@cranetrack/core/runtime/repeatWindow.js";
 import type { ShardService } from "@cranetrack/log-storage/shards/shardService.js";
 import type { ShardLeader } from "@cranetrack/log-storage/shards/shardLeader.js";
 import type { PublishReply } from "@cranetrack/core/gen/cranetrack_pb.js";
@@ -7,7 +7,8 @@
 import { countTopic, type TopicCountResult } from "@cranetrack/edge/subscriptions/countTopic.js";
 import { viewOf } from "@cranetrack/edge/fanout/viewOf.js";
 import { expect } from "earl";
-import { TestClient, startTestFleet, type TestFleet } from "./testClient.js";
+import { connectSession as connectToEndpoint, resultOf } from "./endpointConnection.js";
+import { TestClient, startTestFleet, type Line, type TestFleet } from "./testClient.js";
 
 /** A fleet whose space `notes` keeps nothing, and so does `extra`, which has one order. */
 async function keepingNothing(seed: number): Promise<TestFleet> {
@@ -86,7 +87,7 @@
   expect((await publish("pen", 4, "vise-2"))["receipt"]).toEqual("accepted");
   // An earlier leader might have taken it, as long as anybody would still repeat it.
   expect((await publish("pen", 3, "vise-2"))["status"]).toEqual(504);
-  await fleet.run(MemoryStreams.maxRepeatMs);
+  await fleet.run(repeatWindowMs(fleet.find("vise-2")!.node.parts.settings));
   expect((await publish("pen", 4, "vise-2"))["receipt"]).toEqual("accepted");
   expect((await publish("pen", 3, "vise-2"))["status"]).toEqual(409);
   const large = JSON.stringify({ topic: "notes/t1", number: 5, payload: "x".repeat(70_000) });
@@ -126,6 +127,38 @@
   expect([reader.linesOf("expired"), reader.linesOf("ended"), reader.isClosed]).toEqual([[], [], false]);
 });
 
+// Guards against ORDER (review/10): the acknowledgement was lost, the leader changed, the space was removed and made
+// again, and the repeated number came a second time to readers that had stayed on their connections.
+test("a reader gets a repeated number once on a connection, also after its space was removed and restored", async () => {
+  const all = await keepingNothing(812);
+  const { fleet, publish } = all;
+  const { wire: reader, connection } = await connectToEndpoint(fleet, "vise-3", "desk");
+  expect((await resultOf(fleet, connection.subscribe("notes/t1"))).outcome).toEqual("confirmed");
+  await connectSession(all, "vise-1", "pen", []);
+  expect((await publish("pen", 1))["receipt"]).toEqual("accepted");
+  expect(await fleet.until(() => reader.numbers().length === 1, 2000)).toEqual(true);
+  const { name, shard } = shardLeaderOf(all, "notes/t1");
+  fleet.kill(name);
+  const { shards } = fleet.find("vise-2")!.node;
+  expect(await fleet.until(() => ![name, ""].includes(shards.find(shard).leader), 9000)).toEqual(true);
+  const keepNothing = (spaces: Record<string, Array<{ contract: Line }>>): void =>
+    void (spaces["notes"]![0]!.contract["keep"] = 0);
+  expect((await all.configuration(["notices"]))["status"]).toEqual(200);
+  await fleet.run(500);
+  expect((await all.configuration(["notes", "notices"], keepNothing))["status"]).toEqual(200);
+  await fleet.run(1000);
+  for (const number of [1, 2]) {
+    let reply = await publish("pen", number);
+    for (let tries = 0; reply["receipt"] !== "accepted" && tries < 20; tries += 1) {
+      await fleet.run(200);
+      reply = await publish("pen", number);
+    }
+    expect(reply["receipt"]).toEqual("accepted");
+  }
+  expect(await fleet.until(() => reader.numbers().includes(2), 4000)).toEqual(true);
+  expect([reader.numbers(), reader.isClosed]).toEqual([[1, 2], false]);
+});
+
 // Guards against ORDER (review/8): the acknowledgement was lost, the leader changed, others published, and the repeated
 // number was taken once more, behind their messages.
 test("in one order, a number that an earlier leader took is not sequenced again behind what came since", async () => {
--- a/packages/testkit/src/slopes/edgeSlopes.ts
+++ b/packages/testkit/src/slopes/edgeSlopes.ts
@@ -39,7 +39,9 @@
   topic: string,
   connection: ClientConnection,
 ): void {
-  const cursor = new StreamCursor({ table, tail, connection, clock, maySend: () => true, onEnd: () => undefined });
+  const delivered = session.deliveredNumbers;
+  const calls = { maySend: () => true, onEnd: () => undefined };
+  const cursor = new StreamCursor({ table, tail, connection, delivered, clock, ...calls });
   cursor.add(topic, { incarnation, seq: tail.head });
   session.subscriptions.set(topic, cursor);
   cursor.start();
@@ -61,7 +63,7 @@
   const tail = tailOf("notes/busy");
   const sessions = new Map<string, Session>();
   const server = createServer((_ask, answer) => {
-    const session = new Session(`caller-${sessions.size}`, 1);
+    const session = new Session(`caller-${sessions.size}`, 1, 0);
     session.connection = new HttpConnection(answer);
     session.connection.send({ kind: "open" });
     sessions.set(session.id, session);
@@ -96,7 +98,7 @@
   },
 
   subscriptionBytes(count: number): number {
-    const session = new Session("caller", 1);
+    const session = new Session("caller", 1, 0);
     const table = tableOf();
     const tail = tailOf("notes/busy");
     return Meter.heldBy(() => {
