--- a/packages/testkit/src/mutants/logMutants.ts
+++ b/packages/testkit/src/mutants/logMutants.ts
@@ -117,7 +117,7 @@
   {
     name: "a snapshot is installed unread",
     file: "core/dist/replication/followerLog.js",
-    find: "!this.#isReadable(outcome.state)",
+    find: "!this.#parts.isReadable(outcome.state)",
     put: "false",
     test: "core/dist/replication/snapshotPieces.test.js",
   },
