Soak and simulator: lost acknowledgements, live spaces of one order, full-size bodies

Two subscribers of a topic with one order must not disagree. Simulator: the faults lostAcknowledgements and lostAcknowledgementsKill, a live space of one order, large payloads, and two rules: a message whose last reply promised that it was not published does not arrive, and one order for all.

soakRules.test.ts allowed the delivery of a message that was refused after a try with an unknown outcome. The refusal is a promise, so this is reported now, except for codes that promise nothing.

--- a/packages/testkit/src/checker/soakRules.test.ts
+++ b/packages/testkit/src/checker/soakRules.test.ts
@@ -34,7 +34,37 @@
   expect(rulesOf(connected, got(1))).toEqual(["nobody-sent"]);
   expect(rulesOf(tried(1), connected, got(1, "other"))).toEqual(["changed-bytes"]);
   expect(rulesOf(tried(1), refused(1), connected, got(1))).toEqual(["refused-delivered"]);
-  expect(rulesOf(tried(1), unknown(1), tried(1), refused(1), connected, got(1))).toEqual([]);
+});
+
+// Guards against ORDER (review/7): a refusal promises that the message never was and never will be published.
+test("a message whose last reply promised that it was not published is not delivered", () => {
+  expect(rulesOf(tried(1), unknown(1), tried(1), refused(1), connected, got(1))).toEqual(["promise-broken"]);
+  const unrouted: HistoryEvent = {
+    kind: "refused",
+    at: 0,
+    sender: "pen",
+    topic: "p/t",
+    number: 1,
+    code: "unknown-topic",
+  };
+  expect(rulesOf(tried(1), unknown(1), tried(1), unrouted, connected, got(1))).toEqual([]);
+});
+
+test("topics with one order reach all connections in that order", () => {
+  const from = (subscriber: string, ...numbers: number[]): HistoryEvent[] => [
+    { kind: "linked", at: 0, subscriber, node: "edge" },
+    ...numbers.map((n): HistoryEvent => {
+      return { kind: "received", at: 1, subscriber, topic: "p/t", sender: `pen-${n}`, number: 1, payload: "" };
+    }),
+  ];
+  const rules = (...events: HistoryEvent[]): string[] =>
+    checkEphemeralTopics(events, () => true)
+      .map(({ rule }) => rule)
+      .filter((rule) => rule === "one-order");
+  expect(rules(...from("desk", 1, 2, 3), ...from("shelf", 2, 3))).toEqual([]);
+  expect(rules(...from("desk", 1, 2, 3), ...from("shelf", 3, 1))).toEqual(["one-order"]);
+  // A connection that comes later may receive something again.
+  expect(rules(...from("desk", 1, 2), ...from("desk", 1), ...from("shelf", 1, 2))).toEqual([]);
 });
 
 test("a read is at least as new as any version accepted, or read elsewhere, before it started", () => {
--- a/packages/testkit/src/clients/ephemeralClients.ts
+++ b/packages/testkit/src/clients/ephemeralClients.ts
@@ -15,6 +15,8 @@
   /** Edges to which clients may connect at present. */
   edges: () => string[];
   topics: readonly string[];
+  /** Whether all subscribers of a topic must receive its messages in one order; by default none must. */
+  hasOneOrder?: (topic: string) => boolean;
   readers: number;
   publishers: number;
   /** Messages a second, of all publishers together. */
@@ -74,7 +76,7 @@
 
   /** Violations of the rules for topics without retention. */
   check(): Breach[] {
-    return checkEphemeralTopics(this.#history.events);
+    return checkEphemeralTopics(this.#history.events, this.#parts.hasOneOrder);
   }
 
   #publish(): void {
--- a/packages/testkit/src/sim/changeFaultInjector.ts
+++ b/packages/testkit/src/sim/changeFaultInjector.ts
@@ -9,6 +9,9 @@
   static readonly maxDelayAfterAnswerMs = 4;
   /** Bounds of the delay between sending a change and the fault, in ms. */
   static readonly delayAfterSendMs = [5, 400] as const;
+  /** Share of the acknowledgements that is lost, and for how long before the leader changes, in ms. */
+  static readonly acknowledgementLoss = 0.8;
+  static readonly lossBeforeChangeMs = 60;
   /** How long one disk loss stays reserved, in ms: the disk is lost within that time. */
   static readonly lossReservationMs = 2500;
 
@@ -19,6 +22,20 @@
     return this.schedule(ms, () => void (this.fleet.port.answerLoss = 0));
   };
 
+  /** Acknowledgements are lost while a shard changes its leader in an orderly way. */
+  readonly lostAcknowledgements: InjectFault = (_name, ms) =>
+    this.#loseAcknowledgements(ms, (leader, shard) => {
+      void this.fleet.find(leader)?.storage?.leadership?.release(shard, "a fault of the run");
+    });
+
+  /** Acknowledgements are lost and the process of a shard's leader is killed: the shard has none for a while. */
+  readonly lostAcknowledgementsKill: InjectFault = (_name, ms) =>
+    this.#loseAcknowledgements(ms, (leader) => {
+      if (this.fleet.find(leader) === undefined) return;
+      this.fleet.kill(leader);
+      this.schedule(ms, () => this.fleet.revive(leader));
+    });
+
   /** A change every 100 ms. */
   readonly storm: InjectFault = (_name, ms) => {
     for (let at = 0; at < ms; at += 100) this.schedule(at, () => this.#proposeChange());
@@ -112,6 +129,21 @@
     return method === "POST" && path.endsWith("/messages") && status === 200;
   }
 
+  /** Loses most acknowledgements until `changeLeader` is called for a random shard and its leader. */
+  #loseAcknowledgements(ms: number, changeLeader: (leader: string, shard: number) => void): number {
+    const observer = this.edges.map((name) => this.fleet.find(name)).find((one) => one !== undefined);
+    const shards = observer?.node.shards.all().filter(([, { leader }]) => leader !== "") ?? [];
+    if (shards.length === 0) return FaultInjector.notApplicable;
+    const [shard, { leader }] = this.random.pick(shards);
+    const { port } = this.fleet;
+    port.acknowledgementLoss = ChangeFaultInjector.acknowledgementLoss;
+    this.schedule(ChangeFaultInjector.lossBeforeChangeMs, () => {
+      port.acknowledgementLoss = 0;
+      changeLeader(leader, shard);
+    });
+    return ms;
+  }
+
   #proposeChange(): void {
     void this.load.proposeConfiguration(
       SimConfigurations.write(this.load.nextVersion, SimConfigurations.changed(this.random)),
--- a/packages/testkit/src/sim/faults.ts
+++ b/packages/testkit/src/sim/faults.ts
@@ -79,6 +79,8 @@
   "coreCutRefused",
   "busyStops",
   "drainReturned",
+  "lostAcknowledgements",
+  "lostAcknowledgementsKill",
 ] as const;
 
 /** A fault's name in `--faults` and in reports. */
@@ -143,6 +145,7 @@
     this.#load.connectAllTo([]);
     this.#load.setPublishFactor(1);
     this.#fleet.port.answerLoss = 0;
+    this.#fleet.port.acknowledgementLoss = 0;
     for (const name of this.#fleet.names) this.#fleet.diskOf(name).clearFaults();
     for (const name of this.#fleet.names) this.#fleet.revive(name);
   }
--- a/packages/testkit/src/sim/simConfigurations.ts
+++ b/packages/testkit/src/sim/simConfigurations.ts
@@ -3,15 +3,15 @@
 type Rule = { when: object; contract: Record<string, unknown> };
 export type SimSpaces = Record<string, Rule[]>;
 
-const spaceNames: readonly string[] = ["notes", "notices", "extra", "passing"];
+const spaceNames: readonly string[] = ["notes", "notices", "extra", "passing", "live"];
 
 /**
- * Configurations that simulated operators propose: three spaces that retain messages and one that does not, and
- * variants of them.
+ * Configurations that simulated operators propose: three spaces that retain messages and two that do not, one of these
+ * with one order for all, and variants of them.
  */
 export const SimConfigurations = {
   allSpaceNames: spaceNames,
-  topics: { notes: 6, notices: 3, extra: 2, passing: 2 } as Record<string, number>,
+  topics: { notes: 6, notices: 3, extra: 2, passing: 2, live: 2 } as Record<string, number>,
 
   /** The configuration with which all clients are served. */
   usual(): SimSpaces {
@@ -25,6 +25,7 @@
       ],
       extra: [{ when: {}, contract: { keep: 60, order: "one", fault_budget: {} } }],
       passing: [{ when: {}, contract: { keep: 0, order: "sender", fault_budget: {} } }],
+      live: [{ when: {}, contract: { keep: 0, order: "topic", fault_budget: {} } }],
     };
   },
 
--- a/packages/testkit/src/sim/simLoad.ts
+++ b/packages/testkit/src/sim/simLoad.ts
@@ -13,6 +13,11 @@
 
 /** Clients and operators that use a simulated fleet. */
 export class SimLoad {
+  /** The largest payload of the users' protocol. */
+  static readonly largePayloadBytes = 16 * 1024;
+  /** Payloads that are drawn with this prefix, one in sixteen, get the largest size. */
+  static readonly largePayloadPrefix = "0";
+
   readonly history = new History();
   readonly clients: Client[] = [];
   readonly #fleet: SimFleet;
@@ -102,7 +107,7 @@
     return this.#fleet.until(() => this.clients.every((client) => client.isFullySubscribed), 25_000);
   }
 
-  /** Clients of the space that retains nothing, with a random generator of their own. */
+  /** Clients of the spaces that retain nothing, with a random generator of their own. */
   ephemeralClients(): EphemeralClients {
     const fleet = this.#fleet;
     return new EphemeralClients({
@@ -110,7 +115,10 @@
       clock: this.#clock,
       random: new SimRandom(fleet.world.seed),
       edges: () => fleet.withRole("vise").filter((name) => fleet.find(name) !== undefined),
-      topics: Array.from({ length: SimConfigurations.topics["passing"]! }, (_, i) => `passing/t${i}`),
+      topics: ["passing", "live"].flatMap((space) =>
+        Array.from({ length: SimConfigurations.topics[space]! }, (_, i) => `${space}/t${i}`),
+      ),
+      hasOneOrder: (topic) => topic.startsWith("live/"),
       readers: 4,
       publishers: 2,
       perSecond: 32,
@@ -136,7 +144,9 @@
     const space = drawn < 0.25 ? "notices" : drawn < 0.4 ? "extra" : "notes";
     const client =
       space === "notices" ? this.clients[Math.floor(this.#random.draw() * 2)]! : this.#random.pick(this.clients);
-    void client.publish(this.#topicOf(space), this.#random.identity());
+    const payload = this.#random.identity();
+    const isLarge = payload.startsWith(SimLoad.largePayloadPrefix);
+    void client.publish(this.#topicOf(space), isLarge ? payload.padEnd(SimLoad.largePayloadBytes, "x") : payload);
   }
 
   /** Every client publishes once more, and every subscriber must receive it. */
--- a/packages/testkit/src/sim/simPort.ts
+++ b/packages/testkit/src/sim/simPort.ts
@@ -34,6 +34,8 @@
   readonly stalled = new Set<string>();
   /** Share (0 to 1) of the answers to operators' changes that is lost in transit. */
   answerLoss = 0;
+  /** Share (0 to 1) of the acknowledgements of publishes that is lost in transit. */
+  acknowledgementLoss = 0;
   /** Listeners called with each answer at the time when a node gives it. */
   readonly onAnswer = new Set<(answer: NodeAnswer) => void>();
 
@@ -80,7 +82,7 @@
     );
   }
 
-  /** One request and its reply; replies to operators' changes are lost by `answerLoss`. */
+  /** One request and its reply; replies are lost by `answerLoss` and `acknowledgementLoss`. */
   call(name: string, method: string, path: string, body: string | undefined): Promise<PortReply> {
     const answered = this.run(name, async (simNode) => {
       const reply = await simNode.router.run(method, path, Buffer.from(body ?? ""));
@@ -89,8 +91,12 @@
       return reply;
     });
     const isOrder = method !== "GET" && method !== "POST";
-    if (!isOrder || this.answerLoss === 0 || this.#nodes.world.random.draw() >= this.answerLoss) return answered;
+    const isPublish = method === "POST" && path.endsWith("/messages");
+    const loss = isOrder ? this.answerLoss : isPublish ? this.acknowledgementLoss : 0;
     const { world } = this.#nodes;
+    if (loss === 0 || world.random.draw() >= loss) return answered;
+    // The connection of a publisher is reset, so that it knows at once; an operator waits.
+    if (isPublish) return answered.then((reply) => (reply.status === 200 ? SimPort.#brokenReply() : reply));
     return new Promise(
       (resolve) => void world.at(world.now + SimPort.answerTimeoutMs, () => resolve(SimPort.#brokenReply())),
     );
