A number taken in a leader's memory is not taken again by the log

An edge knows which numbers it sent while a topic was not kept. It tells the leader so with a repeat (may_be_in_memory), and ships it with the session. A leader that is younger than the time in which numbers may be repeated answers such a number that it does not know as unknown. New numbers, and repeats in spaces that always kept, are answered as before.

--- a/packages/core/src/gen/cranetrack_codec.ts
+++ b/packages/core/src/gen/cranetrack_codec.ts
@@ -2218,6 +2218,7 @@
   if (message.mayBeRepeat) writer.uint32(64).bool(message.mayBeRepeat);
   if (message.configurationVersion) writer.uint32(73).double(message.configurationVersion);
   if (message.isKept) writer.uint32(80).bool(message.isKept);
+  if (message.mayBeInMemory) writer.uint32(88).bool(message.mayBeInMemory);
   return writer;
 }
 
@@ -2234,6 +2235,7 @@
     mayBeRepeat: false,
     configurationVersion: 0,
     isKept: false,
+    mayBeInMemory: false,
   };
   while (reader.pos < end) {
     const tag = reader.uint32();
@@ -2268,6 +2270,9 @@
       case 80:
         message.isKept = reader.bool();
         break;
+      case 88:
+        message.mayBeInMemory = reader.bool();
+        break;
       default:
         reader.skipType(tag & 7);
     }
@@ -3580,6 +3585,7 @@
   if (message.topic) writer.uint32(10).string(message.topic);
   if (message.number) writer.uint32(17).double(message.number);
   if (message.isOpen) writer.uint32(24).bool(message.isOpen);
+  if (message.isInMemory) writer.uint32(32).bool(message.isInMemory);
   return writer;
 }
 
@@ -3589,6 +3595,7 @@
     topic: "",
     number: 0,
     isOpen: false,
+    isInMemory: false,
   };
   while (reader.pos < end) {
     const tag = reader.uint32();
@@ -3602,6 +3609,9 @@
       case 24:
         message.isOpen = reader.bool();
         break;
+      case 32:
+        message.isInMemory = reader.bool();
+        break;
       default:
         reader.skipType(tag & 7);
     }
--- a/packages/edge/src/publishing/publishMessage.ts
+++ b/packages/edge/src/publishing/publishMessage.ts
@@ -60,9 +60,11 @@
   // The next owner was told which numbers had been sent, so nothing may be sent after that.
   if (session.isStopped || !edge.lease.isHeld)
     return { outcome: "unsure", reason: "the session moved on meanwhile", retryAfterSeconds: 0.3 };
-  session.numbers.recordSent(topic, number);
-  const publish = { shard, session: session.id, ownerEpoch: session.epoch, number, topic, ...viewOf(node, route) };
-  const content = { payload: Buffer.from(payload), mayBeRepeat: mayBeAccepted };
+  const view = viewOf(node, route);
+  const mayBeInMemory = session.numbers.mayBeInMemory(topic, number);
+  session.numbers.recordSent(topic, number, !view.isKept);
+  const publish = { shard, session: session.id, ownerEpoch: session.epoch, number, topic, ...view };
+  const content = { payload: Buffer.from(payload), mayBeRepeat: mayBeAccepted, mayBeInMemory };
   const reply = await publishAtLeader(edge, shard, deadline, { ...publish, ...content });
   if (reply === undefined)
     return {
--- a/packages/edge/src/publishing/publishNumbers.test.ts
+++ b/packages/edge/src/publishing/publishNumbers.test.ts
@@ -8,11 +8,11 @@
 test("every number up to the highest one sent may have been accepted, except those that no leader accepted", () => {
   const numbers = new PublishNumbers();
   expect(numbers.mayHaveBeenAccepted(topic, 1)).toEqual(false);
-  for (const number of [1, 2, 3]) numbers.recordSent(topic, number);
+  for (const number of [1, 2, 3]) numbers.recordSent(topic, number, false);
   numbers.recordNotAccepted(topic, 2);
   expect([1, 2, 3, 4].map((number) => numbers.mayHaveBeenAccepted(topic, number))).toEqual([true, false, true, false]);
   expect(numbers.mayHaveBeenAccepted("notes/t2", 1)).toEqual(false);
-  numbers.recordSent(topic, 2);
+  numbers.recordSent(topic, 2, false);
   expect(numbers.mayHaveBeenAccepted(topic, 2)).toEqual(true);
 });
 
@@ -20,7 +20,7 @@
   const numbers = new PublishNumbers();
   const count = PublishNumbers.maxNotAccepted + 1;
   for (let number = 1; number <= count; number += 1) {
-    numbers.recordSent(topic, number);
+    numbers.recordSent(topic, number, false);
     numbers.recordNotAccepted(topic, number);
   }
   expect([1, 2, count].map((number) => numbers.mayHaveBeenAccepted(topic, number))).toEqual([true, false, false]);
@@ -28,14 +28,15 @@
 
 test("the next owner takes all numbers up to the highest one for sent, also after an earlier release", () => {
   const owner = new PublishNumbers();
-  for (const number of [3, 7]) owner.recordSent(topic, number);
+  for (const number of [3, 7]) owner.recordSent(topic, number, number === 3);
   const next = new PublishNumbers();
   next.restore(owner.records());
   expect([next.highestByTopic(), next.mayHaveBeenAccepted(topic, 3)]).toEqual([{ [topic]: 7 }, true]);
+  expect([2, 3, 4, 7].map((number) => next.mayBeInMemory(topic, number))).toEqual([true, true, false, false]);
   const ofEarlierRelease = new PublishNumbers();
   ofEarlierRelease.restore([
-    { topic, number: 7, isOpen: false },
-    { topic, number: 3, isOpen: true },
+    { topic, number: 7, isOpen: false, isInMemory: false },
+    { topic, number: 3, isOpen: true, isInMemory: false },
   ]);
   expect([3, 7, 8].map((number) => ofEarlierRelease.mayHaveBeenAccepted(topic, number))).toEqual([true, true, false]);
 });
--- a/packages/edge/src/publishing/publishNumbers.ts
+++ b/packages/edge/src/publishing/publishNumbers.ts
@@ -2,6 +2,8 @@
 interface TopicNumbers {
   /** The highest number that was sent to a leader. */
   highest: number;
+  /** The highest number that was sent while the topic's messages were kept in a leader's memory alone. */
+  highestInMemory: number;
   /** Numbers up to the highest that no leader has accepted: every attempt was answered so. */
   notAccepted: Set<number>;
 }
@@ -11,6 +13,8 @@
   number: number;
   /** A leader may have accepted it. Owners of an earlier release clear this for numbers with a final outcome. */
   isOpen: boolean;
+  /** It is the highest number that was sent while the topic's messages were kept in a leader's memory alone. */
+  isInMemory: boolean;
 }
 
 /**
@@ -35,10 +39,17 @@
     return numbers !== undefined && number <= numbers.highest && !numbers.notAccepted.has(number);
   }
 
+  /** Whether a leader may have accepted the number in its memory, so that later leaders do not know it. */
+  mayBeInMemory(topic: string, number: number): boolean {
+    const numbers = this.#topics.get(topic);
+    return numbers !== undefined && number <= numbers.highestInMemory && !numbers.notAccepted.has(number);
+  }
+
   /** Records that the number is about to be sent to a leader. */
-  recordSent(topic: string, number: number): void {
+  recordSent(topic: string, number: number, isInMemory: boolean): void {
     const numbers = this.#numbersOf(topic);
     numbers.highest = Math.max(numbers.highest, number);
+    if (isInMemory) numbers.highestInMemory = Math.max(numbers.highestInMemory, number);
     numbers.notAccepted.delete(number);
   }
 
@@ -51,17 +62,21 @@
 
   /** The records that the next owner needs. */
   records(): NumberRecord[] {
-    return [...this.#topics].map(([topic, { highest }]) => ({ topic, number: highest, isOpen: true }));
+    return [...this.#topics].flatMap(([topic, { highest, highestInMemory }]) => [
+      { topic, number: highest, isOpen: true, isInMemory: false },
+      ...(highestInMemory === 0 ? [] : [{ topic, number: highestInMemory, isOpen: true, isInMemory: true }]),
+    ]);
   }
 
   /** Restores the records that the old owner sent. */
   restore(records: readonly NumberRecord[]): void {
-    for (const { topic, number } of records) this.recordSent(topic, number);
+    for (const { topic, number, isInMemory } of records) this.recordSent(topic, number, isInMemory);
   }
 
   #numbersOf(topic: string): TopicNumbers {
     let numbers = this.#topics.get(topic);
-    if (numbers === undefined) this.#topics.set(topic, (numbers = { highest: 0, notAccepted: new Set() }));
+    if (numbers === undefined)
+      this.#topics.set(topic, (numbers = { highest: 0, highestInMemory: 0, notAccepted: new Set() }));
     return numbers;
   }
 }
--- a/packages/log-storage/src/shards/publishHandler.ts
+++ b/packages/log-storage/src/shards/publishHandler.ts
@@ -3,6 +3,7 @@
 import type { StreamRoute } from "@cranetrack/core/configuration/streams.js";
 import { AcceptSchema, type Accept, type Publish } from "@cranetrack/core/gen/cranetrack_pb.js";
 import type { ClusterNode } from "@cranetrack/core/runtime/clusterNode.js";
+import { repeatWindowMs } from "@cranetrack/core/runtime/repeatWindow.js";
 import { AwaitedRetries } from "./awaitedRetries.js";
 import type { LeaderAuthority } from "./leaderAuthority.js";
 import type { MemoryStreams } from "./memoryStreams.js";
@@ -56,6 +57,7 @@
   readonly #memory: MemoryStreams;
   readonly #pusher: StreamPusher;
   readonly #awaitedRetries = new AwaitedRetries();
+  readonly #createdAt: number;
 
   constructor({ node, shard, leader, authority, streams, pusher }: PublishHandlerParts) {
     this.#node = node;
@@ -65,6 +67,7 @@
     this.#streams = streams;
     this.#memory = streams.memory;
     this.#pusher = pusher;
+    this.#createdAt = node.parts.clock.now();
   }
 
   /**
@@ -122,12 +125,20 @@
         return unknownReply("an earlier holder may have accepted this number, in another order");
       return this.#acceptInMemory(accept, violation);
     }
+    if (publish.mayBeInMemory && this.#mayHavePredecessor)
+      return unknownReply("an earlier holder may have accepted this number in its memory");
     const verdict = await this.#leader.propose({ case: "accept", value: accept });
     if (verdict === undefined) return unknownReply("the holder lost its claim before the message was committed");
     if (verdict.kind === "refused" && violation !== undefined) return refusedReply(violation.code, violation.reason);
     return verdictReply(verdict);
   }
 
+  /** Whether numbers may still arrive that an earlier leader of the shard accepted in its memory. */
+  get #mayHavePredecessor(): boolean {
+    const { clock, settings } = this.#node.parts;
+    return clock.now() - this.#createdAt < repeatWindowMs(settings);
+  }
+
   get #isOverloaded(): boolean {
     const { pendingCount, pendingBytes } = this.#leader;
     return pendingCount > PublishHandler.maxPending || pendingBytes > PublishHandler.maxPendingBytes;
--- a/packages/testkit/src/golden/wire.test.ts
+++ b/packages/testkit/src/golden/wire.test.ts
@@ -46,7 +46,8 @@
 /** Of frames, by name and number: claims, what a sender says of its configuration, and of the room on its disk. */
 const laterFrameFields = [
   ...["cranetrack.v1.AppendReply 10", "cranetrack.v1.AppendReply 11"],
-  ...["cranetrack.v1.Publish 9", "cranetrack.v1.Publish 10"],
+  ...["cranetrack.v1.Publish 9", "cranetrack.v1.Publish 10", "cranetrack.v1.Publish 11"],
+  "cranetrack.v1.NumberState 4",
   ...["cranetrack.v1.StreamAt 8", "cranetrack.v1.StreamAt 9"],
   ...["cranetrack.v1.TopicCursor 5", "cranetrack.v1.TopicCursor 6"],
   ...["cranetrack.v1.StoreCall 8", ...claimFields],
--- a/packages/testkit/src/sim/memory.test.ts
+++ b/packages/testkit/src/sim/memory.test.ts
@@ -159,6 +159,24 @@
   expect([reader.numbers(), reader.isClosed]).toEqual([[1, 2], false]);
 });
 
+// The same class as review/10: a number that was accepted in the memory of a leader that is gone came again once its
+// topic's messages were kept, and the log, which had never seen it, accepted it a second time.
+test("a number that an earlier leader took in memory is not taken by the log of a space that now keeps", async () => {
+  const all = await keepingNothing(813);
+  const { fleet, publish } = all;
+  await connectSession(all, "vise-1", "pen", []);
+  expect((await publish("pen", 1))["receipt"]).toEqual("accepted");
+  const { name, shard } = shardLeaderOf(all, "notes/t1");
+  fleet.kill(name);
+  expect((await all.configuration(["notes", "notices", "extra"]))["status"]).toEqual(200);
+  const { shards } = fleet.find("vise-2")!.node;
+  expect(await fleet.until(() => ![name, ""].includes(shards.find(shard).leader), 9000)).toEqual(true);
+  await fleet.run(1500);
+  expect((await publish("pen", 1))["status"]).toEqual(504);
+  expect((await publish("pen", 2))["receipt"]).toEqual("accepted");
+  expect((await publish("pen", 2))["receipt"]).toEqual("accepted");
+});
+
 // Guards against ORDER (review/8): the acknowledgement was lost, the leader changed, others published, and the repeated
 // number was taken once more, behind their messages.
 test("in one order, a number that an earlier leader took is not sequenced again behind what came since", async () => {
@@ -255,7 +273,7 @@
     topic,
     ...viewOf({ configuration }, configuration.route(topic)!),
   };
-  const base = { ...place, payload: new Uint8Array(1), mayBeRepeat: false };
+  const base = { ...place, payload: new Uint8Array(1), mayBeRepeat: false, mayBeInMemory: false };
   const outcomes = new Map<number, string>();
   const say = (number: number): void => {
     const publish = { ...base, number, $typeName: "cranetrack.v1.Publish" as const };
@@ -306,7 +324,7 @@
   const publish = { $typeName: "cranetrack.v1.Publish" as const, shard, session: "pen", ownerEpoch: 1e9, topic };
   let second = "";
   void next()!
-    .publish({ ...publish, ...view, number: 2, payload: Buffer.from("p2"), mayBeRepeat: false })
+    .publish({ ...publish, ...view, number: 2, payload: Buffer.from("p2"), mayBeRepeat: false, mayBeInMemory: false })
     .then(({ value }) => (second = value.outcome ?? ""));
   expect(await fleet.until(() => second !== "", 1000)).toEqual(true);
   expect(second).toEqual("accepted");
