--- a/packages/testkit/src/commands/soakCommand.ts
+++ b/packages/testkit/src/commands/soakCommand.ts
@@ -70,7 +70,7 @@
     .option("--profile <name>", "any, or disks: one disk lost after the other at the users' shortest interval", {
       default: "any",
     })
-    .option("--share <share>", "Processor share of each machine, for platform-control and platform-grown", {
+    .option("--share <share>", "Processor share of each machine, for the platform deployments", {
       default: 1,
     })
     .option("--folder <folder>", "Where settings, data and logs go")
