--- a/packages/testkit/src/sim/memory.test.ts
+++ b/packages/testkit/src/sim/memory.test.ts
@@ -46,6 +46,27 @@
   return { name, shard, leader, service };
 }
 
+/** Kills the process of the topic's shard leader and waits for the next leader. */
+async function replaceLeader(all: TestFleet, topic: string): Promise<void> {
+  const { name, shard } = shardLeaderOf(all, topic);
+  const { shards } = all.fleet.find("vise-2")!.node;
+  all.fleet.kill(name);
+  expect(await all.fleet.until(() => ![name, ""].includes(shards.find(shard).leader), 9000)).toEqual(true);
+}
+
+/** Publishes under the same number, as a client without a reply does, until that is accepted. */
+async function publishUntilAccepted(
+  { fleet, publish }: TestFleet,
+  ...message: Parameters<TestFleet["publish"]>
+): Promise<void> {
+  let reply = await publish(...message);
+  for (let tries = 0; reply["receipt"] !== "accepted" && tries < 20; tries += 1) {
+    await fleet.run(200);
+    reply = await publish(...message);
+  }
+  expect(reply["receipt"]).toEqual("accepted");
+}
+
 async function counted({ fleet }: TestFleet, topic: string, node = "vise-2"): Promise<TopicCountResult> {
   let got: TopicCountResult | undefined;
   void countTopic(fleet.find(node)!.edge!, topic).then((count) => (got = count));
@@ -104,22 +125,10 @@
   for (let number = 1; number <= 3; number += 1)
     expect((await publish("pen", number, "vise-2"))["receipt"]).toEqual("accepted");
   expect(await fleet.until(() => reader.deliveries().length === 3, 2000)).toEqual(true);
-  const { name } = shardLeaderOf(all, "notes/t1");
-  fleet.kill(name);
-  expect(
-    await fleet.until(
-      () => ![name, ""].includes(fleet.find("vise-2")!.node.shards.find(leaderShard(all)).leader),
-      9000,
-    ),
-  ).toEqual(true);
+  await replaceLeader(all, "notes/t1");
   // Whoever had no reply for these sends them again, to a leader that knows nothing of them.
   for (const number of [2, 3, 4, 5]) {
-    let reply = await publish("pen", number, "vise-2");
-    for (let tries = 0; reply["receipt"] !== "accepted" && tries < 20; tries += 1) {
-      await fleet.run(200);
-      reply = await publish("pen", number, "vise-2");
-    }
-    expect(reply["receipt"]).toEqual("accepted");
+    await publishUntilAccepted(all, "pen", number, "vise-2");
   }
   expect(await fleet.until(() => reader.deliveries().length >= 5, 4000)).toEqual(true);
   await fleet.run(2000);
@@ -137,10 +146,7 @@
   await connectSession(all, "vise-1", "pen", []);
   expect((await publish("pen", 1))["receipt"]).toEqual("accepted");
   expect(await fleet.until(() => reader.numbers().length === 1, 2000)).toEqual(true);
-  const { name, shard } = shardLeaderOf(all, "notes/t1");
-  fleet.kill(name);
-  const { shards } = fleet.find("vise-2")!.node;
-  expect(await fleet.until(() => ![name, ""].includes(shards.find(shard).leader), 9000)).toEqual(true);
+  await replaceLeader(all, "notes/t1");
   const keepNothing = (spaces: Record<string, Array<{ contract: Line }>>): void =>
     void (spaces["notes"]![0]!.contract["keep"] = 0);
   expect((await all.configuration(["notices"]))["status"]).toEqual(200);
@@ -148,12 +154,7 @@
   expect((await all.configuration(["notes", "notices"], keepNothing))["status"]).toEqual(200);
   await fleet.run(1000);
   for (const number of [1, 2]) {
-    let reply = await publish("pen", number);
-    for (let tries = 0; reply["receipt"] !== "accepted" && tries < 20; tries += 1) {
-      await fleet.run(200);
-      reply = await publish("pen", number);
-    }
-    expect(reply["receipt"]).toEqual("accepted");
+    await publishUntilAccepted(all, "pen", number);
   }
   expect(await fleet.until(() => reader.numbers().includes(2), 4000)).toEqual(true);
   expect([reader.numbers(), reader.isClosed]).toEqual([[1, 2], false]);
@@ -187,16 +188,9 @@
   await connectSession(all, "vise-2", "quill", []);
   const reader = await connectSession(all, "vise-3", "desk", [{ topic }]);
   expect((await publish("pen", 1, "vise-1", topic))["receipt"]).toEqual("accepted");
-  const { name, shard } = shardLeaderOf(all, topic);
-  fleet.kill(name);
-  const { shards } = fleet.find("vise-2")!.node;
-  expect(await fleet.until(() => ![name, ""].includes(shards.find(shard).leader), 9000)).toEqual(true);
+  await replaceLeader(all, topic);
   const late = await connectSession(all, "vise-2", "shelf", [{ topic }]);
-  let other = await publish("quill", 1, "vise-2", topic);
-  for (let tries = 0; other["receipt"] !== "accepted" && tries < 20; tries += 1) {
-    await fleet.run(200);
-    other = await publish("quill", 1, "vise-2", topic);
-  }
+  await publishUntilAccepted(all, "quill", 1, "vise-2", topic);
   expect((await publish("pen", 1, "vise-1", topic))["status"]).toEqual(504);
   expect((await publish("pen", 2, "vise-1", topic))["receipt"]).toEqual("accepted");
   expect(await fleet.until(() => late.deliveries().length === 2, 4000)).toEqual(true);
@@ -207,11 +201,6 @@
   ]);
 });
 
-function leaderShard({ fleet }: TestFleet): number {
-  const { node, edge } = fleet.find("vise-2")!;
-  return edge!.streams.shardOf(node.configuration.route("notes/t1")!.stream);
-}
-
 test("a place of another incarnation, or of nowhere, is confirmed without a word where nothing is kept", async () => {
   const all = await keepingNothing(804);
   const { fleet, publish } = all;
@@ -351,18 +340,10 @@
   // At an edge that follows the topic only from now on: what it missed is fetched.
   const again = await connectSession(all, "vise-3", "desk", [{ topic, after }]);
   expect(await fleet.until(() => again.deliveries().length === 1, 1000)).toEqual(true);
-  const { name, shard } = shardLeaderOf(all, topic);
-  fleet.kill(name);
-  const next = (): string => fleet.find("vise-2")!.node.shards.find(shard).leader;
-  expect(await fleet.until(() => ![name, ""].includes(next()), 9000)).toEqual(true);
+  await replaceLeader(all, topic);
   // Its publisher had no reply for it.
   for (const number of [2, 3]) {
-    let reply = await publish("pen", number, "vise-2");
-    for (let tries = 0; reply["receipt"] !== "accepted" && tries < 20; tries += 1) {
-      await fleet.run(200);
-      reply = await publish("pen", number, "vise-2");
-    }
-    expect(reply["receipt"]).toEqual("accepted");
+    await publishUntilAccepted(all, "pen", number, "vise-2");
   }
   expect(await fleet.until(() => again.deliveries(topic).includes(3), 3000)).toEqual(true);
   expect(again.deliveries(topic)).toEqual([2, 3]);
@@ -402,11 +383,7 @@
   // Both come again, the second one's first.
   for (const pen of [...pens].reverse()) await all.publish(pen, 1, "vise-2", topic);
   for (const pen of pens) {
-    let reply = await all.publish(pen, 2, "vise-2", topic);
-    for (let tries = 0; reply["receipt"] !== "accepted" && tries < 20; tries += 1) {
-      await fleet.run(200);
-      reply = await all.publish(pen, 2, "vise-2", topic);
-    }
+    await publishUntilAccepted(all, pen, 2, "vise-2", topic);
   }
   const ordersOf = (): string[][] =>
     readers.map((reader) =>
