A leader counts on replicas that were silent for less than 3 s

Suspected cause: whether a majority has room was asked of replicas that had replied in the last 700 ms, the time after which a leader stops. A leader that stood still for as long, and has not read its replies yet, refused publishes with no-room, and every later number of their clients for another second.

A replica is counted on for 3 s now. That the leader refused publishes was not seen in a log.

Test: replication.test.ts "a replica that was silent for too long".

--- a/packages/core/src/replication/logReplicator.ts
+++ b/packages/core/src/replication/logReplicator.ts
@@ -126,12 +126,12 @@
   }
 
   /**
-   * Whether a majority of every voter set has replied in the last `maxSilenceMs` and has room for further publishes.
+   * Whether a majority of every voter set has replied in the last `maxContactAgeMs` and has room for further publishes.
    * This node counts as one that has; its own disk is for the caller to check.
    */
-  hasMajorityWithRoom(maxSilenceMs: number): boolean {
+  hasMajorityWithRoom(maxContactAgeMs: number): boolean {
     const hasRoom = (id: string): boolean =>
-      id === this.#self || (this.#peers.get(id)?.isShortOfRoom === false && this.sinceContactMs(id) <= maxSilenceMs);
+      id === this.#self || (this.#peers.get(id)?.isShortOfRoom === false && this.sinceContactMs(id) <= maxContactAgeMs);
     return this.#voterSets.every((set) => set.filter(hasRoom).length > set.length / 2);
   }
 
--- a/packages/core/src/replication/replication.test.ts
+++ b/packages/core/src/replication/replication.test.ts
@@ -393,3 +393,24 @@
   replicator.handleReply(reply("b", 0));
   expect([sent, replicator.hasMajorityWithRoom(0)]).toEqual([[["b", 2]], true]);
 });
+
+test("a replica that was silent for too long is not counted on for publishes", () => {
+  let now = 0;
+  const log = new ReplicaLog(new ManualSyncDisk(), "g");
+  const movingClock = { ...clock, now: () => now };
+  const replicator = new LogReplicator({
+    log,
+    clock: movingClock,
+    self: "a",
+    term: 2,
+    commit: 0,
+    send: () => undefined,
+  });
+  replicator.setMembers([["a", "b", "c"]], []);
+  now = 3000;
+  expect(replicator.hasMajorityWithRoom(3000)).toEqual(true);
+  now = 3001;
+  expect(replicator.hasMajorityWithRoom(3000)).toEqual(false);
+  replicator.handleReply(reply("c", 0));
+  expect(replicator.hasMajorityWithRoom(3000)).toEqual(true);
+});
--- a/packages/log-storage/src/shards/shardLeader.ts
+++ b/packages/log-storage/src/shards/shardLeader.ts
@@ -34,6 +34,11 @@
 export class ShardLeader extends EventEmitter<ShardLeaderEvents> implements CommitSource {
   /** The leader stops after this many milliseconds without contact to a majority. */
   static readonly majorityTimeoutMs = 700;
+  /**
+   * A replica that was silent for longer is not counted on for further publishes, whatever room it had. Longer than a
+   * leader can stand still and stay one: what it has not read yet must not count as silence.
+   */
+  static readonly replicaContactMs = 3000;
   /** Interval in ms of the heartbeats to replicas that have everything; their replies show that they are alive. */
   static readonly idleHeartbeatMs = 250;
   /** Timeout in ms of a request for a part of a more complete log. */
@@ -90,7 +95,7 @@
 
   /** Whether this node's disk, and the disks of a majority of every voter set, have room for further publishes. */
   get hasRoom(): boolean {
-    const isMajorityFree = this.#replicator?.hasMajorityWithRoom(ShardLeader.majorityTimeoutMs) ?? false;
+    const isMajorityFree = this.#replicator?.hasMajorityWithRoom(ShardLeader.replicaContactMs) ?? false;
     return !this.#replica.room.isShort && isMajorityFree;
   }
 
